--- /dev/null
+++ b/src/main/java/gorseladder/simhost/SimHost.java
@@ -0,0 +1,132 @@
+package gorseladder.simhost;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import gorseladder.Router;
+import gorseladder.RouterApi.Event;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Hosts router instances on the bench's wire: reads batches of events, writes their actions. */
+public final class SimHost {
+  private final Map<String, Router> instances = new HashMap<>();
+  private final JsonParser in;
+  private final JsonGenerator out;
+
+  SimHost(InputStream in, OutputStream out) throws IOException {
+    JsonFactory factory = new JsonFactory();
+    this.in = factory.createParser(in);
+    this.out = factory.createGenerator(new BufferedOutputStream(out, 1 << 16));
+    this.out.setPrettyPrinter(new MinimalPrettyPrinter(""));
+  }
+
+  /** Runs until the input ends; exits with 1 and one line on standard error if it is malformed. */
+  public static void main(String[] args) throws IOException {
+    int code = serve(System.in, System.out, System.err::println);
+    if (code != 0) {
+      System.exit(code);
+    }
+  }
+
+  static int serve(InputStream in, OutputStream out, Consumer<String> complain)
+      throws IOException {
+    SimHost host = new SimHost(in, out);
+    try {
+      host.run();
+      return 0;
+    } catch (JsonProcessingException e) {
+      complain.accept("gorseladder: line " + host.line() + ": not JSON: " + firstLine(e.getOriginalMessage()));
+    } catch (Wire.BadInput | IllegalArgumentException e) {
+      complain.accept("gorseladder: line " + host.line() + ": " + firstLine(e.getMessage()));
+    }
+    return 1;
+  }
+
+  private static String firstLine(String text) {
+    return String.valueOf(text).lines().findFirst().orElse("");
+  }
+
+  private int line() {
+    return in.currentLocation().getLineNr();
+  }
+
+  private Map<String, Object> next() throws IOException {
+    JsonToken token = in.nextToken();
+    if (token == null) {
+      return null;
+    }
+    if (token != JsonToken.START_OBJECT) {
+      throw new Wire.BadInput("a message must be an object");
+    }
+    return Wire.readObject(in);
+  }
+
+  private void run() throws IOException {
+    for (Map<String, Object> m = next(); m != null; m = next()) {
+      if (!"batch".equals(Wire.text(m, "verb"))) {
+        throw new Wire.BadInput("'" + Wire.text(m, "verb") + "' outside a batch");
+      }
+      batch(Wire.micros(m, "tsMs"));
+    }
+  }
+
+  private void batch(long now) throws IOException {
+    while (true) {
+      Map<String, Object> m = next();
+      if (m == null) {
+        throw new Wire.BadInput("input ends inside a batch");
+      }
+      String verb = Wire.text(m, "verb");
+      if (verb.equals("overToYou")) {
+        break;
+      }
+      message(now, verb, m);
+    }
+    out.writeRaw("{\"verb\":\"end\"}\n");
+    out.flush();
+  }
+
+  private void message(long now, String verb, Map<String, Object> m) throws IOException {
+    if (verb.equals("batch")) {
+      throw new Wire.BadInput("a batch inside a batch");
+    }
+    String who = Wire.text(m, "who");
+    if (verb.equals("up")) {
+      instances.put(who, new Router(Wire.settings(Wire.object(m, "facts")),
+          (long) Wire.number(m, "randomSeed")));
+    } else if (!instances.containsKey(who)) {
+      throw new Wire.BadInput("'" + verb + "' for '" + who + "', which is not up");
+    } else if (verb.equals("kill")) {
+      instances.remove(who);
+    } else {
+      decide(now, who, Wire.event(verb, m));
+    }
+  }
+
+  private void decide(long now, String who, Event event) throws IOException {
+    try {
+      instances.get(who).on(now, event, action -> {
+        try {
+          Wire.write(out, who, action);
+        } catch (IOException e) {
+          throw new UncheckedIOException(e);
+        }
+      });
+    } catch (UncheckedIOException e) {
+      throw e.getCause();
+    } catch (RuntimeException e) {
+      StackTraceElement[] trace = e.getStackTrace();
+      Wire.writeFault(out, who, e + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gorseladder/simhost/Wire.java
@@ -0,0 +1,317 @@
+package gorseladder.simhost;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import gorseladder.RouterApi;
+import gorseladder.RouterApi.Action;
+import gorseladder.RouterApi.Event;
+import gorseladder.RouterApi.Outcome;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Translates between the bench's JSON messages and the router's events and actions. */
+final class Wire {
+  private static final Map<String, Outcome> OUTCOMES = Map.of(
+      "OK", Outcome.OK, "INTERNAL", Outcome.ERROR, "RESOURCE_EXHAUSTED", Outcome.FULL,
+      "DEADLINE_EXCEEDED", Outcome.TIMEOUT, "UNAVAILABLE", Outcome.CONNECT_FAILED,
+      "ABORTED", Outcome.RESET, "CANCELLED", Outcome.CANCELLED, "TOO_LATE", Outcome.MOOT,
+      "NOT_FOUND", Outcome.MISS);
+  private static final RouterApi.Note[] NOTES = RouterApi.Note.values();
+
+  private Wire() {}
+
+  /** A message that cannot be read; its text says what is wrong. */
+  static final class BadInput extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    BadInput(String text) {
+      super(text);
+    }
+  }
+
+  /** Reads one JSON object; the parser stands on its opening brace. */
+  static Map<String, Object> readObject(JsonParser in) throws IOException {
+    Map<String, Object> object = new LinkedHashMap<>();
+    while (in.nextToken() != JsonToken.END_OBJECT) {
+      if (in.currentToken() == null) {
+        throw new BadInput("input ends inside a message");
+      }
+      String name = in.currentName();
+      in.nextToken();
+      object.put(name, readValue(in));
+    }
+    return object;
+  }
+
+  private static Object readValue(JsonParser in) throws IOException {
+    JsonToken token = in.currentToken();
+    if (token == null) {
+      throw new BadInput("input ends inside a message");
+    }
+    return switch (token) {
+      case START_OBJECT -> readObject(in);
+      case START_ARRAY -> {
+        List<Object> list = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+          list.add(readValue(in));
+        }
+        yield list;
+      }
+      case VALUE_STRING -> in.getText();
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> in.getDoubleValue();
+      case VALUE_TRUE -> Boolean.TRUE;
+      case VALUE_FALSE -> Boolean.FALSE;
+      default -> null;
+    };
+  }
+
+  /** Reads the settings of an instance; unknown keys are skipped. */
+  static RouterApi.Settings settings(Map<String, Object> facts) {
+    Map<String, Object> family = object(facts, "familyInfo");
+    Map<String, Object> limits = object(facts, "limits");
+    Map<String, Object> rules = object(facts, "rules");
+    return new RouterApi.Settings((int) number(facts, "ordinal"), (int) number(facts, "balancers"),
+        text(facts, "zone", ""), micros(facts, "tickMs", 0), micros(family, "keepAliveMs"),
+        "load".equals(text(family, "ifCold")), "on_request".equals(text(facts, "membershipMode", "")),
+        micros(rules, "askWithinMs", 0), number(facts, "overShareWorth", 1),
+        new RouterApi.Limits((int) number(limits, "maxAttempts"), flag(limits, "mayDuplicate"),
+            flag(limits, "cancelling"), flag(limits, "probing"), flag(limits, "peers"),
+            flag(family, "placementCalls"), flag(limits, "retryAfter"),
+            micros(limits, "maxRetryAfterMs", 0), micros(family, "orderLimitMs", 0)),
+        new RouterApi.Rules(micros(rules, "stopSendingWithinMs"), number(rules, "coldFrom"),
+            micros(rules, "coldMs"), number(rules, "tipMultiple"), micros(rules, "overloadForMs"),
+            number(family, "loadsAnyway", 0), number(family, "loadShare", 0),
+            micros(family, "loadSpanMs", 0)),
+        list(facts, "profiles", true).stream().map(Wire::requestClass).toList(),
+        list(facts, "tenants", false).stream().map(Wire::tenant).toList());
+  }
+
+  private static RouterApi.RequestClass requestClass(Map<String, Object> m) {
+    RouterApi.Effect effect = switch (text(m, "effect")) {
+      case "pure" -> RouterApi.Effect.SAFE;
+      case "token" -> RouterApi.Effect.KEYED;
+      case "side_effect" -> RouterApi.Effect.UNSAFE;
+      default -> throw new BadInput("unknown effect");
+    };
+    RouterApi.Group group = switch (text(m, "group", "all")) {
+      case "all" -> RouterApi.Group.ALL;
+      case "zone" -> RouterApi.Group.ZONE;
+      case "cell" -> RouterApi.Group.CELL;
+      default -> throw new BadInput("unknown group");
+    };
+    return new RouterApi.RequestClass(text(m, "name"), effect, group, micros(m, "repeatWindowMs", 0),
+        micros(m, "goalTimeMs"), micros(m, "giveUpMs"), number(m, "points", 1), number(m, "lateValue", 0),
+        flag(m, "stream"));
+  }
+
+  private static RouterApi.Tenant tenant(Map<String, Object> m) {
+    return new RouterApi.Tenant(text(m, "name"), number(m, "share", 0), number(m, "quotaPerS", 0));
+  }
+
+  /** Reads an event; {@code up}, {@code kill} and the batch lines are the host's own. */
+  static Event event(String verb, Map<String, Object> m) {
+    return switch (verb) {
+      case "backendsChanged" -> workers(m);
+      case "accept" -> new RouterApi.Request(id(m), text(m, "priority"), text(m, "team", ""),
+          text(m, "targetFn"), micros(m, "ttlMs"), micros(m, "weightHintMs", 0),
+          number(m, "footprintMb", 0), (int) number(m, "perCopy", 1), micros(m, "loadTimeMs", 0),
+          flag(m, "repeat"));
+      case "flowing" -> new RouterApi.FirstByte(id(m), (int) number(m, "shot"), text(m, "runner"),
+          micros(m, "lagMs", 0));
+      case "reply" -> answer(m);
+      case "cancelledByClient" -> new RouterApi.ClientGone(id(m));
+      case "wakeup" -> new RouterApi.TimerDue(text(m, "token"));
+      case "probed" -> new RouterApi.Probed(text(m, "runner"), outcome(m), micros(m, "lagMs", 0), report(m));
+      case "inbox" -> new RouterApi.PeerMessage((int) number(m, "sender"), text(m, "bytes", ""));
+      case "warmed" -> new RouterApi.Loaded(text(m, "runner"), text(m, "targetFn"),
+          (int) number(m, "howMany", 0), outcome(m), micros(m, "lagMs", 0));
+      default -> throw new BadInput("unknown message '" + verb + "'");
+    };
+  }
+
+  private static Event answer(Map<String, Object> m) {
+    int info = (int) number(m, "info", 0);
+    int note = info & 7;
+    Outcome outcome = outcome(m);
+    boolean counts = outcome == Outcome.OK || outcome == Outcome.FULL;
+    return new RouterApi.Answer(id(m), (int) number(m, "shot"), text(m, "runner"), outcome,
+        flag(m, "settled"), micros(m, "lagMs", 0), note < NOTES.length ? NOTES[note] : NOTES[0],
+        counts ? info >> 3 : -1, report(m));
+  }
+
+  private static Event workers(Map<String, Object> m) {
+    RouterApi.ListKind kind = switch (text(m, "kind")) {
+      case "INCREMENTAL" -> RouterApi.ListKind.DELTA;
+      case "FULL" -> RouterApi.ListKind.FULL;
+      case "SAVED" -> RouterApi.ListKind.SAVED;
+      case "FAILED" -> RouterApi.ListKind.FAILED;
+      default -> throw new BadInput("unknown list kind");
+    };
+    List<RouterApi.WorkerEntry> entries = new ArrayList<>();
+    for (Map<String, Object> e : list(m, "items", false)) {
+      RouterApi.Phase phase = switch (text(e, "phase")) {
+        case "Running" -> RouterApi.Phase.RUNNING;
+        case "Stopping" -> RouterApi.Phase.DRAINING;
+        case "Deleted" -> RouterApi.Phase.GONE;
+        default -> throw new BadInput("unknown phase");
+      };
+      entries.add(new RouterApi.WorkerEntry(text(e, "runner"), text(e, "regionPart", ""),
+          (int) number(e, "pack", 0), phase, number(e, "nominal", 1), micros(e, "bornMs", 0)));
+    }
+    return new RouterApi.Workers(kind, entries);
+  }
+
+  private static Map<String, Double> report(Map<String, Object> m) {
+    Map<String, Double> report = new LinkedHashMap<>();
+    if (m.get("stats") instanceof Map<?, ?> stats) {
+      stats.forEach((name, value) -> {
+        if (value instanceof Double d) {
+          report.put((String) name, d);
+        }
+      });
+    }
+    return report;
+  }
+
+  /** Writes one action of an instance as a line. */
+  static void write(JsonGenerator out, String who, Action action) throws IOException {
+    out.writeStartObject();
+    if (action instanceof RouterApi.Send a) {
+      head(out, "submitTo", who);
+      out.writeNumberField("opId", a.id());
+      out.writeStringField("runner", a.worker());
+      if (a.timeout() > 0) {
+        millis(out, "giveUpAfterMs", a.timeout());
+      }
+    } else if (action instanceof RouterApi.Cancel a) {
+      head(out, "retract", who);
+      out.writeNumberField("opId", a.id());
+      out.writeNumberField("shot", a.attempt());
+    } else if (action instanceof RouterApi.Refuse a) {
+      head(out, "decline", who);
+      out.writeNumberField("opId", a.id());
+      if (a.retryAfter() > 0) {
+        millis(out, "pauseMs", a.retryAfter());
+      }
+    } else if (action instanceof RouterApi.Fail a) {
+      head(out, "respondError", who);
+      out.writeNumberField("opId", a.id());
+    } else if (action instanceof RouterApi.SetTimer a) {
+      head(out, "arm", who);
+      millis(out, "inMs", a.in());
+      out.writeStringField("token", a.token());
+    } else if (action instanceof RouterApi.Probe a) {
+      head(out, "soundOut", who);
+      out.writeStringField("runner", a.worker());
+    } else if (action instanceof RouterApi.TellPeers a) {
+      head(out, "announce", who);
+      out.writeStringField("dst", "all");
+      out.writeStringField("bytes", a.text());
+    } else if (action instanceof RouterApi.Load a) {
+      head(out, "mount", who);
+      out.writeStringField("runner", a.worker());
+      out.writeStringField("targetFn", a.function());
+      out.writeNumberField("howMany", a.copies());
+    } else if (action instanceof RouterApi.WatchList) {
+      head(out, "streamChanges", who);
+      out.writeBooleanField("enable", true);
+    } else if (action instanceof RouterApi.Log a) {
+      head(out, "writeLog", who);
+      out.writeStringField("bodyText", a.text());
+    }
+    out.writeEndObject();
+    out.writeRaw('\n');
+  }
+
+  /** Writes the message that says that the decision code failed. */
+  static void writeFault(JsonGenerator out, String who, String text) throws IOException {
+    out.writeStartObject();
+    head(out, "broken", who);
+    out.writeStringField("bodyText", text);
+    out.writeEndObject();
+    out.writeRaw('\n');
+  }
+
+  private static void head(JsonGenerator out, String verb, String who) throws IOException {
+    out.writeStringField("verb", verb);
+    out.writeStringField("who", who);
+  }
+
+  private static void millis(JsonGenerator out, String name, long micros) throws IOException {
+    out.writeNumberField(name, micros / 1000.0);
+  }
+
+  static String text(Map<String, Object> m, String key) {
+    if (m.get(key) instanceof String s) {
+      return s;
+    }
+    throw new BadInput("missing or wrong field '" + key + "'");
+  }
+
+  private static String text(Map<String, Object> m, String key, String otherwise) {
+    return m.get(key) instanceof String s ? s : otherwise;
+  }
+
+  static double number(Map<String, Object> m, String key) {
+    if (m.get(key) instanceof Double d) {
+      return d;
+    }
+    throw new BadInput("missing or wrong field '" + key + "'");
+  }
+
+  private static double number(Map<String, Object> m, String key, double otherwise) {
+    return m.get(key) instanceof Double d ? d : otherwise;
+  }
+
+  static long micros(Map<String, Object> m, String key) {
+    return Math.round(number(m, key) * 1000);
+  }
+
+  private static long micros(Map<String, Object> m, String key, long otherwise) {
+    return m.get(key) instanceof Double d ? Math.round(d * 1000) : otherwise;
+  }
+
+  private static long id(Map<String, Object> m) {
+    return (long) number(m, "opId");
+  }
+
+  private static boolean flag(Map<String, Object> m, String key) {
+    return Boolean.TRUE.equals(m.get(key));
+  }
+
+  private static Outcome outcome(Map<String, Object> m) {
+    Outcome outcome = OUTCOMES.get(text(m, "verdict"));
+    if (outcome == null) {
+      throw new BadInput("unknown verdict");
+    }
+    return outcome;
+  }
+
+  @SuppressWarnings("unchecked")
+  static Map<String, Object> object(Map<String, Object> m, String key) {
+    if (m.get(key) instanceof Map<?, ?> found) {
+      return (Map<String, Object>) found;
+    }
+    throw new BadInput("missing or wrong field '" + key + "'");
+  }
+
+  @SuppressWarnings("unchecked")
+  private static List<Map<String, Object>> list(Map<String, Object> m, String key, boolean needed) {
+    if (m.get(key) instanceof List<?> found) {
+      for (Object element : found) {
+        if (!(element instanceof Map<?, ?>)) {
+          throw new BadInput("wrong element in '" + key + "'");
+        }
+      }
+      return (List<Map<String, Object>>) found;
+    }
+    if (needed) {
+      throw new BadInput("missing or wrong field '" + key + "'");
+    }
+    return List.of();
+  }
+}
