--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,12 +59,26 @@
   /** Parts of the shortest aim between two looks at what waits; fine enough to lose little of it. */
   private static final long SWEEPS_PER_AIM = 40;
 
+  /** Smoothed answer time, in aims, above which a worker gets fewer calls: half leaves room for the tail. */
+  private static final double CROWDED = 0.5;
+  /** Weight of the newest answer in that smoothed time; quick, for a queue grows within an aim. */
+  private static final double CROWD_WEIGHT = 0.2;
+  /** What is left of a worker's limit after a cut. */
+  private static final double CUT = 0.8;
+  /** First limit of calls in flight at a worker, in calls that it runs at once. */
+  private static final double FIRST_LIMIT = 3.0;
+  /** Usual times a call needs before its aim, below which it counts as late. */
+  private static final double LATE_MARGIN = 1.5;
+  /** Seconds of its quota that a tenant may save up for a burst. */
+  private static final double QUOTA_SECONDS = 2.0;
+
   private final Settings settings;
   private final Random random;
   private final Map<String, RequestClass> classes = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<String, Function> functions = new LinkedHashMap<>();
   private final Map<Long, Held> requests = new LinkedHashMap<>();
+  private final Map<String, double[]> quotas = new LinkedHashMap<>();
   private final ArrayDeque<Long> takenTimes = new ArrayDeque<>();
   private final ArrayDeque<Long> loadTimes = new ArrayDeque<>();
   private final long sweepEvery;
@@ -96,6 +111,9 @@
     long trialAt;
     long lastHeard;
     long fullUntil;
+    double limit = FIRST_LIMIT * PARALLEL;
+    double crowded;
+    long cutAt;
     final ArrayDeque<Long> coldSends = new ArrayDeque<>();
 
     Worker(String id) {
@@ -165,23 +183,17 @@
 
   /** A request taken and not yet forgotten; done once it has its final answer. */
   private static final class Held {
-    final long id;
-    final RequestClass requestClass;
-    final Function function;
-    final long takenAt;
-    final long deadline;
-    final List<Attempt> attempts = new ArrayList<>(2);
+    long id;
+    RequestClass requestClass;
+    Function function;
+    long aimAt;
+    long deadline;
+    boolean repeat;
+    boolean late;
+    double worth;
     boolean done;
     boolean streaming;
-    boolean resend;
-
-    Held(long id, RequestClass requestClass, Function function, long takenAt, long deadline) {
-      this.id = id;
-      this.requestClass = requestClass;
-      this.function = function;
-      this.takenAt = takenAt;
-      this.deadline = deadline;
-    }
+    final List<Attempt> attempts = new ArrayList<>(2);
 
     boolean anyOut() {
       return attempts.stream().anyMatch(a -> a.out);
@@ -199,6 +211,10 @@
     this.settings = settings;
     this.random = new Random(seed);
     settings.classes().forEach(c -> classes.put(c.name(), c));
+    for (Tenant t : settings.tenants()) {
+      double own = t.quotaPerSecond() / settings.dispatchers();
+      quotas.put(t.name(), new double[] {own, own * QUOTA_SECONDS, 0});
+    }
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
     sweepEvery = Math.max(settings.tick(), shortestAim / SWEEPS_PER_AIM);
     meanUsual = shortestAim / 5.0;
@@ -264,6 +280,8 @@
     w.failures = 0;
     w.strikes = 0;
     w.pace = 1;
+    w.crowded = 0;
+    w.limit = FIRST_LIMIT * PARALLEL;
     w.lastHeard = now;
   }
 
@@ -287,7 +305,14 @@
     f.calls++;
     f.lastCall = now;
     noteTaken();
-    Held held = new Held(event.id(), requestClass, f, now, now + event.timeLeft());
+    Held held = new Held();
+    held.id = event.id();
+    held.requestClass = requestClass;
+    held.function = f;
+    held.aimAt = now + requestClass.aim();
+    held.deadline = now + event.timeLeft();
+    held.repeat = event.repeat();
+    held.worth = requestClass.worth() * (inShare(event.tenant()) ? 1 : settings.overShareWorth());
     requests.put(held.id, held);
     long left = Math.max(0, event.timeLeft() - settings.tick());
     out.accept(new SetTimer(left, "d" + held.id));
@@ -295,6 +320,19 @@
     place(held);
   }
 
+  /** Spends a tenant's quota, taken as even over the dispatchers; what comes beyond it is worth little. */
+  private boolean inShare(String tenant) {
+    double[] quota = quotas.get(tenant);
+    if (quota == null) {
+      return true;
+    }
+    quota[1] = Math.min(quota[0] * QUOTA_SECONDS, quota[1] + quota[0] * (now - quota[2]) / 1e6);
+    quota[2] = now;
+    boolean within = quota[1] >= 1;
+    quota[1] -= within ? 1 : 0;
+    return within;
+  }
+
   private void noteTaken() {
     takenTimes.addLast(now);
     askTokens = Math.min(askTokens + ASKS_PER_REQUEST, 20.0 * workers.size());
@@ -326,15 +364,25 @@
     }
   }
 
+  /** Refuses a call that waits for room beyond its aim; one that waits for a load keeps its late worth. */
+  private void shed(Held held) {
+    if (workers.values().stream().noneMatch(this::takes) && harmless(held)) {
+      giveUp(held);
+    }
+  }
+
   /** The one final answer that is not a served one: refused where a repeat is harmless, else failed. */
   private void giveUp(Held held) {
-    boolean harmless = switch (held.requestClass.effect()) {
+    out.accept(harmless(held) ? new Refuse(held.id, 0) : new Fail(held.id));
+    finish(held);
+  }
+
+  private boolean harmless(Held held) {
+    return switch (held.requestClass.effect()) {
       case SAFE -> true;
       case KEYED -> !held.mayHaveRun() || held.requestClass.group() == Group.ALL;
       case UNSAFE -> !held.mayHaveRun();
     };
-    out.accept(harmless ? new Refuse(held.id, 0) : new Fail(held.id));
-    finish(held);
   }
 
   private void finish(Held held) {
@@ -374,12 +422,13 @@
     } else if (event.settled()) {
       finish(held);
     } else if (!held.anyOut()) {
-      goOn(held, attempt);
+      goOn(held);
     }
+    placeWaiting();
   }
 
   /** After a failed attempt: try again where the class allows it, else answer now. */
-  private void goOn(Held held, Attempt last) {
+  private void goOn(Held held) {
     boolean attemptsLeft = held.attempts.size() < settings.limits().maxAttempts();
     if (!attemptsLeft || held.deadline <= now || !mayResend(held)) {
       giveUp(held);
@@ -404,7 +453,7 @@
     Function f = held.function;
     noteReport(w, event.report());
     switch (event.outcome()) {
-      case OK -> learnServed(f, w, copy, event);
+      case OK -> learnServed(held, w, copy, event);
       case MISS -> {
         w.lastHeard = now;
         forget(copy);
@@ -416,6 +465,7 @@
         w.lastHeard = now;
         copy.busyUntil = now + (long) usual(f);
         w.fullUntil = now + (long) usual(f) / 2;
+        cut(w);
       }
       case ERROR -> {
         w.lastHeard = now;
@@ -434,7 +484,8 @@
     }
   }
 
-  private void learnServed(Function f, Worker w, Copy copy, Answer event) {
+  private void learnServed(Held held, Worker w, Copy copy, Answer event) {
+    Function f = held.function;
     w.lastHeard = now;
     w.failures *= 1 - FAILURE_WEIGHT;
     if (w.failures < SUSPECT) {
@@ -448,6 +499,7 @@
       copy.crowdUntil = now + (long) usual(f);
     }
     if (event.note() == Note.WARM || event.note() == Note.NONE) {
+      learnLimit(w, (double) event.latency() / held.requestClass.aim());
       double ratio = event.latency() / usual(f);
       w.pace += NEWEST * (Math.min(10, ratio) - w.pace);
       double capped = Math.min(event.latency(), 4 * usual(f));
@@ -456,6 +508,31 @@
     }
   }
 
+  /**
+   * The limit of own calls in flight at a worker: cut while answers take too much of the aim, raised
+   * while they do not and it is used up. Guards against any standing queue: overload, a slow worker, a
+   * neighbour, unseen traffic of others. It could harm a class whose work alone comes near its aim.
+   */
+  private void learnLimit(Worker w, double aims) {
+    w.crowded += CROWD_WEIGHT * (aims - w.crowded);
+    if (w.crowded > CROWDED) {
+      cut(w);
+    } else if (w.inFlight + 1 >= CUT * w.limit) {
+      w.limit += 1 / w.limit;
+    }
+  }
+
+  private void cut(Worker w) {
+    if (now - w.cutAt > meanUsual) {
+      w.cutAt = now;
+      w.limit = Math.max(1, CUT * Math.min(w.limit, w.inFlight + 1));
+    }
+  }
+
+  private boolean takes(Worker w) {
+    return w.phase == Phase.RUNNING && w.inFlight < w.limit && w.fullUntil <= now;
+  }
+
   private void failed(Worker w, double weight) {
     w.failures += weight * (1 - w.failures);
     if (w.failures >= SUSPECT) {
@@ -512,7 +589,7 @@
       }
     }
     if (!asked || f.asksOut == 0 || copy.copies > 0) {
-      placeWaiting(f);
+      placeWaiting();
     }
   }
 
@@ -598,22 +675,41 @@
 
   // ---- the pick
 
+  /**
+   * Places what waits, dearest first and then newest, while any worker has room. What can no longer be
+   * in time counts its late worth. Under overload this sheds what is worth least: a call that found no
+   * room is refused, where that is harmless, just before its aim.
+   */
   private void placeWaiting() {
-    for (Held held : List.copyOf(requests.values())) {
+    List<Held> waiting = new ArrayList<>();
+    for (Held held : requests.values()) {
       if (!held.done && !held.anyOut()) {
-        place(held);
+        waiting.add(held);
       }
     }
-  }
-
-  private void placeWaiting(Function f) {
-    for (Held held : List.copyOf(requests.values())) {
-      if (held.function == f && !held.done && !held.anyOut()) {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    waiting.sort(Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt));
+    for (Held held : waiting) {
+      if (workers.values().stream().anyMatch(this::takes)) {
         place(held);
       }
+      if (!held.done && !held.anyOut() && late(held) && !held.late) {
+        held.late = true;
+        shed(held);
+      }
     }
   }
 
+  private boolean late(Held held) {
+    return held.repeat || held.aimAt - now < LATE_MARGIN * usual(held.function);
+  }
+
+  private double value(Held held) {
+    return held.worth * (late(held) ? held.requestClass.lateWorth() : 1);
+  }
+
   /** Sends a request to the worker chosen for it, or has the function loaded there and waits. */
   private void place(Held held) {
     Function f = held.function;
@@ -655,7 +751,8 @@
     double band = finish(f, soonest) * HASH_BAND;
     Worker best = soonest;
     for (Worker w : eligible) {
-      if (finish(f, w) <= band && (f.at(w).ordered > 0 || f.at(best).ordered <= 0 && rank(f, w) > rank(f, best))) {
+      boolean preferred = f.at(w).ordered > 0 || f.at(best).ordered <= 0 && rank(f, w) > rank(f, best);
+      if (finish(f, w) <= band && preferred) {
         best = w;
       }
     }
@@ -665,11 +762,12 @@
   private List<Worker> eligible(Held held) {
     List<Worker> running = new ArrayList<>();
     for (Worker w : workers.values()) {
-      if (w.phase == Phase.RUNNING && coldRoom(w) && groupAllows(held, w)) {
+      if (takes(w) && coldRoom(w) && groupAllows(held, w)) {
         running.add(w);
       }
     }
-    List<Worker> fresh = running.stream().filter(w -> held.attempts.stream().noneMatch(a -> a.worker == w)).toList();
+    List<Worker> fresh = running.stream()
+        .filter(w -> held.attempts.stream().noneMatch(a -> a.worker == w)).toList();
     List<Worker> pool = fresh.isEmpty() ? running : fresh;
     List<Worker> sound = pool.stream().filter(w -> w.failures < SUSPECT || trialDue(held, w)).toList();
     return sound.isEmpty() ? pool : sound;
@@ -685,7 +783,8 @@
       return true;
     }
     return held.attempts.stream().filter(a -> a.out || !a.neverRan).allMatch(
-        a -> held.requestClass.group() == Group.ZONE ? a.worker.zone.equals(w.zone) : a.worker.cell == w.cell);
+        a -> held.requestClass.group() == Group.ZONE
+            ? a.worker.zone.equals(w.zone) : a.worker.cell == w.cell);
   }
 
   /** The cold budget: own sends to a young worker stay below its part of what warm ones take. */
@@ -817,10 +916,9 @@
       }
       if (held.anyOut()) {
         watch(held);
-      } else {
-        place(held);
       }
     }
+    placeWaiting();
     renew();
   }
 
