--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -464,8 +464,10 @@
       case FULL -> {
         w.lastHeard = now;
         copy.busyUntil = now + (long) usual(f);
-        w.fullUntil = now + (long) usual(f) / 2;
-        cut(w);
+        if (copy.warm(now)) {
+          w.fullUntil = now + (long) usual(f) / 2;
+          cut(w);
+        }
       }
       case ERROR -> {
         w.lastHeard = now;
@@ -499,7 +501,9 @@
       copy.crowdUntil = now + (long) usual(f);
     }
     if (event.note() == Note.WARM || event.note() == Note.NONE) {
-      learnLimit(w, (double) event.latency() / held.requestClass.aim());
+      if (event.crowd() < f.lanes * copy.copies) {
+        learnLimit(w, (double) event.latency() / held.requestClass.aim());
+      }
       double ratio = event.latency() / usual(f);
       w.pace += NEWEST * (Math.min(10, ratio) - w.pace);
       double capped = Math.min(event.latency(), 4 * usual(f));
@@ -759,18 +763,15 @@
     return best;
   }
 
+  /** Workers that may be chosen. When half of them look suspect the signal is distrusted, not the fleet. */
   private List<Worker> eligible(Held held) {
-    List<Worker> running = new ArrayList<>();
-    for (Worker w : workers.values()) {
-      if (takes(w) && coldRoom(w) && groupAllows(held, w)) {
-        running.add(w);
-      }
-    }
-    List<Worker> fresh = running.stream()
+    List<Worker> running = workers.values().stream().filter(w -> w.phase == Phase.RUNNING).toList();
+    boolean distrust = running.stream().filter(w -> w.failures >= SUSPECT).count() * 2 > running.size();
+    List<Worker> pool = running.stream().filter(w -> takes(w) && coldRoom(w) && groupAllows(held, w)
+        && (distrust || w.failures < SUSPECT || trialDue(held, w))).toList();
+    List<Worker> fresh = pool.stream()
         .filter(w -> held.attempts.stream().noneMatch(a -> a.worker == w)).toList();
-    List<Worker> pool = fresh.isEmpty() ? running : fresh;
-    List<Worker> sound = pool.stream().filter(w -> w.failures < SUSPECT || trialDue(held, w)).toList();
-    return sound.isEmpty() ? pool : sound;
+    return fresh.isEmpty() ? pool : fresh;
   }
 
   private boolean trialDue(Held held, Worker w) {
