--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -189,7 +190,6 @@
     long aimAt;
     long deadline;
     boolean repeat;
-    boolean late;
     double worth;
     boolean done;
     boolean streaming;
@@ -271,7 +271,7 @@
     meanWeight = workers.values().stream().filter(w -> w.phase == Phase.RUNNING)
         .mapToDouble(w -> w.weight).average().orElse(1);
     startSweep();
-    placeWaiting();
+    placeWaiting(true);
   }
 
   /** A new birth time: whatever was loaded is gone, and so is what made the old process suspect. */
@@ -364,13 +364,6 @@
     }
   }
 
-  /** Refuses a call that waits for room beyond its aim; one that waits for a load keeps its late worth. */
-  private void shed(Held held) {
-    if (workers.values().stream().noneMatch(this::takes) && harmless(held)) {
-      giveUp(held);
-    }
-  }
-
   /** The one final answer that is not a served one: refused where a repeat is harmless, else failed. */
   private void giveUp(Held held) {
     out.accept(harmless(held) ? new Refuse(held.id, 0) : new Fail(held.id));
@@ -424,7 +417,7 @@
     } else if (!held.anyOut()) {
       goOn(held);
     }
-    placeWaiting();
+    placeWaiting(false);
   }
 
   /** After a failed attempt: try again where the class allows it, else answer now. */
@@ -464,7 +457,8 @@
       case FULL -> {
         w.lastHeard = now;
         copy.busyUntil = now + (long) usual(f);
-        if (copy.warm(now)) {
+        // A lane was free, so the worker itself is full; else only room for one more copy was lacking.
+        if (copy.warm(now) && event.crowd() < f.lanes * copy.copies) {
           w.fullUntil = now + (long) usual(f) / 2;
           cut(w);
         }
@@ -593,7 +587,7 @@
       }
     }
     if (!asked || f.asksOut == 0 || copy.copies > 0) {
-      placeWaiting();
+      placeWaiting(true);
     }
   }
 
@@ -684,24 +678,25 @@
    * in time counts its late worth. Under overload this sheds what is worth least: a call that found no
    * room is refused, where that is harmless, just before its aim.
    */
-  private void placeWaiting() {
+  private void placeWaiting(boolean all) {
     List<Held> waiting = new ArrayList<>();
     for (Held held : requests.values()) {
       if (!held.done && !held.anyOut()) {
         waiting.add(held);
       }
     }
-    if (waiting.isEmpty()) {
-      return;
+    Comparator<Held> order = Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
+    if (all) {
+      waiting.sort(order);
+    } else if (!waiting.isEmpty()) {
+      waiting = List.of(Collections.min(waiting, order));
     }
-    waiting.sort(Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt));
     for (Held held : waiting) {
-      if (workers.values().stream().anyMatch(this::takes)) {
+      boolean room = workers.values().stream().anyMatch(this::takes);
+      if (room) {
         place(held);
-      }
-      if (!held.done && !held.anyOut() && late(held) && !held.late) {
-        held.late = true;
-        shed(held);
+      } else if (late(held) && harmless(held)) {
+        giveUp(held);
       }
     }
   }
@@ -919,7 +914,7 @@
         watch(held);
       }
     }
-    placeWaiting();
+    placeWaiting(true);
     renew();
   }
 
