--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -40,7 +40,7 @@
   /** Doublings of that wait at most, so that a healed worker is found again. */
   private static final int TRIAL_DOUBLINGS = 3;
   /** An attempt this many times over its expected time, at a worker silent since, makes it suspect. */
-  private static final double SILENT = 3.0;
+  private static final double SILENT = 5.0;
   /** An attempt this many times over its expected time is worth a second try elsewhere. */
   private static final double OVERDUE = 2.5;
   /** Second tries for lateness as a share of requests taken, so that a slow fleet is not made slower. */
@@ -494,10 +494,9 @@
       copy.crowd = Math.max(0, event.crowd() - copy.inFlight - 1);
       copy.crowdUntil = now + (long) usual(f);
     }
-    if (event.note() == Note.WARM || event.note() == Note.NONE) {
-      if (event.crowd() < f.lanes * copy.copies) {
-        learnLimit(w, (double) event.latency() / held.requestClass.aim());
-      }
+    boolean laneFree = event.crowd() < f.lanes * copy.copies;
+    if ((event.note() == Note.WARM || event.note() == Note.NONE) && laneFree) {
+      learnLimit(w, (double) event.latency() / held.requestClass.aim());
       double ratio = event.latency() / usual(f);
       w.pace += NEWEST * (Math.min(10, ratio) - w.pace);
       double capped = Math.min(event.latency(), 4 * usual(f));
