--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -70,6 +70,8 @@
   private static final double FIRST_LIMIT = 3.0;
   /** Usual times a call needs before its aim, below which it counts as late. */
   private static final double LATE_MARGIN = 1.5;
+  /** Part of a load's time up to which a call waits for a warm lane instead. */
+  private static final double WAIT_PART = 1.0;
   /** Seconds of its quota that a tenant may save up for a burst. */
   private static final double QUOTA_SECONDS = 2.0;
 
@@ -155,6 +157,7 @@
     long askedAt = Long.MIN_VALUE / 2;
     long askUntil;
     int asksOut;
+    int waiting;
     final Map<Worker, Copy> copies = new LinkedHashMap<>();
 
     Function(String name) {
@@ -271,7 +274,7 @@
     meanWeight = workers.values().stream().filter(w -> w.phase == Phase.RUNNING)
         .mapToDouble(w -> w.weight).average().orElse(1);
     startSweep();
-    placeWaiting(true);
+    placeWaiting(null);
   }
 
   /** A new birth time: whatever was loaded is gone, and so is what made the old process suspect. */
@@ -417,7 +420,7 @@
     } else if (!held.anyOut()) {
       goOn(held);
     }
-    placeWaiting(false);
+    placeWaiting(held.function);
   }
 
   /** After a failed attempt: try again where the class allows it, else answer now. */
@@ -586,7 +589,7 @@
       }
     }
     if (!asked || f.asksOut == 0 || copy.copies > 0) {
-      placeWaiting(true);
+      placeWaiting(null);
     }
   }
 
@@ -677,18 +680,24 @@
    * in time counts its late worth. Under overload this sheds what is worth least: a call that found no
    * room is refused, where that is harmless, just before its aim.
    */
-  private void placeWaiting(boolean all) {
+  private void placeWaiting(Function freed) {
     List<Held> waiting = new ArrayList<>();
+    List<Held> same = new ArrayList<>();
+    functions.values().forEach(f -> f.waiting = 0);
     for (Held held : requests.values()) {
       if (!held.done && !held.anyOut()) {
         waiting.add(held);
+        held.function.waiting++;
+        if (held.function == freed) {
+          same.add(held);
+        }
       }
     }
     Comparator<Held> order = Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
-    if (all) {
+    if (freed == null) {
       waiting.sort(order);
     } else if (!waiting.isEmpty()) {
-      waiting = List.of(Collections.min(waiting, order));
+      waiting = List.of(Collections.min(same.isEmpty() ? waiting : same, order));
     }
     for (Held held : waiting) {
       boolean room = workers.values().stream().anyMatch(this::takes);
@@ -739,6 +748,9 @@
     if (warm != null && load(warm) <= BALANCE * mean + BALANCE_SLACK) {
       return warm;
     }
+    if (warm == null && waitsShorter(f, eligible)) {
+      return null;
+    }
     Worker soonest = least(eligible, f);
     if (soonest == null || f.at(soonest).warm(now)) {
       if (soonest != null && !settings.loadsOnMiss() && f.calls > 2) {
@@ -757,6 +769,20 @@
     return best;
   }
 
+  /**
+   * With every warm lane taken, a call stays here while a lane should be free before a load would be done.
+   * Guards against copies loaded for a moment's queue, which under overload push each other out. It could
+   * harm where others keep the lanes taken: the answers' crowd counts then end the wait.
+   */
+  private boolean waitsShorter(Function f, List<Worker> eligible) {
+    int lanes = 0;
+    for (Worker w : eligible) {
+      Copy copy = f.at(w);
+      lanes += copy.warm(now) && copy.busyUntil <= now && copy.inFlight > 0 ? f.lanes * copy.copies : 0;
+    }
+    return lanes > 0 && (f.waiting + 1) * usual(f) / lanes < WAIT_PART * loadTime(f);
+  }
+
   /** Workers that may be chosen. When half of them look suspect the signal is distrusted, not the fleet. */
   private List<Worker> eligible(Held held) {
     List<Worker> running = workers.values().stream().filter(w -> w.phase == Phase.RUNNING).toList();
@@ -913,7 +939,7 @@
         watch(held);
       }
     }
-    placeWaiting(true);
+    placeWaiting(null);
     renew();
   }
 
