--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -71,7 +71,7 @@
   /** Usual times a call needs before its aim, below which it counts as late. */
   private static final double LATE_MARGIN = 1.5;
   /** Part of a load's time up to which a call waits for a warm lane instead. */
-  private static final double WAIT_PART = 1.0;
+  private static final double WAIT_PART = 2.0;
   /** Seconds of its quota that a tenant may save up for a burst. */
   private static final double QUOTA_SECONDS = 2.0;
 
--- /dev/null
+++ b/src/test/java/gorseladder/RouterTest.java
@@ -0,0 +1,361 @@
+package gorseladder;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Action;
+import gorseladder.RouterApi.Answer;
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Event;
+import gorseladder.RouterApi.Fail;
+import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Load;
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Refuse;
+import gorseladder.RouterApi.Request;
+import gorseladder.RouterApi.Send;
+import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.TimerDue;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Scripted events in, actions out: one test for each rule, outcome and guard. */
+class RouterTest {
+  private static final long MS = 1000;
+  private static final long SECOND = 1000 * MS;
+
+  private final List<Action> actions = new ArrayList<>();
+  private Router router;
+  private long now = 100 * SECOND;
+
+  private void start(boolean loadsOnMiss, boolean duplicates, WorkerEntry... entries) {
+    router = new Router(TestSites.settings(loadsOnMiss, duplicates), 1);
+    tell(new Workers(ListKind.SAVED, List.of(entries)));
+  }
+
+  private void tell(Event event) {
+    actions.clear();
+    router.on(now, event, actions::add);
+  }
+
+  private void later(long micros) {
+    now += micros;
+    tell(new TimerDue("sweep"));
+  }
+
+  private <T extends Action> List<T> got(Class<T> type) {
+    return actions.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  private void request(long id, String requestClass, String function) {
+    tell(new Request(id, requestClass, "", function, 3 * SECOND, 0, 100, 1, 500 * MS, false));
+  }
+
+  private void answer(long id, int attempt, String worker, Outcome outcome) {
+    Note note = outcome == Outcome.OK ? Note.WARM : Note.NONE;
+    tell(new Answer(id, attempt, worker, outcome, outcome == Outcome.OK, 100 * MS, note, 0, Map.of()));
+  }
+
+  private static WorkerEntry running(String id) {
+    return TestSites.entry(id, Phase.RUNNING, 0);
+  }
+
+  private String sentTo() {
+    assertEquals(1, got(Send.class).size(), "one send among " + actions);
+    return got(Send.class).get(0).worker();
+  }
+
+  /** Serves one call of the function so that its worker is believed warm. */
+  private String warmUp(long id, String function) {
+    request(id, "safe", function);
+    String worker = sentTo();
+    now += 100 * MS;
+    answer(id, 0, worker, Outcome.OK);
+    return worker;
+  }
+
+  @Test
+  void sticksToTheWarmWorker() {
+    start(true, false, running("a"), running("b"), running("c"));
+    String warm = warmUp(1, "f");
+    for (long id = 2; id < 12; id++) {
+      assertEquals(warm, warmUp(id, "f"));
+    }
+  }
+
+  @Test
+  void waitsForATakenLaneRatherThanLoad() {
+    start(true, false, running("a"), running("b"));
+    String warm = warmUp(1, "f");
+    request(2, "safe", "f");
+    request(3, "safe", "f");
+    assertTrue(got(Send.class).isEmpty());
+    now += 100 * MS;
+    answer(2, 0, warm, Outcome.OK);
+    assertEquals(new Send(3, warm, 0), got(Send.class).get(0));
+  }
+
+  @Test
+  void imbalancePassesTheChoiceToTheLeastLoaded() {
+    start(true, false, running("a"), running("b"), running("c"), running("d"));
+    String warm = warmUp(1, "f");
+    long id = 100;
+    for (int i = 0; i < 40; i++) {
+      request(++id, "safe", "g" + i);
+    }
+    long there = id;
+    int[] most = {0};
+    request(++id, "safe", "f");
+    String chosen = sentTo();
+    assertTrue(List.of("a", "b", "c", "d").contains(chosen), "most " + most[0] + " of " + there + ", warm " + warm);
+  }
+
+  @Test
+  void missIsAnsweredByAnOrderAndAResendThere() {
+    start(false, false, running("a"), running("b"));
+    request(1, "unsafe", "f");
+    assertTrue(got(Send.class).isEmpty());
+    Load order = got(Load.class).get(0);
+    assertEquals(1, order.copies());
+    request(2, "unsafe", "f");
+    assertTrue(got(Load.class).isEmpty(), "one order outstanding at most");
+    now += 500 * MS;
+    tell(new Loaded(order.worker(), "f", 1, Outcome.OK, 500 * MS));
+    assertEquals(order.worker(), sentTo());
+    answer(got(Send.class).get(0).id(), 0, order.worker(), Outcome.MISS);
+    assertEquals(1, got(Load.class).size(), "a miss strikes the belief and orders again");
+  }
+
+  @Test
+  void failedOrderGoesToAnotherWorker() {
+    start(false, false, running("a"), running("b"));
+    request(1, "safe", "f");
+    String first = got(Load.class).get(0).worker();
+    tell(new Loaded(first, "f", 0, Outcome.FULL, 5 * MS));
+    assertFalse(first.equals(got(Load.class).get(0).worker()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Outcome.class)
+  void unsafeCallIsRepeatedOnlyAfterProofThatItNeverRan(Outcome outcome) {
+    start(true, true, running("a"), running("b"), running("c"));
+    request(1, "unsafe", "f");
+    answer(1, 0, sentTo(), outcome);
+    boolean resent = !got(Send.class).isEmpty();
+    boolean failed = !got(Fail.class).isEmpty();
+    assertEquals(outcome.neverRan, resent);
+    assertEquals(!outcome.neverRan && outcome != Outcome.OK, failed);
+    assertTrue(got(Refuse.class).isEmpty());
+  }
+
+  @ParameterizedTest
+  @EnumSource(value = Outcome.class, names = "OK", mode = EnumSource.Mode.EXCLUDE)
+  void safeCallIsSentElsewhereAfterAnyFailure(Outcome outcome) {
+    start(true, false, running("a"), running("b"), running("c"));
+    request(1, "safe", "f");
+    String first = sentTo();
+    answer(1, 0, first, outcome);
+    assertFalse(first.equals(sentTo()));
+  }
+
+  @Test
+  void keyedCallIsRepeatedOnlyWithinItsWindow() {
+    start(true, false, running("a"), running("b"));
+    request(1, "keyed", "f");
+    String first = sentTo();
+    now += SECOND;
+    answer(1, 0, first, Outcome.RESET);
+    assertEquals("b".equals(first) ? "a" : "b", sentTo());
+    now += 1500 * MS;
+    answer(1, 1, "b".equals(first) ? "a" : "b", Outcome.RESET);
+    assertTrue(got(Send.class).isEmpty());
+    assertEquals(1, got(Fail.class).size(), "zone group: a refusal would promise too much");
+  }
+
+  @Test
+  void keyedCallStaysInItsGroup() {
+    start(true, false, running("a"), new WorkerEntry("z", "other", 9, Phase.RUNNING, 1, 0));
+    request(1, "keyed", "f");
+    String first = sentTo();
+    answer(1, 0, first, Outcome.ERROR);
+    assertEquals(first, sentTo(), "the only worker of its zone");
+  }
+
+  @Test
+  void deadlineGivesTheFinalAnswerOnce() {
+    start(true, false, running("a"));
+    request(1, "unsafe", "f");
+    String worker = sentTo();
+    now += 3 * SECOND - 2 * MS;
+    tell(new TimerDue("d1"));
+    assertEquals(List.of(new Fail(1)), actions.stream().filter(a -> a instanceof Fail).toList());
+    answer(1, 0, worker, Outcome.TIMEOUT);
+    tell(new TimerDue("d1"));
+    assertTrue(actions.isEmpty());
+  }
+
+  @Test
+  void emptyListHoldsAndRefusesAtTheDeadline() {
+    start(true, false);
+    request(1, "unsafe", "f");
+    assertTrue(got(Send.class).isEmpty() && got(Refuse.class).isEmpty());
+    later(3 * SECOND - 2 * MS);
+    tell(new TimerDue("d1"));
+    request(2, "unsafe", "f");
+    tell(new Workers(ListKind.DELTA, List.of(running("a"))));
+    assertEquals("a", sentTo());
+  }
+
+  @Test
+  void drainingAndGoneWorkersGetNothing() {
+    start(false, false, running("a"), running("b"));
+    tell(new Workers(ListKind.DELTA, List.of(TestSites.entry("a", Phase.DRAINING, 0))));
+    request(1, "safe", "f");
+    assertEquals("b", got(Load.class).get(0).worker());
+    tell(new Workers(ListKind.FULL, List.of()));
+    request(2, "safe", "g");
+    later(50 * MS);
+    assertTrue(got(Load.class).isEmpty() && got(Send.class).isEmpty());
+  }
+
+  @Test
+  void coldWorkerGetsNoMoreThanItsBudget() {
+    start(true, false, TestSites.entry("cold", Phase.RUNNING, 100 * SECOND - MS));
+    int sent = 0;
+    for (long id = 1; id <= 50; id++) {
+      request(id, "safe", "f" + id);
+      sent += got(Send.class).size();
+    }
+    assertEquals(1, sent);
+  }
+
+  @Test
+  void newBirthTimeStrikesBeliefs() {
+    start(false, false, running("a"));
+    request(1, "safe", "f");
+    tell(new Loaded("a", "f", 1, Outcome.OK, 500 * MS));
+    answer(1, 0, sentTo(), Outcome.OK);
+    tell(new Workers(ListKind.DELTA, List.of(TestSites.entry("a", Phase.RUNNING, now))));
+    now += 30 * SECOND;
+    request(2, "safe", "f");
+    assertTrue(got(Send.class).isEmpty(), "believed empty after the restart");
+  }
+
+  @Test
+  void loadOrdersStayWithinTheRation() {
+    start(false, false, running("a"), running("b"), running("c"), running("d"));
+    int orders = 0;
+    for (long id = 1; id <= 40; id++) {
+      request(id, "safe", "f" + id);
+      orders += got(Load.class).stream().filter(l -> l.copies() > 0).count();
+      assertTrue(orders <= 2 + 0.3 * id);
+    }
+    assertTrue(orders > 2);
+  }
+
+  @ParameterizedTest
+  @EnumSource(value = Outcome.class, names = {"RESET", "CONNECT_FAILED"})
+  void workerThatBreaksIsAvoidedUntilATrial(Outcome outcome) {
+    start(true, false, running("a"), running("b"), running("c"), running("d"));
+    request(1, "safe", "f");
+    String bad = sentTo();
+    answer(1, 0, bad, outcome);
+    for (long id = 2; id < 30; id++) {
+      request(id, "unsafe", "f" + id);
+      assertTrue(got(Send.class).stream().noneMatch(s -> s.worker().equals(bad)));
+    }
+  }
+
+  @Test
+  void twoErrorsNearEachOtherMakeAWorkerSuspect() {
+    start(true, false, running("a"), running("b"), running("c"));
+    tell(new Workers(ListKind.DELTA, List.of(TestSites.entry("b", Phase.GONE, 0),
+        TestSites.entry("c", Phase.GONE, 0))));
+    request(1, "unsafe", "f");
+    answer(1, 0, "a", Outcome.ERROR);
+    request(2, "unsafe", "g");
+    answer(2, 0, "a", Outcome.ERROR);
+    tell(new Workers(ListKind.DELTA, List.of(running("b"), running("c"))));
+    for (long id = 3; id < 20; id++) {
+      request(id, "safe", "f" + id);
+      assertTrue(got(Send.class).stream().noneMatch(s -> s.worker().equals("a")));
+    }
+  }
+
+  @Test
+  void allSuspectStillServes() {
+    start(true, false, running("a"));
+    request(1, "safe", "f");
+    answer(1, 0, "a", Outcome.RESET);
+    request(2, "unsafe", "g");
+    assertEquals("a", sentTo(), "the signal is distrusted when it would empty the fleet");
+  }
+
+  @Test
+  void silentWorkerLosesItsSafeCalls() {
+    start(true, false, running("a"), running("b"));
+    request(1, "safe", "f");
+    String silent = sentTo();
+    boolean cancelled = false;
+    for (int i = 0; i < 140 && !cancelled; i++) {
+      later(20 * MS);
+      cancelled = !got(RouterApi.Cancel.class).isEmpty();
+    }
+    assertTrue(cancelled);
+    answer(1, 0, silent, Outcome.CANCELLED);
+    assertFalse(silent.equals(sentTo()));
+  }
+
+  @Test
+  void outcomesOfRequestsThatAreOverAreIgnored() {
+    start(true, false, running("a"));
+    request(1, "safe", "f");
+    tell(new RouterApi.ClientGone(1));
+    answer(1, 0, "a", Outcome.ERROR);
+    assertTrue(got(Send.class).isEmpty() && got(Fail.class).isEmpty() && got(Refuse.class).isEmpty());
+    answer(77, 0, "a", Outcome.OK);
+    tell(new RouterApi.ClientGone(77));
+    assertTrue(actions.isEmpty());
+  }
+
+  @Test
+  void streamThatBeganHasNoDeadline() {
+    start(true, false, running("a"));
+    request(1, "safe", "f");
+    tell(new RouterApi.FirstByte(1, 0, "a", 50 * MS));
+    now += 3 * SECOND;
+    tell(new TimerDue("d1"));
+    assertTrue(actions.isEmpty());
+  }
+
+  @Test
+  void failedSubscriptionIsRenewed() {
+    start(true, false, running("a"));
+    tell(new Workers(ListKind.FAILED, List.of()));
+    assertEquals(List.of(new RouterApi.WatchList()), actions);
+  }
+
+  @Test
+  void impossibleSettingsAreNamed() {
+    Settings good = TestSites.settings(true, true);
+    Exception e = assertThrows(IllegalArgumentException.class, () -> new Settings(0, 0, "", 1, 1, true, false,
+        0, 1, good.limits(), good.rules(), good.classes(), List.of()));
+    assertTrue(e.getMessage().contains("dispatchers"));
+    e = assertThrows(IllegalArgumentException.class, () -> new RouterApi.RequestClass(null, Effect.SAFE,
+        Group.ALL, 1, 1, 1, 1, 1, false));
+    assertTrue(e.getMessage().contains("class name"));
+    assertThrows(IllegalArgumentException.class, () -> new Router(null, 1));
+  }
+}
