--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -54,7 +54,7 @@
   /** Part of the keep-alive left at which a proven function's last copy is renewed. */
   private static final double RENEW_LEFT = 0.3;
   /** Keep-alives without a call after which a function is no longer kept. */
-  private static final double RENEW_FOR = 2.0;
+  private static final double RENEW_FOR = 0.0;
   /** Part of the load ration that renewals and spare copies leave for calls that wait. */
   private static final double RATION_KEPT = 0.5;
   /** Parts of the shortest aim between two looks at what waits; fine enough to lose little of it. */
@@ -71,7 +71,7 @@
   /** Usual times a call needs before its aim, below which it counts as late. */
   private static final double LATE_MARGIN = 1.5;
   /** Part of a load's time up to which a call waits for a warm lane instead. */
-  private static final double WAIT_PART = 2.0;
+  private static final double WAIT_PART = 1.0;
   /** Seconds of its quota that a tenant may save up for a burst. */
   private static final double QUOTA_SECONDS = 2.0;
 
