--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -51,11 +51,7 @@
   private static final double ASK_AIM_SHARE = 0.05;
   /** Questions allowed for each request taken; a fleet-wide question costs one for each worker. */
   private static final double ASKS_PER_REQUEST = 0.5;
-  /** Part of the keep-alive left at which a proven function's last copy is renewed. */
-  private static final double RENEW_LEFT = 0.3;
-  /** Keep-alives without a call after which a function is no longer kept. */
-  private static final double RENEW_FOR = 0.0;
-  /** Part of the load ration that renewals and spare copies leave for calls that wait. */
+  /** Part of the load ration that spare copies leave for calls that wait. */
   private static final double RATION_KEPT = 0.5;
   /** Parts of the shortest aim between two looks at what waits; fine enough to lose little of it. */
   private static final long SWEEPS_PER_AIM = 40;
@@ -91,7 +87,6 @@
   private boolean sweeping;
   private double askTokens;
   private double secondTokens = 1;
-  private double loadPace = 1;
   private double meanLoadTime;
   private double meanUsual;
   private double meanWeight = 1;
@@ -153,7 +148,6 @@
     double usual;
     double seenLoad;
     long calls;
-    long lastCall;
     long askedAt = Long.MIN_VALUE / 2;
     long askUntil;
     int asksOut;
@@ -171,18 +165,12 @@
 
   /** One attempt of a request. */
   private static final class Attempt {
-    final Worker worker;
-    final long sentAt;
-    final double expected;
+    Worker worker;
+    long sentAt;
+    double expected;
     boolean out = true;
     boolean cancelled;
     boolean neverRan;
-
-    Attempt(Worker worker, long sentAt, double expected) {
-      this.worker = worker;
-      this.sentAt = sentAt;
-      this.expected = expected;
-    }
   }
 
   /** A request taken and not yet forgotten; done once it has its final answer. */
@@ -306,7 +294,6 @@
     f.lanes = Math.max(1, event.lanes());
     f.loadTime = event.loadTime();
     f.calls++;
-    f.lastCall = now;
     noteTaken();
     Held held = new Held();
     held.id = event.id();
@@ -321,6 +308,7 @@
     out.accept(new SetTimer(left, "d" + held.id));
     startSweep();
     place(held);
+    f.waiting += held.anyOut() ? 0 : 1;
   }
 
   /** Spends a tenant's quota, taken as even over the dispatchers; what comes beyond it is worth little. */
@@ -597,9 +585,6 @@
     if (latency * 4 > meanLoadTime) {
       f.seenLoad = f.seenLoad == 0 ? latency : (f.seenLoad + latency) / 2;
       meanLoadTime += NEWEST * (latency - meanLoadTime);
-      if (f.loadTime > 0) {
-        loadPace += NEWEST * ((double) latency / f.loadTime - loadPace);
-      }
     }
   }
 
@@ -607,7 +592,7 @@
     if (f.seenLoad > 0) {
       return f.seenLoad;
     }
-    return f.loadTime > 0 ? f.loadTime * loadPace : meanLoadTime;
+    return f.loadTime > 0 ? f.loadTime : meanLoadTime;
   }
 
   private double usual(Function f) {
@@ -681,31 +666,24 @@
    * room is refused, where that is harmless, just before its aim.
    */
   private void placeWaiting(Function freed) {
-    List<Held> waiting = new ArrayList<>();
-    List<Held> same = new ArrayList<>();
-    functions.values().forEach(f -> f.waiting = 0);
-    for (Held held : requests.values()) {
-      if (!held.done && !held.anyOut()) {
-        waiting.add(held);
-        held.function.waiting++;
-        if (held.function == freed) {
-          same.add(held);
-        }
-      }
-    }
+    List<Held> waiting = new ArrayList<>(requests.values());
+    waiting.removeIf(h -> h.done || h.anyOut());
     Comparator<Held> order = Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
     if (freed == null) {
       waiting.sort(order);
+      functions.values().forEach(f -> f.waiting = 0);
     } else if (!waiting.isEmpty()) {
-      waiting = List.of(Collections.min(same.isEmpty() ? waiting : same, order));
+      Comparator<Held> sameFirst = Comparator.comparing(h -> h.function != freed);
+      waiting = List.of(Collections.min(waiting, sameFirst.thenComparing(order)));
+      waiting.get(0).function.waiting--;
     }
     for (Held held : waiting) {
-      boolean room = workers.values().stream().anyMatch(this::takes);
-      if (room) {
+      if (workers.values().stream().anyMatch(this::takes)) {
         place(held);
       } else if (late(held) && harmless(held)) {
         giveUp(held);
       }
+      held.function.waiting += held.done || held.anyOut() ? 0 : 1;
     }
   }
 
@@ -762,7 +740,7 @@
     Worker best = soonest;
     for (Worker w : eligible) {
       boolean preferred = f.at(w).ordered > 0 || f.at(best).ordered <= 0 && rank(f, w) > rank(f, best);
-      if (finish(f, w) <= band && preferred) {
+      if (finish(f, w) <= band && preferred && !f.at(w).warm(now)) {
         best = w;
       }
     }
@@ -780,7 +758,7 @@
       Copy copy = f.at(w);
       lanes += copy.warm(now) && copy.busyUntil <= now && copy.inFlight > 0 ? f.lanes * copy.copies : 0;
     }
-    return lanes > 0 && (f.waiting + 1) * usual(f) / lanes < WAIT_PART * loadTime(f);
+    return lanes > 0 && (Math.max(0, f.waiting) + 1) * usual(f) / lanes < WAIT_PART * loadTime(f);
   }
 
   /** Workers that may be chosen. When half of them look suspect the signal is distrusted, not the fleet. */
@@ -898,7 +876,11 @@
       return;
     }
     Copy copy = held.function.at(w);
-    held.attempts.add(new Attempt(w, now, finish(held.function, w)));
+    Attempt attempt = new Attempt();
+    attempt.worker = w;
+    attempt.sentAt = now;
+    attempt.expected = finish(held.function, w);
+    held.attempts.add(attempt);
     w.inFlight++;
     copy.inFlight++;
     if (settings.loadsOnMiss() && !copy.warm(now)) {
@@ -940,7 +922,6 @@
       }
     }
     placeWaiting(null);
-    renew();
   }
 
   /** Looks at the attempts of a request that take longer than they should. */
@@ -977,23 +958,4 @@
       send(held, w);
     }
   }
-
-  /** Keeps the best copy of a proven function from ageing out between its calls. */
-  private void renew() {
-    long keep = settings.keepAlive();
-    for (Function f : functions.values()) {
-      if (f.calls < 2 || now - f.lastCall > RENEW_FOR * keep) {
-        continue;
-      }
-      Copy best = null;
-      for (Copy c : f.copies.values()) {
-        if (c.warm(now) && c.worker.phase == Phase.RUNNING && (best == null || c.until > best.until)) {
-          best = c;
-        }
-      }
-      if (best != null && best.until - now < RENEW_LEFT * keep) {
-        order(f, best.worker, 1, RATION_KEPT);
-      }
-    }
-  }
 }
