--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -3,7 +3,6 @@
 import gorseladder.RouterApi.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -191,7 +190,7 @@
     }
 
     boolean mayHaveRun() {
-      return attempts.stream().anyMatch(a -> a.out || !a.neverRan);
+      return attempts.stream().anyMatch(a -> !a.neverRan);
     }
   }
 
@@ -230,8 +229,8 @@
       onClientGone(e.id());
     } else if (event instanceof FirstByte e) {
       onFirstByte(e);
-    } else if (event instanceof Probed e) {
-      onProbed(e);
+    } else if (event instanceof Probed e && workers.containsKey(e.worker())) {
+      noteReport(workers.get(e.worker()), e.report());
     }
   }
 
@@ -261,7 +260,10 @@
     }
     meanWeight = workers.values().stream().filter(w -> w.phase == Phase.RUNNING)
         .mapToDouble(w -> w.weight).average().orElse(1);
-    startSweep();
+    if (!sweeping) {
+      sweeping = true;
+      out.accept(new SetTimer(sweepEvery, "sweep"));
+    }
     placeWaiting(null);
   }
 
@@ -306,7 +308,6 @@
     requests.put(held.id, held);
     long left = Math.max(0, event.timeLeft() - settings.tick());
     out.accept(new SetTimer(left, "d" + held.id));
-    startSweep();
     place(held);
     f.waiting += held.anyOut() ? 0 : 1;
   }
@@ -348,13 +349,6 @@
     }
   }
 
-  private void onDeadline(long id) {
-    Held held = requests.get(id);
-    if (held != null && !held.done && !held.streaming) {
-      giveUp(held);
-    }
-  }
-
   /** The one final answer that is not a served one: refused where a repeat is harmless, else failed. */
   private void giveUp(Held held) {
     out.accept(harmless(held) ? new Refuse(held.id, 0) : new Fail(held.id));
@@ -362,11 +356,9 @@
   }
 
   private boolean harmless(Held held) {
-    return switch (held.requestClass.effect()) {
-      case SAFE -> true;
-      case KEYED -> !held.mayHaveRun() || held.requestClass.group() == Group.ALL;
-      case UNSAFE -> !held.mayHaveRun();
-    };
+    RequestClass c = held.requestClass;
+    return c.effect() == Effect.SAFE || !held.mayHaveRun()
+        || c.effect() == Effect.KEYED && c.group() == Group.ALL;
   }
 
   private void finish(Held held) {
@@ -422,12 +414,9 @@
   }
 
   private boolean mayResend(Held held) {
-    return switch (held.requestClass.effect()) {
-      case SAFE -> true;
-      case UNSAFE -> !held.mayHaveRun();
-      case KEYED -> held.attempts.stream().allMatch(a -> a.neverRan && !a.out
-          || now - a.sentAt < held.requestClass.repeatWindow() - 2 * settings.tick());
-    };
+    RequestClass c = held.requestClass;
+    return c.effect() == Effect.SAFE || held.attempts.stream().allMatch(a -> a.neverRan
+        || c.effect() == Effect.KEYED && now - a.sentAt < c.repeatWindow() - 2 * settings.tick());
   }
 
   // ---- what an answer teaches
@@ -436,17 +425,17 @@
     Worker w = attempt.worker;
     Function f = held.function;
     noteReport(w, event.report());
+    boolean heard = event.outcome() != Outcome.TIMEOUT && event.outcome() != Outcome.CANCELLED;
+    w.lastHeard = heard ? now : w.lastHeard;
     switch (event.outcome()) {
       case OK -> learnServed(held, w, copy, event);
       case MISS -> {
-        w.lastHeard = now;
         forget(copy);
         if (event.note() == Note.LOAD_FAILED) {
           copy.busyUntil = now + (long) loadTime(f);
         }
       }
       case FULL -> {
-        w.lastHeard = now;
         copy.busyUntil = now + (long) usual(f);
         // A lane was free, so the worker itself is full; else only room for one more copy was lacking.
         if (copy.warm(now) && event.crowd() < f.lanes * copy.copies) {
@@ -455,7 +444,6 @@
         }
       }
       case ERROR -> {
-        w.lastHeard = now;
         if (event.note() == Note.LOAD_FAILED) {
           forget(copy);
         } else {
@@ -473,7 +461,6 @@
 
   private void learnServed(Held held, Worker w, Copy copy, Answer event) {
     Function f = held.function;
-    w.lastHeard = now;
     w.failures *= 1 - FAILURE_WEIGHT;
     if (w.failures < SUSPECT) {
       w.strikes = 0;
@@ -531,20 +518,9 @@
   }
 
   private void noteReport(Worker w, Map<String, Double> report) {
-    Double held = report.get("rif");
-    Double queued = report.get("q");
-    if (held != null) {
-      w.others += 0.3 * (Math.max(0, held - w.inFlight) - w.others);
-    } else if (queued != null) {
-      w.others += 0.3 * (queued - w.others);
-    }
-  }
-
-  private void onProbed(Probed event) {
-    Worker w = workers.get(event.worker());
-    if (w != null && event.outcome() == Outcome.OK) {
-      noteReport(w, event.report());
-    }
+    double seen = report.containsKey("inFlight") ? Math.max(0, report.get("inFlight") - w.inFlight)
+        : report.getOrDefault("queued", w.others);
+    w.others += CROWD_WEIGHT * (seen - w.others);
   }
 
   // ---- load orders
@@ -589,10 +565,8 @@
   }
 
   private double loadTime(Function f) {
-    if (f.seenLoad > 0) {
-      return f.seenLoad;
-    }
-    return f.loadTime > 0 ? f.loadTime : meanLoadTime;
+    double told = f.loadTime > 0 ? f.loadTime : meanLoadTime;
+    return f.seenLoad > 0 ? f.seenLoad : told;
   }
 
   private double usual(Function f) {
@@ -602,9 +576,6 @@
   /** The load ration: orders in the window, this one included, may not pass what the rule allows. */
   private boolean mayLoad(double partKept) {
     Rules rules = settings.rules();
-    if (!settings.limits().orders()) {
-      return false;
-    }
     if (rules.loadWindow() == 0) {
       return true;
     }
@@ -668,7 +639,8 @@
   private void placeWaiting(Function freed) {
     List<Held> waiting = new ArrayList<>(requests.values());
     waiting.removeIf(h -> h.done || h.anyOut());
-    Comparator<Held> order = Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
+    Comparator<Held> order =
+        Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
     if (freed == null) {
       waiting.sort(order);
       functions.values().forEach(f -> f.waiting = 0);
@@ -781,7 +753,7 @@
     if (held.requestClass.effect() != Effect.KEYED || held.requestClass.group() == Group.ALL) {
       return true;
     }
-    return held.attempts.stream().filter(a -> a.out || !a.neverRan).allMatch(
+    return held.attempts.stream().filter(a -> !a.neverRan).allMatch(
         a -> held.requestClass.group() == Group.ZONE
             ? a.worker.zone.equals(w.zone) : a.worker.cell == w.cell);
   }
@@ -802,12 +774,9 @@
 
   /** The part of its capacity that a worker has at least, by its birth and the told ramp. */
   private double warmth(Worker w) {
-    Rules rules = settings.rules();
-    if (w.born == 0 || now - w.born >= rules.coldFor()) {
-      return 1;
-    }
-    double age = Math.max(0, (double) (now - w.born) / rules.coldFor());
-    return rules.coldFrom() + (1 - rules.coldFrom()) * age;
+    double from = settings.rules().coldFrom();
+    double age = Math.max(0, now - w.born) / Math.max(1.0, settings.rules().coldFor());
+    return w.born == 0 || age >= 1 ? 1 : from + (1 - from) * age;
   }
 
   private boolean room(Function f, Worker w) {
@@ -827,7 +796,7 @@
     return (w.inFlight + w.others) * meanWeight / w.weight;
   }
 
-  private Worker least(Collection<Worker> from, Function f) {
+  private Worker least(List<Worker> from, Function f) {
     Worker best = null;
     double least = 0;
     int ties = 0;
@@ -895,29 +864,21 @@
 
   // ---- timers
 
-  private void startSweep() {
-    if (!sweeping) {
-      sweeping = true;
-      out.accept(new SetTimer(sweepEvery, "sweep"));
-    }
-  }
-
   private void onTimer(String token) {
     if (token.equals("sweep")) {
-      sweeping = false;
-      startSweep();
+      out.accept(new SetTimer(sweepEvery, "sweep"));
       sweep();
-    } else if (token.startsWith("d")) {
-      onDeadline(Long.parseLong(token.substring(1)));
+      return;
+    }
+    Held held = requests.get(Long.parseLong(token.substring(1)));
+    if (held != null && !held.done && !held.streaming) {
+      giveUp(held);
     }
   }
 
   private void sweep() {
     for (Held held : List.copyOf(requests.values())) {
-      if (held.done || held.streaming) {
-        continue;
-      }
-      if (held.anyOut()) {
+      if (!held.done && !held.streaming && held.anyOut()) {
         watch(held);
       }
     }
@@ -943,18 +904,15 @@
   private void second(Held held, Attempt last) {
     boolean left = held.attempts.size() < settings.limits().maxAttempts();
     boolean suspect = last.worker.failures >= SUSPECT;
-    if (held.requestClass.effect() == Effect.UNSAFE || !left || secondTokens < 1 && !suspect) {
-      return;
-    }
-    Worker w = choose(held);
+    Worker w = left && mayResend(held) && (secondTokens >= 1 || suspect) ? choose(held) : null;
     boolean better = w != null && w != last.worker && room(held.function, w);
-    if (!better && !suspect || !mayResend(held)) {
+    if (w == null || !better && !suspect) {
       return;
     }
     secondTokens = Math.max(0, secondTokens - 1);
     if (!settings.limits().duplicates()) {
       cancel(held, held.attempts.size() - 1);
-    } else if (better || w != null && settings.loadsOnMiss()) {
+    } else if (better || settings.loadsOnMiss()) {
       send(held, w);
     }
   }
--- a/src/main/java/gorseladder/RouterApi.java
+++ b/src/main/java/gorseladder/RouterApi.java
@@ -131,7 +131,10 @@
   /** The first part of a streamed answer went to the client. */
   public record FirstByte(long id, int attempt, String worker, long latency) implements Event {}
 
-  /** An attempt ended. {@code crowd} is the calls of the function found there, -1 where not told. */
+  /**
+   * An attempt ended. {@code crowd} is the calls of the function found there, -1 where not told; a
+   * report may name {@code inFlight} or {@code queued} calls.
+   */
   public record Answer(long id, int attempt, String worker, Outcome outcome, boolean settled, long latency,
       Note note, int crowd, Map<String, Double> report) implements Event {}
 
--- a/src/main/java/gorseladder/simhost/Wire.java
+++ b/src/main/java/gorseladder/simhost/Wire.java
@@ -20,6 +20,7 @@
       "DEADLINE_EXCEEDED", Outcome.TIMEOUT, "UNAVAILABLE", Outcome.CONNECT_FAILED,
       "ABORTED", Outcome.RESET, "CANCELLED", Outcome.CANCELLED, "TOO_LATE", Outcome.MOOT,
       "NOT_FOUND", Outcome.MISS);
+  private static final Map<String, String> REPORT_NAMES = Map.of("rif", "inFlight", "q", "queued");
   private static final RouterApi.Note[] NOTES = RouterApi.Note.values();
 
   private Wire() {}
@@ -170,7 +171,7 @@
     if (m.get("stats") instanceof Map<?, ?> stats) {
       stats.forEach((name, value) -> {
         if (value instanceof Double d) {
-          report.put((String) name, d);
+          report.put(REPORT_NAMES.getOrDefault(name, (String) name), d);
         }
       });
     }
