--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -67,6 +67,8 @@
   private static final double LATE_MARGIN = 1.5;
   /** Part of a load's time up to which a call waits for a warm lane instead. */
   private static final double WAIT_PART = 1.0;
+  /** Waiting calls tried at one look; bounds the work of a look when thousands wait. */
+  private static final int MOST_TRIES = 64;
   /** Seconds of its quota that a tenant may save up for a burst. */
   private static final double QUOTA_SECONDS = 2.0;
 
@@ -552,8 +554,8 @@
         copy.copies = event.copies();
       }
     }
-    if (!asked || f.asksOut == 0 || copy.copies > 0) {
-      placeWaiting(null);
+    for (int i = 0; i < f.lanes && (!asked || f.asksOut == 0 || copy.copies > 0); i++) {
+      placeWaiting(f);
     }
   }
 
@@ -637,7 +639,8 @@
    * room is refused, where that is harmless, just before its aim.
    */
   private void placeWaiting(Function freed) {
-    List<Held> waiting = new ArrayList<>(requests.values());
+    boolean leaveToSweep = freed != null && requests.size() > 10 * MOST_TRIES;
+    List<Held> waiting = new ArrayList<>(leaveToSweep ? List.of() : requests.values());
     waiting.removeIf(h -> h.done || h.anyOut());
     Comparator<Held> order =
         Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
@@ -649,8 +652,10 @@
       waiting = List.of(Collections.min(waiting, sameFirst.thenComparing(order)));
       waiting.get(0).function.waiting--;
     }
+    int tries = 0;
     for (Held held : waiting) {
-      if (workers.values().stream().anyMatch(this::takes)) {
+      if (tries < MOST_TRIES && workers.values().stream().anyMatch(this::takes)) {
+        tries++;
         place(held);
       } else if (late(held) && harmless(held)) {
         giveUp(held);
