--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -554,7 +554,8 @@
         copy.copies = event.copies();
       }
     }
-    for (int i = 0; i < f.lanes && (!asked || f.asksOut == 0 || copy.copies > 0); i++) {
+    boolean told = !asked || f.asksOut == 0 || copy.copies > 0;
+    for (int i = 0; told && i < f.lanes && f.waiting > 0; i++) {
       placeWaiting(f);
     }
   }
