Module rebuilt for scale: shared order of workers as belief, homes by crowd, shedding by strain, sick hints

Change: each function has one order of workers that all dispatchers share (weighted hash); its first few, the home, count as likely warm; the home's width is the crowd met over what a copy runs; a miss orders a load at its place. Calls are shed, cheapest and repeats first, while most answers of warm copies are late or full (strain). Suspicion is told to peers where messages are allowed, two messages needed. Cold budget is saved up in parts and divided over dispatchers. An overdue attempt raises its worker's pace at once. State classes moved to RouterState.java (fields only).

--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -1,14 +1,8 @@
 package gorseladder;
 
 import gorseladder.RouterApi.*;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
+import gorseladder.RouterState.*;
+import java.util.*;
 import java.util.function.Consumer;
 
 /**
@@ -16,8 +10,10 @@
  *
  * <p>It remembers which functions it sent to which worker and sends a call to a worker believed warm
  * that has a lane free. When its own load there is uneven beyond {@link #BALANCE} it takes the worker
- * where the call should be over first, by calls in flight. Everything else answers a way in which that
- * plain rule breaks; each such exception says when it acts.
+ * where the call should be over first, by calls in flight. A dispatcher that sees a function too seldom
+ * to remember it believes in an order of workers that all dispatchers share: the first few of it, the
+ * function's home, are likely warm by others' doing. Everything else answers a way in which that plain
+ * rule breaks; each such exception says when it acts.
  */
 public final class Router {
   /** Load of the warm choice, in means over the fleet, beyond which the fewest in flight decide. */
@@ -26,16 +22,32 @@
   private static final double BALANCE_SLACK = 2.0;
   /** Calls that a worker of mean weight runs about as fast as one; only sets queues against loads. */
   private static final double PARALLEL = 4.0;
-  /** Cold choices this close in time count as equal, so that a hash shared by all dispatchers decides. */
-  private static final double HASH_BAND = 1.3;
+  /** Calls of a function at each worker of its home, as a part of what a copy runs at once. */
+  private static final double HOME_FILL = 0.5;
+  /** A home may look this many times too narrow at one answer; a backlog is not a lasting need. */
+  private static final double HOME_STEP = 3.0;
+  /** Part of the usual time by which chance spreads calls over a home, so that dispatchers do not herd. */
+  private static final double JITTER = 0.2;
+  /** Part of a load's time by which each further worker of the shared order is less liked. */
+  private static final double RANK_COST = 0.05;
   /** Weight of the newest answer in a running mean; about the last ten count. */
   private static final double NEWEST = 0.1;
   /** Weight of the newest outcome in a worker's failures: two errors near each other pass SUSPECT. */
   private static final double FAILURE_WEIGHT = 0.25;
+  /** Share of late or refused answers from which calls are turned away; a few slow workers stay below. */
+  private static final double STRAINED = 0.4;
+  /** Part of the calls admitted that is cut at each late or refused answer while strained. */
+  private static final double SHED_STEP = 0.2;
+  /** Aims in which a strain that no answer confirms is half forgotten. */
+  private static final double STRAIN_AIMS = 2.0;
+  /** Aims in which shedding ends once the strain is over; slower than answers tell of its effect. */
+  private static final double RELIEF_AIMS = 10.0;
+  /** Part of calls admitted at the least, so that relief is noticed. */
+  private static final double LEAST_ADMITTED = 0.1;
   /** Share of failures from which a worker is avoided. */
   private static final double SUSPECT = 0.3;
-  /** First wait, in usual aims, before a suspect is tried with a safe call; it doubles at each failure. */
-  private static final double TRIAL_AIMS = 1.0;
+  /** Part of the own mean gap between calls to one worker before a suspect is tried again. */
+  private static final double TRIAL_GAPS = 0.5;
   /** Doublings of that wait at most, so that a healed worker is found again. */
   private static final int TRIAL_DOUBLINGS = 3;
   /** An attempt this many times over its expected time, at a worker silent since, makes it suspect. */
@@ -44,41 +56,32 @@
   private static final double OVERDUE = 2.5;
   /** Second tries for lateness as a share of requests taken, so that a slow fleet is not made slower. */
   private static final double SECOND_SHARE = 0.1;
-  /** Part of the cold budget that the average warm worker's own rate stands for; the rest is margin. */
+  /** Part of what the rule lets a cold worker take that is used; the rest is for chance and hot homes. */
   private static final double COLD_MARGIN = 0.4;
-  /** Part of the aim that a call waits for answers to the question who holds its function. */
-  private static final double ASK_AIM_SHARE = 0.05;
-  /** Questions allowed for each request taken; a fleet-wide question costs one for each worker. */
-  private static final double ASKS_PER_REQUEST = 0.5;
-  /** Part of the load ration that spare copies leave for calls that wait. */
-  private static final double RATION_KEPT = 0.5;
-  /** Parts of the shortest aim between two looks at what waits; fine enough to lose little of it. */
+  /** Seconds over which the own rate of served calls is measured. */
+  private static final double RATE_SECONDS = 5.0;
+  /** Parts of the shortest aim between two looks at what waits or is out. */
   private static final long SWEEPS_PER_AIM = 40;
-
-  /** Smoothed answer time, in aims, above which a worker gets fewer calls: half leaves room for the tail. */
+  /** Part of its aim after which an answer counts as late for the fleet's strain; the rest is the tail's. */
   private static final double CROWDED = 0.5;
-  /** Weight of the newest answer in that smoothed time; quick, for a queue grows within an aim. */
+  /** Weight of the newest answer in what changes within an aim: strain and reports. */
   private static final double CROWD_WEIGHT = 0.2;
-  /** What is left of a worker's limit after a cut. */
-  private static final double CUT = 0.8;
-  /** First limit of calls in flight at a worker, in calls that it runs at once. */
-  private static final double FIRST_LIMIT = 3.0;
   /** Usual times a call needs before its aim, below which it counts as late. */
   private static final double LATE_MARGIN = 1.5;
-  /** Part of a load's time up to which a call waits for a warm lane instead. */
-  private static final double WAIT_PART = 1.0;
   /** Waiting calls tried at one look; bounds the work of a look when thousands wait. */
   private static final int MOST_TRIES = 64;
-  /** Seconds of its quota that a tenant may save up for a burst. */
-  private static final double QUOTA_SECONDS = 2.0;
+  /** First word of the message that a worker is sick. */
+  private static final String SICK = "sick ";
 
   private final Settings settings;
   private final Random random;
-  private final Map<String, RequestClass> classes = new LinkedHashMap<>();
+  private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private Worker[] fleet = {};
+  private int listVersion;
   private final Map<String, Function> functions = new LinkedHashMap<>();
   private final Map<Long, Held> requests = new LinkedHashMap<>();
-  private final Map<String, double[]> quotas = new LinkedHashMap<>();
+  private final Set<Function> waiting = new LinkedHashSet<>();
   private final ArrayDeque<Long> takenTimes = new ArrayDeque<>();
   private final ArrayDeque<Long> loadTimes = new ArrayDeque<>();
   private final long sweepEvery;
@@ -86,115 +89,19 @@
   private Consumer<Action> out;
   private long now;
   private boolean sweeping;
-  private double askTokens;
   private double secondTokens = 1;
   private double meanLoadTime;
   private double meanUsual;
   private double meanWeight = 1;
-  private double takenRate;
-  private long lastTaken;
-
-  /** What is known of one worker. */
-  private static final class Worker {
-    final String id;
-    String zone;
-    int cell;
-    Phase phase;
-    double weight = 1;
-    long born;
-    int inFlight;
-    double others;
-    double pace = 1;
-    double failures;
-    int strikes;
-    long trialAt;
-    long lastHeard;
-    long fullUntil;
-    double limit = FIRST_LIMIT * PARALLEL;
-    double crowded;
-    long cutAt;
-    final ArrayDeque<Long> coldSends = new ArrayDeque<>();
-
-    Worker(String id) {
-      this.id = id;
-    }
-  }
-
-  /** What is believed of one function at one worker. */
-  private static final class Copy {
-    final Worker worker;
-    int copies;
-    long until;
-    int inFlight;
-    int crowd;
-    long crowdUntil;
-    long busyUntil;
-    int ordered = -1;
-    long orderedAt;
-
-    Copy(Worker worker) {
-      this.worker = worker;
-    }
-
-    boolean warm(long now) {
-      return copies > 0 && until > now;
-    }
-  }
-
-  /** What is known of one function. */
-  private static final class Function {
-    final String name;
-    int lanes = 1;
-    long loadTime;
-    double usual;
-    double seenLoad;
-    long calls;
-    long askedAt = Long.MIN_VALUE / 2;
-    long askUntil;
-    int asksOut;
-    int waiting;
-    final Map<Worker, Copy> copies = new LinkedHashMap<>();
-
-    Function(String name) {
-      this.name = name;
-    }
-
-    Copy at(Worker worker) {
-      return copies.computeIfAbsent(worker, Copy::new);
-    }
-  }
-
-  /** One attempt of a request. */
-  private static final class Attempt {
-    Worker worker;
-    long sentAt;
-    double expected;
-    boolean out = true;
-    boolean cancelled;
-    boolean neverRan;
-  }
-
-  /** A request taken and not yet forgotten; done once it has its final answer. */
-  private static final class Held {
-    long id;
-    RequestClass requestClass;
-    Function function;
-    long aimAt;
-    long deadline;
-    boolean repeat;
-    double worth;
-    boolean done;
-    boolean streaming;
-    final List<Attempt> attempts = new ArrayList<>(2);
-
-    boolean anyOut() {
-      return attempts.stream().anyMatch(a -> a.out);
-    }
-
-    boolean mayHaveRun() {
-      return attempts.stream().anyMatch(a -> !a.neverRan);
-    }
-  }
+  private double servedRate;
+  private long lastServed;
+  private double strain;
+  private long strainAt;
+  private long notedAt;
+  private long shedAt;
+  private double admitted = 1;
+  private double meanWorth;
+  private long nextForget;
 
   public Router(Settings settings, long seed) {
     if (settings == null) {
@@ -203,10 +110,6 @@
     this.settings = settings;
     this.random = new Random(seed);
     settings.classes().forEach(c -> classes.put(c.name(), c));
-    for (Tenant t : settings.tenants()) {
-      double own = t.quotaPerSecond() / settings.dispatchers();
-      quotas.put(t.name(), new double[] {own, own * QUOTA_SECONDS, 0});
-    }
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
     sweepEvery = Math.max(settings.tick(), shortestAim / SWEEPS_PER_AIM);
     meanUsual = shortestAim / 5.0;
@@ -229,10 +132,10 @@
       onWorkers(e);
     } else if (event instanceof ClientGone e) {
       onClientGone(e.id());
-    } else if (event instanceof FirstByte e) {
-      onFirstByte(e);
-    } else if (event instanceof Probed e && workers.containsKey(e.worker())) {
-      noteReport(workers.get(e.worker()), e.report());
+    } else if (event instanceof FirstByte e && requests.containsKey(e.id())) {
+      requests.get(e.id()).streaming = true;
+    } else if (event instanceof PeerMessage e) {
+      onPeerMessage(e.text());
     }
   }
 
@@ -250,7 +153,7 @@
       workers.values().forEach(w -> w.phase = Phase.GONE);
     }
     for (WorkerEntry entry : event.entries()) {
-      Worker w = workers.computeIfAbsent(entry.worker(), Worker::new);
+      Worker w = workers.computeIfAbsent(entry.worker(), id -> new Worker(id, mix(id.hashCode())));
       w.zone = entry.zone();
       w.cell = entry.cell();
       w.phase = entry.phase();
@@ -260,31 +163,27 @@
         restarted(w);
       }
     }
-    meanWeight = workers.values().stream().filter(w -> w.phase == Phase.RUNNING)
-        .mapToDouble(w -> w.weight).average().orElse(1);
-    if (!sweeping) {
-      sweeping = true;
-      out.accept(new SetTimer(sweepEvery, "sweep"));
+    workers.values().removeIf(w -> w.phase == Phase.GONE && w.inFlight == 0);
+    Worker[] known = workers.values().toArray(new Worker[0]);
+    listVersion += Arrays.equals(known, fleet) ? 0 : 1;
+    fleet = known;
+    double sum = 0;
+    for (Worker w : fleet) {
+      sum += w.weight;
     }
-    placeWaiting(null);
+    meanWeight = fleet.length == 0 ? 1 : sum / fleet.length;
+    serveWaiting();
   }
 
   /** A new birth time: whatever was loaded is gone, and so is what made the old process suspect. */
   private void restarted(Worker w) {
-    functions.values().forEach(f -> forget(f.copies.get(w)));
+    w.life++;
     w.failures = 0;
     w.strikes = 0;
     w.pace = 1;
-    w.crowded = 0;
-    w.limit = FIRST_LIMIT * PARALLEL;
     w.lastHeard = now;
-  }
-
-  private static void forget(Copy copy) {
-    if (copy != null) {
-      copy.copies = 0;
-      copy.crowd = 0;
-    }
+    w.coldTokens = random.nextDouble();
+    w.coldAt = now;
   }
 
   // ---- requests and their ends
@@ -294,63 +193,79 @@
     if (requestClass == null) {
       throw new IllegalArgumentException("unknown class " + event.requestClass());
     }
-    Function f = functions.computeIfAbsent(event.function(), Function::new);
+    forgetFunctions();
+    Function f = functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
     f.lanes = Math.max(1, event.lanes());
     f.loadTime = event.loadTime();
-    f.calls++;
-    noteTaken();
+    f.lastAsked = now;
+    if (f.inFlight + f.queue.size() > f.atOnce) {
+      noteNeed(f, f.inFlight + f.queue.size());
+    }
+    secondTokens = Math.min(secondTokens + SECOND_SHARE, 10);
+    if (settings.rules().loadWindow() > 0) {
+      takenTimes.addLast(now);
+    }
     Held held = new Held();
     held.id = event.id();
     held.requestClass = requestClass;
     held.function = f;
     held.aimAt = now + requestClass.aim();
     held.deadline = now + event.timeLeft();
-    held.repeat = event.repeat();
-    held.worth = requestClass.worth() * (inShare(event.tenant()) ? 1 : settings.overShareWorth());
+    held.worth = requestClass.worth() * (event.repeat() ? requestClass.lateWorth() : 1);
     requests.put(held.id, held);
     long left = Math.max(0, event.timeLeft() - settings.tick());
     out.accept(new SetTimer(left, "d" + held.id));
-    place(held);
-    f.waiting += held.anyOut() ? 0 : 1;
+    if (admits(held)) {
+      place(held);
+    } else {
+      giveUp(held);
+    }
+    armSweep();
   }
 
-  /** Spends a tenant's quota, taken as even over the dispatchers; what comes beyond it is worth little. */
-  private boolean inShare(String tenant) {
-    double[] quota = quotas.get(tenant);
-    if (quota == null) {
-      return true;
+  /**
+   * Sheds calls while most answers come late, are refused or are left by their clients: then the fleet
+   * as a whole holds more than it can run, whoever sent it. Cheap calls go first. It could harm where all
+   * work alone takes half its aim; a trickle is always admitted, so that relief is seen.
+   */
+  private boolean admits(Held held) {
+    double aims = (now - strainAt) / (double) shortestAim;
+    strainAt = now;
+    strain /= 1 + aims / STRAIN_AIMS;
+    if (strain < STRAINED) {
+      admitted = Math.min(1, admitted + aims / RELIEF_AIMS);
     }
-    quota[1] = Math.min(quota[0] * QUOTA_SECONDS, quota[1] + quota[0] * (now - quota[2]) / 1e6);
-    quota[2] = now;
-    boolean within = quota[1] >= 1;
-    quota[1] -= within ? 1 : 0;
-    return within;
+    meanWorth += NEWEST * (held.worth - meanWorth);
+    return random.nextDouble() < Math.pow(admitted, meanWorth / Math.max(1e-9, held.worth));
   }
 
-  private void noteTaken() {
-    takenTimes.addLast(now);
-    askTokens = Math.min(askTokens + ASKS_PER_REQUEST, 20.0 * workers.size());
-    secondTokens = Math.min(secondTokens + SECOND_SHARE, 10);
-    double gap = Math.max(1, now - lastTaken);
-    double weight = Math.min(1, gap / 2_000_000.0);
-    takenRate += weight * (1e6 / gap - takenRate);
-    lastTaken = now;
+  private void noteStrain(boolean bad) {
+    double gap = (now - notedAt) / (double) shortestAim;
+    notedAt = now;
+    strain += Math.max(CROWD_WEIGHT / 10, Math.min(CROWD_WEIGHT, gap)) * ((bad ? 1 : 0) - strain);
+    if (strain > STRAINED && now - shedAt > meanUsual) {
+      shedAt = now;
+      admitted = Math.max(LEAST_ADMITTED, admitted * (1 - SHED_STEP));
+    }
+  }
+
+  /** Drops functions not asked for in two keep-alives: nothing believed of them can still be true. */
+  private void forgetFunctions() {
+    if (now >= nextForget) {
+      nextForget = now + settings.keepAlive();
+      long old = now - 2 * settings.keepAlive();
+      functions.values().removeIf(f -> f.lastAsked < old && f.inFlight == 0 && f.queue.isEmpty());
+    }
   }
 
   private void onClientGone(long id) {
     Held held = requests.get(id);
     if (held != null && !held.done) {
+      noteStrain(true);
       finish(held);
     }
   }
 
-  private void onFirstByte(FirstByte event) {
-    Held held = requests.get(event.id());
-    if (held != null) {
-      held.streaming = true;
-    }
-  }
-
   /** The one final answer that is not a served one: refused where a repeat is harmless, else failed. */
   private void giveUp(Held held) {
     out.accept(harmless(held) ? new Refuse(held.id, 0) : new Fail(held.id));
@@ -359,16 +274,17 @@
 
   private boolean harmless(Held held) {
     RequestClass c = held.requestClass;
-    return c.effect() == Effect.SAFE || !held.mayHaveRun()
+    return c.effect() == Effect.SAFE || held.attempts.stream().allMatch(a -> a.neverRan)
         || c.effect() == Effect.KEYED && c.group() == Group.ALL;
   }
 
   private void finish(Held held) {
     held.done = true;
+    unqueue(held);
     for (int i = 0; i < held.attempts.size(); i++) {
       cancel(held, i);
     }
-    if (!held.anyOut()) {
+    if (held.out == 0) {
       requests.remove(held.id);
     }
   }
@@ -383,26 +299,28 @@
 
   private void onAnswer(Answer event) {
     Held held = requests.get(event.id());
-    if (held == null || event.attempt() >= held.attempts.size() || !held.attempts.get(event.attempt()).out) {
+    if (held == null || event.attempt() < 0 || event.attempt() >= held.attempts.size()
+        || !held.attempts.get(event.attempt()).out) {
       return;
     }
     Attempt attempt = held.attempts.get(event.attempt());
     attempt.out = false;
+    held.out--;
     attempt.neverRan = event.outcome().neverRan;
-    attempt.worker.inFlight--;
-    Copy copy = held.function.at(attempt.worker);
-    copy.inFlight--;
-    learn(held, attempt, copy, event);
+    attempt.copy.worker.inFlight--;
+    attempt.copy.inFlight--;
+    held.function.inFlight--;
+    learn(held, attempt, event);
     if (held.done) {
-      if (!held.anyOut()) {
+      if (held.out == 0) {
         requests.remove(held.id);
       }
     } else if (event.settled()) {
       finish(held);
-    } else if (!held.anyOut()) {
+    } else if (held.out == 0) {
       goOn(held);
     }
-    placeWaiting(held.function);
+    serve(held.function, MOST_TRIES);
   }
 
   /** After a failed attempt: try again where the class allows it, else answer now. */
@@ -423,60 +341,70 @@
 
   // ---- what an answer teaches
 
-  private void learn(Held held, Attempt attempt, Copy copy, Answer event) {
-    Worker w = attempt.worker;
+  private void learn(Held held, Attempt attempt, Answer event) {
+    Copy copy = attempt.copy;
+    Worker w = copy.worker;
     Function f = held.function;
     noteReport(w, event.report());
     boolean heard = event.outcome() != Outcome.TIMEOUT && event.outcome() != Outcome.CANCELLED;
     w.lastHeard = heard ? now : w.lastHeard;
+    boolean full = event.outcome() == Outcome.FULL;
+    boolean warm = event.outcome() == Outcome.OK && (event.note() == Note.WARM || event.note() == Note.NONE);
+    if (!attempt.slow && (full || warm)) {
+      noteStrain(full || event.latency() > CROWDED * held.requestClass.aim());
+    }
+    if (event.crowd() >= 0) {
+      copy.crowd = Math.max(0, event.crowd() - copy.inFlight - (full ? 0 : 1));
+      copy.crowdUntil = now + (long) usual(f);
+      double most = HOME_STEP * fill(f);
+      noteNeed(f, Math.max(f.inFlight + f.queue.size(), home(f) * Math.min(event.crowd(), most)));
+    }
     switch (event.outcome()) {
-      case OK -> learnServed(held, w, copy, event);
+      case OK -> learnServed(held, attempt, event, warm);
       case MISS -> {
-        forget(copy);
+        attempt.missed = true;
+        copy.copies = 0;
+        copy.struckUntil = now + 2 * (long) loadTime(f);
         if (event.note() == Note.LOAD_FAILED) {
           copy.busyUntil = now + (long) loadTime(f);
+        } else if (!settings.loadsOnMiss()) {
+          order(copy, 1);
         }
       }
-      case FULL -> {
-        copy.busyUntil = now + (long) usual(f);
-        // A lane was free, so the worker itself is full; else only room for one more copy was lacking.
-        if (copy.warm(now) && event.crowd() < f.lanes * copy.copies) {
-          w.fullUntil = now + (long) usual(f) / 2;
-          cut(w);
-        }
-      }
+      case FULL -> copy.busyUntil = now + (long) usual(f);
       case ERROR -> {
         if (event.note() == Note.LOAD_FAILED) {
-          forget(copy);
+          copy.copies = 0;
         } else {
-          failed(w, FAILURE_WEIGHT);
+          failed(w, FAILURE_WEIGHT, true);
         }
       }
       case RESET, CONNECT_FAILED -> {
-        failed(w, 1);
-        functions.values().forEach(other -> forget(other.copies.get(w)));
+        w.life += event.outcome() == Outcome.RESET ? 1 : 0;
+        failed(w, 1, true);
       }
-      case TIMEOUT -> failed(w, FAILURE_WEIGHT);
+      case TIMEOUT -> failed(w, FAILURE_WEIGHT, true);
       case CANCELLED, MOOT -> { }
     }
   }
 
-  private void learnServed(Held held, Worker w, Copy copy, Answer event) {
+  private void learnServed(Held held, Attempt attempt, Answer event, boolean warm) {
+    Copy copy = attempt.copy;
+    Worker w = copy.worker;
     Function f = held.function;
     w.failures *= 1 - FAILURE_WEIGHT;
     if (w.failures < SUSPECT) {
       w.strikes = 0;
     }
-    boolean grew = event.note() == Note.BEGAN && copy.warm(now);
-    copy.copies = copy.warm(now) ? copy.copies + (grew ? 1 : 0) : 1;
-    copy.until = now + settings.keepAlive();
-    if (event.crowd() >= 0) {
-      copy.crowd = Math.max(0, event.crowd() - copy.inFlight - 1);
-      copy.crowdUntil = now + (long) usual(f);
+    double gap = Math.max(1, now - lastServed) / 1e6;
+    servedRate += Math.min(1, gap / RATE_SECONDS) * (1 / gap - servedRate);
+    lastServed = now;
+    boolean grew = event.note() == Note.BEGAN && warm(copy);
+    stands(copy, warm(copy) ? copy.copies + (grew ? 1 : 0) : 1);
+    if (warm && event.crowd() >= f.lanes * copy.copies && event.latency() < LATE_MARGIN * usual(f)) {
+      copy.copies = event.crowd() / f.lanes + 1;
     }
-    boolean laneFree = event.crowd() < f.lanes * copy.copies;
-    if ((event.note() == Note.WARM || event.note() == Note.NONE) && laneFree) {
-      learnLimit(w, (double) event.latency() / held.requestClass.aim());
+    if (warm && event.crowd() < f.lanes * copy.copies) {
       double ratio = event.latency() / usual(f);
       w.pace += NEWEST * (Math.min(10, ratio) - w.pace);
       double capped = Math.min(event.latency(), 4 * usual(f));
@@ -486,36 +414,49 @@
   }
 
   /**
-   * The limit of own calls in flight at a worker: cut while answers take too much of the aim, raised
-   * while they do not and it is used up. Guards against any standing queue: overload, a slow worker, a
-   * neighbour, unseen traffic of others. It could harm a class whose work alone comes near its aim.
+   * How many calls of a function the fleet holds at once: the crowd met, over all of its home, or more
+   * where this dispatcher alone has more. It sets how far calls walk down the shared order, so that a hot
+   * function finds lanes though nobody sees its whole load, and draws back when the crowds thin.
    */
-  private void learnLimit(Worker w, double aims) {
-    w.crowded += CROWD_WEIGHT * (aims - w.crowded);
-    if (w.crowded > CROWDED) {
-      cut(w);
-    } else if (w.inFlight + 1 >= CUT * w.limit) {
-      w.limit += 1 / w.limit;
-    }
+  private void noteNeed(Function f, double calls) {
+    f.seen++;
+    f.atOnce += Math.max(NEWEST, 1.0 / f.seen) * (calls - f.atOnce);
   }
 
-  private void cut(Worker w) {
-    if (now - w.cutAt > meanUsual) {
-      w.cutAt = now;
-      w.limit = Math.max(1, CUT * Math.min(w.limit, w.inFlight + 1));
-    }
+  private double fill(Function f) {
+    return HOME_FILL * (settings.loadsOnMiss() ? 1 : Math.min(f.lanes, PARALLEL));
   }
 
-  private boolean takes(Worker w) {
-    return w.phase == Phase.RUNNING && w.inFlight < w.limit && w.fullUntil <= now;
+  /** How many workers of the shared order, from the first, are taken to hold the function. */
+  private double home(Function f) {
+    return Math.max(1, Math.min(fleet.length, f.atOnce / fill(f)));
   }
 
-  private void failed(Worker w, double weight) {
+  /**
+   * Suspicion. Where messages are allowed others are told at once, since with many dispatchers each would
+   * pay for its own discovery; a single message is not enough to shun a worker.
+   */
+  private void failed(Worker w, double weight, boolean own) {
     w.failures += weight * (1 - w.failures);
-    if (w.failures >= SUSPECT) {
-      double wait = TRIAL_AIMS * shortestAim * (1 << Math.min(w.strikes, TRIAL_DOUBLINGS));
-      w.trialAt = now + (long) wait;
-      w.strikes++;
+    if (w.failures < SUSPECT) {
+      return;
+    }
+    double gap = fleet.length / Math.max(1e-3, servedRate) * 1e6;
+    double wait = Math.max(shortestAim, Math.min(TRIAL_GAPS * gap, settings.keepAlive()));
+    w.trialAt = now + (long) wait * (1 << Math.min(w.strikes, TRIAL_DOUBLINGS));
+    w.strikes++;
+    boolean news = w.toldSick == 0 || now - w.toldSick > settings.keepAlive();
+    if (own && news && settings.limits().peers() && settings.dispatchers() > 1) {
+      w.toldSick = now;
+      out.accept(new TellPeers(SICK + w.id));
+    }
+  }
+
+  private void onPeerMessage(String text) {
+    Worker w = text.startsWith(SICK) ? workers.get(text.substring(SICK.length())) : null;
+    if (w != null && w.failures < SUSPECT) {
+      failed(w, FAILURE_WEIGHT, false);
+      w.toldSick = w.failures < SUSPECT ? w.toldSick : now;
     }
   }
 
@@ -533,31 +474,22 @@
     if (w == null || f == null) {
       return;
     }
-    Copy copy = f.at(w);
-    boolean asked = copy.ordered == 0;
+    Copy copy = copyAt(f, w);
     copy.ordered = -1;
-    if (asked && f.asksOut > 0) {
-      f.asksOut--;
-    }
     switch (event.outcome()) {
       case OK -> {
         w.lastHeard = now;
-        if (!asked) {
-          learnLoad(f, event.latency());
-        }
-        copy.copies = event.copies();
-        copy.until = now + settings.keepAlive() / (asked ? 2 : 1);
+        learnLoad(f, event.latency());
+        stands(copy, event.copies());
       }
-      case RESET, CONNECT_FAILED -> failed(w, 1);
+      case RESET, CONNECT_FAILED -> failed(w, 1, true);
       default -> {
         copy.busyUntil = now + (long) loadTime(f);
+        copy.struckUntil = copy.busyUntil;
         copy.copies = event.copies();
       }
     }
-    boolean told = !asked || f.asksOut == 0 || copy.copies > 0;
-    for (int i = 0; told && i < f.lanes && f.waiting > 0; i++) {
-      placeWaiting(f);
-    }
+    serve(f, MOST_TRIES);
   }
 
   private void learnLoad(Function f, long latency) {
@@ -577,11 +509,8 @@
   }
 
   /** The load ration: orders in the window, this one included, may not pass what the rule allows. */
-  private boolean mayLoad(double partKept) {
+  private boolean mayLoad() {
     Rules rules = settings.rules();
-    if (rules.loadWindow() == 0) {
-      return true;
-    }
     while (!loadTimes.isEmpty() && loadTimes.peekFirst() <= now - rules.loadWindow()) {
       loadTimes.removeFirst();
     }
@@ -589,165 +518,233 @@
       takenTimes.removeFirst();
     }
     double most = rules.loadsFree() + rules.loadShare() * takenTimes.size();
-    return loadTimes.size() + 1 <= most * (1 - partKept);
+    return rules.loadWindow() == 0 || loadTimes.size() + 1 <= most;
   }
 
-  /** The one place that emits a load order; a count of 0 only asks and is not rationed. */
-  private boolean order(Function f, Worker w, int count, double partKept) {
-    Copy copy = f.at(w);
-    boolean running = w.phase == Phase.RUNNING;
-    if (copy.ordered >= 0 || !running || !settings.limits().orders() || count > 0 && !mayLoad(partKept)) {
-      return false;
+  /** The one place that emits a load order. */
+  private void order(Copy copy, int count) {
+    boolean running = copy.worker.phase == Phase.RUNNING;
+    if (copy.ordered >= 0 || !running || !settings.limits().orders() || !mayLoad()) {
+      return;
     }
-    if (count > 0 && settings.rules().loadWindow() > 0) {
+    if (settings.rules().loadWindow() > 0) {
       loadTimes.addLast(now);
     }
     copy.ordered = count;
     copy.orderedAt = now;
-    out.accept(new Load(w.id, f.name, count));
-    return true;
+    out.accept(new Load(copy.worker.id, copy.function.name, count));
   }
 
-  /**
-   * Asks the fleet who holds a function that nobody is known to hold: after a start, or once beliefs
-   * aged out. Acts within a budget of questions, so that one-off functions cannot drive it.
-   */
-  private boolean ask(Function f) {
-    if (f.asksOut > 0 && now < f.askUntil) {
-      return true;
+  // ---- what waits
+
+  private void armSweep() {
+    if (!sweeping && !requests.isEmpty()) {
+      sweeping = true;
+      out.accept(new SetTimer(sweepEvery, "sweep"));
+    }
+  }
+
+  private void enqueue(Held held) {
+    if (!held.queued) {
+      held.queued = true;
+      held.function.queue.addLast(held);
+      waiting.add(held.function);
     }
-    boolean recent = now - f.askedAt < settings.keepAlive() / 2;
-    if (recent || !settings.limits().orders() || askTokens < workers.size()) {
-      return false;
-    }
-    f.askedAt = now;
-    f.askUntil = now + (long) (ASK_AIM_SHARE * shortestAim);
-    f.asksOut = 0;
-    for (Worker w : workers.values()) {
-      if (w.failures < SUSPECT && order(f, w, 0, 0)) {
-        f.asksOut++;
-        askTokens--;
+  }
+
+  private void unqueue(Held held) {
+    if (held.queued) {
+      held.queued = false;
+      held.function.queue.removeFirstOccurrence(held);
+      if (held.function.queue.isEmpty()) {
+        waiting.remove(held.function);
       }
     }
-    return f.asksOut > 0;
   }
 
-  // ---- the pick
+  /** Places what waits for one function, newest first, while there is room; returns the tries left. */
+  private int serve(Function f, int tries) {
+    int left = tries;
+    while (left > 0 && !f.queue.isEmpty()) {
+      Held held = f.queue.peekLast();
+      left--;
+      place(held);
+      if (held.queued) {
+        break;
+      }
+    }
+    return left;
+  }
 
   /**
    * Places what waits, dearest first and then newest, while any worker has room. What can no longer be
    * in time counts its late worth. Under overload this sheds what is worth least: a call that found no
    * room is refused, where that is harmless, just before its aim.
    */
-  private void placeWaiting(Function freed) {
-    boolean leaveToSweep = freed != null && requests.size() > 10 * MOST_TRIES;
-    List<Held> waiting = new ArrayList<>(leaveToSweep ? List.of() : requests.values());
-    waiting.removeIf(h -> h.done || h.anyOut());
-    Comparator<Held> order =
-        Comparator.<Held>comparingDouble(h -> -value(h)).thenComparingLong(h -> -h.aimAt);
-    if (freed == null) {
-      waiting.sort(order);
-      functions.values().forEach(f -> f.waiting = 0);
-    } else if (!waiting.isEmpty()) {
-      Comparator<Held> sameFirst = Comparator.comparing(h -> h.function != freed);
-      waiting = List.of(Collections.min(waiting, sameFirst.thenComparing(order)));
-      waiting.get(0).function.waiting--;
-    }
-    int tries = 0;
-    for (Held held : waiting) {
-      if (tries < MOST_TRIES && workers.values().stream().anyMatch(this::takes)) {
-        tries++;
-        place(held);
-      } else if (late(held) && harmless(held)) {
-        giveUp(held);
+  private void serveWaiting() {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<Function> order = new ArrayList<>(waiting);
+    order.sort(Comparator.comparingDouble(f -> -value(f.queue.peekLast())));
+    int tries = MOST_TRIES;
+    for (Function f : order) {
+      tries = serve(f, tries);
+      while (!f.queue.isEmpty() && late(f.queue.peekFirst()) && harmless(f.queue.peekFirst())) {
+        giveUp(f.queue.peekFirst());
       }
-      held.function.waiting += held.done || held.anyOut() ? 0 : 1;
     }
   }
 
   private boolean late(Held held) {
-    return held.repeat || held.aimAt - now < LATE_MARGIN * usual(held.function);
+    return held.aimAt - now < LATE_MARGIN * usual(held.function);
   }
 
   private double value(Held held) {
     return held.worth * (late(held) ? held.requestClass.lateWorth() : 1);
   }
 
+  // ---- the pick
+
   /** Sends a request to the worker chosen for it, or has the function loaded there and waits. */
   private void place(Held held) {
-    Function f = held.function;
-    boolean known = f.copies.values().stream().anyMatch(c -> c.warm(now) || c.ordered > 0);
-    if (!known && ask(f)) {
-      return;
+    Copy copy = choose(held);
+    boolean orders = !settings.loadsOnMiss() && settings.limits().orders();
+    boolean blind = copy != null && copy.home && held.attempts.size() < settings.limits().maxAttempts() - 2;
+    if (copy != null && (warm(copy) || blind || !orders)) {
+      send(held, copy);
+    } else if (copy != null && copy.ordered < 0) {
+      order(copy, 1);
+    }
+    if (held.out == 0 && !held.done) {
+      enqueue(held);
     }
-    Worker w = choose(held);
-    if (w == null) {
+  }
+
+  /** The shared order of workers for a function; heavier workers come first more often. */
+  private void arrange(Function f) {
+    if (f.version == listVersion) {
       return;
     }
-    Copy copy = f.at(w);
-    if (copy.warm(now) && copy.busyUntil <= now || settings.loadsOnMiss() || !settings.limits().orders()) {
-      send(held, w);
-    } else {
-      order(f, w, 1, 0);
+    f.version = listVersion;
+    long[] keys = new long[fleet.length];
+    for (int i = 0; i < keys.length; i++) {
+      double unit = (mix(f.hash ^ fleet[i].hash) >>> 1) / (double) Integer.MAX_VALUE;
+      double score = -StrictMath.log(Math.max(unit, 1e-9)) * meanWeight / fleet[i].weight;
+      keys[i] = (long) (Math.min(score, 1e4) * (1L << 30)) << 16 | i;
+    }
+    Arrays.sort(keys);
+    for (int i = 0; i < f.order.length; i++) {
+      f.order[i].moving = f.copies[i];
+    }
+    f.order = new Worker[keys.length];
+    f.copies = new Copy[keys.length];
+    for (int i = 0; i < keys.length; i++) {
+      f.order[i] = fleet[(int) (keys[i] & 0xffff)];
+      f.copies[i] = f.order[i].moving;
+      f.order[i].moving = null;
     }
   }
 
+  private static int mix(int value) {
+    int h = (value ^ (value >>> 16)) * 0x7feb352d;
+    h = (h ^ (h >>> 15)) * 0x846ca68b;
+    return h ^ (h >>> 16);
+  }
+
+  private Copy copyAt(Function f, Worker w) {
+    arrange(f);
+    for (int i = 0; i < f.order.length; i++) {
+      if (f.order[i] == w) {
+        return copyAt(f, i);
+      }
+    }
+    return new Copy(f, w);
+  }
+
+  private static Copy copyAt(Function f, int i) {
+    if (f.copies[i] == null) {
+      f.copies[i] = new Copy(f, f.order[i]);
+    }
+    return f.copies[i];
+  }
+
+  private Copy choose(Held held) {
+    arrange(held.function);
+    Copy untried = choose(held, true);
+    return untried != null || held.attempts.isEmpty() ? untried : choose(held, false);
+  }
+
   /**
    * The one place where a worker is chosen: the least loaded of the believed-warm with a lane free,
-   * unless its load passes the balance threshold; then the one where the call should be over first.
+   * unless its load passes the balance threshold; then the one where the call should be over first. Null
+   * where none may take it, or where a lane should be free here before a load is done.
    */
-  private Worker choose(Held held) {
-    List<Worker> eligible = eligible(held);
+  private Copy choose(Held held, boolean untried) {
     Function f = held.function;
-    double mean = eligible.stream().mapToDouble(this::load).average().orElse(0);
-    Worker warm = least(eligible.stream().filter(w -> room(f, w)).toList(), f);
-    if (warm != null && load(warm) <= BALANCE * mean + BALANCE_SLACK) {
-      return warm;
-    }
-    if (warm == null && waitsShorter(f, eligible)) {
-      return null;
-    }
-    Worker soonest = least(eligible, f);
-    if (soonest == null || f.at(soonest).warm(now)) {
-      if (soonest != null && !settings.loadsOnMiss() && f.calls > 2) {
-        order(f, soonest, f.at(soonest).copies + 1, RATION_KEPT);
+    boolean distrust = mostSuspect();
+    long home = Math.round(home(f));
+    int rank = 0;
+    int warm = -1;
+    int soonest = -1;
+    double warmCost = 0;
+    double soonestCost = 0;
+    double loads = 0;
+    int lanesOut = 0;
+    for (int i = 0; i < f.order.length; i++) {
+      Worker w = f.order[i];
+      int place = rank;
+      rank += eligible(held, w, distrust) ? 1 : 0;
+      if (place == rank || untried && tried(held, w)) {
+        continue;
+      }
+      Copy copy = f.copies[i];
+      boolean known = copy != null && warm(copy);
+      boolean shared = place < home && (copy == null || copy.struckUntil <= now);
+      double cost = cost(held, w, copy, shared);
+      cost += place >= home ? RANK_COST * (place - home + 1) * loadTime(f)
+          : copy == null || copy.ordered <= 0 ? JITTER * cost * random.nextDouble() : 0;
+      boolean free = copy == null || copy.busyUntil <= now && busy(copy) < f.lanes * Math.max(1, copy.copies);
+      if ((known || shared) && free && (warm < 0 || cost < warmCost)) {
+        warm = i;
+        warmCost = cost;
       }
-      return soonest;
-    }
-    double band = finish(f, soonest) * HASH_BAND;
-    Worker best = soonest;
-    for (Worker w : eligible) {
-      boolean preferred = f.at(w).ordered > 0 || f.at(best).ordered <= 0 && rank(f, w) > rank(f, best);
-      if (finish(f, w) <= band && preferred && !f.at(w).warm(now)) {
-        best = w;
+      if (soonest < 0 || cost < soonestCost) {
+        soonest = i;
+        soonestCost = cost;
       }
+      lanesOut += known && copy.busyUntil <= now && copy.inFlight > 0 ? f.lanes * copy.copies : 0;
+      loads += load(w);
     }
-    return best;
+    if (warm >= 0 && load(f.order[warm]) <= BALANCE * loads / rank + BALANCE_SLACK) {
+      return chosen(f, warm, home);
+    }
+    // Guards against copies loaded for a moment's queue, which under overload push each other out. It
+    // could harm where others keep the lanes taken: the answers' crowd counts then widen the home.
+    boolean wait = warm < 0 && (f.queue.size() + 1) * usual(f) < loadTime(f) * lanesOut;
+    return wait || soonest < 0 ? null : chosen(f, soonest, home);
   }
 
-  /**
-   * With every warm lane taken, a call stays here while a lane should be free before a load would be done.
-   * Guards against copies loaded for a moment's queue, which under overload push each other out. It could
-   * harm where others keep the lanes taken: the answers' crowd counts then end the wait.
-   */
-  private boolean waitsShorter(Function f, List<Worker> eligible) {
-    int lanes = 0;
-    for (Worker w : eligible) {
-      Copy copy = f.at(w);
-      lanes += copy.warm(now) && copy.busyUntil <= now && copy.inFlight > 0 ? f.lanes * copy.copies : 0;
+  private Copy chosen(Function f, int i, long home) {
+    Copy copy = copyAt(f, i);
+    copy.home = i < home && copy.struckUntil <= now;
+    return copy;
+  }
+
+  /** When most of the fleet looks suspect the signal is distrusted, not the fleet. */
+  private boolean mostSuspect() {
+    int suspects = 0;
+    int running = 0;
+    for (Worker w : fleet) {
+      running += w.phase == Phase.RUNNING ? 1 : 0;
+      suspects += w.phase == Phase.RUNNING && w.failures >= SUSPECT ? 1 : 0;
     }
-    return lanes > 0 && (Math.max(0, f.waiting) + 1) * usual(f) / lanes < WAIT_PART * loadTime(f);
+    return suspects * 2 > running;
   }
 
-  /** Workers that may be chosen. When half of them look suspect the signal is distrusted, not the fleet. */
-  private List<Worker> eligible(Held held) {
-    List<Worker> running = workers.values().stream().filter(w -> w.phase == Phase.RUNNING).toList();
-    boolean distrust = running.stream().filter(w -> w.failures >= SUSPECT).count() * 2 > running.size();
-    List<Worker> pool = running.stream().filter(w -> takes(w) && coldRoom(w) && groupAllows(held, w)
-        && (distrust || w.failures < SUSPECT || trialDue(held, w))).toList();
-    List<Worker> fresh = pool.stream()
-        .filter(w -> held.attempts.stream().noneMatch(a -> a.worker == w)).toList();
-    return fresh.isEmpty() ? pool : fresh;
+  private boolean eligible(Held held, Worker w, boolean distrust) {
+    return w.phase == Phase.RUNNING && coldRoom(w) && groupAllows(held, w)
+        && (w.failures < SUSPECT || distrust || trialDue(held, w));
   }
 
   private boolean trialDue(Held held, Worker w) {
@@ -755,27 +752,36 @@
         && held.attempts.isEmpty();
   }
 
+  private boolean tried(Held held, Worker w) {
+    return !held.attempts.isEmpty() && held.attempts.stream().anyMatch(a -> !a.missed && a.copy.worker == w);
+  }
+
   private boolean groupAllows(Held held, Worker w) {
     if (held.requestClass.effect() != Effect.KEYED || held.requestClass.group() == Group.ALL) {
       return true;
     }
-    return held.attempts.stream().filter(a -> !a.neverRan).allMatch(
-        a -> held.requestClass.group() == Group.ZONE
-            ? a.worker.zone.equals(w.zone) : a.worker.cell == w.cell);
+    boolean zone = held.requestClass.group() == Group.ZONE;
+    return held.attempts.stream().map(a -> a.neverRan ? w : a.copy.worker)
+        .allMatch(before -> zone ? before.zone.equals(w.zone) : before.cell == w.cell);
   }
 
-  /** The cold budget: own sends to a young worker stay below its part of what warm ones take. */
+  /**
+   * The cold budget, saved up in parts of a call and first drawn by chance, so that many dispatchers
+   * together stay below what the rule lets a cold worker take. What a warm worker takes is learned from
+   * calls served, which overload does not inflate, and is at least one call at a time for all together.
+   */
   private boolean coldRoom(Worker w) {
-    Rules rules = settings.rules();
-    if (warmth(w) >= 1) {
+    double warmth = warmth(w);
+    if (warmth >= 1) {
       return true;
     }
-    while (!w.coldSends.isEmpty() && w.coldSends.peekFirst() <= now - rules.overloadFor()) {
-      w.coldSends.removeFirst();
-    }
-    double perWorker = takenRate / Math.max(1, workers.size()) * rules.overloadFor() / 1e6;
-    double budget = COLD_MARGIN * rules.overloadMultiple() * warmth(w) * perWorker;
-    return w.coldSends.size() < Math.max(1, budget);
+    double least = 1e6 / meanUsual / settings.dispatchers();
+    double rate = Math.max(servedRate / Math.max(1, fleet.length), least);
+    double part = COLD_MARGIN * settings.rules().overloadMultiple() * warmth;
+    double most = Math.max(1, rate * part * settings.rules().overloadFor() / 1e6);
+    w.coldTokens = Math.min(most, w.coldTokens + (now - w.coldAt) / 1e6 * rate * part);
+    w.coldAt = now;
+    return w.coldTokens >= 1;
   }
 
   /** The part of its capacity that a worker has at least, by its birth and the told ramp. */
@@ -785,12 +791,15 @@
     return w.born == 0 || age >= 1 ? 1 : from + (1 - from) * age;
   }
 
-  private boolean room(Function f, Worker w) {
-    Copy copy = f.copies.get(w);
-    if (copy == null || !copy.warm(now) || copy.busyUntil > now || w.fullUntil > now) {
-      return false;
-    }
-    return busy(copy) < f.lanes * copy.copies;
+  private boolean warm(Copy copy) {
+    return copy.copies > 0 && copy.until > now && copy.life == copy.worker.life;
+  }
+
+  private void stands(Copy copy, int count) {
+    copy.copies = count;
+    copy.life = copy.worker.life;
+    copy.until = now + settings.keepAlive();
+    copy.struckUntil = 0;
   }
 
   private int busy(Copy copy) {
@@ -802,68 +811,49 @@
     return (w.inFlight + w.others) * meanWeight / w.weight;
   }
 
-  private Worker least(List<Worker> from, Function f) {
-    Worker best = null;
-    double least = 0;
-    int ties = 0;
-    for (Worker w : from) {
-      double time = finish(f, w);
-      if (best == null || time < least) {
-        best = w;
-        least = time;
-        ties = 1;
-      } else if (time == least && random.nextInt(++ties) == 0) {
-        best = w;
-      }
-    }
-    return best;
-  }
-
-  /** When a call of the function sent now should be over: in-flight calls in time, plus queue or load. */
-  private double finish(Function f, Worker w) {
-    Copy copy = f.at(w);
-    double run = usual(f) * w.pace * (1 + load(w) / PARALLEL) / warmth(w);
-    if (copy.warm(now)) {
+  /** How long a call sent now should take: calls in flight in time, plus queue or load. */
+  private double cost(Held held, Worker w, Copy copy, boolean shared) {
+    Function f = held.function;
+    double own = usual(f) * w.pace;
+    double time = own * (1 + load(w) / PARALLEL) / warmth(w);
+    if (copy != null && warm(copy)) {
       int lanes = f.lanes * copy.copies;
-      run += usual(f) * w.pace * Math.max(0, busy(copy) + 1 - lanes) / lanes;
-    } else if (copy.ordered > 0) {
-      run += Math.max(0, loadTime(f) - (now - copy.orderedAt));
+      time += own * Math.max(0, busy(copy) + 1 - lanes) / lanes;
+    } else if (copy != null && copy.ordered > 0) {
+      time += Math.max(0, loadTime(f) - (now - copy.orderedAt));
     } else {
-      run += loadTime(f);
+      time += shared ? 0 : loadTime(f);
     }
-    return run + Math.max(0, Math.max(copy.busyUntil, w.fullUntil) - now);
-  }
-
-  /** The same order of workers for a function at every dispatcher, so that they load in the same place. */
-  private static int rank(Function f, Worker w) {
-    int h = f.name.hashCode() * 31 + w.id.hashCode();
-    h = (h ^ (h >>> 16)) * 0x7feb352d;
-    h = (h ^ (h >>> 15)) * 0x846ca68b;
-    return h ^ (h >>> 16);
+    return time + (copy == null ? 0 : Math.max(0, copy.busyUntil - now));
   }
 
   /** The one place that emits a send; a request that may not be sent again never passes here. */
-  private void send(Held held, Worker w) {
-    boolean second = held.anyOut();
+  private void send(Held held, Copy copy) {
+    Worker w = copy.worker;
+    boolean second = held.out > 0;
     boolean allowed = held.attempts.isEmpty() || mayResend(held);
     if (held.done || !allowed || second && !settings.limits().duplicates() || w.phase != Phase.RUNNING
         || held.attempts.size() >= settings.limits().maxAttempts() || !coldRoom(w)) {
       return;
     }
-    Copy copy = held.function.at(w);
+    unqueue(held);
     Attempt attempt = new Attempt();
-    attempt.worker = w;
+    attempt.copy = copy;
     attempt.sentAt = now;
-    attempt.expected = finish(held.function, w);
+    attempt.blind = !warm(copy);
+    attempt.expected = cost(held, w, copy, copy.home);
     held.attempts.add(attempt);
+    held.out++;
     w.inFlight++;
     copy.inFlight++;
-    if (settings.loadsOnMiss() && !copy.warm(now)) {
-      copy.copies = 1;
+    held.function.inFlight++;
+    if (warm(copy)) {
+      copy.until = Math.max(copy.until, now + settings.keepAlive());
+    } else if (settings.loadsOnMiss()) {
+      stands(copy, 1);
     }
-    copy.until = Math.max(copy.until, now + settings.keepAlive());
     if (warmth(w) < 1) {
-      w.coldSends.addLast(now);
+      w.coldTokens--;
     }
     out.accept(new Send(held.id, w.id, 0));
   }
@@ -872,23 +862,24 @@
 
   private void onTimer(String token) {
     if (token.equals("sweep")) {
-      out.accept(new SetTimer(sweepEvery, "sweep"));
+      sweeping = false;
       sweep();
+      armSweep();
       return;
     }
-    Held held = requests.get(Long.parseLong(token.substring(1)));
+    Held held = token.startsWith("d") ? requests.get(Long.parseLong(token.substring(1))) : null;
     if (held != null && !held.done && !held.streaming) {
       giveUp(held);
     }
   }
 
   private void sweep() {
-    for (Held held : List.copyOf(requests.values())) {
-      if (!held.done && !held.streaming && held.anyOut()) {
+    for (Held held : requests.values()) {
+      if (!held.done && !held.streaming && held.out > 0) {
         watch(held);
       }
     }
-    placeWaiting(null);
+    serveWaiting();
   }
 
   /** Looks at the attempts of a request that take longer than they should. */
@@ -897,11 +888,17 @@
     if (!last.out || last.cancelled) {
       return;
     }
+    if (!last.slow && !last.blind && now - last.sentAt > CROWDED * held.requestClass.aim()) {
+      last.slow = true;
+      noteStrain(true);
+    }
     double age = (now - last.sentAt) / last.expected;
-    if (age > SILENT && last.worker.lastHeard < last.sentAt && last.worker.failures < SUSPECT) {
-      failed(last.worker, 1);
+    Worker w = last.copy.worker;
+    if (age > SILENT && w.lastHeard < last.sentAt && w.failures < SUSPECT) {
+      failed(w, 1, true);
     }
     if (age > OVERDUE) {
+      w.pace = Math.max(w.pace, Math.min(10, age));
       second(held, last);
     }
   }
@@ -909,17 +906,17 @@
   /** A second try elsewhere for an overdue attempt, where class, site and budget allow it. */
   private void second(Held held, Attempt last) {
     boolean left = held.attempts.size() < settings.limits().maxAttempts();
-    boolean suspect = last.worker.failures >= SUSPECT;
-    Worker w = left && mayResend(held) && (secondTokens >= 1 || suspect) ? choose(held) : null;
-    boolean better = w != null && w != last.worker && room(held.function, w);
-    if (w == null || !better && !suspect) {
+    boolean suspect = last.copy.worker.failures >= SUSPECT;
+    Copy copy = left && mayResend(held) && (secondTokens >= 1 || suspect) ? choose(held) : null;
+    boolean better = copy != null && copy.worker != last.copy.worker && (warm(copy) || copy.home);
+    if (copy == null || !better && !suspect) {
       return;
     }
     secondTokens = Math.max(0, secondTokens - 1);
     if (!settings.limits().duplicates()) {
       cancel(held, held.attempts.size() - 1);
     } else if (better || settings.loadsOnMiss()) {
-      send(held, w);
+      send(held, copy);
     }
   }
 }
