--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -100,7 +100,7 @@
   private long notedAt;
   private long shedAt;
   private double admitted = 1;
-  private double meanWorth;
+  private final double dearest;
   private long nextForget;
 
   public Router(Settings settings, long seed) {
@@ -112,6 +112,7 @@
     settings.classes().forEach(c -> classes.put(c.name(), c));
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
     sweepEvery = Math.max(settings.tick(), shortestAim / SWEEPS_PER_AIM);
+    dearest = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElseThrow();
     meanUsual = shortestAim / 5.0;
     meanLoadTime = shortestAim;
   }
@@ -235,8 +236,7 @@
     if (strain < STRAINED) {
       admitted = Math.min(1, admitted + aims / RELIEF_AIMS);
     }
-    meanWorth += NEWEST * (held.worth - meanWorth);
-    return random.nextDouble() < Math.pow(admitted, meanWorth / Math.max(1e-9, held.worth));
+    return random.nextDouble() < Math.pow(admitted, dearest / Math.max(1e-9, held.worth));
   }
 
   private void noteStrain(boolean bad) {
