--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -35,9 +35,9 @@
   /** Weight of the newest outcome in a worker's failures: two errors near each other pass SUSPECT. */
   private static final double FAILURE_WEIGHT = 0.25;
   /** Share of late or refused answers from which calls are turned away; a few slow workers stay below. */
-  private static final double STRAINED = 0.4;
+  private static final double STRAINED = 0.5;
   /** Part of the calls admitted that is cut at each late or refused answer while strained. */
-  private static final double SHED_STEP = 0.2;
+  private static final double SHED_STEP = 0.4;
   /** Aims in which a strain that no answer confirms is half forgotten. */
   private static final double STRAIN_AIMS = 2.0;
   /** Aims in which shedding ends once the strain is over; slower than answers tell of its effect. */
