--- a/src/main/java/gorseladder/Router.java
+++ b/src/main/java/gorseladder/Router.java
@@ -132,7 +132,7 @@
     } else if (event instanceof Workers e) {
       onWorkers(e);
     } else if (event instanceof ClientGone e) {
-      onClientGone(e.id());
+      onClientGone(requests.get(e.id()));
     } else if (event instanceof FirstByte e && requests.containsKey(e.id())) {
       requests.get(e.id()).streaming = true;
     } else if (event instanceof PeerMessage e) {
@@ -168,11 +168,7 @@
     Worker[] known = workers.values().toArray(new Worker[0]);
     listVersion += Arrays.equals(known, fleet) ? 0 : 1;
     fleet = known;
-    double sum = 0;
-    for (Worker w : fleet) {
-      sum += w.weight;
-    }
-    meanWeight = fleet.length == 0 ? 1 : sum / fleet.length;
+    meanWeight = workers.values().stream().mapToDouble(w -> w.weight).average().orElse(1);
     serveWaiting();
   }
 
@@ -258,8 +254,7 @@
     }
   }
 
-  private void onClientGone(long id) {
-    Held held = requests.get(id);
+  private void onClientGone(Held held) {
     if (held != null && !held.done) {
       noteStrain(true);
       finish(held);
@@ -355,7 +350,7 @@
     }
     if (event.crowd() >= 0) {
       copy.crowd = Math.max(0, event.crowd() - copy.inFlight - (full ? 0 : 1));
-      copy.crowdUntil = now + (long) usual(f);
+      copy.crowdUntil = now + (long) (usual(f) * Math.max(1, copy.crowd / f.lanes));
       double most = HOME_STEP * fill(f);
       noteNeed(f, Math.max(f.inFlight + f.queue.size(), home(f) * Math.min(event.crowd(), most)));
     }
@@ -582,9 +577,6 @@
    * room is refused, where that is harmless, just before its aim.
    */
   private void serveWaiting() {
-    if (waiting.isEmpty()) {
-      return;
-    }
     List<Function> order = new ArrayList<>(waiting);
     order.sort(Comparator.comparingDouble(f -> -value(f.queue.peekLast())));
     int tries = MOST_TRIES;
@@ -888,9 +880,14 @@
     if (!last.out || last.cancelled) {
       return;
     }
+    Function f = held.function;
+    // Guards against lanes that hold more than they can run and so never answer: calls still out there are
+    // the only sign. It covers slow workers too; it could harm where all work takes half its aim.
     if (!last.slow && !last.blind && now - last.sentAt > CROWDED * held.requestClass.aim()) {
       last.slow = true;
       noteStrain(true);
+      noteNeed(f, home(f) * HOME_STEP * fill(f));
+      last.copy.busyUntil = now + (long) usual(f);
     }
     double age = (now - last.sentAt) / last.expected;
     Worker w = last.copy.worker;
@@ -907,12 +904,12 @@
   private void second(Held held, Attempt last) {
     boolean left = held.attempts.size() < settings.limits().maxAttempts();
     boolean suspect = last.copy.worker.failures >= SUSPECT;
-    Copy copy = left && mayResend(held) && (secondTokens >= 1 || suspect) ? choose(held) : null;
+    Copy copy = left && mayResend(held) && secondTokens >= 1 && held.out < 2 ? choose(held) : null;
     boolean better = copy != null && copy.worker != last.copy.worker && (warm(copy) || copy.home);
     if (copy == null || !better && !suspect) {
       return;
     }
-    secondTokens = Math.max(0, secondTokens - 1);
+    secondTokens--;
     if (!settings.limits().duplicates()) {
       cancel(held, held.attempts.size() - 1);
     } else if (better || settings.loadsOnMiss()) {
--- a/src/test/java/gorseladder/RouterTest.java
+++ b/src/test/java/gorseladder/RouterTest.java
@@ -337,6 +337,26 @@
     assertTrue(used.size() > 2, "spread over " + used);
   }
 
+  /** Guards against lanes that hold a crowd and never answer: calls still out must show the need. */
+  @Test
+  void callsThatStayOutWidenTheHomeWithoutAnyAnswer() {
+    router = new Router(TestSites.settings(true, true, 50), 1);
+    tell(new Workers(ListKind.SAVED, List.of(running("a"), running("b"), running("c"), running("d"))));
+    java.util.Set<String> used = new java.util.HashSet<>();
+    used.add(warmUp(1, "f"));
+    int sends = 0;
+    for (long id = 2; id < 12; id++) {
+      request(id, "safe", "f");
+      for (int i = 0; i < 40; i++) {
+        got(Send.class).forEach(s -> used.add(s.worker()));
+        sends += got(Send.class).size();
+        later(25 * MS);
+      }
+    }
+    assertTrue(used.size() > 2, "spread over " + used);
+    assertTrue(sends <= 10 + 1 + 0.1 * 12, "second tries stay within their budget: " + sends);
+  }
+
   /** Guards against a fleet that holds more than it can run: calls are turned away before they queue. */
   @Test
   void strainShedsCallsAndEnds() {
