--- a/src/test/java/gorseladder/RouterTest.java
+++ b/src/test/java/gorseladder/RouterTest.java
@@ -477,6 +477,25 @@
     assertEquals(List.of(new RouterApi.WatchList()), actions);
   }
 
+  /** Whatever comes late or is unknown neither throws nor sends. */
+  @Test
+  void oddEventsAreHarmless() {
+    start(false, false, running("a"));
+    request(1, "safe", "f");
+    String worker = sentTo();
+    tell(new Workers(ListKind.FULL, List.of()));
+    for (Event odd : List.of(new Loaded("nobody", "f", 1, Outcome.OK, MS), new Loaded("a", "nothing", 1, Outcome.OK, MS),
+        new TimerDue("d99"), new TimerDue("no such timer"), new RouterApi.FirstByte(99, 0, "a", MS),
+        new RouterApi.PeerMessage(99, ""), new Answer(1, 7, "a", Outcome.OK, true, MS, Note.WARM, 0, Map.of()),
+        new Answer(1, -1, "a", Outcome.OK, true, MS, Note.WARM, 0, Map.of()))) {
+      tell(odd);
+      assertTrue(got(Send.class).isEmpty() && got(Load.class).isEmpty(), "on " + odd);
+    }
+    answer(1, 0, worker, Outcome.MISS);
+    assertTrue(got(Send.class).isEmpty() && got(Load.class).isEmpty(), "its worker is gone");
+    assertThrows(IllegalArgumentException.class, () -> request(2, "no such class", "f"));
+  }
+
   @Test
   void impossibleSettingsAreNamed() {
     Settings good = TestSites.settings(true, true);
