--- a/src/main/java/gorseladder/RouterApi.java
+++ b/src/main/java/gorseladder/RouterApi.java
@@ -173,9 +173,6 @@
   /** Asks for a {@link TimerDue}. */
   public record SetTimer(long in, String token) implements Action {}
 
-  /** Checks a worker. */
-  public record Probe(String worker) implements Action {}
-
   /** Sends text to every other dispatcher. */
   public record TellPeers(String text) implements Action {}
 
--- a/src/main/java/gorseladder/simhost/Wire.java
+++ b/src/main/java/gorseladder/simhost/Wire.java
@@ -205,9 +205,6 @@
       head(out, "arm", who);
       millis(out, "inMs", a.in());
       out.writeStringField("token", a.token());
-    } else if (action instanceof RouterApi.Probe a) {
-      head(out, "soundOut", who);
-      out.writeStringField("runner", a.worker());
     } else if (action instanceof RouterApi.TellPeers a) {
       head(out, "announce", who);
       out.writeStringField("dst", "all");
