--- /dev/null
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -0,0 +1,286 @@
+package gorseladder.config;
+
+import com.google.protobuf.Descriptors.FieldDescriptor;
+import com.google.protobuf.TextFormat;
+import com.google.protobuf.TextFormatParseInfoTree;
+import gorseladder.config.proto.EdgeSettings;
+import gorseladder.config.proto.Effect;
+import gorseladder.config.proto.Endpoint;
+import gorseladder.config.proto.Limits;
+import gorseladder.config.proto.RequestClass;
+import gorseladder.config.proto.Route;
+import gorseladder.config.proto.RuleFigures;
+import gorseladder.config.proto.Runners;
+import gorseladder.config.proto.Tenant;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Loads the settings of an edge from protobuf text format and finds every fault in them. */
+public final class SettingsFile {
+  private static final Pattern PLACE = Pattern.compile("(?:line )?(\\d+):(\\d+):?\\s*(.*)");
+
+  private final String file;
+  private final List<Fault> faults = new ArrayList<>();
+  private Consumer<String> secretCheck = s -> { };
+  private EdgeSettings settings = EdgeSettings.getDefaultInstance();
+
+  private SettingsFile(String file) {
+    this.file = file;
+  }
+
+  /**
+   * Reads and checks a file.
+   *
+   * @param secretCheck throws IllegalArgumentException for a secret that cannot be used
+   * @return the settings with their faults; usable only where there are none
+   */
+  public static SettingsFile load(Path path, Consumer<String> secretCheck) {
+    SettingsFile loaded = new SettingsFile(path.toString());
+    loaded.secretCheck = secretCheck;
+    try {
+      loaded.read(Files.readString(path, StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      loaded.faults.add(new Fault(path.toString(), 0, "", "cannot be read: " + e));
+    }
+    return loaded;
+  }
+
+  /** The settings as read. */
+  public EdgeSettings settings() {
+    return settings;
+  }
+
+  /** Every fault, by line. */
+  public List<Fault> faults() {
+    return List.copyOf(faults);
+  }
+
+  private void read(String text) {
+    EdgeSettings.Builder builder = EdgeSettings.newBuilder();
+    TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
+    try {
+      TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, builder);
+    } catch (TextFormat.ParseException e) {
+      syntax(e);
+      return;
+    }
+    settings = builder.build();
+    check(new At(places.build(), ""));
+    faults.sort((a, b) -> Integer.compare(a.line(), b.line()));
+  }
+
+  private void syntax(TextFormat.ParseException e) {
+    for (String line : e.getMessage().split("\n")) {
+      Matcher m = PLACE.matcher(line.strip());
+      if (m.matches()) {
+        faults.add(new Fault(file, Integer.parseInt(m.group(1)), "", m.group(3)));
+      }
+    }
+    if (faults.isEmpty()) {
+      faults.add(new Fault(file, e.getLine(), "", e.getMessage()));
+    }
+  }
+
+  /** A message's place in the file. */
+  private final class At {
+    private final TextFormatParseInfoTree tree;
+    private final String path;
+
+    At(TextFormatParseInfoTree tree, String path) {
+      this.tree = tree;
+      this.path = path;
+    }
+
+    At in(com.google.protobuf.Descriptors.Descriptor type, String field, int index) {
+      FieldDescriptor descriptor = type.findFieldByName(field);
+      List<TextFormatParseInfoTree> trees = tree == null ? List.of() : tree.getNestedTrees(descriptor);
+      String name = path + field + (descriptor.isRepeated() ? "[" + index + "]" : "") + ".";
+      return new At(index < trees.size() ? trees.get(index) : null, name);
+    }
+
+    void fault(com.google.protobuf.Descriptors.Descriptor type, String field, int index, String reason) {
+      FieldDescriptor descriptor = type.findFieldByName(field);
+      int line = 0;
+      if (tree != null) {
+        var locations = tree.getLocations(descriptor);
+        line = index < locations.size() ? locations.get(index).getLine() + 1 : 0;
+      }
+      String name = path + field + (descriptor.isRepeated() ? "[" + index + "]" : "");
+      faults.add(new Fault(file, line, name, reason));
+    }
+
+    void require(boolean holds, com.google.protobuf.Descriptors.Descriptor type, String field, String reason) {
+      if (!holds) {
+        fault(type, field, 0, reason);
+      }
+    }
+  }
+
+  private void check(At root) {
+    var type = EdgeSettings.getDescriptor();
+    EdgeSettings s = settings;
+    address(root, type, "listen", 0, s.getListen());
+    root.require(s.getOrdinal() >= 0 && s.getOrdinal() < Math.max(1, s.getEdges()), type, "ordinal",
+        "must be from 0 to edges - 1");
+    root.require(s.getEdges() > 0 && s.getEdges() <= 10_000, type, "edges", "must be from 1 to 10000");
+    root.require(!s.getDataDirectory().isEmpty(), type, "data_directory", "is needed");
+    root.require(s.getRequestClassCount() > 0, type, "request_class", "at least one is needed");
+    root.require(s.getEndpointCount() > 0, type, "endpoint", "at least one is needed");
+    Set<String> classes = new HashSet<>();
+    for (int i = 0; i < s.getRequestClassCount(); i++) {
+      requestClass(root.in(type, "request_class", i), s.getRequestClass(i), classes);
+    }
+    Set<String> tenants = new HashSet<>();
+    for (int i = 0; i < s.getTenantCount(); i++) {
+      tenant(root.in(type, "tenant", i), s.getTenant(i), tenants);
+    }
+    Set<String> paths = new HashSet<>();
+    for (int i = 0; i < s.getEndpointCount(); i++) {
+      endpoint(root.in(type, "endpoint", i), s.getEndpoint(i), classes, tenants, paths);
+    }
+    for (int i = 0; i < s.getAllowNetworkCount(); i++) {
+      try {
+        new Networks(List.of(s.getAllowNetwork(i)));
+      } catch (IllegalArgumentException e) {
+        root.fault(type, "allow_network", i, e.getMessage());
+      }
+    }
+    limits(root.in(type, "limits", 0), s.getLimits());
+    runners(root.in(type, "runners", 0), s.getRunners());
+    rules(root.in(type, "rules", 0), s.getRules());
+    others(root, s);
+  }
+
+  private void others(At root, EdgeSettings s) {
+    var type = EdgeSettings.getDescriptor();
+    At list = root.in(type, "worker_list", 0);
+    var listType = s.getWorkerList().getDescriptorForType();
+    root.require(s.hasWorkerList(), type, "worker_list", "is needed");
+    if (s.hasWorkerList()) {
+      address(list, listType, "address", 0, s.getWorkerList().getAddress());
+      list.require(s.getWorkerList().getWaitMs() >= 100, listType, "wait_ms", "must be 100 or more");
+      list.require(s.getWorkerList().getService().matches("[A-Za-z0-9._-]+"), listType, "service",
+          "must be letters, digits, '.', '_' or '-'");
+    }
+    At peers = root.in(type, "peers", 0);
+    var peersType = s.getPeers().getDescriptorForType();
+    if (s.hasPeers()) {
+      address(peers, peersType, "listen", 0, s.getPeers().getListen());
+      for (int i = 0; i < s.getPeers().getPeerCount(); i++) {
+        address(peers, peersType, "peer", i, s.getPeers().getPeer(i));
+      }
+    }
+    At ledger = root.in(type, "ledger", 0);
+    var ledgerType = s.getLedger().getDescriptorForType();
+    long tolerance = s.getEndpointList().stream().mapToLong(Endpoint::getToleranceS).max().orElse(0);
+    ledger.require(s.getLedger().getKeepS() >= 2 * tolerance, ledgerType, "keep_s",
+        "must be at least twice the largest tolerance_s, else a replay could be taken");
+    ledger.require(s.getLedger().getMaxMessages() > 0, ledgerType, "max_messages", "must be more than 0");
+    ledger.require(s.getLedger().getMaxKeptAnswerBytes() >= 0, ledgerType, "max_kept_answer_bytes",
+        "must not be negative");
+    At log = root.in(type, "log", 0);
+    log.require(Set.of("ERROR", "WARN", "INFO", "DEBUG").contains(s.getLog().getLevel()),
+        s.getLog().getDescriptorForType(), "level", "must be ERROR, WARN, INFO or DEBUG");
+  }
+
+  private void address(At at, com.google.protobuf.Descriptors.Descriptor type, String field, int index, String text) {
+    try {
+      Address.parse(text);
+    } catch (IllegalArgumentException e) {
+      at.fault(type, field, index, e.getMessage());
+    }
+  }
+
+  private void requestClass(At at, RequestClass c, Set<String> names) {
+    var type = RequestClass.getDescriptor();
+    at.require(c.getName().matches("[\\x21-\\x7e]{1,64}"), type, "name", "must be 1 to 64 visible ASCII characters");
+    at.require(names.add(c.getName()), type, "name", "stands twice");
+    at.require(c.hasEffect(), type, "effect", "is needed: SAFE, KEYED or UNSAFE");
+    at.require(c.getAimMs() > 0, type, "aim_ms", "must be more than 0");
+    at.require(c.getDeadlineMs() >= c.getAimMs(), type, "deadline_ms", "must be at least aim_ms");
+    at.require(c.getWorth() > 0, type, "worth", "must be more than 0");
+    at.require(c.getLateWorth() >= 0 && c.getLateWorth() <= 1, type, "late_worth", "must be from 0 to 1");
+    at.require(c.getEffect() != Effect.KEYED || c.getRepeatWindowMs() > 0, type, "repeat_window_ms",
+        "is needed for KEYED");
+    at.require(c.getMemoryMb() > 0, type, "memory_mb", "must be more than 0");
+    at.require(c.getLanes() > 0 && c.getLanes() <= 1024, type, "lanes", "must be from 1 to 1024");
+  }
+
+  private void tenant(At at, Tenant t, Set<String> names) {
+    var type = Tenant.getDescriptor();
+    at.require(!t.getName().isEmpty(), type, "name", "is needed");
+    at.require(names.add(t.getName()), type, "name", "stands twice");
+    at.require(t.getShare() >= 0 && t.getShare() <= 1, type, "share", "must be from 0 to 1");
+    at.require(t.getQuotaPerS() >= 0, type, "quota_per_s", "must not be negative");
+  }
+
+  private void endpoint(At at, Endpoint e, Set<String> classes, Set<String> tenants, Set<String> paths) {
+    var type = Endpoint.getDescriptor();
+    at.require(e.getPath().matches("/[A-Za-z0-9._~/-]*"), type, "path", "must begin with '/' and need no encoding");
+    at.require(paths.add(e.getPath()), type, "path", "stands twice");
+    at.require(tenants.isEmpty() && e.getTenant().isEmpty() || tenants.contains(e.getTenant()), type, "tenant",
+        "names no tenant of this file");
+    at.require(e.getSecretCount() > 0, type, "secret", "at least one is needed");
+    at.require(e.getToleranceS() > 0 && e.getToleranceS() <= 86_400, type, "tolerance_s", "must be from 1 to 86400");
+    at.require(e.getRouteCount() > 0, type, "route", "at least one is needed");
+    for (int i = 0; i < e.getSecretCount(); i++) {
+      try {
+        secretCheck.accept(e.getSecret(i));
+      } catch (IllegalArgumentException bad) {
+        at.fault(type, "secret", i, bad.getMessage());
+      }
+    }
+    Set<String> types = new HashSet<>();
+    for (int i = 0; i < e.getRouteCount(); i++) {
+      At route = at.in(type, "route", i);
+      Route r = e.getRoute(i);
+      route.require(!r.getType().isEmpty(), Route.getDescriptor(), "type", "is needed");
+      route.require(types.add(r.getType()), Route.getDescriptor(), "type", "stands twice at this endpoint");
+      route.require(classes.contains(r.getRequestClass()), Route.getDescriptor(), "request_class",
+          "names no request_class of this file");
+    }
+  }
+
+  private void limits(At at, Limits l) {
+    var type = Limits.getDescriptor();
+    for (FieldDescriptor f : type.getFields()) {
+      long value = ((Number) l.getField(f)).longValue();
+      at.require(value > 0, type, f.getName(), "must be more than 0");
+    }
+    at.require(l.getStackBytes() >= 65_536, type, "stack_bytes", "must be 65536 or more");
+    at.require(l.getMaxBodyBytes() <= 64L << 20, type, "max_body_bytes", "must be 67108864 or less");
+  }
+
+  private void runners(At at, Runners r) {
+    var type = Runners.getDescriptor();
+    at.require(r.getMaxAttempts() > 0 && r.getMaxAttempts() <= 16, type, "max_attempts", "must be from 1 to 16");
+    at.require(r.getKeepAliveMs() > 0, type, "keep_alive_ms", "must be more than 0");
+    at.require(r.getConnectMs() > 0, type, "connect_ms", "must be more than 0");
+    at.require(r.getOrderMs() > 0, type, "order_ms", "must be more than 0");
+    at.require(r.getConnectionIdleMs() >= 0, type, "connection_idle_ms", "must not be negative");
+    at.require(r.getUnsafeConnectionIdleMs() >= 0 && r.getUnsafeConnectionIdleMs() <= r.getConnectionIdleMs(), type,
+        "unsafe_connection_idle_ms", "must be from 0 to connection_idle_ms");
+    at.require(r.getMaxAnswerBytes() > 0, type, "max_answer_bytes", "must be more than 0");
+  }
+
+  private void rules(At at, RuleFigures r) {
+    var type = RuleFigures.getDescriptor();
+    at.require(r.getDrainGraceMs() >= 0, type, "drain_grace_ms", "must not be negative");
+    at.require(r.getColdFrom() >= 0 && r.getColdFrom() <= 1, type, "cold_from", "must be from 0 to 1");
+    at.require(r.getColdMs() >= 0, type, "cold_ms", "must not be negative");
+    at.require(r.getOverloadMultiple() >= 0, type, "overload_multiple", "must not be negative");
+    at.require(r.getOverloadMs() >= 0, type, "overload_ms", "must not be negative");
+    at.require(r.getLoadsFree() >= 0, type, "loads_free", "must not be negative");
+    at.require(r.getLoadShare() >= 0, type, "load_share", "must not be negative");
+    at.require(r.getLoadWindowMs() >= 0, type, "load_window_ms", "must not be negative");
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/answers/Endings.java
@@ -0,0 +1,47 @@
+package gorseladder.answers;
+
+import gorseladder.RouterApi.Outcome;
+import java.util.List;
+
+/**
+ * Names the reason of a final answer that the router gave, from the outcomes of the attempts made. The router alone decides
+ * between refusing and failing; this only says why in the shared vocabulary. Pure functions; any thread.
+ */
+public final class Endings {
+  private Endings() {}
+
+  /** The reason of a refusal; the last attempt says most about what stood in the way. */
+  public static Reason refused(List<Outcome> outcomes) {
+    if (outcomes.isEmpty()) {
+      return Reason.REFUSED_UNSENT;
+    }
+    if (!outcomes.stream().allMatch(o -> o != null && o.neverRan)) {
+      return Reason.REFUSED_HARMLESS;
+    }
+    return switch (outcomes.get(outcomes.size() - 1)) {
+      case FULL -> Reason.REFUSED_FULL;
+      case MISS -> Reason.REFUSED_COLD;
+      case CONNECT_FAILED -> Reason.REFUSED_UNREACHABLE;
+      default -> Reason.REFUSED_UNSENT;
+    };
+  }
+
+  /** The reason of a failure; an attempt still out (null) means that time ran out. */
+  public static Reason failed(List<Outcome> outcomes) {
+    Outcome worst = null;
+    for (Outcome o : outcomes) {
+      if (o == null) {
+        return Reason.FAILED_TIMEOUT;
+      }
+      worst = o.neverRan && worst != null ? worst : o;
+    }
+    if (worst == null) {
+      return Reason.FAILED_OVERDUE;
+    }
+    return switch (worst) {
+      case RESET -> Reason.FAILED_RESET;
+      case ERROR -> Reason.FAILED_ERROR;
+      default -> Reason.FAILED_TIMEOUT;
+    };
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -0,0 +1,61 @@
+package gorseladder.attempts;
+
+import gorseladder.RouterApi.Outcome;
+
+/**
+ * Decides what an attempt that ended on the network is worth as knowledge: the outcome the router is told, and with it
+ * whether the call surely did not run (rule 2). The one dividing line is whether the first byte of the request may have
+ * left this machine. Before that nothing can have run, whatever went wrong; after it only the runner's own word counts.
+ *
+ * <p>Guards against an unsafe call that is sent again because a reset, a timeout or an odd status looked harmless. It also
+ * covers statuses that promise nothing in the protocol (429 and 503 may come from a proxy behind which the call ran). It
+ * costs service where a runner refuses without saying that the call never ran: such a refusal counts as an error.
+ *
+ * <p>Pure functions; any thread.
+ */
+public final class AttemptFate {
+  private AttemptFate() {}
+
+  /** How far an attempt got. The order matters: from {@link #LEAVING} on, bytes may have left. */
+  public enum Progress { WAITING, CONNECTING, CONNECTED, LEAVING, ANSWERING }
+
+  /** What ended an attempt. */
+  public enum Ending { CONNECT_FAILED, GATE_CLOSED, CALL_OVER, RESPONSE, BROKEN, MALFORMED, TIMED_OUT, CANCELLED }
+
+  /**
+   * The outcome of an attempt.
+   *
+   * @param progress how far it got when it ended
+   * @param ending what ended it
+   * @param status the HTTP status of the response, 100 to 599; read only where {@code ending} is RESPONSE
+   * @param saysNeverRan true where the runner stated in its response that the call did not run
+   * @throws IllegalArgumentException where a response is claimed for an attempt that sent nothing
+   */
+  public static Outcome of(Progress progress, Ending ending, int status, boolean saysNeverRan) {
+    boolean mayHaveLeft = progress.compareTo(Progress.LEAVING) >= 0;
+    if (!mayHaveLeft) {
+      return switch (ending) {
+        case RESPONSE, MALFORMED -> throw new IllegalArgumentException("a response to an attempt that sent nothing");
+        case CONNECT_FAILED, BROKEN, TIMED_OUT -> Outcome.CONNECT_FAILED;
+        case GATE_CLOSED, CALL_OVER, CANCELLED -> Outcome.MOOT;
+      };
+    }
+    return switch (ending) {
+      case RESPONSE -> ofResponse(status, saysNeverRan);
+      case MALFORMED -> Outcome.ERROR;
+      case TIMED_OUT -> Outcome.TIMEOUT;
+      case CANCELLED, CALL_OVER -> Outcome.CANCELLED;
+      case BROKEN, CONNECT_FAILED, GATE_CLOSED -> Outcome.RESET;
+    };
+  }
+
+  private static Outcome ofResponse(int status, boolean saysNeverRan) {
+    if (status >= 200 && status < 300) {
+      return Outcome.OK;
+    }
+    if (!saysNeverRan) {
+      return Outcome.ERROR;
+    }
+    return status == 404 ? Outcome.MISS : Outcome.FULL;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -0,0 +1,214 @@
+package gorseladder.runtime;
+
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadParser;
+import gorseladder.wire.http1.HttpLimits;
+import java.io.Closeable;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+
+/**
+ * One HTTP/1.1 connection, either side, with blocking reads and writes. It moves bytes between the socket and the parsers
+ * and judges neither. One thread at a time uses it; {@link #close()}, {@link #abort()} may come from any thread and end a
+ * blocked read or write with an {@link IOException}.
+ */
+public final class HttpConnection implements Closeable {
+  private static final int BUFFER = 8192;
+
+  private final SocketChannel channel;
+  private final Socket socket;
+  private final HttpLimits limits;
+  private byte[] buffer = new byte[1024];
+  private int from;
+  private int to;
+  private boolean ended;
+  private long readBytes;
+  private long writtenBytes;
+
+  /** Wraps a connected blocking channel. */
+  public HttpConnection(SocketChannel channel, HttpLimits limits) throws IOException {
+    this.channel = channel;
+    this.socket = channel.socket();
+    this.limits = limits;
+    channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+  }
+
+  /** Opens a connection within so many milliseconds. */
+  public static HttpConnection open(InetSocketAddress to, long connectMillis, HttpLimits limits) throws IOException {
+    SocketChannel channel = SocketChannel.open();
+    try {
+      channel.socket().connect(to, (int) Math.max(1, Math.min(connectMillis, Integer.MAX_VALUE)));
+      return new HttpConnection(channel, limits);
+    } catch (IOException | RuntimeException e) {
+      channel.close();
+      throw e;
+    }
+  }
+
+  /** The other side's address. */
+  public InetSocketAddress peer() {
+    return (InetSocketAddress) socket.getRemoteSocketAddress();
+  }
+
+  /** This side's address. */
+  public InetSocketAddress local() {
+    return (InetSocketAddress) socket.getLocalSocketAddress();
+  }
+
+  /** Bytes read from the socket so far. */
+  public long readBytes() {
+    return readBytes;
+  }
+
+  /** Bytes handed to the socket so far. */
+  public long writtenBytes() {
+    return writtenBytes;
+  }
+
+  /**
+   * Waits for the first byte of a message.
+   *
+   * @return false where the connection ended instead
+   * @throws SocketTimeoutException where none came by then ({@link Clock#micros()})
+   */
+  public boolean awaitMessage(long until) throws IOException {
+    return from < to || fill(until);
+  }
+
+  /** Reads the header section of a request. */
+  public Head readRequest(long until) throws IOException, BadMessage {
+    return readHead(HeadParser.forRequest(limits), until);
+  }
+
+  /** Reads the header section of a response, passing over interim ones (1xx). */
+  public Head readResponse(long until) throws IOException, BadMessage {
+    Head head = readHead(HeadParser.forResponse(limits), until);
+    while (head.status() < 200) {
+      head = readHead(HeadParser.forResponse(limits), until);
+    }
+    return head;
+  }
+
+  private Head readHead(HeadParser parser, long until) throws IOException, BadMessage {
+    while (!parser.done()) {
+      if (from == to && !fill(until)) {
+        throw new EOFException("the connection ended inside a header section");
+      }
+      from += parser.feed(buffer, from, to - from);
+    }
+    return parser.head();
+  }
+
+  /** Reads the content that the parser expects. */
+  public byte[] readBody(BodyParser parser, long until) throws IOException, BadMessage {
+    while (!parser.done()) {
+      if (from == to && !fill(until)) {
+        if (parser.ended()) {
+          break;
+        }
+        throw new EOFException("the connection ended inside the content");
+      }
+      from += parser.feed(buffer, from, to - from);
+    }
+    return parser.content();
+  }
+
+  private boolean fill(long until) throws IOException {
+    if (ended) {
+      return false;
+    }
+    long left = (until - Clock.micros()) / 1000;
+    if (left <= 0) {
+      throw new SocketTimeoutException("the time to read is over");
+    }
+    socket.setSoTimeout((int) Math.min(left, Integer.MAX_VALUE));
+    if (readBytes > 0 && buffer.length < BUFFER) {
+      buffer = new byte[BUFFER];
+    }
+    int count = socket.getInputStream().read(buffer, 0, buffer.length);
+    from = 0;
+    to = Math.max(0, count);
+    readBytes += to;
+    ended = count < 0;
+    return count > 0;
+  }
+
+  /**
+   * Looks, without waiting, whether the other side closed or reset the connection. Bytes that came are kept for the next
+   * read.
+   */
+  public boolean peerGone() {
+    if (ended) {
+      return true;
+    }
+    if (from < to) {
+      return false;
+    }
+    try {
+      channel.configureBlocking(false);
+      try {
+        int count = channel.read(ByteBuffer.wrap(buffer));
+        from = 0;
+        to = Math.max(0, count);
+        readBytes += to;
+        ended = count < 0;
+      } finally {
+        channel.configureBlocking(true);
+      }
+    } catch (IOException e) {
+      ended = true;
+    }
+    return ended;
+  }
+
+  /** True where bytes wait that no message asked for. */
+  public boolean hasUnreadBytes() {
+    return from < to;
+  }
+
+  /** Writes all of the bytes. */
+  public void write(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+    writtenBytes += bytes.length;
+  }
+
+  /** Tells the other side that nothing more comes, and reads away what it still sends for a moment, so that it is read. */
+  public void closeGently(long until) {
+    try {
+      channel.shutdownOutput();
+      while (fill(until)) {
+        from = to;
+      }
+    } catch (IOException e) {
+      // The other side is gone or too slow: closing is all that is left.
+    }
+    close();
+  }
+
+  /** Closes with a reset, so that the other side knows at once that its work is not wanted. */
+  public void abort() {
+    try {
+      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException e) {
+      // Closed already.
+    }
+    close();
+  }
+
+  @Override
+  public void close() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // Nothing is left to release.
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -0,0 +1,40 @@
+package gorseladder.runtime;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Makes platform threads with small stacks: blocking code needs many threads, and each call needs little depth. */
+public final class Threads {
+  private static final Logger LOG = LoggerFactory.getLogger(Threads.class);
+
+  private Threads() {}
+
+  /** A factory of daemon threads named {@code name-0}, {@code name-1} and so on. */
+  public static ThreadFactory factory(String name, int stackBytes) {
+    AtomicLong next = new AtomicLong();
+    return task -> {
+      Thread thread = new Thread(null, task, name + "-" + next.getAndIncrement(), stackBytes);
+      thread.setDaemon(true);
+      thread.setUncaughtExceptionHandler((t, e) -> LOG.error("thread {} ended by an error", t.getName(), e));
+      return thread;
+    };
+  }
+
+  /** Starts one thread. */
+  public static Thread start(String name, int stackBytes, Runnable task) {
+    Thread thread = factory(name, stackBytes).newThread(task);
+    thread.start();
+    return thread;
+  }
+
+  /** A pool that grows up to a bound and keeps idle threads for half a minute; past the bound tasks are rejected. */
+  public static ThreadPoolExecutor pool(String name, int most, int stackBytes) {
+    return new ThreadPoolExecutor(0, most, 30, TimeUnit.SECONDS, new SynchronousQueue<>(),
+        factory(name, stackBytes));
+  }
+}
