--- /dev/null
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -0,0 +1,49 @@
+package gorseladder.app;
+
+import gorseladder.app.bench.BenchCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command line. Exit codes: 0 good, 1 a rule was broken or a check failed, 2 bad usage or settings, 3 cannot start. */
+@Command(name = "gorseladder", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    description = "A gateway that runs signed webhook calls on workers that load functions on demand.",
+    subcommands = {Demo.class, Up.class, EdgeCommand.class, Check.class, RunnerCommand.class, PlayCommand.class, Sign.class,
+        Main.VersionCommand.class, BenchCommand.class, CommandLine.HelpCommand.class},
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {"0:good", "1:a rule was broken or a check failed", "2:bad usage or settings",
+        "3:cannot start or failed"})
+public final class Main {
+  static final int GOOD = 0;
+  static final int BROKEN = 1;
+  static final int BAD_USAGE = 2;
+  static final int CANNOT_START = 3;
+
+  private Main() {}
+
+  /** Runs a command and exits with its code. */
+  public static void main(String[] args) {
+    CommandLine line = new CommandLine(new Main());
+    line.setExecutionExceptionHandler((e, command, parsed) -> {
+      command.getErr().println("gorseladder: " + (e.getMessage() == null ? e : e.getMessage()));
+      return CANNOT_START;
+    });
+    System.exit(line.execute(args));
+  }
+
+  /** The version from the package, or the one being built. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      return new String[] {"gorseladder 0.2.0, Java " + Runtime.version()};
+    }
+  }
+
+  /** {@code version}. */
+  @Command(name = "version", mixinStandardHelpOptions = true, description = "Print the version.")
+  static final class VersionCommand implements Runnable {
+    @Override
+    public void run() {
+      System.out.println(new Version().getVersion()[0]);
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/gorseladder/app/bench/BenchCommand.java
@@ -0,0 +1,19 @@
+package gorseladder.app.bench;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** {@code bench}: measurements; none of them is part of the checks. */
+@Command(name = "bench", mixinStandardHelpOptions = true, description = "Measure; results stand in docs/measurements.md.",
+    subcommands = {})
+public final class BenchCommand implements Runnable {
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public void run() {
+    throw new CommandLine.ParameterException(spec.commandLine(), "name a measurement");
+  }
+}
--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -20,7 +20,7 @@
 
   /** How far a message got, as the ledger has it. */
   public enum Phase {
-    /** Taken; no byte has left for a runner. */
+    /** Taken; no byte has left for a runner since (an earlier delivery of it may have run). */
     ACCEPTED,
     /** Written before the first byte leaves for a runner; from here on it may have run. */
     LEAVING,
@@ -85,9 +85,8 @@
     }
     return switch (known.phase()) {
       case SERVED -> new Verdict(Deed.ANSWER_AGAIN, 0);
-      case ACCEPTED -> new Verdict(Deed.RUN, patience);
       case LEAVING -> again(requestClass, known.leftAt(), now, patience);
-      case CLOSED -> known.mayHaveRun() ? again(requestClass, known.leftAt(), now, patience)
+      case ACCEPTED, CLOSED -> known.mayHaveRun() ? again(requestClass, known.leftAt(), now, patience)
           : new Verdict(Deed.RUN, patience);
     };
   }
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -0,0 +1,213 @@
+package gorseladder.edge;
+
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Workers;
+import gorseladder.config.Address;
+import gorseladder.config.SettingsFile;
+import gorseladder.config.proto.EdgeSettings;
+import gorseladder.edge.core.Core;
+import gorseladder.edge.core.Intake;
+import gorseladder.edge.core.TakenCall;
+import gorseladder.edge.front.CallLog;
+import gorseladder.edge.front.WebhookFront;
+import gorseladder.edge.list.ListWatcher;
+import gorseladder.edge.peers.PeerLink;
+import gorseladder.edge.runners.Runners;
+import gorseladder.gate.SendGate;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.Watchdog;
+import gorseladder.store.Ledger;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One edge: ledger, runner connections, core, worker list, peers and the webhook front, put together and taken apart. */
+public final class Edge implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
+  private static final long TIDY_EVERY = 1_000_000;
+  private static final int CORE_STACK = 1 << 20;
+
+  private final EdgeSettings settings;
+  private final Watchdog watchdog;
+  private final Ledger ledger;
+  private final Runners runners;
+  private final Intake intake;
+  private final Core core;
+  private final ListWatcher list;
+  private final PeerLink peers;
+  private final WebhookFront front;
+  private final HttpServer server;
+  private final CallLog log = new CallLog();
+  private final AtomicBoolean closed = new AtomicBoolean();
+
+  /**
+   * Starts an edge by checked settings.
+   *
+   * @throws IOException where the ledger cannot be used or an address is taken; the text says which
+   */
+  public Edge(EdgeSettings settings) throws IOException {
+    this.settings = settings;
+    EdgeConfig config = new EdgeConfig(settings);
+    Path directory = Path.of(settings.getDataDirectory());
+    int stack = settings.getLimits().getStackBytes();
+    ledger = Ledger.open(directory.resolve("ledger.mv"), settings.getLedger().getSync(),
+        settings.getLedger().getMaxMessages());
+    watchdog = new Watchdog("watchdog", stack);
+    runners = new Runners(config.runners(), ledger, new SendGate(config.rules(settings.getRules())), this::address,
+        watchdog);
+    intake = new Intake(ledger, settings.getLimits().getMaxCalls(), settings.getLedger().getKeepS() * 1_000_000,
+        settings.getLedger().getMaxKeptAnswerBytes(), EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
+        new Hearer());
+    core = new Core(config.router(), System.nanoTime() ^ settings.getOrdinal(), new Hands(),
+        settings.getLimits().getMaxCalls(), CORE_STACK);
+    runners.reportTo(core);
+    intake.admitTo(core);
+    list = new ListWatcher(Address.parse(settings.getWorkerList().getAddress()), settings.getWorkerList().getService(),
+        "gorseladder-edge/" + settings.getOrdinal(), settings.getWorkerList().getWaitMs(), directory.resolve("workers.json"), stack, new ListHearer());
+    front = new WebhookFront(config.webhooks(), intake, core, watchdog, log);
+    PeerLink link = null;
+    HttpServer listening = null;
+    try {
+      link = settings.hasPeers() ? new PeerLink(Address.parse(settings.getPeers().getListen()), settings.getOrdinal(),
+          settings.getPeers().getPeerList().stream().map(Address::parse).toList(), stack, core::peerMessage) : null;
+      list.start();
+      listening = front.listen(Address.parse(settings.getListen()));
+    } finally {
+      peers = link;
+      server = listening;
+      if (listening == null) {
+        close();
+      }
+    }
+    tidyLater();
+    LOG.info("edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}", settings.getOrdinal(),
+        Address.print(address()), ledger.size(), ledger.boots());
+  }
+
+  /** Loads a settings file with all checks that an edge needs. */
+  public static SettingsFile load(Path file) {
+    return SettingsFile.load(file, EdgeConfig::checkSecret);
+  }
+
+  private InetSocketAddress address(String worker) {
+    return list.address(worker);
+  }
+
+  private final class Hearer implements Intake.Hearer {
+    @Override
+    public void taken(TakenCall call) {
+      log.taken();
+      runners.taken(Clock.micros());
+    }
+
+    @Override
+    public void ended(TakenCall call) {
+      log.ended(call);
+    }
+  }
+
+  private final class Hands implements Core.Hands {
+    @Override
+    public void send(TakenCall call, int attempt, String worker, long timeout) {
+      runners.send(call, attempt, worker, timeout);
+    }
+
+    @Override
+    public void cancel(TakenCall call, int attempt) {
+      runners.cancel(call, attempt);
+    }
+
+    @Override
+    public void load(String worker, String function, int copies) {
+      runners.load(worker, function, copies);
+    }
+
+    @Override
+    public void tellPeers(String text) {
+      if (peers != null) {
+        peers.tell(text);
+      }
+    }
+
+    @Override
+    public void watchList() {
+      // The list is followed from the start on and never given up.
+    }
+  }
+
+  private final class ListHearer implements ListWatcher.Hearer {
+    @Override
+    public void phase(String worker, Phase phase, long at) {
+      runners.told(worker, phase, at);
+    }
+
+    @Override
+    public void list(Workers workers) {
+      core.listNews(workers);
+    }
+  }
+
+  private void tidyLater() {
+    watchdog.after(TIDY_EVERY, () -> {
+      if (!closed.get()) {
+        runners.tidy();
+        ledger.forgetUntil(Clock.wallMicros());
+        tidyLater();
+      }
+    });
+  }
+
+  /** Where webhooks are taken. */
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  /** Counts since the start, by the words of the log. */
+  public java.util.Map<String, Long> counts() {
+    return log.counts();
+  }
+
+  /** Mean microseconds that the router took for an event. */
+  public double routerMicrosPerEvent() {
+    return core.routerNanosPerEvent() / 1000;
+  }
+
+  /** Takes nothing new, answers what was taken, then closes; at the latest after the told time. */
+  public void stop() throws InterruptedException {
+    front.stop();
+    intake.stop();
+    server.stopAccepting();
+    long until = Clock.micros() + EdgeConfig.ms(settings.getLimits().getStopMs());
+    while (intake.inHand() > 0 && Clock.micros() < until) {
+      Thread.sleep(5);
+    }
+    // The fronts' threads still write the last answers.
+    Thread.sleep(50);
+    LOG.info("edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}", settings.getOrdinal(),
+        intake.inHand(), counts(), runners.gateStory());
+    close();
+  }
+
+  /** Ends at once; calls in hand get no answer. */
+  @Override
+  public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
+    if (server != null) {
+      server.close();
+    }
+    if (peers != null) {
+      peers.close();
+    }
+    list.close();
+    core.close();
+    runners.close();
+    watchdog.close();
+    ledger.close();
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -0,0 +1,96 @@
+package gorseladder.edge;
+
+import gorseladder.RouterApi;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.config.Networks;
+import gorseladder.config.proto.EdgeSettings;
+import gorseladder.config.proto.Endpoint;
+import gorseladder.config.proto.Limits;
+import gorseladder.config.proto.Route;
+import gorseladder.config.proto.RuleFigures;
+import gorseladder.config.proto.Runners;
+import gorseladder.edge.front.WebhookSettings;
+import gorseladder.edge.runners.RunnerSettings;
+import gorseladder.wire.http1.HttpLimits;
+import gorseladder.wire.webhook.Secret;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Turns checked settings into what each part is told; times become microseconds. Translation only. */
+final class EdgeConfig {
+  /** The resolution of the router's timers. */
+  private static final long TICK = 2_000;
+
+  private final EdgeSettings s;
+
+  EdgeConfig(EdgeSettings settings) {
+    this.s = settings;
+  }
+
+  /** Throws IllegalArgumentException where a secret cannot check signatures. */
+  static void checkSecret(String text) {
+    if (!Secret.parse(text).canCheck()) {
+      throw new IllegalArgumentException("an endpoint needs the public key (whpk_), not the private one");
+    }
+  }
+
+  RouterApi.Settings router() {
+    Runners r = s.getRunners();
+    RuleFigures f = s.getRules();
+    return new RouterApi.Settings(s.getOrdinal(), s.getEdges(), s.getZone(), TICK, ms(r.getKeepAliveMs()),
+        r.getLoadsOnMiss(), false, 0, 1,
+        new RouterApi.Limits(r.getMaxAttempts(), r.getDuplicates(), r.getCancelling(), false,
+            s.getPeers().getPeerCount() > 0, r.getOrders(), true, ms(s.getLimits().getMaxRetryAfterMs()),
+            ms(r.getOrderMs())),
+        rules(f), List.copyOf(classes().values()),
+        s.getTenantList().stream()
+            .map(t -> new RouterApi.Tenant(t.getName(), t.getShare(), t.getQuotaPerS())).toList());
+  }
+
+  RouterApi.Rules rules(RuleFigures f) {
+    return new RouterApi.Rules(ms(f.getDrainGraceMs()), f.getColdFrom(), ms(f.getColdMs()), f.getOverloadMultiple(),
+        ms(f.getOverloadMs()), f.getLoadsFree(), f.getLoadShare(), ms(f.getLoadWindowMs()));
+  }
+
+  private Map<String, RequestClass> classes() {
+    Map<String, RequestClass> classes = new LinkedHashMap<>();
+    s.getRequestClassList().forEach(c -> classes.put(c.getName(), new RequestClass(c.getName(),
+        RouterApi.Effect.valueOf(c.getEffect().name()), RouterApi.Group.valueOf(c.getGroup().name()),
+        ms(c.getRepeatWindowMs()), ms(c.getAimMs()), ms(c.getDeadlineMs()), c.getWorth(), c.getLateWorth(), false)));
+    return classes;
+  }
+
+  WebhookSettings webhooks() {
+    Limits l = s.getLimits();
+    Map<String, WebhookSettings.Endpoint> endpoints = new HashMap<>();
+    for (Endpoint e : s.getEndpointList()) {
+      Map<String, WebhookSettings.Route> routes = new HashMap<>();
+      e.getRouteList().forEach(r -> routes.put(r.getType(), route(r)));
+      endpoints.put(e.getPath(), new WebhookSettings.Endpoint(e.getPath(), e.getTenant(),
+          e.getSecretList().stream().map(Secret::parse).toList(), e.getToleranceS(), routes));
+    }
+    return new WebhookSettings(endpoints, new Networks(s.getAllowNetworkList()),
+        new HttpLimits(l.getMaxHeaderLine(), l.getMaxHeaderFields(), l.getMaxHeaderBytes(), l.getMaxBodyBytes()),
+        l.getMaxConnections(), ms(l.getRequestArrivalMs()), ms(l.getIdleMs()), ms(l.getAnswerWriteMs()),
+        l.getStackBytes());
+  }
+
+  private WebhookSettings.Route route(Route r) {
+    var c = s.getRequestClassList().stream().filter(k -> k.getName().equals(r.getRequestClass())).findFirst()
+        .orElseThrow();
+    return new WebhookSettings.Route(classes().get(c.getName()), r.getFunction(), c.getMemoryMb(), c.getLanes());
+  }
+
+  RunnerSettings runners() {
+    Runners r = s.getRunners();
+    int threads = s.getLimits().getMaxCalls() * (r.getDuplicates() ? 2 : 1) + 256;
+    return new RunnerSettings(s.getOrdinal(), ms(r.getConnectMs()), ms(r.getOrderMs()), ms(r.getConnectionIdleMs()),
+        ms(r.getUnsafeConnectionIdleMs()), r.getMaxAnswerBytes(), threads, s.getLimits().getStackBytes());
+  }
+
+  static long ms(long millis) {
+    return millis * 1000;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -0,0 +1,65 @@
+package gorseladder.edge;
+
+import gorseladder.config.Address;
+import gorseladder.config.SettingsFile;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import sun.misc.Signal;
+
+/**
+ * Runs one edge until it is told to stop. SIGTERM or SIGINT stops it in order: nothing new is taken and what was taken is
+ * answered; a second signal ends it at once.
+ */
+public final class EdgeMain {
+  /** Exit codes. */
+  public static final int OK = 0;
+  public static final int BAD_SETTINGS = 2;
+  public static final int CANNOT_START = 3;
+  private static final int KILLED = 143;
+
+  private EdgeMain() {}
+
+  /** Runs the edge of the settings file named by the only argument. */
+  public static void main(String[] args) throws InterruptedException {
+    System.exit(run(Path.of(args[0]), System.out, System.err));
+  }
+
+  /** Runs until a signal comes; one line of JSON on {@code out} says when it is ready and where. */
+  public static int run(Path file, PrintStream out, PrintStream err) throws InterruptedException {
+    SettingsFile loaded = Edge.load(file);
+    if (!loaded.faults().isEmpty()) {
+      loaded.faults().forEach(err::println);
+      return BAD_SETTINGS;
+    }
+    // Read by the logging's configuration, which must not be touched before.
+    System.setProperty("gorseladder.log.form", loaded.settings().getLog().getForm().name());
+    System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
+    try (Edge edge = new Edge(loaded.settings())) {
+      CountDownLatch stop = new CountDownLatch(1);
+      for (String name : new String[] {"TERM", "INT"}) {
+        Signal.handle(new Signal(name), signal -> {
+          if (stop.getCount() == 0) {
+            Runtime.getRuntime().halt(KILLED);
+          }
+          stop.countDown();
+        });
+      }
+      Map<String, Object> ready = new LinkedHashMap<>();
+      ready.put("ready", true);
+      ready.put("edge", Address.print(edge.address()));
+      out.println(Json.write(ready));
+      out.flush();
+      stop.await();
+      edge.stop();
+      return OK;
+    } catch (IOException e) {
+      err.println("gorseladder: " + e.getMessage());
+      return CANNOT_START;
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -0,0 +1,213 @@
+package gorseladder.edge.core;
+
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.answers.Reason;
+import gorseladder.repeats.Repeats;
+import gorseladder.repeats.Repeats.Verdict;
+import gorseladder.runtime.Clock;
+import gorseladder.store.Ledger;
+import gorseladder.store.LedgerEntry;
+import gorseladder.store.LedgerEntry.Stage;
+import gorseladder.store.LedgerException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The door between the fronts and the core: looks a delivery up in the ledger, asks {@link Repeats} what it means, and
+ * admits, joins or turns it away. Two deliveries of one message are judged one after the other. Any thread.
+ */
+public final class Intake {
+  private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
+  private static final int STRIPES = 256;
+
+  /** What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is wall time. */
+  public record Delivery(String message, String request, long requestKeepUntil, RequestClass requestClass, String tenant,
+      String function, byte[] body, double memoryMb, int lanes, long loadTime, long arrivedAt, long patience) {}
+
+  /** What became of a delivery: a call to wait for, or an answer at once. */
+  public record Result(TakenCall call, boolean joined, FinalAnswer answer) {}
+
+  /** Hears of each call taken, before the core does. */
+  public interface Hearer {
+    void taken(TakenCall call);
+
+    void ended(TakenCall call);
+  }
+
+  private final Ledger ledger;
+  private final Semaphore room;
+  private final long keepMicros;
+  private final int maxKept;
+  private final long reserve;
+  private final Hearer hearer;
+  private final Map<String, TakenCall> live = new ConcurrentHashMap<>();
+  private final Object[] stripes = new Object[STRIPES];
+  private final AtomicLong ids = new AtomicLong();
+  private volatile Core core;
+  private volatile boolean stopping;
+
+  /**
+   * A door to the ledger and the core.
+   *
+   * @param maxCalls calls in hand at the most
+   * @param keepMicros how long a message is remembered
+   * @param maxKept the longest answer kept for repeats, in bytes
+   * @param reserve part of a client's patience kept back for writing the answer, in microseconds
+   */
+  public Intake(Ledger ledger, int maxCalls, long keepMicros, int maxKept, long reserve, Hearer hearer) {
+    this.ledger = ledger;
+    this.room = new Semaphore(maxCalls);
+    this.keepMicros = keepMicros;
+    this.maxKept = maxKept;
+    this.reserve = reserve;
+    this.hearer = hearer;
+    for (int i = 0; i < STRIPES; i++) {
+      stripes[i] = new Object();
+    }
+  }
+
+  /** Names the core; once, before the first delivery. */
+  public void admitTo(Core admits) {
+    core = admits;
+  }
+
+  /** Takes nothing new from now on; calls in hand go on. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Calls in hand. */
+  public int inHand() {
+    return live.size();
+  }
+
+  private static FinalAnswer at(Reason reason) {
+    return new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0);
+  }
+
+  /** Judges a delivery whose signature holds. */
+  public Result take(Delivery d) {
+    if (stopping) {
+      return new Result(null, false, at(Reason.STOPPING));
+    }
+    TakenCall call;
+    long ticket;
+    try {
+      synchronized (stripes[Math.floorMod(d.message().hashCode(), STRIPES)]) {
+        byte[] content = digest(d.requestClass().name(), d.function(), d.body());
+        TakenCall out = live.get(d.message());
+        LedgerEntry known = ledger.get(d.message());
+        long wall = Clock.wallMicros();
+        Verdict verdict = Repeats.onDelivery(d.requestClass(), ledger.seen(d.request()),
+            known == null ? null : known(known, out != null, content), wall, d.patience());
+        if (verdict.deed() != Repeats.Deed.RUN) {
+          return turned(verdict, d, known, out);
+        }
+        if (!ledger.hasRoom()) {
+          return new Result(null, false, at(Reason.LEDGER_UNAVAILABLE));
+        }
+        if (!room.tryAcquire()) {
+          return new Result(null, false, at(Reason.BUSY));
+        }
+        LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, known != null && known.mayHaveRun(), wall,
+            known == null ? 0 : known.leftAt(), known == null ? wall + keepMicros : known.keepUntil(), content, "", 0, null);
+        call = new TakenCall(ids.incrementAndGet(), facts(d, verdict.mostTime(), known != null), ledger, entry, maxKept,
+            this::ended);
+        live.put(d.message(), call);
+        ledger.put(d.message(), entry);
+        ticket = ledger.putRequest(d.request(), d.requestKeepUntil());
+      }
+      hearer.taken(call);
+      ledger.await(ticket);
+    } catch (LedgerException e) {
+      LOG.error("{}", e.getMessage());
+      TakenCall held = live.get(d.message());
+      if (held != null) {
+        held.finish(at(Reason.LEDGER_UNAVAILABLE), Clock.micros());
+      }
+      return new Result(null, false, at(Reason.LEDGER_UNAVAILABLE));
+    }
+    if (!core.offer(call)) {
+      call.finish(at(Reason.BUSY), Clock.micros());
+    }
+    return new Result(call, false, null);
+  }
+
+  private TakenCall.Facts facts(Delivery d, long mostTime, boolean repeat) {
+    return new TakenCall.Facts(d.message(), d.requestClass(), d.tenant(), d.function(), d.body(), d.memoryMb(), d.lanes(),
+        d.loadTime(), repeat, d.arrivedAt(), d.arrivedAt() + Math.max(1, Math.min(mostTime, d.patience()) - reserve));
+  }
+
+  private static Repeats.Known known(LedgerEntry entry, boolean out, byte[] content) {
+    return new Repeats.Known(Repeats.Phase.valueOf(entry.stage().name()), out, entry.mayHaveRun(), entry.leftAt(),
+        Arrays.equals(entry.content(), content));
+  }
+
+  /** A joined or repeated delivery's own signature is remembered too; whoever replays it later gets 409. */
+  private Result turned(Verdict verdict, Delivery d, LedgerEntry known, TakenCall out) throws LedgerException {
+    if (verdict.deed() != Repeats.Deed.REPLAYED) {
+      ledger.putRequest(d.request(), d.requestKeepUntil());
+      ledger.soon();
+    }
+    if (verdict.deed() == Repeats.Deed.JOIN) {
+      out.join();
+    }
+    return switch (verdict.deed()) {
+      case JOIN -> new Result(out, true, null);
+      case ANSWER_AGAIN -> new Result(null, false, new FinalAnswer(Reason.SERVED_AGAIN, known.answer(), 0));
+      case REPLAYED -> new Result(null, false, at(Reason.REPLAYED));
+      case CONFLICT -> new Result(null, false, at(Reason.CONFLICT));
+      default -> new Result(null, false, at(Reason.FAILED_UNKNOWN_EFFECT));
+    };
+  }
+
+  private void ended(TakenCall call) {
+    live.remove(call.facts().message(), call);
+    room.release();
+    hearer.ended(call);
+  }
+
+  /** Waits until the end of a call may be told: for some classes its record must be durable first. */
+  public void awaitRecord(TakenCall call) {
+    if (!Repeats.recordBeforeAnswer(call.facts().requestClass().effect())) {
+      ledger.soon();
+      return;
+    }
+    try {
+      ledger.await(call.endTicket());
+    } catch (LedgerException e) {
+      // The answer is given all the same: it is true, and after a kill the message counts as may have run.
+      LOG.error("{}", e.getMessage());
+    }
+  }
+
+  private static byte[] digest(String requestClass, String function, byte[] body) {
+    MessageDigest sha = sha256();
+    sha.update((requestClass + "\0" + function + "\0").getBytes(StandardCharsets.UTF_8));
+    return Arrays.copyOf(sha.digest(body), 16);
+  }
+
+  /** Identifies a signed request by all that its signature covers, so that a changed signature list is the same request. */
+  public static String requestKey(String message, long timestamp, byte[] body) {
+    MessageDigest sha = sha256();
+    sha.update((message + "\0" + timestamp + "\0").getBytes(StandardCharsets.UTF_8));
+    return Base64.getEncoder().withoutPadding().encodeToString(Arrays.copyOf(sha.digest(body), 16));
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -0,0 +1,71 @@
+package gorseladder.edge.front;
+
+import gorseladder.answers.Reason;
+import gorseladder.edge.core.FinalAnswer;
+import gorseladder.edge.core.TakenCall;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The line that each call ends with, and counts by the same words. What was not taken is counted apart. Any thread. */
+public final class CallLog {
+  private static final Logger CALLS = LoggerFactory.getLogger("gorseladder.calls");
+
+  private final Map<Reason, LongAdder> counts = new EnumMap<>(Reason.class);
+  private final LongAdder taken = new LongAdder();
+
+  public CallLog() {
+    for (Reason reason : Reason.values()) {
+      counts.put(reason, new LongAdder());
+    }
+  }
+
+  /** A call was taken. */
+  public void taken() {
+    taken.increment();
+  }
+
+  /** A call got its final answer. */
+  public void ended(TakenCall call) {
+    FinalAnswer answer = call.answer();
+    counts.get(answer.reason()).increment();
+    CALLS.atInfo().addKeyValue("id", call.facts().message())
+        .addKeyValue("class", call.facts().requestClass().name())
+        .addKeyValue("tenant", call.facts().tenant())
+        .addKeyValue("function", call.facts().function())
+        .addKeyValue("attempts", String.join(" ", call.story()))
+        .addKeyValue("kind", answer.reason().kind.name().toLowerCase(java.util.Locale.ROOT))
+        .addKeyValue("reason", answer.reason().word())
+        .addKeyValue("ms", (call.endedAt() - call.facts().takenAt()) / 1000)
+        .log("call");
+  }
+
+  /** A delivery was answered from the ledger, without a call of its own. */
+  public void answered(String message, Reason reason, long micros) {
+    counts.get(reason).increment();
+    CALLS.atInfo().addKeyValue("id", message).addKeyValue("reason", reason.word())
+        .addKeyValue("ms", micros / 1000).log("not taken");
+  }
+
+  /** A request was turned away before it could be a call. */
+  public void rejected(InetSocketAddress peer, Reason reason, String detail) {
+    counts.get(reason).increment();
+    CALLS.atInfo().addKeyValue("peer", peer).addKeyValue("reason", reason.word()).addKeyValue("detail", detail)
+        .log("rejected");
+  }
+
+  /** Counts since the start: taken, and each reason that occurred. */
+  public Map<String, Long> counts() {
+    Map<String, Long> all = new java.util.LinkedHashMap<>();
+    all.put("taken", taken.sum());
+    counts.forEach((reason, count) -> {
+      if (count.sum() > 0) {
+        all.put(reason.word(), count.sum());
+      }
+    });
+    return all;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -0,0 +1,317 @@
+package gorseladder.edge.front;
+
+import gorseladder.answers.Reason;
+import gorseladder.edge.core.Core;
+import gorseladder.edge.core.FinalAnswer;
+import gorseladder.edge.core.Intake;
+import gorseladder.edge.core.TakenCall;
+import gorseladder.edge.front.WebhookSettings.Endpoint;
+import gorseladder.edge.front.WebhookSettings.Route;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.Watchdog;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.json.Json;
+import gorseladder.wire.webhook.Delivery;
+import gorseladder.wire.webhook.Payload;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes signed webhooks over HTTP/1.1 (Standard Webhooks specification; RFC 9112) and answers with the runner's result or
+ * problem details (RFC 9457). A thread a connection: it reads a request, waits for its answer, writes it and reads the
+ * next, so pipelined requests are answered in their order. It decides nothing about workers.
+ */
+public final class WebhookFront {
+  private static final Logger LOG = LoggerFactory.getLogger(WebhookFront.class);
+  /** How often a waiting thread looks whether its client has left. */
+  private static final long LOOK = 50_000;
+  private static final long LINGER = 300_000;
+  private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final Pattern WAIT = Pattern.compile("(?:^|[,;\\s])wait=\"?([0-9]{1,6})\"?(?:$|[,;\\s])");
+
+  private final WebhookSettings settings;
+  private final Intake intake;
+  private final Core core;
+  private final Watchdog watchdog;
+  private final CallLog log;
+  private volatile boolean stopping;
+
+  /** A front that hands calls to the intake. */
+  public WebhookFront(WebhookSettings settings, Intake intake, Core core, Watchdog watchdog, CallLog log) {
+    this.settings = settings;
+    this.intake = intake;
+    this.core = core;
+    this.watchdog = watchdog;
+    this.log = log;
+  }
+
+  /** Begins to listen. */
+  public HttpServer listen(InetSocketAddress at) throws IOException {
+    HttpServer[] server = new HttpServer[1];
+    java.util.concurrent.CountDownLatch ready = new java.util.concurrent.CountDownLatch(1);
+    server[0] = HttpServer.listen(at, "webhook", settings.stackBytes(), channel -> {
+      try {
+        ready.await();
+      } catch (InterruptedException e) {
+        return;
+      }
+      serve(channel, server[0]);
+    });
+    ready.countDown();
+    return server[0];
+  }
+
+  /** Answers no further request on connections that are open; what was taken is still answered. */
+  public void stop() {
+    stopping = true;
+  }
+
+  private void serve(SocketChannel channel, HttpServer server) throws IOException {
+    HttpConnection c = new HttpConnection(channel, settings.limits());
+    if (!settings.allowed().contains(c.peer().getAddress())) {
+      reject(c, Reason.FORBIDDEN_NETWORK, Reason.FORBIDDEN_NETWORK.text);
+      return;
+    }
+    if (server.connections() > settings.maxConnections()) {
+      reject(c, Reason.BUSY, "as many connections as the settings allow");
+      return;
+    }
+    try {
+      while (request(c)) {
+        continue;
+      }
+    } catch (BadMessage e) {
+      reject(c, reason(e), e.getMessage());
+    }
+  }
+
+  private static Reason reason(BadMessage e) {
+    return switch (e.fault()) {
+      case MALFORMED -> Reason.BAD_MESSAGE;
+      case TOO_LARGE -> Reason.TOO_LARGE;
+      case HEADERS_TOO_LARGE -> Reason.HEADERS_TOO_LARGE;
+      case NOT_IMPLEMENTED -> Reason.NOT_IMPLEMENTED;
+      case WRONG_VERSION -> Reason.WRONG_VERSION;
+      case WRONG_EXPECTATION -> Reason.WRONG_EXPECTATION;
+    };
+  }
+
+  /** Answers a request that cannot be read further, and closes so that the client still gets the answer. */
+  private void reject(HttpConnection c, Reason reason, String detail) throws IOException {
+    log.rejected(c.peer(), reason, detail);
+    write(c, problem(new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0), detail, false));
+    c.closeGently(Clock.micros() + LINGER);
+  }
+
+  /** One request and its answer; false where the connection carries no further one. */
+  private boolean request(HttpConnection c) throws IOException, BadMessage {
+    try {
+      if (!c.awaitMessage(Clock.micros() + settings.idle())) {
+        return false;
+      }
+    } catch (SocketTimeoutException e) {
+      return false;
+    }
+    long arrivedAt = Clock.micros();
+    long until = arrivedAt + settings.arrival();
+    Head head;
+    byte[] body;
+    try {
+      head = c.readRequest(until);
+      BodyParser parser = BodyParser.forRequest(head, settings.limits());
+      expectation(c, head, parser);
+      body = c.readBody(parser, until);
+    } catch (SocketTimeoutException e) {
+      reject(c, Reason.SLOW_SENDER, Reason.SLOW_SENDER.text);
+      return false;
+    }
+    boolean keep = head.keepsConnection() && !stopping;
+    Exchange exchange = new Exchange(c, head, body, arrivedAt);
+    FinalAnswer answer = exchange.answer();
+    if (answer.reason() == Reason.GONE) {
+      c.abort();
+      return false;
+    }
+    write(c, answer.reason().kind == Reason.Kind.SERVED ? served(answer, keep) : problem(answer, exchange.detail, keep));
+    return keep;
+  }
+
+  private static void expectation(HttpConnection c, Head head, BodyParser body) throws IOException, BadMessage {
+    String expect = head.get("expect");
+    if (expect != null && !expect.equalsIgnoreCase("100-continue")) {
+      throw new BadMessage(BadMessage.Fault.WRONG_EXPECTATION, Reason.WRONG_EXPECTATION.text);
+    }
+    if (expect != null && head.minorVersion() >= 1 && !body.done() && !c.hasUnreadBytes()) {
+      c.write(CONTINUE);
+    }
+  }
+
+  /** One request on its way to its answer. */
+  private final class Exchange {
+    private final HttpConnection c;
+    private final Head head;
+    private final byte[] body;
+    private final long arrivedAt;
+    private String detail;
+
+    Exchange(HttpConnection c, Head head, byte[] body, long arrivedAt) {
+      this.c = c;
+      this.head = head;
+      this.body = body;
+      this.arrivedAt = arrivedAt;
+    }
+
+    private FinalAnswer no(Reason reason, String why) {
+      detail = why == null ? reason.text : why;
+      log.rejected(c.peer(), reason, detail);
+      return new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0);
+    }
+
+    FinalAnswer answer() {
+      if (stopping) {
+        return no(Reason.STOPPING, null);
+      }
+      Endpoint endpoint = settings.endpoints().get(head.path());
+      if (endpoint == null) {
+        return no(Reason.UNKNOWN_PATH, null);
+      }
+      if (!head.method().equals("POST")) {
+        return no(Reason.WRONG_METHOD, null);
+      }
+      Delivery delivery;
+      try {
+        delivery = Delivery.of(head.get(Delivery.ID), head.get(Delivery.TIMESTAMP), head.get(Delivery.SIGNATURE));
+      } catch (IllegalArgumentException e) {
+        return no(Reason.BAD_SIGNATURE, e.getMessage());
+      }
+      long wallSeconds = Clock.wallMicros() / 1_000_000;
+      Delivery.Check check = delivery.check(body, endpoint.secrets(), wallSeconds, endpoint.tolerance());
+      if (check != Delivery.Check.GOOD) {
+        return no(check == Delivery.Check.STALE ? Reason.STALE_TIMESTAMP : Reason.BAD_SIGNATURE, null);
+      }
+      try {
+        return route(endpoint, delivery, Payload.parse(body));
+      } catch (IllegalArgumentException e) {
+        return no(Reason.BAD_PAYLOAD, e.getMessage());
+      }
+    }
+
+    private FinalAnswer route(Endpoint endpoint, Delivery delivery, Payload payload) {
+      Route route = endpoint.routes().get(payload.type());
+      String function = payload.function() != null || route == null ? payload.function() : route.function();
+      if (route == null || function == null || function.isEmpty()) {
+        return no(Reason.UNKNOWN_TYPE, route == null ? null : "the payload names no function");
+      }
+      String message = endpoint.path() + " " + delivery.id();
+      // Remembered past the last moment at which the same time stamp could pass again, with the tolerance as slack.
+      long keepRequest = (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000;
+      long patience = Math.min(route.requestClass().deadline(), patience(head));
+      Intake.Result result = intake.take(new Intake.Delivery(message,
+          Intake.requestKey(message, delivery.timestamp(), body), keepRequest, route.requestClass(), endpoint.tenant(),
+          function, body, payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
+          payload.lanes() > 0 ? payload.lanes() : route.lanes(), payload.loadMillis() * 1000, arrivedAt, patience));
+      if (result.call() == null) {
+        detail = result.answer().reason().text;
+        log.answered(message, result.answer().reason(), Clock.micros() - arrivedAt);
+        return result.answer();
+      }
+      FinalAnswer answer = await(result.call(), result.joined(), arrivedAt + patience);
+      detail = answer.reason().text;
+      return answer;
+    }
+
+    private FinalAnswer await(TakenCall call, boolean joined, long until) {
+      try {
+        for (long now = Clock.micros(); now < until; now = Clock.micros()) {
+          FinalAnswer answer = call.await(Math.min(until, now + LOOK));
+          if (answer != null) {
+            intake.awaitRecord(call);
+            boolean ownerLeft = answer.reason() == Reason.GONE;
+            return ownerLeft ? new FinalAnswer(Reason.FAILED_OVERDUE, null, 0) : answer;
+          }
+          if (c.peerGone()) {
+            if (call.waiterLeft() && call.finish(new FinalAnswer(Reason.GONE, null, 0), Clock.micros())) {
+              core.clientGone(call);
+            }
+            return new FinalAnswer(Reason.GONE, null, 0);
+          }
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      FinalAnswer overdue = new FinalAnswer(Reason.FAILED_OVERDUE, null, 0);
+      if (!joined && call.finish(overdue, Clock.micros())) {
+        core.clientGone(call);
+      }
+      return joined ? overdue : call.answer();
+    }
+  }
+
+  /** The client's patience by {@code Prefer: wait=} (RFC 7240 section 4.3), in microseconds. */
+  private static long patience(Head head) {
+    for (String prefer : head.all("prefer")) {
+      Matcher m = WAIT.matcher(prefer);
+      if (m.find() && Long.parseLong(m.group(1)) > 0) {
+        return Long.parseLong(m.group(1)) * 1_000_000;
+      }
+    }
+    return Long.MAX_VALUE / 4;
+  }
+
+  private static byte[] served(FinalAnswer answer, boolean keep) {
+    byte[] body = answer.body() == null ? new byte[0] : answer.body();
+    return close(HeadWriter.response(200).field("Content-Type", "application/json")
+        .field("gorseladder-reason", answer.reason().word()), keep).with(body);
+  }
+
+  private static byte[] problem(FinalAnswer answer, String detail, boolean keep) {
+    Reason reason = answer.reason();
+    Map<String, Object> content = new LinkedHashMap<>();
+    content.put("type", "about:blank");
+    content.put("title", reason.text);
+    content.put("status", reason.status);
+    content.put("reason", reason.word());
+    if (detail != null && !detail.equals(reason.text)) {
+      content.put("detail", detail);
+    }
+    HeadWriter w = HeadWriter.response(reason.status).field("Content-Type", "application/problem+json")
+        .field("gorseladder-reason", reason.word());
+    if (answer.retryAfter() > 0) {
+      w.field("Retry-After", answer.retryAfter());
+    }
+    if (reason == Reason.WRONG_METHOD) {
+      w.field("Allow", "POST");
+    }
+    return close(w, keep).with(Json.write(content).getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static HeadWriter close(HeadWriter w, boolean keep) {
+    return keep ? w : w.field("Connection", "close");
+  }
+
+  private void write(HttpConnection c, byte[] message) throws IOException {
+    Watchdog.Timer guard = watchdog.after(settings.answerWrite(), () -> {
+      LOG.info("{} did not take its answer in time", c.peer());
+      c.abort();
+    });
+    try {
+      c.write(message);
+    } finally {
+      guard.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -0,0 +1,242 @@
+package gorseladder.edge.list;
+
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import gorseladder.config.Address;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.Threads;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the worker list by Consul's blocking health query ({@code /v1/health/service/NAME?index=N&wait=T}, Consul HTTP
+ * API, "Blocking Queries") and keeps the last list on disk for a cold start. A service instance names, in its meta data,
+ * {@code zone}, {@code cell}, {@code phase} ({@code running} or {@code draining}), {@code weight} and {@code born}
+ * (milliseconds since 1970, absent where long ago). An instance that is not in the list is gone.
+ *
+ * <p>A broken answer, an entry that cannot be read or an unreachable list leave the old list in force. One thread.
+ */
+public final class ListWatcher implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(ListWatcher.class);
+  private static final long CONNECT_MILLIS = 1_000;
+  private static final int LEAST_PAUSE = 50;
+  private static final int MOST_PAUSE = 2_000;
+
+  /** Who hears the list. */
+  public interface Hearer {
+    /** A worker's phase; {@code at} is when the bytes that say so had arrived. Called before {@link #list}. */
+    void phase(String worker, Phase phase, long at);
+
+    /** The whole list. */
+    void list(Workers workers);
+  }
+
+  private record Birth(long wallMillis, long micros) {}
+
+  private final InetSocketAddress address;
+  private final String service;
+  private final String agent;
+  private final long waitMillis;
+  private final Path saved;
+  private final Hearer hearer;
+  private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+  private final Map<String, Birth> births = new HashMap<>();
+  private final Random random = new Random();
+  private final int stackBytes;
+  private volatile HttpConnection connection;
+  private volatile boolean stopped;
+  private String index = "0";
+  private Thread thread;
+
+  /** A watcher that starts with {@link #start()}. */
+  public ListWatcher(InetSocketAddress address, String service, String agent, long waitMillis, Path saved,
+      int stackBytes, Hearer hearer) {
+    this.address = address;
+    this.service = service;
+    this.agent = agent;
+    this.waitMillis = waitMillis;
+    this.saved = saved;
+    this.stackBytes = stackBytes;
+    this.hearer = hearer;
+  }
+
+  /** The socket address of a worker that was in some list, or null. */
+  public InetSocketAddress address(String worker) {
+    return addresses.get(worker);
+  }
+
+  /** Tells the saved list, empty where there is none, and begins to follow the list. */
+  public void start() {
+    List<WorkerEntry> entries = new ArrayList<>();
+    try {
+      if (Files.exists(saved)) {
+        entries = entries(Json.read(Files.readAllBytes(saved)));
+      }
+    } catch (IOException | IllegalArgumentException e) {
+      LOG.warn("the saved worker list {} cannot be read and is passed over: {}", saved, e.getMessage());
+    }
+    tell(ListKind.SAVED, entries, Clock.micros());
+    thread = Threads.start("list", stackBytes, this::follow);
+  }
+
+  private void follow() {
+    int pause = LEAST_PAUSE;
+    while (!stopped) {
+      try (HttpConnection c = HttpConnection.open(address, CONNECT_MILLIS, HttpLimits.INNER)) {
+        connection = c;
+        while (!stopped && query(c)) {
+          pause = LEAST_PAUSE;
+        }
+      } catch (IOException | BadMessage | IllegalArgumentException e) {
+        if (!stopped) {
+          LOG.warn("worker list at {}: {}; the old list stays", Address.print(address), e.toString());
+        }
+      }
+      pause = pause(pause);
+    }
+  }
+
+  /** Waits between tries, longer each time and by chance, so that edges do not return together. */
+  private int pause(int millis) {
+    try {
+      Thread.sleep(stopped ? 0 : millis / 2 + random.nextInt(millis));
+    } catch (InterruptedException e) {
+      stopped = true;
+    }
+    return Math.min(MOST_PAUSE, millis * 2);
+  }
+
+  private boolean query(HttpConnection c) throws IOException, BadMessage {
+    c.write(HeadWriter.request("GET", "/v1/health/service/" + service + "?index=" + index + "&wait=" + waitMillis + "ms",
+        Address.print(address)).field("User-Agent", agent).with(new byte[0]));
+    // Consul adds up to a sixteenth of the wait; a stalled connection is found soon after that.
+    long until = Clock.micros() + (waitMillis + waitMillis / 16 + 2_000) * 1000;
+    Head head = c.readResponse(until);
+    byte[] body = c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), until);
+    long at = Clock.micros();
+    if (head.status() != 200) {
+      throw new IOException("status " + head.status());
+    }
+    String next = head.get("x-consul-index");
+    if (next == null || !next.matches("[0-9]{1,18}")) {
+      throw new IOException("no X-Consul-Index");
+    }
+    boolean news = !next.equals(index);
+    // An index that goes backward, or is 0, says that the server lost its state: ask anew without one.
+    index = Long.parseLong(next) < Long.parseLong(index) || next.equals("0") ? "0" : next;
+    if (news) {
+      List<WorkerEntry> entries = entries(Json.read(body));
+      tell(ListKind.FULL, entries, at);
+      save(body);
+    }
+    return head.keepsConnection();
+  }
+
+  private void tell(ListKind kind, List<WorkerEntry> entries, long at) {
+    Map<String, Phase> phases = new HashMap<>();
+    addresses.keySet().forEach(w -> phases.put(w, Phase.GONE));
+    entries.forEach(e -> phases.put(e.worker(), e.phase()));
+    entries.forEach(e -> addresses.computeIfAbsent(e.worker(), Address::parse));
+    phases.forEach((worker, phase) -> hearer.phase(worker, phase, at));
+    hearer.list(new Workers(kind, entries));
+    addresses.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
+    births.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
+  }
+
+  private void save(byte[] body) {
+    Path fresh = saved.resolveSibling(saved.getFileName() + ".new");
+    try {
+      Files.write(fresh, body);
+      Files.move(fresh, saved, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    } catch (IOException e) {
+      LOG.warn("the worker list cannot be saved: {}", e.toString());
+    }
+  }
+
+  private List<WorkerEntry> entries(Object json) {
+    if (!(json instanceof List<?> list)) {
+      throw new IllegalArgumentException("the worker list is not an array");
+    }
+    List<WorkerEntry> entries = new ArrayList<>();
+    for (Object item : list) {
+      try {
+        entries.add(entry(item));
+      } catch (IllegalArgumentException e) {
+        LOG.warn("an entry of the worker list is passed over: {}", e.getMessage());
+      }
+    }
+    return entries;
+  }
+
+  private WorkerEntry entry(Object item) {
+    Object service = Json.at(item, "Service");
+    String host = String.valueOf(Json.at(service, "Address"));
+    Object port = Json.at(service, "Port");
+    if (!(port instanceof Double number)) {
+      throw new IllegalArgumentException("no port at " + host);
+    }
+    String id = Address.print(Address.parse((host.contains(":") ? "[" + host + "]" : host) + ":" + number.intValue()));
+    boolean draining = "draining".equals(Json.at(service, "Meta", "phase"));
+    return new WorkerEntry(id, text(Json.at(service, "Meta", "zone")), (int) number(Json.at(service, "Meta", "cell"), 0),
+        draining ? Phase.DRAINING : Phase.RUNNING, number(Json.at(service, "Meta", "weight"), 1),
+        born(id, (long) number(Json.at(service, "Meta", "born"), 0)));
+  }
+
+  /** A birth on this process's clock; computed once for each life, so that clocks that drift make no new lives. */
+  private long born(String worker, long wallMillis) {
+    if (wallMillis <= 0) {
+      return 0;
+    }
+    Birth known = births.get(worker);
+    if (known == null || known.wallMillis() != wallMillis) {
+      long age = Math.max(0, Clock.wallMicros() - wallMillis * 1000);
+      known = new Birth(wallMillis, Math.max(1, Clock.micros() - age));
+      births.put(worker, known);
+    }
+    return known.micros();
+  }
+
+  private static String text(Object value) {
+    return value instanceof String s ? s : "";
+  }
+
+  private static double number(Object value, double otherwise) {
+    try {
+      return value instanceof String s ? Double.parseDouble(s) : value instanceof Double d ? d : otherwise;
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("not a number: " + value);
+    }
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    HttpConnection open = connection;
+    if (open != null) {
+      open.close();
+    }
+    if (thread != null) {
+      thread.interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
@@ -0,0 +1,94 @@
+package gorseladder.edge.peers;
+
+import gorseladder.config.Address;
+import gorseladder.runtime.Threads;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Messages between edges, one UDP datagram each: {@code GL1 ORDINAL TEXT}, at most 256 bytes of text. They may be lost,
+ * late or doubled; the module that reads them must bear that. A datagram from an address that is no peer, or of another
+ * form, is dropped and counted.
+ */
+public final class PeerLink implements AutoCloseable {
+  /** Hears what other edges say; on the link's own thread. */
+  public interface Hearer {
+    void heard(int sender, String text);
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
+  private static final String MARK = "GL1 ";
+  private static final int MOST_TEXT = 256;
+
+  private final DatagramSocket socket;
+  private final int ordinal;
+  private final List<InetSocketAddress> peers;
+  private final Hearer hearer;
+  private volatile long dropped;
+
+  /** Opens the socket and begins to hear. */
+  public PeerLink(InetSocketAddress at, int ordinal, List<InetSocketAddress> peers, int stackBytes, Hearer hearer)
+      throws IOException {
+    this.socket = new DatagramSocket(at);
+    this.ordinal = ordinal;
+    this.peers = List.copyOf(peers);
+    this.hearer = hearer;
+    Threads.start("peers", stackBytes, this::hear);
+  }
+
+  /** Datagrams dropped so far. */
+  public long dropped() {
+    return dropped;
+  }
+
+  /** Sends to every peer; what cannot be sent is lost, as any datagram may be. */
+  public void tell(String text) {
+    byte[] bytes = (MARK + ordinal + " " + text).getBytes(StandardCharsets.UTF_8);
+    if (bytes.length > MARK.length() + 12 + MOST_TEXT) {
+      LOG.warn("a message of {} bytes to the other edges was not sent", bytes.length);
+      return;
+    }
+    for (InetSocketAddress peer : peers) {
+      try {
+        socket.send(new DatagramPacket(bytes, bytes.length, peer));
+      } catch (IOException e) {
+        LOG.debug("no message to {}: {}", Address.print(peer), e.toString());
+      }
+    }
+  }
+
+  private void hear() {
+    Set<InetSocketAddress> known = Set.copyOf(peers);
+    byte[] buffer = new byte[1024];
+    while (!socket.isClosed()) {
+      DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+      try {
+        socket.receive(packet);
+        String text = new String(buffer, 0, packet.getLength(), StandardCharsets.UTF_8);
+        int space = text.indexOf(' ', MARK.length());
+        if (known.contains(packet.getSocketAddress()) && text.startsWith(MARK) && space > 0
+            && text.substring(MARK.length(), space).matches("[0-9]{1,6}")) {
+          hearer.heard(Integer.parseInt(text.substring(MARK.length(), space)), text.substring(space + 1));
+        } else {
+          dropped++;
+        }
+      } catch (IOException e) {
+        if (!socket.isClosed()) {
+          LOG.debug("a datagram was lost: {}", e.toString());
+        }
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -0,0 +1,410 @@
+package gorseladder.edge.runners;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Phase;
+import gorseladder.attempts.AttemptFate;
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.attempts.AttemptFate.Progress;
+import gorseladder.attempts.ConnectionChoice;
+import gorseladder.edge.core.Core;
+import gorseladder.edge.core.Core.AttemptEnd;
+import gorseladder.edge.core.TakenCall;
+import gorseladder.gate.SendGate;
+import gorseladder.repeats.Repeats;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.Threads;
+import gorseladder.runtime.Watchdog;
+import gorseladder.store.Ledger;
+import gorseladder.store.LedgerException;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import gorseladder.wire.oip.LoadReport;
+import gorseladder.wire.oip.Oip;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Owns the connections to the runners. Each attempt and each load order runs on a thread of its own that blocks on a
+ * socket, and ends in exactly one report to the core. What an end is worth is judged by {@link AttemptFate}; whether bytes
+ * may still leave by {@link SendGate}, asked last before the write.
+ *
+ * <p>Any thread.
+ */
+public final class Runners implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Runners.class);
+  private static final byte[] NOTHING = {};
+
+  private final RunnerSettings settings;
+  private final HttpLimits limits;
+  private final Ledger ledger;
+  private final SendGate gate;
+  private final Function<String, InetSocketAddress> addresses;
+  private final ThreadPoolExecutor threads;
+  private final Watchdog watchdog;
+  private final Map<String, ArrayDeque<Kept>> idle = new ConcurrentHashMap<>();
+  private final Map<TakenCall, Map<Integer, Exchange>> out = new ConcurrentHashMap<>();
+  private volatile Core core;
+
+  private record Kept(HttpConnection connection, long since) {}
+
+  /** Runner connections by these settings; {@code addresses} gives the socket address of a worker id. */
+  public Runners(RunnerSettings settings, Ledger ledger, SendGate gate, Function<String, InetSocketAddress> addresses,
+      Watchdog watchdog) {
+    this.settings = settings;
+    this.limits = new HttpLimits(16_384, 100, 65_536, settings.maxAnswerBytes());
+    this.ledger = ledger;
+    this.gate = gate;
+    this.addresses = addresses;
+    this.watchdog = watchdog;
+    this.threads = Threads.pool("attempt", settings.mostThreads(), settings.stackBytes());
+  }
+
+  /** Names the core that hears the ends; once, before anything is sent. */
+  public void reportTo(Core hearer) {
+    core = hearer;
+  }
+
+  /** News of a worker's phase, with the time at which its bytes reached this process. */
+  public void told(String worker, Phase phase, long at) {
+    synchronized (gate) {
+      gate.told(worker, phase, at);
+    }
+  }
+
+  /** A call was taken. */
+  public void taken(long at) {
+    synchronized (gate) {
+      gate.taken(at);
+    }
+  }
+
+  /** Calls and orders that were stopped at the last look, for the log. */
+  public String gateStory() {
+    synchronized (gate) {
+      return gate.refusedCalls() + " calls, " + gate.refusedOrders() + " orders";
+    }
+  }
+
+  /** Starts an attempt. */
+  public void send(TakenCall call, int number, String worker, long timeout) {
+    Exchange exchange = new Exchange(call, number, worker, timeout);
+    out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, exchange);
+    try {
+      threads.execute(exchange::run);
+    } catch (RejectedExecutionException e) {
+      exchange.report(Outcome.MOOT, null, null);
+    }
+  }
+
+  /** Stops an attempt; its end still comes. */
+  public void cancel(TakenCall call, int number) {
+    Exchange exchange = out.getOrDefault(call, Map.of()).get(number);
+    if (exchange != null) {
+      exchange.cancel();
+    }
+  }
+
+  /** Orders copies of a function held; its end comes by {@link Core#loadEnded}. */
+  public void load(String worker, String function, int copies) {
+    long began = Clock.micros();
+    try {
+      threads.execute(() -> core.loadEnded(order(worker, function, copies, began)));
+    } catch (RejectedExecutionException e) {
+      core.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
+    }
+  }
+
+  /** One attempt on its way. */
+  private final class Exchange {
+    private final TakenCall call;
+    private final int number;
+    private final String worker;
+    private final long until;
+    private Progress progress = Progress.WAITING;
+    private HttpConnection connection;
+    private boolean cancelled;
+
+    Exchange(TakenCall call, int number, String worker, long timeout) {
+      this.call = call;
+      this.number = number;
+      this.worker = worker;
+      long deadline = call.facts().deadlineAt();
+      this.until = timeout > 0 ? Math.min(deadline, Clock.micros() + timeout) : deadline;
+    }
+
+    void run() {
+      try {
+        exchange();
+      } catch (BadMessage e) {
+        LOG.warn("runner {} answered what is not HTTP/1.1: {}", worker, e.getMessage());
+        end(Ending.MALFORMED);
+      } catch (SocketTimeoutException e) {
+        end(Ending.TIMED_OUT);
+      } catch (IOException e) {
+        end(Ending.BROKEN);
+      } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
+        LOG.error("an attempt at {} failed", worker, e);
+        end(Ending.BROKEN);
+      }
+    }
+
+    private void exchange() throws IOException, BadMessage {
+      InetSocketAddress address = addresses.apply(worker);
+      if (address == null) {
+        end(Ending.CONNECT_FAILED);
+        return;
+      }
+      Effect effect = call.facts().requestClass().effect();
+      progress = Progress.CONNECTING;
+      if (!hold(borrow(worker, effect))) {
+        long wait = Math.min(settings.connect(), until - Clock.micros()) / 1000;
+        if (!hold(HttpConnection.open(address, wait, limits))) {
+          end(Ending.CANCELLED);
+          return;
+        }
+      }
+      progress = Progress.CONNECTED;
+      if (Repeats.recordBeforeSend(effect)) {
+        try {
+          ledger.await(call.recordLeaving(Clock.wallMicros()));
+        } catch (LedgerException e) {
+          LOG.error("an attempt was not sent: {}", e.getMessage());
+          end(Ending.GATE_CLOSED);
+          return;
+        }
+      }
+      byte[] message = message();
+      if (!mayLeave()) {
+        return;
+      }
+      progress = Progress.LEAVING;
+      Watchdog.Timer guard = watchdog.after(Math.max(0, until - Clock.micros()), connection::abort);
+      connection.write(message);
+      guard.cancel();
+      Head head = connection.readResponse(until);
+      progress = Progress.ANSWERING;
+      byte[] body = connection.readBody(BodyParser.forResponse(head, limits), until);
+      answered(head, body);
+    }
+
+    /** The last look; nothing but the write itself comes after it. */
+    private boolean mayLeave() {
+      synchronized (gate) {
+        if (!gate.callMayLeave(worker)) {
+          end(Ending.GATE_CLOSED);
+          return false;
+        }
+        if (Clock.micros() >= until || isCancelled() || !call.leave(number)) {
+          end(Ending.CALL_OVER);
+          return false;
+        }
+        return true;
+      }
+    }
+
+    private synchronized boolean isCancelled() {
+      return cancelled;
+    }
+
+    private synchronized boolean hold(HttpConnection opened) {
+      if (opened != null && cancelled) {
+        opened.close();
+        return false;
+      }
+      connection = opened;
+      return opened != null;
+    }
+
+    synchronized void cancel() {
+      cancelled = true;
+      if (connection != null) {
+        connection.abort();
+      }
+    }
+
+    private byte[] message() {
+      TakenCall.Facts f = call.facts();
+      HeadWriter w = HeadWriter.request("POST", Oip.inferTarget(f.function()), worker)
+          .field("Content-Type", "application/json")
+          .field("X-Request-Id", f.message().substring(f.message().indexOf(' ') + 1))
+          .field(Oip.EDGE, settings.edge())
+          .field(Oip.PATIENCE, Math.max(0, (until - Clock.micros()) / 1000))
+          .field(Oip.FOOTPRINT, (long) f.memoryMb())
+          .field(Oip.LANES, f.lanes());
+      if (f.loadTime() > 0) {
+        w.field(Oip.LOAD_TIME, f.loadTime() / 1000);
+      }
+      if (f.requestClass().effect() == Effect.KEYED) {
+        w.field("Idempotency-Key", "\"" + f.message().replace("\"", "%22").replace("\\", "%5C") + "\"");
+      }
+      return w.with(Oip.request(f.message(), f.body()));
+    }
+
+    private void answered(Head head, byte[] body) {
+      giveBack(worker, connection, head);
+      boolean neverRan = "no".equals(head.get(Oip.RAN));
+      Outcome outcome = AttemptFate.of(progress, Ending.RESPONSE, head.status(), neverRan);
+      byte[] result = null;
+      if (outcome == Outcome.OK) {
+        try {
+          result = Oip.content(body).data();
+        } catch (IllegalArgumentException e) {
+          LOG.warn("runner {} answered what is not an inference response: {}", worker, e.getMessage());
+          outcome = Outcome.ERROR;
+        }
+      }
+      report(outcome, head, result);
+    }
+
+    private void end(Ending ending) {
+      Ending told = isCancelled() ? Ending.CANCELLED : ending;
+      synchronized (this) {
+        if (connection != null) {
+          connection.abort();
+        }
+      }
+      report(AttemptFate.of(progress, told, 0, false), null, null);
+    }
+
+    private void report(Outcome outcome, Head head, byte[] result) {
+      out.computeIfPresent(call, (c, all) -> {
+        all.remove(number);
+        return all.isEmpty() ? null : all;
+      });
+      Note note = head == null ? Note.NONE : note(head.get(Oip.COPY));
+      Map<String, Double> load = head == null ? Map.of() : LoadReport.parse(head.get(LoadReport.HEADER));
+      core.attemptEnded(new AttemptEnd(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
+    }
+  }
+
+  private static Note note(String copy) {
+    return copy == null ? Note.NONE : switch (copy) {
+      case "found" -> Note.WARM;
+      case "began" -> Note.BEGAN;
+      case "awaited" -> Note.WAITED;
+      case "load-failed" -> Note.LOAD_FAILED;
+      default -> Note.NONE;
+    };
+  }
+
+  private static int crowd(Head head) {
+    String crowd = head.get(Oip.CROWD);
+    return crowd != null && crowd.matches("[0-9]{1,6}") ? Integer.parseInt(crowd) : -1;
+  }
+
+  private Loaded order(String worker, String function, int copies, long began) {
+    Progress progress = Progress.CONNECTING;
+    long until = began + settings.order();
+    InetSocketAddress address = addresses.apply(worker);
+    try (HttpConnection connection = address == null ? null
+        : HttpConnection.open(address, settings.connect() / 1000, limits)) {
+      boolean open;
+      synchronized (gate) {
+        open = connection != null && gate.orderMayLeave(worker, Clock.micros());
+      }
+      if (!open) {
+        return loaded(worker, function, 0, connection == null ? Outcome.CONNECT_FAILED : Outcome.MOOT, began);
+      }
+      progress = Progress.LEAVING;
+      connection.write(HeadWriter.request("POST", Oip.loadTarget(function), worker)
+          .field("Content-Type", "application/json").field("Connection", "close").field(Oip.EDGE, settings.edge())
+          .with(Oip.loadRequest(copies)));
+      Head head = connection.readResponse(until);
+      byte[] body = connection.readBody(BodyParser.forResponse(head, limits), until);
+      Outcome outcome = AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, head.status(),
+          "no".equals(head.get(Oip.RAN)));
+      return loaded(worker, function, Oip.copiesIn(outcome == Outcome.OK ? body : NOTHING), outcome, began);
+    } catch (SocketTimeoutException e) {
+      return loaded(worker, function, 0, AttemptFate.of(progress, Ending.TIMED_OUT, 0, false), began);
+    } catch (IOException | BadMessage | IllegalArgumentException e) {
+      return loaded(worker, function, 0, AttemptFate.of(progress, Ending.BROKEN, 0, false), began);
+    }
+  }
+
+  private static Loaded loaded(String worker, String function, int copies, Outcome outcome, long began) {
+    return new Loaded(worker, function, outcome == Outcome.OK ? copies : 0, outcome, Clock.micros() - began);
+  }
+
+  /** The newest kept connection that this call may use and whose other side still stands; null where there is none. */
+  private HttpConnection borrow(String worker, Effect effect) {
+    ArrayDeque<Kept> kept = idle.get(worker);
+    while (kept != null) {
+      Kept newest;
+      synchronized (kept) {
+        newest = kept.pollLast();
+      }
+      if (newest == null) {
+        return null;
+      }
+      long age = Clock.micros() - newest.since();
+      if (ConnectionChoice.mayReuse(effect, age, settings.connectionIdle(), settings.unsafeConnectionIdle())
+          && !newest.connection().peerGone() && !newest.connection().hasUnreadBytes()) {
+        return newest.connection();
+      }
+      boolean onlyTooOldForThis = effect == Effect.UNSAFE
+          && ConnectionChoice.mayReuse(Effect.SAFE, age, settings.connectionIdle(), 0);
+      if (onlyTooOldForThis) {
+        keep(kept, newest);
+        return null;
+      }
+      newest.connection().close();
+    }
+    return null;
+  }
+
+  private static void keep(ArrayDeque<Kept> kept, Kept connection) {
+    synchronized (kept) {
+      kept.addLast(connection);
+    }
+  }
+
+  private void giveBack(String worker, HttpConnection connection, Head head) {
+    if (head.keepsConnection() && !connection.hasUnreadBytes()) {
+      keep(idle.computeIfAbsent(worker, w -> new ArrayDeque<>()), new Kept(connection, Clock.micros()));
+    } else {
+      connection.close();
+    }
+  }
+
+  /** Closes kept connections that were idle too long or whose worker is gone; called now and then. */
+  public void tidy() {
+    long now = Clock.micros();
+    idle.forEach((worker, kept) -> {
+      synchronized (kept) {
+        while (!kept.isEmpty() && (addresses.apply(worker) == null
+            || now - kept.peekFirst().since() >= settings.connectionIdle())) {
+          kept.pollFirst().connection().close();
+        }
+      }
+    });
+    idle.keySet().removeIf(worker -> addresses.apply(worker) == null);
+  }
+
+  @Override
+  public void close() {
+    threads.shutdownNow();
+    out.values().forEach(all -> all.values().forEach(Exchange::cancel));
+    idle.values().forEach(kept -> {
+      synchronized (kept) {
+        kept.forEach(k -> k.connection().close());
+        kept.clear();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -0,0 +1,216 @@
+package gorseladder.testbed;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Rules;
+import gorseladder.testbed.Tap.Arrival;
+import gorseladder.testbed.Tap.Order;
+import gorseladder.testbed.Tap.Start;
+import gorseladder.testbed.Tap.Told;
+import gorseladder.testbed.Tap.Try;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Judges the five rules from a {@link Tap} alone, after the day. Pure; it knows the rules' figures and the classes'
+ * repeat window, nothing of an edge. Slack stands for what a machine's own scheduling adds between a socket and the tap.
+ */
+public final class RuleChecker {
+  /** One break of a rule. */
+  public record Break(int rule, String text) {
+    @Override
+    public String toString() {
+      return "rule " + rule + ": " + text;
+    }
+  }
+
+  private final Tap tap;
+  private final Rules rules;
+  private final long repeatWindow;
+  private final long slack;
+  private final List<Break> breaks = new ArrayList<>();
+
+  private RuleChecker(Tap tap, Rules rules, long repeatWindow, long slack) {
+    this.tap = tap;
+    this.rules = rules;
+    this.repeatWindow = repeatWindow;
+    this.slack = slack;
+  }
+
+  /** Every break found. */
+  public static List<Break> check(Tap tap, Rules rules, long repeatWindow, long slack) {
+    RuleChecker checker = new RuleChecker(tap, rules, repeatWindow, slack);
+    synchronized (tap) {
+      checker.answers();
+      checker.effects();
+      checker.drains();
+      checker.coldRunners();
+      checker.orders();
+    }
+    return checker.breaks;
+  }
+
+  private void broke(int rule, String text) {
+    breaks.add(new Break(rule, text));
+  }
+
+  private boolean edgeWasDown(Try t) {
+    return tap.downs.stream()
+        .anyMatch(d -> d.edge() == t.edge && d.from() <= t.sentAt + t.patience + slack && d.to() >= t.sentAt);
+  }
+
+  private static <T> Map<String, List<T>> group(List<T> all, Function<T, String> by) {
+    return all.stream().collect(Collectors.groupingBy(by, HashMap::new, Collectors.toList()));
+  }
+
+  /** Rule 1: one final answer in time, and nothing sent for a message after it. */
+  private void answers() {
+    for (Try t : tap.tries) {
+      if (t.unreached || edgeWasDown(t)) {
+        continue;
+      }
+      if (t.statuses.isEmpty()) {
+        broke(1, t.message + " got no answer from edge " + t.edge + (t.broken ? ", the connection broke" : ""));
+      } else if (t.statuses.size() > 1) {
+        broke(1, t.message + " got " + t.statuses.size() + " answers " + t.statuses);
+      } else if (t.answeredAt > t.sentAt + t.patience + slack) {
+        broke(1, t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000 + " ms too late");
+      }
+    }
+    Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
+    for (Arrival a : tap.arrivals) {
+      List<Try> of = tries.getOrDefault(a.message, List.of());
+      boolean wanted = of.stream().anyMatch(t -> t.sentAt <= a.at
+          && (t.statuses.isEmpty() || edgeWasDown(t) || a.at <= t.answeredAt + slack));
+      if (!wanted) {
+        broke(1, a.message + " was sent to " + a.runner + " after its final answer");
+      }
+    }
+  }
+
+  /** Rule 2: no effect twice, and a refusal only where nothing ran. */
+  private void effects() {
+    Map<String, List<Arrival>> arrivals = group(tap.arrivals, a -> a.message);
+    Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
+    arrivals.forEach((message, all) -> {
+      Effect effect = tries.containsKey(message) ? tries.get(message).get(0).effect : Effect.UNSAFE;
+      if (effect != Effect.SAFE) {
+        all.sort(Comparator.comparingLong(a -> a.at));
+        repeats(message, effect, all);
+        if (effect == Effect.UNSAFE) {
+          refusals(message, all, tries.getOrDefault(message, List.of()));
+        }
+      }
+    });
+  }
+
+  private static boolean provenNeverRan(Arrival a, long by) {
+    return a.saidNeverRan && a.endedAt <= by && !a.ran;
+  }
+
+  private void repeats(String message, Effect effect, List<Arrival> all) {
+    long runs = all.stream().filter(a -> a.ran).count();
+    if (runs > 1) {
+      broke(2, message + " ran " + runs + " times");
+    }
+    for (int i = 1; i < all.size(); i++) {
+      Arrival later = all.get(i);
+      for (Arrival earlier : all.subList(0, i)) {
+        boolean mayHaveRun = !provenNeverRan(earlier, later.at);
+        if (mayHaveRun && effect == Effect.UNSAFE) {
+          broke(2, message + " was sent to " + later.runner + " though it may have run at " + earlier.runner);
+          return;
+        }
+        if (mayHaveRun && later.at > earlier.at + repeatWindow + slack) {
+          broke(2, message + " was sent again after its repeat window");
+          return;
+        }
+      }
+    }
+  }
+
+  private void refusals(String message, List<Arrival> all, List<Try> tries) {
+    for (Try t : tries) {
+      boolean refused = t.retryAfter && !t.statuses.isEmpty();
+      if (refused && all.stream().anyMatch(a -> a.at < t.answeredAt && !provenNeverRan(a, t.answeredAt))) {
+        broke(2, message + " was refused as harmless though it may have run");
+      }
+    }
+  }
+
+  /** Rule 3: after the grace of a drain nothing new, call or order. */
+  private void drains() {
+    Map<String, List<Told>> words = group(tap.told, t -> t.edge() + " " + t.runner());
+    words.values().forEach(list -> list.sort(Comparator.comparingLong(Told::at)));
+    for (Arrival a : tap.arrivals) {
+      drain(words.getOrDefault(a.edge + " " + a.runner, List.of()), a.at, "call " + a.message, a.runner);
+    }
+    for (Order o : tap.orders) {
+      if (o.copies() > 0) {
+        drain(words.getOrDefault(o.edge() + " " + o.runner(), List.of()), o.at(), "order for " + o.function(),
+            o.runner());
+      }
+    }
+  }
+
+  private void drain(List<Told> words, long at, String what, String runner) {
+    long closedSince = -1;
+    for (Told word : words) {
+      if (word.at() > at) {
+        break;
+      }
+      closedSince = word.phase() == Phase.RUNNING ? -1 : closedSince < 0 ? word.at() : closedSince;
+    }
+    if (closedSince >= 0 && at > closedSince + rules.drainGrace() + slack) {
+      broke(3, what + " reached " + runner + " " + (at - closedSince) / 1000 + " ms after its drain was told");
+    }
+  }
+
+  /** Rule 4: in no window does a cold runner get more than the multiple of what it can do then. */
+  private void coldRunners() {
+    Map<String, List<Arrival>> arrivals = group(tap.arrivals, a -> a.runner);
+    for (Start start : tap.starts) {
+      List<Arrival> cold = arrivals.getOrDefault(start.runner(), List.of()).stream()
+          .filter(a -> a.at >= start.at() && a.at <= start.at() + rules.coldFor())
+          .sorted(Comparator.comparingLong(a -> a.at)).toList();
+      double sum = 0;
+      int first = 0;
+      for (Arrival a : cold) {
+        sum += a.work;
+        while (cold.get(first).at <= a.at - rules.overloadFor()) {
+          sum -= cold.get(first++).work;
+        }
+        double warmth = rules.coldFrom() + (1 - rules.coldFrom()) * (a.at - start.at()) / rules.coldFor();
+        double most = rules.overloadMultiple() * start.capacity() * warmth * rules.overloadFor();
+        if (sum > most + 2 * a.work) {
+          broke(4, start.runner() + " was sent " + Math.round(sum / 1000) + " ms of work in a window for "
+              + Math.round(most / 1000) + " while cold");
+          break;
+        }
+      }
+    }
+  }
+
+  /** Rule 5: load orders within the ration; calls are counted from a little before the window, for the tap's slack. */
+  private void orders() {
+    if (rules.loadWindow() == 0) {
+      return;
+    }
+    List<Order> counted = tap.orders.stream().filter(o -> o.copies() > 0)
+        .sorted(Comparator.comparingLong(Order::at)).toList();
+    for (Order o : counted) {
+      long from = o.at() - rules.loadWindow();
+      long within = counted.stream().filter(p -> p.edge() == o.edge() && p.at() > from + slack && p.at() <= o.at()).count();
+      long taken = tap.tries.stream()
+          .filter(t -> t.edge == o.edge() && t.sentAt > from - slack && t.sentAt <= o.at()).count();
+      if (within > rules.loadsFree() + rules.loadShare() * taken) {
+        broke(5, "edge " + o.edge() + " ordered " + within + " loads with " + taken + " calls taken");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -0,0 +1,329 @@
+package gorseladder.testbed;
+
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Rules;
+import gorseladder.config.SettingsFile;
+import gorseladder.edge.Edge;
+import gorseladder.edge.EdgeMain;
+import gorseladder.runtime.Clock;
+import gorseladder.testbed.script.DayScript;
+import gorseladder.wire.json.Json;
+import gorseladder.wire.webhook.Secret;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Edges, stand-in runners, archive and list on loopback. Edges run in processes of their own, or in this one for tests. */
+public final class World implements Closeable {
+  /** The path of every world's endpoint. */
+  public static final String PATH = "/hooks/portal";
+  public static final long AIM = 1_000_000;
+  public static final long DEADLINE = 3_000_000;
+  public static final long REPEAT_WINDOW = 8_000_000;
+  private static final long STARTS_WITHIN = 30_000;
+
+  private final DayScript script;
+  private final Path directory;
+  private final boolean processes;
+  private final Tap tap = new Tap();
+  private final String secret;
+  private final Archive archive;
+  private final ListStandIn list;
+  private final List<StandInRunner> runners = new ArrayList<>();
+  private final List<EdgeSlot> edges = new ArrayList<>();
+  private final Rules rules;
+
+  /** One edge's place: its ports and settings stay, its process comes and goes. */
+  private final class EdgeSlot {
+    private final int number;
+    private final InetSocketAddress address;
+    private final int peerPort;
+    private Path settings;
+    private Process process;
+    private Edge edge;
+
+    EdgeSlot(int number) throws IOException {
+      this.number = number;
+      try (ServerSocket tcp = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+          DatagramSocket udp = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+        address = new InetSocketAddress("127.0.0.1", tcp.getLocalPort());
+        peerPort = udp.getLocalPort();
+      }
+    }
+
+    void start() throws IOException {
+      if (!processes) {
+        SettingsFile loaded = Edge.load(settings);
+        if (!loaded.faults().isEmpty()) {
+          throw new IOException(loaded.faults().toString());
+        }
+        edge = new Edge(loaded.settings());
+        return;
+      }
+      String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+      process = new ProcessBuilder(java, "-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp",
+          System.getProperty("java.class.path"), EdgeMain.class.getName(), settings.toString())
+          .redirectError(ProcessBuilder.Redirect.appendTo(directory.resolve("edge-" + number + ".err").toFile())).start();
+    }
+
+    void awaitReady() throws IOException {
+      if (process == null) {
+        return;
+      }
+      BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+      long until = System.currentTimeMillis() + STARTS_WITHIN;
+      for (String line = out.readLine(); line != null && System.currentTimeMillis() < until; line = out.readLine()) {
+        if (line.contains("\"ready\":true")) {
+          Process mine = process;
+          gorseladder.runtime.Threads.start("edge-out", 128 << 10, () -> drain(mine, out, logFile()));
+          return;
+        }
+      }
+      throw new IOException("edge " + number + " did not start: "
+          + Files.readString(directory.resolve("edge-" + number + ".err")).lines().limit(3).toList());
+    }
+
+    private Path logFile() {
+      return directory.resolve("edge-" + number + ".log");
+    }
+
+    void kill() throws InterruptedException {
+      if (process != null) {
+        process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+      } else if (edge != null) {
+        edge.close();
+      }
+    }
+
+    void stop() throws InterruptedException {
+      if (process != null) {
+        process.destroy();
+        if (!process.waitFor(15, TimeUnit.SECONDS)) {
+          process.destroyForcibly();
+        }
+      } else if (edge != null) {
+        edge.stop();
+      }
+    }
+  }
+
+  private static void drain(Process process, BufferedReader out, Path to) {
+    try (var log = Files.newBufferedWriter(to, java.nio.file.StandardOpenOption.CREATE,
+        java.nio.file.StandardOpenOption.APPEND)) {
+      for (String line = out.readLine(); line != null; line = out.readLine()) {
+        log.write(line);
+        log.newLine();
+      }
+    } catch (IOException e) {
+      // The process ended.
+    }
+  }
+
+  /**
+   * Builds a world by a script's settings and starts it.
+   *
+   * @param processes true for edges in processes of their own, which can be killed outright
+   * @param runnerLog hears a line for each infer request that began at a runner
+   */
+  public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog)
+      throws IOException {
+    this.script = script;
+    this.directory = directory;
+    this.processes = processes;
+    Files.createDirectories(directory);
+    byte[] key = new byte[32];
+    new Random(script.count("seed")).nextBytes(key);
+    secret = "whsec_" + Base64.getEncoder().encodeToString(key);
+    boolean loadsOnMiss = script.number("on_miss") > 0;
+    rules = new Rules(500_000, 0.2, 6_000_000, 2.5, 1_500_000, 4, 0.3, loadsOnMiss ? 0 : 5_000_000);
+    int count = script.count("runners");
+    archive = new Archive(Math.max(4, count), Math.max(20, 4 * count));
+    list = new ListStandIn(tap, (long) script.number("list_late"));
+    StandInRunner.KeyMemory keys = new StandInRunner.KeyMemory();
+    for (int i = 0; i < count; i++) {
+      StandInRunner.Nature nature = new StandInRunner.Nature("hus-" + "abc".charAt(i % 3), i / 4, script.count("cores"),
+          i % 3 == 2 ? 0.7 : 1, 6_000, 64, (long) script.number("work"), (long) script.number("load"), 8_000_000,
+          loadsOnMiss, true, REPEAT_WINDOW, rules);
+      runners.add(new StandInRunner(nature, archive, keys, tap, script.count("seed") * 1000L + i, runnerLog));
+      list.set(runners.get(i), Phase.RUNNING, false, true);
+    }
+    for (int i = 0; i < script.count("edges"); i++) {
+      edges.add(new EdgeSlot(i));
+    }
+    for (EdgeSlot slot : edges) {
+      slot.settings = directory.resolve("edge-" + slot.number + ".txtpb");
+      Files.writeString(slot.settings, settings(slot));
+      slot.start();
+    }
+    for (EdgeSlot slot : edges) {
+      slot.awaitReady();
+    }
+  }
+
+  private String settings(EdgeSlot slot) {
+    StringBuilder peers = new StringBuilder();
+    edges.stream().filter(e -> e != slot).forEach(e -> peers.append("  peer: \"127.0.0.1:").append(e.peerPort)
+        .append("\"\n"));
+    return String.format(Locale.ROOT, """
+        # Written for this world; a complete example of an edge's settings.
+        listen: "127.0.0.1:%d"
+        ordinal: %d
+        edges: %d
+        zone: "hus-a"
+        data_directory: "%s"
+        request_class { name: "safe" effect: SAFE aim_ms: %d deadline_ms: %d worth: 3 lanes: %d }
+        request_class {
+          name: "keyed" effect: KEYED aim_ms: %d deadline_ms: %d worth: 3 lanes: %d
+          group: ALL repeat_window_ms: %d
+        }
+        request_class { name: "unsafe" effect: UNSAFE aim_ms: %d deadline_ms: %d worth: 2 lanes: %d }
+        tenant { name: "bygg-sektion" share: 1 }
+        endpoint {
+          path: "%s"
+          tenant: "bygg-sektion"
+          secret: "%s"
+          route { type: "hours.read" request_class: "safe" }
+          route { type: "assessment.saved" request_class: "keyed" }
+          route { type: "certificate.issued" request_class: "unsafe" }
+        }
+        runners { loads_on_miss: %b keep_alive_ms: 8000 }
+        rules {
+          drain_grace_ms: %d cold_from: %f cold_ms: %d overload_multiple: %f overload_ms: %d
+          loads_free: %f load_share: %f load_window_ms: %d
+        }
+        worker_list { address: "%s" service: "runners" wait_ms: 2000 }
+        peers {
+          listen: "127.0.0.1:%d"
+        %s}
+        allow_network: "127.0.0.0/8"
+        log { form: JSON level: "INFO" }
+        """, slot.address.getPort(), slot.number, edges.size(), directory.resolve("data-" + slot.number),
+        AIM / 1000, DEADLINE / 1000, script.count("lanes"), AIM / 1000, DEADLINE / 1000, script.count("lanes"),
+        REPEAT_WINDOW / 1000, AIM / 1000, DEADLINE / 1000, script.count("lanes"), PATH, secret,
+        script.number("on_miss") > 0, rules.drainGrace() / 1000, rules.coldFrom(), rules.coldFor() / 1000,
+        rules.overloadMultiple(), rules.overloadFor() / 1000, rules.loadsFree(), rules.loadShare(),
+        rules.loadWindow() / 1000, list.address(), slot.peerPort, peers);
+  }
+
+  public Tap tap() {
+    return tap;
+  }
+
+  public Rules rules() {
+    return rules;
+  }
+
+  public String secret() {
+    return secret;
+  }
+
+  public List<StandInRunner> runners() {
+    return List.copyOf(runners);
+  }
+
+  public ListStandIn list() {
+    return list;
+  }
+
+  public Archive archive() {
+    return archive;
+  }
+
+  /** How many edges there are, running or not. */
+  public int edges() {
+    return edges.size();
+  }
+
+  /** Where an edge takes webhooks. */
+  public InetSocketAddress edge(int number) {
+    return edges.get(number).address;
+  }
+
+  /** An edge in this process, for tests that look inside. */
+  public Edge inside(int number) {
+    return edges.get(number).edge;
+  }
+
+  /** The settings file of an edge. */
+  public Path settings(int number) {
+    return edges.get(number).settings;
+  }
+
+  /** Clients for this world. */
+  public Portal portal() {
+    return new Portal(PATH, Secret.parse(secret), this::edge, tap);
+  }
+
+  /** Kills an edge outright and starts it again after so many milliseconds. */
+  public void restartEdge(int number, long downMillis) throws IOException, InterruptedException {
+    EdgeSlot slot = edges.get(number);
+    long from = Clock.micros();
+    slot.kill();
+    Thread.sleep(downMillis);
+    slot.start();
+    slot.awaitReady();
+    tap.down(new Tap.Down(number, from, Clock.micros()));
+  }
+
+  /** Stops an edge in order; its calls are answered first. */
+  public void stopEdge(int number) throws InterruptedException {
+    edges.get(number).stop();
+  }
+
+  /** The ready line of {@code up}. */
+  public String ready(File runnerLog) {
+    Map<String, Object> types = new java.util.LinkedHashMap<>();
+    types.put("safe", "hours.read");
+    types.put("keyed", "assessment.saved");
+    types.put("unsafe", "certificate.issued");
+    Map<String, Object> line = new java.util.LinkedHashMap<>();
+    line.put("ready", true);
+    line.put("edges", edges.stream().map(e -> "127.0.0.1:" + e.address.getPort()).toList());
+    line.put("path", PATH);
+    line.put("secret", secret);
+    line.put("types", types);
+    line.put("runnerLog", runnerLog.getAbsolutePath());
+    return Json.write(line);
+  }
+
+  /** Stops the edges in order, then the stand-ins. */
+  @Override
+  public void close() {
+    List<Thread> stops = new ArrayList<>();
+    for (EdgeSlot slot : edges) {
+      stops.add(gorseladder.runtime.Threads.start("stop", 256 << 10, () -> {
+        try {
+          slot.stop();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }));
+    }
+    for (Thread t : stops) {
+      try {
+        t.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    runners.forEach(StandInRunner::close);
+    list.close();
+  }
+}
