--- a/app/src/main/java/gorseladder/app/Up.java
+++ b/app/src/main/java/gorseladder/app/Up.java
@@ -10,14 +10,15 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
 
 /** {@code up}: a world to try against, until it is stopped. */
 @Command(name = "up", mixinStandardHelpOptions = true,
-    description = "Hold edges, stand-in runners, list and archive in the foreground. Prints one line of JSON when ready; "
-        + "SIGINT or SIGTERM stops it in order.")
+    description = "Hold edges, stand-in runners, list and archive in the foreground. Prints one line of JSON when ready. "
+        + "An edge that is killed is started again at its address; SIGINT or SIGTERM stops all in order.")
 final class Up implements Callable<Integer> {
   @Option(names = "--edges", defaultValue = "1", description = "Edges, each a process (default ${DEFAULT-VALUE}).")
   private int edges;
@@ -48,7 +49,9 @@
         World world = new World(script, directory, true, line -> write(log, line))) {
       System.out.println(world.ready(runnerLog.toFile()));
       System.out.flush();
-      stop.await();
+      while (!stop.await(200, TimeUnit.MILLISECONDS)) {
+        world.revive();
+      }
     }
     return Main.GOOD;
   }
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -0,0 +1,55 @@
+package gorseladder.attempts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.attempts.AttemptFate.Progress;
+import org.junit.jupiter.api.Test;
+
+class AttemptsTest {
+  /** Every combination: never ran is claimed only before the first byte, or on the runner's word. */
+  @Test
+  void neverRanIsClaimedOnlyWithProof() {
+    for (Progress progress : Progress.values()) {
+      for (Ending ending : Ending.values()) {
+        for (int status = 100; status < 600; status += 1) {
+          for (boolean says : new boolean[] {true, false}) {
+            boolean left = progress.compareTo(Progress.LEAVING) >= 0;
+            boolean answer = ending == Ending.RESPONSE || ending == Ending.MALFORMED;
+            int code = status;
+            if (!left && answer) {
+              assertThrows(IllegalArgumentException.class, () -> AttemptFate.of(progress, ending, code, says));
+              continue;
+            }
+            Outcome outcome = AttemptFate.of(progress, ending, status, says);
+            boolean proof = !left || ending == Ending.RESPONSE && says && (status < 200 || status >= 300);
+            assertEquals(proof, outcome.neverRan, progress + " " + ending + " " + status + " " + says);
+          }
+        }
+      }
+    }
+  }
+
+  @Test
+  void responses() {
+    assertEquals(Outcome.OK, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 200, false));
+    assertEquals(Outcome.MISS, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 404, true));
+    assertEquals(Outcome.FULL, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 429, true));
+    assertEquals(Outcome.ERROR, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 429, false));
+    assertEquals(Outcome.ERROR, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 503, false));
+  }
+
+  @Test
+  void unsafeCallsTakeOnlyFreshConnections() {
+    assertTrue(ConnectionChoice.mayReuse(Effect.SAFE, 99, 100, 0));
+    assertFalse(ConnectionChoice.mayReuse(Effect.SAFE, 100, 100, 0));
+    assertFalse(ConnectionChoice.mayReuse(Effect.UNSAFE, 0, 100, 0));
+    assertTrue(ConnectionChoice.mayReuse(Effect.UNSAFE, 9, 100, 10));
+    assertFalse(ConnectionChoice.mayReuse(Effect.UNSAFE, 10, 100, 10));
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/gate/SendGateTest.java
@@ -0,0 +1,66 @@
+package gorseladder.gate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Rules;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SendGateTest {
+  private static final Rules RULES = new Rules(500, 0.2, 1000, 2.5, 100, 2, 0.3, 5000);
+
+  @Test
+  void closesAtTheNewsAndOpensOnlyForNewerNews() {
+    SendGate gate = new SendGate(RULES);
+    assertTrue(gate.callMayLeave("w"));
+    gate.told("w", Phase.DRAINING, 100);
+    assertFalse(gate.callMayLeave("w"));
+    assertFalse(gate.orderMayLeave("w", 101));
+    assertTrue(gate.callMayLeave("v"));
+    gate.told("w", Phase.RUNNING, 90);
+    assertFalse(gate.callMayLeave("w"), "older news opened it");
+    gate.told("w", Phase.RUNNING, 200);
+    assertTrue(gate.callMayLeave("w"));
+    gate.told("w", Phase.GONE, 300);
+    gate.forget("w");
+    assertTrue(gate.callMayLeave("w"));
+    assertEquals(2, gate.refusedCalls());
+    assertEquals(1, gate.refusedOrders());
+  }
+
+  /** Against a count over all that happened: no window ever holds more orders than few plus share of calls. */
+  @Test
+  void theRationHoldsInEveryWindow() {
+    Random random = new Random(4);
+    SendGate gate = new SendGate(RULES);
+    List<Long> taken = new ArrayList<>();
+    List<Long> ordered = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += random.nextInt(400);
+      if (random.nextInt(3) > 0) {
+        gate.taken(now);
+        taken.add(now);
+      } else if (gate.orderMayLeave("w", now)) {
+        ordered.add(now);
+        long from = now - 5000;
+        long orders = ordered.stream().filter(t -> t > from).count();
+        assertTrue(orders <= 2 + 0.3 * taken.stream().filter(t -> t > from).count());
+      }
+    }
+    assertTrue(ordered.size() > 1000 && gate.refusedOrders() > 1000);
+  }
+
+  @Test
+  void withoutAWindowOrdersAreFree() {
+    SendGate gate = new SendGate(new Rules(500, 0.2, 1000, 2.5, 100, 0, 0, 0));
+    for (int i = 0; i < 100; i++) {
+      assertTrue(gate.orderMayLeave("w", i));
+    }
+  }
+}
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -282,6 +282,21 @@
     tap.down(new Tap.Down(number, from, Clock.micros()));
   }
 
+  /** Starts again every edge whose process was ended from outside. */
+  public void revive() throws IOException {
+    for (EdgeSlot slot : edges) {
+      if (slot.process != null && !slot.process.isAlive()) {
+        slot.start();
+        slot.awaitReady();
+      }
+    }
+  }
+
+  /** The process of an edge, for tests that kill it at a moment of their own. */
+  public Process process(int number) {
+    return edges.get(number).process;
+  }
+
   /** Stops an edge in order; its calls are answered first. */
   public void stopEdge(int number) throws InterruptedException {
     edges.get(number).stop();
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -0,0 +1,75 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.testbed.script.DayScript;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Thousands of calls with troubles; the rules are judged from the sockets alone. */
+class BadDaysTest {
+  @TempDir
+  Path dir;
+
+  private Play.Verdict play(String script, boolean processes) throws Exception {
+    DayScript day = DayScript.parse(script);
+    try (World world = new World(day, dir, processes, line -> { })) {
+      Play.Verdict verdict = new Play(day, world).run(null);
+      assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
+      return verdict;
+    }
+  }
+
+  @Test
+  void tenThousandCallsOnABadDayGetExactlyOneFinalAnswerEach() throws Exception {
+    Play.Verdict verdict = play("""
+        day = 25s; seed = 3; edges = 2; runners = 12; functions = 8; rate = 400; work = 15ms; load = 150ms;
+        at 1s for 3s hang 2; at 3s for 3s slow 25% by 5; at 5s for 3s crash 2; at 6s for 2s fast_errors 2;
+        at 8s for 4s drain 2; at 10s for 3s list_behind; at 11s for 2s reset 3; at 13s for 2s scan 5%;
+        at 14s for 3s vanish 2; at 16s for 2s throttle 50%; at 18s for 2s stale 50%; at 19s for 3s ageing 1 by 2;
+        at 20s for 2s retry_abuse; at 21s for 2s slow_handshake 25%;
+        """, false);
+    assertTrue(verdict.totals().calls.get() > 9_000, "calls " + verdict.totals().calls);
+    Portal.Totals t = verdict.totals();
+    assertEquals(t.calls.get(), t.served.get() + t.refused.get() + t.failed.get() + t.unreached.get());
+  }
+
+  @Test
+  void edgesKilledAgainAndAgainAnswerTheirSendersRetries() throws Exception {
+    play("""
+        day = 9s; seed = 5; edges = 2; runners = 6; functions = 4; rate = 80; work = 40ms; unsafe = 60%;
+        at 1500ms restart_edges 1; at 4s restart_edges 2; at 2s for 2s hang 1;
+        """, true);
+  }
+
+  @Test
+  void loadOrdersStayRationedOnSockets() throws Exception {
+    play("""
+        day = 10s; seed = 9; edges = 2; runners = 8; functions = 20; rate = 60; on_miss = 0;
+        at 2s for 3s scan 30%; at 4s for 2s crash 2; at 6s for 3s drain 1;
+        """, false);
+  }
+
+  @Test
+  void scriptsNameTheirFaults() throws Exception {
+    assertEquals("1:1: no setting is called 'dya'", message("dya = 3s;").substring(0, 31));
+    assertTrue(message("day = 3;").contains("1:1: day needs a time"));
+    assertTrue(message("rate = 3;\nat 1s burts by 2;").startsWith("2:1: no trouble is called 'burts'"));
+    assertTrue(message("at 1s hang 200%;").contains("100%"));
+    assertTrue(message("at 1s\nfor hang;").startsWith("2:"));
+    assertEquals(List.of(2, 1), DayScript.parse("at 1s hang 15%; at 2s hang 1;").troubles().stream()
+        .map(t -> t.of(12)).toList());
+  }
+
+  private static String message(String script) {
+    try {
+      DayScript.parse(script);
+      return "";
+    } catch (DayScript.BadScript e) {
+      return e.getMessage();
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -0,0 +1,211 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Phase;
+import gorseladder.store.Ledger;
+import gorseladder.store.LedgerEntry;
+import gorseladder.store.LedgerEntry.Stage;
+import gorseladder.testbed.script.DayScript;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The cases in which an effect could happen twice or an answer be lost, each caused on sockets. */
+class HardCasesTest {
+  private static final Portal.Kind SAFE = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+  private static final Portal.Kind KEYED = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(1);
+  private static final Portal.Kind UNSAFE = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
+
+  @TempDir
+  Path dir;
+
+  private World world;
+  private Portal portal;
+
+  private void world(String script) throws Exception {
+    world = new World(DayScript.parse(script + " edges = 1;"), dir, false, line -> { });
+    portal = world.portal();
+  }
+
+  @AfterEach
+  void close() {
+    if (world != null) {
+      List<RuleChecker.Break> breaks = RuleChecker.check(world.tap(), world.rules(), World.REPEAT_WINDOW, Play.SLACK);
+      world.close();
+      assertEquals(List.of(), breaks);
+    }
+  }
+
+  private Tap.Try send(String id, Portal.Kind kind, long stampShift) {
+    long stamp = System.currentTimeMillis() / 1000 + stampShift;
+    return portal.attempt(id, 0, kind, body(kind), stamp, kind.deadline());
+  }
+
+  private static byte[] body(Portal.Kind kind) {
+    return ("{\"type\":\"" + kind.type() + "\",\"data\":{\"function\":\"svc/x\"}}").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private long runs(String id) {
+    synchronized (world.tap()) {
+      return world.tap().arrivals.stream().filter(a -> a.message.endsWith(" " + id) && a.ran).count();
+    }
+  }
+
+  private long arrivals(String id) {
+    synchronized (world.tap()) {
+      return world.tap().arrivals.stream().filter(a -> a.message.endsWith(" " + id)).count();
+    }
+  }
+
+  @Test
+  void anIssuanceWhoseRunnerStopsAnsweringFailsAndNeverRunsTwice() throws Exception {
+    world("runners = 3;");
+    world.runners().forEach(r -> r.faults().hang = true);
+    Tap.Try first = send("msg_hang", UNSAFE, 0);
+    assertEquals(List.of(504), first.statuses);
+    assertFalse(first.retryAfter, "a failure promises nothing");
+    world.runners().forEach(r -> r.faults().hang = false);
+    Tap.Try second = send("msg_hang", UNSAFE, 1);
+    assertTrue(second.statuses.equals(List.of(502)) && second.reason.equals("failed_unknown_effect"), second.reason);
+    assertEquals(1, arrivals("msg_hang"));
+  }
+
+  @Test
+  void anIssuanceResetInTheMiddleOfItsAnswerIsNotRepeated() throws Exception {
+    world("runners = 3;");
+    world.runners().forEach(r -> r.faults().reset = true);
+    Tap.Try first = send("msg_reset", UNSAFE, 0);
+    assertEquals(List.of(502), first.statuses);
+    assertEquals("failed_reset", first.reason);
+    assertFalse(first.retryAfter);
+    world.runners().forEach(r -> r.faults().reset = false);
+    assertEquals(List.of(502), send("msg_reset", UNSAFE, 1).statuses);
+    assertEquals(1, runs("msg_reset"));
+  }
+
+  /** A safe call is tried elsewhere when a kept connection closes under it; an issuance never takes a kept connection. */
+  @Test
+  void aKeptConnectionThatClosesAsACallLeavesCostsNoIssuance() throws Exception {
+    world("runners = 3;");
+    for (int i = 0; i < 8; i++) {
+      assertEquals(List.of(200), send("msg_warm" + i, SAFE, 0).statuses);
+    }
+    world.runners().forEach(r -> r.faults().stale = true);
+    assertEquals(List.of(200), send("msg_issue", UNSAFE, 0).statuses);
+    assertEquals(1, runs("msg_issue"));
+    assertEquals(List.of(200), send("msg_read", SAFE, 0).statuses);
+  }
+
+  @Test
+  void replaysRepeatsAndConflicts() throws Exception {
+    world("runners = 2;");
+    assertEquals(List.of(200), send("msg_a", UNSAFE, 0).statuses);
+    long stamp = System.currentTimeMillis() / 1000 + 5;
+    assertEquals("served_again", portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).reason);
+    assertEquals(List.of(409), portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+    assertEquals(List.of(422), portal.attempt("msg_a", 0, UNSAFE, body(SAFE), stamp + 1, UNSAFE.deadline()).statuses);
+    world.restartEdge(0, 0);
+    assertEquals(List.of(409), portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+    assertEquals("served_again", portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp + 2, UNSAFE.deadline()).reason);
+    assertEquals(1, runs("msg_a"));
+  }
+
+  @Test
+  void aRetryWhileTheFirstIsOutJoinsIt() throws Exception {
+    world("runners = 2; work = 500ms;");
+    CompletableFuture<Tap.Try> first = CompletableFuture.supplyAsync(() -> send("msg_join", UNSAFE, 0));
+    Thread.sleep(200);
+    Tap.Try second = send("msg_join", UNSAFE, 1);
+    assertEquals(List.of(200), second.statuses);
+    assertEquals(List.of(200), first.get().statuses);
+    assertEquals(1, arrivals("msg_join"));
+  }
+
+  /** What a kill leaves in the ledger, at each point: before the record of leaving, after it, after the answer's record. */
+  @Test
+  void eachPointOfAKillIsAnsweredSafelyByTheNextProcess() throws Exception {
+    world("runners = 2;");
+    world.stopEdge(0);
+    long now = System.currentTimeMillis() * 1000;
+    try (Ledger ledger = Ledger.open(dir.resolve("data-0").resolve("ledger.mv"), false, 100)) {
+      for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
+        String name = kind.effect() == Effect.SAFE ? "safe" : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
+        byte[] content = content(name, kind);
+        LedgerEntry taken = new LedgerEntry(Stage.ACCEPTED, false, now, 0, now * 2, content, "", 0, null);
+        ledger.put(World.PATH + " msg_taken_" + name, taken);
+        ledger.put(World.PATH + " msg_left_" + name, taken.at(Stage.LEAVING, true, now));
+        ledger.put(World.PATH + " msg_old_" + name, taken.at(Stage.LEAVING, true, now - World.REPEAT_WINDOW));
+        ledger.put(World.PATH + " msg_served_" + name,
+            taken.at(Stage.LEAVING, true, now).ended(Stage.SERVED, true, "served", 200, "{}".getBytes()));
+      }
+    }
+    world.restartEdge(0, 0);
+    for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
+      String name = kind.effect() == Effect.SAFE ? "safe" : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
+      assertEquals("served", send("msg_taken_" + name, kind, 0).reason, name);
+      assertEquals(kind == UNSAFE ? "failed_unknown_effect" : "served", send("msg_left_" + name, kind, 0).reason, name);
+      assertEquals(kind == SAFE ? "served" : "failed_unknown_effect", send("msg_old_" + name, kind, 0).reason, name);
+      assertEquals("served_again", send("msg_served_" + name, kind, 0).reason, name);
+    }
+    assertEquals(0, arrivals("msg_left_unsafe"));
+  }
+
+  private static byte[] content(String requestClass, Portal.Kind kind) throws Exception {
+    MessageDigest sha = MessageDigest.getInstance("SHA-256");
+    sha.update((requestClass + "\0svc/x\0").getBytes(StandardCharsets.UTF_8));
+    return Arrays.copyOf(sha.digest(body(kind)), 16);
+  }
+
+  @Test
+  void twoStartsWithAnOldListStillServe() throws Exception {
+    world("runners = 6;");
+    assertEquals(List.of(200), send("msg_first", SAFE, 0).statuses);
+    world.list().behind(true);
+    for (int i = 0; i < 2; i++) {
+      world.runners().get(i).crash();
+      world.list().set(world.runners().get(i), Phase.GONE, false, true);
+      world.restartEdge(0, 0);
+      for (int j = 0; j < 10; j++) {
+        assertEquals(List.of(200), send("msg_old_" + i + "_" + j, j % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
+      }
+    }
+  }
+
+  @Test
+  void aDamagedLedgerIsAClearRefusalToStart() throws Exception {
+    world("runners = 1;");
+    world.stopEdge(0);
+    Path file = dir.resolve("data-0").resolve("ledger.mv");
+    byte[] bytes = Files.readAllBytes(file);
+    Files.write(file, new byte[bytes.length]);
+    java.io.ByteArrayOutputStream err = new java.io.ByteArrayOutputStream();
+    int code = gorseladder.edge.EdgeMain.run(world.settings(0), System.out, new java.io.PrintStream(err));
+    assertEquals(gorseladder.edge.EdgeMain.CANNOT_START, code);
+    assertTrue(err.toString().contains(file.toString()) && err.toString().contains("Way out"), err.toString());
+    Files.write(file, bytes);
+    world.restartEdge(0, 0);
+    assertEquals(List.of(200), send("msg_again", SAFE, 0).statuses);
+  }
+
+  @Test
+  void runnersThatOnlyLoadByOrderAreServedWithinTheRation() throws Exception {
+    world("runners = 4; on_miss = 0; list_late = 10ms;");
+    for (int i = 0; i < 10; i++) {
+      assertEquals(List.of(200), send("msg_order" + i, i % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
+    }
+    synchronized (world.tap()) {
+      assertTrue(!world.tap().orders.isEmpty());
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
@@ -0,0 +1,122 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.Rules;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The checker sees each break that it is there for, and nothing in a day without one. */
+class RuleCheckerTest {
+  private static final Rules RULES = new Rules(500, 0.2, 10_000, 2, 1000, 1, 0.5, 1000);
+  private final Tap tap = new Tap();
+
+  private List<Integer> rules() {
+    return RuleChecker.check(tap, RULES, 2000, 10).stream().map(RuleChecker.Break::rule).distinct().toList();
+  }
+
+  private Tap.Try answered(String message, Effect effect, long sent, long at, int... statuses) {
+    Tap.Try t = tap.sent(message, 0, effect, sent, 1000);
+    for (int status : statuses) {
+      t.statuses.add(status);
+    }
+    t.answeredAt = at;
+    return t;
+  }
+
+  private Tap.Arrival arrived(String message, String runner, long at, boolean ran, boolean never) {
+    Tap.Arrival a = tap.arrived(message, runner, 0, "f", at, 1);
+    a.ran = ran;
+    a.saidNeverRan = never;
+    a.endedAt = at + 5;
+    return a;
+  }
+
+  @Test
+  void aGoodDayHasNoBreak() {
+    answered("a", Effect.UNSAFE, 0, 100, 200);
+    arrived("a", "r1", 10, false, true);
+    arrived("a", "r2", 20, true, false);
+    answered("b", Effect.SAFE, 0, 100, 200);
+    arrived("b", "r1", 10, true, false);
+    arrived("b", "r2", 20, true, false);
+    tap.told(new Tap.Told(0, "r1", Phase.DRAINING, 50));
+    arrived("b", "r1", 60, true, false);
+    assertEquals(List.of(), rules());
+  }
+
+  @Test
+  void noAnswerTwoAnswersAndLateAnswers() {
+    answered("a", Effect.SAFE, 0, 0);
+    assertEquals(List.of(1), rules());
+    tap.tries.clear();
+    answered("a", Effect.SAFE, 0, 100, 200, 200);
+    assertEquals(List.of(1), rules());
+    tap.tries.clear();
+    answered("a", Effect.SAFE, 0, 1100, 200);
+    assertEquals(List.of(1), rules());
+    tap.tries.clear();
+    answered("a", Effect.SAFE, 0, 0);
+    tap.down(new Tap.Down(0, 500, 600));
+    assertEquals(List.of(), rules(), "what a killed edge held is the client's to retry");
+  }
+
+  @Test
+  void aSendAfterTheFinalAnswer() {
+    answered("a", Effect.SAFE, 0, 100, 503);
+    arrived("a", "r1", 200, true, false);
+    assertEquals(List.of(1), rules());
+  }
+
+  @Test
+  void unsafeCallsSentAgainOrRefusedThoughTheyMayHaveRun() {
+    answered("a", Effect.UNSAFE, 0, 100, 200);
+    arrived("a", "r1", 10, false, false);
+    arrived("a", "r2", 20, true, false);
+    assertEquals(List.of(2), rules());
+    tap.tries.clear();
+    tap.arrivals.clear();
+    Tap.Try refused = answered("a", Effect.UNSAFE, 0, 100, 503);
+    refused.retryAfter = true;
+    arrived("a", "r1", 10, false, false);
+    assertEquals(List.of(2), rules());
+  }
+
+  @Test
+  void keyedCallsOutsideTheirWindow() {
+    answered("a", Effect.KEYED, 0, 900, 200);
+    answered("a", Effect.KEYED, 2500, 2600, 200);
+    arrived("a", "r1", 10, true, false);
+    arrived("a", "r2", 2550, false, false);
+    assertEquals(List.of(2), rules());
+  }
+
+  @Test
+  void callsAndOrdersAfterADrain() {
+    tap.told(new Tap.Told(0, "r1", Phase.DRAINING, 0));
+    tap.ordered(new Tap.Order("r1", 0, "f", 1, 400));
+    assertEquals(List.of(), rules());
+    tap.ordered(new Tap.Order("r1", 0, "f", 0, 900));
+    assertEquals(List.of(), rules(), "asking does not count");
+    tap.ordered(new Tap.Order("r1", 0, "f", 1, 520));
+    assertEquals(List.of(3, 5), rules());
+    tap.orders.clear();
+    answered("a", Effect.SAFE, 600, 700, 200);
+    arrived("a", "r1", 650, true, false);
+    assertEquals(List.of(3), rules());
+    tap.told(new Tap.Told(0, "r1", Phase.RUNNING, 640));
+    assertEquals(List.of(), rules());
+  }
+
+  @Test
+  void aColdRunnerPushedOver() {
+    tap.started(new Tap.Start("r1", 0, 0.01));
+    for (int i = 0; i < 30; i++) {
+      answered("a" + i, Effect.SAFE, i * 10, i * 10 + 50, 200);
+      arrived("a" + i, "r1", i * 10 + 5, true, false);
+    }
+    assertEquals(List.of(4), rules());
+  }
+}
--- a/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
+++ b/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
@@ -24,7 +24,8 @@
     if (value == null || !value.startsWith("TEXT ")) {
       return report;
     }
-    for (String entry : value.substring(5).split(",")) {
+    for (String part : value.substring(5).split(",")) {
+      String entry = part.strip();
       int equals = entry.indexOf('=');
       if (equals <= 0 || report.size() >= MOST) {
         continue;
