--- a/decisions/src/main/java/gorseladder/gate/SendGate.java
+++ b/decisions/src/main/java/gorseladder/gate/SendGate.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * The last look before bytes leave: rules 3 and 5 on the socket rather than at the time of the decision.
@@ -40,9 +41,9 @@
     }
   }
 
-  /** Drops what is remembered of a worker that no list names any more and to which nothing waits. */
-  public void forget(String worker) {
-    closedSince.remove(worker);
+  /** Drops what is remembered of workers that are not named: no list has them and nothing waits for them. */
+  public void forgetUnless(Predicate<String> named) {
+    closedSince.keySet().removeIf(named.negate());
   }
 
   /** A call was taken; it earns its share of the load ration. */
--- a/decisions/src/test/java/gorseladder/gate/SendGateTest.java
+++ b/decisions/src/test/java/gorseladder/gate/SendGateTest.java
@@ -27,9 +27,11 @@
     gate.told("w", Phase.RUNNING, 200);
     assertTrue(gate.callMayLeave("w"));
     gate.told("w", Phase.GONE, 300);
-    gate.forget("w");
+    gate.told("u", Phase.GONE, 300);
+    gate.forgetUnless(worker -> worker.equals("u"));
+    assertFalse(gate.callMayLeave("u"));
     assertTrue(gate.callMayLeave("w"));
-    assertEquals(2, gate.refusedCalls());
+    assertEquals(3, gate.refusedCalls());
     assertEquals(1, gate.refusedOrders());
   }
 
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -99,7 +99,7 @@
     if (stopping) {
       return new Result(null, false, at(Reason.STOPPING));
     }
-    TakenCall call;
+    TakenCall call = null;
     long ticket;
     try {
       synchronized (stripes[Math.floorMod(d.message().hashCode(), STRIPES)]) {
@@ -130,9 +130,8 @@
       ledger.await(ticket);
     } catch (LedgerException e) {
       LOG.error("{}", e.getMessage());
-      TakenCall held = live.get(d.message());
-      if (held != null) {
-        held.finish(at(Reason.LEDGER_UNAVAILABLE), Clock.micros());
+      if (call != null) {
+        call.finish(at(Reason.LEDGER_UNAVAILABLE), Clock.micros());
       }
       return new Result(null, false, at(Reason.LEDGER_UNAVAILABLE));
     }
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -31,7 +31,9 @@
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -195,8 +197,11 @@
       }
       progress = Progress.LEAVING;
       Watchdog.Timer guard = watchdog.after(Math.max(0, until - Clock.micros()), connection::abort);
-      connection.write(message);
-      guard.cancel();
+      try {
+        connection.write(message);
+      } finally {
+        guard.cancel();
+      }
       Head head = connection.readResponse(until);
       progress = Progress.ANSWERING;
       byte[] body = connection.readBody(BodyParser.forResponse(head, limits), until);
@@ -256,8 +261,15 @@
       return w.with(Oip.request(f.message(), f.body()));
     }
 
+    /** The connection's end here: a cancel that comes now must not reach whoever uses it next. */
+    private synchronized HttpConnection release() {
+      HttpConnection released = connection;
+      connection = null;
+      return released;
+    }
+
     private void answered(Head head, byte[] body) {
-      giveBack(worker, connection, head);
+      giveBack(worker, release(), head);
       boolean neverRan = "no".equals(head.get(Oip.RAN));
       Outcome outcome = AttemptFate.of(progress, Ending.RESPONSE, head.status(), neverRan);
       byte[] result = null;
@@ -382,7 +394,7 @@
     }
   }
 
-  /** Closes kept connections that were idle too long or whose worker is gone; called now and then. */
+  /** Drops what belongs to workers that are gone, and connections idle too long; called now and then. */
   public void tidy() {
     long now = Clock.micros();
     idle.forEach((worker, kept) -> {
@@ -394,6 +406,11 @@
       }
     });
     idle.keySet().removeIf(worker -> addresses.apply(worker) == null);
+    Set<String> inUse = new HashSet<>();
+    out.values().forEach(all -> all.values().forEach(exchange -> inUse.add(exchange.worker)));
+    synchronized (gate) {
+      gate.forgetUnless(worker -> addresses.apply(worker) != null || inUse.contains(worker));
+    }
   }
 
   @Override
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -164,7 +164,7 @@
     for (int i = 0; i < count; i++) {
       StandInRunner.Nature nature = new StandInRunner.Nature("hus-" + "abc".charAt(i % 3), i / 4, script.count("cores"),
           i % 3 == 2 ? 0.7 : 1, 6_000, 64, (long) script.number("work"), (long) script.number("load"), 8_000_000,
-          loadsOnMiss, true, REPEAT_WINDOW, rules);
+          loadsOnMiss, script.number("cancelling") > 0, REPEAT_WINDOW, rules);
       runners.add(new StandInRunner(nature, archive, keys, tap, script.count("seed") * 1000L + i, runnerLog));
       list.set(runners.get(i), Phase.RUNNING, false, true);
     }
@@ -207,7 +207,7 @@
           route { type: "assessment.saved" request_class: "keyed" }
           route { type: "certificate.issued" request_class: "unsafe" }
         }
-        runners { loads_on_miss: %b keep_alive_ms: 8000 }
+        runners { loads_on_miss: %b duplicates: %b cancelling: %b keep_alive_ms: 8000 }
         rules {
           drain_grace_ms: %d cold_from: %f cold_ms: %d overload_multiple: %f overload_ms: %d
           loads_free: %f load_share: %f load_window_ms: %d
@@ -221,7 +221,7 @@
         """, slot.address.getPort(), slot.number, edges.size(), directory.resolve("data-" + slot.number),
         AIM / 1000, DEADLINE / 1000, script.count("lanes"), AIM / 1000, DEADLINE / 1000, script.count("lanes"),
         REPEAT_WINDOW / 1000, AIM / 1000, DEADLINE / 1000, script.count("lanes"), PATH, secret,
-        script.number("on_miss") > 0, rules.drainGrace() / 1000, rules.coldFrom(), rules.coldFor() / 1000,
+        script.number("on_miss") > 0, script.number("duplicates") > 0, script.number("cancelling") > 0, rules.drainGrace() / 1000, rules.coldFrom(), rules.coldFor() / 1000,
         rules.overloadMultiple(), rules.overloadFor() / 1000, rules.loadsFree(), rules.loadShare(),
         rules.loadWindow() / 1000, list.address(), slot.peerPort, peers);
   }
--- a/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
+++ b/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
@@ -86,7 +86,7 @@
       Map.entry("edges", 3.0), Map.entry("runners", 12.0), Map.entry("functions", 12.0), Map.entry("rate", 60.0),
       Map.entry("safe", 0.5), Map.entry("keyed", 0.25), Map.entry("unsafe", 0.25), Map.entry("work", 30e3),
       Map.entry("lanes", 2.0), Map.entry("cores", 4.0), Map.entry("load", 300e3), Map.entry("on_miss", 1.0),
-      Map.entry("list_late", 300e3));
+      Map.entry("list_late", 300e3), Map.entry("duplicates", 0.0), Map.entry("cancelling", 1.0));
 
   private final Map<String, Double> settings = new TreeMap<>(DEFAULTS);
   private final List<Trouble> troubles = new ArrayList<>();
--- a/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -54,6 +54,14 @@
         """, false);
   }
 
+  @Test
+  void secondTriesAtOnceAndWorkThatNoCancelStops() throws Exception {
+    play("""
+        day = 8s; seed = 13; edges = 2; runners = 6; functions = 4; rate = 80; duplicates = 1; cancelling = 0;
+        at 1s for 3s hang 2; at 2s for 4s slow 2 by 8; at 5s for 2s reset 1;
+        """, false);
+  }
+
   @Test
   void scriptsNameTheirFaults() throws Exception {
     assertEquals("1:1: no setting is called 'dya'", message("dya = 3s;").substring(0, 31));
