An orderly stop waits for the last byte of its answers; stand-in worlds stop edges by signal only

Cause: the check in a fresh clone failed: an edge told to stop lost the call in its hand. Ending a child process closed its standard input too, which tells an edge that its parent has ended, so it ended at once. On the way: the stop waited for calls in hand and then 50 ms for the answers to be written, which a busy machine can pass. Change: the front counts requests whose answer is not wholly written and the stop waits for none; worlds send the signal alone. Measured: the test failed five times of five before, passes five of five after, two of them beside ten busy loops.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -182,11 +182,9 @@
     intake.stop();
     server.stopAccepting();
     long until = Clock.micros() + EdgeConfig.ms(settings.getLimits().getStopMs());
-    while (intake.inHand() > 0 && Clock.micros() < until) {
+    while (intake.inHand() + front.inProgress() > 0 && Clock.micros() < until) {
       Thread.sleep(5);
     }
-    // The fronts' threads still write the last answers.
-    Thread.sleep(50);
     LOG.info("edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}", settings.getOrdinal(),
         intake.inHand(), counts(), runners.gateStory());
     close();
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -25,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
@@ -48,6 +49,7 @@
   private final Core core;
   private final Watchdog watchdog;
   private final CallLog log;
+  private final AtomicInteger inProgress = new AtomicInteger();
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
@@ -80,6 +82,11 @@
     stopping = true;
   }
 
+  /** Requests of which a byte has arrived and whose answer is not wholly written. */
+  public int inProgress() {
+    return inProgress.get();
+  }
+
   private void serve(SocketChannel channel, HttpServer server) throws IOException {
     HttpConnection c = new HttpConnection(channel, settings.limits());
     if (!settings.allowed().contains(c.peer().getAddress())) {
@@ -126,6 +133,15 @@
     } catch (SocketTimeoutException e) {
       return false;
     }
+    inProgress.incrementAndGet();
+    try {
+      return exchange(c);
+    } finally {
+      inProgress.decrementAndGet();
+    }
+  }
+
+  private boolean exchange(HttpConnection c) throws IOException, BadMessage {
     long arrivedAt = Clock.micros();
     long until = arrivedAt + settings.arrival();
     Head head;
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -111,7 +111,8 @@
 
     void stop() throws InterruptedException {
       if (process != null) {
-        process.destroy();
+        // By its handle: Process.destroy would also close the standard input, which tells the edge that its parent ended.
+        process.toHandle().destroy();
         if (!process.waitFor(15, TimeUnit.SECONDS)) {
           process.destroyForcibly();
         }
--- a/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
@@ -30,7 +30,7 @@
       CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> portal.attempt("msg_stop", 0, UNSAFE,
           portal.payload(UNSAFE, "svc/a"), System.currentTimeMillis() / 1000, UNSAFE.deadline()));
       awaitArrival(world, 1);
-      world.process(0).destroy();
+      world.process(0).toHandle().destroy();
       assertEquals(List.of(200), call.get(10, TimeUnit.SECONDS).statuses);
       assertTrue(world.process(0).waitFor(10, TimeUnit.SECONDS));
       assertEquals(EdgeMain.OK, world.process(0).exitValue());
@@ -39,9 +39,9 @@
       CompletableFuture.runAsync(() -> portal.attempt("msg_end", 1, UNSAFE, portal.payload(UNSAFE, "svc/a"),
           System.currentTimeMillis() / 1000, UNSAFE.deadline()));
       awaitArrival(world, 2);
-      world.process(1).destroy();
+      world.process(1).toHandle().destroy();
       Thread.sleep(300);
-      world.process(1).destroy();
+      world.process(1).toHandle().destroy();
       assertTrue(world.process(1).waitFor(1_500, TimeUnit.MILLISECONDS), "it waited for its call");
       assertEquals(143, world.process(1).exitValue());
       world.runners().forEach(r -> r.faults().hang = false);
