--- /dev/null
+++ b/decisions/src/main/java/gorseladder/forecast/LastSlot.java
@@ -0,0 +1,21 @@
+package gorseladder.forecast;
+
+/** What came last goes on. */
+final class LastSlot implements Forecaster {
+  private double last;
+
+  @Override
+  public String name() {
+    return "last-slot";
+  }
+
+  @Override
+  public double mean(long slot) {
+    return last;
+  }
+
+  @Override
+  public void observe(long slot, double calls) {
+    last = calls;
+  }
+}
