--- /dev/null
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -0,0 +1,134 @@
+package gorseladder.edge.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.answers.Reason;
+import gorseladder.store.Ledger;
+import gorseladder.store.LedgerEntry;
+import gorseladder.store.LedgerEntry.Stage;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Where the end of a call and the leaving of its bytes meet. */
+class TakenCallTest {
+  private static final RequestClass ISSUE =
+      new RequestClass("issue", Effect.UNSAFE, Group.ALL, 0, 1_000, 3_000, 1, 0.2, false);
+  private static final FinalAnswer REFUSED = new FinalAnswer(Reason.REFUSED_UNSENT, null, 1);
+  private static final FinalAnswer SERVED = new FinalAnswer(Reason.SERVED, new byte[] {1}, 0);
+
+  @TempDir
+  Path dir;
+
+  private final AtomicInteger ends = new AtomicInteger();
+  private Ledger ledger;
+
+  @BeforeEach
+  void open() throws IOException {
+    ledger = Ledger.open(dir.resolve("ledger.mv"), false, 100_000);
+  }
+
+  @AfterEach
+  void close() {
+    ledger.close();
+  }
+
+  private TakenCall call(String message, boolean ranBefore) throws IOException {
+    LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, ranBefore, 5, ranBefore ? 3 : 0, 1L << 60, new byte[16], "", 0, null);
+    ledger.put(message, entry);
+    return new TakenCall(1, new TakenCall.Facts(message, ISSUE, "", "f", new byte[0], 1, 1, 0, false, 0, 3_000), ledger,
+        entry, 100, c -> ends.incrementAndGet());
+  }
+
+  @Test
+  void afterTheAnswerNothingLeavesAndTheFirstAnswerStands() throws IOException {
+    TakenCall call = call("m", false);
+    int attempt = call.begin("w", 0);
+    assertTrue(call.finish(REFUSED, 1));
+    assertFalse(call.finish(SERVED, 2));
+    assertFalse(call.leave(attempt));
+    assertEquals(0, call.recordLeaving(9));
+    assertEquals(REFUSED, call.answer());
+    assertEquals(1, ends.get());
+    assertEquals(Stage.CLOSED, ledger.get("m").stage());
+    assertFalse(ledger.get("m").mayHaveRun());
+  }
+
+  @Test
+  void whatLeftCountsAsMayHaveRunUnlessItIsKnownNotTo() throws IOException {
+    TakenCall out = call("out", false);
+    out.recordLeaving(9);
+    out.leave(out.begin("w", 0));
+    out.finish(new FinalAnswer(Reason.FAILED_TIMEOUT, null, 0), 1);
+    assertTrue(ledger.get("out").mayHaveRun());
+    assertEquals(9, ledger.get("out").leftAt());
+
+    TakenCall full = call("full", false);
+    full.recordLeaving(9);
+    int attempt = full.begin("w", 0);
+    full.leave(attempt);
+    full.ended(attempt, Outcome.FULL);
+    full.finish(REFUSED, 1);
+    assertFalse(ledger.get("full").mayHaveRun());
+
+    TakenCall again = call("again", true);
+    again.finish(REFUSED, 1);
+    assertTrue(ledger.get("again").mayHaveRun(), "an earlier delivery may have run");
+    assertEquals(3, ledger.get("again").leftAt());
+  }
+
+  @Test
+  void anAnswerThatComesAfterTheEndIsKeptForTheSendersNextTry() throws IOException {
+    TakenCall call = call("late", false);
+    call.recordLeaving(9);
+    call.leave(call.begin("w", 0));
+    call.servedLate(new byte[] {7});
+    assertEquals(Stage.LEAVING, ledger.get("late").stage(), "not over yet");
+    call.finish(new FinalAnswer(Reason.FAILED_TIMEOUT, null, 0), 1);
+    call.servedLate(new byte[] {7});
+    assertEquals(Stage.SERVED, ledger.get("late").stage());
+    assertEquals(7, ledger.get("late").answer()[0]);
+    call.servedLate(new byte[] {8});
+    assertEquals(7, ledger.get("late").answer()[0]);
+  }
+
+  /** Two threads, thousands of times: either the bytes left and the record says so, or they did not leave. */
+  @Test
+  void anEndAndALeavingNeverCross() throws Exception {
+    CyclicBarrier barrier = new CyclicBarrier(2);
+    int left = 0;
+    for (int round = 0; round < 3_000; round++) {
+      TakenCall call = call("r" + round, false);
+      int attempt = call.begin("w", 0);
+      boolean[] leaves = new boolean[1];
+      Thread sender = new Thread(() -> {
+        try {
+          barrier.await();
+          call.recordLeaving(9);
+          leaves[0] = call.leave(attempt);
+        } catch (Exception e) {
+          throw new IllegalStateException(e);
+        }
+      });
+      sender.start();
+      barrier.await();
+      call.finish(REFUSED, 1);
+      sender.join();
+      assertEquals(leaves[0], ledger.get("r" + round).mayHaveRun(), "round " + round);
+      assertEquals(Stage.CLOSED, ledger.get("r" + round).stage());
+      left += leaves[0] ? 1 : 0;
+    }
+    assertTrue(left < 3_000 && ends.get() == 3_000, left + " left");
+  }
+}
