A slow sender is answered 408 and closed, and others are served meanwhile

Need: the bound on a request's arrival was built but not seen to act. Change: worlds set it to two seconds; a test sends a byte at a time.

--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -218,6 +218,7 @@
           listen: "127.0.0.1:%d"
         %s}
         allow_network: "127.0.0.0/8"
+        limits { request_arrival_ms: 2000 }
         log { form: JSON level: "INFO" }
         """, slot.address.getPort(), slot.number, edges.size(), directory.resolve("data-" + slot.number),
         AIM / 1000, DEADLINE / 1000, script.count("lanes"), AIM / 1000, DEADLINE / 1000, script.count("lanes"),
--- a/testbed/src/test/java/gorseladder/testbed/FrontTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/FrontTest.java
@@ -130,6 +130,21 @@
     assertTrue(!answer.contains("Retry-After"));
   }
 
+  @Test
+  void aSlowSenderIsAnsweredAndClosedAndOthersAreServedMeanwhile() throws Exception {
+    String request = call("slow");
+    try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
+      socket.setSoTimeout(10_000);
+      for (int i = 0; i < 5; i++) {
+        socket.getOutputStream().write(request.substring(i, i + 1).getBytes(StandardCharsets.US_ASCII));
+        Thread.sleep(100);
+      }
+      assertEquals(List.of(200), statuses(talk(call("quick"), false)));
+      String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertEquals(List.of(408), statuses(answer), answer);
+    }
+  }
+
   @Test
   void anOldVersionGetsItsAnswerAndAClose() throws IOException {
     assertTrue(talk(call("old").replace("HTTP/1.1", "HTTP/1.0"), true).endsWith("<closed>"));
