Each edge keeps its history: numbered rows in segments with checksums, hours as they age

Need: forecasts are made from what happened, and that must survive a crash at any byte and be read once. The runner side reports to an interface so that the history hears each end beside the core. Measured: a log cut at every byte loses only its tail; 3,000 rows followed through rolls, compactions and restarts count each call once; 30 calls over a restarted edge add up to 30 rows' calls.

--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -187,6 +187,12 @@
     ledger.require(s.getLedger().getMaxMessages() > 0, ledgerType, "max_messages", "must be more than 0");
     ledger.require(s.getLedger().getMaxKeptAnswerBytes() >= 0, ledgerType, "max_kept_answer_bytes",
         "must not be negative");
+    At history = root.in(type, "history", 0);
+    var historyType = s.getHistory().getDescriptorForType();
+    history.require(s.getHistory().getSegmentBytes() >= 1_024, historyType, "segment_bytes", "must be 1024 or more");
+    history.require(s.getHistory().getFineMinutes() >= 60, historyType, "fine_minutes", "must be 60 or more");
+    history.require(s.getHistory().getMaxBytes() >= 4 * s.getHistory().getSegmentBytes(), historyType, "max_bytes",
+        "must be at least four times segment_bytes");
     At log = root.in(type, "log", 0);
     log.require(Set.of("ERROR", "WARN", "INFO", "DEBUG").contains(s.getLog().getLevel()),
         s.getLog().getDescriptorForType(), "level", "must be ERROR, WARN, INFO or DEBUG");
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -1,5 +1,6 @@
 package gorseladder.edge;
 
+import gorseladder.RouterApi;
 import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.Workers;
 import gorseladder.config.Address;
@@ -10,6 +11,7 @@
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.CallLog;
 import gorseladder.edge.front.WebhookFront;
+import gorseladder.edge.history.CallHistory;
 import gorseladder.edge.list.ListWatcher;
 import gorseladder.edge.peers.PeerLink;
 import gorseladder.edge.runners.Runners;
@@ -18,6 +20,7 @@
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
+import gorseladder.store.history.History;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -34,6 +37,7 @@
   private final EdgeSettings settings;
   private final Watchdog watchdog;
   private final Ledger ledger;
+  private final CallHistory history;
   private final Runners runners;
   private final Intake intake;
   private final Core core;
@@ -56,6 +60,14 @@
     int stack = settings.getLimits().getStackBytes();
     ledger = Ledger.open(directory.resolve("ledger.mv"), settings.getLedger().getSync(),
         settings.getLedger().getMaxMessages());
+    try {
+      history = new CallHistory(History.open(directory.resolve("history"), new History.Bounds(
+          settings.getHistory().getSegmentBytes(), settings.getHistory().getFineMinutes(),
+          settings.getHistory().getMaxBytes())), stack);
+    } catch (IOException e) {
+      ledger.close();
+      throw e;
+    }
     watchdog = new Watchdog("watchdog", stack);
     runners = new Runners(config.runners(), ledger, new SendGate(config.rules(settings.getRules())), this::address,
         watchdog);
@@ -64,7 +76,19 @@
         new Hearer());
     core = new Core(config.router(), System.nanoTime() ^ settings.getOrdinal(), new Hands(),
         settings.getLimits().getMaxCalls(), CORE_STACK);
-    runners.reportTo(core);
+    runners.reportTo(new Runners.Hearer() {
+      @Override
+      public void attemptEnded(Core.AttemptEnd end) {
+        history.attempt(end);
+        core.attemptEnded(end);
+      }
+
+      @Override
+      public void loadEnded(RouterApi.Loaded loaded) {
+        history.loaded(loaded);
+        core.loadEnded(loaded);
+      }
+    });
     intake.admitTo(core);
     list = new ListWatcher(Address.parse(settings.getWorkerList().getAddress()), settings.getWorkerList().getService(),
         "gorseladder-edge/" + settings.getOrdinal(), settings.getWorkerList().getWaitMs(), directory.resolve("workers.json"), stack, new ListHearer());
@@ -107,6 +131,7 @@
     @Override
     public void ended(TakenCall call) {
       log.ended(call);
+      history.ended(call);
     }
   }
 
@@ -206,6 +231,7 @@
     core.close();
     runners.close();
     watchdog.close();
+    history.close();
     ledger.close();
   }
 }
--- a/edge/src/main/java/gorseladder/edge/core/Core.java
+++ b/edge/src/main/java/gorseladder/edge/core/Core.java
@@ -107,7 +107,7 @@
     return mailbox.offer(new Arrived(call));
   }
 
-  /** An attempt ended. */
+  /** An attempt ended; exactly once for each. */
   public void attemptEnded(AttemptEnd end) {
     mailbox.put(new Ended(end));
   }
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -0,0 +1,150 @@
+package gorseladder.edge.history;
+
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.answers.Reason;
+import gorseladder.edge.core.Core.AttemptEnd;
+import gorseladder.edge.core.TakenCall;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.Threads;
+import gorseladder.store.history.History;
+import gorseladder.store.history.HistoryRow;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Counts what happened by function, class and tenant and writes a row of each to the history once a minute, from a thread of
+ * its own: a slow disk delays the history, never a call. Past a bound on keys in a minute the rest is counted under an empty
+ * function, so that sums stay exact. Any thread.
+ */
+public final class CallHistory implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(CallHistory.class);
+  private static final int MOST_KEYS = 20_000;
+  private static final long MINUTE = 60_000_000;
+  private static final long LOOK_MILLIS = 500;
+
+  private record Key(String function, String requestClass, String tenant) {}
+
+  private static final class Counts {
+    private long calls;
+    private long found;
+    private long began;
+    private long awaited;
+    private long refused;
+    private long failed;
+    private long loads;
+    private long loadMicros;
+  }
+
+  private final History history;
+  private final Thread thread;
+  private Map<Key, Counts> counts = new HashMap<>();
+  private volatile boolean closed;
+
+  /** Writes to an open history, which it closes at its end. */
+  public CallHistory(History history, int stackBytes) {
+    this.history = history;
+    this.thread = Threads.start("history", stackBytes, this::run);
+  }
+
+  private Counts at(String function, String requestClass, String tenant) {
+    Key key = new Key(function, requestClass, tenant);
+    Counts known = counts.get(key);
+    if (known == null) {
+      known = counts.computeIfAbsent(counts.size() < MOST_KEYS ? key : new Key("", requestClass, tenant), k -> new Counts());
+    }
+    return known;
+  }
+
+  private Counts of(TakenCall call) {
+    return at(call.facts().function(), call.facts().requestClass().name(), call.facts().tenant());
+  }
+
+  /** A call got its final answer. */
+  public synchronized void ended(TakenCall call) {
+    Counts c = of(call);
+    Reason.Kind kind = call.answer().reason().kind;
+    c.calls++;
+    c.refused += kind == Reason.Kind.REFUSED || kind == Reason.Kind.REJECTED ? 1 : 0;
+    c.failed += kind == Reason.Kind.FAILED ? 1 : 0;
+  }
+
+  /** An attempt ended; a served one says what it met. */
+  public synchronized void attempt(AttemptEnd end) {
+    if (end.outcome() == Outcome.OK) {
+      Counts c = of(end.call());
+      switch (end.note()) {
+        case WARM -> c.found++;
+        case BEGAN -> c.began++;
+        case WAITED -> c.awaited++;
+        default -> { }
+      }
+    }
+  }
+
+  /** A load order ended; it belongs to no class or tenant. */
+  public synchronized void loaded(Loaded loaded) {
+    if (loaded.outcome() == Outcome.OK) {
+      Counts c = at(loaded.function(), "", "");
+      c.loads++;
+      c.loadMicros += loaded.latency();
+    }
+  }
+
+  private void run() {
+    long minute = Clock.wallMicros() / MINUTE;
+    while (!closed) {
+      try {
+        Thread.sleep(LOOK_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      long now = Clock.wallMicros() / MINUTE;
+      if (now != minute) {
+        write(minute);
+        minute = now;
+      }
+    }
+  }
+
+  private synchronized Map<Key, Counts> take() {
+    Map<Key, Counts> taken = counts;
+    counts = new HashMap<>();
+    return taken;
+  }
+
+  /** What cannot be written is lost to the history and said so; calls go on. */
+  private void write(long minute) {
+    List<HistoryRow> rows = new ArrayList<>();
+    take().forEach((k, c) -> rows.add(new HistoryRow(minute, 1, k.function(), k.requestClass(), k.tenant(), c.calls, c.found,
+        c.began, c.awaited, c.refused, c.failed, c.loads, c.loadMicros)));
+    try {
+      history.append(rows);
+      history.force();
+      history.compact(minute);
+    } catch (IOException e) {
+      LOG.error("{} rows of history are lost: {}", rows.size(), e.toString());
+    }
+  }
+
+  /** Writes what was counted and closes the history. */
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      thread.join(2 * LOOK_MILLIS);
+      write(Clock.wallMicros() / MINUTE);
+      history.close();
+    } catch (IOException e) {
+      LOG.error("the history did not close: {}", e.toString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -9,7 +9,6 @@
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.attempts.AttemptFate.Progress;
 import gorseladder.attempts.ConnectionChoice;
-import gorseladder.edge.core.Core;
 import gorseladder.edge.core.Core.AttemptEnd;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
@@ -61,7 +60,14 @@
   private final Watchdog watchdog;
   private final Map<String, ArrayDeque<Kept>> idle = new ConcurrentHashMap<>();
   private final Map<TakenCall, Map<Integer, Exchange>> out = new ConcurrentHashMap<>();
-  private volatile Core core;
+  private volatile Hearer hearer;
+
+  /** Who hears how attempts and load orders ended: exactly one report for each. */
+  public interface Hearer {
+    void attemptEnded(AttemptEnd end);
+
+    void loadEnded(Loaded loaded);
+  }
 
   private record Kept(HttpConnection connection, long since) {}
 
@@ -77,9 +83,9 @@
     this.threads = Threads.pool("attempt", settings.mostThreads(), settings.stackBytes());
   }
 
-  /** Names the core that hears the ends; once, before anything is sent. */
-  public void reportTo(Core hearer) {
-    core = hearer;
+  /** Names who hears the ends; once, before anything is sent. */
+  public void reportTo(Hearer hears) {
+    hearer = hears;
   }
 
   /** News of a worker's phase, with the time at which its bytes reached this process. */
@@ -122,13 +128,13 @@
     }
   }
 
-  /** Orders copies of a function held; its end comes by {@link Core#loadEnded}. */
+  /** Orders copies of a function held; its end comes by {@link Hearer#loadEnded}. */
   public void load(String worker, String function, int copies) {
     long began = Clock.micros();
     try {
-      threads.execute(() -> core.loadEnded(order(worker, function, copies, began)));
+      threads.execute(() -> hearer.loadEnded(order(worker, function, copies, began)));
     } catch (RejectedExecutionException e) {
-      core.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
+      hearer.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
     }
   }
 
@@ -301,7 +307,7 @@
       });
       Note note = head == null ? Note.NONE : note(head.get(Oip.COPY));
       Map<String, Double> load = head == null ? Map.of() : LoadReport.parse(head.get(LoadReport.HEADER));
-      core.attemptEnded(new AttemptEnd(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
+      hearer.attemptEnded(new AttemptEnd(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
     }
   }
 
--- /dev/null
+++ b/store/src/test/java/gorseladder/store/history/HistoryTest.java
@@ -0,0 +1,163 @@
+package gorseladder.store.history;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class HistoryTest {
+  private static final History.Bounds BOUNDS = new History.Bounds(2_000, 120, 1 << 20);
+
+  @TempDir
+  Path dir;
+
+  private static HistoryRow row(long minute, int function, long calls) {
+    return new HistoryRow(minute, 1, "svc/f" + function, "safe", "t", calls, calls / 2, 1, 0, 0, 1, 1, 300_000);
+  }
+
+  private static List<HistoryRow> rows(long minute) {
+    return List.of(row(minute, 0, minute + 1), row(minute, 1, 7));
+  }
+
+  private static long calls(List<HistoryRow> rows) {
+    return rows.stream().mapToLong(HistoryRow::calls).sum();
+  }
+
+  /** The log cut at every byte: what was whole before the cut is there, in order, and the log goes on. */
+  @Test
+  void aCrashAtAnyByteLosesOnlyItsTail() throws IOException {
+    Path one = dir.resolve("one");
+    List<HistoryRow> all = new ArrayList<>();
+    try (History history = History.open(one, new History.Bounds(100_000, 120, 1 << 20))) {
+      for (int minute = 0; minute < 5; minute++) {
+        all.addAll(rows(minute));
+        history.append(rows(minute));
+      }
+    }
+    Path file = files(one).get(0);
+    byte[] whole = Files.readAllBytes(file);
+    int recordBytes = (whole.length - Segment.HEAD) / all.size();
+    for (int cut = 0; cut <= whole.length; cut++) {
+      Path copy = dir.resolve("cut" + cut);
+      Files.createDirectories(copy);
+      Files.write(copy.resolve(file.getFileName()), java.util.Arrays.copyOf(whole, cut));
+      int expected = Math.max(0, (cut - Segment.HEAD) / recordBytes);
+      for (int open = 0; open < 2; open++) {
+        try (History history = History.open(copy, BOUNDS)) {
+          assertEquals(all.subList(0, expected), history.read(0, 1000).rows().subList(0, expected), "cut at " + cut);
+          assertEquals(expected + open, history.next());
+          history.append(List.of(row(99, 9, 9)));
+        }
+      }
+    }
+  }
+
+  private static List<Path> files(Path directory) throws IOException {
+    try (Stream<Path> all = Files.list(directory)) {
+      return all.filter(f -> f.toString().endsWith(".history")).sorted().toList();
+    }
+  }
+
+  @Test
+  void damageInTheMiddleIsNamedAndNothingIsTouched() throws IOException {
+    try (History history = History.open(dir, BOUNDS)) {
+      for (int minute = 0; minute < 100; minute++) {
+        history.append(rows(minute));
+      }
+    }
+    Path victim = files(dir).get(1);
+    byte[] bytes = Files.readAllBytes(victim);
+    bytes[bytes.length / 2] ^= 1;
+    Files.write(victim, bytes);
+    String why = assertThrows(IOException.class, () -> History.open(dir, BOUNDS)).getMessage();
+    assertTrue(why.contains(victim.toString()) && why.contains("move it away"), why);
+    Files.move(victim, dir.resolve("away"));
+    try (History history = History.open(dir, BOUNDS)) {
+      assertEquals(200, history.next(), "numbers are not given twice");
+    }
+  }
+
+  /** A reader that follows while segments roll, are compacted and the process restarts counts every call once. */
+  @Test
+  void aReaderCountsEachCallOnceThroughRollsCompactionsAndRestarts() throws IOException {
+    Random random = new Random(5);
+    long truth = 0;
+    TreeMap<Long, List<HistoryRow>> read = new TreeMap<>();
+    long cursor = 0;
+    History history = History.open(dir, BOUNDS);
+    String identity = history.identity();
+    for (int minute = 0; minute < 1_500; minute++) {
+      truth += calls(rows(minute));
+      history.append(rows(minute));
+      if (random.nextInt(40) == 0) {
+        history.compact(minute);
+      }
+      if (random.nextInt(100) == 0) {
+        history.close();
+        history = History.open(dir, BOUNDS);
+      }
+      if (random.nextInt(60) == 0) {
+        cursor = follow(history, cursor, read);
+      }
+    }
+    follow(history, cursor, read);
+    assertEquals(truth, read.values().stream().mapToLong(HistoryTest::calls).sum());
+    assertEquals(identity, history.identity());
+    List<HistoryRow> all = history.read(0, Integer.MAX_VALUE).rows();
+    assertEquals(truth, calls(all));
+    assertTrue(all.size() < 1_500, all.size() + " rows of 3000 after compaction");
+    assertTrue(all.stream().anyMatch(r -> r.minutes() == 60));
+    history.close();
+  }
+
+  /** Remembers batches by the number they begin at; a batch that begins lower replaces what was read from there on. */
+  private static long follow(History history, long cursor, TreeMap<Long, List<HistoryRow>> read) throws IOException {
+    long at = cursor;
+    while (at < history.next()) {
+      History.Batch batch = history.read(at, 10);
+      // What a compacted segment stands for may reach back into batches read before: those are read again whole.
+      Long covering = read.floorKey(batch.from());
+      if (covering != null && batch.from() < at) {
+        read.tailMap(covering, true).clear();
+        if (covering < batch.from()) {
+          at = covering;
+          continue;
+        }
+      }
+      read.put(batch.from(), batch.rows());
+      at = batch.next();
+    }
+    return at;
+  }
+
+  @Test
+  void theOldestAreDroppedPastTheBound() throws IOException {
+    try (History history = History.open(dir, new History.Bounds(2_000, 60, 8_000))) {
+      for (int minute = 0; minute < 3_000; minute++) {
+        history.append(List.of(row(minute, minute, 1)));
+        history.compact(minute);
+        assertTrue(history.bytes() <= 10_100, history.bytes() + " bytes");
+      }
+      History.Batch oldest = history.read(0, 1);
+      assertTrue(oldest.from() > 2_000);
+      assertFalse(oldest.rows().isEmpty());
+    }
+  }
+
+  @Test
+  void impossibleBoundsAndRowsAreRejected() {
+    assertThrows(IllegalArgumentException.class, () -> new History.Bounds(10, 60, 1 << 20));
+    assertThrows(IllegalArgumentException.class, () -> new HistoryRow(-1, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
+  }
+}
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -74,7 +74,17 @@
         @Override
         public void watchList() {}
       }, 10, 256 << 10);
-      runners.reportTo(core);
+      runners.reportTo(new Runners.Hearer() {
+        @Override
+        public void attemptEnded(Core.AttemptEnd end) {
+          core.attemptEnded(end);
+        }
+
+        @Override
+        public void loadEnded(gorseladder.RouterApi.Loaded loaded) {
+          core.loadEnded(loaded);
+        }
+      });
       Intake intake = new Intake(ledger, 10, 60_000_000, 1000, 15_000, new Intake.Hearer() {
         @Override
         public void taken(TakenCall call) {}
--- a/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorseladder.store.history.History;
+import gorseladder.store.history.HistoryRow;
 import gorseladder.testbed.script.DayScript;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -13,6 +16,31 @@
   @TempDir
   Path dir;
 
+  /** The history's sums are the edge's own counts, also after a restart in the middle. */
+  @Test
+  void theHistoryAddsUpToWhatWasTaken() throws Exception {
+    Portal.Kind kind = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+    try (World world = new World(DayScript.parse("edges = 1; runners = 2; work = 2ms; load = 5ms;"), dir, false, l -> { })) {
+      Portal portal = world.portal();
+      for (int i = 0; i < 30; i++) {
+        portal.attempt("msg_" + i, 0, kind, portal.payload(kind, "svc/f" + i % 3), System.currentTimeMillis() / 1000,
+            kind.deadline());
+        if (i == 15) {
+          world.restartEdge(0, 0);
+        }
+      }
+      world.stopEdge(0);
+    }
+    History.Bounds bounds = new History.Bounds(4 << 20, 20_160, 256 << 20);
+    try (History history = History.open(dir.resolve("data-0").resolve("history"), bounds)) {
+      List<HistoryRow> rows = history.read(0, Integer.MAX_VALUE).rows();
+      assertEquals(30, rows.stream().mapToLong(HistoryRow::calls).sum());
+      assertEquals(30, rows.stream().mapToLong(r -> r.found() + r.began() + r.awaited()).sum());
+      assertEquals(10, rows.stream().filter(r -> r.function().equals("svc/f1")).mapToLong(HistoryRow::calls).sum());
+      assertTrue(rows.stream().mapToLong(HistoryRow::began).sum() >= 3);
+    }
+  }
+
   @Test
   void aCalmDayServesEveryCall() throws Exception {
     DayScript script = DayScript.parse("day = 2s; edges = 2; runners = 4; functions = 4; rate = 60;");
