--- /dev/null
+++ b/app/src/main/java/gorseladder/app/bench/HistoryBench.java
@@ -0,0 +1,101 @@
+package gorseladder.app.bench;
+
+import gorseladder.store.history.History;
+import gorseladder.store.history.HistoryRow;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import picocli.CommandLine.Command;
+
+/** {@code bench history}: rows of history in the project's segments and in the embedded store, side by side. */
+@Command(name = "history", mixinStandardHelpOptions = true,
+    description = "A day of minutes with 200 rows each, forced to disk each minute: own segments against MVStore.")
+final class HistoryBench implements Runnable {
+  private static final int MINUTES = 1_440;
+  private static final int ROWS = 200;
+
+  @Override
+  public void run() {
+    try {
+      for (int round = 0; round < 2; round++) {
+        segments(round == 1);
+        embedded(round == 1);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static List<HistoryRow> minute(long minute) {
+    List<HistoryRow> rows = new ArrayList<>();
+    for (int i = 0; i < ROWS; i++) {
+      rows.add(new HistoryRow(minute, 1, "svc/function-" + i, "safe", "bygg-sektion", i, i, 0, 0, 0, 0, 0, 0));
+    }
+    return rows;
+  }
+
+  private static void segments(boolean print) throws IOException {
+    Path directory = Files.createTempDirectory("gorseladder-bench-");
+    History.Bounds bounds = new History.Bounds(4 << 20, 20_160, 1L << 30);
+    long began = System.nanoTime();
+    try (History history = History.open(directory, bounds)) {
+      for (long m = 0; m < MINUTES; m++) {
+        history.append(minute(m));
+        history.force();
+      }
+    }
+    long wrote = System.nanoTime() - began;
+    began = System.nanoTime();
+    int rows;
+    try (History history = History.open(directory, bounds)) {
+      rows = history.read(0, Integer.MAX_VALUE).rows().size();
+    }
+    report(print, "segments", directory, rows, wrote, System.nanoTime() - began);
+  }
+
+  private static void embedded(boolean print) throws IOException {
+    Path directory = Files.createTempDirectory("gorseladder-bench-");
+    String file = directory.resolve("history.mv").toString();
+    long began = System.nanoTime();
+    long next = 0;
+    try (MVStore store = new MVStore.Builder().fileName(file).autoCommitDisabled().open()) {
+      MVMap<Long, byte[]> map = store.openMap("rows");
+      for (long m = 0; m < MINUTES; m++) {
+        for (HistoryRow row : minute(m)) {
+          map.append(next++, row.toBytes());
+        }
+        store.commit();
+        store.sync();
+      }
+    }
+    long wrote = System.nanoTime() - began;
+    began = System.nanoTime();
+    int rows = 0;
+    try (MVStore store = new MVStore.Builder().fileName(file).readOnly().open()) {
+      for (byte[] bytes : store.<Long, byte[]>openMap("rows").values()) {
+        rows += bytes.length > 0 ? 1 : 0;
+      }
+    }
+    report(print, "MVStore", directory, rows, wrote, System.nanoTime() - began);
+  }
+
+  private static void report(boolean print, String name, Path directory, int rows, long wrote, long read)
+      throws IOException {
+    long bytes = 0;
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path f : files.toList()) {
+        bytes += Files.size(f);
+      }
+    }
+    if (print) {
+      System.out.printf(Locale.ROOT, "%-9s %7d rows: %.2f ms to write and force a minute, %.0f ms to open and read all,"
+          + " %.0f bytes a row%n", name, rows, wrote / 1e6 / MINUTES, read / 1e6, (double) bytes / rows);
+    }
+  }
+}
--- a/store/src/main/java/gorseladder/store/history/HistoryRow.java
+++ b/store/src/main/java/gorseladder/store/history/HistoryRow.java
@@ -38,7 +38,8 @@
         loads, loadMicros);
   }
 
-  byte[] toBytes() {
+  /** The row in its form on disk, without length and checksum. */
+  public byte[] toBytes() {
     byte[][] texts = {function.getBytes(StandardCharsets.UTF_8), requestClass.getBytes(StandardCharsets.UTF_8),
         tenant.getBytes(StandardCharsets.UTF_8)};
     ByteBuffer out = ByteBuffer.allocate(8 + 4 + 6 + texts[0].length + texts[1].length + texts[2].length + 8 * 8);
