Latency bench warms up longer before each class

Need: the one-core figure of the safe class was blamed on the compiler at work. Change: ten seconds of warm-up before each class, settable.

--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -39,6 +39,10 @@
   @Option(names = "--seconds", defaultValue = "6", description = "Seconds for each figure (default ${DEFAULT-VALUE}).")
   private int seconds;
 
+  @Option(names = "--warmup", defaultValue = "10",
+      description = "Seconds before each class is measured (default ${DEFAULT-VALUE}).")
+  private int warmup;
+
   @Option(names = "--work-ms", defaultValue = "10", description = "Work of a call (default ${DEFAULT-VALUE}).")
   private int workMillis;
 
@@ -67,7 +71,7 @@
   private void measure() throws InterruptedException {
     for (int kind = 0; kind < 3; kind += 2) {
       String name = kind == 0 ? "safe" : "unsafe";
-      closed(kind, 16, 4);
+      closed(kind, 48, warmup);
       double holds = closed(kind, 48, seconds);
       System.out.printf(Locale.ROOT, "%s: the edge holds %.0f calls/s (48 callers, work %d ms)%n", name, holds, workMillis);
       for (double part : new double[] {0.1, 0.5, 0.9}) {
