Read once more: one maker of plain answers, unread counters and methods removed

Need: the same answer was built in three places; the core timed every router event for a figure that nobody read. Change: FinalAnswer.of serves front and intake; the timing on the core's path and four unused methods are gone. Behaviour as before. Measured: front, hard cases, last look, whole path, call, runtime and parser tests green.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -196,11 +196,6 @@
     return log.counts();
   }
 
-  /** Mean microseconds that the router took for an event. */
-  public double routerMicrosPerEvent() {
-    return core.routerNanosPerEvent() / 1000;
-  }
-
   /** Takes nothing new, answers what was taken, then closes; at the latest after the told time. */
   public void stop() throws InterruptedException {
     front.stop();
--- a/edge/src/main/java/gorseladder/edge/core/Core.java
+++ b/edge/src/main/java/gorseladder/edge/core/Core.java
@@ -83,8 +83,6 @@
   private final Map<TakenCall, Integer> attemptsOut = new HashMap<>();
   private final Thread thread;
   private volatile boolean stopped;
-  private volatile long routerNanos;
-  private volatile long routerEvents;
   private long now;
 
   /**
@@ -132,11 +130,6 @@
     mailbox.put(new News(new gorseladder.RouterApi.PeerMessage(sender, text)));
   }
 
-  /** Mean nanoseconds that the router took for an event. */
-  public double routerNanosPerEvent() {
-    return routerEvents == 0 ? 0 : (double) routerNanos / routerEvents;
-  }
-
   private void run() {
     try {
       while (!stopped) {
@@ -169,14 +162,11 @@
 
   /** An error of the router must not end the thread: the other calls go on, and the log says where it was. */
   private void tell(Event event) {
-    long began = System.nanoTime();
     try {
       router.on(now, event, this::carryOut);
     } catch (RuntimeException e) {
       LOG.error("the router failed at {}", event.getClass().getSimpleName(), e);
     }
-    routerNanos += System.nanoTime() - began;
-    routerEvents++;
   }
 
   private void arrived(TakenCall call) {
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -90,14 +90,10 @@
     return live.size();
   }
 
-  private static FinalAnswer at(Reason reason) {
-    return new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0);
-  }
-
   /** Judges a delivery whose signature holds. */
   public Result take(Delivery d) {
     if (stopping) {
-      return new Result(null, false, at(Reason.STOPPING));
+      return new Result(null, false, FinalAnswer.of(Reason.STOPPING));
     }
     TakenCall call = null;
     long ticket;
@@ -113,10 +109,10 @@
           return turned(verdict, d, known, out);
         }
         if (!ledger.hasRoom()) {
-          return new Result(null, false, at(Reason.LEDGER_UNAVAILABLE));
+          return new Result(null, false, FinalAnswer.of(Reason.LEDGER_UNAVAILABLE));
         }
         if (!room.tryAcquire()) {
-          return new Result(null, false, at(Reason.BUSY));
+          return new Result(null, false, FinalAnswer.of(Reason.BUSY));
         }
         LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, known != null && known.mayHaveRun(), wall,
             known == null ? 0 : known.leftAt(), known == null ? wall + keepMicros : known.keepUntil(), content, "", 0, null);
@@ -131,12 +127,12 @@
     } catch (LedgerException e) {
       LOG.error("{}", e.getMessage());
       if (call != null) {
-        call.finish(at(Reason.LEDGER_UNAVAILABLE), Clock.micros());
+        call.finish(FinalAnswer.of(Reason.LEDGER_UNAVAILABLE), Clock.micros());
       }
-      return new Result(null, false, at(Reason.LEDGER_UNAVAILABLE));
+      return new Result(null, false, FinalAnswer.of(Reason.LEDGER_UNAVAILABLE));
     }
     if (!core.offer(call)) {
-      call.finish(at(Reason.BUSY), Clock.micros());
+      call.finish(FinalAnswer.of(Reason.BUSY), Clock.micros());
     }
     return new Result(call, false, null);
   }
@@ -163,9 +159,9 @@
     return switch (verdict.deed()) {
       case JOIN -> new Result(out, true, null);
       case ANSWER_AGAIN -> new Result(null, false, new FinalAnswer(Reason.SERVED_AGAIN, known.answer(), 0));
-      case REPLAYED -> new Result(null, false, at(Reason.REPLAYED));
-      case CONFLICT -> new Result(null, false, at(Reason.CONFLICT));
-      default -> new Result(null, false, at(Reason.FAILED_UNKNOWN_EFFECT));
+      case REPLAYED -> new Result(null, false, FinalAnswer.of(Reason.REPLAYED));
+      case CONFLICT -> new Result(null, false, FinalAnswer.of(Reason.CONFLICT));
+      default -> new Result(null, false, FinalAnswer.of(Reason.FAILED_UNKNOWN_EFFECT));
     };
   }
 
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -120,7 +120,7 @@
   /** Answers a request that cannot be read further, and closes so that the client still gets the answer. */
   private void reject(HttpConnection c, Reason reason, String detail) throws IOException {
     log.rejected(c.peer(), reason, detail);
-    write(c, problem(new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0), detail, false));
+    write(c, problem(FinalAnswer.of(reason), detail, false));
     c.closeGently(Clock.micros() + LINGER);
   }
 
@@ -194,7 +194,7 @@
     private FinalAnswer no(Reason reason, String why) {
       detail = why == null ? reason.text : why;
       log.rejected(c.peer(), reason, detail);
-      return new FinalAnswer(reason, null, reason.invitesRetry() ? 1 : 0);
+      return FinalAnswer.of(reason);
     }
 
     FinalAnswer answer() {
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -31,7 +31,6 @@
   private int to;
   private boolean ended;
   private long readBytes;
-  private long writtenBytes;
 
   /** Wraps a connected blocking channel. */
   public HttpConnection(SocketChannel channel, HttpLimits limits) throws IOException {
@@ -58,21 +57,11 @@
     return (InetSocketAddress) socket.getRemoteSocketAddress();
   }
 
-  /** This side's address. */
-  public InetSocketAddress local() {
-    return (InetSocketAddress) socket.getLocalSocketAddress();
-  }
-
   /** Bytes read from the socket so far. */
   public long readBytes() {
     return readBytes;
   }
 
-  /** Bytes handed to the socket so far. */
-  public long writtenBytes() {
-    return writtenBytes;
-  }
-
   /**
    * Waits for the first byte of a message.
    *
@@ -177,7 +166,6 @@
   /** Writes all of the bytes. */
   public void write(byte[] bytes) throws IOException {
     socket.getOutputStream().write(bytes);
-    writtenBytes += bytes.length;
   }
 
   /** Tells the other side that nothing more comes, and reads away what it still sends for a moment, so that it is read. */
--- a/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
@@ -28,7 +28,6 @@
   private int total;
   private int fieldCount;
   private int emptyLines;
-  private boolean started;
   private boolean done;
 
   private HeadParser(HttpLimits limits, boolean request) {
@@ -51,11 +50,6 @@
     return done;
   }
 
-  /** True once a byte of the start line was read. */
-  public boolean started() {
-    return started;
-  }
-
   /** The parsed head; only once {@link #done()}. */
   public Head head() {
     if (!done) {
@@ -93,7 +87,6 @@
     } else if (b == '\n') {
       throw BadMessage.malformed("bare LF in the header section");
     } else {
-      started = true;
       if (length == limits.maxLine()) {
         throw new BadMessage(Fault.HEADERS_TOO_LARGE, "a header line over " + limits.maxLine() + " bytes");
       }
