Ledger: records that may be forgotten at one time no longer step past each other

Cause: the index of what may be forgotten was keyed by time alone, and the requests of one second share a time (a webhook's time stamp has whole seconds). Each stepped past all before it: the square of a second's calls, on the path of every call. Change: the key is the time and the record's own name; a file of the former format is brought up to date at its opening. LedgerTest forgets 5,000 records of one time at that time and not before; with keys by time alone it fails, as all but the first would stay.

--- a/app/src/main/java/gorseladder/app/bench/LedgerBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LedgerBench.java
@@ -17,6 +17,8 @@
 @Command(name = "ledger", mixinStandardHelpOptions = true, description = "Cost of durable records and of group commit.")
 final class LedgerBench implements Runnable {
   private static final long SECONDS = 3;
+  private static final long TOLERANCE = 300_000_000;
+  private static final int[] OF_ONE_SECOND = {1_000, 10_000, 100_000, 1_000_000};
 
   @Override
   public void run() {
@@ -26,11 +28,38 @@
           measure(sync, writers);
         }
       }
+      for (int records : OF_ONE_SECOND) {
+        ofOneSecond(records);
+      }
     } catch (IOException | InterruptedException e) {
       throw new IllegalStateException(e);
     }
   }
 
+  /** A message and its signed request, as a delivery writes them: all time stamps of one whole second. */
+  private static void ofOneSecond(int records) throws IOException {
+    try (Ledger ledger = Ledger.open(Files.createTempDirectory("gorseladder-bench-").resolve("ledger.mv"), false, 5_000_000)) {
+      long second = Clock.wallMicros() / 1_000_000 * 1_000_000;
+      long tenth = 0;
+      long began = Clock.micros();
+      for (int n = 0; n < records; n++) {
+        if (n == records - records / 10) {
+          tenth = Clock.micros();
+        }
+        long taken = second + n % 1_000_000;
+        ledger.put("/hooks/portal msg_" + n, new LedgerEntry(Stage.ACCEPTED, false, taken, 0, taken + 86_400_000_000L,
+            new byte[16], "", 0, null));
+        long ticket = ledger.putRequest("/hooks/portal v1," + n * 0x9E3779B97F4A7C15L, second + 2 * TOLERANCE);
+        if (n % 32 == 0) {
+          ledger.await(ticket);
+        }
+      }
+      long ended = Clock.micros();
+      System.out.printf(Locale.ROOT, "%,9d deliveries of one second: %5.1f us each, the last tenth %5.1f us%n", records,
+          (ended - began) / (double) records, (ended - tenth) / (records / 10.0));
+    }
+  }
+
   private static void measure(boolean sync, int writers) throws IOException, InterruptedException {
     try (Ledger ledger = Ledger.open(Files.createTempDirectory("gorseladder-bench-").resolve("ledger.mv"), sync, 5_000_000)) {
       AtomicLong records = new AtomicLong();
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -25,8 +25,11 @@
  * <p>Bounded by age and by number. Any thread; atomicity over several calls is the caller's.
  */
 public final class Ledger implements Closeable {
-  private static final String FORMAT = "1";
+  private static final String FORMAT = "2";
+  /** The format before: expiry was keyed by time alone. Brought up to date when it is opened. */
+  private static final String FORMER = "1";
   private static final int MOST_EXPIRED_AT_ONCE = 2_000;
+  private static final int EXPIRY_DIGITS = 16;
   private static final long COMPACT_EVERY = 64;
   private static final int COMPACT_BYTES = 8 << 20;
 
@@ -36,7 +39,7 @@
   private final MVStore store;
   private final MVMap<String, byte[]> messages;
   private final MVMap<String, Long> requests;
-  private final MVMap<Long, String> expiry;
+  private final MVMap<String, Boolean> expiry;
   private final AtomicLong issued = new AtomicLong();
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition changed = lock.newCondition();
@@ -56,12 +59,16 @@
     this.store = store;
     messages = store.openMap("messages");
     requests = store.openMap("requests");
-    expiry = store.openMap("expiry");
     MVMap<String, String> about = store.openMap("about");
-    String format = about.putIfAbsent("format", FORMAT);
-    if (format != null && !format.equals(FORMAT)) {
+    String format = about.getOrDefault("format", FORMAT);
+    if (!format.equals(FORMAT) && !format.equals(FORMER)) {
       throw new IllegalArgumentException("its format is " + format + " and this program reads " + FORMAT);
     }
+    expiry = store.openMap("expires");
+    if (format.equals(FORMER)) {
+      upgrade();
+    }
+    about.put("format", FORMAT);
     boots = Long.parseLong(about.getOrDefault("boots", "0")) + 1;
     about.put("boots", Long.toString(boots));
     for (String key : messages.keySet()) {
@@ -78,6 +85,15 @@
     committer.start();
   }
 
+  /** Keys of the former format moved to this one's; a crash in between is made good by doing it again. */
+  private void upgrade() {
+    MVMap<Long, String> former = store.openMap("expiry");
+    for (var at = former.cursor(null); at.hasNext(); ) {
+      forgetAt(at.next(), at.getValue());
+    }
+    store.removeMap(former);
+  }
+
   /**
    * Opens the ledger, reading every entry once, and writes to it, so that damage and a full disk are found now.
    *
@@ -150,11 +166,19 @@
     return issued.incrementAndGet();
   }
 
+  /**
+   * Notes when a record may be forgotten. The key holds the time and then the record's own name, so that any number of
+   * records may share one time: keyed by time alone, each had to step past all that stood there, and the records of a second
+   * (a webhook's time stamp has whole seconds) cost the square of their number. It could harm where names are very long, as
+   * the key repeats them.
+   */
   private void forgetAt(long at, String what) {
-    long key = at;
-    while (expiry.putIfAbsent(key, what) != null) {
-      key++;
-    }
+    expiry.put(expiryKey(at) + what, Boolean.TRUE);
+  }
+
+  private static String expiryKey(long at) {
+    String digits = Long.toHexString(Math.max(0, at));
+    return "0".repeat(EXPIRY_DIGITS - digits.length()) + digits;
   }
 
   private void requireWritable() throws LedgerException {
@@ -242,21 +266,22 @@
 
   /** A message recorded anew after a repeat keeps its first time to be forgotten; signatures likewise. */
   private void forgetOld() {
-    long until = now;
-    List<Long> gone = new ArrayList<>();
+    String until = expiryKey(now);
+    List<String> gone = new ArrayList<>();
     for (var at = expiry.keyIterator(null); at.hasNext() && gone.size() < MOST_EXPIRED_AT_ONCE; ) {
-      long key = at.next();
-      if (key > until) {
+      String key = at.next();
+      if (key.substring(0, EXPIRY_DIGITS).compareTo(until) > 0) {
         break;
       }
       gone.add(key);
     }
-    for (Long key : gone) {
-      String what = expiry.remove(key);
-      if (what.startsWith("m")) {
-        messages.remove(what.substring(1));
+    for (String key : gone) {
+      expiry.remove(key);
+      String name = key.substring(EXPIRY_DIGITS + 1);
+      if (key.charAt(EXPIRY_DIGITS) == 'm') {
+        messages.remove(name);
       } else {
-        requests.remove(what.substring(1));
+        requests.remove(name);
       }
     }
   }
--- a/store/src/test/java/gorseladder/store/LedgerTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
+import org.h2.mvstore.MVStore;
 import org.h2.store.fs.FileBase;
 import org.h2.store.fs.FilePath;
 import org.h2.store.fs.FilePathWrapper;
@@ -76,6 +77,62 @@
     }
   }
 
+  /**
+   * Requests of one second share the time at which they may be forgotten. Keyed by time alone, each stepped past all of
+   * that second to a time of its own, which cost the square of their number and kept them too long.
+   */
+  @Test
+  void recordsOfOneTimeAreAllForgottenAtThatTimeAndNotBefore() throws IOException {
+    int records = 5_000;
+    try (Ledger ledger = Ledger.open(file(), false, 10)) {
+      for (int i = 0; i < records; i++) {
+        ledger.putRequest("r" + i, 1_000_000);
+      }
+      ledger.forgetUntil(999_999);
+      ledger.await(ledger.put("a", entry(Stage.ACCEPTED, 2_000_000)));
+      for (int i = 0; i < records; i++) {
+        assertTrue(ledger.seen("r" + i));
+      }
+      ledger.forgetUntil(1_000_000);
+      for (int commit = 0; commit < 4; commit++) {
+        ledger.await(ledger.put("a", entry(Stage.ACCEPTED, 2_000_000)));
+      }
+      for (int i = 0; i < records; i++) {
+        assertFalse(ledger.seen("r" + i));
+      }
+      assertEquals(1, ledger.size());
+    }
+  }
+
+  /** A file of the format before keeps its records and their times. */
+  @Test
+  void theFormerFormatIsBroughtUpToDate() throws IOException {
+    try (MVStore store = new MVStore.Builder().fileName(file().toString()).open()) {
+      store.<String, String>openMap("about").put("format", "1");
+      store.<String, byte[]>openMap("messages").put("a", entry(Stage.LEAVING, 50).toBytes());
+      store.<String, Long>openMap("requests").put("r", 60L);
+      store.<Long, String>openMap("expiry").put(50L, "ma");
+      store.<Long, String>openMap("expiry").put(60L, "rr");
+    }
+    for (int opening = 0; opening < 2; opening++) {
+      try (Ledger ledger = Ledger.open(file(), false, 10)) {
+        assertEquals(Stage.LEAVING, ledger.get("a").stage());
+        ledger.forgetUntil(49);
+        ledger.await(ledger.put("b", entry(Stage.ACCEPTED, 99)));
+        assertTrue(ledger.seen("r"));
+      }
+    }
+    try (Ledger ledger = Ledger.open(file(), false, 10)) {
+      ledger.forgetUntil(55);
+      ledger.await(ledger.put("b", entry(Stage.ACCEPTED, 99)));
+      assertNull(ledger.get("a"));
+      assertTrue(ledger.seen("r"));
+      ledger.forgetUntil(60);
+      ledger.await(ledger.put("b", entry(Stage.ACCEPTED, 99)));
+      assertFalse(ledger.seen("r"));
+    }
+  }
+
   @Test
   void oldEntriesAreForgottenAndRoomIsBounded() throws IOException {
     try (Ledger ledger = Ledger.open(file(), false, 3)) {
