Plans of loads ahead: placement, trust, a dispatcher's side and the account, pure

Need: loading ahead must pay for itself, or be seen not to. The router gets one event more, Hold: a copy that a plan wants. It is ordered only while no call waits, from half of the load ration, at a worker that runs, is warm and not suspect; without such events nothing changes. The shared order of workers is readable for planners, so a copy stands where all dispatchers look first. placement: worth of a copy (waiting saved less fetch and memory), greedy with a pass of swaps, trust by how past forecasts came out. ahead: plans by epoch, version and time to live; proposals spread in time; an account that credits a load strictly.

--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -70,6 +70,10 @@
   private static final double LATE_MARGIN = 1.5;
   /** Waiting calls tried at one look; bounds the work of a look when thousands wait. */
   private static final int MOST_TRIES = 64;
+  /** Part of the load ration that plans may use; the rest is left for calls that wait. */
+  private static final double AHEAD_PART = 0.5;
+  /** Part of the keep-alive that must be gone before a copy that stands is ordered held anew by a plan. */
+  private static final double RENEW_PART = 0.5;
   /** First word of the message that a worker is sick. */
   private static final String SICK = "sick ";
 
@@ -129,6 +133,8 @@
       onTimer(e.token());
     } else if (event instanceof Loaded e) {
       onLoaded(e);
+    } else if (event instanceof Hold e) {
+      onHold(e);
     } else if (event instanceof Workers e) {
       onWorkers(e);
     } else if (event instanceof ClientGone e) {
@@ -503,8 +509,29 @@
     return f.usual > 0 ? f.usual : meanUsual;
   }
 
-  /** The load ration: orders in the window, this one included, may not pass what the rule allows. */
-  private boolean mayLoad() {
+  /**
+   * A copy that a plan wants ahead of need. It yields to calls: nothing is ordered while one waits, from
+   * the part of the ration kept for them, or at a worker that is cold or suspect. It could harm where a
+   * plan is wrong: each order may push out what a later call needs; the plan's maker pays for that.
+   */
+  private void onHold(Hold event) {
+    Worker w = workers.get(event.worker());
+    if (w == null || !waiting.isEmpty() || warmth(w) < 1 || w.failures >= SUSPECT || !mayLoad(AHEAD_PART)) {
+      return;
+    }
+    Function f = functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
+    f.lanes = f.lanes == 0 ? event.lanes() : f.lanes;
+    f.loadTime = f.loadTime == 0 ? event.loadTime() : f.loadTime;
+    f.lastAsked = now;
+    Copy copy = copyAt(f, w);
+    boolean fresh = copy.until - now > RENEW_PART * settings.keepAlive();
+    if (!warm(copy) || copy.copies < event.copies() || !fresh) {
+      order(copy, event.copies());
+    }
+  }
+
+  /** The load ration: orders in the window, this one included, may not pass this part of what is allowed. */
+  private boolean mayLoad(double part) {
     Rules rules = settings.rules();
     while (!loadTimes.isEmpty() && loadTimes.peekFirst() <= now - rules.loadWindow()) {
       loadTimes.removeFirst();
@@ -513,13 +540,13 @@
       takenTimes.removeFirst();
     }
     double most = rules.loadsFree() + rules.loadShare() * takenTimes.size();
-    return rules.loadWindow() == 0 || loadTimes.size() + 1 <= most;
+    return rules.loadWindow() == 0 || loadTimes.size() + 1 <= part * most;
   }
 
   /** The one place that emits a load order. */
   private void order(Copy copy, int count) {
     boolean running = copy.worker.phase == Phase.RUNNING;
-    if (copy.ordered >= 0 || !running || !settings.limits().orders() || !mayLoad()) {
+    if (copy.ordered >= 0 || !running || !settings.limits().orders() || !mayLoad(1)) {
       return;
     }
     if (settings.rules().loadWindow() > 0) {
@@ -621,8 +648,7 @@
     f.version = listVersion;
     long[] keys = new long[fleet.length];
     for (int i = 0; i < keys.length; i++) {
-      double unit = (mix(f.hash ^ fleet[i].hash) >>> 1) / (double) Integer.MAX_VALUE;
-      double score = -StrictMath.log(Math.max(unit, 1e-9)) * meanWeight / fleet[i].weight;
+      double score = score(f.hash, fleet[i].hash, meanWeight, fleet[i].weight);
       keys[i] = (long) (Math.min(score, 1e4) * (1L << 30)) << 16 | i;
     }
     Arrays.sort(keys);
@@ -638,6 +664,19 @@
     }
   }
 
+  private static double score(int function, int worker, double meanWeight, double weight) {
+    double unit = (mix(function ^ worker) >>> 1) / (double) Integer.MAX_VALUE;
+    return -StrictMath.log(Math.max(unit, 1e-9)) * meanWeight / weight;
+  }
+
+  /**
+   * Where a worker stands in the shared order of a function: the lowest comes first. Planners use it too,
+   * so that a copy loaded ahead stands where all dispatchers look first.
+   */
+  public static double distance(String function, String worker, double meanWeight, double weight) {
+    return score(mix(function.hashCode()), mix(worker.hashCode()), meanWeight, weight);
+  }
+
   private static int mix(int value) {
     int h = (value ^ (value >>> 16)) * 0x7feb352d;
     h = (h ^ (h >>> 15)) * 0x846ca68b;
--- a/decisions/src/main/java/gorseladder/RouterApi.java
+++ b/decisions/src/main/java/gorseladder/RouterApi.java
@@ -155,6 +155,18 @@
   public record Loaded(String worker, String function, int copies, Outcome outcome, long latency)
       implements Event {}
 
+  /**
+   * A plan wants copies held at a worker ahead of need; the router may pass it over, and then nothing follows.
+   * {@code loadTime} is 0 where not told.
+   */
+  public record Hold(String worker, String function, int copies, int lanes, long loadTime) implements Event {
+    public Hold {
+      require(worker != null, "hold worker");
+      require(function != null, "hold function");
+      require(copies > 0 && lanes > 0, "hold copies or lanes");
+    }
+  }
+
   /** Something the dispatcher is to do. */
   public sealed interface Action {}
 
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -0,0 +1,177 @@
+package gorseladder.ahead;
+
+import gorseladder.RouterApi.Hold;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A dispatcher's side of loading ahead: takes plans, says when which copy is to be proposed to the router, and keeps the
+ * account. It proposes; whether an order leaves is the router's decision, which counts it in its own ration, leaves room for
+ * calls in need, and passes over workers that drain, are cold or suspect.
+ *
+ * <p>A plan that is older than the one in hand, has expired or is absurd changes nothing. Without a plan nothing is proposed. Free
+ * of clocks and input; not thread safe. Times are microseconds on one clock.
+ */
+public final class Ahead {
+  /** Items of a plan at the most: a planner gone wrong must not fill the memory of its dispatchers. */
+  private static final int MOST_ITEMS = 10_000;
+  /** Copies of one item at the most. */
+  private static final int MOST_COPIES = 64;
+  /** Part of the keep-alive after which a copy that waits for its first call is held anew. */
+  private static final double RENEW = 0.6;
+  /** Proposals at one look: a plan is no burst. */
+  private static final int MOST_AT_ONCE = 4;
+
+  /** What became of a plan. */
+  public enum Verdict { TAKEN, OLDER, EXPIRED, ABSURD }
+
+  private static final class Wish {
+    private final Plan.Item item;
+    private long orderedAt = -1;
+    private long renewAt;
+    private boolean stands;
+
+    Wish(Plan.Item item) {
+      this.item = item;
+    }
+  }
+
+  private record Key(String worker, String function) {}
+
+  private final long keepAlive;
+  private final Account account;
+  private final Map<Key, Wish> wishes = new LinkedHashMap<>();
+  /** Orders under way, also those of a plan that was replaced since. */
+  private final Map<Key, Wish> ordered = new HashMap<>();
+  private Plan plan = new Plan(Long.MIN_VALUE, 0, 0, List.of());
+  private long proposed;
+  private long orders;
+
+  /** A side without a plan, where idle copies stay for so many microseconds. */
+  public Ahead(long keepAlive) {
+    this.keepAlive = keepAlive;
+    this.account = new Account(keepAlive);
+  }
+
+  /** Takes a plan, or says why not; the one in hand then stays. */
+  public Verdict take(Plan next, long now) {
+    boolean newer = next.epoch() > plan.epoch() || next.epoch() == plan.epoch() && next.version() > plan.version();
+    if (!newer) {
+      return Verdict.OLDER;
+    }
+    if (next.until() <= now) {
+      return Verdict.EXPIRED;
+    }
+    if (next.items().size() > MOST_ITEMS || next.items().stream().anyMatch(i -> absurd(next, i))) {
+      return Verdict.ABSURD;
+    }
+    plan = next;
+    Map<Key, Wish> before = new HashMap<>(wishes);
+    wishes.clear();
+    for (Plan.Item item : next.items()) {
+      Key key = new Key(item.worker(), item.function());
+      Wish wish = new Wish(item);
+      Wish same = before.get(key);
+      if (same != null && same.orderedAt >= 0) {
+        wish.orderedAt = same.orderedAt;
+        wish.renewAt = same.renewAt;
+        wish.stands = same.stands;
+      }
+      wishes.put(key, wish);
+    }
+    return Verdict.TAKEN;
+  }
+
+  private static boolean absurd(Plan p, Plan.Item i) {
+    return i.worker().isEmpty() || i.copies() < 1 || i.copies() > MOST_COPIES || i.lanes() < 1 || i.until() <= i.from()
+        || i.from() > p.until() || i.loadTime() < 0 || !(i.memoryMb() >= 0);
+  }
+
+  /** What is to be proposed to the router now. Call it a few times a second; it spreads a plan by itself. */
+  public List<Hold> due(long now) {
+    account.tidy(now);
+    List<Hold> due = new ArrayList<>();
+    if (plan.until() <= now) {
+      wishes.clear();
+    }
+    for (Iterator<Wish> all = wishes.values().iterator(); all.hasNext() && due.size() < MOST_AT_ONCE; ) {
+      Wish w = all.next();
+      Plan.Item i = w.item;
+      if (now >= i.until()) {
+        all.remove();
+      } else if (now >= i.from() && wanted(w, now)) {
+        due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
+      }
+    }
+    proposed += due.size();
+    return due;
+  }
+
+  /** Not ordered yet, or ordered and nobody came: then it is held anew before it ages out. Once used it is a copy like others. */
+  private boolean wanted(Wish w, long now) {
+    if (w.orderedAt < 0) {
+      return true;
+    }
+    return w.stands && now >= w.renewAt && account.unused(w.item.worker(), w.item.function());
+  }
+
+  /** The router ordered what was proposed. */
+  public void ordered(String worker, String function, long now) {
+    Key key = new Key(worker, function);
+    Wish w = wishes.get(key);
+    if (w != null) {
+      orders++;
+      w.orderedAt = now;
+      w.stands = false;
+      ordered.put(key, w);
+    }
+  }
+
+  /** A load order ended, whoever wanted it. */
+  public void loaded(String worker, String function, Outcome outcome, long latency, long now) {
+    Key key = new Key(worker, function);
+    Wish w = ordered.remove(key);
+    if (w == null) {
+      return;
+    }
+    w.stands = outcome == Outcome.OK;
+    w.renewAt = now + (long) (RENEW * keepAlive);
+    if (w.stands) {
+      account.loaded(worker, function, w.orderedAt, latency, w.item.memoryMb(), now);
+    } else if (wishes.get(key) == w) {
+      // Refused or lost: the archive or the worker has other things to do, and asking again would make that worse.
+      wishes.remove(key);
+    }
+  }
+
+  /** A served attempt and what it met there. */
+  public void served(String worker, String function, Note note, long now) {
+    account.served(worker, function, note, now);
+  }
+
+  /** The account of what was loaded. */
+  public Account account() {
+    return account;
+  }
+
+  /** The plan in hand: its epoch and version, for the log. */
+  public Plan plan() {
+    return plan;
+  }
+
+  /** Proposals made to the router, and orders it made of them. */
+  public long proposed() {
+    return proposed;
+  }
+
+  /** Orders that the router made of proposals. */
+  public long orders() {
+    return orders;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -0,0 +1,238 @@
+package gorseladder.placement;
+
+import gorseladder.Router;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * Which copies to hold where: copies whose expected benefit passes their cost, the best first for what they take of memory
+ * and of the orders allowed, each at the worker where dispatchers look first and there is room; then a pass that makes room
+ * for a better copy by leaving out lesser ones. Free of input and clocks; a few milliseconds for thousands of functions.
+ *
+ * <p>A copy of a function stands at most once at a worker here: a second lane set at one worker is the worker's affair.
+ */
+public final class Placement {
+  /** Copies of one function at the most in one plan. */
+  private static final int MOST_COPIES = 16;
+  /** Part of the gain lost for each place further down the shared order: fewer dispatchers look there. */
+  private static final double RANK_LOSS = 0.08;
+  /** Places of the shared order that are looked at. */
+  private static final int MOST_PLACES = 8;
+
+  /** What all copies of a plan together may take: orders, and gigabytes fetched. */
+  public record Limits(int orders, double gigabytes) {}
+
+  /**
+   * A copy to hold.
+   *
+   * @param number of this copy of its function, from 1
+   * @param gain expected seconds of waiting saved; {@code cost} what that costs, in the same unit
+   * @param hold seconds for which it is held without a call
+   */
+  public record Placed(String function, String host, int number, double gain, double cost, double hold) {
+    /** What it brings. */
+    public double net() {
+      return gain - cost;
+    }
+  }
+
+  private record Candidate(Demand demand, int number, Worth.Copy worth, double density) {}
+
+  private final List<Host> hosts;
+  private final double meanWeight;
+  private final Limits limits;
+  private final Worth worth;
+  private final double[] free;
+  private final int[] loads;
+  private final double memory;
+  private final Map<String, int[]> nearest = new HashMap<>();
+  private final Map<String, Demand> demands = new HashMap<>();
+  private final List<Placed> placed = new ArrayList<>();
+  private final Map<String, Integer> index = new HashMap<>();
+  private double gigabytes;
+
+  private Placement(List<Host> hosts, Limits limits, Worth worth) {
+    this.hosts = List.copyOf(hosts);
+    this.limits = limits;
+    this.worth = worth;
+    meanWeight = hosts.stream().mapToDouble(Host::weight).average().orElse(1);
+    free = hosts.stream().mapToDouble(Host::freeMb).toArray();
+    loads = hosts.stream().mapToInt(Host::loads).toArray();
+    memory = Math.max(1, Arrays.stream(free).sum());
+    for (int i = 0; i < hosts.size(); i++) {
+      index.put(hosts.get(i).name(), i);
+    }
+  }
+
+  /**
+   * Chooses copies for a stretch of time.
+   *
+   * @param stretch its length in seconds
+   * @param keepAlive seconds that an idle copy stays
+   */
+  public static List<Placed> choose(List<Demand> demands, List<Host> hosts, Limits limits, Prices prices, double stretch,
+      double keepAlive) {
+    Placement placement = new Placement(hosts, limits, new Worth(prices, stretch, keepAlive));
+    List<Candidate> left = placement.greedy(demands);
+    placement.improve(left);
+    placement.placed.sort(Comparator.comparingDouble((Placed p) -> -p.net()).thenComparing(Placed::function));
+    return List.copyOf(placement.placed);
+  }
+
+  private Candidate candidate(Demand d, int number) {
+    Worth.Copy copy = worth.of(d, number);
+    // Orders and memory are what copies compete for; each counts by the part of the whole it takes.
+    double takes = d.memoryMb() / memory + 1.0 / Math.max(1, limits.orders());
+    return new Candidate(d, number, copy, copy.net() / takes);
+  }
+
+  private List<Candidate> greedy(List<Demand> all) {
+    PriorityQueue<Candidate> queue = new PriorityQueue<>(Comparator.comparingDouble((Candidate c) -> -c.density())
+        .thenComparing(c -> c.demand().function()));
+    for (Demand d : all) {
+      demands.put(d.function(), d);
+      Candidate first = candidate(d, 1);
+      if (first.worth().net() > 0) {
+        queue.add(first);
+      }
+    }
+    List<Candidate> left = new ArrayList<>();
+    while (!queue.isEmpty()) {
+      Candidate c = queue.poll();
+      if (!place(c)) {
+        left.add(c);
+        continue;
+      }
+      Candidate next = candidate(c.demand(), c.number() + 1);
+      if (c.number() < MOST_COPIES && next.worth().net() > 0) {
+        queue.add(next);
+      }
+    }
+    return left;
+  }
+
+  /** Hosts in the function's shared order, nearest first. */
+  private int[] nearest(String function) {
+    return nearest.computeIfAbsent(function, f -> {
+      double[] distance = new double[hosts.size()];
+      Integer[] order = new Integer[hosts.size()];
+      for (int i = 0; i < order.length; i++) {
+        order[i] = i;
+        distance[i] = Router.distance(f, hosts.get(i).name(), meanWeight, hosts.get(i).weight());
+      }
+      Arrays.sort(order, Comparator.comparingDouble(i -> distance[i]));
+      return Arrays.stream(order).mapToInt(Integer::intValue).limit(MOST_COPIES + MOST_PLACES).toArray();
+    });
+  }
+
+  private boolean withinLimits(Demand d) {
+    return placed.size() < limits.orders() && gigabytes + d.memoryMb() / 1024 <= limits.gigabytes();
+  }
+
+  private Placed at(Candidate c, int place) {
+    double gain = c.worth().gain() * Math.max(0, 1 - RANK_LOSS * Math.max(0, place + 1 - c.number()));
+    return new Placed(c.demand().function(), hosts.get(nearest(c.demand().function())[place]).name(), c.number(), gain,
+        c.worth().cost(), c.worth().hold());
+  }
+
+  private boolean standsAt(String function, int host) {
+    String name = hosts.get(host).name();
+    return placed.stream().anyMatch(p -> p.function().equals(function) && p.host().equals(name));
+  }
+
+  private boolean place(Candidate c) {
+    if (!withinLimits(c.demand())) {
+      return false;
+    }
+    int[] order = nearest(c.demand().function());
+    for (int place = 0; place < Math.min(order.length, c.number() - 1 + MOST_PLACES); place++) {
+      int host = order[place];
+      if (free[host] >= c.demand().memoryMb() && loads[host] > 0 && (c.number() == 1 || !standsAt(c.demand().function(), host))) {
+        Placed p = at(c, place);
+        if (p.net() > 0) {
+          take(p);
+          return true;
+        }
+        return false;
+      }
+    }
+    return false;
+  }
+
+  private void take(Placed p) {
+    double mb = demands.get(p.function()).memoryMb();
+    int host = index.get(p.host());
+    free[host] -= mb;
+    loads[host]--;
+    gigabytes += mb / 1024;
+    placed.add(p);
+  }
+
+  private void leave(Placed p) {
+    double mb = demands.get(p.function()).memoryMb();
+    int host = index.get(p.host());
+    free[host] += mb;
+    loads[host]++;
+    gigabytes -= mb / 1024;
+    placed.remove(p);
+  }
+
+  /**
+   * Tries each copy that found no room, at each near worker, in the place of lesser ones there, or of the least of all where
+   * only the number of orders binds. A copy left out must be the last of its function.
+   */
+  private void improve(List<Candidate> left) {
+    left.sort(Comparator.comparingDouble(c -> -c.worth().net()));
+    for (Candidate c : left.subList(0, Math.min(left.size(), 4 * MOST_PLACES * MOST_COPIES))) {
+      Demand d = c.demand();
+      int[] order = nearest(d.function());
+      for (int place = 0; place < Math.min(order.length, c.number() - 1 + MOST_PLACES); place++) {
+        if (!standsAt(d.function(), order[place]) && swap(at(c, place), d, order[place])) {
+          break;
+        }
+      }
+    }
+  }
+
+  private boolean swap(Placed fresh, Demand d, int host) {
+    String name = hosts.get(host).name();
+    List<Placed> least = placed.stream().filter(this::last).filter(p -> !p.function().equals(d.function()))
+        .sorted(Comparator.comparingDouble(Placed::net)).toList();
+    List<Placed> out = new ArrayList<>();
+    double lost = 0;
+    double room = free[host];
+    int turns = loads[host];
+    for (Placed p : least) {
+      boolean here = p.host().equals(name);
+      boolean ordersBind = placed.size() - out.size() >= limits.orders();
+      boolean fetchBinds = gigabytes + d.memoryMb() / 1024 - out.stream().mapToDouble(o -> demands.get(o.function()).memoryMb()).sum()
+          / 1024 > limits.gigabytes();
+      boolean hostBinds = room < d.memoryMb() || turns <= 0;
+      if (!ordersBind && !fetchBinds && !hostBinds || lost + p.net() >= fresh.net()) {
+        break;
+      }
+      if (hostBinds ? here : ordersBind || fetchBinds) {
+        out.add(p);
+        lost += p.net();
+        room += here ? demands.get(p.function()).memoryMb() : 0;
+        turns += here ? 1 : 0;
+      }
+    }
+    out.forEach(this::leave);
+    if (withinLimits(d) && free[host] >= d.memoryMb() && loads[host] > 0 && lost < fresh.net() && fresh.net() > 0) {
+      take(fresh);
+      return true;
+    }
+    out.forEach(this::take);
+    return false;
+  }
+
+  private boolean last(Placed p) {
+    return placed.stream().noneMatch(o -> o.function().equals(p.function()) && o.number() > p.number());
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -0,0 +1,154 @@
+package gorseladder.placement;
+
+import gorseladder.forecast.Forecasts;
+import gorseladder.forecast.Slots;
+import gorseladder.placement.Placement.Limits;
+import gorseladder.placement.Placement.Placed;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * From counts of calls to plans: foresees the next slot, believes it as far as past forecasts earned it, and chooses the
+ * copies worth their cost. Free of input and clocks; slots are told in their order. Not thread safe.
+ */
+public final class PlanMaker {
+  /** Scatter that is taken where little is known. */
+  private static final double MOST_SCATTER = 50;
+  /** Standard deviations between a forecast's mean and its upper value. */
+  private static final double UPPER = 1.65;
+  /** Weight of the newest figures of a function. */
+  private static final double NEWEST = 0.3;
+  /** Part of the archive's capacity that loads ahead may use; the rest is for loads that calls wait for. */
+  private static final double ARCHIVE_PART = 0.3;
+  /** Keep-alives before a slot over which its loads may be spread. */
+  private static final double LEAD = 1;
+  /** Loads that one worker may be given within that lead. */
+  private static final int LOADS_PER_HOST = 4;
+
+  /** Foresees a function's calls in a slot; {@link Forecasts#expect} in a planner. */
+  public interface Foresight {
+    Forecasts.Expected expect(String function, long slot);
+  }
+
+  /**
+   * What a planner is told at its start.
+   *
+   * @param keepAlive seconds that an idle copy stays
+   * @param archive loads a second that the archive serves well
+   * @param ordersPerPlan what the users' ration leaves for one plan over all dispatchers
+   */
+  public record Settings(double keepAlive, double archive, int ordersPerPlan, Prices prices) {
+    public Settings {
+      if (!(keepAlive > 0) || !(archive > 0) || ordersPerPlan < 0) {
+        throw new IllegalArgumentException("impossible settings of a planner");
+      }
+    }
+  }
+
+  /** What a function's copies need and take. */
+  public record Facts(double memoryMb, int lanes, double workSeconds, double loadSeconds) {}
+
+  /**
+   * A copy to order.
+   *
+   * @param from seconds from the beginning of the slot, below 0 as it must stand by then; {@code until} likewise
+   */
+  public record Order(Placed placed, Facts facts, double from, double until) {}
+
+  private record Said(double calls, double any) {}
+
+  private final double slotSeconds;
+  private final Settings settings;
+  private final Forecasts forecasts;
+  private final Foresight foresight;
+  private final Trust trust = new Trust();
+  private final Map<String, Facts> facts = new HashMap<>();
+  private Map<String, Integer> lastCalls = Map.of();
+  private Map<String, Said> said = Map.of();
+  private long saidFor = Long.MIN_VALUE;
+
+  /** A maker that foresees by its own forecasts. */
+  public PlanMaker(Slots slots, Settings settings) {
+    this(slots, settings, null);
+  }
+
+  /** A maker with another foresight than its own, so that bad ones can be tried. */
+  public PlanMaker(Slots slots, Settings settings, Foresight other) {
+    this.slotSeconds = 86_400.0 / slots.perDay();
+    this.settings = settings;
+    this.forecasts = new Forecasts(slots, 1 << 14);
+    this.foresight = other == null ? forecasts::expect : other;
+  }
+
+  /** The forecasts it makes plans from. */
+  public Forecasts forecasts() {
+    return forecasts;
+  }
+
+  /** How far the forecasts of functions are believed now. */
+  public Trust trust() {
+    return trust;
+  }
+
+  /** What was seen of a function's copies. */
+  public void learn(String function, Facts seen) {
+    facts.merge(function, seen, (a, b) -> new Facts(b.memoryMb(), b.lanes(), mix(a.workSeconds(), b.workSeconds()),
+        mix(a.loadSeconds(), b.loadSeconds())));
+  }
+
+  private static double mix(double before, double seen) {
+    return seen <= 0 ? before : before <= 0 ? seen : before + NEWEST * (seen - before);
+  }
+
+  /** The calls of a whole slot, by function; what was said for it is judged now. Slots at or before the last are passed over. */
+  public void observe(long slot, Map<String, Integer> calls) {
+    if (!forecasts.observe(slot, calls)) {
+      return;
+    }
+    if (slot == saidFor) {
+      said.forEach((f, s) -> trust.note(f, s.calls(), s.any(), calls.getOrDefault(f, 0)));
+    }
+    lastCalls = Map.copyOf(calls);
+    HashSet<String> known = new HashSet<>(forecasts.functions());
+    trust.keepOnly(known);
+    known.addAll(calls.keySet());
+    facts.keySet().retainAll(known);
+  }
+
+  /** What to hold in a slot after the last one observed, the most valuable ordered last, just before the slot begins. */
+  public List<Order> plan(long slot, List<Host> hosts) {
+    List<Demand> demands = new ArrayList<>();
+    Map<String, Said> saying = new HashMap<>();
+    boolean hole = slot != forecasts.last() + 1;
+    for (String function : forecasts.functions()) {
+      Facts f = facts.get(function);
+      Forecasts.Expected e = foresight.expect(function, slot);
+      if (f == null || !(e.mean() > 0)) {
+        continue;
+      }
+      double away = (e.upper() - e.mean()) / UPPER;
+      double scatter = Math.max(1, Math.min(MOST_SCATTER, away * away / Math.max(0.05, e.mean())));
+      saying.put(function, new Said(e.mean(), 1 - Math.exp(-e.mean())));
+      demands.add(new Demand(function, e.mean() * trust.calls(function), scatter,
+          hole ? 0 : lastCalls.getOrDefault(function, 0), trust.any(function), f.memoryMb(), f.lanes(), f.workSeconds(), f.loadSeconds()));
+    }
+    said = saying;
+    saidFor = slot;
+    double lead = LEAD * settings.keepAlive();
+    double pace = ARCHIVE_PART * settings.archive();
+    int orders = (int) Math.min(settings.ordersPerPlan(), Math.floor(lead * pace));
+    List<Host> able = hosts.stream().map(h -> new Host(h.name(), h.freeMb(), Math.min(h.loads(), LOADS_PER_HOST), h.weight()))
+        .toList();
+    List<Placed> placed = orders == 0 ? List.of() : Placement.choose(demands, able, new Limits(orders, Double.MAX_VALUE),
+        settings.prices(), slotSeconds, settings.keepAlive());
+    List<Order> all = new ArrayList<>();
+    for (int i = 0; i < placed.size(); i++) {
+      Facts f = facts.get(placed.get(i).function());
+      all.add(new Order(placed.get(i), f, -f.loadSeconds() - (i + 1) / pace, placed.get(i).hold()));
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/placement/Prices.java
@@ -0,0 +1,15 @@
+package gorseladder.placement;
+
+/**
+ * What loading ahead costs, told in seconds of a caller's waiting, so that benefit and cost can be set against each other.
+ *
+ * @param fetch a fetch from the archive and the start of a copy, 0 or more
+ * @param gigabyteSecond a gigabyte held for a second, 0 or more
+ */
+public record Prices(double fetch, double gigabyteSecond) {
+  public Prices {
+    if (!(fetch >= 0) || !(gigabyteSecond >= 0)) {
+      throw new IllegalArgumentException("impossible prices");
+    }
+  }
+}
--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -11,6 +11,7 @@
 import gorseladder.RouterApi.Event;
 import gorseladder.RouterApi.Fail;
 import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.Hold;
 import gorseladder.RouterApi.ListKind;
 import gorseladder.RouterApi.Load;
 import gorseladder.RouterApi.Loaded;
@@ -25,8 +26,10 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -534,4 +537,63 @@
     assertTrue(e.getMessage().contains("class name"));
     assertThrows(IllegalArgumentException.class, () -> new Router(null, 1));
   }
+
+  private static Hold hold(String worker, String function) {
+    return new Hold(worker, function, 1, 1, 500 * MS);
+  }
+
+  /** A copy held by a plan is believed warm once it stands, so the next call goes there. */
+  @Test
+  void planOrdersACopyAndCallsFindIt() {
+    start(false, false, running("a"), running("b"), running("c"));
+    tell(hold("b", "f"));
+    assertEquals(new Load("b", "f", 1), got(Load.class).get(0));
+    tell(hold("b", "f"));
+    assertTrue(got(Load.class).isEmpty(), "one order outstanding at most");
+    now += 500 * MS;
+    tell(new Loaded("b", "f", 1, Outcome.OK, 500 * MS));
+    tell(hold("b", "f"));
+    assertTrue(got(Load.class).isEmpty(), "it stands and is fresh");
+    request(1, "safe", "f");
+    if (!sentTo().equals("b")) {
+      answer(1, 0, sentTo(), Outcome.MISS);
+    }
+    assertEquals("b", sentTo(), "the first of the shared order or the copy that stands; after a miss the latter");
+    now += 100 * MS;
+    answer(1, got(Send.class).isEmpty() ? 0 : 1, "b", Outcome.OK);
+    now += 6 * SECOND;
+    tell(hold("b", "f"));
+    assertEquals(1, got(Load.class).size(), "held anew before its keep-alive ends");
+  }
+
+  /** Rules 3 to 5 hold for plans too, and calls come first. */
+  @Test
+  void planYieldsToDrainsColdWorkersWaitingCallsAndTheRation() {
+    start(false, false, running("a"), TestSites.entry("drains", Phase.DRAINING, 0), TestSites.entry("cold", Phase.RUNNING, now));
+    tell(hold("drains", "f"));
+    tell(hold("cold", "f"));
+    tell(hold("unknown", "f"));
+    assertTrue(actions.isEmpty());
+    tell(hold("a", "f1"));
+    assertEquals(1, got(Load.class).size(), "half of two free orders");
+    tell(hold("a", "f2"));
+    assertTrue(got(Load.class).isEmpty(), "the other half is left for calls");
+    request(1, "safe", "g");
+    assertEquals(1, got(Load.class).size(), "a call in need still gets its order");
+    now += 6 * SECOND;
+    tell(hold("a", "f2"));
+    assertTrue(got(Load.class).isEmpty(), "a call waits");
+  }
+
+  /** Planners and dispatchers look at the same worker first. */
+  @Test
+  void sharedOrderIsTheOneThatPlannersSee() {
+    for (int i = 0; i < 20; i++) {
+      String function = "f" + i;
+      start(true, false, running("a"), running("b"), running("c"), running("d"));
+      request(1, "safe", function);
+      assertEquals(Stream.of("a", "b", "c", "d").min(Comparator.comparingDouble(w -> Router.distance(function, w, 1, 1)))
+          .orElseThrow(), sentTo());
+    }
+  }
 }
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/ahead/AheadTest.java
@@ -0,0 +1,175 @@
+package gorseladder.ahead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Hold;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.ahead.Ahead.Verdict;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class AheadTest {
+  private static final long SECOND = 1_000_000;
+  private static final long KEEP = 10 * SECOND;
+  private static final long LOAD = SECOND / 2;
+
+  private final Ahead ahead = new Ahead(KEEP);
+  private long now = 100 * SECOND;
+
+  private Plan plan(long epoch, long version, Plan.Item... items) {
+    return new Plan(epoch, version, now + 1_000 * SECOND, List.of(items));
+  }
+
+  private Plan.Item item(String worker, String function) {
+    return new Plan.Item(worker, function, 1, 1, now, now + 60 * SECOND, LOAD, 400);
+  }
+
+  private List<Hold> due() {
+    return ahead.due(now);
+  }
+
+  private void load(String worker, String function) {
+    ahead.ordered(worker, function, now);
+    now += LOAD;
+    ahead.loaded(worker, function, Outcome.OK, LOAD, now);
+  }
+
+  @Test
+  void plansAreTakenOnceNewestFirstAndNeverAbsurd() {
+    assertEquals(Verdict.TAKEN, ahead.take(plan(2, 5, item("w", "f")), now));
+    assertEquals(Verdict.OLDER, ahead.take(plan(2, 5), now));
+    assertEquals(Verdict.OLDER, ahead.take(plan(1, 9), now), "another planner that lost its turn");
+    assertEquals(Verdict.EXPIRED, ahead.take(new Plan(3, 1, now, List.of()), now));
+    Plan.Item good = item("w", "f");
+    for (Plan.Item bad : List.of(new Plan.Item("", "f", 1, 1, now, now + 1, 0, 1), new Plan.Item("w", "f", 65, 1, now, now + 1, 0, 1),
+        new Plan.Item("w", "f", 1, 0, now, now + 1, 0, 1), new Plan.Item("w", "f", 1, 1, now, now, 0, 1),
+        new Plan.Item("w", "f", 1, 1, now + 2_000 * SECOND, Long.MAX_VALUE, 0, 1),
+        new Plan.Item("w", "f", 1, 1, now, now + 1, 0, Double.NaN))) {
+      assertEquals(Verdict.ABSURD, ahead.take(plan(3, 1, good, bad), now));
+    }
+    assertEquals(2, ahead.plan().epoch(), "the plan in hand stays");
+    assertEquals(1, due().size());
+  }
+
+  @Test
+  void copiesAreProposedInTheirTimeAFewAtOnceAndUntilOrdered() {
+    List<Plan.Item> items = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      items.add(new Plan.Item("w" + i, "f", 1, 1, now + 5 * SECOND, now + 60 * SECOND, LOAD, 400));
+    }
+    ahead.take(plan(1, 1, items.toArray(new Plan.Item[0])), now);
+    assertEquals(List.of(), due(), "not yet");
+    now += 5 * SECOND;
+    assertTrue(due().size() < 10, "a plan is no burst");
+    int ordered = 0;
+    for (int look = 0; look < 10; look++) {
+      for (Hold h : due()) {
+        ahead.ordered(h.worker(), h.function(), now);
+        ordered++;
+      }
+    }
+    assertEquals(10, ordered, "each once");
+    assertEquals(10, ahead.orders());
+  }
+
+  @Test
+  void anUnusedCopyIsHeldAnewUntilItsTimeIsOverAndAUsedOneIsLeftAlone() {
+    ahead.take(plan(1, 1, item("w", "f"), item("w", "g")), now);
+    load("w", "f");
+    load("w", "g");
+    assertEquals(List.of(), due());
+    ahead.served("w", "g", Note.WARM, now);
+    now += 7 * SECOND;
+    assertEquals(List.of("f"), due().stream().map(Hold::function).toList());
+    load("w", "f");
+    now += 7 * SECOND;
+    ahead.served("w", "f", Note.WARM, now);
+    assertEquals(List.of(), due());
+    now += 60 * SECOND;
+    assertEquals(List.of(), due());
+    Account.Entry f = ahead.account().take().stream().filter(e -> e.function().equals("f")).findFirst().orElseThrow();
+    assertEquals(1, f.renewals());
+    assertEquals(1, f.found());
+    assertEquals(LOAD, f.savedMicros());
+    // From the first order to the first call: two loads of half a second, and what passed beside them.
+    assertEquals(400 * 15.5, f.megabyteSeconds(), 0.1);
+  }
+
+  @Test
+  void aFailedLoadIsNotAskedForAgainAndAnExpiredPlanIsOver() {
+    ahead.take(plan(1, 1, item("w", "f"), item("w", "g")), now);
+    ahead.ordered("w", "f", now);
+    ahead.loaded("w", "f", Outcome.FULL, LOAD, now);
+    assertEquals(List.of("g"), due().stream().map(Hold::function).toList());
+    now += 1_000 * SECOND;
+    assertEquals(List.of(), due());
+  }
+
+  @Test
+  void aNewerPlanKeepsWhatWasOrderedAlready() {
+    ahead.take(plan(1, 1, item("w", "f")), now);
+    ahead.ordered("w", "f", now);
+    ahead.take(plan(1, 2, item("w", "f"), item("w", "g")), now);
+    assertEquals(List.of("g"), due().stream().map(Hold::function).toList());
+    now += LOAD;
+    ahead.loaded("w", "f", Outcome.OK, LOAD, now);
+    assertEquals(1, ahead.account().open());
+  }
+
+  /** Saved: a load for the first call, what is left of it for the next, nothing for those that would have found it anyway. */
+  @Test
+  void theAccountCountsStrictly() {
+    ahead.take(plan(1, 1, item("w", "f"), item("w", "wasted")), now);
+    load("w", "f");
+    load("w", "wasted");
+    ahead.served("w", "f", Note.WARM, now);
+    now += LOAD / 4;
+    ahead.served("w", "f", Note.WARM, now);
+    now += LOAD;
+    ahead.served("w", "f", Note.WARM, now);
+    now += 30 * SECOND;
+    due();
+    List<Account.Entry> all = ahead.account().take();
+    assertEquals(2, all.size());
+    Account.Entry used = all.get(0);
+    assertEquals(2, used.found());
+    assertEquals(LOAD + LOAD * 3 / 4, used.savedMicros());
+    Account.Entry waste = all.get(1);
+    assertEquals("wasted", waste.function());
+    assertEquals(0, waste.found());
+    assertEquals(0, waste.savedMicros());
+    assertEquals(LOAD, waste.loadMicros());
+    assertEquals(400 * (LOAD + KEEP) / 1e6, waste.megabyteSeconds(), 0.1);
+    assertEquals(List.of(), ahead.account().take());
+  }
+
+  /** A call that must load what stood there before a copy came is charged to that copy. */
+  @Test
+  void whatALoadPushesOutIsCharged() {
+    ahead.served("w", "victim", Note.WARM, now);
+    now += SECOND;
+    ahead.take(plan(1, 1, item("w", "f")), now);
+    load("w", "f");
+    now += SECOND;
+    ahead.served("w", "victim", Note.BEGAN, now);
+    ahead.served("w", "stranger", Note.BEGAN, now);
+    ahead.served("elsewhere", "victim", Note.BEGAN, now);
+    now += 60 * SECOND;
+    due();
+    Account.Entry e = ahead.account().take().get(0);
+    assertEquals(1, e.pushedOut());
+    assertEquals(LOAD, e.pushedMicros());
+  }
+
+  /** A copy that was gone when its call came saved nothing. */
+  @Test
+  void aCopyThatIsGoneWhenItsCallComesIsWaste() {
+    ahead.take(plan(1, 1, item("w", "f")), now);
+    load("w", "f");
+    ahead.served("w", "f", Note.BEGAN, now + SECOND);
+    assertEquals(0, ahead.account().take().get(0).found());
+  }
+}
