An emulator of a fleet in simulated time around the real router, plans and account

Need: designs of loading ahead must be tried at sizes and lengths that sockets do not reach. Commands emulate and experiment (grid over seeds, intervals, plots).

--- /dev/null
+++ b/app/src/main/java/gorseladder/app/ExperimentCommand.java
@@ -0,0 +1,68 @@
+package gorseladder.app;
+
+import gorseladder.emulator.Experiment;
+import gorseladder.emulator.Experiment.Interval;
+import gorseladder.emulator.Experiment.Measure;
+import gorseladder.emulator.Outcomes;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code experiment}: a grid of emulations over seeds. */
+@Command(name = "experiment", mixinStandardHelpOptions = true,
+    description = "Run a grid of emulations over seeds (protobuf text format); tables with 95 % intervals, plots. Simulated.")
+final class ExperimentCommand implements Callable<Integer> {
+  @Parameters(paramLabel = "FILE", description = "The experiment.")
+  private Path file;
+
+  @Option(names = "--plots", paramLabel = "DIR", description = "Write a plot of each measure there, as PNG.")
+  private Path plots;
+
+  @Option(names = "--at-once", defaultValue = "4", description = "Emulations at once (default ${DEFAULT-VALUE}).")
+  private int atOnce;
+
+  @Option(names = "--functions", description = "List the balance of every function, summed over the seeds, for each cell.")
+  private boolean functions;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Experiment experiment;
+    try {
+      experiment = Experiment.load(file);
+      experiment.run(atOnce);
+    } catch (IllegalArgumentException e) {
+      System.err.println("gorseladder: " + e.getMessage());
+      return Main.BAD_USAGE;
+    }
+    for (Measure m : Measure.values()) {
+      System.out.println(m.title());
+      experiment.results().forEach((name, all) -> {
+        Interval i = experiment.interval(name, m);
+        System.out.printf(Locale.ROOT, "  %-40s %12.4f +- %.4f%n", name, i.mean(), i.half());
+      });
+      if (plots != null) {
+        Files.createDirectories(plots);
+        experiment.plot(m, plots.resolve(m.name().toLowerCase(Locale.ROOT) + ".png"));
+      }
+    }
+    if (functions) {
+      experiment.results().forEach(ExperimentCommand::list);
+    }
+    return experiment.results().values().stream().flatMap(List::stream).allMatch(o -> o.broken().isEmpty()) ? Main.GOOD : Main.BROKEN;
+  }
+
+  private static void list(String cell, List<Outcomes> all) {
+    Map<String, Outcomes.Balance> sums = new TreeMap<>();
+    all.forEach(o -> o.balances().forEach((f, b) -> sums.computeIfAbsent(f, n -> new Outcomes.Balance()).add(b)));
+    System.out.println(cell);
+    sums.forEach((f, b) -> Balances.print("  " + f, b));
+  }
+}
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -165,6 +165,11 @@
     return plan;
   }
 
+  /** True while there is something left to propose or to hold anew. */
+  public boolean busy() {
+    return !wishes.isEmpty();
+  }
+
   /** Proposals made to the router, and orders it made of them. */
   public long proposed() {
     return proposed;
--- /dev/null
+++ b/decisions/src/main/java/gorseladder/ahead/Seen.java
@@ -0,0 +1,75 @@
+package gorseladder.ahead;
+
+import gorseladder.RouterApi.Note;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a dispatcher saw of each function: what a copy needs, how long a call takes at a copy that stands, how long a load takes.
+ * Means forget within about ten events. Bounded; not thread safe. Times in microseconds.
+ */
+public final class Seen {
+  private static final double NEWEST = 0.1;
+  /** Functions remembered; beyond them a new one is not, until {@link #take} made room. */
+  private static final int MOST = 20_000;
+
+  /** One function's figures; times are 0 where not seen. {@code calls} are those since the last {@link #take}. */
+  public record Of(int calls, double memoryMb, int lanes, double work, double load) {}
+
+  private static final class Figures {
+    private int calls;
+    private double memoryMb;
+    private int lanes;
+    private double work;
+    private double load;
+  }
+
+  private final Map<String, Figures> all = new HashMap<>();
+
+  /** A call was taken. */
+  public void taken(String function, double memoryMb, int lanes) {
+    Figures f = all.get(function);
+    if (f == null && all.size() < MOST) {
+      f = new Figures();
+      all.put(function, f);
+    }
+    if (f != null) {
+      f.calls++;
+      f.memoryMb = memoryMb;
+      f.lanes = Math.max(1, lanes);
+    }
+  }
+
+  /** A served attempt: at a copy that stood it shows the work, at one that had to load the load. */
+  public void served(String function, Note note, long latency) {
+    Figures f = all.get(function);
+    if (f != null && note == Note.WARM) {
+      f.work = mix(f.work, latency);
+    } else if (f != null && note == Note.BEGAN && latency > f.work) {
+      f.load = mix(f.load, latency - f.work);
+    }
+  }
+
+  /** A load order that really loaded. */
+  public void loaded(String function, long latency) {
+    Figures f = all.get(function);
+    if (f != null) {
+      f.load = mix(f.load, latency);
+    }
+  }
+
+  private static double mix(double before, double seen) {
+    return before <= 0 ? seen : before + NEWEST * (seen - before);
+  }
+
+  /** The functions called since the last time; those not called since are forgotten. */
+  public Map<String, Of> take() {
+    Map<String, Of> taken = new HashMap<>();
+    all.values().removeIf(f -> f.calls == 0);
+    all.forEach((name, f) -> {
+      taken.put(name, new Of(f.calls, f.memoryMb, f.lanes, f.work, f.load));
+      f.calls = 0;
+    });
+    return taken;
+  }
+}
--- a/decisions/src/main/java/gorseladder/placement/PlanMaker.java
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * From counts of calls to plans: foresees the next slot, believes it as far as past forecasts earned it, and chooses the
@@ -36,13 +37,14 @@
   /**
    * What a planner is told at its start.
    *
+   * @param slot seconds of a slot
    * @param keepAlive seconds that an idle copy stays
    * @param archive loads a second that the archive serves well
    * @param ordersPerPlan what the users' ration leaves for one plan over all dispatchers
    */
-  public record Settings(double keepAlive, double archive, int ordersPerPlan, Prices prices) {
+  public record Settings(double slot, double keepAlive, double archive, int ordersPerPlan, Prices prices) {
     public Settings {
-      if (!(keepAlive > 0) || !(archive > 0) || ordersPerPlan < 0) {
+      if (!(slot > 0) || !(keepAlive > 0) || !(archive > 0) || ordersPerPlan < 0) {
         throw new IllegalArgumentException("impossible settings of a planner");
       }
     }
@@ -60,15 +62,13 @@
 
   private record Said(double calls, double any) {}
 
-  private final double slotSeconds;
   private final Settings settings;
   private final Forecasts forecasts;
   private final Foresight foresight;
   private final Trust trust = new Trust();
   private final Map<String, Facts> facts = new HashMap<>();
-  private Map<String, Integer> lastCalls = Map.of();
-  private Map<String, Said> said = Map.of();
-  private long saidFor = Long.MIN_VALUE;
+  /** What was said, by slot, until the slot is observed. */
+  private final TreeMap<Long, Map<String, Said>> said = new TreeMap<>();
 
   /** A maker that foresees by its own forecasts. */
   public PlanMaker(Slots slots, Settings settings) {
@@ -77,7 +77,6 @@
 
   /** A maker with another foresight than its own, so that bad ones can be tried. */
   public PlanMaker(Slots slots, Settings settings, Foresight other) {
-    this.slotSeconds = 86_400.0 / slots.perDay();
     this.settings = settings;
     this.forecasts = new Forecasts(slots, 1 << 14);
     this.foresight = other == null ? forecasts::expect : other;
@@ -108,21 +107,24 @@
     if (!forecasts.observe(slot, calls)) {
       return;
     }
-    if (slot == saidFor) {
-      said.forEach((f, s) -> trust.note(f, s.calls(), s.any(), calls.getOrDefault(f, 0)));
-    }
-    lastCalls = Map.copyOf(calls);
+    said.getOrDefault(slot, Map.of()).forEach((f, s) -> trust.note(f, s.calls(), s.any(), calls.getOrDefault(f, 0)));
+    said.headMap(slot, true).clear();
     HashSet<String> known = new HashSet<>(forecasts.functions());
     trust.keepOnly(known);
     known.addAll(calls.keySet());
     facts.keySet().retainAll(known);
   }
 
-  /** What to hold in a slot after the last one observed, the most valuable ordered last, just before the slot begins. */
-  public List<Order> plan(long slot, List<Host> hosts) {
+  /**
+   * What to hold in a slot, the most valuable ordered last, just before the slot begins. Made while the slot before it is
+   * under way, or at its end.
+   *
+   * @param now calls of the slot before it so far, by function; empty where they are not known
+   * @param part of that slot that they cover, above 0 and at most 1
+   */
+  public List<Order> plan(long slot, Map<String, Integer> now, double part, List<Host> hosts) {
     List<Demand> demands = new ArrayList<>();
     Map<String, Said> saying = new HashMap<>();
-    boolean hole = slot != forecasts.last() + 1;
     for (String function : forecasts.functions()) {
       Facts f = facts.get(function);
       Forecasts.Expected e = foresight.expect(function, slot);
@@ -133,17 +135,16 @@
       double scatter = Math.max(1, Math.min(MOST_SCATTER, away * away / Math.max(0.05, e.mean())));
       saying.put(function, new Said(e.mean(), 1 - Math.exp(-e.mean())));
       demands.add(new Demand(function, e.mean() * trust.calls(function), scatter,
-          hole ? 0 : lastCalls.getOrDefault(function, 0), trust.any(function), f.memoryMb(), f.lanes(), f.workSeconds(), f.loadSeconds()));
+          now.getOrDefault(function, 0) / part, trust.any(function), f.memoryMb(), f.lanes(), f.workSeconds(), f.loadSeconds()));
     }
-    said = saying;
-    saidFor = slot;
+    said.put(slot, saying);
     double lead = LEAD * settings.keepAlive();
     double pace = ARCHIVE_PART * settings.archive();
     int orders = (int) Math.min(settings.ordersPerPlan(), Math.floor(lead * pace));
     List<Host> able = hosts.stream().map(h -> new Host(h.name(), h.freeMb(), Math.min(h.loads(), LOADS_PER_HOST), h.weight()))
         .toList();
     List<Placed> placed = orders == 0 ? List.of() : Placement.choose(demands, able, new Limits(orders, Double.MAX_VALUE),
-        settings.prices(), slotSeconds, settings.keepAlive());
+        settings.prices(), settings.slot(), settings.keepAlive());
     List<Order> all = new ArrayList<>();
     for (int i = 0; i < placed.size(); i++) {
       Facts f = facts.get(placed.get(i).function());
--- a/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
+++ b/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
@@ -16,7 +16,7 @@
 
 class PlanMakerTest {
   private static final Slots SLOTS = new Slots(96, 0, Map.of());
-  private static final Settings SETTINGS = new Settings(10, 20, 50, new Prices(0.05, 0.002));
+  private static final Settings SETTINGS = new Settings(900, 10, 20, 50, new Prices(0.05, 0.002));
   private static final List<Host> HOSTS = IntStream.range(0, 6).mapToObj(i -> new Host("h" + i, 4_000, 9, 1)).toList();
 
   /** Office hours: silent until slot 32, then busy until 72. */
@@ -28,7 +28,7 @@
     PlanMaker maker = new PlanMaker(SLOTS, SETTINGS);
     maker.learn("office", new Facts(500, 2, 0.2, 0.8));
     for (long slot = 0; slot < days * 96L + 32; slot++) {
-      maker.plan(slot, HOSTS);
+      maker.plan(slot, Map.of("office", office(slot - 1)), 1, HOSTS);
       maker.observe(slot, Map.of("office", office(slot)));
     }
     return maker;
@@ -37,7 +37,7 @@
   @Test
   void theFirstBusySlotOfADayIsPreparedAndTheOthersAreLeftAlone() {
     PlanMaker maker = taught(9);
-    List<Order> orders = maker.plan(9 * 96 + 32, HOSTS);
+    List<Order> orders = maker.plan(9 * 96 + 32, Map.of("office", 0), 1, HOSTS);
     assertEquals(1, orders.size());
     Order o = orders.get(0);
     assertEquals("office", o.placed().function());
@@ -45,7 +45,7 @@
     assertTrue(o.until() > 0);
     maker.observe(9 * 96 + 32, Map.of("office", 60));
     for (long slot = 9 * 96 + 33; slot < 9 * 96 + 72; slot++) {
-      List<Order> warm = maker.plan(slot, HOSTS);
+      List<Order> warm = maker.plan(slot, Map.of("office", 60), 1, HOSTS);
       assertTrue(warm.size() <= 1 && (warm.isEmpty() || warm.get(0).placed().net() < o.placed().net()));
       maker.observe(slot, Map.of("office", 60));
     }
@@ -53,10 +53,10 @@
 
   @Test
   void nothingIsKnownNothingIsOrderedAndAHoleIsNoWarmth() {
-    assertEquals(List.of(), new PlanMaker(SLOTS, SETTINGS).plan(0, HOSTS));
+    assertEquals(List.of(), new PlanMaker(SLOTS, SETTINGS).plan(0, Map.of(), 1, HOSTS));
     PlanMaker maker = taught(9);
     maker.observe(9 * 96 + 32, Map.of("office", 60));
-    assertFalse(maker.plan(10 * 96 + 32, HOSTS).isEmpty(), "a day of history is missing: what stands is not known");
+    assertFalse(maker.plan(10 * 96 + 32, Map.of(), 1, HOSTS).isEmpty(), "a day of history is missing: what stands is not known");
   }
 
   /** A forecast that is wrong by ten times loses its budget by itself and earns it back once it is right. */
@@ -73,7 +73,7 @@
     int early = 0;
     int late = 0;
     for (long slot = 0; slot < 200; slot++) {
-      int orders = maker.plan(slot, HOSTS).size();
+      int orders = maker.plan(slot, Map.of("f", slot % 2 == 1 ? 6 : 0), 1, HOSTS).size();
       early += slot < 24 && slot % 2 == 1 ? orders : 0;
       late += slot >= 150 && slot % 2 == 1 ? orders : 0;
       maker.observe(slot, Map.of("f", slot % 2 == 0 ? 6 : 0));
@@ -83,7 +83,7 @@
     double lost = maker.trust().any("f");
     wrong[0] = false;
     for (long slot = 200; slot < 400; slot++) {
-      maker.plan(slot, HOSTS);
+      maker.plan(slot, Map.of("f", slot % 2 == 1 ? 6 : 0), 1, HOSTS);
       maker.observe(slot, Map.of("f", slot % 2 == 0 ? 6 : 0));
     }
     assertTrue(maker.trust().any("f") > 0.7 && lost < 0.2, lost + " then " + maker.trust().any("f"));
--- /dev/null
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -0,0 +1,119 @@
+package gorseladder.emulator;
+
+import gorseladder.ahead.Plan;
+import gorseladder.ahead.Seen;
+import gorseladder.emulator.proto.Ahead;
+import gorseladder.emulator.proto.Emulation;
+import gorseladder.emulator.proto.Surge;
+import gorseladder.forecast.Forecasts;
+import gorseladder.forecast.Slots;
+import gorseladder.placement.Host;
+import gorseladder.placement.PlanMaker;
+import gorseladder.placement.Prices;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The real maker of plans, told what a planner would be told, with the faults that the settings ask for. */
+final class EmulatedPlanner {
+  private static final double MARGIN = 2;
+
+  private final Emulation e;
+  private final Ahead a;
+  private final double slotSeconds;
+  private final double keepAlive;
+  private final PlanMaker maker;
+  private final TreeMap<Long, Map<String, Integer>> unread = new TreeMap<>();
+  private Map<String, Integer> counts = new HashMap<>();
+  private long version;
+
+  EmulatedPlanner(Emulation emulation) {
+    this.e = emulation;
+    this.a = emulation.getAhead();
+    this.slotSeconds = e.getDayS() / e.getSlots();
+    this.keepAlive = e.getFleet().getKeepAliveMs() / 1000.0;
+    Map<Integer, String> dates = new HashMap<>();
+    for (Surge s : e.getSurgeList()) {
+      if (!s.getDate().isEmpty()) {
+        dates.put(s.getToldDay() >= 0 ? s.getToldDay() : s.getDay(), s.getDate());
+      }
+    }
+    // Of what one plan may order, the archive of the emulation serves so many loads a second alone.
+    double archive = e.getArchive().getAtOnce() / 0.5;
+    this.maker = new PlanMaker(new Slots(e.getSlots(), 0, dates),
+        new PlanMaker.Settings(slotSeconds, keepAlive, archive, a.getOrdersPerPlan(),
+            new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice())), this::foresee);
+  }
+
+  private Forecasts.Expected foresee(String function, long slot) {
+    String of = function;
+    if (a.getShuffled()) {
+      List<String> all = List.copyOf(maker.forecasts().functions());
+      of = all.get((all.indexOf(function) + all.size() / 2 + 1) % all.size());
+    }
+    Forecasts.Expected x = maker.forecasts().expect(of, slot + a.getShiftedSlots());
+    return new Forecasts.Expected(function, x.mean() * a.getTimes(), x.upper() * a.getTimes(), x.by());
+  }
+
+  void arrived(String function) {
+    counts.merge(function, 1, Integer::sum);
+  }
+
+  private boolean away(double time) {
+    int day = (int) (time / e.getDayS());
+    return day >= a.getAwayFromDay() && day < a.getAwayFromDay() + a.getAwayDays();
+  }
+
+  private boolean hole(long slot) {
+    double hour = slot % e.getSlots() * 24.0 / e.getSlots();
+    return hour >= a.getHoleFromHour() && hour < a.getHoleToHour();
+  }
+
+  /** A slot is over: what the edges counted and saw of it. A planner that was away reads what it missed once it is back. */
+  void slotOver(long slot, List<Map<String, Seen.Of>> seen) {
+    if (!hole(slot)) {
+      unread.put(slot, counts);
+    }
+    counts = new HashMap<>();
+    for (Map<String, Seen.Of> edge : seen) {
+      edge.forEach((f, s) -> maker.learn(f, new PlanMaker.Facts(s.memoryMb(), s.lanes(), s.work() / 1e6, s.load() / 1e6)));
+    }
+    if (!away((slot + 1) * slotSeconds)) {
+      unread.forEach(maker::observe);
+      unread.clear();
+    }
+  }
+
+  /** Seconds before a slot at which its plan is made. */
+  double lead() {
+    return keepAlive + MARGIN;
+  }
+
+  /** Plans for a slot, one for each edge; none while it is away. The clock of the edges is that of the emulation. */
+  List<Plan> plan(long slot, long now, List<Host> hosts, int edges) {
+    if (away(now / 1e6)) {
+      return List.of();
+    }
+    List<PlanMaker.Order> orders = maker.plan(slot, counts, (slotSeconds - lead()) / slotSeconds, hosts);
+    List<List<Plan.Item>> items = new ArrayList<>();
+    for (int i = 0; i < edges; i++) {
+      items.add(new ArrayList<>());
+    }
+    long start = (long) (slot * slotSeconds * 1e6);
+    for (int i = orders.size() - 1; i >= 0; i--) {
+      PlanMaker.Order o = orders.get(i);
+      items.get(i % edges).add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(),
+          start + (long) (o.from() * 1e6), start + (long) (o.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6),
+          o.facts().memoryMb()));
+    }
+    version++;
+    long until = start + (long) (slotSeconds * 1e6);
+    return items.stream().map(i -> new Plan(1, version, until, i)).toList();
+  }
+
+  PlanMaker maker() {
+    return maker;
+  }
+}
