--- a/app/src/main/java/gorseladder/app/EmulateCommand.java
+++ b/app/src/main/java/gorseladder/app/EmulateCommand.java
@@ -47,6 +47,7 @@
         }
       });
     }
+    o.judged().forEach((what, times) -> System.out.printf(Locale.ROOT, "judged %s: %,d%n", what, times));
     o.broken().forEach((what, times) -> System.out.printf("BROKEN %s: %d times%n", what, times));
     return o.broken().isEmpty() ? Main.GOOD : Main.BROKEN;
   }
--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -112,6 +112,14 @@
     standing.put(at, now);
   }
 
+  /** Another dispatcher's call found a copy that was ordered here. */
+  void foundElsewhere(String worker, String function, long now) {
+    Open o = open.get(new At(worker, function));
+    if (o != null) {
+      used(o, function, now);
+    }
+  }
+
   private void used(Open o, String function, long now) {
     long load = loadTime(function, o.loadMicros);
     if (o.found == 0) {
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -25,6 +25,10 @@
   private static final int MOST_COPIES = 64;
   /** Part of the keep-alive after which a copy that waits for its first call is held anew. */
   private static final double RENEW = 0.6;
+  /** First word of the message that another dispatcher's copy was found. */
+  private static final String FOUND = "found ";
+  /** The longest message: names that do not fit are not told, and the copy counts as unused. */
+  private static final int MOST_MESSAGE = 250;
   /** Proposals at one look: a plan is no burst. */
   private static final int MOST_AT_ONCE = 4;
 
@@ -36,6 +40,7 @@
     private long orderedAt = -1;
     private long renewAt;
     private boolean stands;
+    private boolean told;
 
     Wish(Plan.Item item) {
       this.item = item;
@@ -83,6 +88,7 @@
         wish.renewAt = same.renewAt;
         wish.stands = same.stands;
       }
+      wish.told = same != null && same.told;
       wishes.put(key, wish);
     }
     return Verdict.TAKEN;
@@ -105,7 +111,7 @@
       Plan.Item i = w.item;
       if (now >= i.until()) {
         all.remove();
-      } else if (now >= i.from() && wanted(w, now)) {
+      } else if (i.mine() && now >= i.from() && wanted(w, now)) {
         due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
       }
     }
@@ -150,9 +156,29 @@
     }
   }
 
-  /** A served attempt and what it met there. */
-  public void served(String worker, String function, Note note, long now) {
+  /**
+   * A served attempt and what it met there.
+   *
+   * @return what to tell the other dispatchers: that a copy one of them ordered was found; null where there is nothing. The
+   *     message may be lost; the copy then counts as unused, which errs against loading ahead.
+   */
+  public String served(String worker, String function, Note note, long now) {
     account.served(worker, function, note, now);
+    Wish w = note == Note.WARM ? wishes.get(new Key(worker, function)) : null;
+    if (w == null || w.item.mine() || w.told || now < w.item.from()) {
+      return null;
+    }
+    w.told = true;
+    String text = FOUND + worker + " " + function;
+    return text.length() <= MOST_MESSAGE && worker.indexOf(' ') < 0 ? text : null;
+  }
+
+  /** Another dispatcher said something; what is not about a copy found is passed over. */
+  public void heard(String text, long now) {
+    int gap = text.indexOf(' ', FOUND.length());
+    if (text.startsWith(FOUND) && gap > 0) {
+      account.foundElsewhere(text.substring(FOUND.length(), gap), text.substring(gap + 1), now);
+    }
   }
 
   /** The account of what was loaded. */
--- a/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
+++ b/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
@@ -23,16 +23,19 @@
   /** Standard deviations to the upper value. */
   private static final double UPPER = 1.65;
 
+  private final Slots slots;
   private final List<Forecaster> ways;
-  private final double[] error;
+  /** Errors on common days, and on days with a name: who is right on one kind need not be on the other. */
+  private final double[][] errors;
   private final double keep;
   private double spread = 1;
-  private int speaker;
+  private final int[] speakers = new int[2];
   private long last = Long.MIN_VALUE;
 
   FunctionForecast(Slots slots) {
-    ways = List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots));
-    error = new double[ways.size()];
+    this.slots = slots;
+    ways = List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots), new SameDate(slots));
+    errors = new double[2][ways.size()];
     keep = Math.pow(0.5, 1.0 / (HALF_LIFE_DAYS * slots.perDay()));
   }
 
@@ -46,27 +49,33 @@
     // How far calls scatter around the speaker's mean, in units of a Poisson's own scatter.
     double off = (calls - said.mean()) * (calls - said.mean()) / Math.max(0.5, said.mean());
     spread += (1 - keep) * 4 * (Math.min(off, 400) - spread);
+    double[] error = errors[kind(slot)];
     for (int i = 0; i < ways.size(); i++) {
       error[i] = error[i] * keep + Math.abs(ways.get(i).mean(slot) - calls);
       ways.get(i).observe(slot, calls);
     }
     for (int i = 0; i < ways.size(); i++) {
-      speaker = error[i] < LEAD * error[speaker] ? i : speaker;
+      speakers[kind(slot)] = error[i] < LEAD * error[speakers[kind(slot)]] ? i : speakers[kind(slot)];
     }
   }
 
+  private int kind(long slot) {
+    return slots.date(slot).isEmpty() ? 0 : 1;
+  }
+
   /** The expectation of a slot after the last one observed. */
   Expectation expect(long slot) {
-    double mean = ways.get(speaker).mean(slot);
+    Forecaster speaker = ways.get(speakers[kind(slot)]);
+    double mean = speaker.mean(slot);
     return new Expectation(mean, mean + UPPER * Math.sqrt(Math.max(1, spread) * Math.max(0.05, mean)),
-        ways.get(speaker).name());
+        speaker.name());
   }
 
-  /** What each way would have missed by, in calls, lately: the standing by which the speaker is chosen. */
+  /** What each way would have missed by on common days, in calls, lately: the standing by which their speaker is chosen. */
   Map<String, Double> standing() {
     Map<String, Double> standing = new LinkedHashMap<>();
-    for (int i = 0; i < error.length; i++) {
-      standing.put(ways.get(i).name(), error[i]);
+    for (int i = 0; i < ways.size(); i++) {
+      standing.put(ways.get(i).name(), errors[0][i]);
     }
     return standing;
   }
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -4,13 +4,17 @@
  * What a copy loaded ahead is worth: the waiting it is expected to save, less what it costs. Pure arithmetic on a {@link
  * Demand}; seconds of waiting throughout.
  *
- * <p>A first copy saves the load for the first call that comes while it is held, and part of it for those that come during
- * what would have been the load. A further copy counts only where that many calls are expected at once. Both count only by
- * the chance that no copy stands anyway: in a fleet where everything is warm there is next to nothing to gain.
+ * <p>A copy is needed by the calls that find all lanes of those before it taken (the first by every call); the first of these
+ * is spared a load, and those that come during what would have been the load are spared part of it. It counts only by the
+ * chance that such a copy does not stand anyway: in a fleet where everything is warm there is next to nothing to gain. Its
+ * memory is paid from its order to its first needed call, or to the end of its hold and of its keep-alive.
  */
 final class Worth {
   /** Chances below this end a sum. */
   private static final double NEGLIGIBLE = 1e-9;
+  /** Part of a keep-alive by which copies are ordered early, so that loads are spread; and that an unused one stays after. */
+  private static final double EARLY = 0.5;
+  private static final double AFTER = 0.7;
   /** Stretches a copy may be held for, in keep-alives; the whole stretch is the last choice. */
   private static final double[] HOLDS = {1, 3};
 
@@ -48,27 +52,17 @@
   }
 
   private Copy held(Demand d, int number, double hold) {
+    int taken = (number - 1) * d.lanes();
     double rate = d.calls() / stretch;
+    double needed = rate * atLeast(taken, rate * d.workSeconds());
     double before = d.callsBefore() / stretch;
-    double gain;
-    double need;
-    if (number == 1) {
-      need = 1 - none(rate * hold, d.scatter());
-      double waitToo = Math.min(d.lanes(), rate * d.loadSeconds());
-      gain = stands(before) * d.trust() * need * d.loadSeconds() * (1 + waitToo / 2);
-    } else {
-      int more = (number - 1) * d.lanes() + 1;
-      need = atLeast(more, rate * d.workSeconds());
-      gain = (1 - atLeast(more, before * d.workSeconds())) * d.trust() * need * d.loadSeconds();
-    }
-    // Until the first call where the forecast is right, and all of the hold where it is not.
-    double held = rate > 0 ? d.trust() * Math.min(hold, need / rate) + (1 - d.trust()) * hold : hold;
-    return new Copy(gain, prices.fetch() + prices.gigabyteSecond() * d.memoryMb() / 1024 * (d.loadSeconds() + held), hold);
-  }
-
-  /** The chance that no copy stands anyway: no call in the last keep-alive. */
-  private double stands(double before) {
-    return Math.exp(-before * keepAlive);
+    double neededBefore = before * atLeast(taken, before * d.workSeconds());
+    double used = d.trust() * (1 - none(needed * hold, d.scatter()));
+    double waitToo = Math.min(d.lanes(), needed * d.loadSeconds());
+    double gain = Math.exp(-neededBefore * keepAlive) * used * d.loadSeconds() * (1 + waitToo / 2);
+    double held = needed > 0 ? used * Math.min(hold, 1 / needed) : 0;
+    double seconds = d.loadSeconds() + EARLY * keepAlive + held + (1 - used) * (hold + AFTER * keepAlive);
+    return new Copy(gain, prices.fetch() + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds, hold);
   }
 
   /** The chance of no call where so many are expected: a Poisson's, or a negative binomial's where they scatter more. */
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
@@ -12,6 +12,7 @@
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Note;
 import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.PeerMessage;
 import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.Refuse;
 import gorseladder.RouterApi.Request;
@@ -41,6 +42,9 @@
   interface Judge {
     void ended(Drawn function, RequestClass requestClass, long arrivedAt, Outcome outcome, boolean cold);
 
+    /** Something was held against a rule. */
+    void judged(String rule);
+
     /** An order or a send after a drain's grace, or an order beyond the ration. */
     void broken(String what);
   }
@@ -112,6 +116,9 @@
         }
       });
     }
+    if (event instanceof PeerMessage m) {
+      ahead.heard(m.text(), agenda.now());
+    }
     router.on(agenda.now(), event, this::carryOut);
   }
 
@@ -143,6 +150,7 @@
       return;
     }
     h.over = true;
+    judge.judged("rule 1, final answers");
     judge.ended(h.function, h.requestClass, h.arrivedAt, outcome, h.cold);
     release(id, h);
   }
@@ -173,6 +181,9 @@
 
   private void drainKept(String worker, String what) {
     Long told = notRunning.get(worker);
+    if (told != null) {
+      judge.judged("rule 3, told drains or gone");
+    }
     if (told != null && agenda.now() > told + settings.rules().drainGrace()) {
       judge.broken("rule 3: " + what + " after the grace");
     }
@@ -204,7 +215,10 @@
     long latency = agenda.now() - attempt.sentAt;
     if (r.outcome() == Outcome.OK) {
       seen.served(h.function.name(), r.note(), latency);
-      ahead.served(attempt.runner.name(), h.function.name(), r.note(), agenda.now());
+      String found = ahead.served(attempt.runner.name(), h.function.name(), r.note(), agenda.now());
+      if (found != null) {
+        peers.accept(found);
+      }
     }
     boolean settles = r.outcome() == Outcome.OK && !h.over;
     if (settles) {
@@ -246,6 +260,7 @@
       taken.clear();
       return;
     }
+    judge.judged("rule 5, orders under a ration");
     ordered.addLast(agenda.now());
     while (ordered.peekFirst() <= agenda.now() - window) {
       ordered.removeFirst();
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -97,20 +97,20 @@
       return List.of();
     }
     List<PlanMaker.Order> orders = maker.plan(slot, counts, (slotSeconds - lead()) / slotSeconds, hosts);
-    List<List<Plan.Item>> items = new ArrayList<>();
-    for (int i = 0; i < edges; i++) {
-      items.add(new ArrayList<>());
-    }
     long start = (long) (slot * slotSeconds * 1e6);
-    for (int i = orders.size() - 1; i >= 0; i--) {
-      PlanMaker.Order o = orders.get(i);
-      items.get(i % edges).add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(),
-          start + (long) (o.from() * 1e6), start + (long) (o.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6),
-          o.facts().memoryMb()));
-    }
-    version++;
     long until = start + (long) (slotSeconds * 1e6);
-    return items.stream().map(i -> new Plan(1, version, until, i)).toList();
+    version++;
+    List<Plan> plans = new ArrayList<>();
+    for (int edge = 0; edge < edges; edge++) {
+      List<Plan.Item> items = new ArrayList<>();
+      for (int i = orders.size() - 1; i >= 0; i--) {
+        PlanMaker.Order o = orders.get(i);
+        items.add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(), start + (long) (o.from() * 1e6),
+            start + (long) (o.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6), o.facts().memoryMb(), i % edges == edge));
+      }
+      plans.add(new Plan(1, version, until, items));
+    }
+    return plans;
   }
 
   PlanMaker maker() {
--- a/emulator/src/main/java/gorseladder/emulator/Outcomes.java
+++ b/emulator/src/main/java/gorseladder/emulator/Outcomes.java
@@ -78,6 +78,7 @@
 
   private final Histogram latency = new Histogram(60_000_000L, 3);
   private final Map<String, Long> broken = new TreeMap<>();
+  private final Map<String, Long> judged = new TreeMap<>();
   private final Map<String, Balance> balances = new TreeMap<>();
   private final Map<String, long[]> byFunction = new TreeMap<>();
   private final Agenda agenda;
@@ -139,6 +140,11 @@
     broken.merge(what, 1L, Long::sum);
   }
 
+  @Override
+  public void judged(String rule) {
+    judged.merge(rule, 1L, Long::sum);
+  }
+
   void add(Account.Entry e) {
     balances.computeIfAbsent(e.function(), f -> new Balance()).add(e);
   }
@@ -219,6 +225,11 @@
     return broken;
   }
 
+  /** How often each rule had something to judge. */
+  public Map<String, Long> judged() {
+    return judged;
+  }
+
   /** Balance of loads ahead by function, every function with any. */
   public Map<String, Balance> balances() {
     return balances;
