--- a/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
+++ b/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
@@ -6,7 +6,8 @@
 
 /**
  * The forecast of one function: several forecasters side by side, of which the one with the least own past error speaks.
- * None is chosen by name; each starts equal and is judged by what it said before a slot against what came.
+ * None is chosen by name; each is judged by what it said before a slot against what came. On days whose name was met before the
+ * one that remembers them begins: the others start with what they missed by on the first day of that name.
  *
  * <p>Guards against a pattern that ends (a renamed module, a term that is over): errors are forgotten within about two days,
  * so another way takes over. It could harm where ways take turns by chance on quiet functions; a change needs a lead of a
@@ -23,9 +24,9 @@
   /** Standard deviations to the upper value. */
   private static final double UPPER = 1.65;
 
-  private final Slots slots;
+  private final SameDate sameDate;
   private final List<Forecaster> ways;
-  /** Errors on common days, and on days with a name: who is right on one kind need not be on the other. */
+  /** Errors on common days, and on days whose name was met before: who is right on one kind need not be on the other. */
   private final double[][] errors;
   private final double keep;
   private double spread = 1;
@@ -33,8 +34,9 @@
   private long last = Long.MIN_VALUE;
 
   FunctionForecast(Slots slots) {
-    this.slots = slots;
-    ways = List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots), new SameDate(slots));
+    sameDate = new SameDate(slots);
+    ways = List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots), sameDate);
+    speakers[1] = ways.indexOf(sameDate);
     errors = new double[2][ways.size()];
     keep = Math.pow(0.5, 1.0 / (HALF_LIFE_DAYS * slots.perDay()));
   }
@@ -49,18 +51,23 @@
     // How far calls scatter around the speaker's mean, in units of a Poisson's own scatter.
     double off = (calls - said.mean()) * (calls - said.mean()) / Math.max(0.5, said.mean());
     spread += (1 - keep) * 4 * (Math.min(off, 400) - spread);
-    double[] error = errors[kind(slot)];
+    int kind = kind(slot);
+    double[] error = errors[kind];
     for (int i = 0; i < ways.size(); i++) {
-      error[i] = error[i] * keep + Math.abs(ways.get(i).mean(slot) - calls);
-      ways.get(i).observe(slot, calls);
+      double missed = Math.abs(ways.get(i).mean(slot) - calls);
+      error[i] = error[i] * keep + missed;
+      if (kind == 0 && sameDate.learns(slot) && ways.get(i) != sameDate) {
+        errors[1][i] += missed;
+      }
     }
+    ways.forEach(w -> w.observe(slot, calls));
     for (int i = 0; i < ways.size(); i++) {
-      speakers[kind(slot)] = error[i] < LEAD * error[speakers[kind(slot)]] ? i : speakers[kind(slot)];
+      speakers[kind] = error[i] < LEAD * error[speakers[kind]] ? i : speakers[kind];
     }
   }
 
   private int kind(long slot) {
-    return slots.date(slot).isEmpty() ? 0 : 1;
+    return sameDate.knows(slot) ? 1 : 0;
   }
 
   /** The expectation of a slot after the last one observed. */
--- a/decisions/src/main/java/gorseladder/forecast/SameDate.java
+++ b/decisions/src/main/java/gorseladder/forecast/SameDate.java
@@ -4,13 +4,9 @@
 import java.util.Map;
 
 /**
- * The same slot of the last day with the same name, with a little of its neighbours; on a day without a name what last week's
- * was, days with a name apart. A known date mostly has hours of its own, which a factor for the whole day would smear.
+ * The same slot of the last day with the same name; on a day without a name what last week's was, days with a name apart. A known date mostly has hours of its own, which a factor for the whole day would smear.
  */
 final class SameDate implements Forecaster {
-  /** Weight of the slots before and after, together. */
-  private static final double NEIGHBOURS = 0.3;
-
   private final Slots slots;
   private final LastWeek common;
   private final Map<String, float[]> last = new HashMap<>();
@@ -27,15 +23,20 @@
     return "same-date";
   }
 
+  /** True on a day whose name it meets for the first time. */
+  boolean learns(long slot) {
+    return !slots.date(slot).isEmpty() && !knows(slot);
+  }
+
+  /** True on a day whose name it has met before. */
+  boolean knows(long slot) {
+    return last.containsKey(slots.date(slot));
+  }
+
   @Override
   public double mean(long slot) {
     float[] then = last.get(slots.date(slot));
-    if (then == null) {
-      return common.mean(slot);
-    }
-    int at = slots.ofDay(slot);
-    double beside = (then[Math.floorMod(at - 1, then.length)] + then[Math.floorMod(at + 1, then.length)]) / 2;
-    return (1 - NEIGHBOURS) * then[at] + NEIGHBOURS * beside;
+    return then == null ? common.mean(slot) : then[slots.ofDay(slot)];
   }
 
   @Override
--- a/decisions/src/main/java/gorseladder/placement/PlanMaker.java
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -25,7 +25,7 @@
   /** Part of the archive's capacity that loads ahead may use; the rest is for loads that calls wait for. */
   private static final double ARCHIVE_PART = 0.3;
   /** Keep-alives before a slot over which its loads may be spread. */
-  private static final double LEAD = 1;
+  private static final double LEAD = 3;
   /** Loads that one worker may be given within that lead. */
   private static final int LOADS_PER_HOST = 4;
 
@@ -87,6 +87,11 @@
     return forecasts;
   }
 
+  /** Seconds before a slot from which its plan's orders may begin; a plan is made by then. */
+  public double lead() {
+    return (LEAD + 1) * settings.keepAlive();
+  }
+
   /** How far the forecasts of functions are believed now. */
   public Trust trust() {
     return trust;
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -12,8 +12,8 @@
 final class Worth {
   /** Chances below this end a sum. */
   private static final double NEGLIGIBLE = 1e-9;
-  /** Part of a keep-alive by which copies are ordered early, so that loads are spread; and that an unused one stays after. */
-  private static final double EARLY = 0.5;
+  /** Keep-alives by which copies are ordered early, so that loads are spread; and for which an unused one stays after. */
+  private static final double EARLY = 1.5;
   private static final double AFTER = 0.7;
   /** Stretches a copy may be held for, in keep-alives; the whole stretch is the last choice. */
   private static final double[] HOLDS = {1, 3};
--- a/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
+++ b/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
@@ -179,4 +179,19 @@
     assertEquals(6, new Slots(48, 6, Map.of()).weekday(47));
     assertEquals(0, new Slots(48, 6, Map.of()).weekday(48));
   }
+
+  /** A surge of some hours on a day with a name is foreseen from its second time on, and common days are not bent by it. */
+  @Test
+  void theHoursOfANamedDayAreForeseenFromItsSecondTimeOn() {
+    Slots slots = new Slots(96, 0, Map.of(5, "term's end", 12, "term's end"));
+    Forecasts forecasts = new Forecasts(slots, 64);
+    for (long slot = 0; slot < 12 * 96 + 36; slot++) {
+      boolean surge = slots.day(slot) == 5 && slots.ofDay(slot) >= 36 && slots.ofDay(slot) < 48;
+      forecasts.observe(slot, Map.of("f", surge ? 100 : 4));
+    }
+    assertEquals("same-date", forecasts.expect("f", 12 * 96 + 36).by());
+    assertTrue(forecasts.expect("f", 12 * 96 + 36).mean() > 80, "" + forecasts.expect("f", 12 * 96 + 36));
+    assertTrue(forecasts.expect("f", 12 * 96 + 60).mean() < 10, "" + forecasts.expect("f", 12 * 96 + 60));
+    assertTrue(forecasts.expect("f", 13 * 96 + 36).mean() < 10, "" + forecasts.expect("f", 13 * 96 + 36));
+  }
 }
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -95,7 +95,7 @@
     require(e.getPopulationCount() > 0, "population: at least one is needed");
     require(e.getDays() > e.getTeachDays() && e.getTeachDays() >= 0, "days: more than teach_days");
     require(e.getSlots() >= 1 && e.getSlots() <= 1440, "slots: 1 to 1440");
-    require(e.getDayS() / e.getSlots() >= 2 * e.getFleet().getKeepAliveMs() / 1000.0, "day_s: a slot lasts two keep-alives or more");
+    require(e.getDayS() / e.getSlots() >= 5 * e.getFleet().getKeepAliveMs() / 1000.0, "day_s: a slot lasts five keep-alives or more");
     require(e.getFleet().getRunners() >= 1 && e.getFleet().getCores() >= 1, "fleet: runners and cores of 1 or more");
     require(e.getFleet().getSpeedFrom() > 0 && e.getFleet().getSpeedTo() >= e.getFleet().getSpeedFrom(), "fleet: speeds above 0");
     require(e.getEdges().getCount() >= 1, "edges: count of 1 or more");
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -18,12 +18,9 @@
 
 /** The real maker of plans, told what a planner would be told, with the faults that the settings ask for. */
 final class EmulatedPlanner {
-  private static final double MARGIN = 2;
-
   private final Emulation e;
   private final Ahead a;
   private final double slotSeconds;
-  private final double keepAlive;
   private final PlanMaker maker;
   private final TreeMap<Long, Map<String, Integer>> unread = new TreeMap<>();
   private Map<String, Integer> counts = new HashMap<>();
@@ -33,7 +30,6 @@
     this.e = emulation;
     this.a = emulation.getAhead();
     this.slotSeconds = e.getDayS() / e.getSlots();
-    this.keepAlive = e.getFleet().getKeepAliveMs() / 1000.0;
     Map<Integer, String> dates = new HashMap<>();
     for (Surge s : e.getSurgeList()) {
       if (!s.getDate().isEmpty()) {
@@ -43,7 +39,7 @@
     // Of what one plan may order, the archive of the emulation serves so many loads a second alone.
     double archive = e.getArchive().getAtOnce() / 0.5;
     this.maker = new PlanMaker(new Slots(e.getSlots(), 0, dates),
-        new PlanMaker.Settings(slotSeconds, keepAlive, archive, a.getOrdersPerPlan(),
+        new PlanMaker.Settings(slotSeconds, e.getFleet().getKeepAliveMs() / 1000.0, archive, a.getOrdersPerPlan(),
             new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice())), this::foresee);
   }
 
@@ -88,7 +84,7 @@
 
   /** Seconds before a slot at which its plan is made. */
   double lead() {
-    return keepAlive + MARGIN;
+    return maker.lead();
   }
 
   /** Plans for a slot, one for each edge; none while it is away. The clock of the edges is that of the emulation. */
