Loads ahead are held through their time, where dispatchers look first

Cause: in the first minute of a known surge most cold calls were of copies placed down the shared order, where hardly any call looks, and of copies that aged out in gaps between calls once the first had used them.

--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -12,8 +12,9 @@
  * What each load ahead cost and what it saved, from what really happened. A record opens when the copy stands and closes when
  * it was used and the time of a load has passed since, or when nobody used it until its keep-alive ended.
  *
- * <p>Saved is counted strictly: the first call that found the copy is spared one load, as loads of that function have taken; calls
- * that came within that time are spared what would have been left of it; later ones would have found a copy anyway. A record
+ * <p>Saved is counted strictly. The first call that found the copy is spared one load, as loads of that function have taken; calls
+ * that came within that time are spared what would have been left of it. A later call is spared a load where so much time
+ * passed since the last known use that the copy would have aged out; what lies between is counted as found anyway. A record
  * that nobody used saved nothing and is waste. What a load pushed out is charged to it: a call that began a load at a worker
  * where its function had stood within the keep-alive, after a copy was loaded ahead there. Where several such copies may
  * have done it, the last is charged. That errs against loading ahead: copies also age out.
@@ -21,6 +22,8 @@
  * <p>Not thread safe. Times are microseconds on one clock.
  */
 public final class Account {
+  /** Keep-alives without a known use after which a copy would surely have aged out; uses elsewhere are told that late at most. */
+  private static final double SURELY_AGED = 1.5;
   /** Copies remembered as standing, at the most. */
   private static final int MOST_STANDING = 50_000;
 
@@ -28,8 +31,8 @@
    * A closed record.
    *
    * @param loadMicros the load's time, fetch and start; the worker's cores were partly occupied for some of it
-   * @param megabyteSeconds held until the first call, or until given up
-   * @param found calls that found the copy within the time of a load from the first on; 0 is waste
+   * @param megabyteSeconds held beyond what calls would have held anyway: before the first call, in long gaps, or until given up
+   * @param found calls that were spared some waiting; 0 is waste
    * @param savedMicros waiting spared to them
    * @param pushedOut calls that had to load what this copy pushed out, and {@code pushedMicros} the loads' time
    */
@@ -44,8 +47,11 @@
     private long loadMicros;
     private double memoryMb;
     private long until;
+    private long holdEnds;
     private int renewals;
-    private long firstUse;
+    private long sparedFrom;
+    private long lastUse;
+    private long idle;
     private int found;
     private long saved;
     private int pushedOut;
@@ -69,11 +75,13 @@
   }
 
   /** A load ahead ended well; one at a place where a record is open renews it. */
-  public void loaded(String worker, String function, long orderedAt, long loadMicros, double memoryMb, long now) {
+  public void loaded(String worker, String function, long orderedAt, long loadMicros, double memoryMb, long holdEnds,
+      long now) {
     Open known = open.get(new At(worker, function));
     if (known != null) {
       known.renewals++;
       known.until = now + keepAlive;
+      known.holdEnds = holdEnds;
       return;
     }
     Long lastUse = standing.get(new At(worker, function));
@@ -86,6 +94,7 @@
     o.loadMicros = loadMicros;
     o.memoryMb = memoryMb;
     o.until = now + keepAlive;
+    o.holdEnds = holdEnds;
     open.put(new At(worker, function), o);
     loadTimes.merge(function, loadMicros, (a, b) -> (a + b) / 2);
   }
@@ -122,13 +131,17 @@
 
   private void used(Open o, String function, long now) {
     long load = loadTime(function, o.loadMicros);
-    if (o.found == 0) {
-      o.firstUse = now;
+    long gap = now - o.lastUse;
+    if (o.found == 0 || gap > SURELY_AGED * keepAlive) {
+      o.idle += o.found == 0 ? now - o.orderedAt : gap - keepAlive;
+      o.sparedFrom = now;
     }
-    if (now - o.firstUse < load) {
+    if (now - o.sparedFrom < load) {
       o.found++;
-      o.saved += load - (now - o.firstUse);
+      o.saved += load - (now - o.sparedFrom);
     }
+    o.lastUse = now;
+    o.until = Math.max(o.until, now + keepAlive);
   }
 
   private void pushedOut(String worker, String function, long stood) {
@@ -147,8 +160,7 @@
     for (Iterator<Map.Entry<At, Open>> all = open.entrySet().iterator(); all.hasNext(); ) {
       Map.Entry<At, Open> e = all.next();
       Open o = e.getValue();
-      boolean over = o.found > 0 ? now - o.firstUse >= keepAlive : now >= o.until;
-      if (over) {
+      if (now >= o.until || o.found > 0 && now >= o.holdEnds) {
         close(e.getKey(), o, now);
         all.remove();
       }
@@ -156,15 +168,16 @@
   }
 
   private void close(At at, Open o, long now) {
-    long held = (o.found > 0 ? o.firstUse : Math.min(now, o.until)) - o.orderedAt;
+    long end = Math.min(now, o.until);
+    long held = o.found == 0 ? end - o.orderedAt : o.idle + Math.max(0, end - o.lastUse - keepAlive);
     closed.add(new Entry(at.worker(), at.function(), o.orderedAt, o.loadMicros, o.memoryMb * Math.max(0, held) / 1e6, o.renewals,
         o.found, o.saved, o.pushedOut, o.pushed));
   }
 
-  /** True where a copy loaded ahead stands there that no call has found yet. */
-  boolean unused(String worker, String function) {
+  /** When the copy loaded ahead there was last known to be used; 0 where it was not, or there is none. */
+  long lastUse(String worker, String function) {
     Open o = open.get(new At(worker, function));
-    return o != null && o.found == 0;
+    return o == null ? 0 : o.lastUse;
   }
 
   /** Hands over the records closed since the last call. */
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -23,8 +23,10 @@
   private static final int MOST_ITEMS = 10_000;
   /** Copies of one item at the most. */
   private static final int MOST_COPIES = 64;
-  /** Part of the keep-alive after which a copy that waits for its first call is held anew. */
+  /** Part of the keep-alive after which a copy that was not used since is held anew. */
   private static final double RENEW = 0.6;
+  /** Part of the keep-alive within which the same copy found is told once. */
+  private static final double TELL = 0.5;
   /** First word of the message that another dispatcher's copy was found. */
   private static final String FOUND = "found ";
   /** The longest message: names that do not fit are not told, and the copy counts as unused. */
@@ -40,7 +42,7 @@
     private long orderedAt = -1;
     private long renewAt;
     private boolean stands;
-    private boolean told;
+    private long toldAt = Long.MIN_VALUE / 2;
 
     Wish(Plan.Item item) {
       this.item = item;
@@ -88,7 +90,7 @@
         wish.renewAt = same.renewAt;
         wish.stands = same.stands;
       }
-      wish.told = same != null && same.told;
+      wish.toldAt = same != null ? same.toldAt : wish.toldAt;
       wishes.put(key, wish);
     }
     return Verdict.TAKEN;
@@ -119,12 +121,13 @@
     return due;
   }
 
-  /** Not ordered yet, or ordered and nobody came: then it is held anew before it ages out. Once used it is a copy like others. */
+  /** Not ordered yet, or it stands and nobody is known to have used it for so long that it might age out within its hold. */
   private boolean wanted(Wish w, long now) {
     if (w.orderedAt < 0) {
       return true;
     }
-    return w.stands && now >= w.renewAt && account.unused(w.item.worker(), w.item.function());
+    long used = account.lastUse(w.item.worker(), w.item.function());
+    return w.stands && now >= w.renewAt && now >= used + (long) (RENEW * keepAlive);
   }
 
   /** The router ordered what was proposed. */
@@ -149,7 +152,8 @@
     w.stands = outcome == Outcome.OK;
     w.renewAt = now + (long) (RENEW * keepAlive);
     if (w.stands) {
-      account.loaded(worker, function, w.orderedAt, latency, w.item.memoryMb(), now);
+      account.loaded(worker, function, w.orderedAt, latency, w.item.memoryMb(), w.item.until(),
+          now);
     } else if (wishes.get(key) == w) {
       // Refused or lost: the archive or the worker has other things to do, and asking again would make that worse.
       wishes.remove(key);
@@ -165,10 +169,10 @@
   public String served(String worker, String function, Note note, long now) {
     account.served(worker, function, note, now);
     Wish w = note == Note.WARM ? wishes.get(new Key(worker, function)) : null;
-    if (w == null || w.item.mine() || w.told || now < w.item.from()) {
+    if (w == null || w.item.mine() || now < w.toldAt + (long) (TELL * keepAlive) || now < w.item.from()) {
       return null;
     }
-    w.told = true;
+    w.toldAt = now;
     String text = FOUND + worker + " " + function;
     return text.length() <= MOST_MESSAGE && worker.indexOf(' ') < 0 ? text : null;
   }
--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -19,8 +19,11 @@
 public final class Placement {
   /** Copies of one function at the most in one plan. */
   private static final int MOST_COPIES = 16;
-  /** Part of the gain lost for each place further down the shared order: fewer dispatchers look there. */
-  private static final double RANK_LOSS = 0.08;
+  /**
+   * Part of the gain lost for each place further down the shared order: dispatchers look at the first places, and a copy that
+   * stands elsewhere is found by hardly any call. A copy of a number may stand at that place at no loss.
+   */
+  private static final double RANK_LOSS = 0.4;
   /** Places of the shared order that are looked at. */
   private static final int MOST_PLACES = 8;
 
--- a/decisions/src/main/java/gorseladder/placement/PlanMaker.java
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -27,7 +27,7 @@
   /** Keep-alives before a slot over which its loads may be spread. */
   private static final double LEAD = 3;
   /** Loads that one worker may be given within that lead. */
-  private static final int LOADS_PER_HOST = 4;
+  private static final int LOADS_PER_HOST = 24;
 
   /** Foresees a function's calls in a slot; {@link Forecasts#expect} in a planner. */
   public interface Foresight {
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -4,10 +4,10 @@
  * What a copy loaded ahead is worth: the waiting it is expected to save, less what it costs. Pure arithmetic on a {@link
  * Demand}; seconds of waiting throughout.
  *
- * <p>A copy is needed by the calls that find all lanes of those before it taken (the first by every call); the first of these
- * is spared a load, and those that come during what would have been the load are spared part of it. It counts only by the
- * chance that such a copy does not stand anyway: in a fleet where everything is warm there is next to nothing to gain. Its
- * memory is paid from its order to its first needed call, or to the end of its hold and of its keep-alive.
+ * <p>A copy is needed by the calls that find all lanes of those before it taken (the first by every call). The first of these is
+ * spared a load by the chance that no such copy stands anyway; each later one by the chance that the copy would have aged out since
+ * the one before. In a fleet where everything is warm there is next to nothing to gain. Its memory is paid from its order on, for
+ * the part of the hold in which it would not have stood anyway, and to the end of an unused keep-alive.
  */
 final class Worth {
   /** Chances below this end a sum. */
@@ -58,10 +58,12 @@
     double before = d.callsBefore() / stretch;
     double neededBefore = before * atLeast(taken, before * d.workSeconds());
     double used = d.trust() * (1 - none(needed * hold, d.scatter()));
+    double later = Math.max(0, d.trust() * needed * hold - used);
+    double agedOut = Math.exp(-d.trust() * needed * keepAlive);
     double waitToo = Math.min(d.lanes(), needed * d.loadSeconds());
-    double gain = Math.exp(-neededBefore * keepAlive) * used * d.loadSeconds() * (1 + waitToo / 2);
-    double held = needed > 0 ? used * Math.min(hold, 1 / needed) : 0;
-    double seconds = d.loadSeconds() + EARLY * keepAlive + held + (1 - used) * (hold + AFTER * keepAlive);
+    double spared = Math.exp(-neededBefore * keepAlive) * used + agedOut * later;
+    double gain = spared * d.loadSeconds() * (1 + waitToo / 2);
+    double seconds = d.loadSeconds() + EARLY * keepAlive + agedOut * hold + (1 - used) * AFTER * keepAlive;
     return new Copy(gain, prices.fetch() + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds, hold);
   }
 
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -10,6 +10,7 @@
 import gorseladder.placement.Host;
 import gorseladder.placement.PlanMaker;
 import gorseladder.placement.Prices;
+import gorseladder.placement.Schedule;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,6 +25,7 @@
   private final PlanMaker maker;
   private final TreeMap<Long, Map<String, Integer>> unread = new TreeMap<>();
   private Map<String, Integer> counts = new HashMap<>();
+  private final Schedule schedule = new Schedule();
   private long version;
 
   EmulatedPlanner(Emulation emulation) {
@@ -93,16 +95,17 @@
       return List.of();
     }
     List<PlanMaker.Order> orders = maker.plan(slot, counts, (slotSeconds - lead()) / slotSeconds, hosts);
-    long start = (long) (slot * slotSeconds * 1e6);
-    long until = start + (long) (slotSeconds * 1e6);
+    List<Schedule.Timed> holds = schedule.add(slot * slotSeconds, orders, now / 1e6);
+    long until = (long) ((slot + 1) * slotSeconds * 1e6);
     version++;
     List<Plan> plans = new ArrayList<>();
     for (int edge = 0; edge < edges; edge++) {
       List<Plan.Item> items = new ArrayList<>();
-      for (int i = orders.size() - 1; i >= 0; i--) {
-        PlanMaker.Order o = orders.get(i);
-        items.add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(), start + (long) (o.from() * 1e6),
-            start + (long) (o.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6), o.facts().memoryMb(), i % edges == edge));
+      for (Schedule.Timed t : holds) {
+        PlanMaker.Order o = t.order();
+        boolean mine = Math.floorMod(o.placed().function().hashCode(), edges) == edge;
+        items.add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(), (long) (t.from() * 1e6),
+            (long) (t.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6), o.facts().memoryMb(), mine));
       }
       plans.add(new Plan(1, version, until, items));
     }
