--- a/decisions/src/main/java/gorseladder/ahead/Seen.java
+++ b/decisions/src/main/java/gorseladder/ahead/Seen.java
@@ -10,6 +10,7 @@
  */
 public final class Seen {
   private static final double NEWEST = 0.1;
+  private static final double AWAY = 4;
   /** Functions remembered; beyond them a new one is not, until {@link #take} made room. */
   private static final int MOST = 20_000;
 
@@ -50,11 +51,14 @@
     }
   }
 
-  /** A load order that really loaded. */
+  /**
+   * A load order ended well. One that found the copy standing is answered at once and shows nothing: what took less than a quarter
+   * of what loads take is passed over, and what took more than four times replaces it.
+   */
   public void loaded(String function, long latency) {
     Figures f = all.get(function);
-    if (f != null) {
-      f.load = mix(f.load, latency);
+    if (f != null && latency * AWAY > f.load) {
+      f.load = latency > AWAY * f.load ? latency : mix(f.load, latency);
     }
   }
 
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
@@ -249,6 +249,9 @@
     agenda.after(network, () -> runner.order(functions.apply(a.function()), a.copies(),
         (outcome, copies) -> agenda.after(network, () -> {
           long latency = agenda.now() - began;
+          if (outcome == Outcome.OK) {
+            seen.loaded(a.function(), latency);
+          }
           ahead.loaded(a.worker(), a.function(), outcome, latency, agenda.now());
           tell(new Loaded(a.worker(), a.function(), copies, outcome, latency));
         })));
