The planner program: copy of the edges' history, forecasts, plans, account; edges ask it

An edge asks the planner now and then over HTTP/1.1 (protobuf, config/src/main/proto/exchange.proto), tells rows of history by their numbers, what it saw of functions and closed records of loads ahead, and gets a plan with epoch, version and life. The core proposes what is due to the router. Without a planner in the settings the core does nothing new. A minute in which an edge ran without calls now has a row, so that a hole can be told from silence.

--- a/app/src/main/java/gorseladder/app/Check.java
+++ b/app/src/main/java/gorseladder/app/Check.java
@@ -1,10 +1,13 @@
 package gorseladder.app;
 
-import gorseladder.config.SettingsFile;
+import gorseladder.config.Fault;
 import gorseladder.edge.Edge;
+import gorseladder.planner.PlannerFile;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** {@code check FILE}. */
@@ -14,13 +17,16 @@
   @Parameters(paramLabel = "FILE", description = "Settings in protobuf text format.")
   private Path file;
 
+  @Option(names = "--planner", description = "The file is a planner's.")
+  private boolean planner;
+
   @Override
   public Integer call() {
-    SettingsFile loaded = Edge.load(file);
-    loaded.faults().forEach(System.out::println);
-    if (loaded.faults().isEmpty()) {
+    List<Fault> faults = planner ? PlannerFile.load(file).faults() : Edge.load(file).faults();
+    faults.forEach(System.out::println);
+    if (faults.isEmpty()) {
       System.out.println(file + ": good");
     }
-    return loaded.faults().isEmpty() ? Main.GOOD : Main.BAD_USAGE;
+    return faults.isEmpty() ? Main.GOOD : Main.BAD_USAGE;
   }
 }
--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -7,6 +7,7 @@
 import gorseladder.config.proto.Effect;
 import gorseladder.config.proto.Endpoint;
 import gorseladder.config.proto.Limits;
+import gorseladder.config.proto.PlannerLink;
 import gorseladder.config.proto.RequestClass;
 import gorseladder.config.proto.Route;
 import gorseladder.config.proto.RuleFigures;
@@ -133,6 +134,13 @@
         "must be from 0 to edges - 1");
     root.require(s.getEdges() > 0 && s.getEdges() <= 10_000, type, "edges", "must be from 1 to 10000");
     root.require(!s.getDataDirectory().isEmpty(), type, "data_directory", "is needed");
+    if (s.hasPlanner()) {
+      At planner = root.in(type, "planner", 0);
+      var link = PlannerLink.getDescriptor();
+      address(planner, link, "address", 0, s.getPlanner().getAddress());
+      planner.require(s.getPlanner().getAskMs() >= 50 && s.getPlanner().getAskMs() <= 60_000, link, "ask_ms",
+          "must be from 50 to 60000");
+    }
     root.require(s.getRequestClassCount() > 0, type, "request_class", "at least one is needed");
     root.require(s.getEndpointCount() > 0, type, "endpoint", "at least one is needed");
     Set<String> classes = new HashSet<>();
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -31,6 +31,8 @@
   private static final String FOUND = "found ";
   /** The longest message: names that do not fit are not told, and the copy counts as unused. */
   private static final int MOST_MESSAGE = 250;
+  /** What the router passed over is proposed again after this time, so that others have their turn before. */
+  private static final long ASK_AGAIN = 1_000_000;
   /** Proposals at one look: a plan is no burst. */
   private static final int MOST_AT_ONCE = 4;
 
@@ -41,6 +43,7 @@
     private final Plan.Item item;
     private long orderedAt = -1;
     private long renewAt;
+    private long askAt = Long.MIN_VALUE;
     private boolean stands;
     private long toldAt = Long.MIN_VALUE / 2;
 
@@ -114,6 +117,7 @@
       if (now >= i.until()) {
         all.remove();
       } else if (i.mine() && now >= i.from() && wanted(w, now)) {
+        w.askAt = now + ASK_AGAIN;
         due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
       }
     }
@@ -123,8 +127,8 @@
 
   /** Not ordered yet, or it stands and nobody is known to have used it for so long that it might age out within its hold. */
   private boolean wanted(Wish w, long now) {
-    if (w.orderedAt < 0) {
-      return true;
+    if (now < w.askAt || w.orderedAt < 0) {
+      return now >= w.askAt;
     }
     long used = account.lastUse(w.item.worker(), w.item.function());
     return w.stands && now >= w.renewAt && now >= used + (long) (RENEW * keepAlive);
--- a/decisions/src/main/java/gorseladder/ahead/Seen.java
+++ b/decisions/src/main/java/gorseladder/ahead/Seen.java
@@ -11,6 +11,8 @@
 public final class Seen {
   private static final double NEWEST = 0.1;
   private static final double AWAY = 4;
+  /** Takes without a call after which a function is forgotten. */
+  private static final int MOST_SILENT = 1_000;
   /** Functions remembered; beyond them a new one is not, until {@link #take} made room. */
   private static final int MOST = 20_000;
 
@@ -19,6 +21,7 @@
 
   private static final class Figures {
     private int calls;
+    private int silent;
     private double memoryMb;
     private int lanes;
     private double work;
@@ -66,14 +69,27 @@
     return before <= 0 ? seen : before + NEWEST * (seen - before);
   }
 
-  /** The functions called since the last time; those not called since are forgotten. */
+  /** The functions called since the last time; those long not called are forgotten. */
   public Map<String, Of> take() {
     Map<String, Of> taken = new HashMap<>();
-    all.values().removeIf(f -> f.calls == 0);
+    all.values().removeIf(f -> f.calls == 0 && ++f.silent >= MOST_SILENT);
     all.forEach((name, f) -> {
-      taken.put(name, new Of(f.calls, f.memoryMb, f.lanes, f.work, f.load));
-      f.calls = 0;
+      if (f.calls > 0) {
+        taken.put(name, new Of(f.calls, f.memoryMb, f.lanes, f.work, f.load));
+        f.calls = 0;
+        f.silent = 0;
+      }
     });
     return taken;
   }
+
+  /** Counts again what was taken and could not be told. */
+  public void giveBack(Map<String, Of> taken) {
+    taken.forEach((name, of) -> {
+      Figures f = all.get(name);
+      if (f != null) {
+        f.calls += of.calls();
+      }
+    });
+  }
 }
--- a/decisions/src/test/java/gorseladder/ahead/AheadTest.java
+++ b/decisions/src/test/java/gorseladder/ahead/AheadTest.java
@@ -65,13 +65,17 @@
     now += 5 * SECOND;
     assertTrue(due().size() < 10, "a plan is no burst");
     int ordered = 0;
-    for (int look = 0; look < 10; look++) {
+    int looks = 0;
+    for (; ordered < 10; looks++) {
+      assertTrue(looks < 40);
+      now += SECOND / 4;
       for (Hold h : due()) {
         ahead.ordered(h.worker(), h.function(), now);
         ordered++;
       }
     }
-    assertEquals(10, ordered, "each once");
+    now += 2 * SECOND;
+    assertEquals(List.of(), due(), "each once");
     assertEquals(10, ahead.orders());
   }
 
@@ -220,4 +224,22 @@
     due();
     assertEquals(1, ahead.account().take().get(0).found());
   }
+
+  /** Some that the router passes over (a drain, say) must not keep the others from their turn. */
+  @Test
+  void whatIsPassedOverDoesNotHoldUpTheRest() {
+    List<Plan.Item> items = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      items.add(item("w" + i, "f"));
+    }
+    ahead.take(plan(1, 1, items.toArray(new Plan.Item[0])), now);
+    List<String> proposed = new ArrayList<>();
+    for (int look = 0; look < 3; look++) {
+      due().forEach(h -> proposed.add(h.worker()));
+      now += SECOND / 4;
+    }
+    assertEquals(12, proposed.stream().distinct().count());
+    now += SECOND;
+    assertEquals("w0", due().get(0).worker(), "and it is asked again");
+  }
 }
--- a/decisions/src/test/java/gorseladder/ahead/SeenTest.java
+++ b/decisions/src/test/java/gorseladder/ahead/SeenTest.java
@@ -36,5 +36,7 @@
     seen.taken("f", 400, 2);
     assertEquals(1, seen.take().get("f").calls());
     assertTrue(seen.take().isEmpty(), "not called since");
+    seen.giveBack(taken);
+    assertEquals(taken, seen.take(), "what could not be told is counted again");
   }
 }
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -14,6 +14,7 @@
 import gorseladder.edge.history.CallHistory;
 import gorseladder.edge.list.ListWatcher;
 import gorseladder.edge.peers.PeerLink;
+import gorseladder.edge.plans.PlannerLink;
 import gorseladder.edge.runners.Runners;
 import gorseladder.gate.SendGate;
 import gorseladder.runtime.Clock;
@@ -43,6 +44,7 @@
   private final Core core;
   private final ListWatcher list;
   private final PeerLink peers;
+  private final PlannerLink planner;
   private final WebhookFront front;
   private final HttpServer server;
   private final CallLog log = new CallLog();
@@ -75,7 +77,7 @@
         settings.getLedger().getMaxKeptAnswerBytes(), EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
         new Hearer());
     core = new Core(config.router(), System.nanoTime() ^ settings.getOrdinal(), new Hands(),
-        settings.getLimits().getMaxCalls(), CORE_STACK);
+        settings.getLimits().getMaxCalls(), settings.hasPlanner(), CORE_STACK);
     runners.reportTo(new Runners.Hearer() {
       @Override
       public void attemptEnded(Core.AttemptEnd end) {
@@ -92,6 +94,7 @@
     intake.admitTo(core);
     list = new ListWatcher(Address.parse(settings.getWorkerList().getAddress()), settings.getWorkerList().getService(),
         "gorseladder-edge/" + settings.getOrdinal(), settings.getWorkerList().getWaitMs(), directory.resolve("workers.json"), stack, new ListHearer());
+    planner = settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
     front = new WebhookFront(config.webhooks(), intake, core, watchdog, log);
     PeerLink link = null;
     HttpServer listening = null;
@@ -107,6 +110,9 @@
         close();
       }
     }
+    if (planner != null) {
+      planner.start();
+    }
     tidyLater();
     LOG.info("edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}", settings.getOrdinal(),
         Address.print(address()), ledger.size(), ledger.boots());
@@ -222,6 +228,9 @@
     if (peers != null) {
       peers.close();
     }
+    if (planner != null) {
+      planner.close();
+    }
     list.close();
     core.close();
     runners.close();
--- a/edge/src/main/java/gorseladder/edge/core/Core.java
+++ b/edge/src/main/java/gorseladder/edge/core/Core.java
@@ -7,11 +7,15 @@
 import gorseladder.RouterApi.ClientGone;
 import gorseladder.RouterApi.Event;
 import gorseladder.RouterApi.Fail;
+import gorseladder.RouterApi.Hold;
+import gorseladder.RouterApi.ListKind;
 import gorseladder.RouterApi.Load;
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Log;
 import gorseladder.RouterApi.Note;
 import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.PeerMessage;
+import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.Refuse;
 import gorseladder.RouterApi.Request;
 import gorseladder.RouterApi.Send;
@@ -20,7 +24,12 @@
 import gorseladder.RouterApi.TellPeers;
 import gorseladder.RouterApi.TimerDue;
 import gorseladder.RouterApi.WatchList;
+import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
+import gorseladder.ahead.Account;
+import gorseladder.ahead.Ahead;
+import gorseladder.ahead.Plan;
+import gorseladder.ahead.Seen;
 import gorseladder.answers.Endings;
 import gorseladder.answers.Reason;
 import gorseladder.answers.RetryAdvice;
@@ -29,7 +38,10 @@
 import gorseladder.runtime.Threads;
 import gorseladder.structures.TimerWheel;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +52,8 @@
 public final class Core implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Core.class);
   private static final long IDLE_NANOS = 1_000_000_000L;
+  /** Between two looks at a plan. */
+  private static final long LOOK = 250_000;
 
   /** Carries out what leaves this process; must not block. Its reports come back by the core's methods. */
   public interface Hands {
@@ -73,6 +87,14 @@
 
   private record Left(TakenCall call) implements Message {}
 
+  private record Planned(Plan plan) implements Message {}
+
+  private record Collect(Consumer<Collected> to, Map<String, Seen.Of> giveBack) implements Message {}
+
+  /** What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand. */
+  public record Collected(Map<String, Seen.Of> seen, List<Account.Entry> loads, List<WorkerEntry> workers, long epoch,
+      long version) {}
+
   private final Settings settings;
   private final Router router;
   private final Hands hands;
@@ -82,6 +104,12 @@
   private final Map<Long, TakenCall> calls = new HashMap<>();
   private final Map<TakenCall, Integer> attemptsOut = new HashMap<>();
   private final Thread thread;
+  /** Null where no planner is set: then nothing here differs from an edge without loads ahead. */
+  private final Ahead ahead;
+  private final Seen seen = new Seen();
+  private Map<String, WorkerEntry> workers = new LinkedHashMap<>();
+  private boolean holding;
+  private long lookAt = Long.MAX_VALUE;
   private volatile boolean stopped;
   private long now;
 
@@ -89,11 +117,13 @@
    * Starts the core.
    *
    * @param mostOffers calls that may wait to be looked at; further ones are not taken
+   * @param plans true where a planner may ask for copies ahead of need
    */
-  public Core(Settings settings, long seed, Hands hands, int mostOffers, int stackBytes) {
+  public Core(Settings settings, long seed, Hands hands, int mostOffers, boolean plans, int stackBytes) {
     this.settings = settings;
     this.router = new Router(settings, seed);
     this.hands = hands;
+    this.ahead = plans ? new Ahead(settings.keepAlive()) : null;
     this.advice = new RetryAdvice(settings.limits().maxRetryAfter(), seed);
     this.mailbox = new Mailbox<>(mostOffers);
     this.timers = new TimerWheel<>(Math.max(100, settings.tick() / 2), Clock.micros());
@@ -127,7 +157,17 @@
 
   /** Another edge sent a message. */
   public void peerMessage(int sender, String text) {
-    mailbox.put(new News(new gorseladder.RouterApi.PeerMessage(sender, text)));
+    mailbox.put(new News(new PeerMessage(sender, text)));
+  }
+
+  /** A plan came; its times are this process's clock. Only where plans are expected. */
+  public void planned(Plan plan) {
+    mailbox.put(new Planned(plan));
+  }
+
+  /** Has what a planner is told collected and handed over, on the core's thread; {@code giveBack} could not be told before. */
+  public void collect(Map<String, Seen.Of> giveBack, Consumer<Collected> to) {
+    mailbox.put(new Collect(to, giveBack));
   }
 
   private void run() {
@@ -135,8 +175,10 @@
       while (!stopped) {
         now = Clock.micros();
         timers.advance(now, token -> tell(new TimerDue(token)));
-        long wait = Math.min((timers.nextDue() - now) * 1000, IDLE_NANOS);
-        Message message = mailbox.take(timers.nextDue() == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
+        look();
+        long next = Math.min(timers.nextDue(), lookAt);
+        long wait = Math.min((next - now) * 1000, IDLE_NANOS);
+        Message message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
         if (message != null) {
           now = Clock.micros();
           handle(message);
@@ -156,10 +198,57 @@
       tell(new ClientGone(m.call().id()));
       release(m.call());
     } else if (message instanceof News m) {
+      noteNews(m.event());
       tell(m.event());
+    } else if (message instanceof Planned m) {
+      Ahead.Verdict verdict = ahead.take(m.plan(), now);
+      lookAt = ahead.busy() ? now : Long.MAX_VALUE;
+      if (verdict != Ahead.Verdict.TAKEN && verdict != Ahead.Verdict.OLDER) {
+        LOG.warn("plan {}/{} is passed over: {}", m.plan().epoch(), m.plan().version(), verdict);
+      }
+    } else if (message instanceof Collect m) {
+      collect(m);
     }
   }
 
+  private void collect(Collect m) {
+    seen.giveBack(m.giveBack());
+    ahead.account().tidy(now);
+    m.to().accept(new Collected(seen.take(), ahead.account().take(), List.copyOf(workers.values()), ahead.plan().epoch(),
+        ahead.plan().version()));
+  }
+
+  /** What plans and their account need to hear beside the router. */
+  private void noteNews(Event event) {
+    if (ahead == null) {
+      return;
+    }
+    if (event instanceof Loaded e) {
+      if (e.outcome() == Outcome.OK) {
+        seen.loaded(e.function(), e.latency());
+      }
+      ahead.loaded(e.worker(), e.function(), e.outcome(), e.latency(), now);
+    } else if (event instanceof PeerMessage e) {
+      ahead.heard(e.text(), now);
+    } else if (event instanceof Workers e && e.kind() != ListKind.FAILED) {
+      workers = new LinkedHashMap<>();
+      e.entries().stream().filter(w -> w.phase() == Phase.RUNNING).forEach(w -> workers.put(w.worker(), w));
+    }
+  }
+
+  /** Proposes to the router what a plan wants held now. */
+  private void look() {
+    if (now < lookAt) {
+      return;
+    }
+    for (Hold hold : ahead.due(now)) {
+      holding = true;
+      tell(hold);
+      holding = false;
+    }
+    lookAt = ahead.busy() ? now + LOOK : Long.MAX_VALUE;
+  }
+
   /** An error of the router must not end the thread: the other calls go on, and the log says where it was. */
   private void tell(Event event) {
     try {
@@ -172,6 +261,9 @@
   private void arrived(TakenCall call) {
     TakenCall.Facts f = call.facts();
     calls.put(call.id(), call);
+    if (ahead != null) {
+      seen.taken(f.function(), f.memoryMb(), f.lanes());
+    }
     tell(new Request(call.id(), f.requestClass().name(), f.tenant(), f.function(), Math.max(0, f.deadlineAt() - now), 0,
         f.memoryMb(), f.lanes(), f.loadTime(), f.repeat()));
   }
@@ -192,6 +284,7 @@
     }
     if (served) {
       call.servedLate(end.body());
+      noteServed(call, attempt, end.note());
     }
     attemptsOut.merge(call, -1, (a, b) -> a + b == 0 ? null : a + b);
     tell(new Answer(call.id(), end.attempt(), attempt.worker(), outcome, call.over(), now - attempt.decidedAt(), end.note(),
@@ -199,6 +292,16 @@
     release(call);
   }
 
+  private void noteServed(TakenCall call, TakenCall.Attempt attempt, Note note) {
+    if (ahead != null) {
+      seen.served(call.facts().function(), note, now - attempt.decidedAt());
+      String found = ahead.served(attempt.worker(), call.facts().function(), note, now);
+      if (found != null) {
+        hands.tellPeers(found);
+      }
+    }
+  }
+
   private boolean finish(TakenCall call, Reason reason, byte[] body) {
     boolean refused = reason.kind == Reason.Kind.REFUSED;
     advice.noted(refused);
@@ -231,6 +334,9 @@
     } else if (action instanceof Cancel a) {
       hands.cancel(calls.get(a.id()), a.attempt());
     } else if (action instanceof Load a) {
+      if (holding) {
+        ahead.ordered(a.worker(), a.function(), now);
+      }
       hands.load(a.worker(), a.function(), a.copies());
     } else if (action instanceof TellPeers a) {
       hands.tellPeers(a.text());
--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -52,6 +52,11 @@
     this.thread = Threads.start("history", stackBytes, this::run);
   }
 
+  /** The history itself, for whoever reads it while it is written. */
+  public History rows() {
+    return history;
+  }
+
   private Counts at(String function, String requestClass, String tenant) {
     Key key = new Key(function, requestClass, tenant);
     Counts known = counts.get(key);
@@ -124,6 +129,10 @@
     List<HistoryRow> rows = new ArrayList<>();
     take().forEach((k, c) -> rows.add(new HistoryRow(minute, 1, k.function(), k.requestClass(), k.tenant(), c.calls, c.found,
         c.began, c.awaited, c.refused, c.failed, c.loads, c.loadMicros)));
+    if (rows.isEmpty()) {
+      // Says that this edge ran: a minute without any row is one of which nothing is known.
+      rows.add(new HistoryRow(minute, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
+    }
     try {
       history.append(rows);
       history.force();
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -0,0 +1,217 @@
+package gorseladder.edge.plans;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import gorseladder.ahead.Account;
+import gorseladder.ahead.Plan;
+import gorseladder.ahead.Seen;
+import gorseladder.config.Address;
+import gorseladder.config.exchange.Answer;
+import gorseladder.config.exchange.Ask;
+import gorseladder.config.exchange.LoadAhead;
+import gorseladder.config.exchange.Worker;
+import gorseladder.config.proto.EdgeSettings;
+import gorseladder.edge.core.Core;
+import gorseladder.edge.core.Core.Collected;
+import gorseladder.edge.history.CallHistory;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.Threads;
+import gorseladder.store.history.History;
+import gorseladder.store.history.HistoryRow;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Asks the planner now and then: tells it rows of history, what was seen of functions and the account, and hands the plan it
+ * answers to the core. A planner that is away changes nothing here: the plan in hand runs out by itself, and what could not
+ * be told is told later. One thread of its own; a slow planner delays no call.
+ */
+public final class PlannerLink implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(PlannerLink.class);
+  private static final long CONNECT_MILLIS = 1_000;
+  private static final long ANSWER_MICROS = 10_000_000;
+  private static final long COLLECT_SECONDS = 5;
+  private static final int MOST_ROWS = 20_000;
+  /** Records of loads ahead kept for a planner that is away; the oldest are dropped and the log says so. */
+  private static final int MOST_LOADS = 20_000;
+  private static final int MOST_BACKOFF = 6;
+
+  private record Numbered(long number, Account.Entry entry, long orderedWall) {}
+
+  private final InetSocketAddress address;
+  private final EdgeSettings settings;
+  private final long boot;
+  private final Core core;
+  private final History history;
+  private final Random random = new Random();
+  private final ArrayDeque<Numbered> loads = new ArrayDeque<>();
+  private Map<String, Seen.Of> untold = Map.of();
+  private long loadNumber;
+  private long from;
+  private int failures;
+  private volatile HttpConnection connection;
+  private volatile boolean stopped;
+  private Thread thread;
+
+  /** A link that begins with {@link #start}; {@code boot} tells the lives of this edge apart. */
+  public PlannerLink(EdgeSettings settings, long boot, Core core, CallHistory history) {
+    this.address = Address.parse(settings.getPlanner().getAddress());
+    this.settings = settings;
+    this.boot = boot;
+    this.core = core;
+    this.history = history.rows();
+  }
+
+  /** Begins to ask. */
+  public void start() {
+    thread = Threads.start("planner-link", Math.max(256 << 10, settings.getLimits().getStackBytes()), this::run);
+  }
+
+  private void run() {
+    try {
+      while (!stopped) {
+        boolean more = false;
+        try {
+          more = ask();
+          if (failures > 0) {
+            LOG.info("the planner answers again");
+          }
+          failures = 0;
+        } catch (IOException | BadMessage | IllegalArgumentException e) {
+          if (failures++ == 0 && !stopped) {
+            LOG.warn("the planner at {} does not answer ({}); the plan in hand runs out, calls go on", Address.print(address),
+                e.toString());
+          }
+          drop();
+        }
+        if (!more) {
+          // Edges that lost a planner together must not come back together.
+          long base = settings.getPlanner().getAskMs() << Math.min(failures, MOST_BACKOFF) / 2;
+          Thread.sleep(base / 2 + (long) (random.nextDouble() * base));
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void drop() {
+    HttpConnection c = connection;
+    connection = null;
+    if (c != null) {
+      c.close();
+    }
+  }
+
+  /** One exchange; true where more rows wait to be told. */
+  private boolean ask() throws IOException, BadMessage, InterruptedException {
+    Collected collected = collect();
+    History.Batch batch = history.read(from, MOST_ROWS);
+    boolean caughtUp = batch.next() >= history.next();
+    Ask.Builder ask = Ask.newBuilder().setOrdinal(settings.getOrdinal()).setEdges(settings.getEdges()).setBoot(boot)
+        .setHistory(history.identity()).setAsked(from).setFrom(batch.from()).setNext(batch.next()).setCaughtUp(caughtUp)
+        .setEpoch(collected.epoch()).setVersion(collected.version());
+    for (HistoryRow row : batch.rows()) {
+      ask.addRow(ByteString.copyFrom(row.toBytes()));
+    }
+    untold = collected.seen();
+    collected.seen().forEach((f, s) -> ask.addSeen(gorseladder.config.exchange.Seen.newBuilder().setFunction(f).setCalls(s.calls())
+        .setMemoryMb(s.memoryMb()).setLanes(s.lanes()).setWorkUs((long) s.work()).setLoadUs((long) s.load())));
+    collected.workers().forEach(w -> ask.addWorker(Worker.newBuilder().setName(w.worker()).setWeight(w.weight())));
+    loads.forEach(l -> ask.addLoad(print(l)));
+    Answer answer = exchange(ask.build().toByteArray());
+    untold = Map.of();
+    loads.removeIf(l -> l.number() <= answer.getLoadsKept());
+    boolean moved = !answer.getHistory().equals(history.identity()) || answer.getWant() != batch.next();
+    from = answer.getHistory().equals(history.identity()) ? answer.getWant() : 0;
+    if (answer.hasPlan()) {
+      core.planned(plan(answer.getPlan(), Clock.micros()));
+    }
+    return moved || !caughtUp;
+  }
+
+  /** What the core has to tell; what an earlier exchange could not tell is counted again. */
+  private Collected collect() throws IOException, InterruptedException {
+    CompletableFuture<Collected> got = new CompletableFuture<>();
+    Map<String, Seen.Of> again = untold;
+    untold = Map.of();
+    core.collect(again, got::complete);
+    try {
+      Collected collected = got.get(COLLECT_SECONDS, TimeUnit.SECONDS);
+      long ago = Clock.wallMicros() - Clock.micros();
+      for (Account.Entry e : collected.loads()) {
+        loads.addLast(new Numbered(++loadNumber, e, e.orderedAt() + ago));
+      }
+      if (loads.size() > MOST_LOADS) {
+        LOG.warn("{} records of loads ahead are dropped: no planner took them", loads.size() - MOST_LOADS);
+        while (loads.size() > MOST_LOADS) {
+          loads.removeFirst();
+        }
+      }
+      return collected;
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IOException("the core did not answer", e);
+    }
+  }
+
+  private static LoadAhead print(Numbered l) {
+    Account.Entry e = l.entry();
+    return LoadAhead.newBuilder().setNumber(l.number()).setWorker(e.worker()).setFunction(e.function()).setOrderedAt(l.orderedWall())
+        .setLoadUs(e.loadMicros()).setMegabyteSeconds(e.megabyteSeconds()).setRenewals(e.renewals()).setFound(e.found())
+        .setSavedUs(e.savedMicros()).setPushedOut(e.pushedOut()).setPushedUs(e.pushedMicros()).build();
+  }
+
+  private Answer exchange(byte[] body) throws IOException, BadMessage {
+    HttpConnection c = connection;
+    if (c == null || c.peerGone()) {
+      drop();
+      c = HttpConnection.open(address, CONNECT_MILLIS, HttpLimits.INNER);
+      connection = c;
+    }
+    c.write(HeadWriter.request("POST", "/v1/exchange", Address.print(address)).field("Content-Type", "application/x-protobuf")
+        .with(body));
+    Head head = c.readResponse(Clock.micros() + ANSWER_MICROS);
+    byte[] content = c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), Clock.micros() + ANSWER_MICROS);
+    if (head.status() != 200) {
+      throw new IOException("status " + head.status());
+    }
+    try {
+      return Answer.parseFrom(content);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IOException("what it answered is no answer", e);
+    }
+  }
+
+  private static Plan plan(gorseladder.config.exchange.Plan p, long now) {
+    List<Plan.Item> items = new ArrayList<>();
+    p.getItemList().forEach(i -> items.add(new Plan.Item(i.getWorker(), i.getFunction(), i.getCopies(), i.getLanes(),
+        now + i.getFromMs() * 1000, now + i.getUntilMs() * 1000, i.getLoadUs(), i.getMemoryMb(), i.getMine())));
+    return new Plan(p.getEpoch(), p.getVersion(), now + p.getLivesMs() * 1000, items);
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    drop();
+    if (thread != null) {
+      thread.interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/planner/src/main/java/gorseladder/planner/PlannerMain.java
@@ -0,0 +1,53 @@
+package gorseladder.planner;
+
+import gorseladder.config.Address;
+import gorseladder.runtime.Clock;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import sun.misc.Signal;
+
+/** Runs one planner until a signal ends it; edges go on without it. */
+public final class PlannerMain {
+  private static final int OK = 0;
+  private static final int BAD_SETTINGS = 2;
+  private static final int CANNOT_START = 3;
+
+  private PlannerMain() {}
+
+  /** Runs the planner of the settings file named first. */
+  public static void main(String[] args) throws InterruptedException {
+    System.exit(run(Path.of(args[0]), System.out, System.err));
+  }
+
+  /** Runs until a signal comes; one line of JSON on {@code out} says when it is ready and where. */
+  public static int run(Path file, PrintStream out, PrintStream err) throws InterruptedException {
+    PlannerFile loaded = PlannerFile.load(file);
+    if (!loaded.faults().isEmpty()) {
+      loaded.faults().forEach(err::println);
+      return BAD_SETTINGS;
+    }
+    System.setProperty("gorseladder.log.form", loaded.settings().getLog().getForm().name());
+    System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
+    try (PlannerServer server = new PlannerServer(loaded.settings(), Clock::wallMicros)) {
+      CountDownLatch stop = new CountDownLatch(1);
+      for (String name : new String[] {"TERM", "INT"}) {
+        Signal.handle(new Signal(name), signal -> stop.countDown());
+      }
+      Map<String, Object> ready = new LinkedHashMap<>();
+      ready.put("ready", true);
+      ready.put("planner", Address.print(server.address()));
+      out.println(Json.write(ready));
+      out.flush();
+      stop.await();
+      return OK;
+    } catch (IOException e) {
+      err.println("gorseladder: " + e.getMessage());
+      return CANNOT_START;
+    }
+  }
+}
--- a/store/src/main/java/gorseladder/store/history/HistoryRow.java
+++ b/store/src/main/java/gorseladder/store/history/HistoryRow.java
@@ -53,7 +53,12 @@
     return out.array();
   }
 
-  static HistoryRow of(byte[] bytes) {
+  /**
+   * The row of its form on disk.
+   *
+   * @throws IllegalArgumentException where it is none
+   */
+  public static HistoryRow of(byte[] bytes) {
     try {
       ByteBuffer in = ByteBuffer.wrap(bytes);
       long from = in.getLong();
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -40,6 +40,7 @@
   private final Path directory;
   private final boolean processes;
   private final List<String> prefix;
+  private final String moreSettings;
   private final Tap tap = new Tap();
   private final String secret;
   private final Archive archive;
@@ -148,7 +149,14 @@
   /** As above, with words before each edge's command, for example a pin to processors. */
   public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog,
       List<String> prefix) throws IOException {
+    this(script, directory, processes, runnerLog, prefix, "");
+  }
+
+  /** As above, with more settings for each edge, for example a planner. */
+  public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog,
+      List<String> prefix, String moreSettings) throws IOException {
     this.prefix = prefix;
+    this.moreSettings = moreSettings;
     this.script = script;
     this.directory = directory;
     this.processes = processes;
@@ -225,7 +233,7 @@
         REPEAT_WINDOW / 1000, AIM / 1000, DEADLINE / 1000, script.count("lanes"), PATH, secret,
         script.number("on_miss") > 0, script.number("duplicates") > 0, script.number("cancelling") > 0, rules.drainGrace() / 1000, rules.coldFrom(), rules.coldFor() / 1000,
         rules.overloadMultiple(), rules.overloadFor() / 1000, rules.loadsFree(), rules.loadShare(),
-        rules.loadWindow() / 1000, list.address(), slot.peerPort, peers);
+        rules.loadWindow() / 1000, list.address(), slot.peerPort, peers) + moreSettings;
   }
 
   public Tap tap() {
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -73,7 +73,7 @@
 
         @Override
         public void watchList() {}
-      }, 10, 256 << 10);
+      }, 10, false, 256 << 10);
       runners.reportTo(new Runners.Hearer() {
         @Override
         public void attemptEnded(Core.AttemptEnd end) {
