--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/StandInPlanner.java
@@ -0,0 +1,95 @@
+package gorseladder.testbed;
+
+import gorseladder.config.exchange.Answer;
+import gorseladder.config.exchange.Ask;
+import gorseladder.config.exchange.Item;
+import gorseladder.config.exchange.Plan;
+import gorseladder.config.exchange.Worker;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.HttpServer;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * A planner gone wrong: at each ask it wants every function held at every worker it ever heard of, also at those that drain, died or
+ * just started, all at once and by every edge; now and then its plan is absurd, of an older epoch, or its answer is no answer.
+ */
+public final class StandInPlanner implements Closeable {
+  private static final long PATIENCE = 60_000_000;
+  private static final int STACK = 256 << 10;
+
+  private final List<String> functions;
+  private final HttpServer server;
+  private final Random random;
+  private final Set<String> workers = new TreeSet<>();
+  private long version;
+  private long plans;
+
+  /** A planner that wants these functions everywhere. */
+  public StandInPlanner(List<String> functions, long seed) throws IOException {
+    this.functions = List.copyOf(functions);
+    this.random = new Random(seed);
+    this.server = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "stand-in-planner", STACK, this::serve);
+  }
+
+  /** Where it listens. */
+  public String address() {
+    return "127.0.0.1:" + server.address().getPort();
+  }
+
+  /** Plans given out. */
+  public synchronized long plans() {
+    return plans;
+  }
+
+  private void serve(SocketChannel channel) throws IOException {
+    HttpConnection c = new HttpConnection(channel, HttpLimits.INNER);
+    try {
+      while (c.awaitMessage(Clock.micros() + PATIENCE)) {
+        Head head = c.readRequest(Clock.micros() + PATIENCE);
+        byte[] body = c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + PATIENCE);
+        c.write(answer(Ask.parseFrom(body)));
+      }
+    } catch (BadMessage e) {
+      throw new IOException(e);
+    }
+  }
+
+  private synchronized byte[] answer(Ask ask) {
+    ask.getWorkerList().stream().map(Worker::getName).forEach(workers::add);
+    int mood = random.nextInt(20);
+    if (mood == 0) {
+      return HeadWriter.response(200).with(new byte[] {1, 2, 3});
+    }
+    if (mood == 1) {
+      return HeadWriter.response(503).with(new byte[0]);
+    }
+    Plan.Builder plan = Plan.newBuilder().setEpoch(mood == 2 ? 1 : 2).setVersion(++version).setLivesMs(30_000);
+    for (String f : functions) {
+      for (String w : workers) {
+        plan.addItem(Item.newBuilder().setWorker(w).setFunction(f).setCopies(mood == 3 ? 9_999 : 1 + random.nextInt(2)).setLanes(1)
+            .setFromMs(0).setUntilMs(20_000).setMemoryMb(100).setMine(true));
+      }
+    }
+    plans++;
+    return HeadWriter.response(200).with(Answer.newBuilder().setHistory(ask.getHistory()).setWant(ask.getNext())
+        .setLoadsKept(Long.MAX_VALUE).setPlan(plan).build().toByteArray());
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- a/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -6,6 +6,7 @@
 import gorseladder.testbed.script.DayScript;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -54,6 +55,24 @@
         """, false);
   }
 
+  /** Whatever a planner wants, rules 3 to 5 hold for its orders too, and calls are served. */
+  @Test
+  void aPlannerGoneWrongBreaksNoRule() throws Exception {
+    DayScript day = DayScript.parse("""
+        day = 10s; seed = 21; edges = 2; runners = 8; functions = 6; rate = 60; on_miss = 0;
+        at 1s for 2s drain 2; at 4s for 2s crash 2; at 6s for 2s drain 2;
+        """);
+    List<String> functions = IntStream.range(0, 30).mapToObj(i -> "svc/plan-" + i).toList();
+    try (StandInPlanner planner = new StandInPlanner(functions, 21); World world = new World(day, dir.resolve("planned"), false,
+        l -> { }, List.of(), "planner { address: \"" + planner.address() + "\" ask_ms: 150 }\n")) {
+      Play.Verdict verdict = new Play(day, world).run(null);
+      assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
+      assertTrue(verdict.totals().served.get() > 0.9 * verdict.totals().calls.get(), verdict.totals().reasons.toString());
+      long planned = world.tap().orders.stream().filter(o -> o.function().startsWith("svc/plan-")).count();
+      assertTrue(planner.plans() > 50 && planned > 20, planner.plans() + " plans, " + planned + " orders of them");
+    }
+  }
+
   @Test
   void secondTriesAtOnceAndWorkThatNoCancelStops() throws Exception {
     play("""
