--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -87,6 +87,24 @@
     return List.copyOf(placement.placed);
   }
 
+  /**
+   * What the copy of this number (from 1) brings at a place of the function's shared order (from 0), in seconds of waiting; for
+   * whoever solves the same problem another way.
+   */
+  public static double net(Demand d, int number, int place, Prices prices, double stretch, double keepAlive) {
+    Worth.Copy copy = new Worth(prices, stretch, keepAlive).of(d, number);
+    return copy.gain() * kept(number, place) - copy.cost();
+  }
+
+  /** Places of the shared order at which the copy of this number may stand. */
+  public static int places(int number) {
+    return number - 1 + MOST_PLACES;
+  }
+
+  private static double kept(int number, int place) {
+    return Math.max(0, 1 - RANK_LOSS * Math.max(0, place + 1 - number));
+  }
+
   private Candidate candidate(Demand d, int number) {
     Worth.Copy copy = worth.of(d, number);
     // Orders and memory are what copies compete for; each counts by the part of the whole it takes.
@@ -138,7 +156,7 @@
   }
 
   private Placed at(Candidate c, int place) {
-    double gain = c.worth().gain() * Math.max(0, 1 - RANK_LOSS * Math.max(0, place + 1 - c.number()));
+    double gain = c.worth().gain() * kept(c.number(), place);
     return new Placed(c.demand().function(), hosts.get(nearest(c.demand().function())[place]).name(), c.number(), gain,
         c.worth().cost(), c.worth().hold());
   }
@@ -153,7 +171,7 @@
       return false;
     }
     int[] order = nearest(c.demand().function());
-    for (int place = 0; place < Math.min(order.length, c.number() - 1 + MOST_PLACES); place++) {
+    for (int place = 0; place < Math.min(order.length, places(c.number())); place++) {
       int host = order[place];
       if (free[host] >= c.demand().memoryMb() && loads[host] > 0 && (c.number() == 1 || !standsAt(c.demand().function(), host))) {
         Placed p = at(c, place);
@@ -194,7 +212,7 @@
     for (Candidate c : left.subList(0, Math.min(left.size(), 4 * MOST_PLACES * MOST_COPIES))) {
       Demand d = c.demand();
       int[] order = nearest(d.function());
-      for (int place = 0; place < Math.min(order.length, c.number() - 1 + MOST_PLACES); place++) {
+      for (int place = 0; place < Math.min(order.length, places(c.number())); place++) {
         if (!standsAt(d.function(), order[place]) && swap(at(c, place), d, order[place])) {
           break;
         }
