--- /dev/null
+++ b/app/src/main/java/gorseladder/app/ReplayCommand.java
@@ -0,0 +1,77 @@
+package gorseladder.app;
+
+import gorseladder.emulator.EmulatedFleet;
+import gorseladder.emulator.Experiment;
+import gorseladder.emulator.Outcomes;
+import gorseladder.emulator.Recording;
+import gorseladder.emulator.proto.Ahead.Mode;
+import gorseladder.emulator.proto.Emulation;
+import gorseladder.store.history.History;
+import gorseladder.store.history.HistoryRow;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code replay}: a recorded history through forecasts, plans and account, beside the same without plans. */
+@Command(name = "replay", mixinStandardHelpOptions = true,
+    description = "Replay the history of stopped edges on an emulated fleet, without and with loads ahead, walk-forward, and list every "
+        + "function's balance. Simulated.")
+final class ReplayCommand implements Callable<Integer> {
+  @Parameters(paramLabel = "FILE", description = "The fleet, as for emulate; its populations but for the first one's sizes do not count.")
+  private Path file;
+
+  @Option(names = "--history", paramLabel = "DIR", required = true, description = "data_directory/history of an edge; several for several.")
+  private List<Path> histories;
+
+  @Override
+  public Integer call() throws IOException {
+    Recording recording = new Recording();
+    for (Path directory : histories) {
+      if (!Files.exists(directory.resolve("identity"))) {
+        System.err.println("gorseladder: " + directory + " holds no history");
+        return Main.BAD_USAGE;
+      }
+      try (History history = History.open(directory, new History.Bounds(4 << 20, 20_160, 256 << 20))) {
+        for (HistoryRow row : history.read(0, Integer.MAX_VALUE).rows()) {
+          if (row.calls() > 0 && !row.function().isEmpty()) {
+            recording.add(row.from(), row.minutes(), row.function(), row.calls());
+          }
+        }
+      }
+    }
+    try {
+      Emulation e = Experiment.emulation(file);
+      Outcomes without = EmulatedFleet.run(e.toBuilder().clearAhead().build(), recording, part -> { });
+      Emulation.Builder planned = e.toBuilder();
+      planned.getAheadBuilder().setMode(Mode.FORECAST);
+      Outcomes with = EmulatedFleet.run(planned.build(), recording, part -> { });
+      System.out.printf(Locale.ROOT, "%,d calls recorded on %d days, the first %d teach only (simulated)%n", recording.calls(),
+          recording.days(), e.getTeachDays());
+      print("without", without);
+      print("with loads ahead", with);
+      Balances.print("all", with.balance());
+      with.byFunction().forEach((f, n) -> {
+        long[] before = without.byFunction().getOrDefault(f, new long[2]);
+        System.out.printf(Locale.ROOT, "%-32s %8d calls, cold %d without, %d with%n", f, n[0], before[1], n[1]);
+        if (with.balances().containsKey(f)) {
+          Balances.print("  its loads ahead", with.balances().get(f));
+        }
+      });
+      return with.broken().isEmpty() && without.broken().isEmpty() ? Main.GOOD : Main.BROKEN;
+    } catch (IllegalArgumentException e) {
+      System.err.println("gorseladder: " + e.getMessage());
+      return Main.BAD_USAGE;
+    }
+  }
+
+  private static void print(String name, Outcomes o) {
+    System.out.printf(Locale.ROOT, "%-18s service %.4f, met no copy %.4f, mean %.1f ms, p99 %.1f ms, %.3f fetches a call%n", name, o.service(),
+        o.coldShare(), o.meanMillis(), o.latencyMillis(99), o.fetches() / (double) Math.max(1, o.calls()));
+  }
+}
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -52,13 +52,13 @@
   private final long day;
   private final long slot;
 
-  private EmulatedFleet(Emulation emulation) {
+  private EmulatedFleet(Emulation emulation, Recording recording) {
     this.e = emulation;
     this.random = new Random(e.getSeed() * 31 + 7);
     this.day = (long) (e.getDayS() * 1e6);
     this.slot = day / e.getSlots();
     this.outcomes = new Outcomes(agenda, e.getTeachDays() * day, this::inSurge);
-    this.workload = new Workload(e);
+    this.workload = new Workload(e, recording);
     this.archive = new EmulatedArchive(agenda, e.getArchive().getAtOnce(), e.getArchive().getMost());
     this.planner = e.getAhead().getMode() == Mode.NONE ? null : new EmulatedPlanner(e);
     for (int i = 0; i < e.getFleet().getRunners(); i++) {
@@ -84,8 +84,19 @@
    * @throws IllegalArgumentException where a setting is impossible; the text names it
    */
   public static Outcomes run(Emulation emulation, DoubleConsumer progress) {
-    check(emulation);
-    EmulatedFleet fleet = new EmulatedFleet(emulation);
+    return run(emulation, null, progress);
+  }
+
+  /**
+   * Replays a recording in place of the settings' populations and days: what was called is given, how long it took is the fleet's.
+   * Plans see only what came before.
+   *
+   * @param recording null for the settings' own calls
+   */
+  public static Outcomes run(Emulation emulation, Recording recording, DoubleConsumer progress) {
+    Emulation e = recording == null ? emulation : emulation.toBuilder().setDays(recording.days()).setDayS(86_400).clearSurge().build();
+    check(e);
+    EmulatedFleet fleet = new EmulatedFleet(e, recording);
     fleet.play(progress);
     return fleet.outcomes;
   }
--- a/emulator/src/main/java/gorseladder/emulator/Workload.java
+++ b/emulator/src/main/java/gorseladder/emulator/Workload.java
@@ -29,13 +29,22 @@
   private final double day;
   private final List<Member> members = new ArrayList<>();
   private final Map<String, Drawn> functions = new HashMap<>();
+  private final Recording recording;
   private long once;
 
-  Workload(Emulation emulation) {
+  /** Calls of the settings' populations, or those of a recording where there is one; then the first population gives the sizes. */
+  Workload(Emulation emulation, Recording recording) {
     this.e = emulation;
+    this.recording = recording;
     this.random = new Random(emulation.getSeed());
     this.day = emulation.getDayS() * 1e6;
     int number = 0;
+    if (recording != null) {
+      for (String name : recording.functions()) {
+        functions.put(name, draw(e.getPopulation(0), name, number++ % e.getCallClassCount()));
+      }
+      return;
+    }
     for (Population p : e.getPopulationList()) {
       double sum = 0;
       for (int i = 0; i < p.getFunctions(); i++) {
@@ -93,6 +102,10 @@
   /** The calls of a stretch, in their order; rates are those of its middle. Ask for stretches one after the other. */
   List<Arrival> draw(long from, long until) {
     List<Arrival> all = new ArrayList<>();
+    if (recording != null) {
+      recorded(from, until, all);
+      return all;
+    }
     double middle = (from + until) / 2.0;
     for (Member m : members) {
       Population p = m.population();
@@ -116,6 +129,17 @@
     return all;
   }
 
+  /** Calls of a recorded minute come at times drawn evenly over it. */
+  private void recorded(long from, long until, List<Arrival> all) {
+    recording.between(from / 1e6, until / 1e6).forEach((minute, entries) -> entries.forEach(entry -> {
+      Drawn f = functions.get(entry.function());
+      for (long i = 0; i < entry.calls(); i++) {
+        all.add(new Arrival((long) ((minute + random.nextDouble()) * 60e6), f, work(f)));
+      }
+    }));
+    all.sort(Comparator.comparingLong(Arrival::at));
+  }
+
   private double gap(double rate) {
     return rate <= 0 ? Double.MAX_VALUE : -Math.log(1 - random.nextDouble()) / rate;
   }
--- a/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
+++ b/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
@@ -115,4 +115,26 @@
         .contains("nobody"));
     assertTrue(assertThrows(IllegalArgumentException.class, () -> run("teach_days: 12")).getMessage().contains("teach_days"));
   }
+
+  /** A recorded history is replayed call by call, walk-forward, with every function listed. */
+  @Test
+  void aRecordingIsReplayed() throws Exception {
+    Recording recording = new Recording();
+    long monday = 1_793_577_600L / 60;
+    for (int d = 0; d < 12; d++) {
+      for (int f = 0; f < 4; f++) {
+        recording.add(monday + d * 1_440L + 540 + f, 1, "svc/morning-" + f, 5);
+      }
+      recording.add(monday + d * 1_440L + 600, 60, "svc/hour", 30);
+    }
+    Emulation.Builder e = Emulation.newBuilder();
+    TextFormat.merge(BASE + "ahead { mode: FORECAST }", e);
+    Outcomes with = EmulatedFleet.run(e.build(), recording, part -> { });
+    Outcomes without = EmulatedFleet.run(e.clearAhead().build(), recording, part -> { });
+    assertEquals(4 * 50, with.calls(), "four counted days");
+    assertEquals(5, with.byFunction().size());
+    assertEquals(4 * 4 * 5, with.byFunction().entrySet().stream().filter(f -> f.getKey().startsWith("svc/morning")).mapToLong(
+        f -> f.getValue()[0]).sum());
+    assertTrue(with.coldShare() < without.coldShare(), with.coldShare() + " for " + without.coldShare());
+  }
 }
