Plans: orders have a price, and a dispatcher looks only at what it orders itself

Cause: under a ration every renewal takes an order that a call may need; and each look went over all items of the plan (an emulation of 240 runners, 200 edges and 3,000 functions did not end in 300 s).

--- a/app/src/main/java/gorseladder/app/bench/PlacementBench.java
+++ b/app/src/main/java/gorseladder/app/bench/PlacementBench.java
@@ -33,7 +33,7 @@
 @Command(name = "placement", mixinStandardHelpOptions = true,
     description = "Placement against an exact solver (ojAlgo) on small drawn fleets; time of forecasts and plans on large ones.")
 final class PlacementBench implements Runnable {
-  private static final Prices PRICES = new Prices(0.1, 0.004);
+  private static final Prices PRICES = new Prices(0.1, 0.004, 0);
   private static final double STRETCH = 900;
   private static final double KEEP = 10;
   private static final int MOST_COPIES = 3;
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -7,8 +7,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A dispatcher's side of loading ahead: takes plans, says when which copy is to be proposed to the router, and keeps the
@@ -56,7 +58,9 @@
 
   private final long keepAlive;
   private final Account account;
+  /** All items of the plan in hand, and those that are ordered here and not over. */
   private final Map<Key, Wish> wishes = new LinkedHashMap<>();
+  private final Set<Wish> mine = new LinkedHashSet<>();
   /** Orders under way, also those of a plan that was replaced since. */
   private final Map<Key, Wish> ordered = new HashMap<>();
   private Plan plan = new Plan(Long.MIN_VALUE, 0, 0, List.of());
@@ -84,6 +88,7 @@
     plan = next;
     Map<Key, Wish> before = new HashMap<>(wishes);
     wishes.clear();
+    mine.clear();
     for (Plan.Item item : next.items()) {
       Key key = new Key(item.worker(), item.function());
       Wish wish = new Wish(item);
@@ -95,6 +100,9 @@
       }
       wish.toldAt = same != null ? same.toldAt : wish.toldAt;
       wishes.put(key, wish);
+      if (item.mine()) {
+        mine.add(wish);
+      }
     }
     return Verdict.TAKEN;
   }
@@ -110,13 +118,14 @@
     List<Hold> due = new ArrayList<>();
     if (plan.until() <= now) {
       wishes.clear();
+      mine.clear();
     }
-    for (Iterator<Wish> all = wishes.values().iterator(); all.hasNext() && due.size() < MOST_AT_ONCE; ) {
+    for (Iterator<Wish> all = mine.iterator(); all.hasNext() && due.size() < MOST_AT_ONCE; ) {
       Wish w = all.next();
       Plan.Item i = w.item;
       if (now >= i.until()) {
         all.remove();
-      } else if (i.mine() && now >= i.from() && wanted(w, now)) {
+      } else if (now >= i.from() && wanted(w, now)) {
         w.askAt = now + ASK_AGAIN;
         due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
       }
@@ -160,7 +169,7 @@
           now);
     } else if (wishes.get(key) == w) {
       // Refused or lost: the archive or the worker has other things to do, and asking again would make that worse.
-      wishes.remove(key);
+      mine.remove(w);
     }
   }
 
@@ -173,7 +182,8 @@
   public String served(String worker, String function, Note note, long now) {
     account.served(worker, function, note, now);
     Wish w = note == Note.WARM ? wishes.get(new Key(worker, function)) : null;
-    if (w == null || w.item.mine() || now < w.toldAt + (long) (TELL * keepAlive) || now < w.item.from()) {
+    if (w == null || w.item.mine() || now < w.toldAt + (long) (TELL * keepAlive) || now < w.item.from()
+        || now >= w.item.until()) {
       return null;
     }
     w.toldAt = now;
@@ -201,7 +211,7 @@
 
   /** True while there is something left to propose or to hold anew. */
   public boolean busy() {
-    return !wishes.isEmpty();
+    return !mine.isEmpty();
   }
 
   /** Proposals made to the router, and orders it made of them. */
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -15,6 +15,8 @@
   /** Keep-alives by which copies are ordered early, so that loads are spread; and for which an unused one stays after. */
   private static final double EARLY = 1.5;
   private static final double AFTER = 0.7;
+  /** Keep-alives after which an unused copy is ordered anew. */
+  private static final double RENEWED = 0.6;
   /** Stretches a copy may be held for, in keep-alives; the whole stretch is the last choice. */
   private static final double[] HOLDS = {1, 3};
 
@@ -64,7 +66,8 @@
     double spared = Math.exp(-neededBefore * keepAlive) * used + agedOut * later;
     double gain = spared * d.loadSeconds() * (1 + waitToo / 2);
     double seconds = d.loadSeconds() + EARLY * keepAlive + agedOut * hold + (1 - used) * AFTER * keepAlive;
-    return new Copy(gain, prices.fetch() + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds, hold);
+    double orders = 1 + agedOut * hold / (RENEWED * keepAlive);
+    return new Copy(gain, prices.fetch() + prices.order() * orders + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds, hold);
   }
 
   /** The chance of no call where so many are expected: a Poisson's, or a negative binomial's where they scatter more. */
--- a/decisions/src/test/java/gorseladder/placement/PlacementTest.java
+++ b/decisions/src/test/java/gorseladder/placement/PlacementTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 class PlacementTest {
-  private static final Prices PRICES = new Prices(0.05, 0.002);
+  private static final Prices PRICES = new Prices(0.05, 0.002, 0);
   private static final double STRETCH = 900;
   private static final double KEEP = 10;
 
--- a/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
+++ b/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
@@ -16,7 +16,7 @@
 
 class PlanMakerTest {
   private static final Slots SLOTS = new Slots(96, 0, Map.of());
-  private static final Settings SETTINGS = new Settings(900, 10, 20, 50, new Prices(0.05, 0.002));
+  private static final Settings SETTINGS = new Settings(900, 10, 20, 50, new Prices(0.05, 0.002, 0));
   private static final List<Host> HOSTS = IntStream.range(0, 6).mapToObj(i -> new Host("h" + i, 4_000, 9, 1)).toList();
 
   /** Office hours: silent until slot 32, then busy until 72. */
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -42,7 +42,7 @@
     double archive = e.getArchive().getAtOnce() / 0.5;
     this.maker = new PlanMaker(new Slots(e.getSlots(), 0, dates),
         new PlanMaker.Settings(slotSeconds, e.getFleet().getKeepAliveMs() / 1000.0, archive, a.getOrdersPerPlan(),
-            new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice())), this::foresee);
+            new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice(), a.getOrderPrice())), this::foresee);
   }
 
   private Forecasts.Expected foresee(String function, long slot) {
--- a/planner/src/main/java/gorseladder/planner/Planner.java
+++ b/planner/src/main/java/gorseladder/planner/Planner.java
@@ -96,7 +96,7 @@
     }
     maker = new PlanMaker(new Slots(local.perDay(), LocalSlots.firstWeekday(), dates),
         new PlanMaker.Settings(settings.getSlotMinutes() * 60.0, settings.getKeepAliveMs() / 1000.0, settings.getArchiveLoadsPerS(),
-            settings.getOrdersPerPlan(), new Prices(settings.getFetchPrice(), settings.getGigabyteSecondPrice())));
+            settings.getOrdersPerPlan(), new Prices(settings.getFetchPrice(), settings.getGigabyteSecondPrice(), settings.getOrderPrice())));
     store = PlannerStore.open(Path.of(settings.getDataDirectory()));
     startedAt = now();
     soFarSince = startedAt;
--- a/planner/src/main/java/gorseladder/planner/PlannerFile.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerFile.java
@@ -90,6 +90,7 @@
     require(s.getOrdersPerPlan() >= 0, "orders_per_plan", 0, "must not be negative");
     require(s.getFetchPrice() >= 0, "fetch_price", 0, "must not be negative");
     require(s.getGigabyteSecondPrice() >= 0, "gigabyte_second_price", 0, "must not be negative");
+    require(s.getOrderPrice() >= 0, "order_price", 0, "must not be negative");
     require(s.getStackBytes() >= 65_536, "stack_bytes", 0, "must be 65536 or more");
     require(s.getEdgeSilentMs() >= 1_000, "edge_silent_ms", 0, "must be 1000 or more");
     for (int i = 0; i < s.getDateCount(); i++) {
