A hold that failed or ended may be asked for again by a later plan

Cause: since a dispatcher looks only at its own items, what had failed stayed known as ordered and a later plan inherited that.

--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -125,6 +125,7 @@
       Plan.Item i = w.item;
       if (now >= i.until()) {
         all.remove();
+        wishes.remove(new Key(i.worker(), i.function()));
       } else if (now >= i.from() && wanted(w, now)) {
         w.askAt = now + ASK_AGAIN;
         due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
@@ -169,6 +170,7 @@
           now);
     } else if (wishes.get(key) == w) {
       // Refused or lost: the archive or the worker has other things to do, and asking again would make that worse.
+      wishes.remove(key);
       mine.remove(w);
     }
   }
--- a/decisions/src/test/java/gorseladder/ahead/AheadTest.java
+++ b/decisions/src/test/java/gorseladder/ahead/AheadTest.java
@@ -133,6 +133,8 @@
     ahead.ordered("w", "f", now);
     ahead.loaded("w", "f", Outcome.FULL, LOAD, now);
     assertEquals(List.of("g"), due().stream().map(Hold::function).toList());
+    ahead.take(plan(1, 2, item("w", "f")), now);
+    assertEquals(List.of("f"), due().stream().map(Hold::function).toList(), "a later plan may ask anew");
     now += 1_000 * SECOND;
     assertEquals(List.of(), due());
   }
