The judge says for each rule how often it had something to judge, and how near it came

Change: play and demo print a line for each rule. The slack is as before; a slack for each event is still to come.

--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -4,6 +4,7 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
 import gorseladder.testbed.RuleChecker.Break;
+import gorseladder.testbed.RuleChecker.Pressure;
 import gorseladder.testbed.script.DayScript;
 import gorseladder.testbed.script.DayScript.Kind;
 import gorseladder.testbed.script.DayScript.Trouble;
@@ -45,7 +46,8 @@
   }
 
   /** The outcome of a day. */
-  public record Verdict(Portal.Totals totals, int attempts, int loads, List<Break> breaks, int fallen, List<Trouble> unplayed, long slack) {
+  public record Verdict(Portal.Totals totals, int attempts, int loads, List<Break> breaks, int fallen, List<Trouble> unplayed, long slack,
+      List<Pressure> pressures) {
     /** True where no rule was broken and every trouble was played. */
     public boolean good() {
       return breaks.isEmpty() && fallen == 0 && unplayed.isEmpty();
@@ -65,6 +67,7 @@
           totals.millis(99));
       out.printf(Locale.ROOT, "%-34s %s%n", "reasons", Portal.print(totals.reasons));
       out.printf(Locale.ROOT, "%-34s %5d ms%n", "slack for this machine", slack / 1000);
+      pressures.forEach(out::println);
       out.printf(Locale.ROOT, "%-34s %8d%n", "rules broken", breaks.size());
       breaks.stream().limit(10).forEach(b -> out.println("  " + b));
       out.println(good() ? "GOOD: every call got exactly one final answer and no rule was broken"
@@ -89,13 +92,15 @@
     lag.close();
     long slack = SLACK + lag.ofACall();
     Tap tap = world.tap();
-    List<Break> breaks = new ArrayList<>(RuleChecker.check(tap, world.rules(), World.REPEAT_WINDOW, slack));
+    RuleChecker.Report report = RuleChecker.report(tap, world.rules(), World.REPEAT_WINDOW, slack);
+    List<Break> breaks = new ArrayList<>(report.breaks());
     if (!ended) {
       breaks.add(new Break(1, "calls were still open long after the day"));
     }
     int fallen = (int) world.runners().stream().filter(StandInRunner::fallen).count();
     synchronized (tap) {
-      return new Verdict(portal.totals(), tap.arrivals.size(), world.archive().fetched(), breaks, fallen, List.copyOf(unplayed), slack);
+      return new Verdict(portal.totals(), tap.arrivals.size(), world.archive().fetched(), breaks, fallen, List.copyOf(unplayed), slack,
+          report.pressures());
     }
   }
 
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -12,6 +12,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -29,11 +30,34 @@
     }
   }
 
+  /**
+   * How a rule was put under pressure.
+   *
+   * @param occasions what there was to judge; a rule without any was not tested by the day
+   * @param closest how near the nearest came to breaking, in {@code unit}; below 0 it was past the bound; NaN or the largest value where nothing came near a bound
+   */
+  public record Pressure(int rule, String what, long occasions, double closest, String unit) {
+    @Override
+    public String toString() {
+      return occasions == 0 ? "rule " + rule + ": no occasion, not tested"
+          : String.format(Locale.ROOT, "rule %d: %d %s%s", rule, occasions, what,
+              Double.isNaN(closest) || closest == Double.MAX_VALUE ? "" : String.format(Locale.ROOT, ", closest %.0f %s", closest, unit));
+    }
+  }
+
+  /** What a day showed: every break, and the pressure on each rule in its order. */
+  public record Report(List<Break> breaks, List<Pressure> pressures) {}
+
+  /** An edge that sent to a runner within this time before has it in use. */
+  private static final long IN_USE = 1_000_000;
+
   private final Tap tap;
   private final Rules rules;
   private final long repeatWindow;
   private final long slack;
   private final List<Break> breaks = new ArrayList<>();
+  private final long[] occasions = new long[6];
+  private final double[] closest = {0, Double.MAX_VALUE, Double.NaN, Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE};
 
   private RuleChecker(Tap tap, Rules rules, long repeatWindow, long slack) {
     this.tap = tap;
@@ -44,6 +68,11 @@
 
   /** Every break found. */
   public static List<Break> check(Tap tap, Rules rules, long repeatWindow, long slack) {
+    return report(tap, rules, repeatWindow, slack).breaks();
+  }
+
+  /** Every break found, and how each rule was put under pressure. */
+  public static Report report(Tap tap, Rules rules, long repeatWindow, long slack) {
     RuleChecker checker = new RuleChecker(tap, rules, repeatWindow, slack);
     synchronized (tap) {
       checker.answers();
@@ -52,7 +81,24 @@
       checker.coldRunners();
       checker.orders();
     }
-    return checker.breaks;
+    return new Report(checker.breaks, checker.pressures());
+  }
+
+  private List<Pressure> pressures() {
+    return List.of(pressure(1, "tries answered", "ms before the client gave up"),
+        pressure(2, "repeats or refusals of what had been sent", ""),
+        pressure(3, "drains told of runners in use, and calls and orders after one", "ms before the grace ended"),
+        pressure(4, "calls at cold runners", "% of the allowance left"),
+        pressure(5, "load orders under a ration", "orders left"));
+  }
+
+  private Pressure pressure(int rule, String what, String unit) {
+    return new Pressure(rule, what, occasions[rule], closest[rule], unit);
+  }
+
+  private void judged(int rule, double left) {
+    occasions[rule]++;
+    closest[rule] = Math.min(closest[rule], left);
   }
 
   private void broke(int rule, String text) {
@@ -74,6 +120,7 @@
       if (t.unreached || edgeWasDown(t)) {
         continue;
       }
+      judged(1, t.statuses.isEmpty() ? Double.MAX_VALUE : (t.sentAt + t.patience - t.answeredAt) / 1000.0);
       if (t.statuses.isEmpty()) {
         broke(1, t.message + " got no answer from edge " + t.edge + (t.broken ? ", the connection broke" : ""));
       } else if (t.statuses.size() > 1) {
@@ -120,6 +167,7 @@
     }
     for (int i = 1; i < all.size(); i++) {
       Arrival later = all.get(i);
+      judged(2, Double.NaN);
       for (Arrival earlier : all.subList(0, i)) {
         boolean mayHaveRun = !provenNeverRan(earlier, later.at);
         if (mayHaveRun && effect == Effect.UNSAFE) {
@@ -137,6 +185,9 @@
   private void refusals(String message, List<Arrival> all, List<Try> tries) {
     for (Try t : tries) {
       boolean refused = t.retryAfter && !t.statuses.isEmpty();
+      if (refused && all.stream().anyMatch(a -> a.at < t.answeredAt)) {
+        judged(2, Double.NaN);
+      }
       if (refused && all.stream().anyMatch(a -> a.at < t.answeredAt && !provenNeverRan(a, t.answeredAt))) {
         broke(2, message + " was refused as harmless though it may have run");
       }
@@ -147,6 +198,13 @@
   private void drains() {
     Map<String, List<Told>> words = group(tap.told, t -> t.edge() + " " + t.runner());
     words.values().forEach(list -> list.sort(Comparator.comparingLong(Told::at)));
+    for (Told word : tap.told) {
+      // An edge that had just sent there would have sent on: that is what the word had to stop.
+      if (word.phase() != Phase.RUNNING && tap.arrivals.stream().anyMatch(a -> a.edge == word.edge()
+          && a.runner.equals(word.runner()) && a.at <= word.at() && a.at > word.at() - IN_USE)) {
+        judged(3, Double.MAX_VALUE);
+      }
+    }
     for (Arrival a : tap.arrivals) {
       drain(words.getOrDefault(a.edge + " " + a.runner, List.of()), a.at, "call " + a.message, a.runner);
     }
@@ -166,6 +224,9 @@
       }
       closedSince = word.phase() == Phase.RUNNING ? -1 : closedSince < 0 ? word.at() : closedSince;
     }
+    if (closedSince >= 0) {
+      judged(3, (closedSince + rules.drainGrace() - at) / 1000.0);
+    }
     if (closedSince >= 0 && at > closedSince + rules.drainGrace() + slack) {
       broke(3, what + " reached " + runner + " " + (at - closedSince) / 1000 + " ms after its drain was told");
     }
@@ -187,6 +248,7 @@
         }
         double warmth = rules.coldFrom() + (1 - rules.coldFrom()) * (a.at - start.at()) / rules.coldFor();
         double most = rules.overloadMultiple() * start.capacity() * warmth * rules.overloadFor();
+        judged(4, 100 * (most - sum) / most);
         if (sum > most + 2 * a.work) {
           broke(4, start.runner() + " was sent " + Math.round(sum / 1000) + " ms of work in a window for "
               + Math.round(most / 1000) + " while cold");
@@ -208,6 +270,7 @@
       long within = counted.stream().filter(p -> p.edge() == o.edge() && p.at() > from + slack && p.at() <= o.at()).count();
       long taken = tap.tries.stream()
           .filter(t -> t.edge == o.edge() && t.sentAt > from - slack && t.sentAt <= o.at()).count();
+      judged(5, rules.loadsFree() + rules.loadShare() * taken - within);
       if (within > rules.loadsFree() + rules.loadShare() * taken) {
         broke(5, "edge " + o.edge() + " ordered " + within + " loads with " + taken + " calls taken");
       }
--- a/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
@@ -119,4 +119,19 @@
     }
     assertEquals(List.of(4), rules());
   }
+
+  /** A rule that the day did not test says so; others say how near they came. */
+  @Test
+  void pressureIsToldForEachRule() {
+    answered("a", Effect.UNSAFE, 0, 100, 200);
+    arrived("a", "r1", 10, false, true);
+    arrived("a", "r2", 20, true, false);
+    tap.told(new Tap.Told(0, "r1", Phase.DRAINING, 50));
+    arrived("b", "r1", 60, true, false);
+    List<RuleChecker.Pressure> all = RuleChecker.report(tap, RULES, 2000, 10).pressures();
+    assertEquals(List.of(1L, 1L, 2L, 0L), all.subList(0, 4).stream().map(RuleChecker.Pressure::occasions).toList());
+    assertEquals(0.9, all.get(0).closest(), 1e-9);
+    assertEquals((RULES.drainGrace() - 10) / 1000.0, all.get(2).closest(), 1e-9);
+    assertEquals("rule 4: no occasion, not tested", all.get(3).toString());
+  }
 }
