Planner: bytes that are no message are refused, and an edge without a list empties no plan

Seen when trying it as a new user: two stray bytes parsed as an empty message and counted as an edge 0 without workers, after which no plan had a worker left. An edge that just started has no list either; it now has no say in which workers may be loaded.

--- a/planner/src/main/java/gorseladder/planner/Planner.java
+++ b/planner/src/main/java/gorseladder/planner/Planner.java
@@ -141,8 +141,8 @@
    * @throws IllegalArgumentException where it is no sensible message; nothing of it was taken
    */
   public synchronized Answer exchange(Ask ask) {
-    require(ask.getOrdinal() >= 0 && ask.getOrdinal() < MOST_EDGES, "ordinal");
-    require(ask.getHistory().length() <= MOST_NAME && ask.getHistory().indexOf(' ') < 0, "history");
+    require(ask.hasOrdinal() && ask.getOrdinal() >= 0 && ask.getOrdinal() < MOST_EDGES, "ordinal");
+    require(!ask.getHistory().isEmpty() && ask.getHistory().length() <= MOST_NAME && ask.getHistory().indexOf(' ') < 0, "history");
     require(ask.getAsked() >= 0 && ask.getFrom() >= 0 && ask.getNext() >= ask.getFrom(), "asked, from or next");
     List<HistoryRow> rows = new ArrayList<>();
     for (ByteString bytes : ask.getRowList()) {
@@ -275,8 +275,8 @@
     long began = System.nanoTime();
     Map<String, Double> weights = new LinkedHashMap<>();
     asking().forEach(e -> weights.putAll(edges.get(e).weights));
-    // A worker that one edge knows to drain is not loaded ahead, whatever the others know.
-    asking().forEach(e -> weights.keySet().retainAll(edges.get(e).workers));
+    // A worker that one edge knows to drain is not loaded ahead, whatever the others know; an edge without a list knows nothing.
+    asking().stream().map(edges::get).filter(e -> !e.workers.isEmpty()).forEach(e -> weights.keySet().retainAll(e.workers));
     List<Host> hosts = weights.entrySet().stream()
         .map(w -> new Host(w.getKey(), settings.getRunnerMemoryMb(), Integer.MAX_VALUE, w.getValue() > 0 ? w.getValue() : 1)).toList();
     double length = settings.getSlotMinutes() * 60.0;
@@ -297,10 +297,10 @@
     Map<String, Object> state = new LinkedHashMap<>();
     state.put("epoch", store.epoch());
     state.put("version", version);
-    state.put("slot", plannedFor);
+    state.put("slot", version == 0 ? null : plannedFor);
     state.put("holds", holds.size());
     state.put("functions", maker.forecasts().functions().size());
-    state.put("observed", maker.forecasts().last());
+    state.put("observed", maker.forecasts().last() == Long.MIN_VALUE ? null : maker.forecasts().last());
     state.put("rows", store.rows());
     state.put("edges", asking());
     state.put("plan_ms", planMillis);
--- a/planner/src/test/java/gorseladder/planner/PlannerTest.java
+++ b/planner/src/test/java/gorseladder/planner/PlannerTest.java
@@ -77,6 +77,8 @@
     try (Planner planner = planner()) {
       planner.exchange(ask(0, "h0", 0, tenDays()).addSeen(seen()).build());
       planner.exchange(ask(1, "h1", 0).build());
+      // An edge that just started has no list yet.
+      planner.exchange(ask(2, "h2", 0).clearWorker().build());
       now += 20;
       planner.tick();
       assertFalse(planner.exchange(ask(0, "h0", 960).build()).hasPlan(), "too early");
@@ -85,8 +87,8 @@
       Answer first = planner.exchange(ask(0, "h0", 960).build());
       Answer second = planner.exchange(ask(1, "h1", 0).build());
       assertEquals(List.of("f"), first.getPlan().getItemList().stream().map(i -> i.getFunction()).distinct().toList());
-      assertEquals(1, first.getPlan().getItem(0).getMine() ? second.getPlan().getItem(0).getMine() ? 2 : 1
-          : second.getPlan().getItem(0).getMine() ? 1 : 0);
+      Answer third = planner.exchange(ask(2, "h2", 0).build());
+      assertEquals(1, List.of(first, second, third).stream().filter(a -> a.getPlan().getItem(0).getMine()).count());
       assertTrue(first.getPlan().getItem(0).getFromMs() > 0 && first.getPlan().getItem(0).getFromMs() < 30_000);
       Ask has = ask(0, "h0", 960).setEpoch(first.getPlan().getEpoch()).setVersion(first.getPlan().getVersion()).build();
       assertFalse(planner.exchange(has).hasPlan(), "it has it already");
@@ -149,6 +151,7 @@
           ask(0, "h", 0).addSeen(seen().toBuilder().setLanes(0)))) {
         assertThrows(IllegalArgumentException.class, () -> planner.exchange(bad.build()));
       }
+      assertThrows(IllegalArgumentException.class, () -> planner.exchange(Ask.getDefaultInstance()), "bytes that are no message");
       assertEquals(0L, planner.state().get("rows"));
       assertEquals(List.of(), planner.state().get("edges"));
     }
