Read once more: dead counters removed, one way to drop old rows, one usual bound

Counters that nothing printed (proposals, memory used, time of a plan in the emulator), a method that nothing called; an edge's workers kept twice; two equal loops that drop old rows; the usual bounds of a history written in four places. Behaviour is as before; the tests of the modules touched pass unchanged in what they assert.

--- a/app/src/main/java/gorseladder/app/HistoryCommand.java
+++ b/app/src/main/java/gorseladder/app/HistoryCommand.java
@@ -29,7 +29,7 @@
       System.err.println("gorseladder: " + directory + " holds no history");
       return Main.BAD_USAGE;
     }
-    try (History history = History.open(directory, new History.Bounds(4 << 20, 20_160, 256 << 20))) {
+    try (History history = History.open(directory, History.Bounds.USUAL)) {
       History.Batch batch = history.read(from, Integer.MAX_VALUE);
       batch.rows().forEach(row -> System.out.println(Json.write(line(row))));
       Map<String, Object> end = new LinkedHashMap<>();
--- a/app/src/main/java/gorseladder/app/ReplayCommand.java
+++ b/app/src/main/java/gorseladder/app/ReplayCommand.java
@@ -37,7 +37,7 @@
         System.err.println("gorseladder: " + directory + " holds no history");
         return Main.BAD_USAGE;
       }
-      try (History history = History.open(directory, new History.Bounds(4 << 20, 20_160, 256 << 20))) {
+      try (History history = History.open(directory, History.Bounds.USUAL)) {
         for (HistoryRow row : history.read(0, Integer.MAX_VALUE).rows()) {
           if (row.calls() > 0 && !row.function().isEmpty()) {
             recording.add(row.from(), row.minutes(), row.function(), row.calls());
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -64,7 +64,6 @@
   /** Orders under way, also those of a plan that was replaced since. */
   private final Map<Key, Wish> ordered = new HashMap<>();
   private Plan plan = new Plan(Long.MIN_VALUE, 0, 0, List.of());
-  private long proposed;
   private long orders;
 
   /** A side without a plan, where idle copies stay for so many microseconds. */
@@ -131,7 +130,6 @@
         due.add(new Hold(i.worker(), i.function(), i.copies(), i.lanes(), i.loadTime()));
       }
     }
-    proposed += due.size();
     return due;
   }
 
@@ -216,11 +214,6 @@
     return !mine.isEmpty();
   }
 
-  /** Proposals made to the router, and orders it made of them. */
-  public long proposed() {
-    return proposed;
-  }
-
   /** Orders that the router made of proposals. */
   public long orders() {
     return orders;
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -186,8 +186,6 @@
       planner.slotOver(number, seen);
     }
     edges.forEach(this::settle);
-    outcomes.memoryUsed += runners.values().stream().mapToDouble(EmulatedRunner::usedMb).sum() / runners.size()
-        / e.getFleet().getMemoryMb() / e.getSlots() / e.getDays();
   }
 
   private void settle(EmulatedEdge edge) {
@@ -202,9 +200,7 @@
   private void makePlan(long forSlot) {
     List<Host> hosts = list.values().stream().filter(w -> w.phase() == Phase.RUNNING)
         .map(w -> new Host(w.worker(), e.getAhead().getMemoryMb(), Integer.MAX_VALUE, 1)).toList();
-    long began = System.nanoTime();
     List<Plan> plans = planner.plan(forSlot, agenda.now(), hosts, edges.size());
-    outcomes.planMillis = Math.max(outcomes.planMillis, (System.nanoTime() - began) / 1e6);
     for (int i = 0; i < plans.size(); i++) {
       EmulatedEdge edge = edges.get(i);
       Plan plan = plans.get(i);
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
@@ -105,10 +105,6 @@
     return name;
   }
 
-  boolean isUp() {
-    return up;
-  }
-
   /** Takes a call; returns a number by which it can be cancelled. The hearer hears exactly one end, unless it is cancelled. */
   int call(Drawn function, double work, boolean loadsOnMiss, Hearer hearer) {
     int number = numbers++;
@@ -333,9 +329,4 @@
   void start() {
     up = true;
   }
-
-  /** Megabytes of copies that stand or load. */
-  double usedMb() {
-    return usedMb;
-  }
 }
--- a/emulator/src/main/java/gorseladder/emulator/Outcomes.java
+++ b/emulator/src/main/java/gorseladder/emulator/Outcomes.java
@@ -96,8 +96,6 @@
   long fetches;
   long aheadOrders;
   long events;
-  double memoryUsed;
-  double planMillis;
 
   /** Tells whether a call came in the first minute of a surge it belongs to. */
   interface Surges {
@@ -195,16 +193,6 @@
     return events;
   }
 
-  /** Memory used by copies, as a part of the fleet's, in the mean over the slots' ends. */
-  public double memoryUsed() {
-    return memoryUsed;
-  }
-
-  /** The longest time that a plan took to make, in milliseconds of this machine. */
-  public double planMillis() {
-    return planMillis;
-  }
-
   /** Orders that came from plans. */
   public long aheadOrders() {
     return aheadOrders;
--- a/planner/src/main/java/gorseladder/planner/Planner.java
+++ b/planner/src/main/java/gorseladder/planner/Planner.java
@@ -27,11 +27,9 @@
 import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -57,7 +55,6 @@
   private static final class EdgeSeen {
     private double heardAt;
     private boolean caughtUp;
-    private Set<String> workers = new HashSet<>();
     private Map<String, Double> weights = new LinkedHashMap<>();
   }
 
@@ -156,7 +153,6 @@
     edge.heardAt = now();
     edge.weights = new LinkedHashMap<>();
     ask.getWorkerList().forEach(w -> edge.weights.put(w.getName(), w.getWeight()));
-    edge.workers = edge.weights.keySet();
     takeRows(ask, rows);
     takeSeen(ask);
     for (LoadAhead load : ask.getLoadList()) {
@@ -276,7 +272,8 @@
     Map<String, Double> weights = new LinkedHashMap<>();
     asking().forEach(e -> weights.putAll(edges.get(e).weights));
     // A worker that one edge knows to drain is not loaded ahead, whatever the others know; an edge without a list knows nothing.
-    asking().stream().map(edges::get).filter(e -> !e.workers.isEmpty()).forEach(e -> weights.keySet().retainAll(e.workers));
+    asking().stream().map(edges::get).filter(e -> !e.weights.isEmpty())
+        .forEach(e -> weights.keySet().retainAll(e.weights.keySet()));
     List<Host> hosts = weights.entrySet().stream()
         .map(w -> new Host(w.getKey(), settings.getRunnerMemoryMb(), Integer.MAX_VALUE, w.getValue() > 0 ? w.getValue() : 1)).toList();
     double length = settings.getSlotMinutes() * 60.0;
--- a/planner/src/main/java/gorseladder/planner/PlannerStore.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerStore.java
@@ -124,24 +124,20 @@
 
   /** Drops rows and records older than this minute, some at a time. */
   void dropBefore(long minute) {
+    dropBefore(rows, minute);
+    dropBefore(loads, minute);
+  }
+
+  private static void dropBefore(MVMap<String, byte[]> byMinute, long minute) {
     List<String> gone = new ArrayList<>();
-    for (var at = rows.keyIterator(null); at.hasNext() && gone.size() < MOST_DROPPED; ) {
+    for (var at = byMinute.keyIterator(null); at.hasNext() && gone.size() < MOST_DROPPED; ) {
       String key = at.next();
       if (Long.parseLong(key.substring(0, key.indexOf('/'))) >= minute) {
         break;
       }
       gone.add(key);
     }
-    gone.forEach(rows::remove);
-    gone.clear();
-    for (var at = loads.keyIterator(null); at.hasNext() && gone.size() < MOST_DROPPED; ) {
-      String key = at.next();
-      if (Long.parseLong(key.substring(0, key.indexOf('/'))) >= minute) {
-        break;
-      }
-      gone.add(key);
-    }
-    gone.forEach(loads::remove);
+    gone.forEach(byMinute::remove);
   }
 
   /** Keeps a record of a load ahead; one that was told before is passed over. Returns true where it is new. */
@@ -183,10 +179,6 @@
     }
   }
 
-  void forgetFact(String function) {
-    facts.remove(function);
-  }
-
   /** Writes what was put; it survives a kill from then on. */
   void commit() {
     store.commit();
--- a/store/src/main/java/gorseladder/store/history/History.java
+++ b/store/src/main/java/gorseladder/store/history/History.java
@@ -35,6 +35,9 @@
    * @param maxBytes size of all segments at the most; the oldest are dropped
    */
   public record Bounds(long segmentBytes, long fineMinutes, long maxBytes) {
+    /** For reading a history whose edge is stopped. */
+    public static final Bounds USUAL = new Bounds(4 << 20, 20_160, 256 << 20);
+
     public Bounds {
       if (segmentBytes < 1_024 || fineMinutes < HOUR || maxBytes < 4 * segmentBytes) {
         throw new IllegalArgumentException("impossible bounds of a history");
--- a/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
@@ -50,8 +50,7 @@
         rows.add(new HistoryRow(minute - d * 1440L + m, 1, FUNCTION, "safe", "bygg-sektion", m == 0 ? 60 : 0, 0, 0, 0, 0, 0, 0, 0));
       }
     }
-    History.Bounds bounds = new History.Bounds(4 << 20, 20_160, 256 << 20);
-    try (History history = History.open(dir.resolve("data-" + edge).resolve("history"), bounds)) {
+    try (History history = History.open(dir.resolve("data-" + edge).resolve("history"), History.Bounds.USUAL)) {
       history.append(rows);
     }
   }
--- a/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
@@ -31,8 +31,7 @@
       }
       world.stopEdge(0);
     }
-    History.Bounds bounds = new History.Bounds(4 << 20, 20_160, 256 << 20);
-    try (History history = History.open(dir.resolve("data-0").resolve("history"), bounds)) {
+    try (History history = History.open(dir.resolve("data-0").resolve("history"), History.Bounds.USUAL)) {
       List<HistoryRow> rows = history.read(0, Integer.MAX_VALUE).rows();
       assertEquals(30, rows.stream().mapToLong(HistoryRow::calls).sum());
       assertEquals(30, rows.stream().mapToLong(r -> r.found() + r.began() + r.awaited()).sum());
