--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -114,6 +114,14 @@
     return effect != Effect.SAFE;
   }
 
+  /**
+   * True where a call must be on record before it goes on. A safe one is remembered in this process while it is out, and recorded
+   * once, with its end: were the process killed in between, its sender's next try would run it again, which does no harm.
+   */
+  public static boolean recordAtTake(Effect effect) {
+    return effect != Effect.SAFE;
+  }
+
   /** True where the ledger must hold {@link Phase#LEAVING} before the first byte leaves. */
   public static boolean recordBeforeSend(Effect effect) {
     return effect != Effect.SAFE;
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -60,7 +60,7 @@
     EdgeConfig config = new EdgeConfig(settings);
     Path directory = Path.of(settings.getDataDirectory());
     int stack = settings.getLimits().getStackBytes();
-    ledger = Ledger.open(directory.resolve("ledger.mv"), settings.getLedger().getSync(),
+    ledger = Ledger.open(directory.resolve("ledger"), settings.getLedger().getSync(),
         settings.getLedger().getMaxMessages());
     try {
       history = new CallHistory(History.open(directory.resolve("history"), new History.Bounds(
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
@@ -50,6 +51,8 @@
   private final long reserve;
   private final Hearer hearer;
   private final Map<String, TakenCall> live = new ConcurrentHashMap<>();
+  /** Signed requests of calls that are out and on record with their end only. */
+  private final Set<String> requestsOut = ConcurrentHashMap.newKeySet();
   private final Object[] stripes = new Object[STRIPES];
   private final AtomicLong ids = new AtomicLong();
   private volatile Core core;
@@ -100,10 +103,12 @@
     try {
       synchronized (stripes[Math.floorMod(d.message().hashCode(), STRIPES)]) {
         byte[] content = digest(d.requestClass().name(), d.function(), d.body());
+        // In this order: a call that ends in between has its record before it leaves.
+        boolean requestOut = requestsOut.contains(d.request());
         TakenCall out = live.get(d.message());
-        LedgerEntry known = ledger.get(d.message());
+        LedgerEntry known = out != null ? out.entry() : ledger.get(d.message());
         long wall = Clock.wallMicros();
-        Verdict verdict = Repeats.onDelivery(d.requestClass(), ledger.seen(d.request()),
+        Verdict verdict = Repeats.onDelivery(d.requestClass(), requestOut || ledger.seen(d.request()),
             known == null ? null : known(known, out != null, content), wall, d.patience());
         if (verdict.deed() != Repeats.Deed.RUN) {
           return turned(verdict, d, known, out);
@@ -116,14 +121,21 @@
         }
         LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, known != null && known.mayHaveRun(), wall,
             known == null ? 0 : known.leftAt(), known == null ? wall + keepMicros : known.keepUntil(), content, "", 0, null);
-        call = new TakenCall(ids.incrementAndGet(), facts(d, verdict.mostTime(), known != null), ledger, entry, maxKept,
-            this::ended);
+        boolean record = Repeats.recordAtTake(d.requestClass().effect());
+        call = new TakenCall(ids.incrementAndGet(), facts(d, verdict.mostTime(), known != null), ledger, entry,
+            record ? null : d.request(), d.requestKeepUntil(), maxKept, c -> ended(c, d.request()));
         live.put(d.message(), call);
-        ledger.put(d.message(), entry);
-        ticket = ledger.putRequest(d.request(), d.requestKeepUntil());
+        if (record) {
+          ticket = ledger.put(d.message(), entry, d.request(), d.requestKeepUntil());
+        } else {
+          requestsOut.add(d.request());
+          ticket = 0;
+        }
       }
       hearer.taken(call);
-      ledger.await(ticket);
+      if (ticket > 0) {
+        ledger.await(ticket);
+      }
     } catch (LedgerException e) {
       LOG.error("{}", e.getMessage());
       if (call != null) {
@@ -165,8 +177,9 @@
     };
   }
 
-  private void ended(TakenCall call) {
+  private void ended(TakenCall call, String request) {
     live.remove(call.facts().message(), call);
+    requestsOut.remove(request);
     room.release();
     hearer.ended(call);
   }
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -3,6 +3,7 @@
 import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
+import gorseladder.runtime.Clock;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
@@ -17,7 +18,7 @@
  * answer no further attempt may leave, and what had left by then counts as may have run. The ledger is written under the
  * same lock, so that its records stand in that order too.
  *
- * <p>Times are {@link gorseladder.runtime.Clock#micros()}. Any thread.
+ * <p>Times are {@link Clock#micros()}. Any thread.
  */
 public final class TakenCall {
   /** What a call is, told by the front. */
@@ -32,6 +33,9 @@
   private final List<Attempt> attempts = new ArrayList<>(2);
   private final boolean ranBefore;
   private LedgerEntry entry;
+  /** The signed request, where it is recorded with the end. */
+  private final String request;
+  private final long requestKeepUntil;
   private FinalAnswer answer;
   private long endedAt;
   private long endTicket;
@@ -41,11 +45,15 @@
    * A call just taken.
    *
    * @param entry its record in the ledger; one that may have run says that an earlier delivery of the message did
+   * @param request the signed request where it is recorded with the end, null where it is on record already
    * @param maxKept the longest answer kept for repeats, in bytes
    * @param onEnd told once, when the call has its final answer
    */
-  public TakenCall(long id, Facts facts, Ledger ledger, LedgerEntry entry, int maxKept, Consumer<TakenCall> onEnd) {
+  public TakenCall(long id, Facts facts, Ledger ledger, LedgerEntry entry, String request, long requestKeepUntil, int maxKept,
+      Consumer<TakenCall> onEnd) {
     this.id = id;
+    this.request = request;
+    this.requestKeepUntil = requestKeepUntil;
     this.facts = facts;
     this.ledger = ledger;
     this.entry = entry;
@@ -87,6 +95,11 @@
     }
   }
 
+  /** What is remembered of the message now; while the call is out the ledger may not have it yet. */
+  synchronized LedgerEntry entry() {
+    return entry;
+  }
+
   /** Adds an attempt; returns its number from 0. */
   synchronized int begin(String worker, long now) {
     attempts.add(new Attempt(worker, now));
@@ -148,7 +161,7 @@
       answer = end;
       endedAt = now;
       boolean served = end.reason().kind == Reason.Kind.SERVED;
-      record(served, served ? end.body() : null, ranBefore || someMayHaveRun());
+      record(served, served ? end.body() : null, ranBefore || someMayHaveRun(), false);
       notifyAll();
     }
     onEnd.accept(this);
@@ -157,21 +170,28 @@
 
   /** A served answer that came after the call had ended otherwise: kept for the sender's next try. */
   synchronized void servedLate(byte[] body) {
-    LedgerEntry present = ledger.get(facts.message());
+    LedgerEntry present;
+    try {
+      present = ledger.get(facts.message());
+    } catch (LedgerException e) {
+      // The record of its end stands: the sender's next try runs it again or hears that it may have run.
+      return;
+    }
     if (answer != null && answer.reason().kind != Reason.Kind.SERVED && present != null
         && present.takenAt() == entry.takenAt() && present.stage() == Stage.CLOSED) {
-      record(true, body, true);
+      record(true, body, true, true);
       ledger.soon();
     }
   }
 
-  private void record(boolean served, byte[] body, boolean mayHaveRun) {
+  private void record(boolean served, byte[] body, boolean mayHaveRun, boolean late) {
     byte[] kept = body != null && body.length <= maxKept ? body : null;
     boolean keeps = served && (kept != null || body == null);
     entry = entry.ended(keeps ? Stage.SERVED : Stage.CLOSED, served || mayHaveRun, answer.reason().word(),
         answer.reason().status, kept);
     try {
-      endTicket = ledger.put(facts.message(), entry);
+      endTicket = request == null || late ? ledger.put(facts.message(), entry)
+          : ledger.put(facts.message(), entry, request, requestKeepUntil);
     } catch (LedgerException e) {
       // The record of its leaving stands: a repeat finds that it may have run, which is the safe side.
       endTicket = 0;
@@ -181,7 +201,7 @@
   /** Waits for the final answer; null where there is none by then. */
   public synchronized FinalAnswer await(long until) throws InterruptedException {
     while (answer == null) {
-      long left = until - gorseladder.runtime.Clock.micros();
+      long left = until - Clock.micros();
       if (left <= 0) {
         return null;
       }
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -1,189 +1,363 @@
 package gorseladder.store;
 
+import gorseladder.structures.DigestTable;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.ListIterator;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
-import org.h2.mvstore.MVMap;
-import org.h2.mvstore.MVStore;
+import java.util.stream.Stream;
 import org.h2.mvstore.MVStoreException;
 
 /**
- * The durable memory of messages: how far each got, and which signed requests were taken. On an embedded store (H2
- * MVStore), written by group commit: whoever needs durability puts its records, gets a ticket and waits for it, and one
- * thread commits whatever has gathered since its last commit.
+ * The durable memory of messages: how far each got, and which signed requests were taken. An append-only log of segments with
+ * tables in memory of where each record stands. Group commit: whoever needs durability puts its records, gets a ticket and waits
+ * for it, and one thread writes whatever has gathered since its last write as one frame.
  *
- * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a power
- * cut. A failed write (a full disk) makes the ledger unavailable for good in this process, since what was put but not
- * written cannot be told apart from what was; waiting callers and all later ones get an exception.
+ * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a power cut. A
+ * failed write (a full disk) makes the ledger unavailable for good in this process, since what was put but not written cannot be
+ * told apart from what was; waiting callers and all later ones get an exception.
  *
- * <p>Bounded by age and by number. Any thread; atomicity over several calls is the caller's.
+ * <p>What has expired is not found any more; its bytes go when all of its segment has expired. Bounded by age and by number. Any
+ * thread; atomicity over several calls is the caller's.
  */
 public final class Ledger implements Closeable {
-  private static final String FORMAT = "2";
-  /** The format before: expiry was keyed by time alone. Brought up to date when it is opened. */
-  private static final String FORMER = "1";
-  private static final int MOST_EXPIRED_AT_ONCE = 2_000;
-  private static final int EXPIRY_DIGITS = 16;
-  private static final long COMPACT_EVERY = 64;
-  private static final int COMPACT_BYTES = 8 << 20;
-
-  private final Path file;
+  private static final String SUFFIX = ".segment";
+  private static final String FORMER = ".mv";
+  /** A segment ends at this size, or at a part of the whole where that is more, so that there are never many to look into. */
+  private static final int SEGMENT_BYTES = 32 << 20;
+  private static final int MOST_SEGMENT_BYTES = 1 << 30;
+  private static final int SEGMENTS = 32;
+  /** A segment also ends when it has run for this part of the time its messages are kept, so that bytes go soon after that. */
+  private static final int TIME_PARTS = 16;
+  /** Messages that expire within the same second are counted together. */
+  private static final long COUNTED = 1_000_000;
+  /** Bytes that gather before a write begins without being asked for. */
+  private static final int MOST_GATHERED = 1 << 20;
+  private static final ThreadLocal<MessageDigest> SHA = ThreadLocal.withInitial(Ledger::sha256);
+
+  private final Path folder;
   private final boolean sync;
   private final int maxMessages;
-  private final MVStore store;
-  private final MVMap<String, byte[]> messages;
-  private final MVMap<String, Long> requests;
-  private final MVMap<String, Boolean> expiry;
-  private final AtomicLong issued = new AtomicLong();
+  private final int segmentBytes;
+  private final LedgerSegment.Sink sink;
+  private final FileChannel lockFile;
+  /** Tables are keyed by a digest with this in it, so that no sender can choose where its messages come to stand. */
+  private final byte[] salt = new byte[16];
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition changed = lock.newCondition();
   private final Thread committer;
   private final long boots;
+  /** Oldest first; the last is written. Guarded by the lock, as is all below. */
+  private final List<LedgerSegment> segments = new ArrayList<>();
+  private final TreeMap<Long, Integer> expiring = new TreeMap<>();
+  private Gathered pending = new Gathered();
+  private Gathered writing;
+  private LedgerSegment writingTo;
+  private int writingAt;
+  private int count;
+  private long seenBoots;
+  private long issued;
   private long written;
   private long commits;
   private boolean wanted;
   private boolean closing;
-  private volatile RuntimeException broken;
+  private volatile Throwable broken;
   private volatile long now;
 
-  private Ledger(Path file, boolean sync, int maxMessages, MVStore store) {
-    this.file = file;
+  private record Digest(long first, long second) {}
+
+  /** A frame that gathers what is put; its head is filled in when it is written. */
+  private static final class Gathered extends ByteArrayOutputStream {
+    Gathered() {
+      super(4096);
+      writeBytes(new byte[LedgerSegment.FRAME_HEAD]);
+    }
+
+    boolean isEmpty() {
+      return count == LedgerSegment.FRAME_HEAD;
+    }
+
+    LedgerRecord at(int at) {
+      byte[] record = new byte[ByteBuffer.wrap(buf).getInt(at)];
+      System.arraycopy(buf, at + 4, record, 0, record.length);
+      return LedgerRecord.of(record);
+    }
+
+    ByteBuffer frame() {
+      return ByteBuffer.wrap(buf, 0, count);
+    }
+  }
+
+  private Ledger(Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink) throws IOException {
+    this.folder = folder;
     this.sync = sync;
     this.maxMessages = maxMessages;
-    this.store = store;
-    messages = store.openMap("messages");
-    requests = store.openMap("requests");
-    MVMap<String, String> about = store.openMap("about");
-    String format = about.getOrDefault("format", FORMAT);
-    if (!format.equals(FORMAT) && !format.equals(FORMER)) {
-      throw new IllegalArgumentException("its format is " + format + " and this program reads " + FORMAT);
-    }
-    expiry = store.openMap("expires");
-    if (format.equals(FORMER)) {
-      upgrade();
-    }
-    about.put("format", FORMAT);
-    boots = Long.parseLong(about.getOrDefault("boots", "0")) + 1;
-    about.put("boots", Long.toString(boots));
-    for (String key : messages.keySet()) {
-      try {
-        LedgerEntry.of(messages.get(key));
-      } catch (IllegalArgumentException e) {
-        throw new IllegalArgumentException("the entry of a message is damaged (" + e.getMessage() + ")", e);
+    this.segmentBytes = segmentBytes;
+    this.sink = sink;
+    new SecureRandom().nextBytes(salt);
+    Files.createDirectories(folder);
+    lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+    try {
+      if (lockFile.tryLock() == null) {
+        throw new IOException("another process holds it");
       }
+      load();
+    } catch (OverlappingFileLockException e) {
+      lockFile.close();
+      throw new IOException("it is open already", e);
+    } catch (IOException | RuntimeException e) {
+      release();
+      throw e;
     }
-    store.commit();
-    store.sync();
     committer = new Thread(null, this::run, "ledger", 512 << 10);
     committer.setDaemon(true);
     committer.start();
+    try {
+      FormerLedger.takeOver(folder.resolveSibling(folder.getFileName() + FORMER), new FormerLedger.Taker() {
+        @Override
+        public void take(LedgerRecord record) throws LedgerException {
+          add(record);
+        }
+
+        @Override
+        public void written() throws IOException {
+          await(issued);
+        }
+      });
+      boots = nextBoot();
+      await(add(new LedgerRecord(null, null, null, 0, boots)));
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
   }
 
-  /** Keys of the former format moved to this one's; a crash in between is made good by doing it again. */
-  private void upgrade() {
-    MVMap<Long, String> former = store.openMap("expiry");
-    for (var at = former.cursor(null); at.hasNext(); ) {
-      forgetAt(at.next(), at.getValue());
+  private long nextBoot() {
+    lock.lock();
+    try {
+      return ++seenBoots;
+    } finally {
+      lock.unlock();
     }
-    store.removeMap(former);
+  }
+
+  private void load() throws IOException {
+    List<Path> files;
+    try (Stream<Path> all = Files.list(folder)) {
+      files = all.filter(f -> f.toString().endsWith(SUFFIX)).sorted().toList();
+    }
+    for (Path file : files) {
+      String name = file.getFileName().toString();
+      LedgerSegment segment = new LedgerSegment(file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), sink);
+      segments.add(segment);
+      segment.load(file.equals(files.get(files.size() - 1)), (at, record) -> index(segment, at, record));
+    }
+    if (segments.isEmpty()) {
+      begin(1);
+    }
+  }
+
+  private void begin(long number) {
+    segments.add(new LedgerSegment(folder.resolve(String.format("%016x%s", number, SUFFIX)), number, sink));
+    // Each segment knows the count of openings, as earlier ones go.
+    pending.writeBytes(new LedgerRecord(null, null, null, 0, seenBoots).toBytes());
+  }
+
+  private LedgerSegment active() {
+    return segments.get(segments.size() - 1);
   }
 
   /**
-   * Opens the ledger, reading every entry once, and writes to it, so that damage and a full disk are found now.
+   * Opens the ledger in a folder, reading every record once, and writes to it, so that damage and a full disk are found now. The
+   * file of a former format beside it is taken over.
    *
    * @throws LedgerException where it is damaged, held by another process, of another format or cannot be written
    */
-  public static Ledger open(Path file, boolean sync, int maxMessages) throws LedgerException {
-    return open(file, file.toString(), sync, maxMessages);
+  public static Ledger open(Path folder, boolean sync, int maxMessages) throws LedgerException {
+    return open(folder, sync, maxMessages, SEGMENT_BYTES, LedgerSegment.Sink.PLAIN);
   }
 
-  /** As above, with the store's own name for the file (tests give it a file system that fails). */
-  static Ledger open(Path file, String storeName, boolean sync, int maxMessages) throws LedgerException {
-    MVStore store = null;
+  /** As above, with the least size of a segment and a way to write that tests choose. */
+  static Ledger open(Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink) throws LedgerException {
     try {
-      Path folder = file.toAbsolutePath().getParent();
-      Files.createDirectories(folder);
-      store = new MVStore.Builder().fileName(storeName).autoCommitDisabled().cacheSize(8).open();
-      store.setVersionsToKeep(0);
-      return new Ledger(file, sync, maxMessages, store);
+      return new Ledger(folder, sync, maxMessages, segmentBytes, sink);
     } catch (MVStoreException | IllegalArgumentException | IllegalStateException | IOException e) {
-      if (store != null) {
-        store.closeImmediately();
-      }
       String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-      throw new LedgerException("ledger " + file + " cannot be used: " + why + ". Nothing was changed. Way out: free the"
-          + " disk or restore the file; or move it away, but then no message before now is remembered: let the edge take"
+      throw new LedgerException("ledger " + folder + " cannot be used: " + why + ". Nothing was changed. Way out: free the"
+          + " disk or restore the folder; or move it away, but then no message before now is remembered: let the edge take"
           + " no unsafe calls until the senders' retries are over.", e);
     }
   }
 
-  /** How often this file was opened, this time included. */
+  /** How often this ledger was opened, this time included. */
   public long boots() {
     return boots;
   }
 
   /** Messages remembered. */
   public long size() {
-    return messages.sizeAsLong();
+    lock.lock();
+    try {
+      return count;
+    } finally {
+      lock.unlock();
+    }
   }
 
   /** True while records can be written and there is room for a further message. */
   public boolean hasRoom() {
-    return broken == null && messages.sizeAsLong() < maxMessages;
+    return broken == null && size() < maxMessages;
   }
 
-  /** What is known of a message, or null. */
-  public LedgerEntry get(String message) {
-    byte[] bytes = messages.get(message);
-    return bytes == null ? null : LedgerEntry.of(bytes);
+  /**
+   * What is known of a message, or null.
+   *
+   * @throws LedgerException where its record cannot be read
+   */
+  public LedgerEntry get(String message) throws LedgerException {
+    Digest d = digest('m', message);
+    lock.lock();
+    try {
+      for (ListIterator<LedgerSegment> it = segments.listIterator(segments.size()); it.hasPrevious(); ) {
+        LedgerSegment segment = it.previous();
+        int at = segment.messages.get(d.first(), d.second());
+        if (at >= 0) {
+          LedgerEntry entry = read(segment, at).entry();
+          return entry.keepUntil() > now ? entry : null;
+        }
+      }
+      return null;
+    } finally {
+      lock.unlock();
+    }
   }
 
-  /** True where this signed request was taken before. */
-  public boolean seen(String request) {
-    return requests.containsKey(request);
+  /**
+   * True where this signed request was taken before.
+   *
+   * @throws LedgerException where its record cannot be read
+   */
+  public boolean seen(String request) throws LedgerException {
+    Digest d = digest('r', request);
+    lock.lock();
+    try {
+      for (LedgerSegment segment : segments) {
+        int at = segment.requests.get(d.first(), d.second());
+        if (at >= 0 && read(segment, at).requestUntil() > now) {
+          return true;
+        }
+      }
+      return false;
+    } finally {
+      lock.unlock();
+    }
   }
 
   /** Records a message; returns the ticket to wait for. The first record of a message sets when it is forgotten. */
   public long put(String message, LedgerEntry entry) throws LedgerException {
-    requireWritable();
-    if (messages.put(message, entry.toBytes()) == null) {
-      forgetAt(entry.keepUntil(), "m" + message);
-    }
-    return issued.incrementAndGet();
+    return add(new LedgerRecord(message, entry, null, 0, 0));
+  }
+
+  /** Records a message and the signed request it came with as one. */
+  public long put(String message, LedgerEntry entry, String request, long requestUntil) throws LedgerException {
+    return add(new LedgerRecord(message, entry, request, requestUntil, 0));
   }
 
   /** Records a signed request until it may be forgotten; returns the ticket to wait for. */
   public long putRequest(String request, long keepUntil) throws LedgerException {
-    requireWritable();
-    requests.put(request, keepUntil);
-    forgetAt(keepUntil, "r" + request);
-    return issued.incrementAndGet();
+    return add(new LedgerRecord(null, null, request, keepUntil, 0));
   }
 
-  /**
-   * Notes when a record may be forgotten. The key holds the time and then the record's own name, so that any number of
-   * records may share one time: keyed by time alone, each had to step past all that stood there, and the records of a second
-   * (a webhook's time stamp has whole seconds) cost the square of their number. It could harm where names are very long, as
-   * the key repeats them.
-   */
-  private void forgetAt(long at, String what) {
-    expiry.put(expiryKey(at) + what, Boolean.TRUE);
+  private long add(LedgerRecord record) throws LedgerException {
+    byte[] bytes = record.toBytes();
+    lock.lock();
+    try {
+      requireWritable();
+      LedgerSegment segment = active();
+      int at = segment.end + pending.size();
+      pending.writeBytes(bytes);
+      index(segment, at, record);
+      if (pending.size() > MOST_GATHERED && !wanted) {
+        wanted = true;
+        changed.signalAll();
+      }
+      return ++issued;
+    } finally {
+      lock.unlock();
+    }
   }
 
-  private static String expiryKey(long at) {
-    String digits = Long.toHexString(Math.max(0, at));
-    return "0".repeat(EXPIRY_DIGITS - digits.length()) + digits;
+  private void index(LedgerSegment segment, int at, LedgerRecord record) {
+    seenBoots = Math.max(seenBoots, record.boots());
+    segment.begunAt = segment.begunAt == 0 ? now : segment.begunAt;
+    if (record.message() != null) {
+      Digest d = digest('m', record.message());
+      long until = record.entry().keepUntil();
+      boolean known = segments.stream().anyMatch(s -> s.messages.get(d.first(), d.second()) >= 0);
+      segment.messages.put(d.first(), d.second(), at);
+      segment.messagesUntil = Math.max(segment.messagesUntil, until);
+      if (!known && until > now) {
+        count++;
+        expiring.merge(Math.floorDiv(until, COUNTED), 1, Integer::sum);
+      }
+    }
+    if (record.request() != null) {
+      Digest d = digest('r', record.request());
+      segment.requests.put(d.first(), d.second(), at);
+      segment.requestsUntil = Math.max(segment.requestsUntil, record.requestUntil());
+    }
+  }
+
+  /** A record that was put: it may be gathered, being written, or in its file. */
+  private LedgerRecord read(LedgerSegment segment, int at) throws LedgerException {
+    try {
+      if (segment == active() && at >= segment.end) {
+        return pending.at(at - segment.end);
+      }
+      if (segment == writingTo && at >= writingAt) {
+        return writing.at(at - writingAt);
+      }
+      return segment.read(at);
+    } catch (IOException | IllegalArgumentException e) {
+      throw new LedgerException("ledger " + folder + " cannot be read: " + e.getMessage(), e);
+    }
+  }
+
+  private Digest digest(char kind, String name) {
+    MessageDigest sha = SHA.get();
+    sha.update(salt);
+    sha.update((byte) kind);
+    ByteBuffer out = ByteBuffer.wrap(sha.digest(name.getBytes(StandardCharsets.UTF_8)));
+    return new Digest(out.getLong(), out.getLong());
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
   }
 
   private void requireWritable() throws LedgerException {
     if (broken != null) {
-      throw new LedgerException("ledger " + file + " cannot be written: " + broken.getMessage(), broken);
+      throw new LedgerException("ledger " + folder + " cannot be written: " + broken.getMessage(), broken);
     }
   }
 
@@ -202,87 +376,130 @@
   public void await(long ticket) throws LedgerException {
     lock.lock();
     try {
-      wanted = true;
-      changed.signalAll();
+      if (written < ticket) {
+        wanted = true;
+        changed.signalAll();
+      }
       while (written < ticket && broken == null) {
         changed.awaitUninterruptibly();
       }
+      requireWritable();
     } finally {
       lock.unlock();
     }
-    requireWritable();
   }
 
-  /** Forgets, at the next commits, what may be forgotten by this time (microseconds since 1970). */
+  /** Forgets what may be forgotten by this time (microseconds since 1970); its bytes go at the next commits. */
   public void forgetUntil(long time) {
-    now = time;
-    soon();
+    lock.lock();
+    try {
+      now = Math.max(now, time);
+      for (Map.Entry<Long, Integer> e = expiring.firstEntry(); e != null && e.getKey() * COUNTED < now; e = expiring.firstEntry()) {
+        count -= e.getValue();
+        expiring.pollFirstEntry();
+      }
+      wanted = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
   }
 
   private void run() {
-    while (true) {
-      long upTo;
+    boolean goesOn = true;
+    while (goesOn) {
       lock.lock();
       try {
         while (!wanted && !closing) {
           changed.awaitUninterruptibly();
         }
         wanted = false;
-        upTo = issued.get();
-        if (closing && (written >= upTo || broken != null)) {
-          return;
-        }
+        goesOn = !closing;
       } finally {
         lock.unlock();
       }
-      commit(upTo);
+      commit();
+      goesOn &= broken == null;
     }
   }
 
-  private void commit(long upTo) {
-    RuntimeException failure = null;
+  /** Writes what has gathered; a segment that is full by then gets no further frame. */
+  private void commit() {
+    Throwable failure = null;
+    int wrote = 0;
+    long upTo;
+    boolean full;
+    lock.lock();
     try {
-      forgetOld();
-      store.commit();
-      if (sync) {
-        store.sync();
+      upTo = issued;
+      writingTo = active();
+      writingAt = writingTo.end;
+      writing = pending;
+      if (!writing.isEmpty()) {
+        writingTo.end += writing.size();
+        pending = new Gathered();
       }
-      if (++commits % COMPACT_EVERY == 0) {
-        store.compact(50, COMPACT_BYTES);
+      full = full(writingTo);
+      if (full) {
+        begin(writingTo.number + 1);
       }
-    } catch (RuntimeException e) {
+    } finally {
+      lock.unlock();
+    }
+    try {
+      if (writing != pending) {
+        writingTo.append(writing.frame(), sync);
+        wrote = 1;
+      }
+      if (full) {
+        writingTo.seal();
+      }
+      dropExpired();
+    } catch (IOException | RuntimeException | Error e) {
+      // Whatever ends the writing ends the waiting too.
       failure = e;
     }
     lock.lock();
     try {
       broken = failure;
-      written = failure == null ? Math.max(written, upTo) : written;
-      closing |= failure != null;
+      if (failure == null) {
+        commits += wrote;
+        written = Math.max(written, upTo);
+        writing = null;
+        writingTo = null;
+      }
       changed.signalAll();
     } finally {
       lock.unlock();
     }
   }
 
-  /** A message recorded anew after a repeat keeps its first time to be forgotten; signatures likewise. */
-  private void forgetOld() {
-    String until = expiryKey(now);
-    List<String> gone = new ArrayList<>();
-    for (var at = expiry.keyIterator(null); at.hasNext() && gone.size() < MOST_EXPIRED_AT_ONCE; ) {
-      String key = at.next();
-      if (key.substring(0, EXPIRY_DIGITS).compareTo(until) > 0) {
-        break;
-      }
-      gone.add(key);
-    }
-    for (String key : gone) {
-      expiry.remove(key);
-      String name = key.substring(EXPIRY_DIGITS + 1);
-      if (key.charAt(EXPIRY_DIGITS) == 'm') {
-        messages.remove(name);
-      } else {
-        requests.remove(name);
+  private boolean full(LedgerSegment segment) {
+    long all = segments.stream().mapToLong(s -> s.end).sum();
+    boolean large = segment.end >= Math.min(MOST_SEGMENT_BYTES, Math.max(segmentBytes, all / SEGMENTS));
+    boolean old = segment.begunAt > 0 && now - segment.begunAt > (segment.until() - segment.begunAt) / TIME_PARTS;
+    return segment.end > LedgerSegment.HEAD && (large || old);
+  }
+
+  /** Files and tables of which nothing is remembered any more; the last file stays, it will be written. */
+  private void dropExpired() throws IOException {
+    List<LedgerSegment> gone = new ArrayList<>();
+    lock.lock();
+    try {
+      for (LedgerSegment s : segments.subList(0, segments.size() - 1)) {
+        if (s.requestsUntil <= now && s.requests.size() > 0) {
+          s.requests = new DigestTable();
+        }
+        if (s.until() <= now) {
+          gone.add(s);
+        }
       }
+      segments.removeAll(gone);
+    } finally {
+      lock.unlock();
+    }
+    for (LedgerSegment s : gone) {
+      s.drop();
     }
   }
 
@@ -296,7 +513,7 @@
     }
   }
 
-  /** Writes what was put and closes the file. */
+  /** Writes what was put and closes the files. */
   @Override
   public void close() {
     lock.lock();
@@ -311,10 +528,17 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    if (broken == null) {
-      store.close();
-    } else {
-      store.closeImmediately();
+    release();
+  }
+
+  private void release() {
+    try {
+      for (LedgerSegment s : segments) {
+        s.close();
+      }
+      lockFile.close();
+    } catch (IOException e) {
+      broken = broken == null ? e : broken;
     }
   }
 }
--- /dev/null
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -0,0 +1,221 @@
+package gorseladder.store;
+
+import gorseladder.structures.DigestTable;
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+
+/**
+ * One file of the ledger and the tables of what stands in it. A head of 24 bytes (mark, format, number, checksum), then frames: what
+ * one commit wrote, with mark, length and checksum. Only the last file is written, and only at its end.
+ *
+ * <p>The caller guards the tables; {@link #read} may be called by any thread.
+ */
+final class LedgerSegment implements Closeable {
+  static final int HEAD = 24;
+  static final int FRAME_HEAD = 12;
+  private static final int MARK = 0x474c4c47;
+  private static final int FRAME_MARK = 0x66724d21;
+  private static final int FORMAT = 3;
+  private static final int MOST_FRAME = 1 << 30;
+
+  /** Writes bytes to a file; tests give one that fails. */
+  interface Sink {
+    void write(FileChannel to, ByteBuffer bytes) throws IOException;
+
+    /** Writes all of them. */
+    Sink PLAIN = (to, bytes) -> {
+      while (bytes.hasRemaining()) {
+        to.write(bytes);
+      }
+    };
+  }
+
+  /** Hears each record of a file and where it stands. */
+  interface Reader {
+    void record(int at, LedgerRecord record);
+  }
+
+  final Path file;
+  final long number;
+  final DigestTable messages = new DigestTable();
+  DigestTable requests = new DigestTable();
+  long messagesUntil;
+  long requestsUntil;
+  /** Told time at which the first record was put; 0 before. */
+  long begunAt;
+  /** Where the next frame will begin, with all that was put by now. */
+  int end = HEAD;
+  private final Sink sink;
+  private FileChannel out;
+  private RandomAccessFile in;
+
+  LedgerSegment(Path file, long number, Sink sink) {
+    this.file = file;
+    this.number = number;
+    this.sink = sink;
+  }
+
+  /** When all in it may be forgotten. */
+  long until() {
+    return Math.max(messagesUntil, requestsUntil);
+  }
+
+  private static int crc(byte[] bytes, int from, int count) {
+    CRC32C crc = new CRC32C();
+    crc.update(bytes, from, count);
+    return (int) crc.getValue();
+  }
+
+  /** Writes a frame at the end of the file, which is made at its first frame; the first bytes are kept free for its head. */
+  void append(ByteBuffer frame, boolean sync) throws IOException {
+    if (out == null) {
+      boolean fresh = !Files.exists(file) || Files.size(file) < HEAD;
+      out = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+      if (fresh) {
+        ByteBuffer head = ByteBuffer.allocate(HEAD).putInt(MARK).putInt(FORMAT).putLong(number);
+        head.putInt(crc(head.array(), 0, HEAD - 8)).putInt(0);
+        sink.write(out, head.flip());
+      }
+      out.position(out.size());
+    }
+    int length = frame.limit() - FRAME_HEAD;
+    frame.putInt(0, FRAME_MARK).putInt(4, length).putInt(8, crc(frame.array(), FRAME_HEAD, length));
+    sink.write(out, frame);
+    if (sync) {
+      out.force(false);
+    }
+  }
+
+  /** No further frame comes: what was written is made to last before a later file has any. */
+  void seal() throws IOException {
+    if (out != null) {
+      out.force(false);
+      out.close();
+      out = null;
+    }
+  }
+
+  /** The record at that place, which was written before. */
+  synchronized LedgerRecord read(int at) throws IOException {
+    if (in == null) {
+      in = new RandomAccessFile(file.toFile(), "r");
+    }
+    in.seek(at);
+    byte[] bytes = new byte[in.readInt()];
+    in.readFully(bytes);
+    return LedgerRecord.of(bytes);
+  }
+
+  /**
+   * Reads the file from its beginning and sets where it ends.
+   *
+   * <p>A last frame that is not whole is what a kill in the middle of a write leaves; it was promised to nobody and is cut off
+   * where this is the last file. Anything after it, or a file that is followed by others, makes it damage.
+   *
+   * @param last true for the file that will be written on
+   */
+  void load(boolean last, Reader reader) throws IOException {
+    long length = Files.size(file);
+    if (length < HEAD && last) {
+      Files.delete(file);
+      return;
+    }
+    try (DataInputStream bytes = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 18))) {
+      byte[] head = new byte[HEAD];
+      bytes.readFully(head);
+      ByteBuffer h = ByteBuffer.wrap(head);
+      if (h.getInt() != MARK || h.getInt(16) != crc(head, 0, HEAD - 8)) {
+        throw new IOException(file.getFileName() + " is damaged at byte 0");
+      }
+      int format = h.getInt();
+      if (format != FORMAT) {
+        throw new IOException("the format of " + file.getFileName() + " is " + format + " and this program reads " + FORMAT);
+      }
+      while (end < length && frame(bytes, length - end, reader)) {
+        continue;
+      }
+    }
+    if (end < length) {
+      if (!last || wholeFrameAfter(end)) {
+        throw new IOException(file.getFileName() + " is damaged at byte " + end);
+      }
+      try (FileChannel cut = FileChannel.open(file, StandardOpenOption.WRITE)) {
+        cut.truncate(end);
+        cut.force(true);
+      }
+    }
+  }
+
+  private boolean frame(DataInputStream bytes, long left, Reader reader) throws IOException {
+    if (left < FRAME_HEAD || bytes.readInt() != FRAME_MARK) {
+      return false;
+    }
+    int length = bytes.readInt();
+    int crc = bytes.readInt();
+    if (length < 0 || length > Math.min(MOST_FRAME, left - FRAME_HEAD)) {
+      return false;
+    }
+    byte[] payload = new byte[length];
+    bytes.readFully(payload);
+    if (crc(payload, 0, length) != crc) {
+      return false;
+    }
+    ByteBuffer in = ByteBuffer.wrap(payload);
+    while (in.hasRemaining()) {
+      int at = end + FRAME_HEAD + in.position();
+      byte[] record = new byte[in.getInt()];
+      in.get(record);
+      reader.record(at, LedgerRecord.of(record));
+    }
+    end += FRAME_HEAD + length;
+    return true;
+  }
+
+  /** Looks for a frame that is whole beyond a place where none is; a torn tail has none. */
+  private boolean wholeFrameAfter(int at) throws IOException {
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+      ByteBuffer rest = channel.map(FileChannel.MapMode.READ_ONLY, at, channel.size() - at);
+      for (int i = 1; i + FRAME_HEAD <= rest.capacity(); i++) {
+        if (rest.getInt(i) == FRAME_MARK) {
+          int length = rest.getInt(i + 4);
+          if (length >= 0 && length <= rest.capacity() - i - FRAME_HEAD) {
+            byte[] payload = new byte[length];
+            rest.get(i + FRAME_HEAD, payload);
+            if (crc(payload, 0, length) == rest.getInt(i + 8)) {
+              return true;
+            }
+          }
+        }
+      }
+      return false;
+    }
+  }
+
+  /** Lets go of the file. */
+  @Override
+  public synchronized void close() throws IOException {
+    if (in != null) {
+      in.close();
+      in = null;
+    }
+    if (out != null) {
+      out.close();
+      out = null;
+    }
+  }
+
+  /** Removes the file: all in it may be forgotten. */
+  void drop() throws IOException {
+    close();
+    Files.deleteIfExists(file);
+  }
+}
