--- a/app/src/main/java/gorseladder/app/bench/BenchCommand.java
+++ b/app/src/main/java/gorseladder/app/bench/BenchCommand.java
@@ -7,7 +7,7 @@
 
 /** {@code bench}: measurements; none of them is part of the checks. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measure; results stand in docs/measurements.md.",
-    subcommands = {LatencyBench.class, RouterBench.class, LedgerBench.class, IdleBench.class, TimersCommand.class,
+    subcommands = {LatencyBench.class, OverloadBench.class, RouterBench.class, LedgerBench.class, IdleBench.class, TimersCommand.class,
         ForecastBench.class, PlacementBench.class, HistoryBench.class})
 public final class BenchCommand implements Runnable {
   @Spec
--- /dev/null
+++ b/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
@@ -0,0 +1,75 @@
+package gorseladder.app.bench;
+
+import gorseladder.config.Address;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.testbed.Portal;
+import gorseladder.testbed.StandInRunner;
+import gorseladder.testbed.World;
+import gorseladder.wire.http1.BadMessage;
+import gorseladder.wire.http1.BodyParser;
+import gorseladder.wire.http1.Head;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import gorseladder.wire.oip.Oip;
+import gorseladder.wire.webhook.Secret;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Signed calls to the edge of a world, or the same work straight at a runner, over kept connections. Any thread. */
+final class EdgeCalls {
+  private final World world;
+  private final Map<String, ArrayDeque<HttpConnection>> idle = new ConcurrentHashMap<>();
+
+  EdgeCalls(World world) {
+    this.world = world;
+  }
+
+  /** Status of one call: kind 0 to 2 through the edge, -1 straight to a runner; 0 where there was no answer. */
+  int status(int kind, Random random) {
+    String function = "svc/f" + random.nextInt(16);
+    try {
+      if (kind < 0) {
+        StandInRunner runner = world.runners().get(random.nextInt(world.runners().size()));
+        byte[] request = HeadWriter.request("POST", Oip.inferTarget(function), "r").field(Oip.LANES, 16)
+            .with(Oip.request("m" + random.nextLong(), new byte[] {'{', '}'}));
+        return exchange(runner.id(), Address.parse(runner.id()), request);
+      }
+      Portal.Kind k = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(kind);
+      byte[] body = ("{\"type\":\"" + k.type() + "\",\"data\":{\"lanes\":16,\"function\":\"" + function + "\"}}").getBytes();
+      String id = "b" + Long.toHexString(random.nextLong()) + Long.toHexString(System.nanoTime());
+      long stamp = System.currentTimeMillis() / 1000;
+      byte[] request = HeadWriter.request("POST", World.PATH, "e").field("webhook-id", id).field("webhook-timestamp", stamp)
+          .field("webhook-signature", Secret.parse(world.secret()).sign(id, stamp, body))
+          .with(body);
+      return exchange("edge", world.edge(0), request);
+    } catch (IOException | BadMessage e) {
+      return 0;
+    }
+  }
+
+  private int exchange(String peer, InetSocketAddress address, byte[] request) throws IOException, BadMessage {
+    ArrayDeque<HttpConnection> kept = idle.computeIfAbsent(peer, p -> new ArrayDeque<>());
+    HttpConnection c;
+    synchronized (kept) {
+      c = kept.pollLast();
+    }
+    c = c == null ? HttpConnection.open(address, 2_000, HttpLimits.INNER) : c;
+    long until = Clock.micros() + 10_000_000;
+    c.write(request);
+    Head head = c.readResponse(until);
+    c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), until);
+    if (head.keepsConnection()) {
+      synchronized (kept) {
+        kept.addLast(c);
+      }
+    } else {
+      c.close();
+    }
+    return head.status();
+  }
+}
--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -1,26 +1,15 @@
 package gorseladder.app.bench;
 
 import gorseladder.runtime.Clock;
-import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.Threads;
-import gorseladder.testbed.Portal;
-import gorseladder.testbed.StandInRunner;
 import gorseladder.testbed.World;
 import gorseladder.testbed.script.DayScript;
-import gorseladder.wire.http1.BadMessage;
-import gorseladder.wire.http1.BodyParser;
-import gorseladder.wire.http1.Head;
-import gorseladder.wire.http1.HeadWriter;
-import gorseladder.wire.http1.HttpLimits;
-import gorseladder.wire.oip.Oip;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -50,7 +39,7 @@
   private String cpus;
 
   private World world;
-  private final Map<String, ArrayDeque<HttpConnection>> idle = new java.util.concurrent.ConcurrentHashMap<>();
+  private EdgeCalls calls;
 
   @Override
   public void run() {
@@ -61,6 +50,7 @@
       try (World started = new World(script, directory, true, line -> { },
           cpus == null ? List.of() : List.of("taskset", "-c", cpus))) {
         world = started;
+        calls = new EdgeCalls(started);
         measure();
       }
     } catch (IOException | InterruptedException | DayScript.BadScript e) {
@@ -105,7 +95,7 @@
       threads.add(Threads.start("caller", STACK, () -> {
         Random random = new Random(caller);
         while (Clock.micros() < until) {
-          done.addAndGet(call(kind, random) ? 1 : 0);
+          done.addAndGet(calls.status(kind, random) == 200 ? 1 : 0);
         }
       }));
     }
@@ -130,7 +120,7 @@
       long meantFor = (long) at;
       long seed = random.nextLong();
       threads.execute(() -> {
-        if (call(kind, new Random(seed))) {
+        if (calls.status(kind, new Random(seed)) == 200) {
           synchronized (histogram) {
             histogram.recordValue(Math.max(1, Math.min(60_000_000L, Clock.micros() - meantFor)));
           }
@@ -142,47 +132,4 @@
     threads.awaitTermination(20, TimeUnit.SECONDS);
     return histogram;
   }
-
-  private boolean call(int kind, Random random) {
-    String function = "svc/f" + random.nextInt(16);
-    try {
-      if (kind < 0) {
-        StandInRunner runner = world.runners().get(random.nextInt(16));
-        byte[] request = HeadWriter.request("POST", Oip.inferTarget(function), "r").field(Oip.LANES, 16)
-            .with(Oip.request("m" + random.nextLong(), new byte[] {'{', '}'}));
-        return exchange(runner.id(), gorseladder.config.Address.parse(runner.id()), request);
-      }
-      Portal.Kind k = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(kind);
-      byte[] body = ("{\"type\":\"" + k.type() + "\",\"data\":{\"lanes\":16,\"function\":\"" + function + "\"}}").getBytes();
-      String id = "b" + Long.toHexString(random.nextLong()) + Long.toHexString(System.nanoTime());
-      long stamp = System.currentTimeMillis() / 1000;
-      byte[] request = HeadWriter.request("POST", World.PATH, "e").field("webhook-id", id).field("webhook-timestamp", stamp)
-          .field("webhook-signature", gorseladder.wire.webhook.Secret.parse(world.secret()).sign(id, stamp, body))
-          .with(body);
-      return exchange("edge", world.edge(0), request);
-    } catch (IOException | BadMessage e) {
-      return false;
-    }
-  }
-
-  private boolean exchange(String peer, java.net.InetSocketAddress address, byte[] request) throws IOException, BadMessage {
-    ArrayDeque<HttpConnection> kept = idle.computeIfAbsent(peer, p -> new ArrayDeque<>());
-    HttpConnection c;
-    synchronized (kept) {
-      c = kept.pollLast();
-    }
-    c = c == null ? HttpConnection.open(address, 2_000, HttpLimits.INNER) : c;
-    long until = Clock.micros() + 10_000_000;
-    c.write(request);
-    Head head = c.readResponse(until);
-    c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), until);
-    if (head.keepsConnection()) {
-      synchronized (kept) {
-        kept.addLast(c);
-      }
-    } else {
-      c.close();
-    }
-    return head.status() == 200;
-  }
 }
--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -14,6 +14,9 @@
  * <p>Pure functions; any thread. Times are microseconds.
  */
 public final class ConnectionChoice {
+  /** Kept connections of a worker beyond which those of calls that must not run twice are closed. */
+  private static final int ENOUGH = 8;
+
   private ConnectionChoice() {}
 
   /**
@@ -27,4 +30,19 @@
   public static boolean mayReuse(Effect effect, long idle, long mostIdle, long mostIdleUnsafe) {
     return idle < mostIdle && (effect != Effect.UNSAFE || idle < mostIdleUnsafe);
   }
+
+  /**
+   * True where the connection of an attempt that ended is worth keeping.
+   *
+   * <p>Guards against connections that pile up: calls that must not run twice open a fresh one each and mostly take none of those
+   * kept, so each left one more until its idle time was over; at 2,000 calls a second that was 20,000 open files. Those of other
+   * calls are taken again, so there are never more of them than calls at once. It could harm safe calls that come in bursts
+   * between many unsafe ones: they open their own.
+   *
+   * @param effect what a repeat of the call does
+   * @param kept connections kept to that worker now
+   */
+  public static boolean mayKeep(Effect effect, int kept) {
+    return effect != Effect.UNSAFE || kept < ENOUGH;
+  }
 }
--- a/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -44,6 +44,17 @@
     assertEquals(Outcome.ERROR, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 503, false));
   }
 
+  /** Each unsafe call opens a connection of its own; kept all, they piled up until no file could be opened. */
+  @Test
+  void connectionsOfUnsafeCallsDoNotPileUp() {
+    int kept = 0;
+    for (int i = 0; i < 1_000; i++) {
+      kept += ConnectionChoice.mayKeep(Effect.UNSAFE, kept) ? 1 : 0;
+    }
+    assertTrue(kept > 0 && kept < 20, "kept " + kept);
+    assertTrue(ConnectionChoice.mayKeep(Effect.SAFE, 1_000));
+  }
+
   @Test
   void unsafeCallsTakeOnlyFreshConnections() {
     assertTrue(ConnectionChoice.mayReuse(Effect.SAFE, 99, 100, 0));
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -275,7 +275,7 @@
     }
 
     private void answered(Head head, byte[] body) {
-      giveBack(worker, release(), head);
+      giveBack(worker, release(), head, call.facts().requestClass().effect());
       boolean neverRan = "no".equals(head.get(Oip.RAN));
       Outcome outcome = AttemptFate.of(progress, Ending.RESPONSE, head.status(), neverRan);
       byte[] result = null;
@@ -392,12 +392,15 @@
     }
   }
 
-  private void giveBack(String worker, HttpConnection connection, Head head) {
-    if (head.keepsConnection() && !connection.hasUnreadBytes()) {
-      keep(idle.computeIfAbsent(worker, w -> new ArrayDeque<>()), new Kept(connection, Clock.micros()));
-    } else {
-      connection.close();
+  private void giveBack(String worker, HttpConnection connection, Head head, Effect effect) {
+    ArrayDeque<Kept> kept = idle.computeIfAbsent(worker, w -> new ArrayDeque<>());
+    synchronized (kept) {
+      if (head.keepsConnection() && !connection.hasUnreadBytes() && ConnectionChoice.mayKeep(effect, kept.size())) {
+        kept.addLast(new Kept(connection, Clock.micros()));
+        return;
+      }
     }
+    connection.close();
   }
 
   /** Drops what belongs to workers that are gone, and connections idle too long; called now and then. */
