Refusing leaves the processor to calls taken; the judge's slack belongs to its moment

And the judge granted 620 to 1,700 ms to everything, for a grace of 500 ms. Change: decisions/admission Turns (as many read as there are processors, newest first, each eighth the oldest) and refusals held back up to a second where most are refused. A runner slow to serve a connection made two true sends look late: bytes that came meanwhile count from its beginning.

--- a/app/src/main/java/gorseladder/app/Demo.java
+++ b/app/src/main/java/gorseladder/app/Demo.java
@@ -19,12 +19,16 @@
   @Override
   public Integer call() throws IOException, InterruptedException, DayScript.BadScript {
     try (InputStream in = World.class.getResourceAsStream("/days/demo.day")) {
-      return play(DayScript.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8)));
+      return play(DayScript.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8)), true);
     }
   }
 
-  /** Plays a script with edges in processes of their own and prints the verdict. */
-  static int play(DayScript script) throws IOException, InterruptedException {
+  /**
+   * Plays a script with edges in processes of their own and prints the verdict.
+   *
+   * @param all true where a rule that the day did not test counts as broken
+   */
+  static int play(DayScript script, boolean all) throws IOException, InterruptedException {
     Path directory = Files.createTempDirectory("gorseladder-");
     System.out.println("starting " + script.count("edges") + " edges and " + script.count("runners")
         + " runners; files in " + directory);
@@ -33,6 +37,10 @@
       verdict = new Play(script, world).run(System.out);
     }
     verdict.print(System.out);
+    if (all && !verdict.untested().isEmpty()) {
+      System.out.println("BAD: the day showed nothing about rules " + verdict.untested());
+      return Main.BROKEN;
+    }
     return verdict.good() ? Main.GOOD : Main.BROKEN;
   }
 }
--- a/app/src/main/java/gorseladder/app/PlayCommand.java
+++ b/app/src/main/java/gorseladder/app/PlayCommand.java
@@ -19,7 +19,7 @@
   @Override
   public Integer call() throws IOException, InterruptedException {
     try {
-      return Demo.play(DayScript.parse(Files.readString(file, StandardCharsets.UTF_8)));
+      return Demo.play(DayScript.parse(Files.readString(file, StandardCharsets.UTF_8)), false);
     } catch (DayScript.BadScript e) {
       System.err.println(file + ":" + e.getMessage());
       return Main.BAD_USAGE;
--- a/decisions/src/main/java/gorseladder/admission/Admission.java
+++ b/decisions/src/main/java/gorseladder/admission/Admission.java
@@ -38,6 +38,8 @@
   private static final double LEAST_WORTH = 0.5;
   private static final double OVER_SHARE = 0.6;
   private static final double COME_AGAIN = 0.75;
+  /** The longest time a refusal is held back. */
+  private static final long MOST_HELD = 1_000_000;
   /** Refused messages remembered, and for how long. */
   private static final int MOST_REFUSED = 20_000;
   private static final long REFUSED_FOR = 30_000_000;
@@ -50,8 +52,9 @@
    *
    * @param worth its class's worth as a part of the best one's, 0 to 1; 1 where the class is not known yet
    * @param aim its class's aim; the longest of all where the class is not known yet
+   * @param waited how long it waited to be read
    */
-  public record Asking(long message, String tenant, double worth, long aim) {}
+  public record Asking(long message, String tenant, double worth, long aim, long waited) {}
 
   private record Inside(String tenant, long since) {}
 
@@ -111,6 +114,10 @@
       return true;
     }
     double horizon = HORIZON * call.aim();
+    if (call.waited() > horizon) {
+      // Most of its time is gone: another one is served with what it would take.
+      return false;
+    }
     double part = part(call, now);
     if (here < part * Math.min(told.mostInHand(), horizon * sent(now) / (STRETCH * STRETCHES))) {
       return true;
@@ -147,9 +154,9 @@
     return others > 0 && byTenant.get(tenant) > waiting.size() * told.shares().getOrDefault(tenant, 0.0) / present;
   }
 
-  /** A call that may enter entered; it waits until it is sent or gone. */
-  public void entered(long id, String tenant, long now) {
-    waiting.put(id, new Inside(tenant, now));
+  /** A call that may enter entered; it has waited since then and waits until it is sent or gone. */
+  public void entered(long id, String tenant, long since) {
+    waiting.put(id, new Inside(tenant, since));
     byTenant.merge(tenant, 1, Integer::sum);
   }
 
@@ -219,6 +226,15 @@
     return 1 + (int) Math.min(most - 1, Math.floor(random.nextDouble() * most * Math.min(1, 2 * refusedShare)));
   }
 
+  /**
+   * How long a refusal is held back before it is told, in microseconds. A refusal told at once frees its sender's connection for the
+   * next call, and an edge that refuses ten times what it serves has no time left to serve; held back, each connection brings few
+   * calls a second. Nothing is held while few are refused; whoever holds one asks again every now and then, as that may be by now.
+   */
+  public long holdRefusal() {
+    return (long) (MOST_HELD * Math.max(0, Math.min(1, 2 * refusedShare - 0.5)));
+  }
+
   /** Calls that wait to be sent. */
   public int waiting() {
     return waiting.size();
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/admission/TurnsTest.java
@@ -0,0 +1,64 @@
+package gorseladder.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TurnsTest {
+  @Test
+  void theNewestGoesFirstAndNowAndThenTheOldest() {
+    Turns<Integer> turns = new Turns<>(1);
+    assertTrue(turns.ask(0));
+    for (int i = 1; i <= 10; i++) {
+      assertFalse(turns.ask(i));
+    }
+    StringBuilder order = new StringBuilder();
+    for (Integer next = turns.done(); next != null; next = turns.done()) {
+      order.append(next).append(' ');
+    }
+    assertEquals("10 9 8 7 6 5 4 1 3 2 ", order.toString());
+    assertTrue(turns.ask(11));
+    assertThrows(IllegalArgumentException.class, () -> new Turns<>(0));
+  }
+
+  /** Draws of asks and ends: never more inside than told, nobody lost, nobody named twice. */
+  @Test
+  void neverMoreThanToldAndEachGetsItsTurn() {
+    Random random = new Random(2);
+    Turns<Integer> turns = new Turns<>(3);
+    Set<Integer> inside = new HashSet<>();
+    int next = 0;
+    int ended = 0;
+    for (int step = 0; step < 50_000; step++) {
+      if (random.nextInt(2) == 0 && step < 40_000) {
+        if (turns.ask(next)) {
+          assertTrue(inside.add(next));
+        }
+        next++;
+      } else if (!inside.isEmpty()) {
+        inside.remove(inside.iterator().next());
+        ended++;
+        Integer named = turns.done();
+        assertTrue(named == null || inside.add(named));
+      }
+      assertTrue(inside.size() <= 3);
+      assertTrue(inside.size() == 3 || turns.waiting() == 0);
+    }
+    while (!inside.isEmpty()) {
+      inside.remove(inside.iterator().next());
+      ended++;
+      Integer named = turns.done();
+      assertTrue(named == null || inside.add(named));
+    }
+    assertEquals(next, ended);
+    turns.ask(-1);
+    assertNull(turns.done());
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/core/Door.java
+++ b/edge/src/main/java/gorseladder/edge/core/Door.java
@@ -30,11 +30,13 @@
   public final class Pass {
     private final long id;
     private final String tenant;
+    private final long waited;
     private boolean open = true;
 
-    private Pass(long id, String tenant) {
+    private Pass(long id, String tenant, long waited) {
       this.id = id;
       this.tenant = tenant;
+      this.waited = waited;
     }
 
     /** Asks again now that the class is known; false where the call is refused after all and is not inside any more. */
@@ -43,7 +45,7 @@
         return true;
       }
       synchronized (Door.this) {
-        boolean may = ask(new Asking(message, tenant, worth, aim));
+        boolean may = ask(new Asking(message, tenant, worth, aim, waited));
         if (!may) {
           end(false);
         }
@@ -78,20 +80,21 @@
   /**
    * Lets a call in or refuses it.
    *
+   * @param waited microseconds that it waited to be read
    * @param remembered true where something is remembered of the message: such a call is never refused here, since an earlier
    *     delivery of it may have run
    * @param longestAim the longest aim of the classes it may be of, in microseconds
    * @return null where it is refused
    */
-  public synchronized Pass enter(long message, String tenant, long longestAim, boolean remembered) {
-    Pass pass = new Pass(++ids, tenant);
+  public synchronized Pass enter(long message, String tenant, long longestAim, long waited, boolean remembered) {
+    Pass pass = new Pass(++ids, tenant, waited);
     if (admission == null) {
       return pass;
     }
-    if (!remembered && !ask(new Asking(message, tenant, 1, longestAim))) {
+    if (!remembered && !ask(new Asking(message, tenant, 1, longestAim, waited))) {
       return null;
     }
-    admission.entered(pass.id, tenant, Clock.micros());
+    admission.entered(pass.id, tenant, Clock.micros() - waited);
     return pass;
   }
 
@@ -112,6 +115,11 @@
     return admission.retryAfter();
   }
 
+  /** Microseconds for which a refusal is held back before it is told, as things are now. */
+  public synchronized long holdRefusal() {
+    return admission.holdRefusal();
+  }
+
   /** Calls refused here so far. */
   public synchronized long refusals() {
     return admission == null ? 0 : admission.refusals();
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -44,6 +44,8 @@
   /** After what time a waiting thread first looks whether its client has left; each look is twice as long after the last. */
   private static final long LOOK = 50_000;
   private static final long MOST_LOOK = 400_000;
+  /** How often a thread that holds a refusal back looks whether it still should. */
+  private static final long HOLD_MILLIS = 100;
   private static final long SPREAD = 0x9E3779B97F4A7C15L;
   private static final long LINGER = 300_000;
   private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -56,6 +58,7 @@
   private final Watchdog watchdog;
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
+  private final Turnstile turnstile;
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
@@ -66,6 +69,7 @@
     this.core = core;
     this.watchdog = watchdog;
     this.log = log;
+    this.turnstile = new Turnstile(Runtime.getRuntime().availableProcessors());
   }
 
   /** Begins to listen. */
@@ -104,12 +108,18 @@
       reject(c, Reason.BUSY, "as many connections as the settings allow");
       return;
     }
+    Turnstile.Turn turn = turnstile.new Turn();
+    // Whoever has bytes to read and judge needs a turn, and has none while it waits for bytes, a record, an answer or a slow client.
+    c.aroundWaits(turn::give, turn::take);
     try {
-      while (request(c)) {
+      while (request(c, turn)) {
         continue;
       }
     } catch (BadMessage e) {
+      turn.give();
       reject(c, reason(e), e.getMessage());
+    } finally {
+      turn.give();
     }
   }
 
@@ -126,13 +136,15 @@
 
   /** Answers a request that cannot be read further, and closes so that the client still gets the answer. */
   private void reject(HttpConnection c, Reason reason, String detail) throws IOException {
+    c.aroundWaits(() -> { }, () -> { });
     log.rejected(c.peer(), reason, detail);
     write(c, problem(FinalAnswer.of(reason), detail, false));
     c.closeGently(Clock.micros() + LINGER);
   }
 
   /** One request and its answer; false where the connection carries no further one. */
-  private boolean request(HttpConnection c) throws IOException, BadMessage {
+  private boolean request(HttpConnection c, Turnstile.Turn turn) throws IOException, BadMessage {
+    turn.forgetWaits();
     try {
       if (!c.awaitMessage(Clock.micros() + settings.idle())) {
         return false;
@@ -142,15 +154,16 @@
     }
     inProgress.incrementAndGet();
     try {
-      return exchange(c);
+      return exchange(c, turn);
     } finally {
       inProgress.decrementAndGet();
     }
   }
 
-  private boolean exchange(HttpConnection c) throws IOException, BadMessage {
-    long arrivedAt = Clock.micros();
-    long until = arrivedAt + settings.arrival();
+  private boolean exchange(HttpConnection c, Turnstile.Turn turn) throws IOException, BadMessage {
+    long now = Clock.micros();
+    long arrivedAt = now - turn.waited();
+    long until = now + settings.arrival();
     Head head;
     byte[] body;
     try {
@@ -159,15 +172,17 @@
       expectation(c, head, parser);
       body = c.readBody(parser, until);
     } catch (SocketTimeoutException e) {
+      turn.give();
       reject(c, Reason.SLOW_SENDER, Reason.SLOW_SENDER.text);
       return false;
     }
     boolean keep = head.keepsConnection() && !stopping;
-    Exchange exchange = new Exchange(c, head, body, arrivedAt);
+    Exchange exchange = new Exchange(c, turn, head, body, arrivedAt);
     FinalAnswer answer;
     try {
       answer = exchange.answer();
     } finally {
+      turn.give();
       if (exchange.pass != null) {
         exchange.pass.gone();
       }
@@ -176,10 +191,24 @@
       c.abort();
       return false;
     }
+    if (answer.reason() == Reason.OVERLOADED) {
+      hold();
+    }
     write(c, answer.reason().kind == Reason.Kind.SERVED ? served(answer, keep) : problem(answer, exchange.detail, keep));
     return keep;
   }
 
+  private void hold() {
+    long since = Clock.micros();
+    try {
+      while (!stopping && Clock.micros() - since < door.holdRefusal()) {
+        Thread.sleep(HOLD_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void expectation(HttpConnection c, Head head, BodyParser body) throws IOException, BadMessage {
     String expect = head.get("expect");
     if (expect != null && !expect.equalsIgnoreCase("100-continue")) {
@@ -193,14 +222,16 @@
   /** One request on its way to its answer. */
   private final class Exchange {
     private final HttpConnection c;
+    private final Turnstile.Turn turn;
     private final Head head;
     private final byte[] body;
     private final long arrivedAt;
     private String detail;
     private Door.Pass pass;
 
-    Exchange(HttpConnection c, Head head, byte[] body, long arrivedAt) {
+    Exchange(HttpConnection c, Turnstile.Turn turn, Head head, byte[] body, long arrivedAt) {
       this.c = c;
+      this.turn = turn;
       this.head = head;
       this.body = body;
       this.arrivedAt = arrivedAt;
@@ -232,7 +263,7 @@
       String message = endpoint.path() + " " + delivery.id();
       // Before the signature is checked: whoever is refused here costs little, and nothing of theirs is believed.
       pass = door.enter(key(message, delivery), endpoint.tenant(), endpoint.longestAim(),
-          intake.remembers(message));
+          turn.waited(), intake.remembers(message));
       if (pass == null) {
         return overloaded();
       }
@@ -261,12 +292,14 @@
         return no(Reason.UNKNOWN_TYPE, route == null ? null : "the payload names no function");
       }
       RequestClass requestClass = route.requestClass();
-      if (!intake.remembers(message) && !pass.mayStay(key(message, delivery), requestClass.worth() / settings.topWorth(), requestClass.aim())) {
+      if (!intake.remembers(message) && !pass.mayStay(key(message, delivery), requestClass.worth() / settings.topWorth(),
+          requestClass.aim())) {
         return overloaded();
       }
       // Remembered past the last moment at which the same time stamp could pass again, with the tolerance as slack.
       long keepRequest = (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000;
       long patience = Math.min(route.requestClass().deadline(), patience(head));
+      turn.give();
       Intake.Result result = intake.take(new Intake.Delivery(message,
           Intake.requestKey(message, delivery.timestamp(), body), keepRequest, route.requestClass(), endpoint.tenant(),
           function, body, payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -31,6 +31,8 @@
   private int to;
   private boolean ended;
   private long readBytes;
+  private Runnable beforeWait = () -> { };
+  private Runnable afterWait = () -> { };
 
   /** Wraps a connected blocking channel. */
   public HttpConnection(SocketChannel channel, HttpLimits limits) throws IOException {
@@ -57,6 +59,12 @@
     return (InetSocketAddress) socket.getRemoteSocketAddress();
   }
 
+  /** Has the first run before each wait for bytes and the second after it, on the reading thread. */
+  public void aroundWaits(Runnable before, Runnable after) {
+    beforeWait = before;
+    afterWait = after;
+  }
+
   /** Bytes read from the socket so far. */
   public long readBytes() {
     return readBytes;
@@ -122,7 +130,13 @@
     if (readBytes > 0 && buffer.length < BUFFER) {
       buffer = new byte[BUFFER];
     }
-    int count = socket.getInputStream().read(buffer, 0, buffer.length);
+    beforeWait.run();
+    int count;
+    try {
+      count = socket.getInputStream().read(buffer, 0, buffer.length);
+    } finally {
+      afterWait.run();
+    }
     from = 0;
     to = Math.max(0, count);
     readBytes += to;
--- a/testbed/src/main/java/gorseladder/testbed/LagMeter.java
+++ b/testbed/src/main/java/gorseladder/testbed/LagMeter.java
@@ -1,16 +1,24 @@
 package gorseladder.testbed;
 
+import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 
 /**
- * Measures by how much this machine lets threads wait for a processor, as the oversleep of short sleeps. A call passes about
- * ten threads on its way, so a checker that judges times must not blame an edge for what the machine added.
+ * Measures by how much this machine lets threads wait for a processor, as the oversleep of short sleeps, and when. A call passes
+ * about ten threads on its way, so a checker that judges times must not blame an edge for what the machine added around that moment.
+ * Any thread may ask.
  */
 public final class LagMeter implements AutoCloseable {
   private static final long SLEEP_MILLIS = 2;
   private static final int HOPS = 10;
+  /** Oversleeps below this are what every sleep has. */
+  private static final long USUAL = 500;
+  /** A moment is judged with what was measured within this time of it, either way. */
+  private static final long AROUND = 250_000;
 
-  private volatile long most;
+  private final ConcurrentSkipListMap<Long, Long> lags = new ConcurrentSkipListMap<>();
   private volatile boolean closed;
 
   /** Begins to measure. */
@@ -20,24 +28,28 @@
 
   private void run() {
     while (!closed) {
-      long began = System.nanoTime();
+      long began = Clock.micros();
       try {
         Thread.sleep(SLEEP_MILLIS);
       } catch (InterruptedException e) {
         return;
       }
-      most = Math.max(most, (System.nanoTime() - began) / 1000 - SLEEP_MILLIS * 1000);
+      long lag = Clock.micros() - began - SLEEP_MILLIS * 1000;
+      if (lag > USUAL) {
+        lags.put(began, lag);
+      }
     }
   }
 
-  /** The longest wait so far, in microseconds. */
-  public long most() {
-    return most;
-  }
-
-  /** What the machine may have added to a call, in microseconds. */
-  public long ofACall() {
-    return most * HOPS;
+  /** What the machine may have added to a call around that moment ({@link Clock#micros()}), in microseconds. */
+  public long ofACallAt(long at) {
+    long most = USUAL;
+    // A long stall is found by its end.
+    for (Map.Entry<Long, Long> e = lags.floorEntry(at + AROUND); e != null && e.getKey() + e.getValue() >= at - AROUND;
+        e = lags.lowerEntry(e.getKey())) {
+      most = Math.max(most, e.getValue());
+    }
+    return HOPS * most;
   }
 
   @Override
--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -22,8 +22,8 @@
 public final class Play {
   private static final Logger LOG = LoggerFactory.getLogger(Play.class);
   private static final int STACK = 512 << 10;
-  /** What an idle machine's scheduling may add between a socket and the tap; {@link LagMeter} adds for a busy one. */
-  public static final long SLACK = 250_000;
+  /** What may pass between a socket and the tap on an idle machine; {@link LagMeter} adds for one that was busy at the moment. */
+  public static final long SLACK = 40_000;
   private static final long ENDS_WITHIN = 30_000;
 
   private final DayScript script;
@@ -46,13 +46,18 @@
   }
 
   /** The outcome of a day. */
-  public record Verdict(Portal.Totals totals, int attempts, int loads, List<Break> breaks, int fallen, List<Trouble> unplayed, long slack,
+  public record Verdict(Portal.Totals totals, int attempts, int loads, List<Break> breaks, int fallen, List<Trouble> unplayed,
       List<Pressure> pressures) {
     /** True where no rule was broken and every trouble was played. */
     public boolean good() {
       return breaks.isEmpty() && fallen == 0 && unplayed.isEmpty();
     }
 
+    /** Rules of which the day showed nothing. */
+    public List<Integer> untested() {
+      return pressures.stream().filter(p -> p.occasions() == 0).map(Pressure::rule).toList();
+    }
+
     /** The table of the day. */
     public void print(PrintStream out) {
       out.printf(Locale.ROOT, "%-34s %8d%n", "calls", totals.calls.get());
@@ -66,7 +71,6 @@
       out.printf(Locale.ROOT, "%-34s %5.0f / %.0f ms%n", "served from intended time, p50/p99", totals.millis(50),
           totals.millis(99));
       out.printf(Locale.ROOT, "%-34s %s%n", "reasons", Portal.print(totals.reasons));
-      out.printf(Locale.ROOT, "%-34s %5d ms%n", "slack for this machine", slack / 1000);
       pressures.forEach(out::println);
       out.printf(Locale.ROOT, "%-34s %8d%n", "rules broken", breaks.size());
       breaks.stream().limit(10).forEach(b -> out.println("  " + b));
@@ -90,16 +94,15 @@
     }
     boolean ended = portal.finish(ENDS_WITHIN);
     lag.close();
-    long slack = SLACK + lag.ofACall();
     Tap tap = world.tap();
-    RuleChecker.Report report = RuleChecker.report(tap, world.rules(), World.REPEAT_WINDOW, slack);
+    RuleChecker.Report report = RuleChecker.report(tap, world.rules(), World.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
     List<Break> breaks = new ArrayList<>(report.breaks());
     if (!ended) {
       breaks.add(new Break(1, "calls were still open long after the day"));
     }
     int fallen = (int) world.runners().stream().filter(StandInRunner::fallen).count();
     synchronized (tap) {
-      return new Verdict(portal.totals(), tap.arrivals.size(), world.archive().fetched(), breaks, fallen, List.copyOf(unplayed), slack,
+      return new Verdict(portal.totals(), tap.arrivals.size(), world.archive().fetched(), breaks, fallen, List.copyOf(unplayed),
           report.pressures());
     }
   }
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -9,17 +9,19 @@
 import gorseladder.testbed.Tap.Told;
 import gorseladder.testbed.Tap.Try;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 
 /**
  * Judges the five rules from a {@link Tap} alone, after the day. Pure; it knows the rules' figures and the classes'
- * repeat window, nothing of an edge. Slack stands for what a machine's own scheduling adds between a socket and the tap.
+ * repeat window, nothing of an edge. Slack stands for what the machine may have added at the very moment that is judged.
  */
 public final class RuleChecker {
   /** One break of a rule. */
@@ -34,14 +36,18 @@
    * How a rule was put under pressure.
    *
    * @param occasions what there was to judge; a rule without any was not tested by the day
+   * @param slackMillis what the machine may have added, that is how far past its bound something must be to be called a break; the 99th
+   *     percentile of all judgements
+   * @param notJudged what was past its bound by no more than that: neither kept nor broken
    * @param closest how near the nearest came to breaking, in {@code unit}; below 0 it was past the bound; NaN or the largest value where nothing came near a bound
    */
-  public record Pressure(int rule, String what, long occasions, double closest, String unit) {
+  public record Pressure(int rule, String what, long occasions, double closest, String unit, long slackMillis, long notJudged) {
     @Override
     public String toString() {
       return occasions == 0 ? "rule " + rule + ": no occasion, not tested"
-          : String.format(Locale.ROOT, "rule %d: %d %s%s", rule, occasions, what,
-              Double.isNaN(closest) || closest == Double.MAX_VALUE ? "" : String.format(Locale.ROOT, ", closest %.0f %s", closest, unit));
+          : String.format(Locale.ROOT, "rule %d: %d %s%s%s", rule, occasions, what,
+              Double.isNaN(closest) || closest == Double.MAX_VALUE ? "" : String.format(Locale.ROOT, ", closest %.0f %s", closest, unit),
+              slackMillis < 0 ? "" : String.format(Locale.ROOT, ", slack p99 %d ms, not judged %d", slackMillis, notJudged));
     }
   }
 
@@ -54,26 +60,35 @@
   private final Tap tap;
   private final Rules rules;
   private final long repeatWindow;
-  private final long slack;
+  private final LongUnaryOperator slackAt;
+  private final List<List<Long>> slacks = new ArrayList<>();
+  private final long[] notJudged = new long[6];
   private final List<Break> breaks = new ArrayList<>();
   private final long[] occasions = new long[6];
   private final double[] closest = {0, Double.MAX_VALUE, Double.NaN, Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE};
 
-  private RuleChecker(Tap tap, Rules rules, long repeatWindow, long slack) {
+  private RuleChecker(Tap tap, Rules rules, long repeatWindow, LongUnaryOperator slackAt) {
     this.tap = tap;
     this.rules = rules;
     this.repeatWindow = repeatWindow;
-    this.slack = slack;
+    this.slackAt = slackAt;
+    for (int rule = 0; rule < 6; rule++) {
+      slacks.add(new ArrayList<>());
+    }
   }
 
   /** Every break found. */
   public static List<Break> check(Tap tap, Rules rules, long repeatWindow, long slack) {
-    return report(tap, rules, repeatWindow, slack).breaks();
+    return report(tap, rules, repeatWindow, at -> slack).breaks();
   }
 
-  /** Every break found, and how each rule was put under pressure. */
-  public static Report report(Tap tap, Rules rules, long repeatWindow, long slack) {
-    RuleChecker checker = new RuleChecker(tap, rules, repeatWindow, slack);
+  /**
+   * Every break found, and how each rule was put under pressure.
+   *
+   * @param slackAt microseconds that the machine may have added to what happened at a moment
+   */
+  public static Report report(Tap tap, Rules rules, long repeatWindow, LongUnaryOperator slackAt) {
+    RuleChecker checker = new RuleChecker(tap, rules, repeatWindow, slackAt);
     synchronized (tap) {
       checker.answers();
       checker.effects();
@@ -93,7 +108,18 @@
   }
 
   private Pressure pressure(int rule, String what, String unit) {
-    return new Pressure(rule, what, occasions[rule], closest[rule], unit);
+    List<Long> all = slacks.get(rule);
+    Collections.sort(all);
+    return new Pressure(rule, what, occasions[rule], closest[rule], unit, all.isEmpty() ? -1 : all.get((all.size() - 1) * 99 / 100) / 1000,
+        notJudged[rule]);
+  }
+
+  /** True where something at that moment was past its bound by more than the machine may have added. */
+  private boolean past(int rule, long at, long bound) {
+    long slack = slackAt.applyAsLong(at);
+    slacks.get(rule).add(slack);
+    notJudged[rule] += at > bound && at <= bound + slack ? 1 : 0;
+    return at > bound + slack;
   }
 
   private void judged(int rule, double left) {
@@ -107,7 +133,7 @@
 
   private boolean edgeWasDown(Try t) {
     return tap.downs.stream()
-        .anyMatch(d -> d.edge() == t.edge && d.from() <= t.sentAt + t.patience + slack && d.to() >= t.sentAt);
+        .anyMatch(d -> d.edge() == t.edge && d.from() <= t.sentAt + t.patience + slackAt.applyAsLong(d.from()) && d.to() >= t.sentAt);
   }
 
   private static <T> Map<String, List<T>> group(List<T> all, Function<T, String> by) {
@@ -125,7 +151,7 @@
         broke(1, t.message + " got no answer from edge " + t.edge + (t.broken ? ", the connection broke" : ""));
       } else if (t.statuses.size() > 1) {
         broke(1, t.message + " got " + t.statuses.size() + " answers " + t.statuses);
-      } else if (t.answeredAt > t.sentAt + t.patience + slack) {
+      } else if (past(1, t.answeredAt, t.sentAt + t.patience)) {
         broke(1, t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000 + " ms too late");
       }
     }
@@ -133,7 +159,7 @@
     for (Arrival a : tap.arrivals) {
       List<Try> of = tries.getOrDefault(a.message, List.of());
       boolean wanted = of.stream().anyMatch(t -> t.sentAt <= a.at
-          && (t.statuses.isEmpty() || edgeWasDown(t) || a.at <= t.answeredAt + slack));
+          && (t.statuses.isEmpty() || edgeWasDown(t) || a.at <= t.answeredAt + slackAt.applyAsLong(a.at)));
       if (!wanted) {
         broke(1, a.message + " was sent to " + a.runner + " after its final answer");
       }
@@ -174,7 +200,7 @@
           broke(2, message + " was sent to " + later.runner + " though it may have run at " + earlier.runner);
           return;
         }
-        if (mayHaveRun && later.at > earlier.at + repeatWindow + slack) {
+        if (mayHaveRun && effect == Effect.KEYED && past(2, later.at, earlier.at + repeatWindow)) {
           broke(2, message + " was sent again after its repeat window");
           return;
         }
@@ -227,7 +253,7 @@
     if (closedSince >= 0) {
       judged(3, (closedSince + rules.drainGrace() - at) / 1000.0);
     }
-    if (closedSince >= 0 && at > closedSince + rules.drainGrace() + slack) {
+    if (closedSince >= 0 && past(3, at, closedSince + rules.drainGrace())) {
       broke(3, what + " reached " + runner + " " + (at - closedSince) / 1000 + " ms after its drain was told");
     }
   }
@@ -267,6 +293,7 @@
         .sorted(Comparator.comparingLong(Order::at)).toList();
     for (Order o : counted) {
       long from = o.at() - rules.loadWindow();
+      long slack = slackAt.applyAsLong(o.at());
       long within = counted.stream().filter(p -> p.edge() == o.edge() && p.at() > from + slack && p.at() <= o.at()).count();
       long taken = tap.tries.stream()
           .filter(t -> t.edge == o.edge() && t.sentAt > from - slack && t.sentAt <= o.at()).count();
--- a/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
@@ -171,12 +171,16 @@
       born = life;
     }
     try {
-      Thread.sleep(faults.handshake / 1000);
+      // A connection that is slow to be served holds bytes that came meanwhile: they count from its beginning.
+      long openedAt = Clock.micros();
+      long handshake = faults.handshake;
+      Thread.sleep(handshake / 1000);
       boolean first = true;
       while (c.awaitMessage(Clock.micros() + 60_000_000L)) {
+        long at = first && handshake > 0 ? openedAt : Clock.micros();
         Head head = c.readRequest(Clock.micros() + 10_000_000L);
         byte[] body = c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + 10_000_000L);
-        if (!alive(born) || !answer(c, head, body, born, first) || !head.keepsConnection()) {
+        if (!alive(born) || !answer(c, head, body, born, first, at) || !head.keepsConnection()) {
           break;
         }
         first = false;
@@ -186,15 +190,15 @@
     }
   }
 
-  private boolean answer(HttpConnection c, Head head, byte[] body, int born, boolean first)
+  private boolean answer(HttpConnection c, Head head, byte[] body, int born, boolean first, long at)
       throws IOException, InterruptedException {
     String model = Oip.modelIn(head.path(), "/v2/models/", "/infer");
     if (model != null) {
-      return infer(c, head, body, model, born, first);
+      return infer(c, head, body, model, born, first, at);
     }
     model = Oip.modelIn(head.path(), "/v2/repository/models/", "/load");
     if (model != null) {
-      return order(c, head, body, model, born);
+      return order(c, head, body, model, born, at);
     }
     model = Oip.modelIn(head.path(), "/v2/repository/models/", "/unload");
     if (model != null) {
@@ -226,7 +230,7 @@
     return value != null && value.matches("[0-9]{1,9}") ? Integer.parseInt(value) : otherwise;
   }
 
-  private boolean infer(HttpConnection c, Head head, byte[] body, String model, int born, boolean first)
+  private boolean infer(HttpConnection c, Head head, byte[] body, String model, int born, boolean first, long at)
       throws IOException, InterruptedException {
     Oip.Content content;
     try {
@@ -235,8 +239,7 @@
       c.write(HeadWriter.response(400).field(Oip.RAN, "no").with(new byte[0]));
       return true;
     }
-    long now = Clock.micros();
-    Tap.Arrival arrival = tap.arrived(content.id(), id(), header(head, Oip.EDGE, -1), model, now, nature.work());
+    Tap.Arrival arrival = tap.arrived(content.id(), id(), header(head, Oip.EDGE, -1), model, at, nature.work());
     try {
       pushed(arrival);
       if (faults.stale && !first) {
@@ -479,10 +482,10 @@
     }
   }
 
-  private boolean order(HttpConnection c, Head head, byte[] body, String model, int born)
+  private boolean order(HttpConnection c, Head head, byte[] body, String model, int born, long at)
       throws IOException, InterruptedException {
     int wanted = Oip.copiesIn(body);
-    tap.ordered(new Tap.Order(id(), header(head, Oip.EDGE, -1), model, wanted, Clock.micros()));
+    tap.ordered(new Tap.Order(id(), header(head, Oip.EDGE, -1), model, wanted, at));
     boolean loads;
     synchronized (this) {
       Copy copy = copies.computeIfAbsent(model, m -> new Copy());
