--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -8,7 +8,7 @@
 @Command(name = "gorseladder", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
     description = "A gateway that runs signed webhook calls on workers that load functions on demand.",
     subcommands = {Demo.class, Up.class, EdgeCommand.class, Check.class, RunnerCommand.class, PlayCommand.class, Sign.class, HistoryCommand.class,
-        PlannerCommand.class, AccountCommand.class, EmulateCommand.class, ExperimentCommand.class, ReplayCommand.class,
+        PlannerCommand.class, AccountCommand.class, EmulateCommand.class, ExperimentCommand.class, ReplayCommand.class, SabotageCommand.class,
         Main.VersionCommand.class, BenchCommand.class, CommandLine.HelpCommand.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:good", "1:a rule was broken or a check failed", "2:bad usage or settings",
