--- /dev/null
+++ b/edge/src/test/java/gorseladder/edge/ExampleTest.java
@@ -0,0 +1,37 @@
+package gorseladder.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.config.SettingsFile;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.http1.HttpLimits;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The example that the README begins with is checked and started, with a port and a folder of the test's own. */
+class ExampleTest {
+  @TempDir
+  Path dir;
+
+  @Test
+  void theExampleIsGoodAndStarts() throws Exception {
+    Path example = Path.of("..", "examples", "edge.txtpb");
+    assertEquals(List.of(), Edge.load(example).faults());
+    String text = Files.readString(example);
+    String own = text.replace("127.0.0.1:8080", "127.0.0.1:0").replace("/var/lib/gorseladder/edge-0", dir.resolve("data").toString());
+    assertTrue(own.contains(dir.toString()) && !own.contains("8080"));
+    SettingsFile settings = Edge.load(Files.writeString(dir.resolve("edge.txtpb"), own));
+    assertEquals(List.of(), settings.faults());
+    try (Edge edge = new Edge(settings.settings());
+        HttpConnection c = HttpConnection.open(edge.address(), 2_000, HttpLimits.INNER)) {
+      c.write(HeadWriter.request("POST", "/hooks/office", "edge").with(new byte[] {'{', '}'}));
+      assertEquals(401, c.readResponse(Clock.micros() + 10_000_000).status());
+    }
+  }
+}
