Two restarts of one edge no longer cross: the flaw behind a check that failed when busy

Cause, now that the message has the exit code (137): the script restarts edge 0 at 1.5 s and at 4 s; where the first start took longer than 2.5 s the second restart killed the very process that the first still waited for. Restarts of one edge wait for each other now.

--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -89,15 +89,17 @@
       }
       BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
       long until = System.currentTimeMillis() + STARTS_WITHIN;
+      List<String> said = new ArrayList<>();
       for (String line = out.readLine(); line != null && System.currentTimeMillis() < until; line = out.readLine()) {
+        said.add(line);
         if (line.contains("\"ready\":true")) {
           Process mine = process;
           gorseladder.runtime.Threads.start("edge-out", 128 << 10, () -> drain(mine, out, logFile()));
           return;
         }
       }
-      throw new IOException("edge " + number + " did not start: "
-          + Files.readString(directory.resolve("edge-" + number + ".err")).lines().limit(3).toList());
+      throw new IOException("edge " + number + " did not start, " + (process.isAlive() ? "still runs" : "ended with " + process.exitValue())
+          + ": " + Files.readString(directory.resolve("edge-" + number + ".err")).lines().limit(3).toList() + said.stream().limit(5).toList());
     }
 
     private Path logFile() {
@@ -294,15 +296,20 @@
     return new Portal(PATH, Secret.parse(secret), this::edge, tap);
   }
 
-  /** Kills an edge outright and starts it again after so many milliseconds. */
+  /**
+   * Kills an edge outright and starts it again after so many milliseconds. One restart of an edge at a time: on a busy machine a day's
+   * next restart once killed the process that the one before it still waited for.
+   */
   public void restartEdge(int number, long downMillis) throws IOException, InterruptedException {
     EdgeSlot slot = edges.get(number);
-    long from = Clock.micros();
-    slot.kill();
-    Thread.sleep(downMillis);
-    slot.start();
-    slot.awaitReady();
-    tap.down(new Tap.Down(number, from, Clock.micros()));
+    synchronized (slot) {
+      long from = Clock.micros();
+      slot.kill();
+      Thread.sleep(downMillis);
+      slot.start();
+      slot.awaitReady();
+      tap.down(new Tap.Down(number, from, Clock.micros()));
+    }
   }
 
   /** Starts again every edge whose process was ended from outside. */
