--- a/app/src/main/java/gorseladder/app/SabotageCommand.java
+++ b/app/src/main/java/gorseladder/app/SabotageCommand.java
@@ -53,6 +53,9 @@
   @Option(names = "--none", description = "Also play each day without any fault; it must be good.")
   private boolean none;
 
+  @Option(names = "--plant", description = "Only see that each fault can still be planted; play nothing.")
+  private boolean plantOnly;
+
   /** A list of faults that cannot be planted: which, and why. */
   static final class BadFault extends IOException {
     private static final long serialVersionUID = 1L;
@@ -100,6 +103,10 @@
       throw new BadFault("fault '" + fault.getName() + "': there is no day '" + fault.getDay() + "'");
     }
     Path classes = plant(fault);
+    if (plantOnly) {
+      System.out.println(fault.getName() + ": can be planted");
+      return true;
+    }
     int found = 0;
     double seconds = 0;
     Set<Integer> rules = new TreeSet<>();
--- a/testbed/src/main/java/gorseladder/testbed/Portal.java
+++ b/testbed/src/main/java/gorseladder/testbed/Portal.java
@@ -164,7 +164,8 @@
     return switch (kind.effect()) {
       case SAFE -> true;
       case KEYED -> Clock.micros() + kind.deadline() < firstAt + kind.repeatWindow();
-      case UNSAFE -> last.unreached || last.retryAfter;
+      // A broken connection says nothing: its edge must know by its ledger whether the call may have run.
+      case UNSAFE -> last.unreached || last.retryAfter || last.broken;
     };
   }
 
