--- a/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
+++ b/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
@@ -3,6 +3,7 @@
 import gorseladder.config.Address;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.Threads;
 import gorseladder.testbed.Portal;
 import gorseladder.testbed.StandInRunner;
 import gorseladder.testbed.World;
@@ -16,12 +17,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Signed calls to the edge of a world, or the same work straight at a runner, over kept connections. Any thread. */
 final class EdgeCalls {
+  private static final int STACK = 256 << 10;
+
   private final World world;
   private final Map<String, ArrayDeque<HttpConnection>> idle = new ConcurrentHashMap<>();
 
@@ -52,6 +58,26 @@
     }
   }
 
+  /** Calls a second that were served, with so many callers that each wait for their answer. */
+  double closed(int kind, int callers, int forSeconds) throws InterruptedException {
+    AtomicInteger done = new AtomicInteger();
+    long began = Clock.micros();
+    long until = began + forSeconds * 1_000_000L;
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < callers; i++) {
+      Random random = new Random(i);
+      threads.add(Threads.start("caller", STACK, () -> {
+        while (Clock.micros() < until) {
+          done.addAndGet(status(kind, random) == 200 ? 1 : 0);
+        }
+      }));
+    }
+    for (Thread t : threads) {
+      t.join();
+    }
+    return done.get() * 1e6 / (Clock.micros() - began);
+  }
+
   private int exchange(String peer, InetSocketAddress address, byte[] request) throws IOException, BadMessage {
     ArrayDeque<HttpConnection> kept = idle.computeIfAbsent(peer, p -> new ArrayDeque<>());
     HttpConnection c;
--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -7,13 +7,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -61,9 +59,9 @@
   private void measure() throws InterruptedException {
     for (int kind = 0; kind < 3; kind += 2) {
       String name = kind == 0 ? "safe" : "unsafe";
-      closed(kind, 48, warmup);
+      calls.closed(kind, 48, warmup);
       long processor = world.edgeProcessorMicros(0);
-      double holds = closed(kind, 48, seconds);
+      double holds = calls.closed(kind, 48, seconds);
       System.out.printf(Locale.ROOT, "%s: the edge holds %.0f calls/s (48 callers, work %d ms), %.0f us of processor each%n", name,
           holds, workMillis, (world.edgeProcessorMicros(0) - processor) / (holds * seconds));
       for (double part : new double[] {0.1, 0.5, 0.9}) {
@@ -84,27 +82,6 @@
     return h.getValueAtPercentile(percentile) / 1000.0;
   }
 
-  /** Calls a second with so many callers that each wait for their answer. */
-  private double closed(int kind, int callers, int forSeconds) throws InterruptedException {
-    AtomicInteger done = new AtomicInteger();
-    long began = Clock.micros();
-    long until = began + forSeconds * 1_000_000L;
-    List<Thread> threads = new ArrayList<>();
-    for (int i = 0; i < callers; i++) {
-      int caller = i;
-      threads.add(Threads.start("caller", STACK, () -> {
-        Random random = new Random(caller);
-        while (Clock.micros() < until) {
-          done.addAndGet(calls.status(kind, random) == 200 ? 1 : 0);
-        }
-      }));
-    }
-    for (Thread t : threads) {
-      t.join();
-    }
-    return done.get() * 1e6 / (Clock.micros() - began);
-  }
-
   /** Latencies of served calls, from the time each was meant for. */
   private Histogram open(int kind, double rate, double forSeconds) throws InterruptedException {
     Histogram histogram = new Histogram(60_000_000L, 3);
--- a/app/src/main/java/gorseladder/app/bench/OverloadBench.java
+++ b/app/src/main/java/gorseladder/app/bench/OverloadBench.java
@@ -67,8 +67,8 @@
         List<Double> goods = new ArrayList<>();
         try (World world = world(way.getValue())) {
           EdgeCalls calls = new EdgeCalls(world);
-          closed(calls, 8);
-          holds = holds > 0 ? holds : closed(calls, seconds);
+          calls.closed(0, 16 * runners, 8);
+          holds = holds > 0 ? holds : calls.closed(0, 16 * runners, seconds);
           for (double multiple : MULTIPLES) {
             Run run = open(calls, new double[] {multiple * holds}, seconds);
             goods.add(run.good(0, seconds) / (double) seconds);
@@ -107,26 +107,6 @@
     System.out.printf(Locale.ROOT, "%-11s half, ten times, half, by second:%s%n", way, line);
   }
 
-  private double closed(EdgeCalls calls, int forSeconds) throws InterruptedException {
-    AtomicInteger done = new AtomicInteger();
-    long began = Clock.micros();
-    long until = began + forSeconds * 1_000_000L;
-    List<Thread> threads = new ArrayList<>();
-    for (int i = 0; i < 16 * runners; i++) {
-      int caller = i;
-      threads.add(Threads.start("caller", STACK, () -> {
-        Random random = new Random(caller);
-        while (Clock.micros() < until) {
-          done.addAndGet(calls.status(0, random) == 200 ? 1 : 0);
-        }
-      }));
-    }
-    for (Thread t : threads) {
-      t.join();
-    }
-    return done.get() * 1e6 / (Clock.micros() - began);
-  }
-
   /** What came of an open loop; a call counts in the second it was meant for. */
   private static final class Run {
     private final AtomicIntegerArray goodBySecond = new AtomicIntegerArray(600);
