Read once more: one reader of text files, one checksum, less done on each call's path

The settings' and the planner's file each read protobuf text in a way of their own, and the list of faults in a third: TextFile serves all three (the list's errors named their place twice). On the path of a call: the ledger made its digests under its lock, the front looked a message up twice before the ledger did so again (the second look is taken only where the call would be refused) and streamed an endpoint's classes for their longest aim. Gone: a sum of shares that decided nothing, a parameter that kept a late answer's record from naming its request, a counter nobody read, an exception class nobody caught. Not measured: nothing here is claimed to be faster.

--- a/app/src/main/java/gorseladder/app/SabotageCommand.java
+++ b/app/src/main/java/gorseladder/app/SabotageCommand.java
@@ -1,8 +1,9 @@
 package gorseladder.app;
 
-import com.google.protobuf.TextFormat;
+import gorseladder.config.Fault;
+import gorseladder.config.TextFile;
 import gorseladder.config.proto.Edit;
-import gorseladder.config.proto.Fault;
+import gorseladder.config.proto.PlantedFault;
 import gorseladder.config.proto.Sabotage;
 import gorseladder.config.proto.SabotageDay;
 import java.io.File;
@@ -56,25 +57,16 @@
   @Option(names = "--plant", description = "Only see that each fault can still be planted; play nothing.")
   private boolean plantOnly;
 
-  /** A list of faults that cannot be planted: which, and why. */
-  static final class BadFault extends IOException {
-    private static final long serialVersionUID = 1L;
-
-    BadFault(String text) {
-      super(text);
-    }
-  }
-
   private record Outcome(Set<Integer> rules, boolean good, double seconds) {}
 
   @Override
   public Integer call() throws IOException, InterruptedException {
     Sabotage.Builder list = Sabotage.newBuilder();
     Path file = faults != null ? faults : root.resolve("testbed/sabotage/faults.txtpb");
-    try {
-      TextFormat.merge(Files.readString(file), list);
-    } catch (TextFormat.ParseException e) {
-      System.err.println(file + ":" + e.getLine() + ":" + e.getColumn() + ": " + e.getMessage());
+    List<Fault> unread = new ArrayList<>();
+    TextFile.parse(file.toString(), Files.readString(file), list, unread);
+    if (!unread.isEmpty()) {
+      unread.forEach(System.err::println);
       return Main.BAD_USAGE;
     }
     Map<String, String> days = new LinkedHashMap<>();
@@ -90,7 +82,7 @@
         all &= o.good();
       }
     }
-    for (Fault fault : list.getFaultList()) {
+    for (PlantedFault fault : list.getFaultList()) {
       if (fault.getName().contains(only)) {
         all &= find(fault, days);
       }
@@ -98,9 +90,9 @@
     return all ? Main.GOOD : Main.BROKEN;
   }
 
-  private boolean find(Fault fault, Map<String, String> days) throws IOException, InterruptedException {
+  private boolean find(PlantedFault fault, Map<String, String> days) throws IOException, InterruptedException {
     if (!days.containsKey(fault.getDay())) {
-      throw new BadFault("fault '" + fault.getName() + "': there is no day '" + fault.getDay() + "'");
+      throw new IOException("fault '" + fault.getName() + "': there is no day '" + fault.getDay() + "'");
     }
     Path classes = plant(fault);
     if (plantOnly) {
@@ -122,14 +114,14 @@
   }
 
   /** Compiles the changed classes into a folder of their own. */
-  private Path plant(Fault fault) throws IOException {
+  private Path plant(PlantedFault fault) throws IOException {
     Map<Path, String> changed = new LinkedHashMap<>();
     for (Edit e : fault.getEditList()) {
       Path source = root.resolve(e.getFile());
       String text = changed.containsKey(source) ? changed.get(source) : Files.readString(source);
       int at = text.indexOf(e.getFind());
       if (at < 0 || text.indexOf(e.getFind(), at + 1) >= 0) {
-        throw new BadFault("fault '" + fault.getName() + "': its text does not stand exactly once in " + e.getFile());
+        throw new IOException("fault '" + fault.getName() + "': its text does not stand exactly once in " + e.getFile());
       }
       changed.put(source, text.substring(0, at) + e.getReplace() + text.substring(at + e.getFind().length()));
     }
@@ -148,7 +140,7 @@
     StringWriter said = new StringWriter();
     try (var files = compiler.getStandardFileManager(null, Locale.ROOT, StandardCharsets.UTF_8)) {
       if (!compiler.getTask(said, files, null, options, null, files.getJavaFileObjectsFromPaths(sources)).call()) {
-        throw new BadFault("fault '" + fault.getName() + "' does not compile: " + said.toString().lines().findFirst().orElse(""));
+        throw new IOException("fault '" + fault.getName() + "' does not compile: " + said.toString().lines().findFirst().orElse(""));
       }
     }
     return classes;
--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -1,7 +1,6 @@
 package gorseladder.config;
 
 import com.google.protobuf.Descriptors.FieldDescriptor;
-import com.google.protobuf.TextFormat;
 import com.google.protobuf.TextFormatParseInfoTree;
 import gorseladder.config.proto.EdgeSettings;
 import gorseladder.config.proto.Effect;
@@ -22,24 +21,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.logging.Level;
-import java.util.logging.Logger;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /** Loads the settings of an edge from protobuf text format and finds every fault in them. */
 public final class SettingsFile {
-  private static final Pattern PLACE = Pattern.compile("(?:line )?(\\d+):(\\d+):?\\s*(.*)");
-
-  private static final Pattern FIELD = Pattern.compile("gorseladder\\.(?:EdgeSettings\\.)?(\\S+)");
-  private static final String UNKNOWN = "Input contains unknown fields";
-  /** The parser tells of unknown fields here too; they are faults already. Held, as the level is forgotten with the logger. */
-  private static final Logger PARSER = Logger.getLogger(TextFormat.class.getName());
-
-  static {
-    PARSER.setLevel(Level.OFF);
-  }
-
   private final String file;
   private final List<Fault> faults = new ArrayList<>();
   private Consumer<String> secretCheck = s -> { };
@@ -78,40 +62,15 @@
 
   private void read(String text) {
     EdgeSettings.Builder builder = EdgeSettings.newBuilder();
-    TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
-    try {
-      TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, builder);
-    } catch (TextFormat.ParseException e) {
-      syntax(e);
-      // Fields that do not exist hide no fault of those that do.
-      builder.clear();
-      places = TextFormatParseInfoTree.builder();
-      try {
-        TextFormat.Parser.newBuilder().setAllowUnknownFields(true).setParseInfoTreeBuilder(places).build().merge(text, builder);
-      } catch (TextFormat.ParseException other) {
-        return;
-      }
+    TextFormatParseInfoTree places = TextFile.parse(file, text, builder, faults);
+    if (places == null) {
+      return;
     }
     settings = builder.build();
-    check(new At(places.build(), ""));
+    check(new At(places, ""));
     faults.sort((a, b) -> Integer.compare(a.line(), b.line()));
   }
 
-  private void syntax(TextFormat.ParseException e) {
-    for (String line : e.getMessage().split("\n")) {
-      Matcher m = PLACE.matcher(line.strip());
-      if (m.matches() && !m.group(3).startsWith(UNKNOWN)) {
-        Matcher name = FIELD.matcher(m.group(3));
-        boolean unknown = e.getMessage().contains(UNKNOWN) && name.matches();
-        faults.add(new Fault(file, Integer.parseInt(m.group(1)), unknown ? name.group(1) : "",
-            unknown ? "there is no such field" : m.group(3)));
-      }
-    }
-    if (faults.isEmpty()) {
-      faults.add(new Fault(file, e.getLine(), "", e.getMessage()));
-    }
-  }
-
   /** A message's place in the file. */
   private final class At {
     private final TextFormatParseInfoTree tree;
--- a/decisions/src/main/java/gorseladder/admission/Admission.java
+++ b/decisions/src/main/java/gorseladder/admission/Admission.java
@@ -66,7 +66,6 @@
 
   private final Told told;
   private final Random random;
-  private final double allShares;
   private final Stretch[] stretches = new Stretch[STRETCHES];
   /** Oldest first. */
   private final Map<Long, Inside> waiting = new LinkedHashMap<>();
@@ -80,7 +79,6 @@
   public Admission(Told told, long seed) {
     this.told = told;
     this.random = new Random(seed);
-    this.allShares = told.shares().values().stream().mapToDouble(Double::doubleValue).sum();
     for (int i = 0; i < STRETCHES; i++) {
       stretches[i] = new Stretch();
     }
@@ -134,7 +132,7 @@
   /** The part of the room that is open to such a call. */
   private double part(Asking call, long now) {
     double part = LEAST_WORTH + (1 - LEAST_WORTH) * Math.max(0, Math.min(1, call.worth()));
-    if (waiting.size() > 0 && overShare(call.tenant())) {
+    if (overShare(call.tenant())) {
       part *= OVER_SHARE;
     }
     Long before = refused.get(call.message());
@@ -143,15 +141,16 @@
 
   /** More of what waits is this tenant's than its share of those that have calls here. */
   private boolean overShare(String tenant) {
-    if (allShares <= 0 || !byTenant.containsKey(tenant)) {
+    if (!byTenant.containsKey(tenant)) {
       return false;
     }
-    double present = 0;
-    for (String t : byTenant.keySet()) {
-      present += told.shares().getOrDefault(t, 0.0);
-    }
-    double others = present - told.shares().getOrDefault(tenant, 0.0);
-    return others > 0 && byTenant.get(tenant) > waiting.size() * told.shares().getOrDefault(tenant, 0.0) / present;
+    double own = share(tenant);
+    double present = byTenant.keySet().stream().mapToDouble(this::share).sum();
+    return present > own && byTenant.get(tenant) > waiting.size() * own / present;
+  }
+
+  private double share(String tenant) {
+    return told.shares().getOrDefault(tenant, 0.0);
   }
 
   /** A call that may enter entered; it has waited since then and waits until it is sent or gone. */
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -70,7 +70,8 @@
       Map<String, WebhookSettings.Route> routes = new HashMap<>();
       e.getRouteList().forEach(r -> routes.put(r.getType(), route(r)));
       endpoints.put(e.getPath(), new WebhookSettings.Endpoint(e.getPath(), e.getTenant(),
-          e.getSecretList().stream().map(Secret::parse).toList(), e.getToleranceS(), routes));
+          e.getSecretList().stream().map(Secret::parse).toList(), e.getToleranceS(), routes,
+          routes.values().stream().mapToLong(r -> r.requestClass().aim()).max().orElse(0)));
     }
     return new WebhookSettings(endpoints, new Networks(s.getAllowNetworkList()),
         new HttpLimits(l.getMaxHeaderLine(), l.getMaxHeaderFields(), l.getMaxHeaderBytes(), l.getMaxBodyBytes()),
--- a/edge/src/main/java/gorseladder/edge/core/Door.java
+++ b/edge/src/main/java/gorseladder/edge/core/Door.java
@@ -31,17 +31,19 @@
     private final long id;
     private final String tenant;
     private final long waited;
+    private final boolean remembered;
     private boolean open = true;
 
-    private Pass(long id, String tenant, long waited) {
+    private Pass(long id, String tenant, long waited, boolean remembered) {
       this.id = id;
       this.tenant = tenant;
       this.waited = waited;
+      this.remembered = remembered;
     }
 
     /** Asks again now that the class is known; false where the call is refused after all and is not inside any more. */
     public boolean mayStay(long message, double worth, long aim) {
-      if (admission == null) {
+      if (admission == null || remembered) {
         return true;
       }
       synchronized (Door.this) {
@@ -87,7 +89,7 @@
    * @return null where it is refused
    */
   public synchronized Pass enter(long message, String tenant, long longestAim, long waited, boolean remembered) {
-    Pass pass = new Pass(++ids, tenant, waited);
+    Pass pass = new Pass(++ids, tenant, waited, remembered);
     if (admission == null) {
       return pass;
     }
@@ -119,9 +121,4 @@
   public synchronized long holdRefusal() {
     return admission.holdRefusal();
   }
-
-  /** Calls refused here so far. */
-  public synchronized long refusals() {
-    return admission == null ? 0 : admission.refusals();
-  }
 }
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -5,13 +5,13 @@
 import gorseladder.repeats.Repeats;
 import gorseladder.repeats.Repeats.Verdict;
 import gorseladder.runtime.Clock;
+import gorseladder.store.Digests;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
 import gorseladder.store.LedgerException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.Map;
@@ -208,23 +208,15 @@
   }
 
   private static byte[] digest(String requestClass, String function, byte[] body) {
-    MessageDigest sha = sha256();
+    MessageDigest sha = Digests.sha256();
     sha.update((requestClass + "\0" + function + "\0").getBytes(StandardCharsets.UTF_8));
     return Arrays.copyOf(sha.digest(body), 16);
   }
 
   /** Identifies a signed request by all that its signature covers, so that a changed signature list is the same request. */
   public static String requestKey(String message, long timestamp, byte[] body) {
-    MessageDigest sha = sha256();
+    MessageDigest sha = Digests.sha256();
     sha.update((message + "\0" + timestamp + "\0").getBytes(StandardCharsets.UTF_8));
     return Base64.getEncoder().withoutPadding().encodeToString(Arrays.copyOf(sha.digest(body), 16));
   }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
-    }
-  }
 }
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -167,7 +167,7 @@
       answer = end;
       endedAt = now;
       boolean served = end.reason().kind == Reason.Kind.SERVED;
-      record(served, served ? end.body() : null, ranBefore || someMayHaveRun(), false);
+      record(served, served ? end.body() : null, ranBefore || someMayHaveRun());
       notifyAll();
     }
     pass.gone();
@@ -186,19 +186,18 @@
     }
     if (answer != null && answer.reason().kind != Reason.Kind.SERVED && present != null
         && present.takenAt() == entry.takenAt() && present.stage() == Stage.CLOSED) {
-      record(true, body, true, true);
+      record(true, body, true);
       ledger.soon();
     }
   }
 
-  private void record(boolean served, byte[] body, boolean mayHaveRun, boolean late) {
+  private void record(boolean served, byte[] body, boolean mayHaveRun) {
     byte[] kept = body != null && body.length <= maxKept ? body : null;
     boolean keeps = served && (kept != null || body == null);
     entry = entry.ended(keeps ? Stage.SERVED : Stage.CLOSED, served || mayHaveRun, answer.reason().word(),
         answer.reason().status, kept);
     try {
-      endTicket = request == null || late ? ledger.put(facts.message(), entry)
-          : ledger.put(facts.message(), entry, request, requestKeepUntil);
+      endTicket = ledger.put(facts.message(), entry, request, requestKeepUntil);
     } catch (LedgerException e) {
       // The record of its leaving stands: a repeat finds that it may have run, which is the safe side.
       endTicket = 0;
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -292,16 +292,17 @@
         return no(Reason.UNKNOWN_TYPE, route == null ? null : "the payload names no function");
       }
       RequestClass requestClass = route.requestClass();
-      if (!intake.remembers(message) && !pass.mayStay(key(message, delivery), requestClass.worth() / settings.topWorth(),
-          requestClass.aim())) {
+      boolean stays = pass.mayStay(key(message, delivery), requestClass.worth() / settings.topWorth(), requestClass.aim());
+      // Another delivery of the message may have been taken meanwhile.
+      if (!stays && !intake.remembers(message)) {
         return overloaded();
       }
       // Remembered past the last moment at which the same time stamp could pass again, with the tolerance as slack.
       long keepRequest = (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000;
-      long patience = Math.min(route.requestClass().deadline(), patience(head));
+      long patience = Math.min(requestClass.deadline(), patience(head));
       turn.give();
       Intake.Result result = intake.take(new Intake.Delivery(message,
-          Intake.requestKey(message, delivery.timestamp(), body), keepRequest, route.requestClass(), endpoint.tenant(),
+          Intake.requestKey(message, delivery.timestamp(), body), keepRequest, requestClass, endpoint.tenant(),
           function, body, payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
           payload.lanes() > 0 ? payload.lanes() : route.lanes(), payload.loadMillis() * 1000, arrivedAt, patience, pass));
       if (result.call() == null) {
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -396,7 +396,7 @@
     ArrayDeque<Kept> kept = idle.computeIfAbsent(worker, w -> new ArrayDeque<>());
     synchronized (kept) {
       if (head.keepsConnection() && !connection.hasUnreadBytes() && ConnectionChoice.mayKeep(effect, kept.size())) {
-        kept.addLast(new Kept(connection, Clock.micros()));
+        keep(kept, new Kept(connection, Clock.micros()));
         return;
       }
     }
--- a/planner/src/main/java/gorseladder/planner/PlannerFile.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerFile.java
@@ -1,11 +1,11 @@
 package gorseladder.planner;
 
 import com.google.protobuf.Descriptors.Descriptor;
-import com.google.protobuf.TextFormat;
 import com.google.protobuf.TextFormatParseInfoTree;
 import gorseladder.config.Address;
 import gorseladder.config.Fault;
 import gorseladder.config.Networks;
+import gorseladder.config.TextFile;
 import gorseladder.config.proto.KnownDate;
 import gorseladder.config.proto.PlannerSettings;
 import java.io.IOException;
@@ -36,13 +36,11 @@
     PlannerFile loaded = new PlannerFile(path.toString());
     try {
       PlannerSettings.Builder builder = PlannerSettings.newBuilder();
-      TextFormatParseInfoTree.Builder tree = TextFormatParseInfoTree.builder();
-      TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(tree).build().merge(Files.readString(path), builder);
-      loaded.settings = builder.build();
-      loaded.places = tree.build();
-      loaded.check();
-    } catch (TextFormat.ParseException e) {
-      loaded.faults.add(new Fault(loaded.file, e.getLine(), "", e.getMessage()));
+      loaded.places = TextFile.parse(loaded.file, Files.readString(path), builder, loaded.faults);
+      if (loaded.faults.isEmpty()) {
+        loaded.settings = builder.build();
+        loaded.check();
+      }
     } catch (IOException e) {
       loaded.faults.add(new Fault(loaded.file, 0, "", "cannot be read: " + e));
     }
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -12,7 +12,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,7 +48,7 @@
   private static final long COUNTED = 1_000_000;
   /** Bytes that gather before a write begins without being asked for. */
   private static final int MOST_GATHERED = 1 << 20;
-  private static final ThreadLocal<MessageDigest> SHA = ThreadLocal.withInitial(Ledger::sha256);
+  private static final ThreadLocal<MessageDigest> SHA = ThreadLocal.withInitial(Digests::sha256);
 
   private final Path folder;
   private final boolean sync;
@@ -166,7 +165,8 @@
       String name = file.getFileName().toString();
       LedgerSegment segment = new LedgerSegment(file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), sink);
       segments.add(segment);
-      segment.load(file.equals(files.get(files.size() - 1)), (at, record) -> index(segment, at, record));
+      segment.load(file.equals(files.get(files.size() - 1)), (at, record) -> index(segment, at, record,
+          digest('m', record.message()), digest('r', record.request())));
     }
     if (segments.isEmpty()) {
       begin(1);
@@ -271,10 +271,10 @@
 
   /** Records a message; returns the ticket to wait for. The first record of a message sets when it is forgotten. */
   public long put(String message, LedgerEntry entry) throws LedgerException {
-    return add(new LedgerRecord(message, entry, null, 0, 0));
+    return put(message, entry, null, 0);
   }
 
-  /** Records a message and the signed request it came with as one. */
+  /** Records a message and the signed request it came with as one; the request may be null. */
   public long put(String message, LedgerEntry entry, String request, long requestUntil) throws LedgerException {
     return add(new LedgerRecord(message, entry, request, requestUntil, 0));
   }
@@ -285,17 +285,19 @@
   }
 
   private long add(LedgerRecord record) throws LedgerException {
+    // Digests and bytes are made before the lock is taken: every call passes here.
     byte[] bytes = record.toBytes();
+    Digest message = digest('m', record.message());
+    Digest request = digest('r', record.request());
     lock.lock();
     try {
       requireWritable();
       LedgerSegment segment = active();
       int at = segment.end + pending.size();
       pending.writeBytes(bytes);
-      index(segment, at, record);
+      index(segment, at, record, message, request);
       if (pending.size() > MOST_GATHERED && !wanted) {
-        wanted = true;
-        changed.signalAll();
+        want();
       }
       return ++issued;
     } finally {
@@ -303,23 +305,21 @@
     }
   }
 
-  private void index(LedgerSegment segment, int at, LedgerRecord record) {
+  private void index(LedgerSegment segment, int at, LedgerRecord record, Digest message, Digest request) {
     seenBoots = Math.max(seenBoots, record.boots());
     segment.begunAt = segment.begunAt == 0 ? now : segment.begunAt;
-    if (record.message() != null) {
-      Digest d = digest('m', record.message());
+    if (message != null) {
       long until = record.entry().keepUntil();
-      boolean known = segments.stream().anyMatch(s -> s.messages.get(d.first(), d.second()) >= 0);
-      segment.messages.put(d.first(), d.second(), at);
+      boolean known = segments.stream().anyMatch(s -> s.messages.get(message.first(), message.second()) >= 0);
+      segment.messages.put(message.first(), message.second(), at);
       segment.messagesUntil = Math.max(segment.messagesUntil, until);
       if (!known && until > now) {
         count++;
         expiring.merge(Math.floorDiv(until, COUNTED), 1, Integer::sum);
       }
     }
-    if (record.request() != null) {
-      Digest d = digest('r', record.request());
-      segment.requests.put(d.first(), d.second(), at);
+    if (request != null) {
+      segment.requests.put(request.first(), request.second(), at);
       segment.requestsUntil = Math.max(segment.requestsUntil, record.requestUntil());
     }
   }
@@ -339,7 +339,11 @@
     }
   }
 
+  /** Where a name stands in the tables; null for none. */
   private Digest digest(char kind, String name) {
+    if (name == null) {
+      return null;
+    }
     MessageDigest sha = SHA.get();
     sha.update(salt);
     sha.update((byte) kind);
@@ -347,26 +351,22 @@
     return new Digest(out.getLong(), out.getLong());
   }
 
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   private void requireWritable() throws LedgerException {
     if (broken != null) {
       throw new LedgerException("ledger " + folder + " cannot be written: " + broken.getMessage(), broken);
     }
   }
 
+  private void want() {
+    wanted = true;
+    changed.signalAll();
+  }
+
   /** Lets the record be written soon, without waiting. */
   public void soon() {
     lock.lock();
     try {
-      wanted = true;
-      changed.signalAll();
+      want();
     } finally {
       lock.unlock();
     }
@@ -377,8 +377,7 @@
     lock.lock();
     try {
       if (written < ticket) {
-        wanted = true;
-        changed.signalAll();
+        want();
       }
       while (written < ticket && broken == null) {
         changed.awaitUninterruptibly();
@@ -398,8 +397,7 @@
         count -= e.getValue();
         expiring.pollFirstEntry();
       }
-      wanted = true;
-      changed.signalAll();
+      want();
     } finally {
       lock.unlock();
     }
--- a/store/src/main/java/gorseladder/store/LedgerEntry.java
+++ b/store/src/main/java/gorseladder/store/LedgerEntry.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.zip.CRC32C;
 
 /**
  * What the ledger holds of one message. Times are microseconds since 1970. Immutable but for the arrays, which are not
@@ -92,9 +91,7 @@
   }
 
   private static int checksum(byte[] bytes) {
-    CRC32C crc = new CRC32C();
-    crc.update(bytes, 4, bytes.length - 4);
-    return (int) crc.getValue();
+    return Digests.crc(bytes, 4, bytes.length - 4);
   }
 
   @Override
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.zip.CRC32C;
 
 /**
  * One file of the ledger and the tables of what stands in it. A head of 24 bytes (mark, format, number, checksum), then frames: what
@@ -69,12 +68,6 @@
     return Math.max(messagesUntil, requestsUntil);
   }
 
-  private static int crc(byte[] bytes, int from, int count) {
-    CRC32C crc = new CRC32C();
-    crc.update(bytes, from, count);
-    return (int) crc.getValue();
-  }
-
   /** Writes a frame at the end of the file, which is made at its first frame; the first bytes are kept free for its head. */
   void append(ByteBuffer frame, boolean sync) throws IOException {
     if (out == null) {
@@ -82,13 +75,13 @@
       out = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
       if (fresh) {
         ByteBuffer head = ByteBuffer.allocate(HEAD).putInt(MARK).putInt(FORMAT).putLong(number);
-        head.putInt(crc(head.array(), 0, HEAD - 8)).putInt(0);
+        head.putInt(Digests.crc(head.array(), 0, HEAD - 8)).putInt(0);
         sink.write(out, head.flip());
       }
       out.position(out.size());
     }
     int length = frame.limit() - FRAME_HEAD;
-    frame.putInt(0, FRAME_MARK).putInt(4, length).putInt(8, crc(frame.array(), FRAME_HEAD, length));
+    frame.putInt(0, FRAME_MARK).putInt(4, length).putInt(8, Digests.crc(frame.array(), FRAME_HEAD, length));
     sink.write(out, frame);
     if (sync) {
       out.force(false);
@@ -133,7 +126,7 @@
       byte[] head = new byte[HEAD];
       bytes.readFully(head);
       ByteBuffer h = ByteBuffer.wrap(head);
-      if (h.getInt() != MARK || h.getInt(16) != crc(head, 0, HEAD - 8)) {
+      if (h.getInt() != MARK || h.getInt(16) != Digests.crc(head, 0, HEAD - 8)) {
         throw new IOException(file.getFileName() + " is damaged at byte 0");
       }
       int format = h.getInt();
@@ -166,7 +159,7 @@
     }
     byte[] payload = new byte[length];
     bytes.readFully(payload);
-    if (crc(payload, 0, length) != crc) {
+    if (Digests.crc(payload, 0, length) != crc) {
       return false;
     }
     ByteBuffer in = ByteBuffer.wrap(payload);
@@ -190,7 +183,7 @@
           if (length >= 0 && length <= rest.capacity() - i - FRAME_HEAD) {
             byte[] payload = new byte[length];
             rest.get(i + FRAME_HEAD, payload);
-            if (crc(payload, 0, length) == rest.getInt(i + 8)) {
+            if (Digests.crc(payload, 0, length) == rest.getInt(i + 8)) {
               return true;
             }
           }
--- a/store/src/main/java/gorseladder/store/history/Segment.java
+++ b/store/src/main/java/gorseladder/store/history/Segment.java
@@ -1,12 +1,12 @@
 package gorseladder.store.history;
 
+import gorseladder.store.Digests;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32C;
 
 /**
  * The form of a segment file: a head of 32 bytes (mark, format, first sequence number, how many numbers it covers, checksum),
@@ -27,23 +27,17 @@
   static byte[] head(long first, long covers) {
     ByteBuffer out = ByteBuffer.allocate(HEAD);
     out.putInt(MARK).putInt(FORMAT).putLong(first).putLong(covers).putInt(0);
-    out.putInt(28, crc(out.array(), 0, 28));
+    out.putInt(28, Digests.crc(out.array(), 0, 28));
     return out.array();
   }
 
   static byte[] record(HistoryRow row) {
     byte[] bytes = row.toBytes();
     ByteBuffer out = ByteBuffer.allocate(8 + bytes.length);
-    out.putInt(bytes.length).putInt(crc(bytes, 0, bytes.length)).put(bytes);
+    out.putInt(bytes.length).putInt(Digests.crc(bytes, 0, bytes.length)).put(bytes);
     return out.array();
   }
 
-  private static int crc(byte[] bytes, int from, int count) {
-    CRC32C crc = new CRC32C();
-    crc.update(bytes, from, count);
-    return (int) crc.getValue();
-  }
-
   /**
    * Reads a file up to its last whole record.
    *
@@ -51,7 +45,7 @@
    */
   static Content read(Path file) throws IOException {
     ByteBuffer in = ByteBuffer.wrap(Files.readAllBytes(file));
-    if (in.capacity() < HEAD || in.getInt(0) != MARK || in.getInt(28) != crc(in.array(), 0, 28)) {
+    if (in.capacity() < HEAD || in.getInt(0) != MARK || in.getInt(28) != Digests.crc(in.array(), 0, 28)) {
       return null;
     }
     if (in.getInt(4) != FORMAT) {
@@ -70,7 +64,7 @@
       }
       byte[] bytes = new byte[length];
       in.get(bytes);
-      if (crc != crc(bytes, 0, length)) {
+      if (crc != Digests.crc(bytes, 0, length)) {
         break;
       }
       rows.add(HistoryRow.of(bytes));
