--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -1,6 +1,7 @@
 package gorseladder.app;
 
 import gorseladder.app.bench.BenchCommand;
+import gorseladder.node.NodeMain;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -8,7 +9,7 @@
 @Command(name = "gorseladder", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
     description = "A gateway that runs signed webhook calls on workers that load functions on demand.",
     subcommands = {Demo.class, Up.class, EdgeCommand.class, Check.class, RunnerCommand.class, PlayCommand.class, Sign.class, HistoryCommand.class,
-        PlannerCommand.class, AccountCommand.class, EmulateCommand.class, ExperimentCommand.class, ReplayCommand.class, SabotageCommand.class,
+        PlannerCommand.class, NodeCommand.class, AccountCommand.class, EmulateCommand.class, ExperimentCommand.class, ReplayCommand.class, SabotageCommand.class,
         Main.VersionCommand.class, BenchCommand.class, CommandLine.HelpCommand.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:good", "1:a rule was broken or a check failed", "2:bad usage or settings",
@@ -22,8 +23,9 @@
   private Main() {}
 
   /** Runs a command and exits with its code. */
-  public static void main(String[] args) {
-    System.exit(run(args));
+  public static void main(String[] args) throws InterruptedException {
+    // The dispatcher starts on a part of a core, in little memory: the command line's library stays out of its way.
+    System.exit(args.length == 1 && args[0].equals(NodeCommand.NAME) ? NodeMain.run() : run(args));
   }
 
   /** Runs a command and returns its code. A first word that is no command is bad usage, whatever stands behind it. */
--- a/benchhost/src/main/java/gorseladder/simhost/SimHost.java
+++ b/benchhost/src/main/java/gorseladder/simhost/SimHost.java
@@ -8,6 +8,9 @@
 import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
 import gorseladder.Router;
 import gorseladder.RouterApi.Event;
+import gorseladder.platform.BadInput;
+import gorseladder.platform.Fields;
+import gorseladder.platform.PlatformSettings;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -46,7 +49,7 @@
       return 0;
     } catch (JsonProcessingException e) {
       complain.accept("gorseladder: line " + host.line() + ": not JSON: " + firstLine(e.getOriginalMessage()));
-    } catch (Wire.BadInput | IllegalArgumentException e) {
+    } catch (BadInput | IllegalArgumentException e) {
       complain.accept("gorseladder: line " + host.line() + ": " + firstLine(e.getMessage()));
     }
     return 1;
@@ -66,17 +69,17 @@
       return null;
     }
     if (token != JsonToken.START_OBJECT) {
-      throw new Wire.BadInput("a message must be an object");
+      throw new BadInput("a message must be an object");
     }
     return Wire.readObject(in);
   }
 
   private void run() throws IOException {
     for (Map<String, Object> m = next(); m != null; m = next()) {
-      if (!"batch".equals(Wire.text(m, "verb"))) {
-        throw new Wire.BadInput("'" + Wire.text(m, "verb") + "' outside a batch");
+      if (!"batch".equals(Fields.text(m, "verb"))) {
+        throw new BadInput("'" + Fields.text(m, "verb") + "' outside a batch");
       }
-      batch(Wire.micros(m, "tsMs"));
+      batch(Fields.micros(m, "tsMs"));
     }
   }
 
@@ -84,9 +87,9 @@
     while (true) {
       Map<String, Object> m = next();
       if (m == null) {
-        throw new Wire.BadInput("input ends inside a batch");
+        throw new BadInput("input ends inside a batch");
       }
-      String verb = Wire.text(m, "verb");
+      String verb = Fields.text(m, "verb");
       if (verb.equals("overToYou")) {
         break;
       }
@@ -98,14 +101,14 @@
 
   private void message(long now, String verb, Map<String, Object> m) throws IOException {
     if (verb.equals("batch")) {
-      throw new Wire.BadInput("a batch inside a batch");
+      throw new BadInput("a batch inside a batch");
     }
-    String who = Wire.text(m, "who");
+    String who = Fields.text(m, "who");
     if (verb.equals("up")) {
-      instances.put(who, new Router(Wire.settings(Wire.object(m, "facts")),
-          (long) Wire.number(m, "randomSeed")));
+      instances.put(who, new Router(PlatformSettings.read(Fields.object(m, "facts")),
+          (long) Fields.number(m, "randomSeed")));
     } else if (!instances.containsKey(who)) {
-      throw new Wire.BadInput("'" + verb + "' for '" + who + "', which is not up");
+      throw new BadInput("'" + verb + "' for '" + who + "', which is not up");
     } else if (verb.equals("kill")) {
       instances.remove(who);
     } else {
--- a/benchhost/src/main/java/gorseladder/simhost/Wire.java
+++ b/benchhost/src/main/java/gorseladder/simhost/Wire.java
@@ -1,5 +1,11 @@
 package gorseladder.simhost;
 
+import static gorseladder.platform.Fields.flag;
+import static gorseladder.platform.Fields.list;
+import static gorseladder.platform.Fields.micros;
+import static gorseladder.platform.Fields.number;
+import static gorseladder.platform.Fields.text;
+
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,6 +13,8 @@
 import gorseladder.RouterApi.Action;
 import gorseladder.RouterApi.Event;
 import gorseladder.RouterApi.Outcome;
+import gorseladder.platform.BadInput;
+import gorseladder.platform.PlatformList;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -25,15 +33,6 @@
 
   private Wire() {}
 
-  /** A message that cannot be read; its text says what is wrong. */
-  static final class BadInput extends RuntimeException {
-    private static final long serialVersionUID = 1L;
-
-    BadInput(String text) {
-      super(text);
-    }
-  }
-
   /** Reads one JSON object; the parser stands on its opening brace. */
   static Map<String, Object> readObject(JsonParser in) throws IOException {
     Map<String, Object> object = new LinkedHashMap<>();
@@ -70,49 +69,6 @@
     };
   }
 
-  /** Reads the settings of an instance; unknown keys are skipped. */
-  static RouterApi.Settings settings(Map<String, Object> facts) {
-    Map<String, Object> family = object(facts, "familyInfo");
-    Map<String, Object> limits = object(facts, "limits");
-    Map<String, Object> rules = object(facts, "rules");
-    return new RouterApi.Settings((int) number(facts, "ordinal"), (int) number(facts, "balancers"),
-        text(facts, "zone", ""), micros(facts, "tickMs", 0), micros(family, "keepAliveMs"),
-        "load".equals(text(family, "ifCold")), "on_request".equals(text(facts, "membershipMode", "")),
-        micros(rules, "askWithinMs", 0), number(facts, "overShareWorth", 1),
-        new RouterApi.Limits((int) number(limits, "maxAttempts"), flag(limits, "mayDuplicate"),
-            flag(limits, "cancelling"), flag(limits, "probing"), flag(limits, "peers"),
-            flag(family, "placementCalls"), flag(limits, "retryAfter"),
-            micros(limits, "maxRetryAfterMs", 0), micros(family, "orderLimitMs", 0)),
-        new RouterApi.Rules(micros(rules, "stopSendingWithinMs"), number(rules, "coldFrom"),
-            micros(rules, "coldMs"), number(rules, "tipMultiple"), micros(rules, "overloadForMs"),
-            number(family, "loadsAnyway", 0), number(family, "loadShare", 0),
-            micros(family, "loadSpanMs", 0)),
-        list(facts, "profiles", true).stream().map(Wire::requestClass).toList(),
-        list(facts, "tenants", false).stream().map(Wire::tenant).toList());
-  }
-
-  private static RouterApi.RequestClass requestClass(Map<String, Object> m) {
-    RouterApi.Effect effect = switch (text(m, "effect")) {
-      case "pure" -> RouterApi.Effect.SAFE;
-      case "token" -> RouterApi.Effect.KEYED;
-      case "side_effect" -> RouterApi.Effect.UNSAFE;
-      default -> throw new BadInput("unknown effect");
-    };
-    RouterApi.Group group = switch (text(m, "group", "all")) {
-      case "all" -> RouterApi.Group.ALL;
-      case "zone" -> RouterApi.Group.ZONE;
-      case "cell" -> RouterApi.Group.CELL;
-      default -> throw new BadInput("unknown group");
-    };
-    return new RouterApi.RequestClass(text(m, "name"), effect, group, micros(m, "repeatWindowMs", 0),
-        micros(m, "goalTimeMs"), micros(m, "giveUpMs"), number(m, "points", 1), number(m, "lateValue", 0),
-        flag(m, "stream"));
-  }
-
-  private static RouterApi.Tenant tenant(Map<String, Object> m) {
-    return new RouterApi.Tenant(text(m, "name"), number(m, "share", 0), number(m, "quotaPerS", 0));
-  }
-
   /** Reads an event; {@code up}, {@code kill} and the batch lines are the host's own. */
   static Event event(String verb, Map<String, Object> m) {
     return switch (verb) {
@@ -154,14 +110,7 @@
     };
     List<RouterApi.WorkerEntry> entries = new ArrayList<>();
     for (Map<String, Object> e : list(m, "items", false)) {
-      RouterApi.Phase phase = switch (text(e, "phase")) {
-        case "Running" -> RouterApi.Phase.RUNNING;
-        case "Stopping" -> RouterApi.Phase.DRAINING;
-        case "Deleted" -> RouterApi.Phase.GONE;
-        default -> throw new BadInput("unknown phase");
-      };
-      entries.add(new RouterApi.WorkerEntry(text(e, "runner"), text(e, "regionPart", ""),
-          (int) number(e, "pack", 0), phase, number(e, "nominal", 1), micros(e, "bornMs", 0)));
+      entries.add(PlatformList.ofSimulator(e));
     }
     return new RouterApi.Workers(kind, entries);
   }
@@ -243,44 +192,10 @@
     out.writeNumberField(name, micros / 1000.0);
   }
 
-  static String text(Map<String, Object> m, String key) {
-    if (m.get(key) instanceof String s) {
-      return s;
-    }
-    throw new BadInput("missing or wrong field '" + key + "'");
-  }
-
-  private static String text(Map<String, Object> m, String key, String otherwise) {
-    return m.get(key) instanceof String s ? s : otherwise;
-  }
-
-  static double number(Map<String, Object> m, String key) {
-    if (m.get(key) instanceof Double d) {
-      return d;
-    }
-    throw new BadInput("missing or wrong field '" + key + "'");
-  }
-
-  private static double number(Map<String, Object> m, String key, double otherwise) {
-    return m.get(key) instanceof Double d ? d : otherwise;
-  }
-
-  static long micros(Map<String, Object> m, String key) {
-    return Math.round(number(m, key) * 1000);
-  }
-
-  private static long micros(Map<String, Object> m, String key, long otherwise) {
-    return m.get(key) instanceof Double d ? Math.round(d * 1000) : otherwise;
-  }
-
   private static long id(Map<String, Object> m) {
     return (long) number(m, "opId");
   }
 
-  private static boolean flag(Map<String, Object> m, String key) {
-    return Boolean.TRUE.equals(m.get(key));
-  }
-
   private static Outcome outcome(Map<String, Object> m) {
     Outcome outcome = OUTCOMES.get(text(m, "verdict"));
     if (outcome == null) {
@@ -288,28 +203,4 @@
     }
     return outcome;
   }
-
-  @SuppressWarnings("unchecked")
-  static Map<String, Object> object(Map<String, Object> m, String key) {
-    if (m.get(key) instanceof Map<?, ?> found) {
-      return (Map<String, Object>) found;
-    }
-    throw new BadInput("missing or wrong field '" + key + "'");
-  }
-
-  @SuppressWarnings("unchecked")
-  private static List<Map<String, Object>> list(Map<String, Object> m, String key, boolean needed) {
-    if (m.get(key) instanceof List<?> found) {
-      for (Object element : found) {
-        if (!(element instanceof Map<?, ?>)) {
-          throw new BadInput("wrong element in '" + key + "'");
-        }
-      }
-      return (List<Map<String, Object>>) found;
-    }
-    if (needed) {
-      throw new BadInput("missing or wrong field '" + key + "'");
-    }
-    return List.of();
-  }
 }
--- a/edge/src/main/java/gorseladder/edge/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -1,4 +1,4 @@
-package gorseladder.edge.core;
+package gorseladder.core;
 
 import gorseladder.Router;
 import gorseladder.RouterApi.Action;
@@ -49,19 +49,19 @@
  * One thread that owns the router. Others post what happened; it tells the router, and carries out what the router
  * decides. It translates and decides nothing about workers.
  */
-public final class Core implements AutoCloseable {
+public final class Core<C extends Call> implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Core.class);
   private static final long IDLE_NANOS = 1_000_000_000L;
   /** Between two looks at a plan. */
   private static final long LOOK = 250_000;
 
   /** Carries out what leaves this process; must not block. Its reports come back by the core's methods. */
-  public interface Hands {
+  public interface Hands<C extends Call> {
     /** Starts an attempt; ends in exactly one {@link Core#attemptEnded}. */
-    void send(TakenCall call, int attempt, String worker, long timeout);
+    void send(C call, int attempt, String worker, long timeout);
 
     /** Stops an attempt; its end still comes. */
-    void cancel(TakenCall call, int attempt);
+    void cancel(C call, int attempt);
 
     /** Orders copies; ends in exactly one {@link Core#loadEnded}. */
     void load(String worker, String function, int copies);
@@ -74,22 +74,23 @@
   }
 
   /** How an attempt ended, as the runner side saw it. */
-  public record AttemptEnd(TakenCall call, int attempt, Outcome outcome, byte[] body, Note note, int crowd,
+  public record AttemptEnd<C extends Call>(C call, int attempt, Outcome outcome, byte[] body, Note note, int crowd,
       Map<String, Double> report) {}
 
-  private sealed interface Message {}
+  private sealed interface Message<C extends Call> {}
 
-  private record Arrived(TakenCall call) implements Message {}
+  private record Arrived<C extends Call>(C call) implements Message<C> {}
 
-  private record Ended(AttemptEnd end) implements Message {}
+  private record Ended<C extends Call>(AttemptEnd<C> end) implements Message<C> {}
 
-  private record News(Event event) implements Message {}
+  private record News<C extends Call>(Event event) implements Message<C> {}
 
-  private record Left(TakenCall call) implements Message {}
+  private record Left<C extends Call>(C call) implements Message<C> {}
 
-  private record Planned(Plan plan) implements Message {}
+  private record Planned<C extends Call>(Plan plan) implements Message<C> {}
 
-  private record Collect(Consumer<Collected> to, Map<String, Seen.Of> giveBack) implements Message {}
+  private record Collect<C extends Call>(Consumer<Collected> to, Map<String, Seen.Of> giveBack)
+      implements Message<C> {}
 
   /** What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand. */
   public record Collected(Map<String, Seen.Of> seen, List<Account.Entry> loads, List<WorkerEntry> workers, long epoch,
@@ -97,12 +98,13 @@
 
   private final Settings settings;
   private final Router router;
-  private final Hands hands;
+  private final Hands<C> hands;
+  /** Null where the router alone says when to come back. */
   private final RetryAdvice advice;
-  private final Mailbox<Message> mailbox;
+  private final Mailbox<Message<C>> mailbox;
   private final TimerWheel<String> timers;
-  private final Map<Long, TakenCall> calls = new HashMap<>();
-  private final Map<TakenCall, Integer> attemptsOut = new HashMap<>();
+  private final Map<Long, C> calls = new HashMap<>();
+  private final Map<C, Integer> attemptsOut = new HashMap<>();
   private final Thread thread;
   /** Null where no planner is set: then nothing here differs from an edge without loads ahead. */
   private final Ahead ahead;
@@ -118,56 +120,58 @@
    *
    * @param mostOffers calls that may wait to be looked at; further ones are not taken
    * @param plans true where a planner may ask for copies ahead of need
+   * @param advice says when refused clients should come back; null where the router's own word stands
    */
-  public Core(Settings settings, long seed, Hands hands, int mostOffers, boolean plans, int stackBytes) {
+  public Core(Settings settings, long seed, Hands<C> hands, int mostOffers, boolean plans, RetryAdvice advice,
+      int stackBytes) {
     this.settings = settings;
     this.router = new Router(settings, seed);
     this.hands = hands;
     this.ahead = plans ? new Ahead(settings.keepAlive()) : null;
-    this.advice = new RetryAdvice(settings.limits().maxRetryAfter(), seed);
+    this.advice = advice;
     this.mailbox = new Mailbox<>(mostOffers);
     this.timers = new TimerWheel<>(Math.max(100, settings.tick() / 2), Clock.micros());
     this.thread = Threads.start("core", stackBytes, this::run);
   }
 
   /** Offers a call; false where too many wait already, and then it is not taken. */
-  public boolean offer(TakenCall call) {
-    return mailbox.offer(new Arrived(call));
+  public boolean offer(C call) {
+    return mailbox.offer(new Arrived<>(call));
   }
 
   /** An attempt ended; exactly once for each. */
-  public void attemptEnded(AttemptEnd end) {
-    mailbox.put(new Ended(end));
+  public void attemptEnded(AttemptEnd<C> end) {
+    mailbox.put(new Ended<>(end));
   }
 
   /** A load order ended. */
   public void loadEnded(Loaded loaded) {
-    mailbox.put(new News(loaded));
+    mailbox.put(new News<>(loaded));
   }
 
   /** The client of a call left, or the call was answered without the router. */
-  public void clientGone(TakenCall call) {
-    mailbox.put(new Left(call));
+  public void clientGone(C call) {
+    mailbox.put(new Left<>(call));
   }
 
   /** The worker list has news. */
   public void listNews(Workers news) {
-    mailbox.put(new News(news));
+    mailbox.put(new News<>(news));
   }
 
   /** Another edge sent a message. */
   public void peerMessage(int sender, String text) {
-    mailbox.put(new News(new PeerMessage(sender, text)));
+    mailbox.put(new News<>(new PeerMessage(sender, text)));
   }
 
   /** A plan came; its times are this process's clock. Only where plans are expected. */
   public void planned(Plan plan) {
-    mailbox.put(new Planned(plan));
+    mailbox.put(new Planned<>(plan));
   }
 
   /** Has what a planner is told collected and handed over, on the core's thread; {@code giveBack} could not be told before. */
   public void collect(Map<String, Seen.Of> giveBack, Consumer<Collected> to) {
-    mailbox.put(new Collect(to, giveBack));
+    mailbox.put(new Collect<>(to, giveBack));
   }
 
   private void run() {
@@ -178,7 +182,7 @@
         look();
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
-        Message message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
+        Message<C> message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
         if (message != null) {
           now = Clock.micros();
           handle(message);
@@ -189,29 +193,29 @@
     }
   }
 
-  private void handle(Message message) {
-    if (message instanceof Arrived m) {
+  private void handle(Message<C> message) {
+    if (message instanceof Arrived<C> m) {
       arrived(m.call());
-    } else if (message instanceof Ended m) {
+    } else if (message instanceof Ended<C> m) {
       ended(m.end());
-    } else if (message instanceof Left m) {
+    } else if (message instanceof Left<C> m) {
       tell(new ClientGone(m.call().id()));
       release(m.call());
-    } else if (message instanceof News m) {
+    } else if (message instanceof News<C> m) {
       noteNews(m.event());
       tell(m.event());
-    } else if (message instanceof Planned m) {
+    } else if (message instanceof Planned<C> m) {
       Ahead.Verdict verdict = ahead.take(m.plan(), now);
       lookAt = ahead.busy() ? now : Long.MAX_VALUE;
       if (verdict != Ahead.Verdict.TAKEN && verdict != Ahead.Verdict.OLDER) {
         LOG.warn("plan {}/{} is passed over: {}", m.plan().epoch(), m.plan().version(), verdict);
       }
-    } else if (message instanceof Collect m) {
+    } else if (message instanceof Collect<C> m) {
       collect(m);
     }
   }
 
-  private void collect(Collect m) {
+  private void collect(Collect<C> m) {
     seen.giveBack(m.giveBack());
     ahead.account().tidy(now);
     m.to().accept(new Collected(seen.take(), ahead.account().take(), List.copyOf(workers.values()), ahead.plan().epoch(),
@@ -258,8 +262,12 @@
     }
   }
 
-  private void arrived(TakenCall call) {
-    TakenCall.Facts f = call.facts();
+  private void arrived(C call) {
+    if (call.over()) {
+      // Its client left before it was looked at: nothing is owed, and no attempt would be let out.
+      return;
+    }
+    Call.Facts f = call.facts();
     calls.put(call.id(), call);
     if (ahead != null) {
       seen.taken(f.function(), f.memoryMb(), f.lanes());
@@ -268,16 +276,16 @@
         f.memoryMb(), f.lanes(), f.loadTime(), f.repeat()));
   }
 
-  private void ended(AttemptEnd end) {
-    TakenCall call = end.call();
+  private void ended(AttemptEnd<C> end) {
+    C call = end.call();
     call.ended(end.attempt(), end.outcome());
-    TakenCall.Attempt attempt = call.attempt(end.attempt());
+    Call.Attempt attempt = call.attempt(end.attempt());
     boolean served = end.outcome() == Outcome.OK;
     Outcome outcome = end.outcome();
     // An answer that comes after its time is not served: the client may have gone, and what it is told must be one thing.
     if (served && !call.over()) {
       if (now <= call.facts().deadlineAt() + settings.tick()) {
-        finish(call, Reason.SERVED, end.body());
+        finish(call, Reason.SERVED, end.body(), 0);
       } else {
         outcome = Outcome.TIMEOUT;
       }
@@ -292,7 +300,7 @@
     release(call);
   }
 
-  private void noteServed(TakenCall call, TakenCall.Attempt attempt, Note note) {
+  private void noteServed(C call, Call.Attempt attempt, Note note) {
     if (ahead != null) {
       seen.served(call.facts().function(), note, now - attempt.decidedAt());
       String found = ahead.served(attempt.worker(), call.facts().function(), note, now);
@@ -302,14 +310,18 @@
     }
   }
 
-  private boolean finish(TakenCall call, Reason reason, byte[] body) {
+  private void finish(C call, Reason reason, byte[] body, long retryAfter) {
     boolean refused = reason.kind == Reason.Kind.REFUSED;
-    advice.noted(refused);
-    return call.finish(new FinalAnswer(reason, body, refused ? advice.seconds() : 0), now);
+    long wait = retryAfter;
+    if (advice != null) {
+      advice.noted(refused);
+      wait = refused ? advice.seconds() * 1_000_000L : 0;
+    }
+    call.finish(new FinalAnswer(reason, body, wait), now);
   }
 
   /** Forgets a call that is over and has no attempt out. */
-  private void release(TakenCall call) {
+  private void release(C call) {
     if (call.over() && !attemptsOut.containsKey(call)) {
       calls.remove(call.id());
     }
@@ -317,19 +329,19 @@
 
   private void carryOut(Action action) {
     if (action instanceof Send a) {
-      TakenCall call = calls.get(a.id());
+      C call = calls.get(a.id());
       int number = call.begin(a.worker(), now);
       attemptsOut.merge(call, 1, Integer::sum);
       hands.send(call, number, a.worker(), a.timeout());
     } else if (action instanceof SetTimer a) {
       timers.schedule(now + a.in(), a.token());
     } else if (action instanceof Refuse a) {
-      TakenCall call = calls.get(a.id());
-      finish(call, Endings.refused(call.outcomes()), null);
+      C call = calls.get(a.id());
+      finish(call, Endings.refused(call.outcomes()), null, a.retryAfter());
       release(call);
     } else if (action instanceof Fail a) {
-      TakenCall call = calls.get(a.id());
-      finish(call, Endings.failed(call.outcomes()), null);
+      C call = calls.get(a.id());
+      finish(call, Endings.failed(call.outcomes()), null, 0);
       release(call);
     } else if (action instanceof Cancel a) {
       hands.cancel(calls.get(a.id()), a.attempt());
--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -17,6 +17,9 @@
   /** Kept connections of a worker beyond which those of calls that must not run twice are closed. */
   private static final int ENOUGH = 8;
 
+  /** Parts of the idle limit after which a connection is not trusted with a call that must not run twice. */
+  private static final int UNSAFE_PART = 10;
+
   private ConnectionChoice() {}
 
   /**
@@ -45,4 +48,37 @@
   public static boolean mayKeep(Effect effect, int kept) {
     return effect != Effect.UNSAFE || kept < ENOUGH;
   }
+
+  /**
+   * True where a further connection is opened rather than one shared that carries calls already.
+   *
+   * <p>Guards against one spoilt answer or one reset that takes every call on its connection along. It costs handshakes, and
+   * descriptors up to the bound; it could harm where a runner takes very few connections.
+   *
+   * @param carrying calls on the least used connection that may be used
+   * @param standing connections to the worker, those being opened included
+   * @param most connections to one worker at the most
+   */
+  public static boolean opensAnother(int carrying, int standing, int most) {
+    return carrying > 0 && standing < most;
+  }
+
+  /**
+   * True where a connection may carry new calls after one on it was given up unanswered.
+   *
+   * <p>Guards against a connection that stays open and is of no further use: what is sent on it is never answered, and nothing
+   * else says so. It covers a peer that vanished too. It could harm a worker that is only slow by one handshake for each call
+   * given up there.
+   *
+   * @param sentAt when the call given up was sent
+   * @param heardAt when anything came on the connection last
+   */
+  public static boolean carriesOn(long sentAt, long heardAt) {
+    return heardAt > sentAt;
+  }
+
+  /** How long a connection may be idle for a call that must not run twice, as a part of what the worker allows. */
+  public static long mostIdleUnsafe(long mostIdle) {
+    return mostIdle / UNSAFE_PART;
+  }
 }
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -3,10 +3,11 @@
 import gorseladder.RouterApi;
 import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.Workers;
+import gorseladder.answers.RetryAdvice;
 import gorseladder.config.Address;
 import gorseladder.config.SettingsFile;
 import gorseladder.config.proto.EdgeSettings;
-import gorseladder.edge.core.Core;
+import gorseladder.core.Core;
 import gorseladder.edge.core.Door;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
@@ -42,7 +43,7 @@
   private final CallHistory history;
   private final Runners runners;
   private final Intake intake;
-  private final Core core;
+  private final Core<TakenCall> core;
   private final ListWatcher list;
   private final PeerLink peers;
   private final PlannerLink planner;
@@ -77,11 +78,13 @@
     intake = new Intake(ledger, settings.getLimits().getMaxCalls(), settings.getLedger().getKeepS() * 1_000_000,
         settings.getLedger().getMaxKeptAnswerBytes(), EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
         new Hearer());
-    core = new Core(config.router(), System.nanoTime() ^ settings.getOrdinal(), new Hands(),
-        settings.getLimits().getMaxCalls(), settings.hasPlanner(), CORE_STACK);
+    RouterApi.Settings router = config.router();
+    long seed = System.nanoTime() ^ settings.getOrdinal();
+    core = new Core<>(router, seed, new Hands(),
+        settings.getLimits().getMaxCalls(), settings.hasPlanner(), new RetryAdvice(router.limits().maxRetryAfter(), seed), CORE_STACK);
     runners.reportTo(new Runners.Hearer() {
       @Override
-      public void attemptEnded(Core.AttemptEnd end) {
+      public void attemptEnded(Core.AttemptEnd<TakenCall> end) {
         history.attempt(end);
         core.attemptEnded(end);
       }
@@ -142,7 +145,7 @@
     }
   }
 
-  private final class Hands implements Core.Hands {
+  private final class Hands implements Core.Hands<TakenCall> {
     @Override
     public void send(TakenCall call, int attempt, String worker, long timeout) {
       runners.send(call, attempt, worker, timeout);
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -1,5 +1,7 @@
 package gorseladder.edge.core;
 
+import gorseladder.core.FinalAnswer;
+import gorseladder.core.Core;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
 import gorseladder.repeats.Repeats;
@@ -55,7 +57,7 @@
   private final Set<String> requestsOut = ConcurrentHashMap.newKeySet();
   private final Object[] stripes = new Object[STRIPES];
   private final AtomicLong ids = new AtomicLong();
-  private volatile Core core;
+  private volatile Core<TakenCall> core;
   private volatile boolean stopping;
 
   /**
@@ -79,7 +81,7 @@
   }
 
   /** Names the core; once, before the first delivery. */
-  public void admitTo(Core admits) {
+  public void admitTo(Core<TakenCall> admits) {
     core = admits;
   }
 
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -1,7 +1,7 @@
 package gorseladder.edge.front;
 
 import gorseladder.answers.Reason;
-import gorseladder.edge.core.FinalAnswer;
+import gorseladder.core.FinalAnswer;
 import gorseladder.edge.core.TakenCall;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -2,9 +2,9 @@
 
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
-import gorseladder.edge.core.Core;
+import gorseladder.core.Core;
 import gorseladder.edge.core.Door;
-import gorseladder.edge.core.FinalAnswer;
+import gorseladder.core.FinalAnswer;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
@@ -53,7 +53,7 @@
 
   private final WebhookSettings settings;
   private final Intake intake;
-  private final Core core;
+  private final Core<TakenCall> core;
   private final Door door;
   private final Watchdog watchdog;
   private final CallLog log;
@@ -62,7 +62,7 @@
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
-  public WebhookFront(WebhookSettings settings, Door door, Intake intake, Core core, Watchdog watchdog, CallLog log) {
+  public WebhookFront(WebhookSettings settings, Door door, Intake intake, Core<TakenCall> core, Watchdog watchdog, CallLog log) {
     this.settings = settings;
     this.door = door;
     this.intake = intake;
@@ -282,7 +282,7 @@
     private FinalAnswer overloaded() {
       log.counted(Reason.OVERLOADED);
       detail = Reason.OVERLOADED.text;
-      return new FinalAnswer(Reason.OVERLOADED, null, door.retryAfter());
+      return new FinalAnswer(Reason.OVERLOADED, null, door.retryAfter() * 1_000_000L);
     }
 
     private FinalAnswer route(Endpoint endpoint, String message, Delivery delivery, Payload payload) {
@@ -377,7 +377,7 @@
     HeadWriter w = HeadWriter.response(reason.status).field("Content-Type", "application/problem+json")
         .field("gorseladder-reason", reason.word());
     if (answer.retryAfter() > 0) {
-      w.field("Retry-After", answer.retryAfter());
+      w.field("Retry-After", answer.retryAfterSeconds());
     }
     if (reason == Reason.WRONG_METHOD) {
       w.field("Allow", "POST");
--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -3,7 +3,7 @@
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Outcome;
 import gorseladder.answers.Reason;
-import gorseladder.edge.core.Core.AttemptEnd;
+import gorseladder.core.Core.AttemptEnd;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
@@ -80,7 +80,7 @@
   }
 
   /** An attempt ended; a served one says what it met. */
-  public synchronized void attempt(AttemptEnd end) {
+  public synchronized void attempt(AttemptEnd<TakenCall> end) {
     if (end.outcome() == Outcome.OK) {
       Counts c = of(end.call());
       switch (end.note()) {
--- a/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -11,8 +11,9 @@
 import gorseladder.config.exchange.LoadAhead;
 import gorseladder.config.exchange.Worker;
 import gorseladder.config.proto.EdgeSettings;
-import gorseladder.edge.core.Core;
-import gorseladder.edge.core.Core.Collected;
+import gorseladder.core.Core;
+import gorseladder.core.Core.Collected;
+import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.history.CallHistory;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
@@ -58,7 +59,7 @@
   private final InetSocketAddress address;
   private final EdgeSettings settings;
   private final long boot;
-  private final Core core;
+  private final Core<TakenCall> core;
   private final History history;
   private final Random random = new Random();
   private final ArrayDeque<Numbered> loads = new ArrayDeque<>();
@@ -71,7 +72,7 @@
   private Thread thread;
 
   /** A link that begins with {@link #start}; {@code boot} tells the lives of this edge apart. */
-  public PlannerLink(EdgeSettings settings, long boot, Core core, CallHistory history) {
+  public PlannerLink(EdgeSettings settings, long boot, Core<TakenCall> core, CallHistory history) {
     this.address = Address.parse(settings.getPlanner().getAddress());
     this.settings = settings;
     this.boot = boot;
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -9,7 +9,7 @@
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.attempts.AttemptFate.Progress;
 import gorseladder.attempts.ConnectionChoice;
-import gorseladder.edge.core.Core.AttemptEnd;
+import gorseladder.core.Core.AttemptEnd;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
 import gorseladder.repeats.Repeats;
@@ -64,7 +64,7 @@
 
   /** Who hears how attempts and load orders ended: exactly one report for each. */
   public interface Hearer {
-    void attemptEnded(AttemptEnd end);
+    void attemptEnded(AttemptEnd<TakenCall> end);
 
     void loadEnded(Loaded loaded);
   }
@@ -307,7 +307,7 @@
       });
       Note note = head == null ? Note.NONE : note(head.get(Oip.COPY));
       Map<String, Double> load = head == null ? Map.of() : LoadReport.parse(head.get(LoadReport.HEADER));
-      hearer.attemptEnded(new AttemptEnd(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
+      hearer.attemptEnded(new AttemptEnd<>(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
     }
   }
 
--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -1,5 +1,6 @@
 package gorseladder.edge.core;
 
+import gorseladder.core.FinalAnswer;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -0,0 +1,196 @@
+package gorseladder.node;
+
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import gorseladder.core.Core;
+import gorseladder.core.Core.AttemptEnd;
+import gorseladder.gate.SendGate;
+import gorseladder.node.changelog.ChangeLogFollower;
+import gorseladder.node.front.FastCgiFront;
+import gorseladder.node.front.RequestReader;
+import gorseladder.node.peers.TierLink;
+import gorseladder.node.runners.RunnerLinks;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.Threads;
+import gorseladder.runtime.Watchdog;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadPoolExecutor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One dispatcher of the platform: front, core, runner links, change log and peers, put together and taken apart. */
+public final class Node implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final int STACK = 128 << 10;
+  private static final int CORE_STACK = 512 << 10;
+  private static final int MOST_WRITERS = 64;
+  private static final long TIDY_EVERY = 200_000;
+  /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
+  private static final int OWN_DESCRIPTORS = 48;
+  private static final int MOST_CONNECTIONS_A_RUNNER = 8;
+  private static final int MOST_ANSWER = 1 << 20;
+  /** Part of the memory that bodies held may take. */
+  private static final int BODY_PART = 8;
+  /** After SIGTERM new connections and requests still come for 0.6 s at the most; a margin on top. */
+  private static final long STOP_TAKING = 900_000;
+  private static final long CLOSE_GENTLY = 150_000;
+
+  private final NodeConfig config;
+  private final Watchdog watchdog;
+  private final ThreadPoolExecutor writers;
+  private final RunnerLinks links;
+  private final Core<NodeCall> core;
+  private final ChangeLogFollower changeLog;
+  private final FastCgiFront front;
+  private final TierLink peers;
+  private volatile boolean closed;
+
+  /**
+   * Starts a dispatcher; it is live when this returns.
+   *
+   * @throws IOException where an address cannot be listened on; the text says which
+   */
+  public Node(NodeConfig config) throws IOException {
+    this.config = config;
+    watchdog = new Watchdog("watchdog", STACK);
+    writers = Threads.pool("writer", MOST_WRITERS, STACK);
+    int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
+    links = new RunnerLinks(config.links(), config.router().limits(), new SendGate(config.router().rules()), watchdog,
+        writers, config.sockets() - OWN_DESCRIPTORS - forClients, MOST_CONNECTIONS_A_RUNNER, MOST_ANSWER, STACK);
+    TierLink[] tier = new TierLink[1];
+    core = new Core<>(config.router(), config.seed(), new Hands(tier), config.mostHeld(), false, null, CORE_STACK);
+    links.reportTo(new RunnerLinks.Hearer() {
+      @Override
+      public void attemptEnded(AttemptEnd<NodeCall> end) {
+        core.attemptEnded(end);
+      }
+
+      @Override
+      public void loadEnded(Loaded loaded) {
+        core.loadEnded(loaded);
+      }
+    });
+    front = new FastCgiFront(new RequestReader(config.router()), core, writers, forClients, config.mostHeld(),
+        config.memoryBytes() / BODY_PART, call -> links.taken(Clock.micros()));
+    changeLog = new ChangeLogFollower(config.changeLog(), new ChangeLogFollower.Hearer() {
+      @Override
+      public void runner(WorkerEntry entry, InetSocketAddress address, long at) {
+        links.told(entry.worker(), entry.phase(), address, at);
+      }
+
+      @Override
+      public void list(Workers workers) {
+        core.listNews(workers);
+      }
+    });
+    boolean mayTell = config.router().limits().peers() && config.peerListen() != null && config.peersAll() != null;
+    peers = mayTell ? new TierLink(config.peerListen(), config.peers(), config.peersAll(), config.router().ordinal(), STACK,
+        core::peerMessage) : null;
+    tier[0] = peers;
+    changeLog.start(config.knownSeq(), config.known(), STACK);
+    front.listen(config.listen(), STACK);
+    tidyLater();
+  }
+
+  private final class Hands implements Core.Hands<NodeCall> {
+    private final TierLink[] tier;
+
+    private Hands(TierLink[] tier) {
+      this.tier = tier;
+    }
+
+    @Override
+    public void send(NodeCall call, int attempt, String worker, long timeout) {
+      links.send(call, attempt, worker, timeout);
+    }
+
+    @Override
+    public void cancel(NodeCall call, int attempt) {
+      links.cancel(call, attempt);
+    }
+
+    @Override
+    public void load(String worker, String function, int copies) {
+      links.load(worker, function, copies);
+    }
+
+    @Override
+    public void tellPeers(String text) {
+      if (tier[0] != null) {
+        tier[0].tell(text);
+      }
+    }
+
+    @Override
+    public void watchList() {
+      // The change log is followed from the start on and never given up.
+    }
+  }
+
+  private void tidyLater() {
+    watchdog.after(TIDY_EVERY, () -> {
+      if (!closed) {
+        links.tidy();
+        front.tidy();
+        tidyLater();
+      }
+    });
+  }
+
+  /** Where clients connect. */
+  public InetSocketAddress address() {
+    return front.address();
+  }
+
+  /** The configuration was replaced: follows the change log where it is now. */
+  public void changeLogAt(InetSocketAddress address) {
+    changeLog.moveTo(address);
+  }
+
+  /** What it holds and counted, for the log. */
+  public String story() {
+    return "front: " + front.story() + "; links: " + links.story();
+  }
+
+  /**
+   * Stops in order: goes on taking calls until no new ones can come, answers all that was taken, then closes; at the latest
+   * when every client has given up.
+   */
+  public void stop() throws InterruptedException {
+    long longest = config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
+    long until = Clock.micros() + longest + STOP_TAKING - 3 * CLOSE_GENTLY;
+    sleepUntil(Math.min(until, Clock.micros() + STOP_TAKING));
+    while (!front.quiet() && Clock.micros() < until) {
+      sleepUntil(Clock.micros() + 5_000);
+    }
+    front.stopAccepting();
+    front.finish();
+    sleepUntil(Clock.micros() + CLOSE_GENTLY);
+    LOG.info("{} stops; {}", config.name(), story());
+    close();
+  }
+
+  private static void sleepUntil(long at) throws InterruptedException {
+    long left = at - Clock.micros();
+    if (left > 0) {
+      Thread.sleep(left / 1000, (int) (left % 1000) * 1000);
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    front.close();
+    if (peers != null) {
+      peers.close();
+    }
+    changeLog.close();
+    core.close();
+    links.close();
+    watchdog.close();
+    writers.shutdownNow();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -0,0 +1,35 @@
+package gorseladder.node;
+
+import gorseladder.core.Call;
+import gorseladder.core.FinalAnswer;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** A call of the platform: it is answered on the connection it came on, and nothing of it is kept after its end. */
+public final class NodeCall extends Call {
+  private final BiConsumer<NodeCall, FinalAnswer> onEnd;
+  /** Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's. */
+  private final Set<Object> carriers = new HashSet<>();
+
+  /** A call just taken; {@code onEnd} hears its final answer once. */
+  public NodeCall(long id, Facts facts, BiConsumer<NodeCall, FinalAnswer> onEnd) {
+    super(id, facts);
+    this.onEnd = onEnd;
+  }
+
+  @Override
+  protected void answered(FinalAnswer end) {
+    onEnd.accept(this, end);
+  }
+
+  /** Claims a connection for an attempt; false where it carried this call before. */
+  public synchronized boolean claim(Object connection) {
+    return carriers.add(connection);
+  }
+
+  /** True where the connection carried this call before. */
+  public synchronized boolean wasOn(Object connection) {
+    return carriers.contains(connection);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -0,0 +1,133 @@
+package gorseladder.node;
+
+import gorseladder.RouterApi;
+import gorseladder.platform.BadInput;
+import gorseladder.platform.Fields;
+import gorseladder.platform.PlatformSettings;
+import gorseladder.wire.changelog.ChangeLine;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the platform tells a dispatcher at its start: three variables and one JSON file ("What a dispatcher is told" of the
+ * platform's deployment page). Times are microseconds.
+ *
+ * @param seed for random numbers
+ * @param peersAll where a datagram to every other dispatcher goes; null where there are none
+ * @param known the change log's events up to the start
+ */
+public record NodeConfig(String name, InetSocketAddress listen, long seed, int sockets, long memoryBytes,
+    InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress changeLog,
+    long knownSeq, List<ChangeLine> known, RouterApi.Settings router, Links links, int mostHeld) {
+
+  /** What runner links are told of connections. */
+  public record Links(long connect, long idle, int multiplex, boolean tellsNote, boolean tellsCrowd) {}
+
+  private static final long MEGABYTE = 1 << 20;
+
+  /**
+   * Reads the configuration.
+   *
+   * @throws BadInput where anything is missing or wrong; the text names the variable, or the file and the place in it
+   */
+  public static NodeConfig read(Map<String, String> environment) {
+    String name = variable(environment, "ROUTER_NAME");
+    InetSocketAddress listen = address(variable(environment, "ROUTER_LISTEN"), "ROUTER_LISTEN");
+    Path file = Path.of(variable(environment, "ROUTER_CONFIG"));
+    Map<String, Object> all = object(file);
+    try {
+      return read(name, listen, all);
+    } catch (IllegalArgumentException e) {
+      throw new BadInput(file + ": " + e.getMessage());
+    } catch (BadInput e) {
+      throw new BadInput(file + ": " + e.getMessage());
+    }
+  }
+
+  /**
+   * Reads only the change log's address, as a replaced file names it.
+   *
+   * @throws BadInput where there is none
+   */
+  static InetSocketAddress changeLog(Map<String, String> environment) {
+    Path file = Path.of(variable(environment, "ROUTER_CONFIG"));
+    return address(Fields.text(object(file), "changelog"), file + ": changelog");
+  }
+
+  private static NodeConfig read(String name, InetSocketAddress listen, Map<String, Object> all) {
+    Map<String, Object> limits = Fields.object(all, "limits");
+    Map<String, Object> settings = Fields.object(all, "settings");
+    Map<String, Object> siteLimits = Fields.object(settings, "limits");
+    Map<String, Object> family = Fields.object(settings, "familyInfo");
+    RouterApi.Settings router = PlatformSettings.read(settings);
+    List<InetSocketAddress> peers = new ArrayList<>();
+    if (all.get("peers") instanceof List<?> named) {
+      named.forEach(peer -> peers.add(address(String.valueOf(peer), "peers")));
+    }
+    Map<String, Object> known = Fields.object(all, "known");
+    List<ChangeLine> events = new ArrayList<>();
+    for (Map<String, Object> event : Fields.list(known, "results", true)) {
+      events.add(ChangeLine.of(event));
+    }
+    Links links = new Links(Fields.micros(siteLimits, "connectTimeoutMs"), Fields.micros(siteLimits, "connIdleMs"),
+        (int) Fields.number(siteLimits, "multiplex"), Fields.flag(family, "marksCold"),
+        Fields.flag(family, "notesPeersInHand"));
+    return new NodeConfig(name, listen, seed(Fields.text(all, "seed")), (int) Fields.number(limits, "sockets"),
+        (long) (Fields.number(limits, "memory_mb") * MEGABYTE), optional(all, "peer_listen"), List.copyOf(peers),
+        optional(all, "peers_all"), address(Fields.text(all, "changelog"), "changelog"),
+        (long) Fields.number(known, "seq"), List.copyOf(events), router, links,
+        (int) Fields.number(siteLimits, "mostHeld", 20_000));
+  }
+
+  private static Map<String, Object> object(Path file) {
+    try {
+      if (Json.read(Files.readAllBytes(file)) instanceof Map<?, ?> map) {
+        @SuppressWarnings("unchecked")
+        Map<String, Object> object = (Map<String, Object>) map;
+        return object;
+      }
+      throw new BadInput("ROUTER_CONFIG: " + file + ": not a JSON object");
+    } catch (IOException e) {
+      throw new BadInput("ROUTER_CONFIG: cannot read " + e.getMessage());
+    } catch (IllegalArgumentException e) {
+      throw new BadInput("ROUTER_CONFIG: " + file + ": " + e.getMessage());
+    }
+  }
+
+  private static String variable(Map<String, String> environment, String name) {
+    String value = environment.get(name);
+    if (value == null || value.isEmpty()) {
+      throw new BadInput(name + " is not set");
+    }
+    return value;
+  }
+
+  private static long seed(String hex) {
+    try {
+      return Long.parseUnsignedLong(hex, 16);
+    } catch (NumberFormatException e) {
+      throw new BadInput("wrong field 'seed'");
+    }
+  }
+
+  private static InetSocketAddress optional(Map<String, Object> all, String key) {
+    return all.get(key) instanceof String text ? address(text, key) : null;
+  }
+
+  /** A numeric address and port; names are not looked up. */
+  public static InetSocketAddress address(String text, String where) {
+    int colon = text.lastIndexOf(':');
+    String host = colon < 0 ? "" : text.substring(0, colon);
+    if (!host.matches("[0-9.]{7,15}|\\[[0-9a-fA-F:.]{2,45}\\]") || !text.substring(colon + 1).matches("[0-9]{1,5}")
+        || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
+      throw new BadInput("'" + where + "' is no address and port: " + text);
+    }
+    return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -0,0 +1,213 @@
+package gorseladder.node.changelog;
+
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import gorseladder.node.NodeConfig;
+import gorseladder.platform.BadInput;
+import gorseladder.platform.Fields;
+import gorseladder.platform.PlatformList;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.Threads;
+import gorseladder.wire.changelog.ChangeLine;
+import gorseladder.wire.changelog.LineParser;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the change log: asks for every event after the last one it has, again at once where the connection breaks, falls
+ * silent for longer than {@link #SILENCE_MILLIS}, or leaves a number out. Half events are dropped and doubled ones skipped.
+ * While it is away the list that is known stays in force.
+ *
+ * <p>One thread of its own; {@link #moveTo} may be called by any.
+ */
+public final class ChangeLogFollower implements AutoCloseable {
+  /** Two of the beats that come every second, and some. */
+  private static final int SILENCE_MILLIS = 1_800;
+  private static final int CONNECT_MILLIS = 500;
+  private static final int MOST_LINE = 4 << 20;
+  private static final int READ = 8_192;
+  private static final int LEAST_PAUSE = 20;
+  private static final int MOST_PAUSE = 250;
+  private static final Logger LOG = LoggerFactory.getLogger(ChangeLogFollower.class);
+
+  /** Who hears the list. */
+  public interface Hearer {
+    /** One runner, told before {@link #list}; {@code at} is when the bytes that say so had arrived. */
+    void runner(WorkerEntry entry, InetSocketAddress address, long at);
+
+    /** News of the list. */
+    void list(Workers workers);
+  }
+
+  private record Birth(long wallMillis, long micros) {}
+
+  private final Hearer hearer;
+  private final Map<String, Birth> births = new HashMap<>();
+  private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+  private volatile InetSocketAddress address;
+  private volatile Socket socket;
+  private volatile boolean stopped;
+  private long last;
+  private boolean gap;
+
+  /** A follower that begins with {@link #start}. */
+  public ChangeLogFollower(InetSocketAddress address, Hearer hearer) {
+    this.address = address;
+    this.hearer = hearer;
+  }
+
+  /** Tells the events known at the start, as one list, and begins to follow the log from there. */
+  public void start(long knownSeq, List<ChangeLine> known, int stackBytes) {
+    Map<String, WorkerEntry> list = new HashMap<>();
+    long at = Clock.micros();
+    for (ChangeLine line : known) {
+      if (line.fleet() != null) {
+        if (line.fleet().all()) {
+          list.clear();
+        }
+        entries(line.fleet()).forEach(e -> list.put(e.worker(), e));
+      }
+      last = Math.max(last, line.seq());
+    }
+    last = Math.max(last, knownSeq);
+    list.values().forEach(e -> hearer.runner(e, addresses.get(e.worker()), at));
+    hearer.list(new Workers(ListKind.SAVED, new ArrayList<>(list.values())));
+    Threads.start("changelog", stackBytes, this::follow);
+  }
+
+  /** Follows the log at another address from now on, from the last number on. */
+  public void moveTo(InetSocketAddress next) {
+    address = next;
+    closeSocket();
+  }
+
+  private void follow() {
+    int pause = LEAST_PAUSE;
+    while (!stopped) {
+      InetSocketAddress asked = address;
+      long before = last;
+      try (Socket s = new Socket()) {
+        socket = s;
+        s.connect(asked, CONNECT_MILLIS);
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(SILENCE_MILLIS);
+        s.getOutputStream().write(ChangeLine.since(last));
+        if (asked.equals(address)) {
+          read(s.getInputStream());
+        }
+      } catch (IOException | IllegalArgumentException | BadInput e) {
+        if (!stopped) {
+          LOG.debug("change log at {}: {}; the list stays", asked, e.toString());
+        }
+      }
+      pause = last > before ? LEAST_PAUSE : Math.min(MOST_PAUSE, 2 * pause);
+      sleep(asked.equals(address) ? pause : 0);
+    }
+  }
+
+  private void read(InputStream in) throws IOException {
+    LineParser lines = new LineParser(MOST_LINE);
+    byte[] buffer = new byte[READ];
+    gap = false;
+    while (!stopped && !gap) {
+      int count = in.read(buffer);
+      if (count < 0) {
+        return;
+      }
+      long at = Clock.micros();
+      lines.feed(buffer, 0, count, line -> line(line, at));
+    }
+  }
+
+  private void line(byte[] line, long at) {
+    if (gap) {
+      return;
+    }
+    ChangeLine change = ChangeLine.read(line);
+    if (change.fleet() == null) {
+      // A beat, or an event that says nothing of the list; a beat past the last event says that one was missed.
+      gap = change.seq() > last;
+      return;
+    }
+    if (change.seq() <= last) {
+      return;
+    }
+    if (change.seq() > last + 1) {
+      gap = true;
+      return;
+    }
+    List<WorkerEntry> entries = entries(change.fleet());
+    last = change.seq();
+    if (change.fleet().all()) {
+      Map<String, InetSocketAddress> before = new HashMap<>(addresses);
+      entries.forEach(e -> before.remove(e.worker()));
+      before.forEach((uid, was) -> hearer.runner(
+          new WorkerEntry(uid, "", 0, Phase.GONE, 1, 0), was, at));
+      before.keySet().forEach(this::forget);
+    }
+    entries.forEach(e -> hearer.runner(e, addresses.get(e.worker()), at));
+    hearer.list(new Workers(change.fleet().all() ? ListKind.FULL : ListKind.DELTA, entries));
+    entries.stream().filter(e -> e.phase() == Phase.GONE).forEach(e -> forget(e.worker()));
+  }
+
+  private void forget(String uid) {
+    addresses.remove(uid);
+    births.remove(uid);
+  }
+
+  private List<WorkerEntry> entries(ChangeLine.Fleet fleet) {
+    List<WorkerEntry> entries = new ArrayList<>();
+    for (Map<String, Object> target : fleet.targets()) {
+      WorkerEntry entry = PlatformList.ofChangeLog(target, this::born);
+      addresses.put(entry.worker(), NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
+      entries.add(entry);
+    }
+    return entries;
+  }
+
+  /** A birth on this process's clock; computed once for each life, so that clocks that drift make no new lives. */
+  private long born(String uid, long wallMillis) {
+    Birth known = births.get(uid);
+    if (known == null || known.wallMillis() != wallMillis) {
+      long age = Math.max(0, Clock.wallMicros() - wallMillis * 1000);
+      known = new Birth(wallMillis, Math.max(1, Clock.micros() - age));
+      births.put(uid, known);
+    }
+    return known.micros();
+  }
+
+  private void sleep(int millis) {
+    try {
+      Thread.sleep(stopped ? 0 : millis);
+    } catch (InterruptedException e) {
+      stopped = true;
+    }
+  }
+
+  private void closeSocket() {
+    Socket open = socket;
+    if (open != null) {
+      try {
+        open.close();
+      } catch (IOException e) {
+        // Closed already.
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    closeSocket();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/peers/TierLink.java
@@ -0,0 +1,84 @@
+package gorseladder.node.peers;
+
+import gorseladder.runtime.Threads;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Datagrams between the dispatchers of a tier ("Between dispatchers" of the platform's protocol): the router's text alone,
+ * {@value #MOST_BYTES} bytes at the most; the sender is known by its address. They may be lost, late or doubled. A datagram
+ * from an address that is no peer is dropped.
+ */
+public final class TierLink implements AutoCloseable {
+  private static final int MOST_BYTES = 256;
+  private static final Logger LOG = LoggerFactory.getLogger(TierLink.class);
+
+  /** Hears what other dispatchers say; on the link's own thread. */
+  public interface Hearer {
+    void heard(int sender, String text);
+  }
+
+  private final DatagramSocket socket;
+  private final InetSocketAddress all;
+  private final Map<InetSocketAddress, Integer> senders = new HashMap<>();
+  private final int ordinal;
+  private final Hearer hearer;
+
+  /** Opens the socket and begins to hear; {@code peers} stand in the order of their numbers, this one included. */
+  public TierLink(InetSocketAddress at, List<InetSocketAddress> peers, InetSocketAddress all, int ordinal, int stackBytes,
+      Hearer hearer) throws IOException {
+    this.socket = new DatagramSocket(at);
+    this.all = all;
+    this.ordinal = ordinal;
+    this.hearer = hearer;
+    for (int i = 0; i < peers.size(); i++) {
+      senders.put(peers.get(i), i);
+    }
+    Threads.start("peers", stackBytes, this::hear);
+  }
+
+  /** Sends to every other dispatcher; a text that is too long never leaves. */
+  public void tell(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    if (bytes.length > MOST_BYTES) {
+      LOG.warn("a message of {} bytes to the other dispatchers was not sent", bytes.length);
+      return;
+    }
+    try {
+      socket.send(new DatagramPacket(bytes, bytes.length, all));
+    } catch (IOException e) {
+      LOG.debug("no message to the other dispatchers: {}", e.toString());
+    }
+  }
+
+  private void hear() {
+    byte[] buffer = new byte[2 * MOST_BYTES];
+    while (!socket.isClosed()) {
+      DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+      try {
+        socket.receive(packet);
+        Integer sender = senders.get((InetSocketAddress) packet.getSocketAddress());
+        if (sender != null && sender != ordinal && packet.getLength() <= MOST_BYTES) {
+          hearer.heard(sender, new String(buffer, 0, packet.getLength(), StandardCharsets.UTF_8));
+        }
+      } catch (IOException e) {
+        if (!socket.isClosed()) {
+          LOG.debug("a datagram was lost: {}", e.toString());
+        }
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -0,0 +1,134 @@
+package gorseladder.node.runners;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.attempts.ConnectionChoice;
+import gorseladder.node.NodeCall;
+import gorseladder.runtime.Clock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The connections to one runner, by its id: a new runner at an old address is another link. Any thread. */
+final class Link {
+  private final String uid;
+  private final InetSocketAddress address;
+  private final LinkSettings settings;
+  private final List<LinkConnection> connections = new ArrayList<>();
+  private boolean gone;
+
+  Link(String uid, InetSocketAddress address, LinkSettings settings) {
+    this.uid = uid;
+    this.address = address;
+    this.settings = settings;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Hands an errand to a connection; false where none can be had, and then nothing of it leaves. */
+  boolean carry(LinkConnection.Errand errand, NodeCall call, Effect effect) {
+    for (int tries = 0; tries < 3; tries++) {
+      LinkConnection connection = choose(errand.id(), call, effect);
+      if (connection == null) {
+        return false;
+      }
+      if (call != null) {
+        call.claim(connection);
+      }
+      if (errand instanceof Trip trip) {
+        trip.on(connection);
+      }
+      if (connection.carry(errand)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private synchronized LinkConnection choose(String id, NodeCall call, Effect effect) {
+    long now = Clock.micros();
+    LinkConnection least = null;
+    int carrying = 0;
+    for (LinkConnection c : connections) {
+      boolean may = c.mayCarry(id) && (call == null || !call.wasOn(c))
+          && ConnectionChoice.mayReuse(effect, c.idle(now), settings.idle(), ConnectionChoice.mostIdleUnsafe(settings.idle()));
+      int out = c.carrying();
+      if (may && out < settings.multiplex() && (least == null || out < carrying)) {
+        least = c;
+        carrying = out;
+      }
+    }
+    boolean opens = least == null || ConnectionChoice.opensAnother(carrying, connections.size(), settings.mostConnections());
+    return opens && !gone ? open(least) : least;
+  }
+
+  private LinkConnection open(LinkConnection otherwise) {
+    if (!settings.descriptors().tryAcquire()) {
+      return otherwise;
+    }
+    try {
+      LinkConnection opened = new LinkConnection(address, settings.connect(), settings.mostAnswer(), settings.writers(),
+          this::closed);
+      connections.add(opened);
+      settings.threads().newThread(opened::run).start();
+      return opened;
+    } catch (IOException | OutOfMemoryError e) {
+      settings.descriptors().release();
+      settings.log().accept("no connection to " + uid + ": " + e);
+      return otherwise;
+    }
+  }
+
+  private void closed(LinkConnection connection, boolean everOpen, String why) {
+    settings.descriptors().release();
+    synchronized (this) {
+      connections.remove(connection);
+    }
+    settings.closes().count(everOpen, why);
+  }
+
+  /** Closes what is idle too long or stuck; once the runner has gone, each connection as it falls free. */
+  void tidy(long now, long stuck) {
+    List<LinkConnection> all;
+    boolean leaving;
+    synchronized (this) {
+      all = new ArrayList<>(connections);
+      leaving = gone;
+    }
+    for (LinkConnection c : all) {
+      c.closeIfStuck(now, stuck);
+      if (leaving || c.carrying() == 0 && c.idle(now) >= settings.idle()) {
+        c.retire();
+      }
+    }
+  }
+
+  /** The runner has gone: nothing new is opened, and connections close after what is out on them. */
+  void goes() {
+    synchronized (this) {
+      gone = true;
+    }
+    tidy(Clock.micros(), Long.MAX_VALUE);
+  }
+
+  /** True where nothing is left of a runner that has gone. */
+  synchronized boolean finished() {
+    return gone && connections.isEmpty();
+  }
+
+  synchronized int standing() {
+    return connections.size();
+  }
+
+  void close() {
+    List<LinkConnection> all;
+    synchronized (this) {
+      gone = true;
+      all = new ArrayList<>(connections);
+    }
+    all.forEach(c -> c.close(Ending.BROKEN, "stopping"));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -0,0 +1,225 @@
+package gorseladder.node.runners;
+
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.Outbox;
+import gorseladder.wire.runner.AnswerParser;
+import gorseladder.wire.runner.AnswerParser.Answer;
+import gorseladder.wire.runner.BadAnswer;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+
+/**
+ * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every errand on it
+ * ends in exactly one of: its answer, {@link Errand#broken}, or being given up by its owner.
+ */
+final class LinkConnection {
+  private static final int READ = 8_192;
+  private static final int MOST_WAITING_BYTES = 4 << 20;
+  private static final int MOST_ABANDONED = 64;
+
+  /** Something sent under an id that an answer may come for. */
+  interface Errand extends Outbox.Item {
+    String id();
+
+    /** The answer; on the connection's thread. */
+    void answered(Answer answer);
+
+    /** No answer will come on this connection. */
+    void broken(Ending ending);
+  }
+
+  /** Hears of the connection's end. */
+  interface Owner {
+    void closed(LinkConnection connection, boolean everOpen, String why);
+  }
+
+  private final SocketChannel channel;
+  private final InetSocketAddress address;
+  private final int connectMillis;
+  private final AnswerParser parser;
+  private final Outbox outbox;
+  private final Owner owner;
+  private final Map<String, Errand> out = new HashMap<>();
+  private final Set<String> abandoned = new HashSet<>();
+  private boolean open;
+  private boolean closed;
+  private boolean retired;
+  private volatile long usedAt = Clock.micros();
+  private volatile long heardAt;
+
+  LinkConnection(InetSocketAddress address, long connect, int mostAnswer, Executor writers, Owner owner) throws IOException {
+    this.address = address;
+    this.connectMillis = (int) Math.max(1, connect / 1000);
+    this.parser = new AnswerParser(mostAnswer);
+    this.owner = owner;
+    this.channel = SocketChannel.open();
+    this.outbox = new Outbox(writers, MOST_WAITING_BYTES, e -> close(Ending.BROKEN, e.toString()));
+  }
+
+  /** Opens the connection and reads it until its end; the whole life of its thread. */
+  void run() {
+    try {
+      try {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        channel.socket().connect(address, connectMillis);
+      } catch (IOException e) {
+        close(Ending.CONNECT_FAILED, e.toString());
+        return;
+      }
+      synchronized (this) {
+        open = true;
+        usedAt = Clock.micros();
+      }
+      outbox.open(channel);
+      read();
+    } catch (BadAnswer e) {
+      close(Ending.MALFORMED, e.getMessage());
+    } catch (IOException | RuntimeException e) {
+      close(Ending.BROKEN, e.toString());
+    }
+  }
+
+  private void read() throws IOException, BadAnswer {
+    ByteBuffer buffer = ByteBuffer.allocate(READ);
+    while (true) {
+      buffer.clear();
+      int count = channel.read(buffer);
+      if (count < 0) {
+        throw new EOFException("closed by the runner");
+      }
+      heardAt = Clock.micros();
+      parser.feed(buffer.array(), 0, count, this::answered);
+    }
+  }
+
+  private void answered(Answer answer) {
+    Errand errand;
+    synchronized (this) {
+      errand = out.remove(answer.id());
+      usedAt = heardAt;
+    }
+    if (errand != null) {
+      errand.answered(answer);
+    }
+    closeIfDone();
+  }
+
+  /** Takes an errand; false where the connection has ended. */
+  boolean carry(Errand errand) {
+    synchronized (this) {
+      if (closed || retired || out.putIfAbsent(errand.id(), errand) != null) {
+        return false;
+      }
+      usedAt = Clock.micros();
+    }
+    if (!outbox.put(errand)) {
+      synchronized (this) {
+        out.remove(errand.id(), errand);
+      }
+      return false;
+    }
+    return true;
+  }
+
+  /** Forgets an errand that ended before anything of it was written. */
+  void drop(Errand errand) {
+    synchronized (this) {
+      out.remove(errand.id(), errand);
+    }
+    closeIfDone();
+  }
+
+  /** Gives an errand up that was written; whatever still comes for it is dropped. */
+  void abandon(Errand errand, byte[] halt, boolean carriesOn) {
+    synchronized (this) {
+      if (!out.remove(errand.id(), errand) || closed) {
+        return;
+      }
+      abandoned.add(errand.id());
+      retired |= !carriesOn || abandoned.size() > MOST_ABANDONED;
+    }
+    if (halt != null) {
+      outbox.put(halt);
+    }
+    closeIfDone();
+  }
+
+  /** True where a call of that id may be carried: the id was not given up here before. */
+  synchronized boolean mayCarry(String id) {
+    return !closed && !retired && !abandoned.contains(id) && !out.containsKey(id);
+  }
+
+  /** Errands out. */
+  synchronized int carrying() {
+    return out.size();
+  }
+
+  /** Microseconds for which it has carried nothing new. */
+  long idle(long now) {
+    return now - usedAt;
+  }
+
+  long heardAt() {
+    return heardAt;
+  }
+
+  /** Takes nothing new; closes once nothing is out. */
+  void retire() {
+    synchronized (this) {
+      retired = true;
+    }
+    closeIfDone();
+  }
+
+  private void closeIfDone() {
+    boolean done;
+    synchronized (this) {
+      done = retired && out.isEmpty() && !closed;
+    }
+    if (done) {
+      close(Ending.BROKEN, "retired");
+    }
+  }
+
+  /** Closes it where a write has been stuck for so long. */
+  void closeIfStuck(long now, long most) {
+    long since = outbox.writingSince();
+    if (since > 0 && now - since > most) {
+      close(Ending.BROKEN, "the runner does not read");
+    }
+  }
+
+  void close(Ending ending, String why) {
+    List<Errand> left;
+    boolean was;
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      closed = true;
+      was = open;
+      left = new ArrayList<>(out.values());
+      out.clear();
+    }
+    outbox.close();
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // Nothing is left to release.
+    }
+    owner.closed(this, was, why);
+    left.forEach(errand -> errand.broken(ending));
+  }
+}
--- a/runtime/src/main/java/gorseladder/runtime/Clock.java
+++ b/runtime/src/main/java/gorseladder/runtime/Clock.java
@@ -2,11 +2,12 @@
 
 /** The two clocks of a program, read here and nowhere else. Any thread. */
 public final class Clock {
-  private static final long START = System.nanoTime() - 1_000_000_000L;
+  /** What began up to an hour before the process still has a time that is not negative. */
+  private static final long START = System.nanoTime() - 3_600_000_000_000L;
 
   private Clock() {}
 
-  /** Microseconds on a clock that only goes forward; it starts near one second at the start of the process. */
+  /** Microseconds on a clock that only goes forward; it starts near one hour at the start of the process. */
   public static long micros() {
     return (System.nanoTime() - START) / 1000;
   }
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -13,9 +13,9 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.config.Address;
-import gorseladder.edge.core.Core;
+import gorseladder.core.Core;
 import gorseladder.edge.core.Door;
-import gorseladder.edge.core.FinalAnswer;
+import gorseladder.core.FinalAnswer;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.runners.RunnerSettings;
@@ -54,7 +54,7 @@
       Settings settings = new Settings(0, 1, "z", 2_000, 8_000_000, true, false, 0, 1,
           new gorseladder.RouterApi.Limits(4, false, true, false, false, true, true, 1_000_000, 1_000_000), RULES,
           List.of(issue), List.of());
-      Core core = new Core(settings, 1, new Core.Hands() {
+      Core<TakenCall> core = new Core<>(settings, 1, new Core.Hands<TakenCall>() {
         @Override
         public void send(TakenCall call, int attempt, String worker, long timeout) {
           first[0] = first[0] == null ? worker : first[0];
@@ -74,10 +74,10 @@
 
         @Override
         public void watchList() {}
-      }, 10, false, 256 << 10);
+      }, 10, false, null, 256 << 10);
       runners.reportTo(new Runners.Hearer() {
         @Override
-        public void attemptEnded(Core.AttemptEnd end) {
+        public void attemptEnded(Core.AttemptEnd<TakenCall> end) {
           core.attemptEnded(end);
         }
 
--- /dev/null
+++ b/wire/src/main/java/gorseladder/wire/changelog/ChangeLine.java
@@ -0,0 +1,64 @@
+package gorseladder.wire.changelog;
+
+import gorseladder.wire.json.Json;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One line of the change log: a numbered event, or the last number alone ("The change log" of the platform's protocol).
+ *
+ * @param seq the event's number, or the last one in the log
+ * @param fleet the change of the list of runners, null where the line has none
+ */
+public record ChangeLine(long seq, Fleet fleet) {
+  /** A change of the list; {@code all} where it is the whole list. */
+  public record Fleet(boolean all, List<Map<String, Object>> targets) {}
+
+  /**
+   * Reads a line.
+   *
+   * @throws IllegalArgumentException where it is none
+   */
+  public static ChangeLine read(byte[] line) {
+    if (line.length > 0 && line.length < 18 && digits(line)) {
+      return new ChangeLine(Long.parseLong(new String(line, StandardCharsets.US_ASCII)), null);
+    }
+    return of(Json.read(line));
+  }
+
+  /**
+   * An event as the configuration holds it under {@code known}.
+   *
+   * @throws IllegalArgumentException where it is none
+   */
+  @SuppressWarnings("unchecked")
+  public static ChangeLine of(Object event) {
+    if (!(Json.at(event, "seq") instanceof Double seq) || seq < 0 || seq != Math.rint(seq)) {
+      throw new IllegalArgumentException("an event without a number");
+    }
+    Object fleet = Json.at(event, "fleet");
+    if (fleet == null) {
+      return new ChangeLine(seq.longValue(), null);
+    }
+    if (!(Json.at(fleet, "targets") instanceof List<?> targets) || !targets.stream().allMatch(t -> t instanceof Map)) {
+      throw new IllegalArgumentException("event " + seq.longValue() + " has no list of runners");
+    }
+    return new ChangeLine(seq.longValue(),
+        new Fleet(Boolean.TRUE.equals(Json.at(fleet, "all")), (List<Map<String, Object>>) (List<?>) targets));
+  }
+
+  /** The line with which a reader asks for every event after a number. */
+  public static byte[] since(long seq) {
+    return ("since " + seq + "\n").getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static boolean digits(byte[] line) {
+    for (byte b : line) {
+      if (b < '0' || b > '9') {
+        return false;
+      }
+    }
+    return true;
+  }
+}
