Socket tests of the live dispatcher; a call withdrawn early no longer retires its connection

Found by them: a withdrawn call's halt never reached the runner. ConnectionChoice.carriesOn took any call given up without an answer since as a sign that the connection is dead, so the connection was closed with the halt in its outbox. A call given up after less than 0.4 s now says nothing. Also: requests answered early keep their number until their body ends; a client that never ends them is cut off at 1,024.

--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -20,6 +20,9 @@
   /** Parts of the idle limit after which a connection is not trusted with a call that must not run twice. */
   private static final int UNSAFE_PART = 10;
 
+  /** Silence of a connection, in microseconds, that a call given up there must have met for it to count. */
+  private static final long SILENCE = 400_000;
+
   private ConnectionChoice() {}
 
   /**
@@ -68,13 +71,14 @@
    *
    * <p>Guards against a connection that stays open and is of no further use: what is sent on it is never answered, and nothing
    * else says so. It covers a peer that vanished too. It could harm a worker that is only slow by one handshake for each call
-   * given up there.
+   * given up there; a call withdrawn soon after it was sent says nothing.
    *
    * @param sentAt when the call given up was sent
    * @param heardAt when anything came on the connection last
+   * @param now when it is given up
    */
-  public static boolean carriesOn(long sentAt, long heardAt) {
-    return heardAt > sentAt;
+  public static boolean carriesOn(long sentAt, long heardAt, long now) {
+    return heardAt > sentAt || now - sentAt < SILENCE;
   }
 
   /** How long a connection may be idle for a call that must not run twice, as a part of what the worker allows. */
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -17,6 +17,7 @@
 import gorseladder.runtime.Watchdog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.concurrent.ThreadPoolExecutor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -150,6 +151,21 @@
     changeLog.moveTo(address);
   }
 
+  /** True where no call is held and no attempt is out. */
+  public boolean idle() {
+    return front.held() == 0 && links.callsOut() == 0;
+  }
+
+  /** Runners that links are kept to. */
+  public Set<String> runners() {
+    return links.runners();
+  }
+
+  /** Clients' connections that are open. */
+  public int connections() {
+    return front.connections();
+  }
+
   /** What it holds and counted, for the log. */
   public String story() {
     return "front: " + front.story() + "; links: " + links.story();
--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -23,6 +23,10 @@
 
   /** Runs until SIGTERM or SIGINT and returns the exit code; one line on standard error where it cannot start. */
   public static int run() throws InterruptedException {
+    // Read by the logging's configuration: what the dispatcher says is seldom and worth keeping.
+    if (System.getProperty("gorseladder.log.level") == null) {
+      System.setProperty("gorseladder.log.level", "INFO");
+    }
     CountDownLatch stop = new CountDownLatch(1);
     AtomicReference<Node> running = new AtomicReference<>();
     AtomicBoolean early = new AtomicBoolean();
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -28,6 +28,7 @@
   private static final int FIRST_READ = 512;
   private static final int READ = 8_192;
   private static final int MOST_OPEN = 32;
+  private static final int MOST_NUMBERS = 1_024;
   private static final int MOST_PARAMS = 8_192;
   private static final int MOST_PAIRS = 100;
   private static final int RESPONDER = 1;
@@ -109,6 +110,11 @@
   public void begin(int id, int role, boolean keeps) {
     Exchange before;
     boolean over;
+    if (endless()) {
+      front.count("too many requests without their ends");
+      close();
+      return;
+    }
     synchronized (this) {
       before = open.get(id);
       over = before == null && unanswered >= MOST_OPEN;
@@ -130,6 +136,11 @@
     }
   }
 
+  /** Requests answered early keep their number until their body ends; a client that never ends them is cut off. */
+  private synchronized boolean endless() {
+    return open.size() >= MOST_NUMBERS;
+  }
+
   private synchronized Exchange get(int id) {
     return open.get(id);
   }
--- a/node/src/main/java/gorseladder/node/runners/Trip.java
+++ b/node/src/main/java/gorseladder/node/runners/Trip.java
@@ -149,7 +149,7 @@
       return;
     }
     if (carrier != null && left) {
-      carrier.abandon(this, Commands.halt(id()), ConnectionChoice.carriesOn(leftAt, carrier.heardAt()));
+      carrier.abandon(this, Commands.halt(id()), ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()));
     } else if (carrier != null) {
       carrier.drop(this);
     }
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -159,6 +159,9 @@
       } catch (IOException e) {
         fail(e);
         return;
+      } catch (RuntimeException e) {
+        fail(new IOException("writing failed", e));
+        return;
       }
     }
   }
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -0,0 +1,129 @@
+package gorseladder.testbed.platform;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A change log that can break off in the middle of an event, fall silent, write events twice or leave some out. Any thread.
+ */
+public final class PlatformChangeLog implements Closeable {
+  private static final int BEAT_MILLIS = 200;
+
+  private final ServerSocket server;
+  private final List<String> events;
+  private final List<Long> asked = new ArrayList<>();
+  private Socket current;
+  private boolean silent;
+  private int doubles;
+
+  /** A log on a free port of the loopback, sharing its events with others that take its place. */
+  public PlatformChangeLog(List<String> events) throws IOException {
+    this.events = events;
+    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    Thread thread = new Thread(this::accept, "change-log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  /** One event; the first has the number 1. */
+  public static String event(long seq, boolean all, String uid, InetSocketAddress at, String state) {
+    return "{\"seq\":" + seq + ",\"fleet\":{\"rev\":" + seq + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"" + uid
+        + "\",\"endpoint\":\"127.0.0.1:" + at.getPort() + "\",\"az\":\"z\",\"model\":\"std\",\"pod_group\":0,\"state\":\""
+        + state + "\",\"capacity_hint\":4,\"boot_ms\":0}]}}";
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        synchronized (this) {
+          current = socket;
+          silent = false;
+        }
+        Thread thread = new Thread(() -> tell(socket), "change-log-reader");
+        thread.setDaemon(true);
+        thread.start();
+      }
+    } catch (IOException e) {
+      // Closed.
+    }
+  }
+
+  private void tell(Socket socket) {
+    try (socket) {
+      String line = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+      int from = Integer.parseInt(line.substring("since ".length()));
+      OutputStream out = socket.getOutputStream();
+      synchronized (this) {
+        asked.add((long) from);
+      }
+      while (true) {
+        synchronized (this) {
+          StringBuilder text = new StringBuilder();
+          for (; !silent && from < events.size(); from++) {
+            text.append((events.get(from) + "\n").repeat(1 + doubles));
+          }
+          text.append(silent ? "" : from + "\n");
+          out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
+          wait(BEAT_MILLIS);
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // Closed by either side.
+    }
+  }
+
+  /** Adds an event. */
+  public synchronized void add(String event) {
+    events.add(event);
+    notifyAll();
+  }
+
+  /** Stops telling on the present connection, which stays open; a new one is told again. */
+  public synchronized void fallSilent() {
+    silent = true;
+  }
+
+  /** Writes every event so many times more from now on. */
+  public synchronized void doubled(int more) {
+    doubles = more;
+  }
+
+  /** Breaks the present connection off inside an event. */
+  public synchronized void breakOff() throws IOException {
+    if (current != null) {
+      current.getOutputStream().write("{\"seq\":9".getBytes(StandardCharsets.US_ASCII));
+      current.close();
+    }
+  }
+
+  /** The numbers that readers asked from, so far. */
+  public synchronized List<Long> asked() {
+    return List.copyOf(asked);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    synchronized (this) {
+      if (current != null) {
+        current.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -0,0 +1,192 @@
+package gorseladder.testbed.platform;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/**
+ * A runner that speaks the platform's lines and does with each request what its script says. It writes down what arrived
+ * whole, and when. Any thread.
+ */
+public final class PlatformRunner implements Closeable {
+  /** What is done with a request. */
+  public enum Deed { SERVE, REFUSE, MISS, ERROR, SILENT, RESET, NOISE, HUGE, HALF, TWICE, AHEAD }
+
+  /** A request that arrived whole; {@code at} is {@link System#nanoTime()}. */
+  public record Arrival(String id, String requestClass, String body, int connection, long at) {}
+
+  private final ServerSocket server;
+  private final Function<Arrival, Deed> script;
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<String> orders = new ArrayList<>();
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private int halts;
+  private int connections;
+
+  /** Listens on a free port of the loopback. */
+  public PlatformRunner(Function<Arrival, Deed> script) throws IOException {
+    this.script = script;
+    server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(null, task, "platform-runner", 256 << 10);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        open.add(socket);
+        int number;
+        synchronized (this) {
+          number = connections++;
+        }
+        start(() -> serve(socket, number));
+      }
+    } catch (IOException e) {
+      // Closed.
+    }
+  }
+
+  private void serve(Socket socket, int connection) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      OutputStream out = socket.getOutputStream();
+      for (String line = line(in); line != null; line = line(in)) {
+        String[] words = line.split(" ");
+        switch (words[0]) {
+          case "go" -> go(words, in, out, socket, connection);
+          case "stage" -> {
+            synchronized (this) {
+              orders.add(words[2]);
+            }
+            write(out, words[1] + " ok pods=1 0\r\n\r\n");
+          }
+          case "halt" -> {
+            synchronized (this) {
+              halts++;
+            }
+          }
+          default -> throw new IOException("not a command: " + line);
+        }
+      }
+    } catch (IOException e) {
+      // Closed by either side.
+    } finally {
+      open.remove(socket);
+    }
+  }
+
+  private static String line(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int b = in.read(); b != '\n'; b = in.read()) {
+      if (b < 0) {
+        return null;
+      }
+      line.append((char) b);
+    }
+    return line.toString().strip();
+  }
+
+  private static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** What a runner makes of a request: no other body may be answered as served. */
+  public static String result(String id, String body) {
+    return "made of " + id + " " + body;
+  }
+
+  private void go(String[] words, InputStream in, OutputStream out, Socket socket, int connection) throws IOException {
+    int length = Integer.parseInt(words[3]);
+    byte[] body = in.readNBytes(length);
+    if (body.length < length || in.read() != '\r' || in.read() != '\n') {
+      throw new IOException("half a request");
+    }
+    String id = words[1];
+    String requestClass = words[2].substring(words[2].indexOf("profile=") + 8, words[2].indexOf(','));
+    Arrival arrival = new Arrival(id, requestClass, new String(body, StandardCharsets.ISO_8859_1), connection,
+        System.nanoTime());
+    synchronized (this) {
+      arrivals.add(arrival);
+    }
+    String result = result(id, arrival.body());
+    String served = id + " ok remark=up " + result.length() + "\r\n" + result + "\r\n";
+    switch (script.apply(arrival)) {
+      case SERVE -> write(out, served);
+      case REFUSE -> write(out, id + " refused depth=3 0\r\n\r\n");
+      case MISS -> write(out, id + " nothing remark=crashed 0\r\n\r\n");
+      case ERROR -> write(out, id + " error - 0\r\n\r\n");
+      case SILENT -> { }
+      case RESET -> {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      }
+      case NOISE -> write(out, "\u0007\u0003 noise that is no line");
+      case HUGE -> write(out, id + " ok - 3000000000\r\n" + "x".repeat(5_000));
+      case HALF -> {
+        write(out, served.substring(0, served.length() / 2));
+        socket.close();
+      }
+      case TWICE -> write(out, served + served);
+      case AHEAD -> write(out, "0000000000000000 ok - 1\r\nx\r\n" + served);
+    }
+  }
+
+  /** What arrived whole so far. */
+  public synchronized List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
+  /** Orders to load so far. */
+  public synchronized List<String> orders() {
+    return List.copyOf(orders);
+  }
+
+  /** Requests given up by the dispatcher so far. */
+  public synchronized int halts() {
+    return halts;
+  }
+
+  /** Connections taken so far. */
+  public synchronized int connections() {
+    return connections;
+  }
+
+  /** Resets every connection, as the end of a process does. */
+  public void resetAll() throws IOException {
+    for (Socket socket : open) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -0,0 +1,400 @@
+package gorseladder.testbed.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.Limits;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.RouterApi.Rules;
+import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.Tenant;
+import gorseladder.node.Node;
+import gorseladder.node.NodeConfig;
+import gorseladder.platform.BadInput;
+import gorseladder.testbed.platform.FastCgiClient.Answer;
+import gorseladder.testbed.platform.PlatformRunner.Arrival;
+import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.wire.changelog.ChangeLine;
+import gorseladder.wire.fastcgi.RecordWriter;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A live dispatcher between scripted clients, runners and a change log, all on loopback. */
+class NodePathTest {
+  private static final long SECOND = 1_000_000;
+  private static final Rules RULES = new Rules(500_000, 0.2, 6 * SECOND, 2.5, 1_500_000, 0, 0, 0);
+  private static final String FUNCTION = "00000000000000ff";
+
+  private final List<PlatformRunner> runners = new ArrayList<>();
+  private final List<String> events = new ArrayList<>();
+  private final List<FastCgiClient> clients = new ArrayList<>();
+  private PlatformChangeLog log;
+  private Node node;
+
+  private static RequestClass requestClass(String name, Effect effect) {
+    return new RequestClass(name, effect, Group.ALL, 5 * SECOND, SECOND, 2 * SECOND, 1, 0.2, false);
+  }
+
+  /** Starts runners that follow a script, and a dispatcher that knows them. */
+  private void start(int count, Function<Arrival, Deed> script) throws IOException {
+    for (int i = 0; i < count; i++) {
+      PlatformRunner runner = new PlatformRunner(script);
+      runners.add(runner);
+      events.add(PlatformChangeLog.event(i + 1, i == 0, "r" + i, runner.address(), "active"));
+    }
+    log = new PlatformChangeLog(events);
+    Settings settings = new Settings(0, 1, "z", 2_000, 8 * SECOND, true, false, 0, 0.05,
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), RULES,
+        List.of(requestClass("safe", Effect.SAFE), requestClass("unsafe", Effect.UNSAFE)), List.of(new Tenant("t", 1, 100)));
+    List<ChangeLine> known = events.stream().map(e -> ChangeLine.of(Json.read(e.getBytes(StandardCharsets.US_ASCII)))).toList();
+    node = new Node(new NodeConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 5, 1_024, 128 << 20, null,
+        List.of(), null, log.address(), count, known, settings, new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
+        20_000));
+  }
+
+  private FastCgiClient client() throws IOException {
+    FastCgiClient client = new FastCgiClient(node.address());
+    clients.add(client);
+    return client;
+  }
+
+  private static String id(long n) {
+    return String.format("%016x", n);
+  }
+
+  private static byte[] body(int n) {
+    return ("body " + n).getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private List<Arrival> arrivals() {
+    return runners.stream().flatMap(r -> r.arrivals().stream()).toList();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    for (FastCgiClient client : clients) {
+      client.close();
+    }
+    if (node != null) {
+      node.close();
+    }
+    if (log != null) {
+      log.close();
+    }
+    for (PlatformRunner runner : runners) {
+      runner.close();
+    }
+  }
+
+  private static boolean within(long millis, BooleanSupplier holds) throws InterruptedException {
+    long until = System.nanoTime() + millis * 1_000_000;
+    while (!holds.getAsBoolean() && System.nanoTime() < until) {
+      Thread.sleep(5);
+    }
+    return holds.getAsBoolean();
+  }
+
+  /** Every way in which an answer can go wrong, in turn, on thousands of calls of both kinds. */
+  @Test
+  void eachCallGetsOneAnswerAndNothingUnsafeRunsTwice() throws Exception {
+    Map<Deed, Integer> done = new EnumMap<>(Deed.class);
+    Random random = new Random(11);
+    start(4, a -> {
+      synchronized (done) {
+        Deed[] deeds = Deed.values();
+        Deed deed = random.nextInt(100) < 80 ? Deed.SERVE : deeds[random.nextInt(deeds.length)];
+        // Silence costs its call the whole time it has, so it is kept rare.
+        deed = deed == Deed.SILENT && random.nextInt(4) > 0 ? Deed.ERROR : deed;
+        done.merge(deed, 1, Integer::sum);
+        return deed;
+      }
+    });
+    int calls = 3_000;
+    int at = 0;
+    int[] kinds = new int[3];
+    while (at < calls) {
+      FastCgiClient client = client();
+      int from = at;
+      for (; at < Math.min(calls, from + 25); at++) {
+        client.send(at - from + 1, FastCgiClient.params(at % 3 == 0 ? "unsafe" : "safe", id(at), FUNCTION, 1_500), body(at));
+      }
+      for (int i = from; i < at; i++) {
+        Answer answer = client.await(i - from + 1, 4_000);
+        assertNotNull(answer, "call " + i + " got no answer");
+        kinds[answer.status() == 200 ? 0 : answer.refused() ? 1 : 2]++;
+        if (answer.status() == 200) {
+          assertEquals(PlatformRunner.result(id(i), "body " + i), new String(answer.body(), StandardCharsets.ISO_8859_1));
+        }
+      }
+      assertEquals(0, client.second());
+      client.close();
+    }
+    Map<String, Integer> unsafe = new HashMap<>();
+    Map<String, Integer> carried = new HashMap<>();
+    for (int r = 0; r < runners.size(); r++) {
+      for (Arrival a : runners.get(r).arrivals()) {
+        carried.merge(r + " " + a.connection() + " " + a.id(), 1, Integer::sum);
+        if (a.requestClass().equals("unsafe")) {
+          unsafe.merge(a.id(), 1, Integer::sum);
+        }
+      }
+    }
+    assertEquals(Map.of(), notOnce(carried), "an id went twice over one connection");
+    // A runner that said that it never ran (full, miss) leaves an unsafe call free to go elsewhere; nothing else does.
+    long harmless = done.getOrDefault(Deed.REFUSE, 0) + done.getOrDefault(Deed.MISS, 0);
+    assertTrue(notOnce(unsafe).size() <= harmless, "unsafe calls that arrived twice: " + notOnce(unsafe));
+    assertEquals(Deed.values().length, done.size(), "played " + done);
+    assertTrue(kinds[0] > calls / 2 && kinds[2] > 0, "served, refused, failed: " + kinds[0] + " " + kinds[1] + " " + kinds[2]);
+    assertTrue(within(3_000, () -> node.idle()), node.story());
+  }
+
+  private static Map<String, Integer> notOnce(Map<String, Integer> counts) {
+    Map<String, Integer> more = new HashMap<>(counts);
+    more.values().removeIf(n -> n == 1);
+    return more;
+  }
+
+  /** What may have run is answered as failed and arrives once, however its connection ended. */
+  @ParameterizedTest
+  @ValueSource(strings = {"RESET", "NOISE", "HUGE", "HALF", "ERROR"})
+  void anUnsafeCallThatMayHaveRunIsFailedAndNotSentAgain(String deed) throws Exception {
+    start(3, a -> Deed.valueOf(deed));
+    FastCgiClient client = client();
+    client.send(1, FastCgiClient.params("unsafe", id(1), FUNCTION, 1_500), body(1));
+    Answer answer = client.await(1, 3_000);
+    assertTrue(answer.status() >= 500 && !answer.refused(), "status " + answer.status());
+    assertEquals(1, arrivals().size());
+  }
+
+  /** A safe call goes on elsewhere, and an answer that was spoilt is never passed on. */
+  @ParameterizedTest
+  @ValueSource(strings = {"RESET", "NOISE", "HUGE", "HALF", "REFUSE", "MISS", "AHEAD", "TWICE"})
+  void aSafeCallIsServedByAnother(String deed) throws Exception {
+    boolean[] first = {true};
+    start(3, a -> {
+      synchronized (first) {
+        Deed now = first[0] ? Deed.valueOf(deed) : Deed.SERVE;
+        first[0] = false;
+        return now;
+      }
+    });
+    FastCgiClient client = client();
+    client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
+    Answer answer = client.await(1, 3_000);
+    assertEquals(200, answer.status());
+    assertEquals(PlatformRunner.result(id(1), "body 1"), new String(answer.body(), StandardCharsets.ISO_8859_1));
+  }
+
+  @Test
+  void nothingLeavesAfterADrainIsTold() throws Exception {
+    start(2, a -> Deed.SERVE);
+    log.add(PlatformChangeLog.event(3, false, "r0", runners.get(0).address(), "leaving"));
+    log.add(PlatformChangeLog.event(4, false, "r1", runners.get(1).address(), "leaving"));
+    Thread.sleep(600);
+    FastCgiClient client = client();
+    client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 700), body(1));
+    Answer answer = client.await(1, 2_000);
+    assertTrue(answer.refused(), "status " + answer.status());
+    assertEquals(0, arrivals().size());
+  }
+
+  /** Breaks, silence, doubled events and another address: the list is whole after each. */
+  @Test
+  void theChangeLogIsFollowedThroughBreaksSilenceDoublesAndAMove() throws Exception {
+    start(1, a -> Deed.SERVE);
+    assertTrue(within(2_000, () -> log.asked().size() == 1));
+    log.breakOff();
+    log.add(PlatformChangeLog.event(2, false, "r1", runners.get(0).address(), "active"));
+    assertTrue(within(2_000, () -> node.runners().contains("r1")), "after a break");
+    assertEquals(List.of(1L, 1L), log.asked());
+    log.doubled(1);
+    log.add(PlatformChangeLog.event(3, false, "r2", runners.get(0).address(), "active"));
+    assertTrue(within(2_000, () -> node.runners().contains("r2")), "doubled");
+    log.fallSilent();
+    log.add(PlatformChangeLog.event(4, false, "r3", runners.get(0).address(), "active"));
+    assertTrue(within(4_000, () -> node.runners().contains("r3")), "after silence");
+    PlatformChangeLog next = new PlatformChangeLog(events);
+    log.close();
+    log = next;
+    node.changeLogAt(next.address());
+    next.add(PlatformChangeLog.event(5, false, "r0", runners.get(0).address(), "left"));
+    assertTrue(within(3_000, () -> !node.runners().contains("r0")), "after a move");
+    assertEquals(List.of(4L), next.asked());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"HTTP_X_REQUEST_ID,,400", "HTTP_X_REQUEST_ID,xyz,400", "HTTP_X_OBJECT,,400", "HTTP_X_OBJECT,../etc,400",
+      "HTTP_X_TIMEOUT_MS,,400", "HTTP_X_TIMEOUT_MS,0,400", "HTTP_X_TIMEOUT_MS,-5,400", "HTTP_X_TIMEOUT_MS,NaN,400",
+      "HTTP_X_TIMEOUT_MS,1e3,400", "HTTP_X_TIMEOUT_MS,99999999999,400", "HTTP_X_TENANT,nobody,400", "SCRIPT_NAME,/svc/none,404",
+      "HTTP_X_FACTS,lanes:0;memory_mb:1,400", "HTTP_X_FACTS,lanes:1.5;memory_mb:1,400", "HTTP_X_FACTS,lanes:x,400",
+      "HTTP_X_FACTS,memory_mb:-1;lanes:1,400", "HTTP_X_RETRY,7,400", "CONTENT_LENGTH,99,400"})
+  void whatCannotBeUsedIsAnsweredAtOnceAndReachesNoRunner(String name, String value, int status) throws Exception {
+    start(1, a -> Deed.SERVE);
+    FastCgiClient client = client();
+    Map<String, String> params = FastCgiClient.params("safe", id(1), FUNCTION, 1_500);
+    if (value == null) {
+      params.remove(name);
+    } else {
+      params.put(name, value);
+    }
+    client.send(1, params, body(1));
+    assertEquals(status, client.await(1, 2_000).status());
+    client.send(2, FastCgiClient.params("safe", id(2), FUNCTION, 1_500), body(2));
+    assertEquals(200, client.await(2, 2_000).status(), "the connection goes on");
+    assertEquals(1, arrivals().size());
+  }
+
+  @Test
+  void anIdThatIsOpenIsTurnedAwayAndANumberInUseEndsTheConnection() throws Exception {
+    start(1, a -> a.id().equals(id(1)) ? Deed.SILENT : Deed.SERVE);
+    FastCgiClient first = client();
+    first.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
+    assertTrue(within(1_000, () -> arrivals().size() == 1));
+    FastCgiClient second = client();
+    second.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(9));
+    assertEquals(422, second.await(1, 1_000).status());
+    first.send(1, FastCgiClient.params("safe", id(2), FUNCTION, 1_500), body(2));
+    assertTrue(first.awaitEnd(1_000));
+    assertEquals(1, arrivals().size());
+  }
+
+  @Test
+  void endlessBodiesAndParametersAreAnsweredEarly() throws Exception {
+    start(1, a -> Deed.SERVE);
+    FastCgiClient client = client();
+    byte[] begin = RecordWriter.request(1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), new byte[200_000]);
+    client.write(begin);
+    assertEquals(413, client.await(1, 2_000).status());
+    Map<String, String> params = FastCgiClient.params("safe", id(2), FUNCTION, 1_500);
+    params.put("HTTP_X_LONG", "x".repeat(30_000));
+    client.send(2, params, body(2));
+    assertEquals(431, client.await(2, 2_000).status());
+    client.send(3, FastCgiClient.params("safe", id(3), FUNCTION, 1_500), body(3));
+    assertEquals(200, client.await(3, 2_000).status());
+  }
+
+  @Test
+  void moreThan32OpenRequestsAreTurnedAway() throws Exception {
+    start(1, a -> Deed.SILENT);
+    FastCgiClient client = client();
+    for (int i = 1; i <= 40; i++) {
+      client.send(i, FastCgiClient.params("safe", id(i), FUNCTION, 1_000), body(i));
+    }
+    for (int i = 33; i <= 40; i++) {
+      assertEquals(2, client.await(i, 2_000).protocol());
+    }
+    for (int i = 1; i <= 32; i++) {
+      assertNotNull(client.await(i, 3_000));
+    }
+  }
+
+  @Test
+  void aRequestThatIsWithdrawnIsGivenUpAtTheRunner() throws Exception {
+    start(1, a -> Deed.SILENT);
+    FastCgiClient client = client();
+    client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
+    assertTrue(within(1_000, () -> arrivals().size() == 1));
+    client.write(RecordWriter.abort(1));
+    assertTrue(within(1_000, () -> runners.get(0).halts() == 1));
+    assertTrue(within(1_000, () -> node.idle()));
+  }
+
+  @Test
+  void silentAndHalfReadConnectionsAreClosedInTime() throws Exception {
+    start(1, a -> Deed.SERVE);
+    FastCgiClient silent = client();
+    FastCgiClient half = client();
+    byte[] whole = RecordWriter.request(1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
+    half.write(Arrays.copyOf(whole, 100));
+    assertTrue(silent.awaitEnd(4_000));
+    assertTrue(half.await(1, 4_000) != null || half.awaitEnd(1_000));
+    assertEquals(0, arrivals().size());
+  }
+
+  /** SIGTERM under load: what was taken is answered, also what comes a little later. */
+  @Test
+  void aStopAnswersWhatWasTaken() throws Exception {
+    start(2, a -> Deed.SERVE);
+    FastCgiClient client = client();
+    Thread stopping = new Thread(() -> {
+      try {
+        node.stop();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
+    stopping.start();
+    FastCgiClient late = client();
+    for (int i = 2; i <= 20; i++) {
+      late.send(i, FastCgiClient.params(i % 2 == 0 ? "safe" : "unsafe", id(i), FUNCTION, 1_500), body(i));
+      Thread.sleep(20);
+    }
+    for (int i = 1; i <= 20; i++) {
+      assertEquals(200, (i == 1 ? client : late).await(i, 2_000).status(), "call " + i);
+    }
+    stopping.join(4_000);
+    assertFalse(stopping.isAlive());
+    assertTrue(client.awaitEnd(1_000));
+  }
+
+  /** Ids, connections and runners are new all day: what is kept of them must not grow. */
+  @Test
+  void nothingIsKeptOfCallsConnectionsAndRunnersThatAreGone() throws Exception {
+    start(2, a -> Deed.SERVE);
+    int seq = 2;
+    int number = 0;
+    for (int round = 0; round < 40; round++) {
+      log.add(PlatformChangeLog.event(++seq, false, "new" + round, runners.get(0).address(), "active"));
+      if (round > 0) {
+        log.add(PlatformChangeLog.event(++seq, false, "new" + (round - 1), runners.get(0).address(), "left"));
+      }
+      try (FastCgiClient client = new FastCgiClient(node.address())) {
+        for (int i = 1; i <= 300; i += 30) {
+          for (int k = i; k < i + 30; k++) {
+            client.send(k, FastCgiClient.params("safe", id(++number), id(number % 500), 1_900), body(k));
+          }
+          for (int k = i; k < i + 30; k++) {
+            assertNotNull(client.await(k, 3_000));
+          }
+        }
+      }
+    }
+    assertTrue(within(4_000, () -> node.runners().size() == 3 && node.connections() == 0 && node.idle()), node.story());
+    assertTrue(arrivals().size() > 10_000, arrivals().size() + " arrived");
+  }
+
+  @Test
+  void aConfigurationThatCannotBeUsedNamesThePlace() {
+    assertNull(System.getenv("ROUTER_NAME"));
+    try {
+      NodeConfig.read(Map.of("ROUTER_NAME", "n0", "ROUTER_LISTEN", "somewhere"));
+    } catch (BadInput e) {
+      assertTrue(e.getMessage().contains("ROUTER_LISTEN"), e.getMessage());
+      return;
+    }
+    throw new AssertionError("taken");
+  }
+}
