A lone connection's end, a withdrawn call and a call that errs everywhere no longer blame runners

Now only a client that waited half its aim counts. - Router.learn counted each error against its worker; a call that no runner can use is tried at up to four, and made each of them half a suspect. From a call's second error on it speaks of itself. - LinkConnection told every broken connection as RESET, which to the router is a dead process: its copies forgotten, shunned at once. AttemptFate.ofConnection tells it so only where no other connection to that runner stands.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -71,6 +71,9 @@
 
     /** Asks for the worker list. */
     void watchList();
+
+    /** Nothing more is to be done at present: what was gathered may go. */
+    default void pausing() {}
   }
 
   /** How an attempt ended, as the runner side saw it. */
@@ -182,7 +185,11 @@
         look();
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
-        Message<C> message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
+        Message<C> message = mailbox.take(0);
+        if (message == null) {
+          hands.pausing();
+          message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
+        }
         if (message != null) {
           now = Clock.micros();
           handle(message);
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -262,7 +262,13 @@
 
   private void onClientGone(Held held) {
     if (held != null && !held.done) {
-      noteStrain(true);
+      // A client that waited long says that the fleet is slow; one that withdraws at once says nothing of it.
+      // Guards against shedding for clients that take back what they just asked; it covers broken connections.
+      // It could harm where clients give up within half an aim: their leaving is then no sign of strain.
+      long waited = now - (held.aimAt - held.requestClass.aim());
+      if (waited > CROWDED * held.requestClass.aim()) {
+        noteStrain(true);
+      }
       finish(held);
     }
   }
@@ -374,9 +380,13 @@
       }
       case FULL -> copy.busyUntil = now + (long) usual(f);
       case ERROR -> {
+        // Guards against a call that fails wherever it goes: from its second error on it speaks of itself. It
+        // covers bad input of any kind; it could harm where two sick workers meet one call after the other.
+        boolean again = held.attempts.stream().anyMatch(a -> a.erred);
+        attempt.erred = true;
         if (event.note() == Note.LOAD_FAILED) {
           copy.copies = 0;
-        } else {
+        } else if (!again) {
           failed(w, FAILURE_WEIGHT, true);
         }
       }
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -101,6 +101,8 @@
     boolean slow;
     /** Found no copy there; the worker may still serve the request after a load. */
     boolean missed;
+    /** Answered with an error. */
+    boolean erred;
   }
 
   /** A request taken and not yet forgotten; done once it has its final answer. */
--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -20,7 +20,27 @@
   public enum Progress { WAITING, CONNECTING, CONNECTED, LEAVING, ANSWERING }
 
   /** What ended an attempt. */
-  public enum Ending { CONNECT_FAILED, GATE_CLOSED, CALL_OVER, RESPONSE, BROKEN, MALFORMED, TIMED_OUT, CANCELLED }
+  public enum Ending {
+    CONNECT_FAILED, GATE_CLOSED, CALL_OVER, RESPONSE,
+    /** The connection ended, and with it, as far as is known, the worker's process. */
+    BROKEN,
+    /** The connection ended while others to the worker stand. */
+    CONNECTION_LOST, MALFORMED, TIMED_OUT, CANCELLED
+  }
+
+  /**
+   * What the end of a connection was. A process that dies takes all its connections along; one that ends alone speaks of
+   * itself and not of the worker.
+   *
+   * <p>Guards against a worker that is shunned, and its copies forgotten, for one connection that broke. It covers spoilt
+   * answers and resets on the way. It could harm at a death: the first connections to break count as lost alone, until the
+   * last one or the next connect tells.
+   *
+   * @param othersStand whether other connections to the worker are open
+   */
+  public static Ending ofConnection(Ending ending, boolean othersStand) {
+    return ending == Ending.BROKEN && othersStand ? Ending.CONNECTION_LOST : ending;
+  }
 
   /**
    * The outcome of an attempt.
@@ -36,13 +56,13 @@
     if (!mayHaveLeft) {
       return switch (ending) {
         case RESPONSE, MALFORMED -> throw new IllegalArgumentException("a response to an attempt that sent nothing");
-        case CONNECT_FAILED, BROKEN, TIMED_OUT -> Outcome.CONNECT_FAILED;
+        case CONNECT_FAILED, BROKEN, CONNECTION_LOST, TIMED_OUT -> Outcome.CONNECT_FAILED;
         case GATE_CLOSED, CALL_OVER, CANCELLED -> Outcome.MOOT;
       };
     }
     return switch (ending) {
       case RESPONSE -> ofResponse(status, saysNeverRan);
-      case MALFORMED -> Outcome.ERROR;
+      case MALFORMED, CONNECTION_LOST -> Outcome.ERROR;
       case TIMED_OUT -> Outcome.TIMEOUT;
       case CANCELLED, CALL_OVER -> Outcome.CANCELLED;
       case BROKEN, CONNECT_FAILED, GATE_CLOSED -> Outcome.RESET;
--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -411,6 +411,51 @@
     sentTo();
   }
 
+  /** Hundreds of calls that their clients take back at once say nothing of the fleet: others are still served. */
+  @Test
+  void callsWithdrawnAtOnceDoNotShedOthers() {
+    start(true, false, running("a"), running("b"), running("c"));
+    for (long id = 1; id < 400; id++) {
+      request(id, "safe", "f" + id);
+      List<Send> sent = got(Send.class);
+      now += MS;
+      tell(new RouterApi.ClientGone(id));
+      for (Send s : sent) {
+        answer(id, 0, s.worker(), Outcome.CANCELLED);
+      }
+    }
+    int refused = 0;
+    for (long id = 400; id < 500; id++) {
+      request(id, "safe", "f");
+      refused += got(Refuse.class).size();
+      got(Send.class).forEach(s -> answer(s.id(), 0, s.worker(), Outcome.OK));
+    }
+    assertEquals(0, refused);
+  }
+
+  /** A call that fails at every worker speaks of itself: it must not make them all suspect. */
+  @Test
+  void aCallThatFailsEverywhereMakesNobodySuspectButTheFirst() {
+    start(true, false, running("a"), running("b"), running("c"), running("d"));
+    java.util.Set<String> failed = new java.util.HashSet<>();
+    for (long id = 1; id <= 2; id++) {
+      request(id, "safe", "f" + id);
+      for (int attempt = 0; !got(Send.class).isEmpty(); attempt++) {
+        String worker = sentTo();
+        failed.add(worker);
+        answer(id, attempt, worker, Outcome.ERROR);
+      }
+    }
+    assertTrue(failed.size() == 4, "failed at " + failed);
+    java.util.Set<String> used = new java.util.HashSet<>();
+    for (long id = 3; id < 60; id++) {
+      request(id, "unsafe", "g" + id);
+      used.add(sentTo());
+      answer(id, 0, sentTo(), Outcome.OK);
+    }
+    assertTrue(used.size() >= 3, "used " + used);
+  }
+
   /** Guards against state that outlives its use: one-off functions are forgotten. */
   @Test
   void oneOffFunctionsAreForgotten() throws ReflectiveOperationException {
--- a/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -35,6 +35,24 @@
     }
   }
 
+  /** One connection that breaks is no death: the worker's copies are still believed; its last one is. */
+  @Test
+  void aConnectionThatEndsAloneIsNotAWorkerThatDied() {
+    Ending alone = AttemptFate.ofConnection(Ending.BROKEN, true);
+    assertEquals(Outcome.ERROR, AttemptFate.of(Progress.LEAVING, alone, 0, false));
+    assertEquals(Outcome.CONNECT_FAILED, AttemptFate.of(Progress.CONNECTED, alone, 0, false));
+    assertEquals(Outcome.RESET, AttemptFate.of(Progress.LEAVING, AttemptFate.ofConnection(Ending.BROKEN, false), 0, false));
+    assertEquals(Ending.MALFORMED, AttemptFate.ofConnection(Ending.MALFORMED, true));
+  }
+
+  /** A call withdrawn soon after it was sent is no sign that its connection is dead; one long unanswered is. */
+  @Test
+  void onlySilenceRetiresAConnection() {
+    assertTrue(ConnectionChoice.carriesOn(1_000_000, 500_000, 1_100_000));
+    assertFalse(ConnectionChoice.carriesOn(1_000_000, 500_000, 2_000_000));
+    assertTrue(ConnectionChoice.carriesOn(1_000_000, 1_000_001, 2_000_000));
+  }
+
   @Test
   void responses() {
     assertEquals(Outcome.OK, AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, 200, false));
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -13,12 +13,11 @@
 import gorseladder.node.peers.TierLink;
 import gorseladder.node.runners.RunnerLinks;
 import gorseladder.runtime.Clock;
-import gorseladder.runtime.Threads;
 import gorseladder.runtime.Watchdog;
+import gorseladder.runtime.Writers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Set;
-import java.util.concurrent.ThreadPoolExecutor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,7 +40,7 @@
 
   private final NodeConfig config;
   private final Watchdog watchdog;
-  private final ThreadPoolExecutor writers;
+  private final Writers writers;
   private final RunnerLinks links;
   private final Core<NodeCall> core;
   private final ChangeLogFollower changeLog;
@@ -57,7 +56,7 @@
   public Node(NodeConfig config) throws IOException {
     this.config = config;
     watchdog = new Watchdog("watchdog", STACK);
-    writers = Threads.pool("writer", MOST_WRITERS, STACK);
+    writers = new Writers(MOST_WRITERS, STACK);
     int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
     links = new RunnerLinks(config.links(), config.router().limits(), new SendGate(config.router().rules()), watchdog,
         writers, config.sockets() - OWN_DESCRIPTORS - forClients, MOST_CONNECTIONS_A_RUNNER, MOST_ANSWER, STACK);
@@ -125,6 +124,11 @@
       }
     }
 
+    @Override
+    public void pausing() {
+      writers.release();
+    }
+
     @Override
     public void watchList() {
       // The change log is followed from the start on and never given up.
@@ -134,6 +138,7 @@
   private void tidyLater() {
     watchdog.after(TIDY_EVERY, () -> {
       if (!closed) {
+        writers.relieve();
         links.tidy();
         front.tidy();
         tidyLater();
@@ -207,6 +212,6 @@
     core.close();
     links.close();
     watchdog.close();
-    writers.shutdownNow();
+    writers.close();
   }
 }
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -82,12 +82,13 @@
     }
   }
 
-  private void closed(LinkConnection connection, boolean everOpen, String why) {
+  private boolean closed(LinkConnection connection, boolean everOpen, String why) {
     settings.descriptors().release();
+    settings.closes().count(everOpen, why);
     synchronized (this) {
       connections.remove(connection);
+      return connections.stream().anyMatch(LinkConnection::isOpen);
     }
-    settings.closes().count(everOpen, why);
   }
 
   /** Closes what is idle too long or stuck; once the runner has gone, each connection as it falls free. */
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -1,5 +1,6 @@
 package gorseladder.node.runners;
 
+import gorseladder.attempts.AttemptFate;
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
@@ -42,7 +43,8 @@
 
   /** Hears of the connection's end. */
   interface Owner {
-    void closed(LinkConnection connection, boolean everOpen, String why);
+    /** Returns true where other connections to the runner are open. */
+    boolean closed(LinkConnection connection, boolean everOpen, String why);
   }
 
   private final SocketChannel channel;
@@ -161,6 +163,11 @@
     return !closed && !retired && !abandoned.contains(id) && !out.containsKey(id);
   }
 
+  /** True once it came up. */
+  synchronized boolean isOpen() {
+    return open && !closed;
+  }
+
   /** Errands out. */
   synchronized int carrying() {
     return out.size();
@@ -219,7 +226,7 @@
     } catch (IOException e) {
       // Nothing is left to release.
     }
-    owner.closed(this, was, why);
-    left.forEach(errand -> errand.broken(ending));
+    Ending told = AttemptFate.ofConnection(ending, owner.closed(this, was, why));
+    left.forEach(errand -> errand.broken(told));
   }
 }
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -5,7 +5,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
 
 /**
  * What is to be written on one connection. Any thread puts an item and goes on at once; a thread of a pool writes what has
@@ -34,9 +33,10 @@
   private final int mostBytes;
   private final Failure failure;
   private final ArrayDeque<Item> items = new ArrayDeque<>();
+  private final Runnable writing = this::write;
   private SocketChannel channel;
   private int bytes;
-  private boolean writing;
+  private boolean busy;
   private boolean closed;
   private boolean closesWhenEmpty;
   private volatile long writingSince;
@@ -100,7 +100,7 @@
 
   /** True where nothing waits or is being written. */
   public synchronized boolean idle() {
-    return items.isEmpty() && !writing;
+    return items.isEmpty() && !busy;
   }
 
   /** Since when the present write has been under way, 0 where there is none; {@link Clock#micros()}. */
@@ -110,16 +110,12 @@
 
   private void wake() {
     synchronized (this) {
-      if (writing || channel == null || closed || items.isEmpty() && !closesWhenEmpty) {
+      if (busy || channel == null || closed || items.isEmpty() && !closesWhenEmpty) {
         return;
       }
-      writing = true;
-    }
-    try {
-      pool.execute(this::write);
-    } catch (RejectedExecutionException e) {
-      fail(new IOException("no thread to write"));
+      busy = true;
     }
+    pool.execute(writing);
   }
 
   private void write() {
@@ -135,7 +131,7 @@
           now.addLast(item);
         }
         if (now.isEmpty()) {
-          writing = false;
+          busy = false;
           last = closesWhenEmpty && !closed;
           closed |= closesWhenEmpty;
           if (!last) {
@@ -188,7 +184,7 @@
   private void fail(IOException cause) {
     synchronized (this) {
       closed = true;
-      writing = false;
+      busy = false;
       items.clear();
     }
     writingSince = 0;
