--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -37,6 +37,8 @@
   /** After SIGTERM new connections and requests still come for 0.6 s at the most; a margin on top. */
   private static final long STOP_TAKING = 900_000;
   private static final long CLOSE_GENTLY = 150_000;
+  /** Seconds between two lines of what it holds; 0, as usual, for none. */
+  private static final long STORY_EVERY = Long.getLong("gorseladder.node.story", 0);
 
   private final NodeConfig config;
   private final Watchdog watchdog;
@@ -46,9 +48,6 @@
   private final ChangeLogFollower changeLog;
   private final FastCgiFront front;
   private final TierLink peers;
-  /** Seconds between two lines of what it holds; 0, as usual, for none. */
-  private static final long STORY_EVERY = Long.getLong("gorseladder.node.story", 0);
-
   private long longestLag;
   private long storyAt;
   private volatile boolean closed;
