Read once more: births, counts and unanswered ends each in one place

No behaviour changed. What the live dispatcher had written again or kept needlessly: - Births: a late start on the process's clock, computed once a life; stood in ListWatcher and again in ChangeLogFollower. - Counts: bounded counts by word; stood in FastCgiFront and again in RunnerLinks. - AttemptFate.ofUnanswered: what spoilt another's answer says nothing of one unsent; Trip and LoadOrder each had that case. - ConnectionChoice holds how many connections share a worker and what part of an idle limit is used; they stood in Node and links. - Node had an array to hand the tier to the core's hands, the front a counter beside the map whose size it was, Link a look at the type of an errand, two accessors of constants: gone. The gate's counts are read under its lock, as the gate asks.

--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -69,6 +69,12 @@
     };
   }
 
+  /** The outcome of an attempt that ended without an answer of its own; what spoilt another's says nothing of one unsent. */
+  public static Outcome ofUnanswered(Progress progress, Ending ending) {
+    boolean mayHaveLeft = progress.compareTo(Progress.LEAVING) >= 0;
+    return of(progress, ending == Ending.MALFORMED && !mayHaveLeft ? Ending.BROKEN : ending, 0, false);
+  }
+
   private static Outcome ofResponse(int status, boolean saysNeverRan) {
     if (status >= 200 && status < 300) {
       return Outcome.OK;
--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -18,6 +18,10 @@
   /** Kept connections of a worker beyond which those of calls that must not run twice are closed. */
   private static final int ENOUGH = 8;
 
+  /** Connections to one worker at the most, where calls share them: a few, so that the end of one takes few calls along. */
+  private static final int MOST_SHARED = 8;
+  /** Part of the told idle limit after which a connection is closed from here, so that the two sides do not cross. */
+  private static final double IDLE_PART = 0.9;
   /** Idle time, in microseconds, up to which a connection is trusted with a call that must not run twice. */
   private static final long JUST_NOW = 50_000;
 
@@ -68,6 +72,11 @@
     return heardAt > sentAt || now - sentAt < SILENCE;
   }
 
+  /** How long a connection may carry nothing, where the other side closes it after so long. */
+  public static long mostIdle(long told) {
+    return (long) (told * IDLE_PART);
+  }
+
   /** What is known of a connection: calls on it, and for how long it has neither carried nor answered anything. */
   public record Candidate(int carrying, long idle) {}
 
@@ -81,9 +90,8 @@
    *
    * @param candidates connections that are open or being opened, in any order
    * @param standing all connections to the worker
-   * @param most connections to one worker at the most
    */
-  public static int pick(Effect effect, List<Candidate> candidates, int standing, int most) {
+  public static int pick(Effect effect, List<Candidate> candidates, int standing) {
     int best = -1;
     for (int i = 0; i < candidates.size(); i++) {
       Candidate c = candidates.get(i);
@@ -97,6 +105,6 @@
     }
     Candidate chosen = candidates.get(best);
     boolean another = effect == Effect.UNSAFE ? chosen.carrying() == 0 && chosen.idle() > JUST_NOW : chosen.carrying() > 0;
-    return another && standing < most ? -1 : best;
+    return another && standing < MOST_SHARED ? -1 : best;
   }
 }
--- a/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -51,16 +51,16 @@
   @Test
   void unsafeCallsGoWhereAConnectionIsInUse() {
     List<Candidate> idle = List.of(new Candidate(0, 300_000), new Candidate(0, 90_000));
-    assertEquals(1, ConnectionChoice.pick(Effect.SAFE, idle, 2, 8), "the one used last");
-    assertEquals(-1, ConnectionChoice.pick(Effect.UNSAFE, idle, 2, 8), "both may be about to close");
-    assertEquals(1, ConnectionChoice.pick(Effect.UNSAFE, idle, 8, 8), "as many as there may be");
+    assertEquals(1, ConnectionChoice.pick(Effect.SAFE, idle, 2), "the one used last");
+    assertEquals(-1, ConnectionChoice.pick(Effect.UNSAFE, idle, 2), "both may be about to close");
+    assertEquals(1, ConnectionChoice.pick(Effect.UNSAFE, idle, 8), "as many as there may be");
     List<Candidate> busy = List.of(new Candidate(0, 60_000), new Candidate(3, 10_000));
-    assertEquals(0, ConnectionChoice.pick(Effect.SAFE, busy, 2, 8));
-    assertEquals(1, ConnectionChoice.pick(Effect.UNSAFE, busy, 2, 8));
+    assertEquals(0, ConnectionChoice.pick(Effect.SAFE, busy, 2));
+    assertEquals(1, ConnectionChoice.pick(Effect.UNSAFE, busy, 2));
     List<Candidate> shared = List.of(new Candidate(2, 0), new Candidate(1, 900_000));
-    assertEquals(-1, ConnectionChoice.pick(Effect.SAFE, shared, 2, 8), "not one that others are on");
-    assertEquals(1, ConnectionChoice.pick(Effect.SAFE, shared, 8, 8));
-    assertEquals(-1, ConnectionChoice.pick(Effect.SAFE, List.of(), 0, 8));
+    assertEquals(-1, ConnectionChoice.pick(Effect.SAFE, shared, 2), "not one that others are on");
+    assertEquals(1, ConnectionChoice.pick(Effect.SAFE, shared, 8));
+    assertEquals(-1, ConnectionChoice.pick(Effect.SAFE, List.of(), 0));
   }
 
   /** A call withdrawn soon after it was sent is no sign that its connection is dead; one long unanswered is. */
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -80,8 +80,8 @@
         new Hearer());
     RouterApi.Settings router = config.router();
     long seed = System.nanoTime() ^ settings.getOrdinal();
-    core = new Core<>(router, seed, new Hands(),
-        settings.getLimits().getMaxCalls(), settings.hasPlanner(), new RetryAdvice(router.limits().maxRetryAfter(), seed), CORE_STACK);
+    core = new Core<>(router, seed, new Hands(), settings.getLimits().getMaxCalls(), settings.hasPlanner(),
+        new RetryAdvice(router.limits().maxRetryAfter(), seed), CORE_STACK);
     runners.reportTo(new Runners.Hearer() {
       @Override
       public void attemptEnded(Core.AttemptEnd<TakenCall> end) {
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -5,6 +5,7 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.config.Address;
+import gorseladder.runtime.Births;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.Threads;
@@ -51,8 +52,6 @@
     void list(Workers workers);
   }
 
-  private record Birth(long wallMillis, long micros) {}
-
   private final InetSocketAddress address;
   private final String service;
   private final String agent;
@@ -60,7 +59,7 @@
   private final Path saved;
   private final Hearer hearer;
   private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-  private final Map<String, Birth> births = new HashMap<>();
+  private final Births births = new Births();
   private final Random random = new Random();
   private final int stackBytes;
   private volatile HttpConnection connection;
@@ -160,7 +159,7 @@
     phases.forEach((worker, phase) -> hearer.phase(worker, phase, at));
     hearer.list(new Workers(kind, entries));
     addresses.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
-    births.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
+    births.forget(w -> phases.get(w) == Phase.GONE);
   }
 
   private void save(byte[] body) {
@@ -199,21 +198,7 @@
     boolean draining = "draining".equals(Json.at(service, "Meta", "phase"));
     return new WorkerEntry(id, text(Json.at(service, "Meta", "zone")), (int) number(Json.at(service, "Meta", "cell"), 0),
         draining ? Phase.DRAINING : Phase.RUNNING, number(Json.at(service, "Meta", "weight"), 1),
-        born(id, (long) number(Json.at(service, "Meta", "born"), 0)));
-  }
-
-  /** A birth on this process's clock; computed once for each life, so that clocks that drift make no new lives. */
-  private long born(String worker, long wallMillis) {
-    if (wallMillis <= 0) {
-      return 0;
-    }
-    Birth known = births.get(worker);
-    if (known == null || known.wallMillis() != wallMillis) {
-      long age = Math.max(0, Clock.wallMicros() - wallMillis * 1000);
-      known = new Birth(wallMillis, Math.max(1, Clock.micros() - age));
-      births.put(worker, known);
-    }
-    return known.micros();
+        births.at(id, (long) number(Json.at(service, "Meta", "born"), 0)));
   }
 
   private static String text(Object value) {
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -30,7 +30,6 @@
   private static final long TIDY_EVERY = 200_000;
   /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
   private static final int OWN_DESCRIPTORS = 48;
-  private static final int MOST_CONNECTIONS_A_RUNNER = 8;
   private static final int MOST_ANSWER = 1 << 20;
   /** Part of the memory that bodies held may take. */
   private static final int BODY_PART = 8;
@@ -63,9 +62,8 @@
     writers = new Writers(MOST_WRITERS, STACK);
     int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
     links = new RunnerLinks(config.links(), config.router().limits(), new SendGate(config.router().rules()), watchdog,
-        writers, config.sockets() - OWN_DESCRIPTORS - forClients, MOST_CONNECTIONS_A_RUNNER, MOST_ANSWER, STACK);
-    TierLink[] tier = new TierLink[1];
-    core = new Core<>(config.router(), config.seed(), new Hands(tier), config.mostHeld(), false, null, CORE_STACK);
+        writers, config.sockets() - OWN_DESCRIPTORS - forClients, MOST_ANSWER, STACK);
+    core = new Core<>(config.router(), config.seed(), new Hands(), config.mostHeld(), false, null, CORE_STACK);
     links.reportTo(new RunnerLinks.Hearer() {
       @Override
       public void attemptEnded(AttemptEnd<NodeCall> end) {
@@ -93,19 +91,12 @@
     boolean mayTell = config.router().limits().peers() && config.peerListen() != null && config.peersAll() != null;
     peers = mayTell ? new TierLink(config.peerListen(), config.peers(), config.peersAll(), config.router().ordinal(), STACK,
         core::peerMessage) : null;
-    tier[0] = peers;
     changeLog.start(config.knownSeq(), config.known(), STACK);
     front.listen(config.listen(), STACK);
     tidyLater();
   }
 
   private final class Hands implements Core.Hands<NodeCall> {
-    private final TierLink[] tier;
-
-    private Hands(TierLink[] tier) {
-      this.tier = tier;
-    }
-
     @Override
     public void send(NodeCall call, int attempt, String worker, long timeout) {
       links.send(call, attempt, worker, timeout);
@@ -123,8 +114,8 @@
 
     @Override
     public void tellPeers(String text) {
-      if (tier[0] != null) {
-        tier[0].tell(text);
+      if (peers != null) {
+        peers.tell(text);
       }
     }
 
--- a/node/src/main/java/gorseladder/node/NodeCall.java
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -23,9 +23,9 @@
     onEnd.accept(this, end);
   }
 
-  /** Claims a connection for an attempt; false where it carried this call before. */
-  public synchronized boolean claim(Object connection) {
-    return carriers.add(connection);
+  /** Notes that a connection is to carry an attempt. */
+  public synchronized void claim(Object connection) {
+    carriers.add(connection);
   }
 
   /** True where the connection carried this call before. */
--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -43,9 +43,7 @@
     Map<String, Object> all = object(file);
     try {
       return read(name, listen, all);
-    } catch (IllegalArgumentException e) {
-      throw new BadInput(file + ": " + e.getMessage());
-    } catch (BadInput e) {
+    } catch (IllegalArgumentException | BadInput e) {
       throw new BadInput(file + ": " + e.getMessage());
     }
   }
@@ -120,7 +118,7 @@
     return all.get(key) instanceof String text ? address(text, key) : null;
   }
 
-  /** A numeric address and port; names are not looked up. */
+  /** A numeric address and port. Not the settings' reader of addresses: its library would be loaded at each start. */
   public static InetSocketAddress address(String text, String where) {
     int colon = text.lastIndexOf(':');
     String host = colon < 0 ? "" : text.substring(0, colon);
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -8,6 +8,7 @@
 import gorseladder.platform.BadInput;
 import gorseladder.platform.Fields;
 import gorseladder.platform.PlatformList;
+import gorseladder.runtime.Births;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
 import gorseladder.wire.changelog.ChangeLine;
@@ -49,10 +50,8 @@
     void list(Workers workers);
   }
 
-  private record Birth(long wallMillis, long micros) {}
-
   private final Hearer hearer;
-  private final Map<String, Birth> births = new HashMap<>();
+  private final Births births = new Births();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private volatile InetSocketAddress address;
   private volatile Socket socket;
@@ -162,30 +161,19 @@
 
   private void forget(String uid) {
     addresses.remove(uid);
-    births.remove(uid);
+    births.forget(uid::equals);
   }
 
   private List<WorkerEntry> entries(ChangeLine.Fleet fleet) {
     List<WorkerEntry> entries = new ArrayList<>();
     for (Map<String, Object> target : fleet.targets()) {
-      WorkerEntry entry = PlatformList.ofChangeLog(target, this::born);
+      WorkerEntry entry = PlatformList.ofChangeLog(target, births::at);
       addresses.put(entry.worker(), NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
       entries.add(entry);
     }
     return entries;
   }
 
-  /** A birth on this process's clock; computed once for each life, so that clocks that drift make no new lives. */
-  private long born(String uid, long wallMillis) {
-    Birth known = births.get(uid);
-    if (known == null || known.wallMillis() != wallMillis) {
-      long age = Math.max(0, Clock.wallMicros() - wallMillis * 1000);
-      known = new Birth(wallMillis, Math.max(1, Clock.micros() - age));
-      births.put(uid, known);
-    }
-    return known.micros();
-  }
-
   private void sleep(int millis) {
     try {
       Thread.sleep(stopped ? 0 : millis);
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -6,6 +6,7 @@
 import gorseladder.core.FinalAnswer;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.Counts;
 import gorseladder.runtime.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,10 +14,8 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -34,8 +33,6 @@
   /** Clients close connections idle for 4 s; ours comes later, so that the two do not cross. */
   private static final long IDLE = 6_000_000;
   private static final long STUCK = 2_000_000;
-  private static final int MOST_WAITING_BYTES = 1 << 20;
-  private static final int MOST_REASONS = 64;
 
   /** Hears of calls taken, before the core does. */
   public interface Hearer {
@@ -53,8 +50,7 @@
   private final Map<String, NodeCall> held = new ConcurrentHashMap<>();
   private final AtomicLong ids = new AtomicLong();
   private final AtomicLong bodyBytes = new AtomicLong();
-  private final AtomicInteger count = new AtomicInteger();
-  private final Map<String, Long> counts = new TreeMap<>();
+  private final Counts counts = new Counts();
   private volatile boolean live;
   private HttpServer server;
 
@@ -117,19 +113,10 @@
     return writers;
   }
 
-  int mostWaitingBytes() {
-    return MOST_WAITING_BYTES;
-  }
-
   int mostConnections() {
     return mostConnections;
   }
 
-  /** By how much a connection that never asked counts as idle for longer than one that did. */
-  long silentFirst() {
-    return 100 * IDLE;
-  }
-
   boolean live() {
     return live;
   }
@@ -146,7 +133,6 @@
     Facts facts = reader.read(params, body, arrivedAt);
     NodeCall call = new NodeCall(ids.incrementAndGet(), facts, (c, end) -> {
       if (held.remove(facts.message(), c)) {
-        count.decrementAndGet();
         bodyBytes.addAndGet(-body.length);
       }
       count(end.reason().word());
@@ -155,11 +141,10 @@
     if (held.putIfAbsent(facts.message(), call) != null) {
       throw new RequestReader.Unusable(Reason.CONFLICT, "the id is open already");
     }
-    int now = count.incrementAndGet();
     long bytes = bodyBytes.addAndGet(body.length);
     taken.accept(call);
     hearer.taken(call);
-    if (now > mostHeld || bytes > mostBodyBytes || !core.offer(call)) {
+    if (held.size() > mostHeld || bytes > mostBodyBytes || !core.offer(call)) {
       call.finish(FinalAnswer.silent(Reason.BUSY), Clock.micros());
     }
   }
@@ -172,9 +157,7 @@
 
   /** Counts something for the log. */
   void count(String what) {
-    synchronized (counts) {
-      counts.merge(counts.size() < MOST_REASONS || counts.containsKey(what) ? what : "other", 1L, Long::sum);
-    }
+    counts.count(what);
   }
 
   /** Looks at the time limits of connections; called now and then. */
@@ -188,9 +171,7 @@
 
   /** Calls held, connections, and what was counted, for the log. */
   public String story() {
-    synchronized (counts) {
-      return connections.size() + " connections, " + held.size() + " calls held, " + counts;
-    }
+    return connections.size() + " connections, " + held.size() + " calls held, " + counts;
   }
 
   /** Calls that have no final answer. */
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -32,6 +32,9 @@
   private static final int MOST_PARAMS = 8_192;
   private static final int MOST_PAIRS = 100;
   private static final int RESPONDER = 1;
+  private static final int MOST_WAITING_BYTES = 1 << 20;
+  /** By how much a connection that never asked counts as idle for longer than one that did. */
+  private static final long SILENT_FIRST = 600_000_000;
   private static final byte[] NOTHING = {};
 
   /** A request on this connection, from BEGIN_REQUEST to END_REQUEST; what still comes for it after that is passed over. */
@@ -78,7 +81,7 @@
   FrontConnection(FastCgiFront front, SocketChannel channel) {
     this.front = front;
     this.channel = channel;
-    this.outbox = new Outbox(front.writers(), front.mostWaitingBytes(), e -> close());
+    this.outbox = new Outbox(front.writers(), MOST_WAITING_BYTES, e -> close());
     outbox.open(channel);
   }
 
@@ -349,7 +352,7 @@
 
   /** Since when it has been idle; {@code Long.MAX_VALUE} where a request is open. One that never asked comes first. */
   synchronized long idleSince() {
-    return unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - front.silentFirst() : idleSince;
+    return unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
   }
 
   void closeIfStuck(long now, long most) {
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -39,9 +39,7 @@
       if (call != null) {
         call.claim(connection);
       }
-      if (errand instanceof Trip trip) {
-        trip.on(connection);
-      }
+      errand.on(connection);
       if (connection.carry(errand)) {
         return true;
       }
@@ -61,7 +59,7 @@
         candidates.add(new Candidate(carrying, c.idle(now)));
       }
     }
-    int picked = ConnectionChoice.pick(effect, candidates, connections.size(), settings.mostConnections());
+    int picked = ConnectionChoice.pick(effect, candidates, connections.size());
     if (picked >= 0) {
       return may.get(picked);
     }
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -34,6 +34,9 @@
   interface Errand extends Outbox.Item {
     String id();
 
+    /** Names the connection that is to carry it, before it does. */
+    default void on(LinkConnection carrier) {}
+
     /** The answer; on the connection's thread. */
     void answered(Answer answer);
 
--- a/node/src/main/java/gorseladder/node/runners/LinkSettings.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkSettings.java
@@ -10,12 +10,11 @@
  *
  * @param idle how long a connection may carry nothing, at most
  * @param multiplex calls on one connection at the most
- * @param mostConnections connections to one runner at the most
  * @param mostAnswer bytes of an answer's body at the most
  * @param descriptors descriptors left for all links together
  */
-record LinkSettings(long connect, long idle, int multiplex, int mostConnections, int mostAnswer, Semaphore descriptors,
-    ThreadFactory threads, Executor writers, Closes closes, Consumer<String> log) {
+record LinkSettings(long connect, long idle, int multiplex, int mostAnswer, Semaphore descriptors, ThreadFactory threads,
+    Executor writers, Closes closes, Consumer<String> log) {
 
   /** Counts how connections ended. */
   interface Closes {
--- a/node/src/main/java/gorseladder/node/runners/LoadOrder.java
+++ b/node/src/main/java/gorseladder/node/runners/LoadOrder.java
@@ -67,8 +67,7 @@
     synchronized (this) {
       reached = progress;
     }
-    boolean unsent = reached != Progress.LEAVING;
-    end(AttemptFate.of(reached, ending == Ending.MALFORMED && unsent ? Ending.BROKEN : ending, 0, false), 0);
+    end(AttemptFate.ofUnanswered(reached, ending), 0);
   }
 
   private void end(Outcome outcome, int stand) {
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -5,17 +5,18 @@
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Phase;
 import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.attempts.ConnectionChoice;
 import gorseladder.core.Core.AttemptEnd;
 import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.Counts;
 import gorseladder.runtime.Threads;
 import gorseladder.runtime.Watchdog;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
@@ -34,7 +35,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(RunnerLinks.class);
   /** A write that stands still for so long ends its connection. */
   private static final long STUCK = 1_000_000;
-  private static final int MOST_REASONS = 64;
 
   /** Who hears the ends: exactly one for each attempt and each order. */
   public interface Hearer {
@@ -51,23 +51,22 @@
   private final Map<String, Link> links = new ConcurrentHashMap<>();
   private final Map<NodeCall, Map<Integer, Trip>> out = new ConcurrentHashMap<>();
   private final AtomicLong tags = new AtomicLong();
-  private final Map<String, Long> closes = new TreeMap<>();
+  private final Counts closes = new Counts();
   private volatile Hearer hearer;
 
   /**
    * Links by what the platform told.
    *
    * @param descriptors descriptors that all links together may hold
-   * @param mostConnections connections to one runner at the most
    * @param mostAnswer bytes of an answer's body at the most
    */
   public RunnerLinks(NodeConfig.Links told, Limits limits, SendGate gate, Watchdog watchdog, Executor writers,
-      int descriptors, int mostConnections, int mostAnswer, int stackBytes) {
+      int descriptors, int mostAnswer, int stackBytes) {
     this.told = told;
     this.limits = limits;
     this.gate = gate;
     this.watchdog = watchdog;
-    this.settings = new LinkSettings(told.connect(), told.idle() * 9 / 10, told.multiplex(), mostConnections, mostAnswer,
+    this.settings = new LinkSettings(told.connect(), ConnectionChoice.mostIdle(told.idle()), told.multiplex(), mostAnswer,
         new Semaphore(descriptors), Threads.factory("runner", stackBytes), writers, this::closed, LOG::warn);
   }
 
@@ -158,10 +157,7 @@
   }
 
   private void closed(boolean everOpen, String why) {
-    synchronized (closes) {
-      String reason = everOpen ? why : "never came up";
-      closes.merge(closes.size() < MOST_REASONS || closes.containsKey(reason) ? reason : "other", 1L, Long::sum);
-    }
+    closes.count(everOpen ? why : "never came up");
   }
 
   /** Drops what belongs to runners that are gone and connections idle or stuck too long; called now and then. */
@@ -177,7 +173,7 @@
   /** Connections, attempts out, and how connections ended, for the log. */
   public String story() {
     int standing = links.values().stream().mapToInt(Link::standing).sum();
-    synchronized (closes) {
+    synchronized (gate) {
       return links.size() + " runners, " + standing + " connections, " + out.size() + " calls out, ended " + closes
           + ", stopped at the last look " + gate.refusedCalls() + " calls " + gate.refusedOrders() + " orders";
     }
--- a/node/src/main/java/gorseladder/node/runners/Trip.java
+++ b/node/src/main/java/gorseladder/node/runners/Trip.java
@@ -56,8 +56,8 @@
     }
   }
 
-  /** Names the connection that is to carry it. */
-  synchronized void on(LinkConnection carrier) {
+  @Override
+  public synchronized void on(LinkConnection carrier) {
     connection = carrier;
   }
 
@@ -141,8 +141,7 @@
     boolean left;
     synchronized (this) {
       left = progress == Progress.LEAVING;
-      // What another call's answer spoilt says nothing of one that was never sent.
-      outcome = AttemptFate.of(progress, ending == Ending.MALFORMED && !left ? Ending.BROKEN : ending, 0, false);
+      outcome = AttemptFate.ofUnanswered(progress, ending);
       carrier = connection;
     }
     if (!end()) {
