--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -133,20 +133,17 @@
       return;
     }
     ChangeLine change = ChangeLine.read(line);
-    if (change.fleet() == null) {
-      // A beat, or an event that says nothing of the list; a beat past the last event says that one was missed.
-      gap = change.seq() > last;
-      return;
-    }
-    if (change.seq() <= last) {
+    // A beat past the last event, or an event past the next one, says that one was missed.
+    gap = change.seq() > (change.event() ? last + 1 : last);
+    if (gap || !change.event() || change.seq() <= last) {
       return;
     }
-    if (change.seq() > last + 1) {
-      gap = true;
+    List<WorkerEntry> entries = change.fleet() == null ? List.of() : entries(change.fleet());
+    last = change.seq();
+    if (change.fleet() == null) {
+      // An event that says nothing of the list; it has its number all the same.
       return;
     }
-    List<WorkerEntry> entries = entries(change.fleet());
-    last = change.seq();
     if (change.fleet().all()) {
       Map<String, InetSocketAddress> before = new HashMap<>(addresses);
       entries.forEach(e -> before.remove(e.worker()));
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -111,7 +111,7 @@
 
   @Override
   public void begin(int id, int role, boolean keeps) {
-    Exchange before;
+    boolean inUse;
     boolean over;
     if (endless()) {
       front.count("too many requests without their ends");
@@ -119,17 +119,16 @@
       return;
     }
     synchronized (this) {
-      before = open.get(id);
-      over = before == null && unanswered >= MOST_OPEN;
-      if (before == null || before.answered) {
-        Exchange fresh = new Exchange(id);
-        open.put(id, fresh);
+      Exchange before = open.get(id);
+      inUse = before != null && !before.answered;
+      over = !inUse && unanswered >= MOST_OPEN;
+      if (!inUse) {
+        open.put(id, new Exchange(id));
         unanswered++;
         closesAfterAnswers |= !keeps;
-        before = null;
       }
     }
-    if (before != null) {
+    if (inUse) {
       // Two requests under one number: nobody could tell whose an answer is.
       front.count("number in use");
       close();
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -220,6 +220,17 @@
     assertEquals(0, arrivals().size());
   }
 
+  /** An event that says nothing of the runners has a number too: it must not be asked for again for ever. */
+  @Test
+  void anEventWithoutRunnersIsPassedOver() throws Exception {
+    start(1, a -> Deed.SERVE);
+    assertTrue(within(2_000, () -> log.asked().size() == 1));
+    log.add("{\"seq\":2,\"other\":{}}");
+    log.add(PlatformChangeLog.event(3, false, "r1", runners.get(0).address(), "active"));
+    assertTrue(within(2_000, () -> node.runners().contains("r1")));
+    assertEquals(List.of(1L), log.asked());
+  }
+
   /** Breaks, silence, doubled events and another address: the list is whole after each. */
   @Test
   void theChangeLogIsFollowedThroughBreaksSilenceDoublesAndAMove() throws Exception {
@@ -310,6 +321,23 @@
     }
   }
 
+  /** A number whose request was answered before its body ended is free again, but not past the bound on open requests. */
+  @Test
+  void aNumberUsedAgainCountsAsOpenToo() throws Exception {
+    start(1, a -> Deed.SILENT);
+    FastCgiClient client = client();
+    byte[] tooLong = RecordWriter.request(50, true, FastCgiClient.params("safe", id(50), FUNCTION, 1_000), new byte[20_000]);
+    client.write(Arrays.copyOf(tooLong, tooLong.length - 8));
+    assertEquals(413, client.await(50, 2_000).status());
+    for (int i = 1; i <= 32; i++) {
+      client.send(i, FastCgiClient.params("safe", id(i), FUNCTION, 1_900), body(i));
+    }
+    assertTrue(within(1_000, () -> arrivals().size() > 0));
+    client.send(50, FastCgiClient.params("safe", id(51), FUNCTION, 1_000), body(51));
+    assertTrue(within(1_000, () -> client.second() == 1));
+    assertEquals(2, client.await(50, 1_000).protocol());
+  }
+
   @Test
   void aRequestThatIsWithdrawnIsGivenUpAtTheRunner() throws Exception {
     start(1, a -> Deed.SILENT);
--- a/wire/src/main/java/gorseladder/wire/changelog/ChangeLine.java
+++ b/wire/src/main/java/gorseladder/wire/changelog/ChangeLine.java
@@ -9,9 +9,10 @@
  * One line of the change log: a numbered event, or the last number alone ("The change log" of the platform's protocol).
  *
  * @param seq the event's number, or the last one in the log
+ * @param event false where the line holds the last number alone
  * @param fleet the change of the list of runners, null where the line has none
  */
-public record ChangeLine(long seq, Fleet fleet) {
+public record ChangeLine(long seq, boolean event, Fleet fleet) {
   /** A change of the list; {@code all} where it is the whole list. */
   public record Fleet(boolean all, List<Map<String, Object>> targets) {}
 
@@ -22,7 +23,7 @@
    */
   public static ChangeLine read(byte[] line) {
     if (line.length > 0 && line.length < 18 && digits(line)) {
-      return new ChangeLine(Long.parseLong(new String(line, StandardCharsets.US_ASCII)), null);
+      return new ChangeLine(Long.parseLong(new String(line, StandardCharsets.US_ASCII)), false, null);
     }
     return of(Json.read(line));
   }
@@ -39,12 +40,12 @@
     }
     Object fleet = Json.at(event, "fleet");
     if (fleet == null) {
-      return new ChangeLine(seq.longValue(), null);
+      return new ChangeLine(seq.longValue(), true, null);
     }
     if (!(Json.at(fleet, "targets") instanceof List<?> targets) || !targets.stream().allMatch(t -> t instanceof Map)) {
       throw new IllegalArgumentException("event " + seq.longValue() + " has no list of runners");
     }
-    return new ChangeLine(seq.longValue(),
+    return new ChangeLine(seq.longValue(), true,
         new Fleet(Boolean.TRUE.equals(Json.at(fleet, "all")), (List<Map<String, Object>>) (List<?>) targets));
   }
 
