--- a/node/src/main/java/gorseladder/node/NodeCall.java
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -8,16 +8,28 @@
 
 /** A call of the platform: it is answered on the connection it came on, and nothing of it is kept after its end. */
 public final class NodeCall extends Call {
+  private final String key;
   private final BiConsumer<NodeCall, FinalAnswer> onEnd;
   /** Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's. */
   private final Set<Object> carriers = new HashSet<>();
 
-  /** A call just taken; {@code onEnd} hears its final answer once. */
-  public NodeCall(long id, Facts facts, BiConsumer<NodeCall, FinalAnswer> onEnd) {
+  /**
+   * A call just taken.
+   *
+   * @param key the client's idempotency key, passed on to the runner unchanged; null where it gave none
+   * @param onEnd hears its final answer once
+   */
+  public NodeCall(long id, Facts facts, String key, BiConsumer<NodeCall, FinalAnswer> onEnd) {
     super(id, facts);
+    this.key = key;
     this.onEnd = onEnd;
   }
 
+  /** The client's idempotency key, or null. */
+  public String key() {
+    return key;
+  }
+
   @Override
   protected void answered(FinalAnswer end) {
     onEnd.accept(this, end);
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -131,7 +131,7 @@
   void take(Map<String, String> params, byte[] body, long arrivedAt, BiConsumer<NodeCall, FinalAnswer> onEnd,
       Consumer<NodeCall> taken) throws RequestReader.Unusable {
     Facts facts = reader.read(params, body, arrivedAt);
-    NodeCall call = new NodeCall(ids.incrementAndGet(), facts, (c, end) -> {
+    NodeCall call = new NodeCall(ids.incrementAndGet(), facts, RequestReader.key(params), (c, end) -> {
       if (held.remove(facts.message(), c)) {
         bodyBytes.addAndGet(-body.length);
       }
--- a/node/src/main/java/gorseladder/node/front/RequestReader.java
+++ b/node/src/main/java/gorseladder/node/front/RequestReader.java
@@ -18,6 +18,7 @@
   /** Bytes of a request's body at the most. */
   public static final int MOST_BODY = 16_384;
 
+  private static final int MOST_KEY = 128;
   private static final String PREFIX = "/svc/";
   private static final double MOST_FIGURE = 1e7;
   /** A client's clock and rounding may put its time a little past the class's. */
@@ -90,6 +91,20 @@
         arrivedAt, arrivedAt + time);
   }
 
+  /**
+   * The idempotency key of a request, as it came; null where there is none.
+   *
+   * @throws Unusable where it is no word of a runner's line
+   */
+  public static String key(Map<String, String> params) throws Unusable {
+    String key = params.get("HTTP_IDEMPOTENCY_KEY");
+    if (key != null && (key.isEmpty() || key.length() > MOST_KEY
+        || !key.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '='))) {
+      throw bad("HTTP_IDEMPOTENCY_KEY is no word of " + MOST_KEY + " characters at the most");
+    }
+    return key;
+  }
+
   private static Unusable bad(String text) {
     return new Unusable(Reason.BAD_PAYLOAD, text);
   }
--- a/node/src/main/java/gorseladder/node/runners/Trip.java
+++ b/node/src/main/java/gorseladder/node/runners/Trip.java
@@ -104,7 +104,7 @@
       return null;
     }
     return Commands.go(id(), call.facts().requestClass().name(), call.facts().function(), Math.max(1, (until - now) / 1000),
-        call.facts().body());
+        call.key(), call.facts().body());
   }
 
   @Override
--- a/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
@@ -127,6 +127,11 @@
     return ended;
   }
 
+  /** Drops the answer to a request, so that its number may be used again. */
+  public synchronized void forget(int number) {
+    answers.remove(number);
+  }
+
   /** Second answers to one request. */
   public synchronized int second() {
     return second;
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -11,10 +11,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * A runner that speaks the platform's lines and does with each request what its script says. It writes down what arrived
@@ -25,7 +28,12 @@
   public enum Deed { SERVE, REFUSE, MISS, ERROR, SILENT, RESET, NOISE, HUGE, HALF, TWICE, AHEAD }
 
   /** A request that arrived whole; {@code at} is {@link System#nanoTime()}. */
-  public record Arrival(String id, String requestClass, String body, int connection, long at) {}
+  public record Arrival(String id, Map<String, String> fields, String body, int connection, long at) {
+    /** Its class. */
+    public String requestClass() {
+      return fields.get("profile");
+    }
+  }
 
   private final ServerSocket server;
   private final Function<Arrival, Deed> script;
@@ -125,8 +133,9 @@
       throw new IOException("half a request");
     }
     String id = words[1];
-    String requestClass = words[2].substring(words[2].indexOf("profile=") + 8, words[2].indexOf(','));
-    Arrival arrival = new Arrival(id, requestClass, new String(body, StandardCharsets.ISO_8859_1), connection,
+    Map<String, String> fields = Arrays.stream(words[2].split(",")).map(f -> f.split("=", 2))
+        .collect(Collectors.toMap(f -> f[0], f -> f[1]));
+    Arrival arrival = new Arrival(id, fields, new String(body, StandardCharsets.ISO_8859_1), connection,
         System.nanoTime());
     synchronized (this) {
       arrivals.add(arrival);
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -6,116 +6,26 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gorseladder.RouterApi.Effect;
-import gorseladder.RouterApi.Group;
-import gorseladder.RouterApi.Limits;
-import gorseladder.RouterApi.RequestClass;
-import gorseladder.RouterApi.Rules;
-import gorseladder.RouterApi.Settings;
-import gorseladder.RouterApi.Tenant;
-import gorseladder.node.Node;
 import gorseladder.node.NodeConfig;
 import gorseladder.platform.BadInput;
 import gorseladder.testbed.platform.FastCgiClient.Answer;
 import gorseladder.testbed.platform.PlatformRunner.Arrival;
 import gorseladder.testbed.platform.PlatformRunner.Deed;
-import gorseladder.wire.changelog.ChangeLine;
 import gorseladder.wire.fastcgi.RecordWriter;
-import gorseladder.wire.json.Json;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
-import java.util.function.Function;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A live dispatcher between scripted clients, runners and a change log, all on loopback. */
-class NodePathTest {
-  private static final long SECOND = 1_000_000;
-  private static final Rules RULES = new Rules(500_000, 0.2, 6 * SECOND, 2.5, 1_500_000, 0, 0, 0);
-  private static final String FUNCTION = "00000000000000ff";
-
-  private final List<PlatformRunner> runners = new ArrayList<>();
-  private final List<String> events = new ArrayList<>();
-  private final List<FastCgiClient> clients = new ArrayList<>();
-  private PlatformChangeLog log;
-  private Node node;
-
-  private static RequestClass requestClass(String name, Effect effect) {
-    return new RequestClass(name, effect, Group.ALL, 5 * SECOND, SECOND, 2 * SECOND, 1, 0.2, false);
-  }
-
-  /** Starts runners that follow a script, and a dispatcher that knows them. */
-  private void start(int count, Function<Arrival, Deed> script) throws IOException {
-    for (int i = 0; i < count; i++) {
-      PlatformRunner runner = new PlatformRunner(script);
-      runners.add(runner);
-      events.add(PlatformChangeLog.event(i + 1, i == 0, "r" + i, runner.address(), "active"));
-    }
-    log = new PlatformChangeLog(events);
-    Settings settings = new Settings(0, 1, "z", 2_000, 8 * SECOND, true, false, 0, 0.05,
-        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), RULES,
-        List.of(requestClass("safe", Effect.SAFE), requestClass("unsafe", Effect.UNSAFE)), List.of(new Tenant("t", 1, 100)));
-    List<ChangeLine> known = events.stream().map(e -> ChangeLine.of(Json.read(e.getBytes(StandardCharsets.US_ASCII)))).toList();
-    node = new Node(new NodeConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 5, 1_024, 128 << 20, null,
-        List.of(), null, log.address(), count, known, settings, new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
-        20_000));
-  }
-
-  private FastCgiClient client() throws IOException {
-    FastCgiClient client = new FastCgiClient(node.address());
-    clients.add(client);
-    return client;
-  }
-
-  private static String id(long n) {
-    return String.format("%016x", n);
-  }
-
-  private static byte[] body(int n) {
-    return ("body " + n).getBytes(StandardCharsets.ISO_8859_1);
-  }
-
-  private List<Arrival> arrivals() {
-    return runners.stream().flatMap(r -> r.arrivals().stream()).toList();
-  }
-
-  @AfterEach
-  void close() throws IOException {
-    for (FastCgiClient client : clients) {
-      client.close();
-    }
-    if (node != null) {
-      node.close();
-    }
-    if (log != null) {
-      log.close();
-    }
-    for (PlatformRunner runner : runners) {
-      runner.close();
-    }
-  }
-
-  private static boolean within(long millis, BooleanSupplier holds) throws InterruptedException {
-    long until = System.nanoTime() + millis * 1_000_000;
-    while (!holds.getAsBoolean() && System.nanoTime() < until) {
-      Thread.sleep(5);
-    }
-    return holds.getAsBoolean();
-  }
-
+class NodePathTest extends NodeWorld {
   /** Every way in which an answer can go wrong, in turn, on thousands of calls of both kinds. */
   @Test
   void eachCallGetsOneAnswerAndNothingUnsafeRunsTwice() throws Exception {
@@ -366,15 +276,8 @@
   void aStopAnswersWhatWasTaken() throws Exception {
     start(2, a -> Deed.SERVE);
     FastCgiClient client = client();
-    Thread stopping = new Thread(() -> {
-      try {
-        node.stop();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    });
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
-    stopping.start();
+    Thread stopping = stopping();
     FastCgiClient late = client();
     for (int i = 2; i <= 20; i++) {
       late.send(i, FastCgiClient.params(i % 2 == 0 ? "safe" : "unsafe", id(i), FUNCTION, 1_500), body(i));
@@ -388,6 +291,26 @@
     assertTrue(client.awaitEnd(1_000));
   }
 
+  /** A keyed request's key reaches the runner as its client gave it; one that is no word reaches none. */
+  @Test
+  void anIdempotencyKeyGoesOnUnchanged() throws Exception {
+    start(1, a -> Deed.SERVE);
+    FastCgiClient client = client();
+    Map<String, String> params = FastCgiClient.params("keyed", id(1), FUNCTION, 1_500);
+    params.put("HTTP_IDEMPOTENCY_KEY", "k-77/a");
+    client.send(1, params, body(1));
+    assertEquals(200, client.await(1, 2_000).status());
+    client.send(2, FastCgiClient.params("safe", id(2), FUNCTION, 1_500), body(2));
+    assertEquals(200, client.await(2, 2_000).status());
+    for (String bad : List.of("", "a b", "a,thing=0", "a=b", "x\r\n", "x".repeat(200))) {
+      params.put("HTTP_IDEMPOTENCY_KEY", bad);
+      client.send(3, params, body(3));
+      assertEquals(400, client.await(3, 2_000).status(), bad);
+      client.forget(3);
+    }
+    assertEquals(Arrays.asList("k-77/a", null), arrivals().stream().map(a -> a.fields().get("replay")).toList());
+  }
+
   /** Ids, connections and runners are new all day: what is kept of them must not grow. */
   @Test
   void nothingIsKeptOfCallsConnectionsAndRunnersThatAreGone() throws Exception {
--- a/wire/src/main/java/gorseladder/wire/runner/Commands.java
+++ b/wire/src/main/java/gorseladder/wire/runner/Commands.java
@@ -4,7 +4,7 @@
 
 /**
  * Writes commands to a runner as lines of words (the platform's protocol, "Dispatchers to runners" and "Orders to load and
- * unload"). Pure functions; any thread. Ids, classes and functions must be words without spaces, commas or line ends.
+ * unload"). Pure functions; any thread. Ids, classes, functions and keys must be words without spaces, commas or line ends.
  */
 public final class Commands {
   private Commands() {}
@@ -13,10 +13,11 @@
    * Runs a request.
    *
    * @param max how long the answer is awaited, in milliseconds
+   * @param key the client's idempotency key, by which the runner knows a repeat; null where it gave none
    */
-  public static byte[] go(String id, String requestClass, String function, long max, byte[] body) {
-    byte[] head = ascii("go " + id + " profile=" + requestClass + ",thing=" + function + ",max=" + max + " " + body.length
-        + "\r\n");
+  public static byte[] go(String id, String requestClass, String function, long max, String key, byte[] body) {
+    byte[] head = ascii("go " + id + " profile=" + requestClass + ",thing=" + function + ",max=" + max
+        + (key == null ? "" : ",replay=" + key) + " " + body.length + "\r\n");
     byte[] all = new byte[head.length + body.length + 2];
     System.arraycopy(head, 0, all, 0, head.length);
     System.arraycopy(body, 0, all, head.length, body.length);
--- a/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
+++ b/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
@@ -76,7 +76,9 @@
   @Test
   void commandsAreLinesOfWords() {
     assertEquals("go 9b profile=c,thing=f,max=1500 2\r\nhi\r\n",
-        new String(Commands.go("9b", "c", "f", 1_500, ascii("hi")), StandardCharsets.ISO_8859_1));
+        new String(Commands.go("9b", "c", "f", 1_500, null, ascii("hi")), StandardCharsets.ISO_8859_1));
+    assertEquals("go 9b profile=c,thing=f,max=5,replay=k1 0\r\n\r\n",
+        new String(Commands.go("9b", "c", "f", 5, "k1", ascii("")), StandardCharsets.ISO_8859_1));
     assertEquals("halt 9b\r\n", new String(Commands.halt("9b"), StandardCharsets.ISO_8859_1));
     assertEquals("stage l1 thing=f,pods=2\r\n", new String(Commands.stage("l1", "f", 2), StandardCharsets.ISO_8859_1));
   }
