--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -22,6 +22,7 @@
 import gorseladder.RouterApi.SetTimer;
 import gorseladder.RouterApi.Settings;
 import gorseladder.RouterApi.TellPeers;
+import gorseladder.RouterApi.TimeUp;
 import gorseladder.RouterApi.TimerDue;
 import gorseladder.RouterApi.WatchList;
 import gorseladder.RouterApi.WorkerEntry;
@@ -91,6 +92,8 @@
 
   private record Left<C extends Call>(C call) implements Message<C> {}
 
+  private record GiveUp<C extends Call>() implements Message<C> {}
+
   private record Planned<C extends Call>(Plan plan) implements Message<C> {}
 
   private record Collect<C extends Call>(Consumer<Collected> to, Map<String, Seen.Of> giveBack)
@@ -115,6 +118,7 @@
   private final Seen seen = new Seen();
   private Map<String, WorkerEntry> workers = new LinkedHashMap<>();
   private boolean holding;
+  private boolean givingUp;
   private long lookAt = Long.MAX_VALUE;
   private final AtomicLong longestWait = new AtomicLong();
   private volatile boolean stopped;
@@ -159,6 +163,11 @@
     mailbox.put(new Left<>(call));
   }
 
+  /** Has every call that is held, and every one that comes after, answered at once: the process is about to end. */
+  public void giveUpAll() {
+    mailbox.put(new GiveUp<>());
+  }
+
   /** The worker list has news. */
   public void listNews(Workers news) {
     mailbox.put(new News<>(news));
@@ -213,6 +222,9 @@
     } else if (message instanceof News<C> m) {
       noteNews(m.event());
       tell(m.event());
+    } else if (message instanceof GiveUp<C>) {
+      givingUp = true;
+      calls.values().stream().filter(call -> !call.over()).map(Call::id).toList().forEach(id -> tell(new TimeUp(id)));
     } else if (message instanceof Planned<C> m) {
       Ahead.Verdict verdict = ahead.take(m.plan(), now);
       lookAt = ahead.busy() ? now : Long.MAX_VALUE;
@@ -282,6 +294,10 @@
       // Its client left before it was looked at: nothing is owed, and no attempt would be let out.
       return;
     }
+    if (givingUp) {
+      call.finish(FinalAnswer.silent(Reason.STOPPING), now);
+      return;
+    }
     Call.Facts f = call.facts();
     calls.put(call.id(), call);
     if (ahead != null) {
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -139,6 +139,8 @@
       onWorkers(e);
     } else if (event instanceof ClientGone e) {
       onClientGone(requests.get(e.id()));
+    } else if (event instanceof TimeUp e) {
+      timeUp(requests.get(e.id()));
     } else if (event instanceof FirstByte e && requests.containsKey(e.id())) {
       requests.get(e.id()).streaming = true;
     } else if (event instanceof PeerMessage e) {
@@ -912,7 +914,10 @@
       armSweep();
       return;
     }
-    Held held = token.startsWith("d") ? requests.get(Long.parseLong(token.substring(1))) : null;
+    timeUp(token.startsWith("d") ? requests.get(Long.parseLong(token.substring(1))) : null);
+  }
+
+  private void timeUp(Held held) {
     if (held != null && !held.done && !held.streaming) {
       giveUp(held);
     }
--- a/decisions/src/main/java/gorseladder/RouterApi.java
+++ b/decisions/src/main/java/gorseladder/RouterApi.java
@@ -141,6 +141,9 @@
   /** The client left, or the final answer came too late. */
   public record ClientGone(long id) implements Event {}
 
+  /** The final answer is owed now, ahead of the client's time. */
+  public record TimeUp(long id) implements Event {}
+
   /** A timer set by the router is due. */
   public record TimerDue(String token) implements Event {}
 
--- a/decisions/src/main/java/gorseladder/gate/SendGate.java
+++ b/decisions/src/main/java/gorseladder/gate/SendGate.java
@@ -31,12 +31,15 @@
     this.rules = rules;
   }
 
-  /** News of a worker's phase, at the time its bytes reached this process. Older news never opens a gate closed later. */
+  /**
+   * News of a worker's phase, at the time its bytes reached this process, in the order in which it was told. Older news never
+   * opens a gate closed later; of news that came in one go the last stands.
+   */
   public void told(String worker, Phase phase, long at) {
     Long closed = closedSince.get(worker);
     if (phase != Phase.RUNNING) {
       closedSince.merge(worker, at, Math::min);
-    } else if (closed != null && at > closed) {
+    } else if (closed != null && at >= closed) {
       closedSince.remove(worker);
     }
   }
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/follow/FollowPaceTest.java
@@ -0,0 +1,35 @@
+package gorseladder.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class FollowPaceTest {
+  @Test
+  void onlyALineThatTellsNoLessThanIsKnownIsASignOfLife() {
+    FollowPace pace = new FollowPace(1);
+    pace.asked(1_000);
+    assertEquals(FollowPace.SILENCE, pace.left(1_000));
+    pace.line(7, 7, 900_000);
+    assertEquals(FollowPace.SILENCE, pace.left(900_000));
+    pace.line(5, 7, 2_000_000);
+    assertEquals(0, pace.left(900_000 + FollowPace.SILENCE));
+    pace.asked(9_000_000);
+    assertEquals(FollowPace.SILENCE, pace.left(9_000_000));
+  }
+
+  /** A break that meets hundreds of followers at once must not bring them back in step. */
+  @Test
+  void pausesGrowToABoundAndSpreadOverFollowers() {
+    List<FollowPace> all = IntStream.range(0, 200).mapToObj(FollowPace::new).toList();
+    for (int round = 0; round < 8; round++) {
+      long[] pauses = all.stream().mapToLong(p -> p.pause(false)).sorted().toArray();
+      assertTrue(pauses[199] <= 375_000 && pauses[0] >= 10_000, pauses[0] + " to " + pauses[199]);
+      assertTrue(pauses[150] - pauses[50] > pauses[100] / 4, "in step in round " + round);
+    }
+    assertTrue(all.get(0).pause(true) <= 30_000);
+  }
+}
--- a/decisions/src/test/java/gorseladder/gate/SendGateTest.java
+++ b/decisions/src/test/java/gorseladder/gate/SendGateTest.java
@@ -26,6 +26,9 @@
     assertFalse(gate.callMayLeave("w"), "older news opened it");
     gate.told("w", Phase.RUNNING, 200);
     assertTrue(gate.callMayLeave("w"));
+    gate.told("v", Phase.GONE, 250);
+    gate.told("v", Phase.RUNNING, 250);
+    assertTrue(gate.callMayLeave("v"), "gone and back in one go");
     gate.told("w", Phase.GONE, 300);
     gate.told("u", Phase.GONE, 300);
     gate.forgetUnless(worker -> worker.equals("u"));
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -35,7 +35,13 @@
   private static final int BODY_PART = 8;
   /** After SIGTERM new connections and requests still come for 0.6 s at the most; a margin on top. */
   private static final long STOP_TAKING = 900_000;
-  private static final long CLOSE_GENTLY = 150_000;
+  /** The longest deadline counts as so much at the most when SIGKILL is timed, and comes no sooner than {@link #KILLED}. */
+  private static final long LONGEST_COUNTED = 3_000_000;
+  private static final long KILLED = 700_000;
+  /** Before SIGKILL everything is closed, and some time before that what is still held gets its final answer. */
+  private static final long LEAVE_BEFORE = 150_000;
+  private static final long ANSWER_BEFORE = 250_000;
+  private static final long LOOK_AGAIN = 5_000;
   /** Seconds between two lines of what it holds; 0, as usual, for none. */
   private static final long STORY_EVERY = Long.getLong("gorseladder.node.story", 0);
 
@@ -75,9 +81,9 @@
         core.loadEnded(loaded);
       }
     });
-    front = new FastCgiFront(new RequestReader(config.router()), core, writers, forClients, config.mostHeld(),
+    front = new FastCgiFront(new RequestReader(config.router())::read, core, writers, forClients, config.mostHeld(),
         config.memoryBytes() / BODY_PART, call -> links.taken(Clock.micros()));
-    changeLog = new ChangeLogFollower(config.changeLog(), new ChangeLogFollower.Hearer() {
+    changeLog = new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
       @Override
       public void runner(WorkerEntry entry, InetSocketAddress address, long at) {
         links.told(entry.worker(), entry.phase(), address, at);
@@ -169,6 +175,11 @@
     return front.held() == 0 && links.callsOut() == 0;
   }
 
+  /** Calls with an attempt out, also one that still waits for its connection. */
+  public int callsOut() {
+    return links.callsOut();
+  }
+
   /** Runners that links are kept to. */
   public Set<String> runners() {
     return links.runners();
@@ -185,20 +196,25 @@
   }
 
   /**
-   * Stops in order: goes on taking calls until no new ones can come, answers all that was taken, then closes; at the latest
-   * when every client has given up.
+   * Stops in order. It goes on taking until no new calls can come, accepts what the system holds and closes the listener;
+   * then each connection is half-closed as soon as nothing is asked on it. What is still held a moment before SIGKILL may
+   * come gets its final answer there and then. Returns when all connections have ended, or at that moment.
    */
   public void stop() throws InterruptedException {
+    long begun = Clock.micros();
     long longest = config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
-    long until = Clock.micros() + longest + STOP_TAKING - 3 * CLOSE_GENTLY;
-    sleepUntil(Math.min(until, Clock.micros() + STOP_TAKING));
-    while (!front.quiet() && Clock.micros() < until) {
-      sleepUntil(Clock.micros() + 5_000);
-    }
+    long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
+    sleepUntil(Math.min(begun + STOP_TAKING, leaves - 2 * ANSWER_BEFORE));
     front.stopAccepting();
-    front.finish();
-    sleepUntil(Clock.micros() + CLOSE_GENTLY);
-    LOG.info("{} stops; {}", config.name(), story());
+    boolean givenUp = false;
+    while (!front.drain() && Clock.micros() < leaves) {
+      if (!givenUp && Clock.micros() >= leaves - ANSWER_BEFORE) {
+        givenUp = true;
+        core.giveUpAll();
+      }
+      sleepUntil(Clock.micros() + LOOK_AGAIN);
+    }
+    LOG.info("{} stops after {} ms; {}", config.name(), (Clock.micros() - begun) / 1000, story());
     close();
   }
 
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -4,6 +4,7 @@
 import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
+import gorseladder.follow.FollowPace;
 import gorseladder.node.NodeConfig;
 import gorseladder.platform.BadInput;
 import gorseladder.platform.Fields;
@@ -25,20 +26,15 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the change log: asks for every event after the last one it has, again at once where the connection breaks, falls
- * silent for longer than {@link #SILENCE_MILLIS}, or leaves a number out. Half events are dropped and doubled ones skipped.
- * While it is away the list that is known stays in force.
+ * Follows the change log: asks for every event after the last one it has, again where the connection breaks, falls silent, or
+ * leaves a number out; {@link FollowPace} says what counts as silence, and when to ask. Half events are dropped and doubled ones
+ * skipped. While it is away the list that is known stays in force.
  *
  * <p>One thread of its own; {@link #moveTo} may be called by any.
  */
 public final class ChangeLogFollower implements AutoCloseable {
-  /** Two of the beats that come every second, and some. */
-  private static final int SILENCE_MILLIS = 1_800;
-  private static final int CONNECT_MILLIS = 500;
   private static final int MOST_LINE = 4 << 20;
   private static final int READ = 8_192;
-  private static final int LEAST_PAUSE = 20;
-  private static final int MOST_PAUSE = 250;
   private static final Logger LOG = LoggerFactory.getLogger(ChangeLogFollower.class);
 
   /** Who hears the list. */
@@ -51,6 +47,7 @@
   }
 
   private final Hearer hearer;
+  private final FollowPace pace;
   private final Births births = new Births();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private volatile InetSocketAddress address;
@@ -60,8 +57,9 @@
   private boolean gap;
 
   /** A follower that begins with {@link #start}. */
-  public ChangeLogFollower(InetSocketAddress address, Hearer hearer) {
+  public ChangeLogFollower(InetSocketAddress address, long seed, Hearer hearer) {
     this.address = address;
+    this.pace = new FollowPace(seed);
     this.hearer = hearer;
   }
 
@@ -91,40 +89,45 @@
   }
 
   private void follow() {
-    int pause = LEAST_PAUSE;
     while (!stopped) {
       InetSocketAddress asked = address;
       long before = last;
       try (Socket s = new Socket()) {
         socket = s;
-        s.connect(asked, CONNECT_MILLIS);
+        s.connect(asked, (int) (FollowPace.CONNECT / 1_000));
         s.setTcpNoDelay(true);
-        s.setSoTimeout(SILENCE_MILLIS);
         s.getOutputStream().write(ChangeLine.since(last));
-        if (asked.equals(address)) {
-          read(s.getInputStream());
+        if (asked.equals(address) && !stopped) {
+          pace.asked(Clock.micros());
+          read(s);
         }
       } catch (IOException | IllegalArgumentException | BadInput e) {
         if (!stopped) {
           LOG.debug("change log at {}: {}; the list stays", asked, e.toString());
         }
       }
-      pause = last > before ? LEAST_PAUSE : Math.min(MOST_PAUSE, 2 * pause);
-      sleep(asked.equals(address) ? pause : 0);
+      long pause = pace.pause(last > before);
+      sleep(asked.equals(address) ? pause / 1_000 : 0);
     }
   }
 
-  private void read(InputStream in) throws IOException {
+  private void read(Socket from) throws IOException {
+    InputStream in = from.getInputStream();
     LineParser lines = new LineParser(MOST_LINE);
     byte[] buffer = new byte[READ];
     gap = false;
     while (!stopped && !gap) {
+      // Counted from the last line that told something: bytes that trickle and never make one must not put it off.
+      from.setSoTimeout((int) Math.max(1, pace.left(Clock.micros()) / 1_000));
       int count = in.read(buffer);
       if (count < 0) {
         return;
       }
       long at = Clock.micros();
       lines.feed(buffer, 0, count, line -> line(line, at));
+      if (pace.left(at) <= 0) {
+        return;
+      }
     }
   }
 
@@ -133,6 +136,7 @@
       return;
     }
     ChangeLine change = ChangeLine.read(line);
+    pace.line(change.seq(), last, at);
     // A beat past the last event, or an event past the next one, says that one was missed.
     gap = change.seq() > (change.event() ? last + 1 : last);
     if (gap || !change.event() || change.seq() <= last) {
@@ -171,7 +175,7 @@
     return entries;
   }
 
-  private void sleep(int millis) {
+  private void sleep(long millis) {
     try {
       Thread.sleep(stopped ? 0 : millis);
     } catch (InterruptedException e) {
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -13,7 +13,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.Comparator;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,19 +33,24 @@
   private static final long IDLE = 6_000_000;
   private static final long STUCK = 2_000_000;
 
+  /** Turns a request that arrived whole into a call's facts, as {@link RequestReader#read} does. */
+  public interface Reader {
+    Facts read(Map<String, String> params, byte[] body, long arrivedAt) throws RequestReader.Unusable;
+  }
+
   /** Hears of calls taken, before the core does. */
   public interface Hearer {
     void taken(NodeCall call);
   }
 
-  private final RequestReader reader;
+  private final Reader reader;
   private final Core<NodeCall> core;
   private final Executor writers;
   private final Hearer hearer;
   private final int mostConnections;
   private final int mostHeld;
   private final long mostBodyBytes;
-  private final Set<FrontConnection> connections = ConcurrentHashMap.newKeySet();
+  private final Map<SocketChannel, FrontConnection> connections = new ConcurrentHashMap<>();
   private final Map<String, NodeCall> held = new ConcurrentHashMap<>();
   private final AtomicLong ids = new AtomicLong();
   private final AtomicLong bodyBytes = new AtomicLong();
@@ -61,7 +65,7 @@
    * @param mostHeld calls held at the most, as the platform tells
    * @param mostBodyBytes bytes of bodies held at the most
    */
-  public FastCgiFront(RequestReader reader, Core<NodeCall> core, Executor writers, int mostConnections, int mostHeld,
+  public FastCgiFront(Reader reader, Core<NodeCall> core, Executor writers, int mostConnections, int mostHeld,
       long mostBodyBytes, Hearer hearer) {
     this.reader = reader;
     this.core = core;
@@ -74,8 +78,8 @@
 
   /** Listens; calls are taken from now on. */
   public void listen(InetSocketAddress at, int stackBytes) throws IOException {
-    server = HttpServer.listen(at, "front", stackBytes, this::serve);
     live = true;
+    server = HttpServer.listen(at, "front", stackBytes, new Accepted());
   }
 
   /** Where it listens. */
@@ -83,30 +87,44 @@
     return server.address();
   }
 
-  private void serve(SocketChannel channel) throws IOException {
-    channel.socket().setTcpNoDelay(true);
-    if (connections.size() >= mostConnections && !makeRoom()) {
-      count("no room for a connection");
-      return;
+  /** Connections are counted where they are accepted, one at a time: many at once cannot pass the bound together. */
+  private final class Accepted implements HttpServer.Handler {
+    @Override
+    public boolean admit(SocketChannel channel) {
+      if (connections.size() >= mostConnections && !makeRoom()) {
+        count("no room for a connection");
+        return false;
+      }
+      connections.put(channel, new FrontConnection(FastCgiFront.this, channel));
+      return true;
+    }
+
+    @Override
+    public void serve(SocketChannel channel) throws IOException {
+      FrontConnection connection = connections.get(channel);
+      if (connection != null) {
+        connection.run();
+      }
+    }
+
+    @Override
+    public void unserved(SocketChannel channel) {
+      connections.get(channel).close();
     }
-    FrontConnection connection = new FrontConnection(this, channel);
-    connections.add(connection);
-    connection.run();
   }
 
-  /** Closes the connection that was idle longest, those that never asked first; false where every one has a request open. */
-  private synchronized boolean makeRoom() {
-    FrontConnection first = connections.stream().min(Comparator.comparingLong(FrontConnection::idleSince)).orElse(null);
-    if (first == null || first.idleSince() == Long.MAX_VALUE) {
-      return false;
+  /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
+  private boolean makeRoom() {
+    boolean made = connections.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
+        .sorted(Comparator.comparingLong(FrontConnection::idleSince)).anyMatch(FrontConnection::closeIfFree);
+    if (made) {
+      count("connection closed for room");
     }
-    count("connection closed for room");
-    first.close();
-    return true;
+    return made;
   }
 
-  void closed(FrontConnection connection) {
-    connections.remove(connection);
+  void closed(SocketChannel channel) {
+    connections.remove(channel);
   }
 
   Executor writers() {
@@ -163,7 +181,7 @@
   /** Looks at the time limits of connections; called now and then. */
   public void tidy() {
     long now = Clock.micros();
-    for (FrontConnection connection : connections) {
+    for (FrontConnection connection : connections.values()) {
       connection.check(now, SILENT, IDLE);
       connection.closeIfStuck(now, STUCK);
     }
@@ -186,7 +204,7 @@
 
   /** True where no request is open and every answer is written. */
   public boolean quiet() {
-    return held.isEmpty() && connections.stream().allMatch(c -> c.unanswered() == 0 && c.flushed());
+    return held.isEmpty() && connections.values().stream().allMatch(FrontConnection::quiet);
   }
 
   /** Takes no new connections; open ones go on. */
@@ -194,9 +212,10 @@
     server.stopAccepting();
   }
 
-  /** Tells every client that nothing more comes. */
-  public void finish() {
-    connections.forEach(FrontConnection::finish);
+  /** Tells every client of whom nothing is open that nothing more comes; true once all connections have ended. */
+  public boolean drain() {
+    connections.values().forEach(FrontConnection::drain);
+    return connections.isEmpty();
   }
 
   @Override
@@ -204,6 +223,6 @@
     if (server != null) {
       server.close();
     }
-    connections.forEach(FrontConnection::close);
+    connections.values().forEach(FrontConnection::close);
   }
 }
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -23,6 +23,10 @@
 /**
  * One connection of a web server. Its thread reads and parses; answers come from any thread and leave by the outbox. Each
  * request on it gets one answer, or the connection ends.
+ *
+ * <p>Its life goes one way, each step under its lock: open; half-closed, when nothing is asked, nothing unread and nothing
+ * more will be taken, so that what crosses on the wire meets an end and no reset; closed. What is looked at to decide a step
+ * is looked at under the lock that takes it.
  */
 final class FrontConnection implements RecordParser.Sink {
   private static final int FIRST_READ = 512;
@@ -33,10 +37,14 @@
   private static final int MOST_PAIRS = 100;
   private static final int RESPONDER = 1;
   private static final int MOST_WAITING_BYTES = 1 << 20;
+  /** How long the other side may take to close after a half-close, in microseconds. */
+  private static final long LINGER = 1_000_000;
   /** By how much a connection that never asked counts as idle for longer than one that did. */
   private static final long SILENT_FIRST = 600_000_000;
   private static final byte[] NOTHING = {};
 
+  private enum State { OPEN, HALF_CLOSED, CLOSED }
+
   /** A request on this connection, from BEGIN_REQUEST to END_REQUEST; what still comes for it after that is passed over. */
   private static final class Exchange {
     private final int id;
@@ -44,6 +52,8 @@
     private byte[] gathered = NOTHING;
     private int has;
     private Map<String, String> params;
+    /** Its last byte has come; from then on it is no half request. */
+    private boolean whole;
     private NodeCall call;
     private boolean answered;
 
@@ -75,7 +85,9 @@
   private long idleSince = connectedAt;
   private int requests;
   private int unanswered;
-  private boolean ended;
+  private State state = State.OPEN;
+  private long halfClosedAt;
+  /** Closes once nothing is open; it goes on taking what comes before. */
   private boolean closesAfterAnswers;
 
   FrontConnection(FastCgiFront front, SocketChannel channel) {
@@ -89,6 +101,7 @@
   void run() throws IOException {
     ByteBuffer buffer = ByteBuffer.allocate(FIRST_READ);
     try {
+      channel.socket().setTcpNoDelay(true);
       while (true) {
         buffer.clear();
         int count = channel.read(buffer);
@@ -119,6 +132,10 @@
       return;
     }
     synchronized (this) {
+      if (state != State.OPEN) {
+        // It crossed our end on the wire; nothing is taken any more, and its client asks again elsewhere.
+        return;
+      }
       Exchange before = open.get(id);
       inUse = before != null && !before.answered;
       over = !inUse && unanswered >= MOST_OPEN;
@@ -216,19 +233,23 @@
       front.count("second end of a body");
       return;
     }
-    byte[] body = e.has == e.gathered.length ? e.gathered : Arrays.copyOf(e.gathered, e.has);
-    e.gathered = NOTHING;
+    byte[] body;
+    synchronized (this) {
+      if (e.answered) {
+        open.remove(id, e);
+        return;
+      }
+      e.whole = true;
+      body = e.has == e.gathered.length ? e.gathered : Arrays.copyOf(e.gathered, e.has);
+      e.gathered = NOTHING;
+    }
     if (FastCgiFront.LIVE.equals(e.params.get("SCRIPT_NAME"))) {
       answer(e, RecordWriter.response(id, front.live() ? 200 : 503, Map.of("Content-Type", "text/plain"), NOTHING));
       forget(e);
       return;
     }
     try {
-      front.take(e.params, body, Clock.micros(), (call, end) -> ended(e, end), call -> {
-        synchronized (this) {
-          e.call = call;
-        }
-      });
+      front.take(e.params, body, Clock.micros(), (call, end) -> ended(e, end), call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
       front.count("unusable: " + bad.getMessage());
       answer(e, bad.reason());
@@ -236,6 +257,18 @@
     }
   }
 
+  /** Names the call of a request; where the connection has ended by now its client has left. */
+  private void taken(Exchange e, NodeCall call) {
+    boolean left;
+    synchronized (this) {
+      e.call = call;
+      left = state == State.CLOSED;
+    }
+    if (left) {
+      front.gone(call);
+    }
+  }
+
   @Override
   public void getValues(byte[] content) {
     Map<String, String> answer = new LinkedHashMap<>();
@@ -286,22 +319,24 @@
   }
 
   private void answer(Exchange e, byte[] bytes) {
-    boolean last;
+    boolean put;
     synchronized (this) {
-      if (ended || e.answered) {
+      if (state == State.CLOSED || e.answered) {
         return;
       }
       e.answered = true;
       requests++;
       unanswered--;
       idleSince = Clock.micros();
-      last = closesAfterAnswers && unanswered == 0;
+      // Put while the lock is held: seen from outside nothing is open only once the last answer is on its way.
+      put = outbox.put(bytes);
+      if (put && closesAfterAnswers) {
+        halfCloseIfFree();
+      }
     }
-    if (!outbox.put(bytes)) {
+    if (!put) {
       front.count("client does not read");
       close();
-    } else if (last) {
-      outbox.finish();
     }
   }
 
@@ -312,11 +347,35 @@
 
   // ---- its end
 
-  /** Requests that were read in part and wait for the rest. */
-  private synchronized Exchange oldestHalf() {
+  /** True where nothing is asked, also not by bytes that the system holds unread; the lock is held. */
+  private boolean free() {
+    if (unanswered > 0) {
+      return false;
+    }
+    try {
+      return channel.socket().getInputStream().available() == 0;
+    } catch (IOException e) {
+      // It has ended; its reader is told too.
+      return true;
+    }
+  }
+
+  /** Tells the other side that nothing more comes, where nothing is asked; the lock is held. */
+  private boolean halfCloseIfFree() {
+    if (state != State.OPEN || !free()) {
+      return false;
+    }
+    state = State.HALF_CLOSED;
+    halfClosedAt = Clock.micros();
+    outbox.finish();
+    return true;
+  }
+
+  /** Requests that were read in part and wait for the rest; the lock is held. */
+  private Exchange oldestHalf() {
     Exchange oldest = null;
     for (Exchange e : open.values()) {
-      if (!e.answered && e.call == null && (oldest == null || e.beganAt < oldest.beganAt)) {
+      if (!e.answered && !e.whole && (oldest == null || e.beganAt < oldest.beganAt)) {
         oldest = e;
       }
     }
@@ -330,28 +389,50 @@
    * @param idle how long it may be idle
    */
   void check(long now, long silent, long idle) {
-    Exchange half = oldestHalf();
-    if (half != null && now - half.beganAt > silent) {
-      front.count("half a request");
-      answer(half, Reason.SLOW_SENDER);
-    }
-    boolean asked;
+    boolean over;
     synchronized (this) {
-      if (unanswered > 0) {
-        return;
+      Exchange half = oldestHalf();
+      if (half != null && now - half.beganAt > silent) {
+        front.count("half a request");
+        answer(half, Reason.SLOW_SENDER);
       }
-      asked = requests > 0;
-      if (now - (asked ? idleSince : connectedAt) < (asked ? idle : silent)) {
-        return;
+      over = state == State.HALF_CLOSED && now - halfClosedAt > LINGER;
+      if (closesAfterAnswers) {
+        halfCloseIfFree();
+      } else if (state == State.OPEN && requests > 0 && now - idleSince >= idle && halfCloseIfFree()) {
+        front.count("idle connection closed");
+      } else if (state == State.OPEN && requests == 0 && now - connectedAt >= silent && free()) {
+        front.count("silent connection closed");
+        state = State.HALF_CLOSED;
+        over = true;
       }
     }
-    front.count(asked ? "idle connection closed" : "silent connection closed");
+    if (over) {
+      close();
+    }
+  }
+
+  /** Closes at once where nothing is asked and every answer is written; false where something is. */
+  boolean closeIfFree() {
+    synchronized (this) {
+      if (state == State.CLOSED || !free() || !outbox.idle()) {
+        return false;
+      }
+      state = State.HALF_CLOSED;
+    }
     close();
+    return true;
+  }
+
+  /** Takes what has come, answers what is open, then half-closes; asked again and again while the dispatcher stops. */
+  synchronized void drain() {
+    closesAfterAnswers = true;
+    halfCloseIfFree();
   }
 
   /** Since when it has been idle; {@code Long.MAX_VALUE} where a request is open. One that never asked comes first. */
   synchronized long idleSince() {
-    return unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
+    return state != State.OPEN ? 0 : unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
   }
 
   void closeIfStuck(long now, long most) {
@@ -362,27 +443,19 @@
     }
   }
 
-  synchronized int unanswered() {
-    return unanswered;
-  }
-
-  boolean flushed() {
-    return outbox.idle();
-  }
-
-  /** Tells the other side that nothing more comes; what was put before is written first. */
-  void finish() {
-    outbox.finish();
+  /** True where nothing is open and every answer is written. */
+  synchronized boolean quiet() {
+    return unanswered == 0 && outbox.idle();
   }
 
   /** Ends the connection; clients of calls that are open have left. */
   void close() {
     List<NodeCall> left = new ArrayList<>();
     synchronized (this) {
-      if (ended) {
+      if (state == State.CLOSED) {
         return;
       }
-      ended = true;
+      state = State.CLOSED;
       open.values().stream().filter(e -> !e.answered && e.call != null).forEach(e -> left.add(e.call));
       open.clear();
     }
@@ -392,7 +465,7 @@
     } catch (IOException e) {
       // Nothing is left to release.
     }
-    front.closed(this);
+    front.closed(channel);
     left.forEach(front::gone);
   }
 }
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/runners/Errand.java
@@ -0,0 +1,182 @@
+package gorseladder.node.runners;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.attempts.AttemptFate;
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.attempts.AttemptFate.Progress;
+import gorseladder.attempts.ConnectionChoice;
+import gorseladder.node.NodeCall;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.Watchdog;
+import gorseladder.wire.runner.AnswerParser.Answer;
+
+/**
+ * Something sent to a runner under an id that an answer may come for: an attempt or a load order. Its whole life stands here,
+ * each step under its own lock: it is carried by one connection at a time, leaves at most once, and ends in exactly one
+ * report. So an end and the leaving of its bytes cannot cross: whichever comes first, the other one sees it.
+ *
+ * <p>Lock order: the gate, then the errand, then its call. Any thread.
+ */
+abstract class Errand {
+  /** Moves to another connection at the most: a peer that ends every connection must not be met again and again. */
+  private static final int MOST_MOVES = 3;
+
+  final RunnerLinks links;
+  private final String worker;
+  private final long began = Clock.micros();
+  private Watchdog.Timer timer;
+  private LinkConnection connection;
+  private Progress progress = Progress.CONNECTING;
+  private long leftAt;
+  private int moves;
+  private boolean ended;
+
+  Errand(RunnerLinks links, String worker) {
+    this.links = links;
+    this.worker = worker;
+  }
+
+  final String worker() {
+    return worker;
+  }
+
+  /** When it was given to the links. */
+  final long began() {
+    return began;
+  }
+
+  /** The id that its answer comes under. */
+  abstract String id();
+
+  /** About how many bytes it is. */
+  abstract int size();
+
+  /** The call it belongs to, or null. */
+  abstract NodeCall call();
+
+  /** What a repeat of it does. */
+  abstract Effect effect();
+
+  /** Asked last, with the gate's lock and its own held: null where it may leave, else what stops it. */
+  abstract Ending mayLeave(long now);
+
+  /** The bytes to write. */
+  abstract byte[] bytes(long now);
+
+  /** What gives it up once it was written; null where nothing does. */
+  abstract byte[] halt();
+
+  /** An answer came for it; the outcome, or null where it cannot be read. */
+  abstract Outcome outcome(Answer answer);
+
+  /** Hears its end, once. {@code answer} is null where there was none. */
+  abstract void report(Outcome outcome, Answer answer);
+
+  /** Has it ended by its time at the latest. */
+  final synchronized void guard(Watchdog.Timer by) {
+    timer = by;
+    if (ended) {
+      by.cancel();
+    }
+  }
+
+  /** Names the connection that is to carry it, before it does; only that one may let it leave. */
+  final synchronized void on(LinkConnection carrier) {
+    connection = carrier;
+  }
+
+  final synchronized boolean over() {
+    return ended;
+  }
+
+  /** The last look of the connection that is about to write it: the bytes, or null. Nothing but the write comes after it. */
+  final byte[] take(LinkConnection by) {
+    Ending stopped;
+    long now;
+    synchronized (links.gate()) {
+      synchronized (this) {
+        if (ended || by != connection || progress != Progress.CONNECTING) {
+          return null;
+        }
+        now = Clock.micros();
+        stopped = mayLeave(now);
+        if (stopped == null) {
+          progress = Progress.LEAVING;
+          leftAt = now;
+        }
+      }
+    }
+    if (stopped != null) {
+      giveUp(stopped);
+      return null;
+    }
+    return bytes(now);
+  }
+
+  /** The answer; on the connection's thread. */
+  final void answered(Answer answer) {
+    Outcome outcome = outcome(answer);
+    if (outcome == null) {
+      giveUp(Ending.MALFORMED);
+      return;
+    }
+    synchronized (this) {
+      if (!end()) {
+        return;
+      }
+    }
+    report(outcome, answer);
+  }
+
+  /** A connection that carried it ended. What was not written moves to another one: only the connection failed. */
+  final void broken(LinkConnection by, Ending ending) {
+    boolean moves;
+    synchronized (this) {
+      if (ended || by != connection) {
+        return;
+      }
+      moves = progress == Progress.CONNECTING && ending != Ending.CONNECT_FAILED && this.moves++ < MOST_MOVES;
+      if (moves) {
+        connection = null;
+      }
+    }
+    if (!moves || !links.carry(this)) {
+      giveUp(ending);
+    }
+  }
+
+  /** Ends it without an answer: cancelled, out of time, or its connection broke. */
+  final void giveUp(Ending ending) {
+    Outcome outcome;
+    LinkConnection carrier;
+    boolean left;
+    synchronized (this) {
+      // How far it got and that it is over are one step: bytes that leave between the two would count as never sent.
+      if (!end()) {
+        return;
+      }
+      left = progress == Progress.LEAVING;
+      outcome = AttemptFate.ofUnanswered(progress, ending);
+      carrier = connection;
+    }
+    if (carrier != null && left) {
+      carrier.abandon(this, halt(), ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()));
+    } else if (carrier != null) {
+      carrier.drop(this);
+    }
+    report(outcome, null);
+  }
+
+  /** The lock is held. */
+  private boolean end() {
+    if (ended) {
+      return false;
+    }
+    ended = true;
+    if (timer != null) {
+      timer.cancel();
+    }
+    return true;
+  }
+}
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -1,6 +1,5 @@
 package gorseladder.node.runners;
 
-import gorseladder.RouterApi.Effect;
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.attempts.ConnectionChoice.Candidate;
@@ -9,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** The connections to one runner, by its id: a new runner at an old address is another link. Any thread. */
@@ -29,10 +29,15 @@
     return address;
   }
 
+  String uid() {
+    return uid;
+  }
+
   /** Hands an errand to a connection; false where none can be had, and then nothing of it leaves. */
-  boolean carry(LinkConnection.Errand errand, NodeCall call, Effect effect) {
+  boolean carry(Errand errand) {
+    NodeCall call = errand.call();
     for (int tries = 0; tries < 3; tries++) {
-      LinkConnection connection = choose(errand.id(), call, effect);
+      LinkConnection connection = choose(errand);
       if (connection == null) {
         return false;
       }
@@ -47,19 +52,20 @@
     return false;
   }
 
-  private synchronized LinkConnection choose(String id, NodeCall call, Effect effect) {
+  private synchronized LinkConnection choose(Errand errand) {
+    NodeCall call = errand.call();
     long now = Clock.micros();
     List<LinkConnection> may = new ArrayList<>(connections.size());
     List<Candidate> candidates = new ArrayList<>(connections.size());
     for (LinkConnection c : connections) {
       int carrying = c.carrying();
-      if (carrying < settings.multiplex() && c.idle(now) < settings.idle() && c.mayCarry(id)
+      if (carrying < settings.multiplex() && c.idle(now) < settings.idle() && c.mayCarry(errand.id())
           && (call == null || !call.wasOn(c))) {
         may.add(c);
         candidates.add(new Candidate(carrying, c.idle(now)));
       }
     }
-    int picked = ConnectionChoice.pick(effect, candidates, connections.size());
+    int picked = ConnectionChoice.pick(errand.effect(), candidates, connections.size());
     if (picked >= 0) {
       return may.get(picked);
     }
@@ -108,6 +114,12 @@
     }
   }
 
+  /** A connection on which nothing is out, the one used longest ago; null where there is none. */
+  synchronized LinkConnection idlest() {
+    long now = Clock.micros();
+    return connections.stream().filter(c -> c.carrying() == 0).max(Comparator.comparingLong(c -> c.idle(now))).orElse(null);
+  }
+
   /** The runner has gone: nothing new is opened, and connections close after what is out on them. */
   void goes() {
     synchronized (this) {
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -30,20 +30,6 @@
   private static final int MOST_WAITING_BYTES = 4 << 20;
   private static final int MOST_ABANDONED = 64;
 
-  /** Something sent under an id that an answer may come for. */
-  interface Errand extends Outbox.Item {
-    String id();
-
-    /** Names the connection that is to carry it, before it does. */
-    default void on(LinkConnection carrier) {}
-
-    /** The answer; on the connection's thread. */
-    void answered(Answer answer);
-
-    /** No answer will come on this connection. */
-    void broken(Ending ending);
-  }
-
   /** Hears of the connection's end. */
   interface Owner {
     /** Returns true where other connections to the runner are open. */
@@ -121,7 +107,7 @@
     closeIfDone();
   }
 
-  /** Takes an errand; false where the connection has ended. */
+  /** Takes an errand; false where it cannot, and then this connection says nothing more of it. */
   boolean carry(Errand errand) {
     synchronized (this) {
       if (closed || retired || out.putIfAbsent(errand.id(), errand) != null) {
@@ -129,15 +115,33 @@
       }
       usedAt = Clock.micros();
     }
-    if (!outbox.put(errand)) {
+    if (!outbox.put(leaving(errand))) {
       synchronized (this) {
-        out.remove(errand.id(), errand);
+        // Where it is out no more, the end of this connection has told it already, and it may be on its way elsewhere.
+        return !out.remove(errand.id(), errand);
       }
-      return false;
+    }
+    if (errand.over()) {
+      // It was given up while it was handed over, and found nothing to take back here.
+      drop(errand);
     }
     return true;
   }
 
+  private Outbox.Item leaving(Errand errand) {
+    return new Outbox.Item() {
+      @Override
+      public byte[] take() {
+        return errand.take(LinkConnection.this);
+      }
+
+      @Override
+      public int size() {
+        return errand.size();
+      }
+    };
+  }
+
   /** Forgets an errand that ended before anything of it was written. */
   void drop(Errand errand) {
     synchronized (this) {
@@ -185,6 +189,18 @@
     return heardAt;
   }
 
+  /** Closes it where nothing is out on it; false where something is. */
+  boolean closeIfFree() {
+    synchronized (this) {
+      if (closed || !out.isEmpty()) {
+        return false;
+      }
+      retired = true;
+    }
+    close(Ending.BROKEN, "closed for room");
+    return true;
+  }
+
   /** Takes nothing new; closes once nothing is out. */
   void retire() {
     synchronized (this) {
@@ -230,6 +246,6 @@
       // Nothing is left to release.
     }
     Ending told = AttemptFate.ofConnection(ending, owner.closed(this, was, why));
-    left.forEach(errand -> errand.broken(told));
+    left.forEach(errand -> errand.broken(this, told));
   }
 }
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -1,6 +1,5 @@
 package gorseladder.node.runners;
 
-import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Limits;
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Phase;
@@ -15,12 +14,15 @@
 import gorseladder.runtime.Threads;
 import gorseladder.runtime.Watchdog;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,7 +50,10 @@
   private final LinkSettings settings;
   private final NodeConfig.Links told;
   private final Limits limits;
+  /** Links to runners that the list has. Changed with the gate's lock, so that a link and its gate are told together. */
   private final Map<String, Link> links = new ConcurrentHashMap<>();
+  /** Links to runners that have gone, or have another address now, until nothing is out on them. */
+  private final Set<Link> leaving = ConcurrentHashMap.newKeySet();
   private final Map<NodeCall, Map<Integer, Trip>> out = new ConcurrentHashMap<>();
   private final AtomicLong tags = new AtomicLong();
   private final Counts closes = new Counts();
@@ -89,13 +94,25 @@
 
   /** News of a runner, with the time at which its bytes reached this process. */
   public void told(String uid, Phase phase, InetSocketAddress address, long at) {
+    Link before;
     synchronized (gate) {
       gate.told(uid, phase, at);
+      before = links.get(uid);
+      if (phase != Phase.GONE && before != null && before.address().equals(address)) {
+        return;
+      }
+      if (before != null) {
+        leaving.add(before);
+      }
+      // A runner that comes back, here or at another address, gets a link of its own: what has gone takes nothing new.
+      if (phase == Phase.GONE) {
+        links.remove(uid);
+      } else {
+        links.put(uid, new Link(uid, address, settings));
+      }
     }
-    if (phase != Phase.GONE) {
-      links.computeIfAbsent(uid, u -> new Link(u, address, settings));
-    } else if (links.containsKey(uid)) {
-      links.get(uid).goes();
+    if (before != null) {
+      before.goes();
     }
   }
 
@@ -113,17 +130,31 @@
     long until = timeout > 0 ? Math.min(deadline, now + timeout) : deadline;
     Trip trip = new Trip(this, call, number, worker, until);
     out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, trip);
-    trip.guard(watchdog.after(Math.max(0, until - now), () -> trip.giveUp(Ending.TIMED_OUT)));
-    if (!carryAgain(trip)) {
-      trip.giveUp(Ending.CONNECT_FAILED);
+    start(trip, until - now);
+  }
+
+  private void start(Errand errand, long time) {
+    errand.guard(watchdog.after(Math.max(0, time), () -> errand.giveUp(Ending.TIMED_OUT)));
+    if (!carry(errand)) {
+      errand.giveUp(Ending.CONNECT_FAILED);
     }
   }
 
-  /** Hands a trip to a connection of its runner; false where none can be had. */
-  boolean carryAgain(Trip trip) {
-    Link link = links.get(trip.worker());
-    Effect effect = trip.call().facts().requestClass().effect();
-    return link != null && link.carry(trip, trip.call(), effect);
+  /** Hands an errand to a connection of its runner; false where none can be had. */
+  boolean carry(Errand errand) {
+    Link link = links.get(errand.worker());
+    return link != null && (link.carry(errand) || makeRoom() && link.carry(errand));
+  }
+
+  /**
+   * Where no descriptor is left, closes the connection that was idle longest: one that carries nothing is worth least. False
+   * where there is no need or nothing to close.
+   */
+  private boolean makeRoom() {
+    long now = Clock.micros();
+    return settings.descriptors().availablePermits() == 0
+        && links.values().stream().map(Link::idlest).filter(Objects::nonNull).max(Comparator.comparingLong(c -> c.idle(now)))
+            .map(LinkConnection::closeIfFree).orElse(false);
   }
 
   /** Stops an attempt; its end still comes. */
@@ -136,12 +167,7 @@
 
   /** Orders copies held; the end comes by {@link Hearer#loadEnded}. */
   public void load(String worker, String function, int copies) {
-    LoadOrder order = new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies);
-    Link link = links.get(worker);
-    watchdog.after(limits.orderTimeout(), () -> order.broken(Ending.TIMED_OUT));
-    if (link == null || !link.carry(order, null, Effect.SAFE)) {
-      order.broken(Ending.CONNECT_FAILED);
-    }
+    start(new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies), limits.orderTimeout());
   }
 
   void ended(Trip trip, AttemptEnd<NodeCall> end) {
@@ -164,9 +190,11 @@
   public void tidy() {
     long now = Clock.micros();
     links.values().forEach(link -> link.tidy(now, STUCK));
-    links.values().removeIf(Link::finished);
+    leaving.forEach(link -> link.tidy(now, STUCK));
     synchronized (gate) {
-      gate.forgetUnless(links::containsKey);
+      leaving.removeIf(Link::finished);
+      Set<String> last = leaving.stream().map(Link::uid).collect(Collectors.toSet());
+      gate.forgetUnless(uid -> links.containsKey(uid) || last.contains(uid));
     }
   }
 
@@ -179,7 +207,7 @@
     }
   }
 
-  /** Runners, connections and calls that are held, for tests. */
+  /** Runners that the list has, for tests. */
   public Set<String> runners() {
     return Set.copyOf(links.keySet());
   }
@@ -192,5 +220,6 @@
   @Override
   public void close() {
     links.values().forEach(Link::close);
+    leaving.forEach(Link::close);
   }
 }
--- /dev/null
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -0,0 +1,187 @@
+package gorseladder.node.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.Limits;
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.RouterApi.Rules;
+import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import gorseladder.core.Core;
+import gorseladder.node.NodeCall;
+import gorseladder.runtime.Clock;
+import gorseladder.wire.fastcgi.RecordWriter;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A request and the end of its connection at one moment: the thread that reads is started, or held, by the test. */
+class FrontConnectionTest {
+  private static final long SECOND = 1_000_000;
+
+  private final AtomicInteger sent = new AtomicInteger();
+  private final AtomicInteger pauses = new AtomicInteger();
+  private Runnable atRead = () -> { };
+  private Core<NodeCall> core;
+  private FastCgiFront front;
+  private FrontConnection connection;
+  private SocketChannel accepted;
+  private Socket client;
+
+  @BeforeEach
+  void start() throws IOException {
+    Settings settings = new Settings(0, 1, "z", 2_000, 8 * SECOND, true, false, 0, 0.05,
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0),
+        List.of(new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 2 * SECOND, 1, 0.2, false)), List.of());
+    core = new Core<>(settings, 1, new Core.Hands<>() {
+      @Override
+      public void send(NodeCall call, int attempt, String worker, long timeout) {
+        sent.incrementAndGet();
+      }
+
+      @Override
+      public void cancel(NodeCall call, int attempt) {}
+
+      @Override
+      public void load(String worker, String function, int copies) {}
+
+      @Override
+      public void tellPeers(String text) {}
+
+      @Override
+      public void watchList() {}
+
+      @Override
+      public void pausing() {
+        pauses.incrementAndGet();
+      }
+    }, 100, false, null, 512 << 10);
+    core.listNews(new Workers(ListKind.SAVED, List.of(new WorkerEntry("r", "z", 0, Phase.RUNNING, 1, 0))));
+    RequestReader reader = new RequestReader(settings);
+    front = new FastCgiFront((params, body, at) -> {
+      atRead.run();
+      return reader.read(params, body, at);
+    }, core, Runnable::run, 10, 100, 1 << 20, call -> { });
+    ServerSocketChannel server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    client = new Socket(InetAddress.getLoopbackAddress(), ((InetSocketAddress) server.getLocalAddress()).getPort());
+    accepted = server.accept();
+    server.close();
+    connection = new FrontConnection(front, accepted);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    connection.close();
+    client.close();
+    core.close();
+  }
+
+  /** Writes a whole request and waits until the system holds it, unread. */
+  private void ask() throws IOException {
+    client.getOutputStream().write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
+    while (accepted.socket().getInputStream().available() == 0) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private void readAll() {
+    Thread thread = new Thread(() -> {
+      try {
+        connection.run();
+      } catch (IOException e) {
+        // The client reads the end.
+      }
+    });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private String answer() throws IOException {
+    client.setSoTimeout(2_000);
+    byte[] bytes = new byte[1_000];
+    int count = client.getInputStream().read(bytes);
+    return new String(bytes, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
+  }
+
+  @Test
+  void aLookAtIdlenessSeesWhatTheSystemHoldsUnread() throws Exception {
+    ask();
+    connection.check(Clock.micros() + 60 * SECOND, 2 * SECOND, 6 * SECOND);
+    readAll();
+    assertTrue(answer().contains("Status: 503"), "its thread had not begun");
+  }
+
+  @Test
+  void roomIsNotMadeByAConnectionWithARequestUnread() throws Exception {
+    ask();
+    assertFalse(connection.closeIfFree());
+    readAll();
+    assertTrue(answer().contains("Status: 503"));
+    assertTrue(connection.closeIfFree(), "nothing is asked now");
+  }
+
+  /** What was unread when the stop began is answered, then the connection is half-closed; what comes after is not taken. */
+  @Test
+  void aStopAnswersWhatIsUnreadAndTakesNothingAfterTheHalfClose() throws Exception {
+    ask();
+    connection.drain();
+    readAll();
+    assertTrue(answer().contains("Status: 503"));
+    connection.drain();
+    assertEquals("", answer(), "the end");
+    atRead = sent::incrementAndGet;
+    client.getOutputStream().write(RecordWriter.request(2, true, Map.of("SCRIPT_NAME", "/svc/safe"), new byte[0]));
+    client.shutdownOutput();
+    while (accepted.isOpen()) {
+      Thread.onSpinWait();
+    }
+    assertEquals(0, sent.get());
+  }
+
+  /** The connection ends after its request was read and before the call has a name there: no attempt is made for it. */
+  @Test
+  void aCallTakenOnAConnectionThatJustEndedIsNotSent() throws Exception {
+    CountDownLatch read = new CountDownLatch(1);
+    atRead = () -> {
+      connection.close();
+      read.countDown();
+    };
+    client.getOutputStream().write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/safe", "HTTP_X_REQUEST_ID",
+        "00000000000000aa", "HTTP_X_OBJECT", "00000000000000ff", "HTTP_X_TIMEOUT_MS", "1500", "HTTP_X_FACTS",
+        "memory_mb:10;lanes:1"), new byte[3]));
+    readAll();
+    read.await();
+    assertTimeoutPreemptively(Duration.ofSeconds(5), () -> {
+      while (front.held() > 0) {
+        Thread.onSpinWait();
+      }
+      // By the second time the core has nothing to do it has looked at all that was put before the first.
+      int before = pauses.get();
+      core.listNews(new Workers(ListKind.DELTA, List.of()));
+      while (pauses.get() < before + 2) {
+        Thread.sleep(1);
+      }
+    });
+    assertEquals(0, sent.get());
+  }
+}
--- /dev/null
+++ b/node/src/test/java/gorseladder/node/runners/ErrandTest.java
@@ -0,0 +1,199 @@
+package gorseladder.node.runners;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Limits;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Rules;
+import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.gate.SendGate;
+import gorseladder.node.NodeCall;
+import gorseladder.node.NodeConfig;
+import gorseladder.runtime.Watchdog;
+import gorseladder.wire.runner.AnswerParser.Answer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The moments at which an errand, its connection and its end can cross; a seam of the errand holds each. */
+class ErrandTest {
+  private static final long SECOND = 1_000_000;
+
+  private ServerSocket server;
+  private Watchdog watchdog;
+  private RunnerLinks links;
+
+  /** An errand that does at each step what the test says. */
+  private class Probe extends Errand {
+    final List<Outcome> ends = new ArrayList<>();
+    Runnable atSize = () -> { };
+    Runnable atLastLook = () -> { };
+    int size = 10;
+
+    Probe() {
+      super(ErrandTest.this.links, "r");
+    }
+
+    @Override
+    String id() {
+      return "e" + System.identityHashCode(this);
+    }
+
+    @Override
+    int size() {
+      atSize.run();
+      return size;
+    }
+
+    @Override
+    NodeCall call() {
+      return null;
+    }
+
+    @Override
+    Effect effect() {
+      return Effect.UNSAFE;
+    }
+
+    @Override
+    Ending mayLeave(long now) {
+      atLastLook.run();
+      return null;
+    }
+
+    @Override
+    byte[] bytes(long now) {
+      return new byte[size];
+    }
+
+    @Override
+    byte[] halt() {
+      return null;
+    }
+
+    @Override
+    Outcome outcome(Answer answer) {
+      return Outcome.OK;
+    }
+
+    @Override
+    void report(Outcome outcome, Answer answer) {
+      ends.add(outcome);
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    watchdog = new Watchdog("watchdog", 128 << 10);
+    Rules rules = new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0);
+    links = new RunnerLinks(new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), new SendGate(rules), watchdog, Runnable::run, 4,
+        1 << 20, 128 << 10);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    links.close();
+    watchdog.close();
+    server.close();
+  }
+
+  private InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  /** A connection that nobody opens: what is put on it waits. */
+  private LinkConnection connection() throws IOException {
+    return new LinkConnection(address(), 250_000, 1 << 20, Runnable::run, (c, open, why) -> false);
+  }
+
+  @Test
+  void whatIsGivenUpAtTheLastLookCountsAsMayHaveRun() throws Exception {
+    Probe errand = new Probe();
+    LinkConnection carrier = connection();
+    errand.on(carrier);
+    CountDownLatch looking = new CountDownLatch(1);
+    Thread gives = new Thread(() -> {
+      try {
+        looking.await();
+        errand.giveUp(Ending.CANCELLED);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    gives.start();
+    errand.atLastLook = () -> {
+      looking.countDown();
+      // Held here until the other thread stands at the lock, or has gone past it.
+      while (gives.getState() != Thread.State.BLOCKED && gives.isAlive()) {
+        Thread.onSpinWait();
+      }
+    };
+    assertNotNull(errand.take(carrier), "it leaves");
+    gives.join();
+    assertEquals(List.of(Outcome.CANCELLED), errand.ends);
+    assertFalse(errand.ends.get(0).neverRan);
+  }
+
+  @Test
+  void itLeavesOnceAndOnlyByTheConnectionThatCarriesIt() throws Exception {
+    Probe errand = new Probe();
+    LinkConnection first = connection();
+    LinkConnection second = connection();
+    errand.on(first);
+    errand.on(second);
+    assertNull(errand.take(first));
+    assertNotNull(errand.take(second));
+    assertNull(errand.take(second));
+    Probe given = new Probe();
+    given.on(first);
+    given.giveUp(Ending.CANCELLED);
+    assertNull(given.take(first));
+    assertEquals(List.of(Outcome.MOOT), given.ends);
+  }
+
+  /** The connection ends, and tells so, while the errand is being put on it: it moves once, not twice. */
+  @Test
+  void aConnectionThatEndsInTheHandOverSaysItOnce() throws Exception {
+    Probe blocks = new Probe();
+    blocks.size = 5 << 20;
+    Probe errand = new Probe();
+    LinkConnection carrier = connection();
+    blocks.on(carrier);
+    assertTrue(carrier.carry(blocks));
+    errand.on(carrier);
+    errand.size = 5 << 20;
+    errand.atSize = () -> carrier.close(Ending.BROKEN, "test");
+    assertTrue(carrier.carry(errand), "its end has told of it; carrying it elsewhere too would send it twice");
+    assertEquals(1, errand.ends.size());
+    assertTrue(errand.ends.get(0).neverRan);
+  }
+
+  @Test
+  void whatIsGivenUpInTheHandOverStaysNowhere() throws Exception {
+    Probe errand = new Probe();
+    LinkConnection carrier = connection();
+    errand.on(carrier);
+    errand.atSize = () -> errand.giveUp(Ending.CANCELLED);
+    assertTrue(carrier.carry(errand));
+    assertEquals(0, carrier.carrying());
+    Probe before = new Probe();
+    before.on(carrier);
+    before.giveUp(Ending.TIMED_OUT);
+    assertTrue(carrier.carry(before));
+    assertEquals(0, carrier.carrying());
+  }
+}
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.Set;
@@ -18,20 +20,36 @@
 
   private static final long MOST_JOIN_MILLIS = 2_000;
 
-  /** What is done with a connection; it is closed when this returns. */
+  /** What is done with connections. */
   public interface Handler {
+    /** Serves one, on a thread of its own; it is closed when this returns. */
     void serve(SocketChannel connection) throws IOException;
+
+    /**
+     * A connection was accepted; false turns it away. On the accepting thread and for one connection at a time, so that what is
+     * counted here cannot be passed by many at once. Must not block.
+     */
+    default boolean admit(SocketChannel connection) {
+      return true;
+    }
+
+    /** A connection that was admitted ends unserved: the system has no thread for it. */
+    default void unserved(SocketChannel connection) {}
   }
 
   private final ServerSocketChannel server;
+  private final Selector selector;
   private final Handler handler;
   private final ThreadFactory threads;
   private final Set<SocketChannel> open = ConcurrentHashMap.newKeySet();
   private final Thread acceptor;
   private volatile boolean stopped;
+  /** True while accepting fails; the accepting thread's own. */
+  private boolean failing;
 
-  private HttpServer(ServerSocketChannel server, String name, int stackBytes, Handler handler) {
+  private HttpServer(ServerSocketChannel server, Selector selector, String name, int stackBytes, Handler handler) {
     this.server = server;
+    this.selector = selector;
     this.handler = handler;
     this.threads = Threads.factory(name, stackBytes);
     this.acceptor = Threads.start(name + "-accept", stackBytes, this::accept);
@@ -44,11 +62,14 @@
     try {
       server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
       server.bind(at, 1024);
+      server.configureBlocking(false);
+      Selector selector = Selector.open();
+      server.register(selector, SelectionKey.OP_ACCEPT);
+      return new HttpServer(server, selector, name, stackBytes, handler);
     } catch (IOException e) {
       server.close();
       throw new IOException("cannot listen at " + at + ": " + e.getMessage(), e);
     }
-    return new HttpServer(server, name, stackBytes, handler);
   }
 
   /** Where it listens. */
@@ -66,17 +87,37 @@
   }
 
   private void accept() {
-    while (!stopped) {
-      try {
-        SocketChannel connection = server.accept();
-        open.add(connection);
-        start(connection);
-      } catch (IOException e) {
-        if (!stopped) {
-          LOG.warn("accept failed: {}", e.toString());
-          pause();
+    try (selector; server) {
+      while (!stopped) {
+        selector.select();
+        selector.selectedKeys().clear();
+        acceptAll();
+      }
+      // What the system had accepted before the listener goes belongs to clients that may have asked already.
+      acceptAll();
+    } catch (IOException e) {
+      LOG.error("accepting ended", e);
+    }
+  }
+
+  /** Accepts all that the system holds ready. */
+  private void acceptAll() {
+    try {
+      for (SocketChannel connection = server.accept(); connection != null; connection = server.accept()) {
+        failing = false;
+        if (handler.admit(connection)) {
+          open.add(connection);
+          start(connection);
+        } else {
+          connection.close();
         }
       }
+    } catch (IOException e) {
+      if (!failing) {
+        LOG.warn("accept failed: {}", e.toString());
+      }
+      failing = true;
+      pause();
     }
   }
 
@@ -87,6 +128,7 @@
     } catch (OutOfMemoryError e) {
       LOG.error("no thread for a connection", e);
       open.remove(connection);
+      handler.unserved(connection);
       connection.close();
       pause();
     }
@@ -110,15 +152,12 @@
     }
   }
 
-  /** Stops accepting; open connections go on. The address is free once this returns. */
+  /** Stops accepting once all that the system holds is accepted; open connections go on. Then the address is free. */
   public void stopAccepting() {
     stopped = true;
+    selector.wakeup();
     try {
-      server.close();
-      // The system holds the address until the thread that waits in accept has come back.
       acceptor.join(MOST_JOIN_MILLIS);
-    } catch (IOException e) {
-      LOG.debug("closing the listener: {}", e.toString());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/runtime/src/main/java/gorseladder/runtime/Writers.java
+++ b/runtime/src/main/java/gorseladder/runtime/Writers.java
@@ -80,13 +80,20 @@
     }
   }
 
-  /** Starts one more thread where tasks wait because all are held up; called now and then. */
+  /**
+   * Where tasks wait because the thread that was to do them is held up, wakes those that are free, or starts one more; called
+   * now and then.
+   */
   public void relieve() {
     boolean more;
     lock.lock();
     try {
-      more = !tasks.isEmpty() && free == 0 && started < most && !closed && Clock.micros() - servedAt > HELD_UP;
+      boolean heldUp = !tasks.isEmpty() && !closed && Clock.micros() - servedAt > HELD_UP;
+      more = heldUp && free == 0 && started < most;
       started += more ? 1 : 0;
+      if (heldUp) {
+        filled.signalAll();
+      }
     } finally {
       lock.unlock();
     }
--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -16,6 +16,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class RuntimeTest {
@@ -118,4 +123,87 @@
     }
     first.close();
   }
+
+  /** Connections that came up before the listener closes are served, though nobody had looked at them by then. */
+  @Test
+  void aListenerThatClosesTakesItsBacklogAlong() throws Exception {
+    CountDownLatch first = new CountDownLatch(1);
+    CountDownLatch goOn = new CountDownLatch(1);
+    AtomicInteger served = new AtomicInteger();
+    HttpServer server = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, new HttpServer.Handler() {
+      @Override
+      public boolean admit(SocketChannel connection) {
+        first.countDown();
+        try {
+          goOn.await();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+        return true;
+      }
+
+      @Override
+      public void serve(SocketChannel connection) throws IOException {
+        connection.write(ByteBuffer.wrap(new byte[] {7}));
+        served.incrementAndGet();
+      }
+    });
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      clients.add(new Socket(server.address().getAddress(), server.address().getPort()));
+    }
+    first.await();
+    Thread closing = new Thread(server::stopAccepting);
+    closing.start();
+    while (closing.getState() != Thread.State.TIMED_WAITING) {
+      Thread.onSpinWait();
+    }
+    goOn.countDown();
+    for (Socket client : clients) {
+      assertEquals(7, client.getInputStream().read());
+      client.close();
+    }
+    closing.join();
+    assertEquals(20, served.get());
+    server.close();
+  }
+
+  /** A writer that is held up keeps its own task only: those that waited with it go to a free one. */
+  @Test
+  void tasksBehindAHeldUpWriterGoToAFreeOne() throws Exception {
+    Writers writers = new Writers(3, 128 << 10);
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch done = new CountDownLatch(1);
+    Runnable blocks = () -> {
+      try {
+        held.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    };
+    // Two threads, both free again.
+    CountDownLatch started = new CountDownLatch(2);
+    for (int i = 0; i < 2; i++) {
+      writers.execute(() -> {
+        started.countDown();
+        try {
+          started.await();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+    }
+    started.await();
+    writers.release();
+    writers.execute(blocks);
+    writers.execute(done::countDown);
+    writers.release();
+    for (int i = 0; i < 200 && done.getCount() > 0; i++) {
+      Thread.sleep(10);
+      writers.relieve();
+    }
+    assertEquals(0, done.getCount());
+    held.countDown();
+    writers.close();
+  }
 }
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -19,11 +19,14 @@
 public final class PlatformChangeLog implements Closeable {
   private static final int BEAT_MILLIS = 200;
 
+  /** What the present connection is told. */
+  private enum Telling { ALL, NOTHING, BYTES, OLD_BEATS }
+
   private final ServerSocket server;
   private final List<String> events;
   private final List<Long> asked = new ArrayList<>();
   private Socket current;
-  private boolean silent;
+  private Telling telling = Telling.ALL;
   private int doubles;
 
   /** A log on a free port of the loopback, sharing its events with others that take its place. */
@@ -53,7 +56,7 @@
         Socket socket = server.accept();
         synchronized (this) {
           current = socket;
-          silent = false;
+          telling = Telling.ALL;
         }
         Thread thread = new Thread(() -> tell(socket), "change-log-reader");
         thread.setDaemon(true);
@@ -75,10 +78,15 @@
       while (true) {
         synchronized (this) {
           StringBuilder text = new StringBuilder();
-          for (; !silent && from < events.size(); from++) {
+          for (; telling == Telling.ALL && from < events.size(); from++) {
             text.append((events.get(from) + "\n").repeat(1 + doubles));
           }
-          text.append(silent ? "" : from + "\n");
+          text.append(switch (telling) {
+            case ALL -> from + "\n";
+            case NOTHING -> "";
+            case BYTES -> " ";
+            case OLD_BEATS -> "0\n";
+          });
           out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
           wait(BEAT_MILLIS);
         }
@@ -96,7 +104,17 @@
 
   /** Stops telling on the present connection, which stays open; a new one is told again. */
   public synchronized void fallSilent() {
-    silent = true;
+    telling = Telling.NOTHING;
+  }
+
+  /** Has bytes trickle on the present connection that never make a line. */
+  public synchronized void trickle() {
+    telling = Telling.BYTES;
+  }
+
+  /** Has the present connection told beats alone, with a number long passed. */
+  public synchronized void fallBehind() {
+    telling = Telling.OLD_BEATS;
   }
 
   /** Writes every event so many times more from now on. */
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -39,14 +40,42 @@
   private final Function<Arrival, Deed> script;
   private final List<Arrival> arrivals = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
+  private final List<Socket> blockers = new ArrayList<>();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private int halts;
   private int connections;
 
   /** Listens on a free port of the loopback. */
   public PlatformRunner(Function<Arrival, Deed> script) throws IOException {
+    this(script, 200);
+    start(this::accept);
+  }
+
+  private PlatformRunner(Function<Arrival, Deed> script, int backlog) throws IOException {
     this.script = script;
-    server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
+  }
+
+  /** A runner whose connections come up late: none before {@link #comeUp}, and then within about a second. */
+  public static PlatformRunner late(Function<Arrival, Deed> script) throws IOException {
+    PlatformRunner runner = new PlatformRunner(script, 1);
+    try {
+      // Once its queue of connections is full the system answers no further one.
+      while (true) {
+        Socket blocker = new Socket();
+        runner.blockers.add(blocker);
+        blocker.connect(runner.server.getLocalSocketAddress(), 200);
+      }
+    } catch (SocketTimeoutException e) {
+      return runner;
+    }
+  }
+
+  /** Lets the connections of a late runner come up. */
+  public void comeUp() throws IOException {
+    for (Socket blocker : blockers) {
+      blocker.close();
+    }
     start(this::accept);
   }
 
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeWorld.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeWorld.java
@@ -34,6 +34,8 @@
   final List<FastCgiClient> clients = new ArrayList<>();
   /** Descriptors that the dispatcher is told; before {@link #start}. */
   int sockets = 1_024;
+  /** How long a connection to a runner may take to come up; before {@link #start}. */
+  long connect = 250_000;
   /** Deadline of the classes; before {@link #start}. */
   long deadline = 2 * SECOND;
   PlatformChangeLog log;
@@ -46,9 +48,15 @@
   /** Starts runners that follow a script, and a dispatcher that knows them. */
   void start(int count, Function<Arrival, Deed> script) throws IOException {
     for (int i = 0; i < count; i++) {
-      PlatformRunner runner = new PlatformRunner(script);
-      runners.add(runner);
-      events.add(PlatformChangeLog.event(i + 1, i == 0, "r" + i, runner.address(), "active"));
+      runners.add(new PlatformRunner(script));
+    }
+    start();
+  }
+
+  /** Starts a dispatcher that knows the runners. */
+  void start() throws IOException {
+    for (int i = 0; i < runners.size(); i++) {
+      events.add(PlatformChangeLog.event(i + 1, i == 0, "r" + i, runners.get(i).address(), "active"));
     }
     log = new PlatformChangeLog(events);
     node = new Node(config());
@@ -63,7 +71,7 @@
     List<ChangeLine> known = events.stream().map(e -> ChangeLine.of(Json.read(e.getBytes(StandardCharsets.US_ASCII)))).toList();
     return new NodeConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 5, sockets, 128 << 20, null,
         List.of(), null, log.address(), events.size(), known, settings,
-        new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true), 20_000);
+        new NodeConfig.Links(connect, 30 * SECOND, 100, true, true), 20_000);
   }
 
   FastCgiClient client() throws IOException {
