--- /dev/null
+++ b/decisions/src/test/java/gorseladder/ColdFleetTest.java
@@ -0,0 +1,154 @@
+package gorseladder;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.*;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Many routers on one fake clock, each with a seed and a share of the traffic of its own: what all of them together send to
+ * cold workers stays under what the platform's rule bears, also where half of the fleet is lost and comes back cold at once, and
+ * then the other half is lost, so that all traffic presses on what is cold.
+ */
+class ColdFleetTest {
+  private static final long MS = 1_000;
+  private static final long SECOND = 1_000 * MS;
+  private static final int WORKERS = 20;
+  private static final int LOST = 10;
+  private static final long LOST_AT = 20 * SECOND;
+  private static final long BACK_AT = 23 * SECOND;
+  private static final long END = 44 * SECOND;
+  private static final long SERVICE = 200 * MS;
+  /** Calls a second that a warm worker can do. */
+  private static final double CAPACITY = 20;
+  private static final long NOTICE = 700 * MS;
+
+  private record Due(long at, long order, int router, Event event) implements Comparable<Due> {
+    @Override
+    public int compareTo(Due other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  private final PriorityQueue<Due> queue = new PriorityQueue<>();
+  private final Map<String, List<Long>> sends = new HashMap<>();
+  private final Map<Long, String> functions = new HashMap<>();
+  private final Set<String> loaded = new HashSet<>();
+  private final Map<Long, Integer> attempts = new HashMap<>();
+  private Settings settings;
+  private long now;
+  private long order;
+
+  private void later(long at, int router, Event event) {
+    queue.add(new Due(at, order++, router, event));
+  }
+
+  private static String worker(int i) {
+    return "w" + i;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"3, 1, 1", "3, 2, 4", "30, 1, 1", "30, 2, 4", "30, 3, 9", "100, 1, 1", "100, 2, 4", "100, 3, 9", "200, 4, 6"})
+  void allTogetherStayUnderWhatColdWorkersBear(int dispatchers, long seed, int secondsLater) {
+    settings = TestSites.settings(true, false, dispatchers);
+    Random random = new Random(seed);
+    List<Router> routers = new ArrayList<>();
+    double[] share = new double[dispatchers];
+    double all = 0;
+    List<WorkerEntry> known = new ArrayList<>();
+    List<WorkerEntry> lost = new ArrayList<>();
+    List<WorkerEntry> back = new ArrayList<>();
+    List<WorkerEntry> others = new ArrayList<>();
+    for (int i = 0; i < WORKERS; i++) {
+      known.add(TestSites.entry(worker(i), Phase.RUNNING, 0));
+      if (i >= LOST) {
+        others.add(TestSites.entry(worker(i), Phase.GONE, 0));
+      } else {
+        lost.add(TestSites.entry(worker(i), Phase.GONE, 0));
+        back.add(TestSites.entry(worker(i), Phase.RUNNING, BACK_AT));
+      }
+    }
+    for (int d = 0; d < dispatchers; d++) {
+      routers.add(new Router(settings, random.nextLong()));
+      share[d] = -Math.log(1 - random.nextDouble());
+      all += share[d];
+      later(1, d, new Workers(ListKind.SAVED, known));
+      long lag = (long) (random.nextDouble() * 300 * MS);
+      later(LOST_AT + NOTICE + lag, d, new Workers(ListKind.DELTA, lost));
+      later(BACK_AT + NOTICE + lag, d, new Workers(ListKind.DELTA, back));
+      later(BACK_AT + NOTICE + secondsLater * SECOND + lag, d, new Workers(ListKind.DELTA, others));
+    }
+    double rate = 0.5 * WORKERS * CAPACITY;
+    long id = 0;
+    for (double at = 10 * MS; at < END; at += -Math.log(1 - random.nextDouble()) / rate * SECOND) {
+      int d = 0;
+      for (double pick = random.nextDouble() * all; pick > share[d] && d < dispatchers - 1; d++) {
+        pick -= share[d];
+      }
+      String f = "f" + (int) (60 * Math.pow(random.nextDouble(), 2.5));
+      functions.put(++id, f);
+      later((long) at, d, new Request(id, "safe", "", f, 3_000 * MS, 0, 100, 2, 600 * MS, false));
+    }
+    while (!queue.isEmpty() && queue.peek().at() < END) {
+      Due due = queue.poll();
+      now = due.at();
+      routers.get(due.router()).on(now, due.event(), action -> carryOut(due.router(), action, random));
+    }
+    int most = 0;
+    for (int i = 0; i < LOST; i++) {
+      most = Math.max(most, check(worker(i), dispatchers));
+    }
+    assertTrue(most > 0, "nothing was sent to any cold worker");
+  }
+
+  private void carryOut(int router, Action action, Random random) {
+    if (action instanceof SetTimer t) {
+      later(now + Math.max(1, t.in()), router, new TimerDue(t.token()));
+    } else if (action instanceof Send s) {
+      sends.computeIfAbsent(s.worker(), w -> new ArrayList<>()).add(now);
+      int attempt = attempts.merge(s.id(), 1, Integer::sum) - 1;
+      boolean away = Integer.parseInt(s.worker().substring(1)) < LOST && now >= LOST_AT && now < BACK_AT;
+      boolean stood = !loaded.add(s.worker() + functions.get(s.id()));
+      long time = (long) (SERVICE * (0.5 + random.nextDouble()) / warmth(s.worker(), now)) + (stood ? 0 : 600 * MS);
+      later(now + (away ? 2 * MS : time), router, new Answer(s.id(), attempt, s.worker(), away ? Outcome.CONNECT_FAILED : Outcome.OK,
+          !away, time, away ? Note.NONE : stood ? Note.WARM : Note.BEGAN, away ? -1 : 0, Map.of()));
+    }
+  }
+
+  private double warmth(String worker, long at) {
+    if (Integer.parseInt(worker.substring(1)) >= LOST || at < BACK_AT) {
+      return 1;
+    }
+    Rules rules = settings.rules();
+    return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * (at - BACK_AT) / rules.coldFor());
+  }
+
+  /** Slides the rule's window over what went to one worker since it came back; returns the most in one window. */
+  private int check(String worker, int dispatchers) {
+    Rules rules = settings.rules();
+    List<Long> at = sends.getOrDefault(worker, List.of()).stream()
+        .filter(t -> t >= BACK_AT && t < BACK_AT + rules.coldFor()).toList();
+    int most = 0;
+    int from = 0;
+    for (int i = 0; i < at.size(); i++) {
+      while (at.get(from) <= at.get(i) - rules.overloadFor()) {
+        from++;
+      }
+      double allowed = rules.overloadMultiple() * CAPACITY * warmth(worker, at.get(from)) * rules.overloadFor() / SECOND;
+      int sent = i - from + 1;
+      most = Math.max(most, sent);
+      assertTrue(sent <= allowed + 2 * Math.sqrt(allowed) + 2, dispatchers + " dispatchers sent " + sent + " to " + worker
+          + " from " + (at.get(from) - BACK_AT) / MS + " ms after its start, allowed " + allowed);
+    }
+    return most;
+  }
+}
