A task that fails ends no thread that others need

Read on the way through retries and idle closing: Watchdog ran all due timers in one go and Writers one task after another, with nothing between an unchecked error and the end of the thread; then no attempt would time out, or no answer leave, for the rest of the process's life. The change log's thread ended at any error of reading that was not one of three kinds. Both loops now log the error and go on (Threads.guarded); the follower asks again. aTaskThatFailsEndsNoThread fails without it.

--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -6,7 +6,6 @@
 import gorseladder.RouterApi.Workers;
 import gorseladder.follow.FollowPace;
 import gorseladder.node.NodeConfig;
-import gorseladder.platform.BadInput;
 import gorseladder.platform.Fields;
 import gorseladder.platform.PlatformList;
 import gorseladder.runtime.Births;
@@ -101,7 +100,7 @@
           pace.asked(Clock.micros());
           read(s);
         }
-      } catch (IOException | IllegalArgumentException | BadInput e) {
+      } catch (IOException | RuntimeException e) {
         if (!stopped) {
           LOG.debug("change log at {}: {}; the list stays", asked, e.toString());
         }
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -32,6 +32,15 @@
     return thread;
   }
 
+  /** Runs a task of a thread that has others to run after it: an error of this one is logged and ends nothing else. */
+  static void guarded(String name, Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.error("a task of {} failed", name, e);
+    }
+  }
+
   /** A pool that grows up to a bound and keeps idle threads for half a minute; past the bound tasks are rejected. */
   public static ThreadPoolExecutor pool(String name, int most, int stackBytes) {
     return new ThreadPoolExecutor(0, most, 30, TimeUnit.SECONDS, new SynchronousQueue<>(),
--- a/runtime/src/main/java/gorseladder/runtime/Watchdog.java
+++ b/runtime/src/main/java/gorseladder/runtime/Watchdog.java
@@ -78,7 +78,7 @@
         } finally {
           lock.unlock();
         }
-        due.forEach(Runnable::run);
+        due.forEach(task -> Threads.guarded("watchdog", task));
         due.clear();
       }
     } catch (InterruptedException e) {
--- a/runtime/src/main/java/gorseladder/runtime/Writers.java
+++ b/runtime/src/main/java/gorseladder/runtime/Writers.java
@@ -120,7 +120,7 @@
       if (task == null) {
         return;
       }
-      task.run();
+      Threads.guarded("writer", task);
     }
   }
 
--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -9,18 +9,18 @@
 import gorseladder.wire.http1.HttpLimits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.net.Socket;
-import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class RuntimeTest {
@@ -168,6 +168,26 @@
     server.close();
   }
 
+  /** Timers and writers look after everybody: an error in the task of one must not end the thread for the others. */
+  @Test
+  void aTaskThatFailsEndsNoThread() throws Exception {
+    CountDownLatch after = new CountDownLatch(4);
+    Watchdog watchdog = new Watchdog("w", 128 << 10);
+    Writers writers = new Writers(1, 128 << 10);
+    for (int i = 0; i < 2; i++) {
+      Runnable fails = () -> {
+        throw new IllegalStateException("test");
+      };
+      watchdog.after(1_000, fails);
+      watchdog.after(1_000, after::countDown);
+      writers.execute(fails);
+      writers.execute(after::countDown);
+    }
+    assertTrue(after.await(5, TimeUnit.SECONDS));
+    watchdog.close();
+    writers.close();
+  }
+
   /** A writer that is held up keeps its own task only: those that waited with it go to a free one. */
   @Test
   void tasksBehindAHeldUpWriterGoToAFreeOne() throws Exception {
