--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -0,0 +1,136 @@
+package gorseladder.testbed.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.node.NodeMain;
+import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.wire.fastcgi.RecordWriter;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The dispatcher as {@code deploy/balancer.toml} starts it, but for the jar: signals and the end of the process. */
+class NodeProcessTest {
+  private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+  private static final String JAR = "-jar app/target/gorseladder.jar node";
+  private static final String SETTINGS = """
+      {"ordinal":0,"balancers":1,"zone":"z","tickMs":2,
+       "familyInfo":{"keepAliveMs":9000,"ifCold":"load","marksCold":true,"notesPeersInHand":true,"placementCalls":true},
+       "limits":{"maxAttempts":4,"cancelling":true,"retryAfter":true,"multiplex":100,"connectTimeoutMs":250,
+        "connIdleMs":30000},
+       "rules":{"stopSendingWithinMs":500,"coldFrom":0.2,"coldMs":9000,"tipMultiple":2,"overloadForMs":1500},
+       "tenants":[{"name":"t","share":1,"quotaPerS":100}],
+       "profiles":[{"name":"unsafe","effect":"side_effect","goalTimeMs":900,"giveUpMs":20000}]}""";
+
+  private final List<String> events = new ArrayList<>();
+
+  @TempDir
+  Path dir;
+
+  private PlatformRunner runner;
+  private PlatformChangeLog log;
+  private InetSocketAddress listen;
+  private Process process;
+
+  private void configure(InetSocketAddress changeLog) throws IOException {
+    Path next = dir.resolve("next.json");
+    Files.writeString(next, "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:"
+        + changeLog.getPort() + "\",\"known\":{\"seq\":1,\"results\":[" + events.get(0) + "]},\"settings\":" + SETTINGS + "}");
+    Files.move(next, dir.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** Starts it from a shell that does something first, and waits until it is live. */
+  private void start(Deed deed, String first) throws Exception {
+    runner = new PlatformRunner(a -> deed);
+    events.add(PlatformChangeLog.event(1, true, "r0", runner.address(), "active"));
+    log = new PlatformChangeLog(events);
+    configure(log.address());
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      listen = (InetSocketAddress) free.getLocalSocketAddress();
+    }
+    Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
+        .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
+    assertTrue(run.find() && run.group(1).contains(JAR), "the run line");
+    String command = run.group(1).replace(JAR, "-cp " + System.getProperty("java.class.path") + " " + NodeProcess.class.getName());
+    ProcessBuilder builder = new ProcessBuilder("sh", "-c", first + command).directory(ROOT.toFile())
+        .redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile());
+    builder.environment().putAll(Map.of("ROUTER_NAME", "n0", "ROUTER_LISTEN", "127.0.0.1:" + listen.getPort(), "ROUTER_CONFIG",
+        dir.resolve("config.json").toString()));
+    process = builder.start();
+    assertTrue(NodeWorld.within(20_000, this::live), () -> "not live: " + said());
+  }
+
+  private boolean live() {
+    try (FastCgiClient client = new FastCgiClient(listen)) {
+      client.write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
+      FastCgiClient.Answer answer = client.await(1, 1_000);
+      return answer != null && answer.status() == 200;
+    } catch (IOException | InterruptedException e) {
+      return false;
+    }
+  }
+
+  private String said() {
+    try {
+      return Files.readString(dir.resolve("log"));
+    } catch (IOException e) {
+      return e.toString();
+    }
+  }
+
+  private void signal(String name) throws Exception {
+    assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    process.destroyForcibly();
+    log.close();
+    runner.close();
+  }
+
+  /** A parent that ignores signals hands that on to its children; the run line takes it back. */
+  @Test
+  void aNewConfigurationIsReadThoughTheParentIgnoresSignals() throws Exception {
+    start(Deed.SERVE, "trap '' HUP TERM INT; ");
+    try (PlatformChangeLog next = new PlatformChangeLog(events)) {
+      configure(next.address());
+      signal("HUP");
+      assertTrue(NodeWorld.within(5_000, () -> !next.asked().isEmpty()), this::said);
+    }
+    signal("TERM");
+    assertTrue(process.waitFor(6, TimeUnit.SECONDS), this::said);
+    assertEquals(NodeMain.OK, process.exitValue(), this::said);
+  }
+
+  /** Told to stop, twice, and to read its configuration anew in between, with discovery down and a call that nobody answers. */
+  @Test
+  void aStopWithDiscoveryDownAnswersItsCallAndEndsInTime() throws Exception {
+    start(Deed.SILENT, "");
+    try (FastCgiClient client = new FastCgiClient(listen)) {
+      client.send(1, FastCgiClient.params("unsafe", NodeWorld.id(1), NodeWorld.FUNCTION, 19_000), new byte[10]);
+      assertTrue(NodeWorld.within(3_000, () -> runner.arrivals().size() == 1));
+      log.close();
+      signal("TERM");
+      signal("HUP");
+      signal("TERM");
+      assertNotNull(client.await(1, 6_000), this::said);
+      assertTrue(process.waitFor(3, TimeUnit.SECONDS), this::said);
+      assertEquals(NodeMain.OK, process.exitValue(), this::said);
+    }
+  }
+}
