--- a/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
@@ -32,6 +32,8 @@
     byte[] whole = request(1, "unsafe", 1_500);
     client.write(Arrays.copyOf(whole, 60));
     Thread stopping = stopping();
+    // By now nothing new is accepted and connections on which nothing is asked are closed.
+    Thread.sleep(1_100);
     for (int i = 60; i < whole.length; i++) {
       client.write(new byte[] {whole[i]});
     }
