An early answer needs no look-up; short deadlines keep the stop's listener open longer

- FrontConnection.begin looked its exchange up again to refuse it; a close in between left nothing to find (an error in the log).
- With deadlines under 0.6 s the stop closed the listener before clients were done connecting.

--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -104,6 +104,35 @@
     }
   }
 
+  /** A call that waits for an order and whose client leaves meanwhile is not sent when the copy stands, nor loaded for again. */
+  @Test
+  void aCallWhoseClientLeftIsNotSentWhenItsOrderEnds() {
+    start(false, false, running("a"), running("b"));
+    missEverywhere(1, "f");
+    String worker = got(Load.class).get(0).worker();
+    tell(new RouterApi.ClientGone(1));
+    tell(new Loaded(worker, "f", 1, Outcome.OK, 500 * MS));
+    assertEquals(List.of(), actions);
+    later(50 * MS);
+    assertTrue(got(Send.class).isEmpty() && got(Load.class).isEmpty());
+  }
+
+  /** A process about to end answers what it holds: refused where that is harmless, else failed, and once. */
+  @Test
+  void timeUpAnswersAtOnceAndOnce() {
+    start(true, false, running("a"), running("b"));
+    request(1, "safe", "f");
+    request(2, "unsafe", "g");
+    tell(new RouterApi.TimeUp(1));
+    assertEquals(1, got(Refuse.class).size());
+    tell(new RouterApi.TimeUp(2));
+    assertEquals(1, got(RouterApi.Fail.class).size());
+    tell(new RouterApi.TimeUp(2));
+    tell(new TimerDue("d1"));
+    tell(new RouterApi.TimeUp(3));
+    assertTrue(got(Refuse.class).isEmpty() && got(RouterApi.Fail.class).isEmpty());
+  }
+
   @Test
   void waitsForATakenLaneRatherThanLoad() {
     start(true, false, running("a"), running("b"));
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -204,7 +204,7 @@
     long begun = Clock.micros();
     long longest = config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
     long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
-    sleepUntil(Math.min(begun + STOP_TAKING, leaves - 2 * ANSWER_BEFORE));
+    sleepUntil(Math.min(begun + STOP_TAKING, leaves - ANSWER_BEFORE));
     front.stopAccepting();
     boolean givenUp = false;
     while (!front.drain() && Clock.micros() < leaves) {
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -126,6 +126,7 @@
   public void begin(int id, int role, boolean keeps) {
     boolean inUse;
     boolean over;
+    Exchange exchange = new Exchange(id);
     if (endless()) {
       front.count("too many requests without their ends");
       close();
@@ -140,7 +141,7 @@
       inUse = before != null && !before.answered;
       over = !inUse && unanswered >= MOST_OPEN;
       if (!inUse) {
-        open.put(id, new Exchange(id));
+        open.put(id, exchange);
         unanswered++;
         closesAfterAnswers |= !keeps;
       }
@@ -151,7 +152,7 @@
       close();
     } else if (over || role != RESPONDER) {
       front.count(over ? "over 32 open" : "unknown role");
-      answer(get(id), RecordWriter.end(id, over ? Status.OVERLOADED : Status.UNKNOWN_ROLE, 0));
+      answer(exchange, RecordWriter.end(id, over ? Status.OVERLOADED : Status.UNKNOWN_ROLE, 0));
     }
   }
 
