A pause of the whole process is told, and answers past their time are counted

So that the next time tells: Node warns when its own clockwork was late by 150 ms or more, with what it holds, and the front counts answers that end over 50 ms past the client's time.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -28,6 +28,8 @@
   private static final int CORE_STACK = 512 << 10;
   private static final int MOST_WRITERS = 64;
   private static final long TIDY_EVERY = 200_000;
+  /** A pause of the process, in microseconds, that may have made answers late and is worth a line. */
+  private static final long PAUSE = 150_000;
   /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
   private static final int OWN_DESCRIPTORS = 48;
   private static final int MOST_ANSWER = 1 << 20;
@@ -140,7 +142,12 @@
     long due = Clock.micros() + TIDY_EVERY;
     watchdog.after(TIDY_EVERY, () -> {
       if (!closed) {
-        longestLag = Math.max(longestLag, Clock.micros() - due);
+        long lag = Clock.micros() - due;
+        longestLag = Math.max(longestLag, lag);
+        if (lag > PAUSE) {
+          LOG.warn("{} stood still for {} ms, calls waited {} us for the core; {}", config.name(), lag / 1000, core.longestWait(),
+              story());
+        }
         tellStory();
         writers.relieve();
         links.tidy();
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -32,6 +32,8 @@
   /** Clients close connections idle for 4 s; ours comes later, so that the two do not cross. */
   private static final long IDLE = 6_000_000;
   private static final long STUCK = 2_000_000;
+  /** Past its client's time by more than the platform's slack an answer is counted as late. */
+  private static final long LATE = 50_000;
 
   /** Turns a request that arrived whole into a call's facts, as {@link RequestReader#read} does. */
   public interface Reader {
@@ -154,6 +156,9 @@
         bodyBytes.addAndGet(-body.length);
       }
       count(end.reason().word());
+      if (Clock.micros() > facts.deadlineAt() + LATE) {
+        count("answered late");
+      }
       onEnd.accept(c, end);
     });
     if (held.putIfAbsent(facts.message(), call) != null) {
