The rehearsal and the process test share one configuration file

Read once more: the settings object of a dispatcher between stand-ins stood in RehearseCommand and again in NodeProcessTest; PlatformConfig of the testbed has it now. Behaviour as it was; NodeProcessTest passes.

--- a/app/src/main/java/gorseladder/app/RehearseCommand.java
+++ b/app/src/main/java/gorseladder/app/RehearseCommand.java
@@ -4,6 +4,7 @@
 import gorseladder.node.NodeConfig;
 import gorseladder.testbed.platform.FastCgiClient;
 import gorseladder.testbed.platform.PlatformChangeLog;
+import gorseladder.testbed.platform.PlatformConfig;
 import gorseladder.testbed.platform.PlatformRunner;
 import gorseladder.testbed.platform.PlatformRunner.Deed;
 import java.io.IOException;
@@ -26,15 +27,7 @@
 
   private static final int CALLS = 300;
   private static final long PATIENCE = 2_000;
-  private static final String SETTINGS = """
-      {"ordinal":0,"balancers":1,"zone":"z","tickMs":2,
-       "familyInfo":{"keepAliveMs":9000,"ifCold":"load","marksCold":true,"notesPeersInHand":true,"placementCalls":true},
-       "limits":{"maxAttempts":4,"cancelling":true,"retryAfter":true,"multiplex":100,"connectTimeoutMs":250,
-        "connIdleMs":30000},
-       "rules":{"stopSendingWithinMs":500,"coldFrom":0.2,"coldMs":9000,"tipMultiple":2,"overloadForMs":1500},
-       "tenants":[{"name":"t","share":1,"quotaPerS":100}],
-       "profiles":[{"name":"safe","effect":"pure","goalTimeMs":900,"giveUpMs":3000},
-        {"name":"unsafe","effect":"side_effect","goalTimeMs":900,"giveUpMs":3000}]}""";
+  private static final long DEADLINE = 3_000;
 
   @Override
   public Integer call() throws IOException, InterruptedException {
@@ -46,9 +39,7 @@
         PlatformRunner b = new PlatformRunner(arrival -> Deed.SERVE);
         PlatformChangeLog log = new PlatformChangeLog(events)) {
       events.add(PlatformChangeLog.event(1, true, "a", a.address(), "active"));
-      Files.writeString(file, "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:"
-          + log.address().getPort() + "\",\"known\":{\"seq\":1,\"results\":[" + events.get(0) + "]},\"settings\":"
-          + SETTINGS + "}");
+      Files.writeString(file, PlatformConfig.text(log.address(), events.get(0), DEADLINE));
       Map<String, String> told = Map.of("ROUTER_NAME", "n0", "ROUTER_LISTEN", "127.0.0.1:0", "ROUTER_CONFIG", file.toString());
       try (Node node = new Node(NodeConfig.read(told)); FastCgiClient client = new FastCgiClient(node.address())) {
         log.add(PlatformChangeLog.event(2, false, "b", b.address(), "active"));
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,14 +28,6 @@
 class NodeProcessTest {
   private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
   private static final String JAR = "-jar app/target/gorseladder.jar node";
-  private static final String SETTINGS = """
-      {"ordinal":0,"balancers":1,"zone":"z","tickMs":2,
-       "familyInfo":{"keepAliveMs":9000,"ifCold":"load","marksCold":true,"notesPeersInHand":true,"placementCalls":true},
-       "limits":{"maxAttempts":4,"cancelling":true,"retryAfter":true,"multiplex":100,"connectTimeoutMs":250,
-        "connIdleMs":30000},
-       "rules":{"stopSendingWithinMs":500,"coldFrom":0.2,"coldMs":9000,"tipMultiple":2,"overloadForMs":1500},
-       "tenants":[{"name":"t","share":1,"quotaPerS":100}],
-       "profiles":[{"name":"unsafe","effect":"side_effect","goalTimeMs":900,"giveUpMs":20000}]}""";
 
   private final List<String> events = new ArrayList<>();
 
@@ -48,9 +41,8 @@
 
   private void configure(InetSocketAddress changeLog) throws IOException {
     Path next = dir.resolve("next.json");
-    Files.writeString(next, "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:"
-        + changeLog.getPort() + "\",\"known\":{\"seq\":1,\"results\":[" + events.get(0) + "]},\"settings\":" + SETTINGS + "}");
-    Files.move(next, dir.resolve("config.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+    Files.writeString(next, PlatformConfig.text(changeLog, events.get(0), 20_000));
+    Files.move(next, dir.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
   }
 
   /** Starts it from a shell that does something first, and waits until it is live. */
