--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -31,8 +31,13 @@
 
   /** A log on a free port of the loopback, sharing its events with others that take its place. */
   public PlatformChangeLog(List<String> events) throws IOException {
+    this(events, 0);
+  }
+
+  /** A log on that port of the loopback. */
+  public PlatformChangeLog(List<String> events, int port) throws IOException {
     this.events = events;
-    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    server = new ServerSocket(port, 10, InetAddress.getLoopbackAddress());
     Thread thread = new Thread(this::accept, "change-log");
     thread.setDaemon(true);
     thread.start();
--- a/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
@@ -9,6 +9,7 @@
 import gorseladder.testbed.platform.PlatformRunner.Deed;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -188,6 +189,25 @@
     assertEquals(List.of(1L, 1L), log.asked());
   }
 
+  /** Moved to a change log that is down at first: it is asked as soon as it is there, and the list stays until then. */
+  @Test
+  void aNewChangeLogThatIsDownAtFirstIsFollowed() throws Exception {
+    start(1, a -> Deed.SERVE);
+    assertTrue(within(2_000, () -> log.asked().size() == 1));
+    PlatformChangeLog next = new PlatformChangeLog(events);
+    InetSocketAddress address = next.address();
+    next.close();
+    node.changeLogAt(address);
+    log.close();
+    FastCgiClient client = client();
+    client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
+    assertEquals(200, client.await(1, 2_000).status());
+    log = new PlatformChangeLog(events, address.getPort());
+    log.add(PlatformChangeLog.event(2, false, "r1", runners.get(0).address(), "active"));
+    assertTrue(within(2_000, () -> node.runners().contains("r1")));
+    assertEquals(List.of(1L), log.asked());
+  }
+
   /** A whole list that takes the place of one half told: what it leaves out has gone, what it has is there. */
   @Test
   void aWholeListAfterABreakInsideAnEventStands() throws Exception {
