Read once more: what the stop no longer asks is gone

FastCgiFront.quiet and FrontConnection.quiet had no caller since the stop half-closes each connection by itself; an import without use. Behaviour as it was; tests of the dispatcher pass.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -1,7 +1,6 @@
 package gorseladder.node;
 
 import gorseladder.RouterApi.Loaded;
-import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.core.Core;
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -207,11 +207,6 @@
     return connections.size();
   }
 
-  /** True where no request is open and every answer is written. */
-  public boolean quiet() {
-    return held.isEmpty() && connections.values().stream().allMatch(FrontConnection::quiet);
-  }
-
   /** Takes no new connections; open ones go on. */
   public void stopAccepting() {
     server.stopAccepting();
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -444,11 +444,6 @@
     }
   }
 
-  /** True where nothing is open and every answer is written. */
-  synchronized boolean quiet() {
-    return unanswered == 0 && outbox.idle();
-  }
-
   /** Ends the connection; clients of calls that are open have left. */
   void close() {
     List<NodeCall> left = new ArrayList<>();
