--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -171,10 +171,10 @@
   /** Timers and writers look after everybody: an error in the task of one must not end the thread for the others. */
   @Test
   void aTaskThatFailsEndsNoThread() throws Exception {
-    CountDownLatch after = new CountDownLatch(4);
+    CountDownLatch after = new CountDownLatch(8);
     Watchdog watchdog = new Watchdog("w", 128 << 10);
     Writers writers = new Writers(1, 128 << 10);
-    for (int i = 0; i < 2; i++) {
+    for (int i = 0; i < 4; i++) {
       Runnable fails = () -> {
         throw new IllegalStateException("test");
       };
