The shared order reaches workers past place 65,535 of the list

Cause: `Router.arrange` packed a worker's place in the list into the 16 low bits of a sort key, so in a longer list every place past 65,535 was read back as another worker's.

Change: the place takes as many low bits as the list needs, 16 at the least; the score gives them up. Lists of up to 65,535 workers are sorted by the same keys as before, so nothing changes for them.

--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -74,6 +74,8 @@
   private static final double AHEAD_PART = 0.5;
   /** Part of the keep-alive that must be gone before a copy that stands is ordered held anew by a plan. */
   private static final double RENEW_PART = 0.5;
+  /** Bits of a sort key behind the point of its score, the place in the list included. */
+  private static final int KEY_BITS = 46;
   /** First word of the message that a worker is sick. */
   private static final String SICK = "sick ";
 
@@ -663,9 +665,13 @@
     }
     f.version = listVersion;
     long[] keys = new long[fleet.length];
+    // A place in the list takes as many low bits as the list needs: a fixed 16 hid every worker past 65,535.
+    int placeBits = Math.max(16, Integer.SIZE - Integer.numberOfLeadingZeros(keys.length));
+    long placeMask = (1L << placeBits) - 1;
+    double scale = 1L << KEY_BITS - placeBits;
     for (int i = 0; i < keys.length; i++) {
       double score = score(f.hash, fleet[i].hash, meanWeight, fleet[i].weight);
-      keys[i] = (long) (Math.min(score, 1e4) * (1L << 30)) << 16 | i;
+      keys[i] = (long) (Math.min(score, 1e4) * scale) << placeBits | i;
     }
     Arrays.sort(keys);
     for (int i = 0; i < f.order.length; i++) {
@@ -674,7 +680,7 @@
     f.order = new Worker[keys.length];
     f.copies = new Copy[keys.length];
     for (int i = 0; i < keys.length; i++) {
-      f.order[i] = fleet[(int) (keys[i] & 0xffff)];
+      f.order[i] = fleet[(int) (keys[i] & placeMask)];
       f.copies[i] = f.order[i].moving;
       f.order[i].moving = null;
     }
