--- a/app/src/main/java/gorseladder/app/AccountCommand.java
+++ b/app/src/main/java/gorseladder/app/AccountCommand.java
@@ -13,9 +13,12 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code account DIR}: what loads ahead cost and saved, from the folder of a stopped planner. */
-@Command(name = "account", mixinStandardHelpOptions = true,
-    description = "Print what loads ahead cost and saved, a line of JSON for each function and one for all, from the folder of a "
-        + "stopped planner. A running one answers GET /v1/account.")
+@Command(
+    name = "account",
+    mixinStandardHelpOptions = true,
+    description =
+        "Print what loads ahead cost and saved, a line of JSON for each function and one for all, from the folder of a "
+            + "stopped planner. A running one answers GET /v1/account.")
 final class AccountCommand implements Callable<Integer> {
   @Parameters(paramLabel = "DIR", description = "The data_directory of the planner.")
   private Path directory;
--- a/app/src/main/java/gorseladder/app/Check.java
+++ b/app/src/main/java/gorseladder/app/Check.java
@@ -11,7 +11,9 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code check FILE}. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+    name = "check",
+    mixinStandardHelpOptions = true,
     description = "Check a settings file and name every fault with file, line, field and reason.")
 final class Check implements Callable<Integer> {
   @Parameters(paramLabel = "FILE", description = "Settings in protobuf text format.")
@@ -22,7 +24,8 @@
 
   @Override
   public Integer call() {
-    List<Fault> faults = planner ? PlannerFile.load(file).faults() : Edge.load(file).faults();
+    List<Fault> faults =
+        planner ? PlannerFile.load(file).faults() : Edge.load(file).faults();
     faults.forEach(System.out::println);
     if (faults.isEmpty()) {
       System.out.println(file + ": good");
--- a/app/src/main/java/gorseladder/app/Demo.java
+++ b/app/src/main/java/gorseladder/app/Demo.java
@@ -12,9 +12,12 @@
 import picocli.CommandLine.Command;
 
 /** {@code demo}: a bad day of about 20 seconds on loopback, and its verdict. */
-@Command(name = "demo", mixinStandardHelpOptions = true,
-    description = "Play a bad day of about 20 s on loopback: three edges, twelve stand-in runners, list and archive. "
-        + "Prints a table and exits 0 only when no rule was broken.")
+@Command(
+    name = "demo",
+    mixinStandardHelpOptions = true,
+    description =
+        "Play a bad day of about 20 s on loopback: three edges, twelve stand-in runners, list and archive. "
+            + "Prints a table and exits 0 only when no rule was broken.")
 final class Demo implements Callable<Integer> {
   @Override
   public Integer call() throws IOException, InterruptedException, DayScript.BadScript {
@@ -33,7 +36,7 @@
     System.out.println("starting " + script.count("edges") + " edges and " + script.count("runners")
         + " runners; files in " + directory);
     Play.Verdict verdict;
-    try (World world = new World(script, directory, true, line -> { })) {
+    try (World world = new World(script, directory, true, line -> {})) {
       verdict = new Play(script, world).run(System.out);
     }
     verdict.print(System.out);
--- a/app/src/main/java/gorseladder/app/ExperimentCommand.java
+++ b/app/src/main/java/gorseladder/app/ExperimentCommand.java
@@ -17,19 +17,30 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code experiment}: a grid of emulations over seeds. */
-@Command(name = "experiment", mixinStandardHelpOptions = true,
-    description = "Run a grid of emulations over seeds (protobuf text format); tables with 95 % intervals, plots. Simulated.")
+@Command(
+    name = "experiment",
+    mixinStandardHelpOptions = true,
+    description =
+        "Run a grid of emulations over seeds (protobuf text format); tables with 95 % intervals, plots. Simulated.")
 final class ExperimentCommand implements Callable<Integer> {
   @Parameters(paramLabel = "FILE", description = "The experiment.")
   private Path file;
 
-  @Option(names = "--plots", paramLabel = "DIR", description = "Write a plot of each measure there, as PNG.")
+  @Option(
+      names = "--plots",
+      paramLabel = "DIR",
+      description = "Write a plot of each measure there, as PNG.")
   private Path plots;
 
-  @Option(names = "--at-once", defaultValue = "4", description = "Emulations at once (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--at-once",
+      defaultValue = "4",
+      description = "Emulations at once (default ${DEFAULT-VALUE}).")
   private int atOnce;
 
-  @Option(names = "--functions", description = "List the balance of every function, summed over the seeds, for each cell.")
+  @Option(
+      names = "--functions",
+      description = "List the balance of every function, summed over the seeds, for each cell.")
   private boolean functions;
 
   @Override
@@ -56,12 +67,17 @@
     if (functions) {
       experiment.results().forEach(ExperimentCommand::list);
     }
-    return experiment.results().values().stream().flatMap(List::stream).allMatch(o -> o.broken().isEmpty()) ? Main.GOOD : Main.BROKEN;
+    return experiment.results().values().stream()
+            .flatMap(List::stream)
+            .allMatch(o -> o.broken().isEmpty())
+        ? Main.GOOD
+        : Main.BROKEN;
   }
 
   private static void list(String cell, List<Outcomes> all) {
     Map<String, Outcomes.Balance> sums = new TreeMap<>();
-    all.forEach(o -> o.balances().forEach((f, b) -> sums.computeIfAbsent(f, n -> new Outcomes.Balance()).add(b)));
+    all.forEach(o -> o.balances()
+        .forEach((f, b) -> sums.computeIfAbsent(f, n -> new Outcomes.Balance()).add(b)));
     System.out.println(cell);
     sums.forEach((f, b) -> Balances.print("  " + f, b));
   }
--- a/app/src/main/java/gorseladder/app/HistoryCommand.java
+++ b/app/src/main/java/gorseladder/app/HistoryCommand.java
@@ -14,13 +14,19 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code history DIR}: the rows of a history that no edge holds open. */
-@Command(name = "history", mixinStandardHelpOptions = true,
-    description = "Print the history of a stopped edge, a line of JSON for each row, then a line with the number to go on from.")
+@Command(
+    name = "history",
+    mixinStandardHelpOptions = true,
+    description =
+        "Print the history of a stopped edge, a line of JSON for each row, then a line with the number to go on from.")
 final class HistoryCommand implements Callable<Integer> {
   @Parameters(paramLabel = "DIR", description = "The folder: data_directory/history of an edge.")
   private Path directory;
 
-  @Option(names = "--from", defaultValue = "0", description = "The number to begin at (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--from",
+      defaultValue = "0",
+      description = "The number to begin at (default ${DEFAULT-VALUE}).")
   private long from;
 
   @Override
--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -6,15 +6,40 @@
 import picocli.CommandLine.Command;
 
 /** The command line. Exit codes: 0 good, 1 a rule was broken or a check failed, 2 bad usage or settings, 3 cannot start. */
-@Command(name = "gorseladder", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    description = "A gateway that runs signed webhook calls on workers that load functions on demand.",
-    subcommands = {Demo.class, Up.class, EdgeCommand.class, Check.class, RunnerCommand.class, PlayCommand.class, Sign.class, HistoryCommand.class,
-        PlannerCommand.class, NodeCommand.class, RehearseCommand.class,
-        AccountCommand.class, EmulateCommand.class, ExperimentCommand.class, ReplayCommand.class, SabotageCommand.class,
-        Main.VersionCommand.class, BenchCommand.class, CommandLine.HelpCommand.class},
+@Command(
+    name = "gorseladder",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    description =
+        "A gateway that runs signed webhook calls on workers that load functions on demand.",
+    subcommands = {
+      Demo.class,
+      Up.class,
+      EdgeCommand.class,
+      Check.class,
+      RunnerCommand.class,
+      PlayCommand.class,
+      Sign.class,
+      HistoryCommand.class,
+      PlannerCommand.class,
+      NodeCommand.class,
+      RehearseCommand.class,
+      AccountCommand.class,
+      EmulateCommand.class,
+      ExperimentCommand.class,
+      ReplayCommand.class,
+      SabotageCommand.class,
+      Main.VersionCommand.class,
+      BenchCommand.class,
+      CommandLine.HelpCommand.class
+    },
     exitCodeListHeading = "%nExit codes:%n",
-    exitCodeList = {"0:good", "1:a rule was broken or a check failed", "2:bad usage or settings",
-        "3:cannot start or failed"})
+    exitCodeList = {
+      "0:good",
+      "1:a rule was broken or a check failed",
+      "2:bad usage or settings",
+      "3:cannot start or failed"
+    })
 public final class Main {
   static final int GOOD = 0;
   static final int BROKEN = 1;
@@ -25,15 +50,19 @@
 
   /** Runs a command and exits with its code. */
   public static void main(String[] args) throws InterruptedException {
-    // The dispatcher starts on a part of a core, in little memory: the command line's library stays out of its way.
+    // The dispatcher starts on a part of a core, in little memory: the command line's library
+    // stays out of its way.
     System.exit(args.length == 1 && args[0].equals(NodeCommand.NAME) ? NodeMain.run() : run(args));
   }
 
   /** Runs a command and returns its code. A first word that is no command is bad usage, whatever stands behind it. */
   static int run(String... args) {
     CommandLine line = new CommandLine(new Main());
-    if (args.length > 0 && !args[0].startsWith("-") && !line.getSubcommands().containsKey(args[0])) {
-      line.getErr().println("gorseladder: there is no command '" + args[0] + "'; --help lists them");
+    if (args.length > 0
+        && !args[0].startsWith("-")
+        && !line.getSubcommands().containsKey(args[0])) {
+      line.getErr()
+          .println("gorseladder: there is no command '" + args[0] + "'; --help lists them");
       return BAD_USAGE;
     }
     line.setExecutionExceptionHandler((e, command, parsed) -> {
--- a/app/src/main/java/gorseladder/app/NodeCommand.java
+++ b/app/src/main/java/gorseladder/app/NodeCommand.java
@@ -5,8 +5,11 @@
 import picocli.CommandLine.Command;
 
 /** {@code node}: one live dispatcher of the users' platform. */
-@Command(name = NodeCommand.NAME, mixinStandardHelpOptions = true,
-    description = "Run a live dispatcher of the platform, told by ROUTER_NAME, ROUTER_LISTEN and ROUTER_CONFIG.")
+@Command(
+    name = NodeCommand.NAME,
+    mixinStandardHelpOptions = true,
+    description =
+        "Run a live dispatcher of the platform, told by ROUTER_NAME, ROUTER_LISTEN and ROUTER_CONFIG.")
 final class NodeCommand implements Callable<Integer> {
   static final String NAME = "node";
 
--- a/app/src/main/java/gorseladder/app/PlannerCommand.java
+++ b/app/src/main/java/gorseladder/app/PlannerCommand.java
@@ -7,8 +7,11 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code planner FILE}. */
-@Command(name = "planner", mixinStandardHelpOptions = true,
-    description = "Run the planner by a settings file. Prints one line of JSON when ready. Edges go on without it when it ends.")
+@Command(
+    name = "planner",
+    mixinStandardHelpOptions = true,
+    description =
+        "Run the planner by a settings file. Prints one line of JSON when ready. Edges go on without it when it ends.")
 final class PlannerCommand implements Callable<Integer> {
   @Parameters(paramLabel = "FILE", description = "Settings in protobuf text format.")
   private Path file;
--- a/app/src/main/java/gorseladder/app/PlayCommand.java
+++ b/app/src/main/java/gorseladder/app/PlayCommand.java
@@ -10,8 +10,11 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code play FILE}. */
-@Command(name = "play", mixinStandardHelpOptions = true,
-    description = "Play a day's script on loopback and judge it, as demo does; docs/play.md describes the language.")
+@Command(
+    name = "play",
+    mixinStandardHelpOptions = true,
+    description =
+        "Play a day's script on loopback and judge it, as demo does; docs/play.md describes the language.")
 final class PlayCommand implements Callable<Integer> {
   @Parameters(paramLabel = "FILE", description = "The script.")
   private Path file;
--- a/app/src/main/java/gorseladder/app/RehearseCommand.java
+++ b/app/src/main/java/gorseladder/app/RehearseCommand.java
@@ -20,8 +20,11 @@
  * {@code rehearse}: a live dispatcher serves a few hundred calls between stand-ins, in one process. The build has the machine
  * write down the classes that were used, so that a dispatcher starts with them ready.
  */
-@Command(name = RehearseCommand.NAME, mixinStandardHelpOptions = true,
-    description = "Run a live dispatcher between stand-ins for a moment; the build records the classes it uses.")
+@Command(
+    name = RehearseCommand.NAME,
+    mixinStandardHelpOptions = true,
+    description =
+        "Run a live dispatcher between stand-ins for a moment; the build records the classes it uses.")
 final class RehearseCommand implements Callable<Integer> {
   static final String NAME = "rehearse";
 
@@ -31,7 +34,9 @@
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    Deed[] deeds = {Deed.SERVE, Deed.SERVE, Deed.REFUSE, Deed.SERVE, Deed.RESET, Deed.SERVE, Deed.NOISE};
+    Deed[] deeds = {
+      Deed.SERVE, Deed.SERVE, Deed.REFUSE, Deed.SERVE, Deed.RESET, Deed.SERVE, Deed.NOISE
+    };
     int[] next = new int[1];
     List<String> events = new ArrayList<>();
     Path file = Files.createTempFile("rehearsal", ".json");
@@ -40,13 +45,18 @@
         PlatformChangeLog log = new PlatformChangeLog(events)) {
       events.add(PlatformChangeLog.event(1, true, "a", a.address(), "active"));
       Files.writeString(file, PlatformConfig.text(log.address(), events.get(0), DEADLINE));
-      Map<String, String> told = Map.of("ROUTER_NAME", "n0", "ROUTER_LISTEN", "127.0.0.1:0", "ROUTER_CONFIG", file.toString());
-      try (Node node = new Node(NodeConfig.read(told)); FastCgiClient client = new FastCgiClient(node.address())) {
+      Map<String, String> told = Map.of(
+          "ROUTER_NAME", "n0", "ROUTER_LISTEN", "127.0.0.1:0", "ROUTER_CONFIG", file.toString());
+      try (Node node = new Node(NodeConfig.read(told));
+          FastCgiClient client = new FastCgiClient(node.address())) {
         log.add(PlatformChangeLog.event(2, false, "b", b.address(), "active"));
         int answered = 0;
         for (int i = 1; i <= CALLS; i++) {
           String id = String.format("%016x", i);
-          client.send(i, FastCgiClient.params(i % 3 == 0 ? "unsafe" : "safe", id, id, PATIENCE), new byte[100]);
+          client.send(
+              i,
+              FastCgiClient.params(i % 3 == 0 ? "unsafe" : "safe", id, id, PATIENCE),
+              new byte[100]);
           answered += client.await(i, PATIENCE) == null ? 0 : 1;
         }
         node.stop();
--- a/app/src/main/java/gorseladder/app/ReplayCommand.java
+++ b/app/src/main/java/gorseladder/app/ReplayCommand.java
@@ -19,14 +19,24 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code replay}: a recorded history through forecasts, plans and account, beside the same without plans. */
-@Command(name = "replay", mixinStandardHelpOptions = true,
-    description = "Replay the history of stopped edges on an emulated fleet, without and with loads ahead, walk-forward, and list every "
-        + "function's balance. Simulated.")
+@Command(
+    name = "replay",
+    mixinStandardHelpOptions = true,
+    description =
+        "Replay the history of stopped edges on an emulated fleet, without and with loads ahead, walk-forward, and list every "
+            + "function's balance. Simulated.")
 final class ReplayCommand implements Callable<Integer> {
-  @Parameters(paramLabel = "FILE", description = "The fleet, as for emulate; its populations but for the first one's sizes do not count.")
+  @Parameters(
+      paramLabel = "FILE",
+      description =
+          "The fleet, as for emulate; its populations but for the first one's sizes do not count.")
   private Path file;
 
-  @Option(names = "--history", paramLabel = "DIR", required = true, description = "data_directory/history of an edge; several for several.")
+  @Option(
+      names = "--history",
+      paramLabel = "DIR",
+      required = true,
+      description = "data_directory/history of an edge; several for several.")
   private List<Path> histories;
 
   @Override
@@ -47,18 +57,24 @@
     }
     try {
       Emulation e = Experiment.emulation(file);
-      Outcomes without = EmulatedFleet.run(e.toBuilder().clearAhead().build(), recording, part -> { });
+      Outcomes without =
+          EmulatedFleet.run(e.toBuilder().clearAhead().build(), recording, part -> {});
       Emulation.Builder planned = e.toBuilder();
       planned.getAheadBuilder().setMode(Mode.FORECAST);
-      Outcomes with = EmulatedFleet.run(planned.build(), recording, part -> { });
-      System.out.printf(Locale.ROOT, "%,d calls recorded on %d days, the first %d teach only (simulated)%n", recording.calls(),
-          recording.days(), e.getTeachDays());
+      Outcomes with = EmulatedFleet.run(planned.build(), recording, part -> {});
+      System.out.printf(
+          Locale.ROOT,
+          "%,d calls recorded on %d days, the first %d teach only (simulated)%n",
+          recording.calls(),
+          recording.days(),
+          e.getTeachDays());
       print("without", without);
       print("with loads ahead", with);
       Balances.print("all", with.balance());
       with.byFunction().forEach((f, n) -> {
         long[] before = without.byFunction().getOrDefault(f, new long[2]);
-        System.out.printf(Locale.ROOT, "%-32s %8d calls, cold %d without, %d with%n", f, n[0], before[1], n[1]);
+        System.out.printf(
+            Locale.ROOT, "%-32s %8d calls, cold %d without, %d with%n", f, n[0], before[1], n[1]);
         if (with.balances().containsKey(f)) {
           Balances.print("  its loads ahead", with.balances().get(f));
         }
@@ -71,7 +87,14 @@
   }
 
   private static void print(String name, Outcomes o) {
-    System.out.printf(Locale.ROOT, "%-18s service %.4f, met no copy %.4f, mean %.1f ms, p99 %.1f ms, %.3f fetches a call%n", name, o.service(),
-        o.coldShare(), o.meanMillis(), o.latencyMillis(99), o.fetches() / (double) Math.max(1, o.calls()));
+    System.out.printf(
+        Locale.ROOT,
+        "%-18s service %.4f, met no copy %.4f, mean %.1f ms, p99 %.1f ms, %.3f fetches a call%n",
+        name,
+        o.service(),
+        o.coldShare(),
+        o.meanMillis(),
+        o.latencyMillis(99),
+        o.fetches() / (double) Math.max(1, o.calls()));
   }
 }
--- a/app/src/main/java/gorseladder/app/Sign.java
+++ b/app/src/main/java/gorseladder/app/Sign.java
@@ -11,8 +11,11 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code sign}: the headers of a webhook, for trying by hand. */
-@Command(name = "sign", mixinStandardHelpOptions = true,
-    description = "Print the three headers that sign a payload, one a line; the payload is a file or standard input.")
+@Command(
+    name = "sign",
+    mixinStandardHelpOptions = true,
+    description =
+        "Print the three headers that sign a payload, one a line; the payload is a file or standard input.")
 final class Sign implements Callable<Integer> {
   @Option(names = "--secret", required = true, description = "whsec_… or whsk_…")
   private String secret;
@@ -23,7 +26,10 @@
   @Option(names = "--timestamp", description = "Seconds since 1970 (default: now).")
   private Long timestamp;
 
-  @Parameters(paramLabel = "FILE", arity = "0..1", description = "The payload (default: standard input).")
+  @Parameters(
+      paramLabel = "FILE",
+      arity = "0..1",
+      description = "The payload (default: standard input).")
   private Path file;
 
   @Override
--- a/app/src/main/java/gorseladder/app/Up.java
+++ b/app/src/main/java/gorseladder/app/Up.java
@@ -16,14 +16,23 @@
 import sun.misc.Signal;
 
 /** {@code up}: a world to try against, until it is stopped. */
-@Command(name = "up", mixinStandardHelpOptions = true,
-    description = "Hold edges, stand-in runners, list and archive in the foreground. Prints one line of JSON when ready. "
-        + "An edge that is killed is started again at its address; SIGINT or SIGTERM stops all in order.")
+@Command(
+    name = "up",
+    mixinStandardHelpOptions = true,
+    description =
+        "Hold edges, stand-in runners, list and archive in the foreground. Prints one line of JSON when ready. "
+            + "An edge that is killed is started again at its address; SIGINT or SIGTERM stops all in order.")
 final class Up implements Callable<Integer> {
-  @Option(names = "--edges", defaultValue = "1", description = "Edges, each a process (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--edges",
+      defaultValue = "1",
+      description = "Edges, each a process (default ${DEFAULT-VALUE}).")
   private int edges;
 
-  @Option(names = "--runners", defaultValue = "4", description = "Stand-in runners (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--runners",
+      defaultValue = "4",
+      description = "Stand-in runners (default ${DEFAULT-VALUE}).")
   private int runners;
 
   @Override
--- a/app/src/main/java/gorseladder/app/bench/BenchCommand.java
+++ b/app/src/main/java/gorseladder/app/bench/BenchCommand.java
@@ -6,9 +6,21 @@
 import picocli.CommandLine.Spec;
 
 /** {@code bench}: measurements; none of them is part of the checks. */
-@Command(name = "bench", mixinStandardHelpOptions = true, description = "Measure; results stand in docs/measurements.md.",
-    subcommands = {LatencyBench.class, OverloadBench.class, RouterBench.class, LedgerBench.class, IdleBench.class, TimersCommand.class,
-        ForecastBench.class, PlacementBench.class, HistoryBench.class})
+@Command(
+    name = "bench",
+    mixinStandardHelpOptions = true,
+    description = "Measure; results stand in docs/measurements.md.",
+    subcommands = {
+      LatencyBench.class,
+      OverloadBench.class,
+      RouterBench.class,
+      LedgerBench.class,
+      IdleBench.class,
+      TimersCommand.class,
+      ForecastBench.class,
+      PlacementBench.class,
+      HistoryBench.class
+    })
 public final class BenchCommand implements Runnable {
   @Spec
   private CommandSpec spec;
--- a/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
+++ b/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
@@ -40,16 +40,23 @@
     String function = "svc/f" + random.nextInt(16);
     try {
       if (kind < 0) {
-        StandInRunner runner = world.runners().get(random.nextInt(world.runners().size()));
-        byte[] request = HeadWriter.request("POST", Oip.inferTarget(function), "r").field(Oip.LANES, 16)
+        StandInRunner runner =
+            world.runners().get(random.nextInt(world.runners().size()));
+        byte[] request = HeadWriter.request("POST", Oip.inferTarget(function), "r")
+            .field(Oip.LANES, 16)
             .with(Oip.request("m" + random.nextLong(), new byte[] {'{', '}'}));
         return exchange(runner.id(), Address.parse(runner.id()), request);
       }
-      Portal.Kind k = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(kind);
-      byte[] body = ("{\"type\":\"" + k.type() + "\",\"data\":{\"lanes\":16,\"function\":\"" + function + "\"}}").getBytes();
+      Portal.Kind k =
+          Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(kind);
+      byte[] body = ("{\"type\":\"" + k.type() + "\",\"data\":{\"lanes\":16,\"function\":\""
+              + function + "\"}}")
+          .getBytes();
       String id = "b" + Long.toHexString(random.nextLong()) + Long.toHexString(System.nanoTime());
       long stamp = System.currentTimeMillis() / 1000;
-      byte[] request = HeadWriter.request("POST", World.PATH, "e").field("webhook-id", id).field("webhook-timestamp", stamp)
+      byte[] request = HeadWriter.request("POST", World.PATH, "e")
+          .field("webhook-id", id)
+          .field("webhook-timestamp", stamp)
           .field("webhook-signature", Secret.parse(world.secret()).sign(id, stamp, body))
           .with(body);
       return exchange("edge", world.edge(0), request);
@@ -78,7 +85,8 @@
     return done.get() * 1e6 / (Clock.micros() - began);
   }
 
-  private int exchange(String peer, InetSocketAddress address, byte[] request) throws IOException, BadMessage {
+  private int exchange(String peer, InetSocketAddress address, byte[] request)
+      throws IOException, BadMessage {
     ArrayDeque<HttpConnection> kept = idle.computeIfAbsent(peer, p -> new ArrayDeque<>());
     HttpConnection c;
     synchronized (kept) {
--- a/app/src/main/java/gorseladder/app/bench/ForecastBench.java
+++ b/app/src/main/java/gorseladder/app/bench/ForecastBench.java
@@ -14,25 +14,44 @@
 import picocli.CommandLine.Option;
 
 /** {@code bench forecast}: forecasts walked forward over drawn days; all figures are simulated. */
-@Command(name = "forecast", mixinStandardHelpOptions = true,
-    description = "Walk forward over drawn days: what the chosen way and each way alone miss by, every function listed; then "
-        + "time and memory against the number of functions. Simulated.")
+@Command(
+    name = "forecast",
+    mixinStandardHelpOptions = true,
+    description =
+        "Walk forward over drawn days: what the chosen way and each way alone miss by, every function listed; then "
+            + "time and memory against the number of functions. Simulated.")
 final class ForecastBench implements Runnable {
   private static final int PER_DAY = 96;
   private static final int TERMS_END = 28;
 
-  @Option(names = "--days", defaultValue = "42", description = "Days drawn (default ${DEFAULT-VALUE}); the first 7 teach only.")
+  @Option(
+      names = "--days",
+      defaultValue = "42",
+      description = "Days drawn (default ${DEFAULT-VALUE}); the first 7 teach only.")
   private int days;
 
-  @Option(names = "--seed", defaultValue = "1", description = "Seed of the draw (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--seed",
+      defaultValue = "1",
+      description = "Seed of the draw (default ${DEFAULT-VALUE}).")
   private long seed;
 
   @Override
   public void run() {
     Slots told = new Slots(PER_DAY, 0, Map.of(14, "term's end", TERMS_END, "term's end"));
     Map<String, LongToDoubleFunction> rates = rates();
-    System.out.printf(Locale.ROOT, "%-22s %8s  %7s  %9s %9s %9s %9s  %6s  %s%n", "function", "calls", "chosen", "sparse",
-        "last-slot", "last-week", "seasonal", "over", "spoke most");
+    System.out.printf(
+        Locale.ROOT,
+        "%-22s %8s  %7s  %9s %9s %9s %9s  %6s  %s%n",
+        "function",
+        "calls",
+        "chosen",
+        "sparse",
+        "last-slot",
+        "last-week",
+        "seasonal",
+        "over",
+        "spoke most");
     walk(told, rates);
     for (int functions : new int[] {100, 1_000, 4_000}) {
       size(functions);
@@ -54,10 +73,17 @@
     r.put("timer", slot -> slot % 4 == 0 ? 5 : 0);
     r.put("sparse", slot -> 0.03);
     r.put("drifting", slot -> 25 + 20 * Math.sin(slot / 61.0 + 3 * Math.sin(slot / 307.0)));
-    r.put("terms-end", slot -> 30 * wave(slot) * (slot / PER_DAY % 14 == 0 && slot / PER_DAY > 0 && slot / PER_DAY <= TERMS_END
-        ? 5 : 1));
-    r.put("terms-end-day-early", slot -> 30 * wave(slot)
-        * (slot / PER_DAY == 14 || slot / PER_DAY == TERMS_END - 1 ? 5 : 1));
+    r.put(
+        "terms-end",
+        slot -> 30
+            * wave(slot)
+            * (slot / PER_DAY % 14 == 0 && slot / PER_DAY > 0 && slot / PER_DAY <= TERMS_END
+                ? 5
+                : 1));
+    r.put(
+        "terms-end-day-early",
+        slot ->
+            30 * wave(slot) * (slot / PER_DAY == 14 || slot / PER_DAY == TERMS_END - 1 ? 5 : 1));
     r.put("surge-that-stays-away", slot -> 30 * wave(slot) * (slot / PER_DAY == 14 ? 5 : 1));
     r.put("ten-times-from-day-20", slot -> 6 * wave(slot) * (slot / PER_DAY >= 20 ? 10 : 1));
     r.put("a-tenth-from-day-20", slot -> 60 * wave(slot) * (slot / PER_DAY >= 20 ? 0.1 : 1));
@@ -68,7 +94,9 @@
 
   private static int poisson(double mean, Random random) {
     int count = 0;
-    for (double sum = -Math.log(1 - random.nextDouble()); sum < mean; sum -= Math.log(1 - random.nextDouble())) {
+    for (double sum = -Math.log(1 - random.nextDouble());
+        sum < mean;
+        sum -= Math.log(1 - random.nextDouble())) {
       count++;
     }
     return count;
@@ -95,29 +123,51 @@
           sum[1] += Math.abs(expected.mean() - calls.get(function));
           sum[2] += calls.get(function) > expected.upper() ? 1 : 0;
           sum[3]++;
-          spoke.computeIfAbsent(function, f -> new HashMap<>()).merge(expected.by(), 1, Integer::sum);
+          spoke
+              .computeIfAbsent(function, f -> new HashMap<>())
+              .merge(expected.by(), 1, Integer::sum);
         }
         before.put(function, forecasts.standing(function));
       }
       forecasts.observe(slot, calls);
       if (slot >= 7L * PER_DAY) {
         // What a way missed by in this slot alone is what its fading sum grew by.
-        rates.keySet().forEach(function -> forecasts.standing(function).forEach((way, error) ->
-            alone.computeIfAbsent(function, f -> new HashMap<>()).merge(way,
-                error - keep * before.get(function).getOrDefault(way, 0.0), Double::sum)));
+        rates
+            .keySet()
+            .forEach(function -> forecasts
+                .standing(function)
+                .forEach((way, error) -> alone
+                    .computeIfAbsent(function, f -> new HashMap<>())
+                    .merge(
+                        way,
+                        error - keep * before.get(function).getOrDefault(way, 0.0),
+                        Double::sum)));
       }
     }
-    sums.forEach((function, sum) -> print(function, sum, alone.getOrDefault(function, Map.of()), spoke.get(function)));
+    sums.forEach((function, sum) ->
+        print(function, sum, alone.getOrDefault(function, Map.of()), spoke.get(function)));
   }
 
-  private static void print(String function, double[] sum, Map<String, Double> alone, Map<String, Integer> spoke) {
+  private static void print(
+      String function, double[] sum, Map<String, Double> alone, Map<String, Integer> spoke) {
     StringBuilder ways = new StringBuilder();
     for (String way : List.of("sparse", "last-slot", "last-week", "seasonal")) {
-      ways.append(String.format(Locale.ROOT, " %9.2f", alone.getOrDefault(way, 0.0) / Math.max(1, sum[0])));
+      ways.append(
+          String.format(Locale.ROOT, " %9.2f", alone.getOrDefault(way, 0.0) / Math.max(1, sum[0])));
     }
-    String most = spoke.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
-    System.out.printf(Locale.ROOT, "%-22s %8.0f  %7.2f %s  %5.1f%%  %s%n", function, sum[0], sum[1] / Math.max(1, sum[0]), ways,
-        100 * sum[2] / sum[3], most);
+    String most = spoke.entrySet().stream()
+        .max(Map.Entry.comparingByValue())
+        .orElseThrow()
+        .getKey();
+    System.out.printf(
+        Locale.ROOT,
+        "%-22s %8.0f  %7.2f %s  %5.1f%%  %s%n",
+        function,
+        sum[0],
+        sum[1] / Math.max(1, sum[0]),
+        ways,
+        100 * sum[2] / sum[3],
+        most);
   }
 
   /** Time of a slot and memory of a forecast, by the number of functions. */
@@ -144,8 +194,12 @@
     }
     System.gc();
     long after = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-    System.out.printf(Locale.ROOT, "%5d functions: %.2f ms a slot to observe and expect all, %.1f KiB each%n", functions,
-        took / 1e6 / rounds, (after - before) / 1024.0 / functions);
+    System.out.printf(
+        Locale.ROOT,
+        "%5d functions: %.2f ms a slot to observe and expect all, %.1f KiB each%n",
+        functions,
+        took / 1e6 / rounds,
+        (after - before) / 1024.0 / functions);
     if (forecasts.functions().size() != functions) {
       throw new IllegalStateException("functions were lost");
     }
@@ -163,7 +217,11 @@
       calls.forEach((name, count) -> plain.merge(name, count, Integer::sum));
       forecasts.observe(slot, calls);
     }
-    System.out.printf(Locale.ROOT, "%d names wanted once: %d table entries with the sketch (1 MiB of counters), %d without%n",
-        plain.size(), forecasts.functions().size(), plain.size());
+    System.out.printf(
+        Locale.ROOT,
+        "%d names wanted once: %d table entries with the sketch (1 MiB of counters), %d without%n",
+        plain.size(),
+        forecasts.functions().size(),
+        plain.size());
   }
 }
--- a/app/src/main/java/gorseladder/app/bench/HistoryBench.java
+++ b/app/src/main/java/gorseladder/app/bench/HistoryBench.java
@@ -14,8 +14,11 @@
 import picocli.CommandLine.Command;
 
 /** {@code bench history}: rows of history in the project's segments and in the embedded store, side by side. */
-@Command(name = "history", mixinStandardHelpOptions = true,
-    description = "A day of minutes with 200 rows each, forced to disk each minute: own segments against MVStore.")
+@Command(
+    name = "history",
+    mixinStandardHelpOptions = true,
+    description =
+        "A day of minutes with 200 rows each, forced to disk each minute: own segments against MVStore.")
 final class HistoryBench implements Runnable {
   private static final int MINUTES = 1_440;
   private static final int ROWS = 200;
@@ -35,7 +38,8 @@
   private static List<HistoryRow> minute(long minute) {
     List<HistoryRow> rows = new ArrayList<>();
     for (int i = 0; i < ROWS; i++) {
-      rows.add(new HistoryRow(minute, 1, "svc/function-" + i, "safe", "bygg-sektion", i, i, 0, 0, 0, 0, 0, 0));
+      rows.add(new HistoryRow(
+          minute, 1, "svc/function-" + i, "safe", "bygg-sektion", i, i, 0, 0, 0, 0, 0, 0));
     }
     return rows;
   }
@@ -64,7 +68,8 @@
     String file = directory.resolve("history.mv").toString();
     long began = System.nanoTime();
     long next = 0;
-    try (MVStore store = new MVStore.Builder().fileName(file).autoCommitDisabled().open()) {
+    try (MVStore store =
+        new MVStore.Builder().fileName(file).autoCommitDisabled().open()) {
       MVMap<Long, byte[]> map = store.openMap("rows");
       for (long m = 0; m < MINUTES; m++) {
         for (HistoryRow row : minute(m)) {
@@ -85,7 +90,8 @@
     report(print, "MVStore", directory, rows, wrote, System.nanoTime() - began);
   }
 
-  private static void report(boolean print, String name, Path directory, int rows, long wrote, long read)
+  private static void report(
+      boolean print, String name, Path directory, int rows, long wrote, long read)
       throws IOException {
     long bytes = 0;
     try (Stream<Path> files = Files.list(directory)) {
@@ -94,8 +100,15 @@
       }
     }
     if (print) {
-      System.out.printf(Locale.ROOT, "%-9s %7d rows: %.2f ms to write and force a minute, %.0f ms to open and read all,"
-          + " %.0f bytes a row%n", name, rows, wrote / 1e6 / MINUTES, read / 1e6, (double) bytes / rows);
+      System.out.printf(
+          Locale.ROOT,
+          "%-9s %7d rows: %.2f ms to write and force a minute, %.0f ms to open and read all,"
+              + " %.0f bytes a row%n",
+          name,
+          rows,
+          wrote / 1e6 / MINUTES,
+          read / 1e6,
+          (double) bytes / rows);
     }
   }
 }
--- a/app/src/main/java/gorseladder/app/bench/IdleBench.java
+++ b/app/src/main/java/gorseladder/app/bench/IdleBench.java
@@ -12,15 +12,21 @@
 import picocli.CommandLine.Command;
 
 /** {@code bench idle}: what an open connection that carries nothing costs an edge. */
-@Command(name = "idle", mixinStandardHelpOptions = true, description = "Memory and threads of idle client connections.")
+@Command(
+    name = "idle",
+    mixinStandardHelpOptions = true,
+    description = "Memory and threads of idle client connections.")
 final class IdleBench implements Runnable {
   private static final int MOST = 1_800;
 
   @Override
   public void run() {
     List<Socket> open = new ArrayList<>();
-    try (World world = new World(DayScript.parse("edges = 1; runners = 1;"),
-        Files.createTempDirectory("gorseladder-bench-"), true, line -> { })) {
+    try (World world = new World(
+        DayScript.parse("edges = 1; runners = 1;"),
+        Files.createTempDirectory("gorseladder-bench-"),
+        true,
+        line -> {})) {
       long pid = world.process(0).pid();
       Thread.sleep(1_500);
       long[] before = status(pid);
@@ -30,8 +36,12 @@
         }
         Thread.sleep(1_500);
         long[] after = status(pid);
-        System.out.printf(Locale.ROOT, "%d idle connections: %.1f KiB resident and %.2f threads each%n", count,
-            (double) (after[0] - before[0]) / count, (double) (after[1] - before[1]) / count);
+        System.out.printf(
+            Locale.ROOT,
+            "%d idle connections: %.1f KiB resident and %.2f threads each%n",
+            count,
+            (double) (after[0] - before[0]) / count,
+            (double) (after[1] - before[1]) / count);
       }
       for (Socket s : open) {
         s.close();
--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -17,23 +17,36 @@
 import picocli.CommandLine.Option;
 
 /** {@code bench latency}: calls through an edge against the same calls straight to a runner, interleaved in one run. */
-@Command(name = "latency", mixinStandardHelpOptions = true,
-    description = "Latency through one edge process against straight to a runner, at 10 %%, 50 %% and 90 %% of what the edge "
-        + "holds. Open loop, from the intended send time.")
+@Command(
+    name = "latency",
+    mixinStandardHelpOptions = true,
+    description =
+        "Latency through one edge process against straight to a runner, at 10 %%, 50 %% and 90 %% of what the edge "
+            + "holds. Open loop, from the intended send time.")
 final class LatencyBench implements Runnable {
   private static final int STACK = 256 << 10;
 
-  @Option(names = "--seconds", defaultValue = "6", description = "Seconds for each figure (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--seconds",
+      defaultValue = "6",
+      description = "Seconds for each figure (default ${DEFAULT-VALUE}).")
   private int seconds;
 
-  @Option(names = "--warmup", defaultValue = "10",
+  @Option(
+      names = "--warmup",
+      defaultValue = "10",
       description = "Seconds before each class is measured (default ${DEFAULT-VALUE}).")
   private int warmup;
 
-  @Option(names = "--work-ms", defaultValue = "10", description = "Work of a call (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--work-ms",
+      defaultValue = "10",
+      description = "Work of a call (default ${DEFAULT-VALUE}).")
   private int workMillis;
 
-  @Option(names = "--edge-cpus", description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
+  @Option(
+      names = "--edge-cpus",
+      description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
   private String cpus;
 
   private World world;
@@ -43,9 +56,14 @@
   public void run() {
     try {
       Path directory = Files.createTempDirectory("gorseladder-bench-");
-      DayScript script = DayScript.parse("edges = 1; runners = 16; lanes = 16; cores = 64; load = 20ms; work = " + workMillis
-          + "ms;");
-      try (World started = new World(script, directory, true, line -> { },
+      DayScript script =
+          DayScript.parse("edges = 1; runners = 16; lanes = 16; cores = 64; load = 20ms; work = "
+              + workMillis + "ms;");
+      try (World started = new World(
+          script,
+          directory,
+          true,
+          line -> {},
           cpus == null ? List.of() : List.of("taskset", "-c", cpus))) {
         world = started;
         calls = new EdgeCalls(started);
@@ -62,8 +80,13 @@
       calls.closed(kind, 48, warmup);
       long processor = world.edgeProcessorMicros(0);
       double holds = calls.closed(kind, 48, seconds);
-      System.out.printf(Locale.ROOT, "%s: the edge holds %.0f calls/s (48 callers, work %d ms), %.0f us of processor each%n", name,
-          holds, workMillis, (world.edgeProcessorMicros(0) - processor) / (holds * seconds));
+      System.out.printf(
+          Locale.ROOT,
+          "%s: the edge holds %.0f calls/s (48 callers, work %d ms), %.0f us of processor each%n",
+          name,
+          holds,
+          workMillis,
+          (world.edgeProcessorMicros(0) - processor) / (holds * seconds));
       for (double part : new double[] {0.1, 0.5, 0.9}) {
         Histogram direct = new Histogram(60_000_000L, 3);
         Histogram edge = new Histogram(60_000_000L, 3);
@@ -71,9 +94,19 @@
           direct.add(open(-1, holds * part, seconds / 3.0));
           edge.add(open(kind, holds * part, seconds / 3.0));
         }
-        System.out.printf(Locale.ROOT, "  %3.0f %%  direct p50 %.2f p99 %.2f ms   edge p50 %.2f p99 %.2f ms   ratio %.2f and"
-            + " %.2f   (%d and %d calls)%n", part * 100, ms(direct, 50), ms(direct, 99), ms(edge, 50), ms(edge, 99),
-            ms(edge, 50) / ms(direct, 50), ms(edge, 99) / ms(direct, 99), direct.getTotalCount(), edge.getTotalCount());
+        System.out.printf(
+            Locale.ROOT,
+            "  %3.0f %%  direct p50 %.2f p99 %.2f ms   edge p50 %.2f p99 %.2f ms   ratio %.2f and"
+                + " %.2f   (%d and %d calls)%n",
+            part * 100,
+            ms(direct, 50),
+            ms(direct, 99),
+            ms(edge, 50),
+            ms(edge, 99),
+            ms(edge, 50) / ms(direct, 50),
+            ms(edge, 99) / ms(direct, 99),
+            direct.getTotalCount(),
+            edge.getTotalCount());
       }
     }
   }
--- a/app/src/main/java/gorseladder/app/bench/LedgerBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LedgerBench.java
@@ -19,7 +19,10 @@
 import picocli.CommandLine.Command;
 
 /** {@code bench ledger}: what a durable record costs, with and without a flush to disk, by how many wait together. */
-@Command(name = "ledger", mixinStandardHelpOptions = true, description = "Cost of durable records and of group commit.")
+@Command(
+    name = "ledger",
+    mixinStandardHelpOptions = true,
+    description = "Cost of durable records and of group commit.")
 final class LedgerBench implements Runnable {
   private static final long SECONDS = 3;
   private static final long TOLERANCE = 300_000_000;
@@ -46,7 +49,8 @@
 
   /** A message and its signed request, as a delivery writes them: all time stamps of one whole second. */
   private static void ofOneSecond(int records) throws IOException {
-    try (Ledger ledger = Ledger.open(Files.createTempDirectory("gorseladder-bench-").resolve("ledger"), false, 5_000_000)) {
+    try (Ledger ledger = Ledger.open(
+        Files.createTempDirectory("gorseladder-bench-").resolve("ledger"), false, 5_000_000)) {
       long second = Clock.wallMicros() / 1_000_000 * 1_000_000;
       long tenth = 0;
       long began = Clock.micros();
@@ -60,15 +64,31 @@
         if (ledger.get(message) != null || ledger.seen(request)) {
           throw new IllegalStateException("known before");
         }
-        long ticket = ledger.put(message, new LedgerEntry(Stage.ACCEPTED, false, taken, 0, taken + 86_400_000_000L,
-            new byte[16], "", 0, null), request, second + 2 * TOLERANCE);
+        long ticket = ledger.put(
+            message,
+            new LedgerEntry(
+                Stage.ACCEPTED,
+                false,
+                taken,
+                0,
+                taken + 86_400_000_000L,
+                new byte[16],
+                "",
+                0,
+                null),
+            request,
+            second + 2 * TOLERANCE);
         if (n % 32 == 0) {
           ledger.await(ticket);
         }
       }
       long ended = Clock.micros();
-      System.out.printf(Locale.ROOT, "%,9d deliveries of one second: %5.1f us each, the last tenth %5.1f us%n", records,
-          (ended - began) / (double) records, (ended - tenth) / (records / 10.0));
+      System.out.printf(
+          Locale.ROOT,
+          "%,9d deliveries of one second: %5.1f us each, the last tenth %5.1f us%n",
+          records,
+          (ended - began) / (double) records,
+          (ended - tenth) / (records / 10.0));
     }
   }
 
@@ -79,8 +99,20 @@
     try (Ledger ledger = Ledger.open(folder, false, 5_000_000)) {
       long ticket = 0;
       for (int n = 0; n < TABLE; n++) {
-        ticket = ledger.put("/hooks/portal msg_" + n, new LedgerEntry(Stage.SERVED, true, wall, wall, wall + 86_400_000_000L,
-            new byte[16], "served", 200, new byte[200]), "request" + n, wall + 2 * TOLERANCE);
+        ticket = ledger.put(
+            "/hooks/portal msg_" + n,
+            new LedgerEntry(
+                Stage.SERVED,
+                true,
+                wall,
+                wall,
+                wall + 86_400_000_000L,
+                new byte[16],
+                "served",
+                200,
+                new byte[200]),
+            "request" + n,
+            wall + 2 * TOLERANCE);
         if (n % 10_000 == 0) {
           ledger.await(ticket);
         }
@@ -89,7 +121,11 @@
     }
     long began = Clock.micros();
     try (Ledger ledger = Ledger.open(folder, false, 5_000_000)) {
-      System.out.printf(Locale.ROOT, "%,d messages with answers opened in %,d ms%n", ledger.size(), (Clock.micros() - began) / 1000);
+      System.out.printf(
+          Locale.ROOT,
+          "%,d messages with answers opened in %,d ms%n",
+          ledger.size(),
+          (Clock.micros() - began) / 1000);
     }
   }
 
@@ -126,9 +162,16 @@
       long plainMissed = Clock.micros() - began;
       long plainBytes = used() - before;
       if (round == 2) {
-        System.out.printf(Locale.ROOT, "a million digests (%d found): table %d ns a put, %d ns a miss, %d bytes each; HashMap %d, %d, %d%n",
-            found + table.size() + plain.size() - 2 * TABLE, put * 1000 / TABLE, missed * 1000 / TABLE, bytes / TABLE,
-            plainPut * 1000 / TABLE, plainMissed * 1000 / TABLE, plainBytes / TABLE);
+        System.out.printf(
+            Locale.ROOT,
+            "a million digests (%d found): table %d ns a put, %d ns a miss, %d bytes each; HashMap %d, %d, %d%n",
+            found + table.size() + plain.size() - 2 * TABLE,
+            put * 1000 / TABLE,
+            missed * 1000 / TABLE,
+            bytes / TABLE,
+            plainPut * 1000 / TABLE,
+            plainMissed * 1000 / TABLE,
+            plainBytes / TABLE);
       }
     }
   }
@@ -141,7 +184,8 @@
   }
 
   private static void measure(boolean sync, int writers) throws IOException, InterruptedException {
-    try (Ledger ledger = Ledger.open(Files.createTempDirectory("gorseladder-bench-").resolve("ledger"), sync, 5_000_000)) {
+    try (Ledger ledger = Ledger.open(
+        Files.createTempDirectory("gorseladder-bench-").resolve("ledger"), sync, 5_000_000)) {
       AtomicLong records = new AtomicLong();
       AtomicLong waited = new AtomicLong();
       long until = Clock.micros() + SECONDS * 1_000_000;
@@ -152,8 +196,18 @@
           try {
             for (int n = 0; Clock.micros() < until; n++) {
               long began = Clock.micros();
-              ledger.await(ledger.put("/hooks/portal msg_" + writer + "_" + n,
-                  new LedgerEntry(Stage.LEAVING, true, began, began, began * 2 + n, new byte[16], "", 0, null)));
+              ledger.await(ledger.put(
+                  "/hooks/portal msg_" + writer + "_" + n,
+                  new LedgerEntry(
+                      Stage.LEAVING,
+                      true,
+                      began,
+                      began,
+                      began * 2 + n,
+                      new byte[16],
+                      "",
+                      0,
+                      null)));
               waited.addAndGet(Clock.micros() - began);
               records.incrementAndGet();
             }
@@ -165,8 +219,13 @@
       for (Thread t : threads) {
         t.join();
       }
-      System.out.printf(Locale.ROOT, "%-9s %2d writers: %6.0f records/s, %.3f ms wait each, %.1f records a commit%n",
-          sync ? "sync" : "no sync", writers, records.get() / (double) SECONDS, waited.get() / 1000.0 / records.get(),
+      System.out.printf(
+          Locale.ROOT,
+          "%-9s %2d writers: %6.0f records/s, %.3f ms wait each, %.1f records a commit%n",
+          sync ? "sync" : "no sync",
+          writers,
+          records.get() / (double) SECONDS,
+          waited.get() / 1000.0 / records.get(),
           (double) records.get() / Math.max(1, ledger.commits()));
     }
   }
--- a/app/src/main/java/gorseladder/app/bench/OverloadBench.java
+++ b/app/src/main/java/gorseladder/app/bench/OverloadBench.java
@@ -25,8 +25,11 @@
 import picocli.CommandLine.Option;
 
 /** {@code bench overload}: answers within the aim against calls offered, with admission, with the fixed bound, with neither. */
-@Command(name = "overload", mixinStandardHelpOptions = true,
-    description = "Goodput of one edge process against offered load, and how it recovers from ten times the load.")
+@Command(
+    name = "overload",
+    mixinStandardHelpOptions = true,
+    description =
+        "Goodput of one edge process against offered load, and how it recovers from ten times the load.")
 final class OverloadBench implements Runnable {
   private static final int STACK = 192 << 10;
   private static final int CALLERS = 1_800;
@@ -36,23 +39,40 @@
 
   static {
     WAYS.put("admission", "limits { max_calls: 1000 max_connections: 2000 }\n");
-    WAYS.put("fixed bound", "adaptive_admission: false limits { max_calls: 1000 max_connections: 2000 }\n");
-    WAYS.put("neither", "adaptive_admission: false limits { max_calls: 20000 max_connections: 2000 }\n");
+    WAYS.put(
+        "fixed bound",
+        "adaptive_admission: false limits { max_calls: 1000 max_connections: 2000 }\n");
+    WAYS.put(
+        "neither", "adaptive_admission: false limits { max_calls: 20000 max_connections: 2000 }\n");
   }
 
-  @Option(names = "--seconds", defaultValue = "5", description = "Seconds for each figure (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--seconds",
+      defaultValue = "5",
+      description = "Seconds for each figure (default ${DEFAULT-VALUE}).")
   private int seconds;
 
-  @Option(names = "--runners", defaultValue = "4", description = "Runners of 4 lanes each (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--runners",
+      defaultValue = "4",
+      description = "Runners of 4 lanes each (default ${DEFAULT-VALUE}).")
   private int runners;
 
-  @Option(names = "--work-ms", defaultValue = "20", description = "Work of a call (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--work-ms",
+      defaultValue = "20",
+      description = "Work of a call (default ${DEFAULT-VALUE}).")
   private int workMillis;
 
-  @Option(names = "--edge-cpus", description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
+  @Option(
+      names = "--edge-cpus",
+      description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
   private String cpus;
 
-  @Option(names = "--holds", description = "Calls a second taken as 1; measured with 16 callers for each runner where not given.")
+  @Option(
+      names = "--holds",
+      description =
+          "Calls a second taken as 1; measured with 16 callers for each runner where not given.")
   private double holds;
 
   @Option(names = "--plot", description = "Write the plot here, without its suffix.")
@@ -61,8 +81,13 @@
   @Override
   public void run() {
     try {
-      XYChart chart = new XYChartBuilder().width(900).height(560).title("Goodput of one edge under overload")
-          .xAxisTitle("offered load, times what it holds").yAxisTitle("answers within the aim, calls/s").build();
+      XYChart chart = new XYChartBuilder()
+          .width(900)
+          .height(560)
+          .title("Goodput of one edge under overload")
+          .xAxisTitle("offered load, times what it holds")
+          .yAxisTitle("answers within the aim, calls/s")
+          .build();
       for (Map.Entry<String, String> way : WAYS.entrySet()) {
         List<Double> goods = new ArrayList<>();
         try (World world = world(way.getValue())) {
@@ -72,15 +97,25 @@
           for (double multiple : MULTIPLES) {
             Run run = open(calls, new double[] {multiple * holds}, seconds);
             goods.add(run.good(0, seconds) / (double) seconds);
-            System.out.printf(Locale.ROOT, "%-11s x%4.1f: offered %6.0f/s, within the aim %5.0f/s (%.2f), refused %6.0f/s, late %5.0f/s,"
-                + " failed %5.0f/s, unsent or unanswered %5.0f/s%n", way.getKey(), multiple, multiple * holds, goods.get(goods.size() - 1),
-                goods.get(goods.size() - 1) / holds, run.refused.get() / (double) seconds, run.servedLate.get() / (double) seconds,
-                (run.late.get() - run.servedLate.get()) / (double) seconds, run.unanswered.get() / (double) seconds);
+            System.out.printf(
+                Locale.ROOT,
+                "%-11s x%4.1f: offered %6.0f/s, within the aim %5.0f/s (%.2f), refused %6.0f/s, late %5.0f/s,"
+                    + " failed %5.0f/s, unsent or unanswered %5.0f/s%n",
+                way.getKey(),
+                multiple,
+                multiple * holds,
+                goods.get(goods.size() - 1),
+                goods.get(goods.size() - 1) / holds,
+                run.refused.get() / (double) seconds,
+                run.servedLate.get() / (double) seconds,
+                (run.late.get() - run.servedLate.get()) / (double) seconds,
+                run.unanswered.get() / (double) seconds);
           }
           recovery(way.getKey(), calls);
         }
         double[] x = MULTIPLES.clone();
-        chart.addSeries(way.getKey(), x, goods.stream().mapToDouble(Double::doubleValue).toArray());
+        chart.addSeries(
+            way.getKey(), x, goods.stream().mapToDouble(Double::doubleValue).toArray());
       }
       if (plot != null) {
         BitmapEncoder.saveBitmap(chart, plot.toString(), BitmapEncoder.BitmapFormat.PNG);
@@ -91,10 +126,15 @@
   }
 
   private World world(String more) throws IOException, InterruptedException, DayScript.BadScript {
-    DayScript script = DayScript.parse("edges = 1; runners = " + runners + "; lanes = 16; cores = 64; load = 20ms; work = " + workMillis
-        + "ms;");
-    return new World(script, Files.createTempDirectory("gorseladder-bench-"), true, line -> { },
-        cpus == null ? List.of() : List.of("taskset", "-c", cpus), more);
+    DayScript script = DayScript.parse("edges = 1; runners = " + runners
+        + "; lanes = 16; cores = 64; load = 20ms; work = " + workMillis + "ms;");
+    return new World(
+        script,
+        Files.createTempDirectory("gorseladder-bench-"),
+        true,
+        line -> {},
+        cpus == null ? List.of() : List.of("taskset", "-c", cpus),
+        more);
   }
 
   /** Half the load, ten times as much for as long, half again: answers within the aim by second. */
@@ -125,7 +165,8 @@
   }
 
   /** Calls at these rates, each for so many seconds; latency counts from the time a call was meant for. */
-  private static Run open(EdgeCalls calls, double[] rates, int eachSeconds) throws InterruptedException {
+  private static Run open(EdgeCalls calls, double[] rates, int eachSeconds)
+      throws InterruptedException {
     Run run = new Run();
     ThreadPoolExecutor threads = Threads.pool("open", CALLERS, STACK);
     Random random = new Random(7);
--- a/app/src/main/java/gorseladder/app/bench/PlacementBench.java
+++ b/app/src/main/java/gorseladder/app/bench/PlacementBench.java
@@ -30,8 +30,11 @@
 import picocli.CommandLine.Option;
 
 /** {@code bench placement}: the placement against an exact solver on small fleets, and its time on large ones. */
-@Command(name = "placement", mixinStandardHelpOptions = true,
-    description = "Placement against an exact solver (ojAlgo) on small drawn fleets; time of forecasts and plans on large ones.")
+@Command(
+    name = "placement",
+    mixinStandardHelpOptions = true,
+    description =
+        "Placement against an exact solver (ojAlgo) on small drawn fleets; time of forecasts and plans on large ones.")
 final class PlacementBench implements Runnable {
   private static final Prices PRICES = new Prices(0.1, 0.004, 0);
   private static final double STRETCH = 900;
@@ -39,7 +42,10 @@
   private static final int MOST_COPIES = 3;
   private static final long SOLVER_MILLIS = 20_000;
 
-  @Option(names = "--fleets", defaultValue = "30", description = "Small fleets drawn (default ${DEFAULT-VALUE}).")
+  @Option(
+      names = "--fleets",
+      defaultValue = "30",
+      description = "Small fleets drawn (default ${DEFAULT-VALUE}).")
   private int fleets;
 
   @Option(names = "--plot", paramLabel = "FILE", description = "Write a plot of the times, as PNG.")
@@ -69,8 +75,16 @@
     for (int i = 0; i < count; i++) {
       double calls = Math.max(4, 400.0 / Math.pow(i + 1, 0.8)) * (0.5 + random.nextDouble());
       double before = random.nextInt(oneOf) == 0 ? 0 : calls;
-      all.add(new Demand("svc/f" + i, calls, 1 + random.nextDouble(), before, 0.5 + random.nextDouble() / 2, 300 + random.nextInt(500),
-          1 + random.nextInt(3), 0.1 + 0.2 * random.nextDouble(), 0.4 + 0.6 * random.nextDouble()));
+      all.add(new Demand(
+          "svc/f" + i,
+          calls,
+          1 + random.nextDouble(),
+          before,
+          0.5 + random.nextDouble() / 2,
+          300 + random.nextInt(500),
+          1 + random.nextInt(3),
+          0.1 + 0.2 * random.nextDouble(),
+          0.4 + 0.6 * random.nextDouble()));
     }
     return all;
   }
@@ -84,7 +98,8 @@
     double own = 0;
     double exact = 0;
     for (int i = 0; i < fleets; i++) {
-      List<Host> hosts = hosts(3 + random.nextInt(4), 900 + random.nextInt(1_500), 2 + random.nextInt(3));
+      List<Host> hosts =
+          hosts(3 + random.nextInt(4), 900 + random.nextInt(1_500), 2 + random.nextInt(3));
       List<Demand> demands = demands(8 + random.nextInt(17), 10, random);
       Limits limits = new Limits(4 + random.nextInt(12), Double.MAX_VALUE);
       long began = System.nanoTime();
@@ -102,9 +117,16 @@
         bound += placed.size() == limits.orders() || missing > 1e-9 ? 1 : 0;
       }
     }
-    System.out.printf(Locale.ROOT, "%d small fleets solved exactly: the placement brings %.2f %% less in the mean, %.1f %% at worst;"
-        + " a limit bound in %d; %.1f ms against %.0f ms each%n", solved, 100 * sum / Math.max(1, solved), 100 * worst, bound,
-        own / fleets, exact / fleets);
+    System.out.printf(
+        Locale.ROOT,
+        "%d small fleets solved exactly: the placement brings %.2f %% less in the mean, %.1f %% at worst;"
+            + " a limit bound in %d; %.1f ms against %.0f ms each%n",
+        solved,
+        100 * sum / Math.max(1, solved),
+        100 * worst,
+        bound,
+        own / fleets,
+        exact / fleets);
   }
 
   /** The best sum by an integer programme: a variable for each copy at each place it may stand; 0 where it was not solved in time. */
@@ -119,22 +141,29 @@
       loads.put(h.name(), model.newExpression("loads " + h.name()).upper(h.loads()));
     }
     for (Demand d : demands) {
-      List<Host> order = hosts.stream().sorted(Comparator.comparingDouble(h -> Router.distance(d.function(), h.name(), 1, 1))).toList();
+      List<Host> order = hosts.stream()
+          .sorted(Comparator.comparingDouble(h -> Router.distance(d.function(), h.name(), 1, 1)))
+          .toList();
       Map<String, Expression> once = new HashMap<>();
       List<Variable> before = List.of();
       for (int number = 1; number <= MOST_COPIES; number++) {
         Expression one = model.newExpression(d.function() + " copy " + number).upper(1);
-        Expression follows = model.newExpression(d.function() + " follows " + number).upper(number == 1 ? 1 : 0);
+        Expression follows =
+            model.newExpression(d.function() + " follows " + number).upper(number == 1 ? 1 : 0);
         List<Variable> mine = new ArrayList<>();
         for (int place = 0; place < Math.min(order.size(), Placement.places(number)); place++) {
           String host = order.get(place).name();
-          Variable v = model.newVariable(d.function() + " " + number + " at " + place).binary()
+          Variable v = model
+              .newVariable(d.function() + " " + number + " at " + place)
+              .binary()
               .weight(Placement.net(d, number, place, PRICES, STRETCH, KEEP));
           one.set(v, 1);
           orders.set(v, 1);
           memory.get(host).set(v, d.memoryMb());
           loads.get(host).set(v, 1);
-          once.computeIfAbsent(host, h -> model.newExpression(d.function() + " once at " + h).upper(1)).set(v, 1);
+          once.computeIfAbsent(
+                  host, h -> model.newExpression(d.function() + " once at " + h).upper(1))
+              .set(v, 1);
           mine.add(v);
           follows.set(v, 1);
         }
@@ -170,20 +199,42 @@
         List<Demand> demands = demands(functions, 1, new Random(2));
         double least = Double.MAX_VALUE;
         int placed = 0;
-        // Many functions wake at once, as at a known date, and orders or memory bind: the shape that costs most.
+        // Many functions wake at once, as at a known date, and orders or memory bind: the shape
+        // that costs most.
         for (int round = 0; round < 5; round++) {
           began = System.nanoTime();
-          placed = Placement.choose(demands, hosts, new Limits(functions / 2, Double.MAX_VALUE), PRICES, STRETCH, KEEP).size();
+          placed = Placement.choose(
+                  demands,
+                  hosts,
+                  new Limits(functions / 2, Double.MAX_VALUE),
+                  PRICES,
+                  STRETCH,
+                  KEEP)
+              .size();
           least = Math.min(least, (System.nanoTime() - began) / 1e6);
         }
         planMillis.computeIfAbsent(runners, r -> new ArrayList<>()).add(least);
-        System.out.printf(Locale.ROOT, "%5d functions, %3d runners: forecasts %.1f ms, placement of %d copies (%d orders allowed) %.1f ms%n",
-            functions, runners, forecast, placed, functions / 2, least);
+        System.out.printf(
+            Locale.ROOT,
+            "%5d functions, %3d runners: forecasts %.1f ms, placement of %d copies (%d orders allowed) %.1f ms%n",
+            functions,
+            runners,
+            forecast,
+            placed,
+            functions / 2,
+            least);
       }
     }
     if (plot != null) {
-      XYChart chart = new XYChartBuilder().width(900).height(500).title("Time of a plan").xAxisTitle("functions").yAxisTitle("ms").build();
-      planMillis.forEach((runners, millis) -> chart.addSeries("placement, " + runners + " runners", functionsAxis, millis));
+      XYChart chart = new XYChartBuilder()
+          .width(900)
+          .height(500)
+          .title("Time of a plan")
+          .xAxisTitle("functions")
+          .yAxisTitle("ms")
+          .build();
+      planMillis.forEach((runners, millis) ->
+          chart.addSeries("placement, " + runners + " runners", functionsAxis, millis));
       chart.addSeries("forecasts", functionsAxis, forecastMillis);
       BitmapEncoder.saveBitmap(chart, plot.toString(), BitmapFormat.PNG);
     }
--- a/app/src/main/java/gorseladder/app/bench/RouterBench.java
+++ b/app/src/main/java/gorseladder/app/bench/RouterBench.java
@@ -29,8 +29,11 @@
 import picocli.CommandLine.Command;
 
 /** {@code bench router}: processor time that the decisions take for a call, by the size of the fleet. */
-@Command(name = "router", mixinStandardHelpOptions = true,
-    description = "Microseconds of the router for each call at 12, 80 and 240 runners, all events of the call included.")
+@Command(
+    name = "router",
+    mixinStandardHelpOptions = true,
+    description =
+        "Microseconds of the router for each call at 12, 80 and 240 runners, all events of the call included.")
 final class RouterBench implements Runnable {
   private static final int CALLS = 200_000;
   private static final long GAP = 500;
@@ -41,15 +44,30 @@
   public void run() {
     for (int runners : new int[] {12, 80, 240}) {
       measure(runners, CALLS / 4);
-      System.out.printf(Locale.ROOT, "%3d runners: %.2f us a call%n", runners, measure(runners, CALLS));
+      System.out.printf(
+          Locale.ROOT, "%3d runners: %.2f us a call%n", runners, measure(runners, CALLS));
     }
   }
 
   private static double measure(int runners, int calls) {
-    RequestClass c = new RequestClass("c", Effect.SAFE, Group.ALL, 0, 1_000_000, 3_000_000, 1, 0.2, false);
-    Router router = new Router(new Settings(0, 3, "z", 2_000, 8_000_000, true, false, 0, 1,
-        new Limits(4, false, true, false, true, true, true, 1_000_000, 10_000_000),
-        new Rules(500_000, 0.2, 15_000_000, 2.5, 1_500_000, 0, 0, 0), List.of(c), List.of()), 1);
+    RequestClass c =
+        new RequestClass("c", Effect.SAFE, Group.ALL, 0, 1_000_000, 3_000_000, 1, 0.2, false);
+    Router router = new Router(
+        new Settings(
+            0,
+            3,
+            "z",
+            2_000,
+            8_000_000,
+            true,
+            false,
+            0,
+            1,
+            new Limits(4, false, true, false, true, true, true, 1_000_000, 10_000_000),
+            new Rules(500_000, 0.2, 15_000_000, 2.5, 1_500_000, 0, 0, 0),
+            List.of(c),
+            List.of()),
+        1);
     List<WorkerEntry> list = new ArrayList<>();
     for (int i = 0; i < runners; i++) {
       list.add(new WorkerEntry("w" + i, "z", 0, Phase.RUNNING, 1, 0));
@@ -65,11 +83,26 @@
       now += GAP;
       long at = now;
       timers.advance(now, token -> router.on(at, new TimerDue(token), actions::add));
-      router.on(now, new Request(id, "c", "", "svc/f" + (int) (Math.pow(random.nextDouble(), 2) * 200), 3_000_000, 0, 300, 2,
-          300_000, false), actions::add);
+      router.on(
+          now,
+          new Request(
+              id,
+              "c",
+              "",
+              "svc/f" + (int) (Math.pow(random.nextDouble(), 2) * 200),
+              3_000_000,
+              0,
+              300,
+              2,
+              300_000,
+              false),
+          actions::add);
       while (!out.isEmpty() && out.peekFirst().at() <= now) {
         Out o = out.pollFirst();
-        router.on(now, new Answer(o.id(), 0, o.worker(), Outcome.OK, true, 30_000, Note.WARM, 0, Map.of()), actions::add);
+        router.on(
+            now,
+            new Answer(o.id(), 0, o.worker(), Outcome.OK, true, 30_000, Note.WARM, 0, Map.of()),
+            actions::add);
       }
       for (Action a : actions) {
         if (a instanceof Send s) {
--- a/app/src/main/java/gorseladder/app/bench/TimerBench.java
+++ b/app/src/main/java/gorseladder/app/bench/TimerBench.java
@@ -33,7 +33,8 @@
   private final Random random = new Random(1);
   private final TimerWheel<Runnable> wheel = new TimerWheel<>(1_000, 0);
   private final ArrayDeque<TimerWheel.Node<Runnable>> wheelNodes = new ArrayDeque<>();
-  private final PriorityQueue<long[]> heap = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
+  private final PriorityQueue<long[]> heap =
+      new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
   private final ArrayDeque<long[]> heapNodes = new ArrayDeque<>();
   private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1);
   private final ArrayDeque<ScheduledFuture<?>> futures = new ArrayDeque<>();
@@ -44,11 +45,11 @@
   public void fill() {
     executor.setRemoveOnCancelPolicy(true);
     for (int i = 0; i < standing; i++) {
-      wheelNodes.addLast(wheel.schedule(due(), () -> { }));
+      wheelNodes.addLast(wheel.schedule(due(), () -> {}));
       long[] entry = {due()};
       heap.add(entry);
       heapNodes.addLast(entry);
-      futures.addLast(executor.schedule(() -> { }, 3_000 + random.nextInt(1_000), TimeUnit.SECONDS));
+      futures.addLast(executor.schedule(() -> {}, 3_000 + random.nextInt(1_000), TimeUnit.SECONDS));
     }
   }
 
@@ -66,7 +67,7 @@
   /** The project's wheel. */
   @Benchmark
   public boolean wheel() {
-    wheelNodes.addLast(wheel.schedule(due(), () -> { }));
+    wheelNodes.addLast(wheel.schedule(due(), () -> {}));
     return wheel.cancel(wheelNodes.pollFirst());
   }
 
@@ -82,7 +83,7 @@
   /** The library's scheduled executor. */
   @Benchmark
   public boolean scheduledExecutor() {
-    futures.addLast(executor.schedule(() -> { }, 3_000 + random.nextInt(1_000), TimeUnit.SECONDS));
+    futures.addLast(executor.schedule(() -> {}, 3_000 + random.nextInt(1_000), TimeUnit.SECONDS));
     return futures.pollFirst().cancel(false);
   }
 }
--- a/app/src/test/java/gorseladder/app/SabotageTest.java
+++ b/app/src/test/java/gorseladder/app/SabotageTest.java
@@ -21,8 +21,11 @@
   @Test
   void aFaultThatDoesNotApplyIsNamed() throws Exception {
     Path list = Files.createTempFile("faults", ".txtpb");
-    Files.writeString(list, "day { name: \"d\" script: \"day = 1s;\" }\n"
-        + "fault { name: \"f\" rule: 1 day: \"d\" edit { file: \"README.md\" find: \"no such text\" replace: \"\" } }");
-    assertEquals(Main.CANNOT_START, Main.run("sabotage", "--root", "..", "--faults", list.toString()));
+    Files.writeString(
+        list,
+        "day { name: \"d\" script: \"day = 1s;\" }\n"
+            + "fault { name: \"f\" rule: 1 day: \"d\" edit { file: \"README.md\" find: \"no such text\" replace: \"\" } }");
+    assertEquals(
+        Main.CANNOT_START, Main.run("sabotage", "--root", "..", "--faults", list.toString()));
   }
 }
--- a/benchhost/src/main/java/gorseladder/simhost/SimHost.java
+++ b/benchhost/src/main/java/gorseladder/simhost/SimHost.java
@@ -41,14 +41,14 @@
     }
   }
 
-  static int serve(InputStream in, OutputStream out, Consumer<String> complain)
-      throws IOException {
+  static int serve(InputStream in, OutputStream out, Consumer<String> complain) throws IOException {
     SimHost host = new SimHost(in, out);
     try {
       host.run();
       return 0;
     } catch (JsonProcessingException e) {
-      complain.accept("gorseladder: line " + host.line() + ": not JSON: " + firstLine(e.getOriginalMessage()));
+      complain.accept(
+          "gorseladder: line " + host.line() + ": not JSON: " + firstLine(e.getOriginalMessage()));
     } catch (BadInput | IllegalArgumentException e) {
       complain.accept("gorseladder: line " + host.line() + ": " + firstLine(e.getMessage()));
     }
@@ -105,8 +105,8 @@
     }
     String who = Fields.text(m, "who");
     if (verb.equals("up")) {
-      instances.put(who, new Router(PlatformSettings.read(Fields.object(m, "facts")),
-          (long) Fields.number(m, "randomSeed")));
+      instances.put(who, new Router(PlatformSettings.read(Fields.object(m, "facts")), (long)
+          Fields.number(m, "randomSeed")));
     } else if (!instances.containsKey(who)) {
       throw new BadInput("'" + verb + "' for '" + who + "', which is not up");
     } else if (verb.equals("kill")) {
--- a/benchhost/src/main/java/gorseladder/simhost/Wire.java
+++ b/benchhost/src/main/java/gorseladder/simhost/Wire.java
@@ -24,10 +24,24 @@
 /** Translates between the bench's JSON messages and the router's events and actions. */
 final class Wire {
   private static final Map<String, Outcome> OUTCOMES = Map.of(
-      "OK", Outcome.OK, "INTERNAL", Outcome.ERROR, "RESOURCE_EXHAUSTED", Outcome.FULL,
-      "DEADLINE_EXCEEDED", Outcome.TIMEOUT, "UNAVAILABLE", Outcome.CONNECT_FAILED,
-      "ABORTED", Outcome.RESET, "CANCELLED", Outcome.CANCELLED, "TOO_LATE", Outcome.MOOT,
-      "NOT_FOUND", Outcome.MISS);
+      "OK",
+      Outcome.OK,
+      "INTERNAL",
+      Outcome.ERROR,
+      "RESOURCE_EXHAUSTED",
+      Outcome.FULL,
+      "DEADLINE_EXCEEDED",
+      Outcome.TIMEOUT,
+      "UNAVAILABLE",
+      Outcome.CONNECT_FAILED,
+      "ABORTED",
+      Outcome.RESET,
+      "CANCELLED",
+      Outcome.CANCELLED,
+      "TOO_LATE",
+      Outcome.MOOT,
+      "NOT_FOUND",
+      Outcome.MISS);
   private static final Map<String, String> REPORT_NAMES = Map.of("rif", "inFlight", "q", "queued");
   private static final RouterApi.Note[] NOTES = RouterApi.Note.values();
 
@@ -73,19 +87,34 @@
   static Event event(String verb, Map<String, Object> m) {
     return switch (verb) {
       case "backendsChanged" -> workers(m);
-      case "accept" -> new RouterApi.Request(id(m), text(m, "priority"), text(m, "team", ""),
-          text(m, "targetFn"), micros(m, "ttlMs"), micros(m, "weightHintMs", 0),
-          number(m, "footprintMb", 0), (int) number(m, "perCopy", 1), micros(m, "loadTimeMs", 0),
-          flag(m, "repeat"));
-      case "flowing" -> new RouterApi.FirstByte(id(m), (int) number(m, "shot"), text(m, "runner"),
-          micros(m, "lagMs", 0));
+      case "accept" ->
+        new RouterApi.Request(
+            id(m),
+            text(m, "priority"),
+            text(m, "team", ""),
+            text(m, "targetFn"),
+            micros(m, "ttlMs"),
+            micros(m, "weightHintMs", 0),
+            number(m, "footprintMb", 0),
+            (int) number(m, "perCopy", 1),
+            micros(m, "loadTimeMs", 0),
+            flag(m, "repeat"));
+      case "flowing" ->
+        new RouterApi.FirstByte(
+            id(m), (int) number(m, "shot"), text(m, "runner"), micros(m, "lagMs", 0));
       case "reply" -> answer(m);
       case "cancelledByClient" -> new RouterApi.ClientGone(id(m));
       case "wakeup" -> new RouterApi.TimerDue(text(m, "token"));
-      case "probed" -> new RouterApi.Probed(text(m, "runner"), outcome(m), micros(m, "lagMs", 0), report(m));
+      case "probed" ->
+        new RouterApi.Probed(text(m, "runner"), outcome(m), micros(m, "lagMs", 0), report(m));
       case "inbox" -> new RouterApi.PeerMessage((int) number(m, "sender"), text(m, "bytes", ""));
-      case "warmed" -> new RouterApi.Loaded(text(m, "runner"), text(m, "targetFn"),
-          (int) number(m, "howMany", 0), outcome(m), micros(m, "lagMs", 0));
+      case "warmed" ->
+        new RouterApi.Loaded(
+            text(m, "runner"),
+            text(m, "targetFn"),
+            (int) number(m, "howMany", 0),
+            outcome(m),
+            micros(m, "lagMs", 0));
       default -> throw new BadInput("unknown message '" + verb + "'");
     };
   }
@@ -95,9 +124,16 @@
     int note = info & 7;
     Outcome outcome = outcome(m);
     boolean counts = outcome == Outcome.OK || outcome == Outcome.FULL;
-    return new RouterApi.Answer(id(m), (int) number(m, "shot"), text(m, "runner"), outcome,
-        flag(m, "settled"), micros(m, "lagMs", 0), note < NOTES.length ? NOTES[note] : NOTES[0],
-        counts ? info >> 3 : -1, report(m));
+    return new RouterApi.Answer(
+        id(m),
+        (int) number(m, "shot"),
+        text(m, "runner"),
+        outcome,
+        flag(m, "settled"),
+        micros(m, "lagMs", 0),
+        note < NOTES.length ? NOTES[note] : NOTES[0],
+        counts ? info >> 3 : -1,
+        report(m));
   }
 
   private static Event workers(Map<String, Object> m) {
--- a/config/src/main/java/gorseladder/config/Address.java
+++ b/config/src/main/java/gorseladder/config/Address.java
@@ -22,8 +22,12 @@
     host = bracketed ? host.substring(1, host.length() - 1) : host;
     try {
       IPAddress address = new IPAddressString(host).toAddress();
-      if (address != null && !host.isEmpty() && !address.isMultiple() && address.isIPv6() == bracketed
-          && port.matches("[0-9]{1,5}") && Integer.parseInt(port) <= 65_535) {
+      if (address != null
+          && !host.isEmpty()
+          && !address.isMultiple()
+          && address.isIPv6() == bracketed
+          && port.matches("[0-9]{1,5}")
+          && Integer.parseInt(port) <= 65_535) {
         return new InetSocketAddress(address.toInetAddress(), Integer.parseInt(port));
       }
     } catch (AddressStringException | inet.ipaddr.IncompatibleAddressException e) {
--- a/config/src/main/java/gorseladder/config/Fault.java
+++ b/config/src/main/java/gorseladder/config/Fault.java
@@ -11,6 +11,7 @@
 public record Fault(String file, int line, String field, String reason) {
   @Override
   public String toString() {
-    return file + ":" + (line > 0 ? line + ":" : "") + " " + (field.isEmpty() ? "" : field + ": ") + reason;
+    return file + ":" + (line > 0 ? line + ":" : "") + " " + (field.isEmpty() ? "" : field + ": ")
+        + reason;
   }
 }
--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -26,7 +26,7 @@
 public final class SettingsFile {
   private final String file;
   private final List<Fault> faults = new ArrayList<>();
-  private Consumer<String> secretCheck = s -> { };
+  private Consumer<String> secretCheck = s -> {};
   private EdgeSettings settings = EdgeSettings.getDefaultInstance();
 
   private SettingsFile(String file) {
@@ -83,12 +83,14 @@
 
     At in(com.google.protobuf.Descriptors.Descriptor type, String field, int index) {
       FieldDescriptor descriptor = type.findFieldByName(field);
-      List<TextFormatParseInfoTree> trees = tree == null ? List.of() : tree.getNestedTrees(descriptor);
+      List<TextFormatParseInfoTree> trees =
+          tree == null ? List.of() : tree.getNestedTrees(descriptor);
       String name = path + field + (descriptor.isRepeated() ? "[" + index + "]" : "") + ".";
       return new At(index < trees.size() ? trees.get(index) : null, name);
     }
 
-    void fault(com.google.protobuf.Descriptors.Descriptor type, String field, int index, String reason) {
+    void fault(
+        com.google.protobuf.Descriptors.Descriptor type, String field, int index, String reason) {
       FieldDescriptor descriptor = type.findFieldByName(field);
       int line = 0;
       if (tree != null) {
@@ -99,7 +101,11 @@
       faults.add(new Fault(file, line, name, reason));
     }
 
-    void require(boolean holds, com.google.protobuf.Descriptors.Descriptor type, String field, String reason) {
+    void require(
+        boolean holds,
+        com.google.protobuf.Descriptors.Descriptor type,
+        String field,
+        String reason) {
       if (!holds) {
         fault(type, field, 0, reason);
       }
@@ -110,15 +116,22 @@
     var type = EdgeSettings.getDescriptor();
     EdgeSettings s = settings;
     address(root, type, "listen", 0, s.getListen());
-    root.require(s.getOrdinal() >= 0 && s.getOrdinal() < Math.max(1, s.getEdges()), type, "ordinal",
+    root.require(
+        s.getOrdinal() >= 0 && s.getOrdinal() < Math.max(1, s.getEdges()),
+        type,
+        "ordinal",
         "must be from 0 to edges - 1");
-    root.require(s.getEdges() > 0 && s.getEdges() <= 10_000, type, "edges", "must be from 1 to 10000");
+    root.require(
+        s.getEdges() > 0 && s.getEdges() <= 10_000, type, "edges", "must be from 1 to 10000");
     root.require(!s.getDataDirectory().isEmpty(), type, "data_directory", "is needed");
     if (s.hasPlanner()) {
       At planner = root.in(type, "planner", 0);
       var link = PlannerLink.getDescriptor();
       address(planner, link, "address", 0, s.getPlanner().getAddress());
-      planner.require(s.getPlanner().getAskMs() >= 50 && s.getPlanner().getAskMs() <= 60_000, link, "ask_ms",
+      planner.require(
+          s.getPlanner().getAskMs() >= 50 && s.getPlanner().getAskMs() <= 60_000,
+          link,
+          "ask_ms",
           "must be from 50 to 60000");
     }
     root.require(s.getRequestClassCount() > 0, type, "request_class", "at least one is needed");
@@ -155,8 +168,12 @@
     root.require(s.hasWorkerList(), type, "worker_list", "is needed");
     if (s.hasWorkerList()) {
       address(list, listType, "address", 0, s.getWorkerList().getAddress());
-      list.require(s.getWorkerList().getWaitMs() >= 100, listType, "wait_ms", "must be 100 or more");
-      list.require(s.getWorkerList().getService().matches("[A-Za-z0-9._-]+"), listType, "service",
+      list.require(
+          s.getWorkerList().getWaitMs() >= 100, listType, "wait_ms", "must be 100 or more");
+      list.require(
+          s.getWorkerList().getService().matches("[A-Za-z0-9._-]+"),
+          listType,
+          "service",
           "must be letters, digits, '.', '_' or '-'");
     }
     At peers = root.in(type, "peers", 0);
@@ -169,24 +186,48 @@
     }
     At ledger = root.in(type, "ledger", 0);
     var ledgerType = s.getLedger().getDescriptorForType();
-    long tolerance = s.getEndpointList().stream().mapToLong(Endpoint::getToleranceS).max().orElse(0);
-    ledger.require(s.getLedger().getKeepS() >= 2 * tolerance, ledgerType, "keep_s",
+    long tolerance =
+        s.getEndpointList().stream().mapToLong(Endpoint::getToleranceS).max().orElse(0);
+    ledger.require(
+        s.getLedger().getKeepS() >= 2 * tolerance,
+        ledgerType,
+        "keep_s",
         "must be at least twice the largest tolerance_s, else a replay could be taken");
-    ledger.require(s.getLedger().getMaxMessages() > 0, ledgerType, "max_messages", "must be more than 0");
-    ledger.require(s.getLedger().getMaxKeptAnswerBytes() >= 0, ledgerType, "max_kept_answer_bytes",
+    ledger.require(
+        s.getLedger().getMaxMessages() > 0, ledgerType, "max_messages", "must be more than 0");
+    ledger.require(
+        s.getLedger().getMaxKeptAnswerBytes() >= 0,
+        ledgerType,
+        "max_kept_answer_bytes",
         "must not be negative");
     At history = root.in(type, "history", 0);
     var historyType = s.getHistory().getDescriptorForType();
-    history.require(s.getHistory().getSegmentBytes() >= 1_024, historyType, "segment_bytes", "must be 1024 or more");
-    history.require(s.getHistory().getFineMinutes() >= 60, historyType, "fine_minutes", "must be 60 or more");
-    history.require(s.getHistory().getMaxBytes() >= 4 * s.getHistory().getSegmentBytes(), historyType, "max_bytes",
+    history.require(
+        s.getHistory().getSegmentBytes() >= 1_024,
+        historyType,
+        "segment_bytes",
+        "must be 1024 or more");
+    history.require(
+        s.getHistory().getFineMinutes() >= 60, historyType, "fine_minutes", "must be 60 or more");
+    history.require(
+        s.getHistory().getMaxBytes() >= 4 * s.getHistory().getSegmentBytes(),
+        historyType,
+        "max_bytes",
         "must be at least four times segment_bytes");
     At log = root.in(type, "log", 0);
-    log.require(Set.of("ERROR", "WARN", "INFO", "DEBUG").contains(s.getLog().getLevel()),
-        s.getLog().getDescriptorForType(), "level", "must be ERROR, WARN, INFO or DEBUG");
+    log.require(
+        Set.of("ERROR", "WARN", "INFO", "DEBUG").contains(s.getLog().getLevel()),
+        s.getLog().getDescriptorForType(),
+        "level",
+        "must be ERROR, WARN, INFO or DEBUG");
   }
 
-  private void address(At at, com.google.protobuf.Descriptors.Descriptor type, String field, int index, String text) {
+  private void address(
+      At at,
+      com.google.protobuf.Descriptors.Descriptor type,
+      String field,
+      int index,
+      String text) {
     try {
       Address.parse(text);
     } catch (IllegalArgumentException e) {
@@ -196,14 +237,22 @@
 
   private void requestClass(At at, RequestClass c, Set<String> names) {
     var type = RequestClass.getDescriptor();
-    at.require(c.getName().matches("[\\x21-\\x7e]{1,64}"), type, "name", "must be 1 to 64 visible ASCII characters");
+    at.require(
+        c.getName().matches("[\\x21-\\x7e]{1,64}"),
+        type,
+        "name",
+        "must be 1 to 64 visible ASCII characters");
     at.require(names.add(c.getName()), type, "name", "stands twice");
     at.require(c.hasEffect(), type, "effect", "is needed: SAFE, KEYED or UNSAFE");
     at.require(c.getAimMs() > 0, type, "aim_ms", "must be more than 0");
     at.require(c.getDeadlineMs() >= c.getAimMs(), type, "deadline_ms", "must be at least aim_ms");
     at.require(c.getWorth() > 0, type, "worth", "must be more than 0");
-    at.require(c.getLateWorth() >= 0 && c.getLateWorth() <= 1, type, "late_worth", "must be from 0 to 1");
-    at.require(c.getEffect() != Effect.KEYED || c.getRepeatWindowMs() > 0, type, "repeat_window_ms",
+    at.require(
+        c.getLateWorth() >= 0 && c.getLateWorth() <= 1, type, "late_worth", "must be from 0 to 1");
+    at.require(
+        c.getEffect() != Effect.KEYED || c.getRepeatWindowMs() > 0,
+        type,
+        "repeat_window_ms",
         "is needed for KEYED");
     at.require(c.getMemoryMb() > 0, type, "memory_mb", "must be more than 0");
     at.require(c.getLanes() > 0 && c.getLanes() <= 1024, type, "lanes", "must be from 1 to 1024");
@@ -217,14 +266,26 @@
     at.require(t.getQuotaPerS() >= 0, type, "quota_per_s", "must not be negative");
   }
 
-  private void endpoint(At at, Endpoint e, Set<String> classes, Set<String> tenants, Set<String> paths) {
+  private void endpoint(
+      At at, Endpoint e, Set<String> classes, Set<String> tenants, Set<String> paths) {
     var type = Endpoint.getDescriptor();
-    at.require(e.getPath().matches("/[A-Za-z0-9._~/-]*"), type, "path", "must begin with '/' and need no encoding");
+    at.require(
+        e.getPath().matches("/[A-Za-z0-9._~/-]*"),
+        type,
+        "path",
+        "must begin with '/' and need no encoding");
     at.require(paths.add(e.getPath()), type, "path", "stands twice");
-    at.require(tenants.isEmpty() && e.getTenant().isEmpty() || tenants.contains(e.getTenant()), type, "tenant",
+    at.require(
+        tenants.isEmpty() && e.getTenant().isEmpty() || tenants.contains(e.getTenant()),
+        type,
+        "tenant",
         "names no tenant of this file");
     at.require(e.getSecretCount() > 0, type, "secret", "at least one is needed");
-    at.require(e.getToleranceS() > 0 && e.getToleranceS() <= 86_400, type, "tolerance_s", "must be from 1 to 86400");
+    at.require(
+        e.getToleranceS() > 0 && e.getToleranceS() <= 86_400,
+        type,
+        "tolerance_s",
+        "must be from 1 to 86400");
     at.require(e.getRouteCount() > 0, type, "route", "at least one is needed");
     for (int i = 0; i < e.getSecretCount(); i++) {
       try {
@@ -238,8 +299,12 @@
       At route = at.in(type, "route", i);
       Route r = e.getRoute(i);
       route.require(!r.getType().isEmpty(), Route.getDescriptor(), "type", "is needed");
-      route.require(types.add(r.getType()), Route.getDescriptor(), "type", "stands twice at this endpoint");
-      route.require(classes.contains(r.getRequestClass()), Route.getDescriptor(), "request_class",
+      route.require(
+          types.add(r.getType()), Route.getDescriptor(), "type", "stands twice at this endpoint");
+      route.require(
+          classes.contains(r.getRequestClass()),
+          Route.getDescriptor(),
+          "request_class",
           "names no request_class of this file");
     }
   }
@@ -251,25 +316,35 @@
       at.require(value > 0, type, f.getName(), "must be more than 0");
     }
     at.require(l.getStackBytes() >= 65_536, type, "stack_bytes", "must be 65536 or more");
-    at.require(l.getMaxBodyBytes() <= 64L << 20, type, "max_body_bytes", "must be 67108864 or less");
+    at.require(
+        l.getMaxBodyBytes() <= 64L << 20, type, "max_body_bytes", "must be 67108864 or less");
   }
 
   private void runners(At at, Runners r) {
     var type = Runners.getDescriptor();
-    at.require(r.getMaxAttempts() > 0 && r.getMaxAttempts() <= 16, type, "max_attempts", "must be from 1 to 16");
+    at.require(
+        r.getMaxAttempts() > 0 && r.getMaxAttempts() <= 16,
+        type,
+        "max_attempts",
+        "must be from 1 to 16");
     at.require(r.getKeepAliveMs() > 0, type, "keep_alive_ms", "must be more than 0");
     at.require(r.getConnectMs() > 0, type, "connect_ms", "must be more than 0");
     at.require(r.getOrderMs() > 0, type, "order_ms", "must be more than 0");
     at.require(r.getConnectionIdleMs() >= 0, type, "connection_idle_ms", "must not be negative");
-    at.require(r.getUnsafeConnectionIdleMs() >= 0 && r.getUnsafeConnectionIdleMs() <= r.getConnectionIdleMs(), type,
-        "unsafe_connection_idle_ms", "must be from 0 to connection_idle_ms");
+    at.require(
+        r.getUnsafeConnectionIdleMs() >= 0
+            && r.getUnsafeConnectionIdleMs() <= r.getConnectionIdleMs(),
+        type,
+        "unsafe_connection_idle_ms",
+        "must be from 0 to connection_idle_ms");
     at.require(r.getMaxAnswerBytes() > 0, type, "max_answer_bytes", "must be more than 0");
   }
 
   private void rules(At at, RuleFigures r) {
     var type = RuleFigures.getDescriptor();
     at.require(r.getDrainGraceMs() >= 0, type, "drain_grace_ms", "must not be negative");
-    at.require(r.getColdFrom() >= 0 && r.getColdFrom() <= 1, type, "cold_from", "must be from 0 to 1");
+    at.require(
+        r.getColdFrom() >= 0 && r.getColdFrom() <= 1, type, "cold_from", "must be from 0 to 1");
     at.require(r.getColdMs() >= 0, type, "cold_ms", "must not be negative");
     at.require(r.getOverloadMultiple() >= 0, type, "overload_multiple", "must not be negative");
     at.require(r.getOverloadMs() >= 0, type, "overload_ms", "must not be negative");
--- a/config/src/main/java/gorseladder/config/TextFile.java
+++ b/config/src/main/java/gorseladder/config/TextFile.java
@@ -28,7 +28,8 @@
    * @param file named in the faults
    * @return where each field stands; null where the text could not be read to its end, and then the message holds nothing of use
    */
-  public static TextFormatParseInfoTree parse(String file, String text, Message.Builder into, List<Fault> faults) {
+  public static TextFormatParseInfoTree parse(
+      String file, String text, Message.Builder into, List<Fault> faults) {
     try {
       return parse(text, into, false);
     } catch (TextFormat.ParseException e) {
@@ -42,15 +43,21 @@
     }
   }
 
-  private static TextFormatParseInfoTree parse(String text, Message.Builder into, boolean allowUnknown)
-      throws TextFormat.ParseException {
+  private static TextFormatParseInfoTree parse(
+      String text, Message.Builder into, boolean allowUnknown) throws TextFormat.ParseException {
     TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
-    TextFormat.Parser.newBuilder().setAllowUnknownFields(allowUnknown).setParseInfoTreeBuilder(places).build().merge(text, into);
+    TextFormat.Parser.newBuilder()
+        .setAllowUnknownFields(allowUnknown)
+        .setParseInfoTreeBuilder(places)
+        .build()
+        .merge(text, into);
     return places.build();
   }
 
-  private static void tell(String file, TextFormat.ParseException e, Message.Builder into, List<Fault> faults) {
-    Pattern field = Pattern.compile("gorseladder\\.(?:" + into.getDescriptorForType().getName() + "\\.)?(\\S+)");
+  private static void tell(
+      String file, TextFormat.ParseException e, Message.Builder into, List<Fault> faults) {
+    Pattern field = Pattern.compile(
+        "gorseladder\\.(?:" + into.getDescriptorForType().getName() + "\\.)?(\\S+)");
     boolean unknown = e.getMessage().contains(UNKNOWN);
     int before = faults.size();
     for (String line : e.getMessage().split("\n")) {
@@ -58,7 +65,10 @@
       if (m.matches() && !m.group(3).startsWith(UNKNOWN)) {
         Matcher name = field.matcher(m.group(3));
         boolean named = unknown && name.matches();
-        faults.add(new Fault(file, Integer.parseInt(m.group(1)), named ? name.group(1) : "",
+        faults.add(new Fault(
+            file,
+            Integer.parseInt(m.group(1)),
+            named ? name.group(1) : "",
             named ? "there is no such field" : m.group(3)));
       }
     }
--- a/config/src/test/java/gorseladder/config/SettingsFileTest.java
+++ b/config/src/test/java/gorseladder/config/SettingsFileTest.java
@@ -33,10 +33,11 @@
     Path file = dir.resolve("edge.txtpb");
     Files.writeString(file, text);
     return SettingsFile.load(file, s -> {
-      if (s.equals("bad")) {
-        throw new IllegalArgumentException("no key");
-      }
-    }).faults();
+          if (s.equals("bad")) {
+            throw new IllegalArgumentException("no key");
+          }
+        })
+        .faults();
   }
 
   @Test
@@ -46,25 +47,39 @@
 
   @Test
   void everyFaultIsNamedAtOnceWithItsLine() throws IOException {
-    String text = GOOD.replace("deadline_ms: 300", "deadline_ms: 30").replace("\"s\"", "\"bad\"")
-        .replace("request_class: \"safe\"", "request_class: \"sfae\"") + "allow_network: \"300.1.1.0/24\"\nedges: 0\n";
-    List<String> found = faults(text).stream().map(f -> f.line() + " " + f.field()).toList();
-    assertEquals(List.of("3 request_class[0].deadline_ms", "6 endpoint[0].secret[0]",
-        "7 endpoint[0].route[0].request_class", "10 allow_network[0]", "11 edges"), found);
+    String text = GOOD.replace("deadline_ms: 300", "deadline_ms: 30")
+            .replace("\"s\"", "\"bad\"")
+            .replace("request_class: \"safe\"", "request_class: \"sfae\"")
+        + "allow_network: \"300.1.1.0/24\"\nedges: 0\n";
+    List<String> found =
+        faults(text).stream().map(f -> f.line() + " " + f.field()).toList();
+    assertEquals(
+        List.of(
+            "3 request_class[0].deadline_ms",
+            "6 endpoint[0].secret[0]",
+            "7 endpoint[0].route[0].request_class",
+            "10 allow_network[0]",
+            "11 edges"),
+        found);
   }
 
   @Test
   void unknownFieldsAndBrokenSyntaxNameTheirLine() throws IOException {
-    assertTrue(faults("listen: \"127.0.0.1:0\"\nlisen: 3\n").stream().anyMatch(f -> f.line() == 2 && f.field().equals("lisen")));
+    assertTrue(faults("listen: \"127.0.0.1:0\"\nlisen: 3\n").stream()
+        .anyMatch(f -> f.line() == 2 && f.field().equals("lisen")));
     assertEquals(1, faults("listen \"x").get(0).line());
-    assertTrue(faults("").stream().anyMatch(f -> f.field().equals("data_directory") && f.line() == 0));
+    assertTrue(
+        faults("").stream().anyMatch(f -> f.field().equals("data_directory") && f.line() == 0));
   }
 
   /** A field that does not exist hides no fault of those that do, at the top or inside. */
   @Test
   void whatStandsBehindAnUnknownFieldIsCheckedToo() throws IOException {
-    String text = GOOD.replace("deadline_ms: 300", "deadline_ms: 30 dedline_ms: 3") + "limitz { }\nedges: 0\n";
-    List<String> found = faults(text).stream().map(f -> f.line() + " " + f.field() + ": " + f.reason()).toList();
+    String text = GOOD.replace("deadline_ms: 300", "deadline_ms: 30 dedline_ms: 3")
+        + "limitz { }\nedges: 0\n";
+    List<String> found = faults(text).stream()
+        .map(f -> f.line() + " " + f.field() + ": " + f.reason())
+        .toList();
     assertEquals("3 RequestClass.dedline_ms: there is no such field", found.get(0));
     assertTrue(found.get(1).startsWith("3 request_class[0].deadline_ms: "), found.toString());
     assertEquals("10 limitz: there is no such field", found.get(2));
@@ -74,7 +89,7 @@
 
   @Test
   void anUnreadableFileIsOneFault() {
-    assertEquals(1, SettingsFile.load(dir.resolve("none"), s -> { }).faults().size());
+    assertEquals(1, SettingsFile.load(dir.resolve("none"), s -> {}).faults().size());
   }
 
   @Test
@@ -92,7 +107,8 @@
 
   @Test
   void addressesAreNumeric() {
-    assertEquals("[::1]:80", Address.print(Address.parse("[::1]:80")).replace("0:0:0:0:0:0:0:1", "::1"));
+    assertEquals(
+        "[::1]:80", Address.print(Address.parse("[::1]:80")).replace("0:0:0:0:0:0:0:1", "::1"));
     assertThrows(IllegalArgumentException.class, () -> Address.parse("localhost:80"));
     assertThrows(IllegalArgumentException.class, () -> Address.parse("127.0.0.1"));
   }
--- a/core/src/main/java/gorseladder/core/Call.java
+++ b/core/src/main/java/gorseladder/core/Call.java
@@ -15,8 +15,18 @@
  */
 public abstract class Call {
   /** What a call is, told by the front. */
-  public record Facts(String message, RequestClass requestClass, String tenant, String function, byte[] body,
-      double memoryMb, int lanes, long loadTime, boolean repeat, long takenAt, long deadlineAt) {}
+  public record Facts(
+      String message,
+      RequestClass requestClass,
+      String tenant,
+      String function,
+      byte[] body,
+      double memoryMb,
+      int lanes,
+      long loadTime,
+      boolean repeat,
+      long takenAt,
+      long deadlineAt) {}
 
   /** One attempt and how far it got. */
   public static final class Attempt {
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -79,7 +79,13 @@
   }
 
   /** How an attempt ended, as the runner side saw it. */
-  public record AttemptEnd<C extends Call>(C call, int attempt, Outcome outcome, byte[] body, Note note, int crowd,
+  public record AttemptEnd<C extends Call>(
+      C call,
+      int attempt,
+      Outcome outcome,
+      byte[] body,
+      Note note,
+      int crowd,
       Map<String, Double> report) {}
 
   private sealed interface Message<C extends Call> {}
@@ -100,7 +106,11 @@
       implements Message<C> {}
 
   /** What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand. */
-  public record Collected(Map<String, Seen.Of> seen, List<Account.Entry> loads, List<WorkerEntry> workers, long epoch,
+  public record Collected(
+      Map<String, Seen.Of> seen,
+      List<Account.Entry> loads,
+      List<WorkerEntry> workers,
+      long epoch,
       long version) {}
 
   private final Settings settings;
@@ -108,6 +118,7 @@
   private final Hands<C> hands;
   /** Null where the router alone says when to come back. */
   private final RetryAdvice advice;
+
   private final Mailbox<Message<C>> mailbox;
   private final TimerWheel<String> timers;
   private final Map<Long, C> calls = new HashMap<>();
@@ -115,6 +126,7 @@
   private final Thread thread;
   /** Null where no planner is set: then nothing here differs from an edge without loads ahead. */
   private final Ahead ahead;
+
   private final Seen seen = new Seen();
   private Map<String, WorkerEntry> workers = new LinkedHashMap<>();
   private boolean holding;
@@ -131,7 +143,13 @@
    * @param plans true where a planner may ask for copies ahead of need
    * @param advice says when refused clients should come back; null where the router's own word stands
    */
-  public Core(Settings settings, long seed, Hands<C> hands, int mostOffers, boolean plans, RetryAdvice advice,
+  public Core(
+      Settings settings,
+      long seed,
+      Hands<C> hands,
+      int mostOffers,
+      boolean plans,
+      RetryAdvice advice,
       int stackBytes) {
     this.settings = settings;
     this.router = new Router(settings, seed);
@@ -224,7 +242,11 @@
       tell(m.event());
     } else if (message instanceof GiveUp<C>) {
       givingUp = true;
-      calls.values().stream().filter(call -> !call.over()).map(Call::id).toList().forEach(id -> tell(new TimeUp(id)));
+      calls.values().stream()
+          .filter(call -> !call.over())
+          .map(Call::id)
+          .toList()
+          .forEach(id -> tell(new TimeUp(id)));
     } else if (message instanceof Planned<C> m) {
       Ahead.Verdict verdict = ahead.take(m.plan(), now);
       lookAt = ahead.busy() ? now : Long.MAX_VALUE;
@@ -239,8 +261,13 @@
   private void collect(Collect<C> m) {
     seen.giveBack(m.giveBack());
     ahead.account().tidy(now);
-    m.to().accept(new Collected(seen.take(), ahead.account().take(), List.copyOf(workers.values()), ahead.plan().epoch(),
-        ahead.plan().version()));
+    m.to()
+        .accept(new Collected(
+            seen.take(),
+            ahead.account().take(),
+            List.copyOf(workers.values()),
+            ahead.plan().epoch(),
+            ahead.plan().version()));
   }
 
   /** What plans and their account need to hear beside the router. */
@@ -257,7 +284,9 @@
       ahead.heard(e.text(), now);
     } else if (event instanceof Workers e && e.kind() != ListKind.FAILED) {
       workers = new LinkedHashMap<>();
-      e.entries().stream().filter(w -> w.phase() == Phase.RUNNING).forEach(w -> workers.put(w.worker(), w));
+      e.entries().stream()
+          .filter(w -> w.phase() == Phase.RUNNING)
+          .forEach(w -> workers.put(w.worker(), w));
     }
   }
 
@@ -291,7 +320,8 @@
   private void arrived(C call) {
     longestWait.accumulateAndGet(now - call.facts().takenAt(), Math::max);
     if (call.over()) {
-      // Its client left before it was looked at: nothing is owed, and no attempt would be let out.
+      // Its client left before it was looked at: nothing is owed, and no attempt would be let
+      // out.
       return;
     }
     if (givingUp) {
@@ -303,8 +333,17 @@
     if (ahead != null) {
       seen.taken(f.function(), f.memoryMb(), f.lanes());
     }
-    tell(new Request(call.id(), f.requestClass().name(), f.tenant(), f.function(), Math.max(0, f.deadlineAt() - now), 0,
-        f.memoryMb(), f.lanes(), f.loadTime(), f.repeat()));
+    tell(new Request(
+        call.id(),
+        f.requestClass().name(),
+        f.tenant(),
+        f.function(),
+        Math.max(0, f.deadlineAt() - now),
+        0,
+        f.memoryMb(),
+        f.lanes(),
+        f.loadTime(),
+        f.repeat()));
   }
 
   private void ended(AttemptEnd<C> end) {
@@ -313,7 +352,8 @@
     Call.Attempt attempt = call.attempt(end.attempt());
     boolean served = end.outcome() == Outcome.OK;
     Outcome outcome = end.outcome();
-    // An answer that comes after its time is not served: the client may have gone, and what it is told must be one thing.
+    // An answer that comes after its time is not served: the client may have gone, and what it
+    // is told must be one thing.
     if (served && !call.over()) {
       if (now <= call.facts().deadlineAt() + settings.tick()) {
         finish(call, Reason.SERVED, end.body(), 0);
@@ -326,8 +366,16 @@
       noteServed(call, attempt, end.note());
     }
     attemptsOut.merge(call, -1, (a, b) -> a + b == 0 ? null : a + b);
-    tell(new Answer(call.id(), end.attempt(), attempt.worker(), outcome, call.over(), now - attempt.decidedAt(), end.note(),
-        end.crowd(), end.report()));
+    tell(new Answer(
+        call.id(),
+        end.attempt(),
+        attempt.worker(),
+        outcome,
+        call.over(),
+        now - attempt.decidedAt(),
+        end.note(),
+        end.crowd(),
+        end.report()));
     release(call);
   }
 
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -201,7 +201,8 @@
       throw new IllegalArgumentException("unknown class " + event.requestClass());
     }
     forgetFunctions();
-    Function f = functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
+    Function f =
+        functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
     f.lanes = Math.max(1, event.lanes());
     f.loadTime = event.loadTime();
     f.lastAsked = now;
@@ -266,9 +267,10 @@
 
   private void onClientGone(Held held) {
     if (held != null && !held.done) {
-      // A client that waited long says that the fleet is slow; one that withdraws at once says nothing of it.
-      // Guards against shedding for clients that take back what they just asked; it covers connections that
-      // break. It could harm where clients give up within half an aim: their leaving is then no sign.
+      // A client that waited long says that the fleet is slow; one that withdraws at once says
+      // nothing of it. Guards against shedding for clients that take back what they just asked;
+      // it covers connections that break. It could harm where clients give up within half an
+      // aim: their leaving is then no sign.
       long waited = now - (held.aimAt - held.requestClass.aim());
       if (waited > CROWDED * held.requestClass.aim()) {
         noteStrain(true);
@@ -285,7 +287,8 @@
 
   private boolean harmless(Held held) {
     RequestClass c = held.requestClass;
-    return c.effect() == Effect.SAFE || held.attempts.stream().allMatch(a -> a.neverRan)
+    return c.effect() == Effect.SAFE
+        || held.attempts.stream().allMatch(a -> a.neverRan)
         || c.effect() == Effect.KEYED && c.group() == Group.ALL;
   }
 
@@ -310,7 +313,9 @@
 
   private void onAnswer(Answer event) {
     Held held = requests.get(event.id());
-    if (held == null || event.attempt() < 0 || event.attempt() >= held.attempts.size()
+    if (held == null
+        || event.attempt() < 0
+        || event.attempt() >= held.attempts.size()
         || !held.attempts.get(event.attempt()).out) {
       return;
     }
@@ -346,8 +351,11 @@
 
   private boolean mayResend(Held held) {
     RequestClass c = held.requestClass;
-    return c.effect() == Effect.SAFE || held.attempts.stream().allMatch(a -> a.neverRan
-        || c.effect() == Effect.KEYED && now - a.sentAt < c.repeatWindow() - 2 * settings.tick());
+    return c.effect() == Effect.SAFE
+        || held.attempts.stream()
+            .allMatch(a -> a.neverRan
+                || c.effect() == Effect.KEYED
+                    && now - a.sentAt < c.repeatWindow() - 2 * settings.tick());
   }
 
   // ---- what an answer teaches
@@ -360,10 +368,12 @@
     boolean heard = event.outcome() != Outcome.TIMEOUT && event.outcome() != Outcome.CANCELLED;
     w.lastHeard = heard ? now : w.lastHeard;
     boolean full = event.outcome() == Outcome.FULL;
-    boolean warm = event.outcome() == Outcome.OK && (event.note() == Note.WARM || event.note() == Note.NONE);
-    // Guards against shedding what is served well since rare functions find no room: full, with no call of
-    // the function there and no copy believed to stand, speaks of memory and not of lanes. It covers loads in
-    // line too; it could harm where all are short of memory and calls turned away come back at once.
+    boolean warm =
+        event.outcome() == Outcome.OK && (event.note() == Note.WARM || event.note() == Note.NONE);
+    // Guards against shedding what is served well since rare functions find no room: full, with
+    // no call of the function there and no copy believed to stand, speaks of memory and not of
+    // lanes. It covers loads in line too; it could harm where all are short of memory and calls
+    // turned away come back at once.
     boolean noRoom = full && event.crowd() == 0 && attempt.blind;
     if (!attempt.slow && (full && !noRoom || warm)) {
       noteStrain(full || event.latency() > CROWDED * held.requestClass.aim());
@@ -388,8 +398,9 @@
       }
       case FULL -> copy.busyUntil = now + (long) usual(f);
       case ERROR -> {
-        // Guards against a call that fails wherever it goes: from its second error on it speaks of itself. It
-        // covers bad input of any kind; it could harm where two sick workers meet one call after the other.
+        // Guards against a call that fails wherever it goes: from its second error on it speaks
+        // of itself. It covers bad input of any kind; it could harm where two sick workers meet
+        // one call after the other.
         boolean again = held.attempts.stream().anyMatch(a -> a.erred);
         attempt.erred = true;
         if (event.note() == Note.LOAD_FAILED) {
@@ -403,7 +414,7 @@
         failed(w, 1, true);
       }
       case TIMEOUT -> failed(w, FAILURE_WEIGHT, true);
-      case CANCELLED, MOOT -> { }
+      case CANCELLED, MOOT -> {}
     }
   }
 
@@ -420,7 +431,9 @@
     lastServed = now;
     boolean grew = event.note() == Note.BEGAN && warm(copy);
     stands(copy, warm(copy) ? copy.copies + (grew ? 1 : 0) : 1);
-    if (warm && event.crowd() >= f.lanes * copy.copies && event.latency() < LATE_MARGIN * usual(f)) {
+    if (warm
+        && event.crowd() >= f.lanes * copy.copies
+        && event.latency() < LATE_MARGIN * usual(f)) {
       copy.copies = event.crowd() / f.lanes + 1;
     }
     if (warm && event.crowd() < f.lanes * copy.copies) {
@@ -480,7 +493,8 @@
   }
 
   private void noteReport(Worker w, Map<String, Double> report) {
-    double seen = report.containsKey("inFlight") ? Math.max(0, report.get("inFlight") - w.inFlight)
+    double seen = report.containsKey("inFlight")
+        ? Math.max(0, report.get("inFlight") - w.inFlight)
         : report.getOrDefault("queued", w.others);
     w.others += CROWD_WEIGHT * (seen - w.others);
   }
@@ -534,10 +548,15 @@
    */
   private void onHold(Hold event) {
     Worker w = workers.get(event.worker());
-    if (w == null || !waiting.isEmpty() || warmth(w) < 1 || w.failures >= SUSPECT || !mayLoad(AHEAD_PART)) {
+    if (w == null
+        || !waiting.isEmpty()
+        || warmth(w) < 1
+        || w.failures >= SUSPECT
+        || !mayLoad(AHEAD_PART)) {
       return;
     }
-    Function f = functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
+    Function f =
+        functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
     f.lanes = f.lanes == 0 ? event.lanes() : f.lanes;
     f.loadTime = f.loadTime == 0 ? event.loadTime() : f.loadTime;
     f.lastAsked = now;
@@ -554,7 +573,8 @@
     while (!loadTimes.isEmpty() && loadTimes.peekFirst() <= now - rules.loadWindow()) {
       loadTimes.removeFirst();
     }
-    while (!takenTimes.isEmpty() && takenTimes.peekFirst() < now - rules.loadWindow() + settings.tick()) {
+    while (!takenTimes.isEmpty()
+        && takenTimes.peekFirst() < now - rules.loadWindow() + settings.tick()) {
       takenTimes.removeFirst();
     }
     double most = rules.loadsFree() + rules.loadShare() * takenTimes.size();
@@ -647,7 +667,8 @@
   private void place(Held held) {
     Copy copy = choose(held);
     boolean orders = !settings.loadsOnMiss() && settings.limits().orders();
-    boolean blind = copy != null && copy.home && held.attempts.size() < settings.limits().maxAttempts() - 2;
+    boolean blind =
+        copy != null && copy.home && held.attempts.size() < settings.limits().maxAttempts() - 2;
     if (copy != null && (warm(copy) || blind || !orders)) {
       send(held, copy);
     } else if (copy != null && copy.ordered < 0) {
@@ -665,7 +686,8 @@
     }
     f.version = listVersion;
     long[] keys = new long[fleet.length];
-    // A place in the list takes as many low bits as the list needs: a fixed 16 hid every worker past 65,535.
+    // A place in the list takes as many low bits as the list needs: a fixed 16 hid every worker
+    // past 65,535.
     int placeBits = Math.max(16, Integer.SIZE - Integer.numberOfLeadingZeros(keys.length));
     long placeMask = (1L << placeBits) - 1;
     double scale = 1L << KEY_BITS - placeBits;
@@ -755,9 +777,11 @@
       boolean known = copy != null && warm(copy);
       boolean shared = place < home && (copy == null || copy.struckUntil <= now);
       double cost = cost(held, w, copy, shared);
-      cost += place >= home ? RANK_COST * (place - home + 1) * loadTime(f)
+      cost += place >= home
+          ? RANK_COST * (place - home + 1) * loadTime(f)
           : copy == null || copy.ordered <= 0 ? JITTER * cost * random.nextDouble() : 0;
-      boolean free = copy == null || copy.busyUntil <= now && busy(copy) < f.lanes * Math.max(1, copy.copies);
+      boolean free =
+          copy == null || copy.busyUntil <= now && busy(copy) < f.lanes * Math.max(1, copy.copies);
       if ((known || shared) && free && (warm < 0 || cost < warmCost)) {
         warm = i;
         warmCost = cost;
@@ -772,8 +796,9 @@
     if (warm >= 0 && load(f.order[warm]) <= BALANCE * loads / rank + BALANCE_SLACK) {
       return chosen(f, warm, home);
     }
-    // Guards against copies loaded for a moment's queue, which under overload push each other out. It
-    // could harm where others keep the lanes taken: the answers' crowd counts then widen the home.
+    // Guards against copies loaded for a moment's queue, which under overload push each other
+    // out. It could harm where others keep the lanes taken: the answers' crowd counts then
+    // widen the home.
     boolean wait = warm < 0 && (f.queue.size() + 1) * usual(f) < loadTime(f) * lanesOut;
     return wait || soonest < 0 ? null : chosen(f, soonest, home);
   }
@@ -796,17 +821,22 @@
   }
 
   private boolean eligible(Held held, Worker w, boolean distrust) {
-    return w.phase == Phase.RUNNING && coldRoom(w) && groupAllows(held, w)
+    return w.phase == Phase.RUNNING
+        && coldRoom(w)
+        && groupAllows(held, w)
         && (w.failures < SUSPECT || distrust || trialDue(held, w));
   }
 
   private boolean trialDue(Held held, Worker w) {
-    return w.trialAt <= now && w.inFlight == 0 && held.requestClass.effect() == Effect.SAFE
+    return w.trialAt <= now
+        && w.inFlight == 0
+        && held.requestClass.effect() == Effect.SAFE
         && held.attempts.isEmpty();
   }
 
   private boolean tried(Held held, Worker w) {
-    return !held.attempts.isEmpty() && held.attempts.stream().anyMatch(a -> !a.missed && a.copy.worker == w);
+    return !held.attempts.isEmpty()
+        && held.attempts.stream().anyMatch(a -> !a.missed && a.copy.worker == w);
   }
 
   private boolean groupAllows(Held held, Worker w) {
@@ -814,7 +844,8 @@
       return true;
     }
     boolean zone = held.requestClass.group() == Group.ZONE;
-    return held.attempts.stream().map(a -> a.neverRan ? w : a.copy.worker)
+    return held.attempts.stream()
+        .map(a -> a.neverRan ? w : a.copy.worker)
         .allMatch(before -> zone ? before.zone.equals(w.zone) : before.cell == w.cell);
   }
 
@@ -885,8 +916,12 @@
     Worker w = copy.worker;
     boolean second = held.out > 0;
     boolean allowed = held.attempts.isEmpty() || mayResend(held);
-    if (held.done || !allowed || second && !settings.limits().duplicates() || w.phase != Phase.RUNNING
-        || held.attempts.size() >= settings.limits().maxAttempts() || !coldRoom(w)) {
+    if (held.done
+        || !allowed
+        || second && !settings.limits().duplicates()
+        || w.phase != Phase.RUNNING
+        || held.attempts.size() >= settings.limits().maxAttempts()
+        || !coldRoom(w)) {
       return;
     }
     unqueue(held);
@@ -945,8 +980,9 @@
       return;
     }
     Function f = held.function;
-    // Guards against lanes that hold more than they can run and so never answer: calls still out there are
-    // the only sign. It covers slow workers too; it could harm where all work takes half its aim.
+    // Guards against lanes that hold more than they can run and so never answer: calls still
+    // out there are the only sign. It covers slow workers too; it could harm where all work
+    // takes half its aim.
     if (!last.slow && !last.blind && now - last.sentAt > CROWDED * held.requestClass.aim()) {
       last.slow = true;
       noteStrain(true);
--- a/decisions/src/main/java/gorseladder/RouterApi.java
+++ b/decisions/src/main/java/gorseladder/RouterApi.java
@@ -11,15 +11,30 @@
   private RouterApi() {}
 
   /** What a repeat of a request of a class does. */
-  public enum Effect { SAFE, KEYED, UNSAFE }
+  public enum Effect {
+    SAFE,
+    KEYED,
+    UNSAFE
+  }
 
   /** Which workers drop a repeat of a keyed request. */
-  public enum Group { ALL, ZONE, CELL }
+  public enum Group {
+    ALL,
+    ZONE,
+    CELL
+  }
 
   /** How an attempt, a probe or a load order ended. */
   public enum Outcome {
-    OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-    CANCELLED(false), MOOT(true), MISS(true);
+    OK(false),
+    ERROR(false),
+    FULL(true),
+    TIMEOUT(false),
+    CONNECT_FAILED(true),
+    RESET(false),
+    CANCELLED(false),
+    MOOT(true),
+    MISS(true);
 
     /** True where this outcome proves that the attempt did not run. */
     public final boolean neverRan;
@@ -30,17 +45,40 @@
   }
 
   /** What the worker list says of a worker. */
-  public enum Phase { RUNNING, DRAINING, GONE }
+  public enum Phase {
+    RUNNING,
+    DRAINING,
+    GONE
+  }
 
   /** How much of the worker list an update carries. */
-  public enum ListKind { DELTA, FULL, SAVED, FAILED }
+  public enum ListKind {
+    DELTA,
+    FULL,
+    SAVED,
+    FAILED
+  }
 
   /** What an answer tells of the copy that served it. */
-  public enum Note { NONE, WARM, BEGAN, WAITED, LOAD_FAILED }
+  public enum Note {
+    NONE,
+    WARM,
+    BEGAN,
+    WAITED,
+    LOAD_FAILED
+  }
 
   /** A class of requests. */
-  public record RequestClass(String name, Effect effect, Group group, long repeatWindow, long aim,
-      long deadline, double worth, double lateWorth, boolean stream) {
+  public record RequestClass(
+      String name,
+      Effect effect,
+      Group group,
+      long repeatWindow,
+      long aim,
+      long deadline,
+      double worth,
+      double lateWorth,
+      boolean stream) {
     public RequestClass {
       require(name != null, "class name");
       require(effect != null, "class effect");
@@ -61,8 +99,16 @@
   }
 
   /** What the site allows and limits. */
-  public record Limits(int maxAttempts, boolean duplicates, boolean cancelling, boolean probing,
-      boolean peers, boolean orders, boolean retryAfter, long maxRetryAfter, long orderTimeout) {
+  public record Limits(
+      int maxAttempts,
+      boolean duplicates,
+      boolean cancelling,
+      boolean probing,
+      boolean peers,
+      boolean orders,
+      boolean retryAfter,
+      long maxRetryAfter,
+      long orderTimeout) {
     public Limits {
       require(maxAttempts > 0, "limits maxAttempts");
       require(maxRetryAfter >= 0, "limits maxRetryAfter");
@@ -71,8 +117,15 @@
   }
 
   /** The figures of the rules on drains, cold workers and load orders. */
-  public record Rules(long drainGrace, double coldFrom, long coldFor, double overloadMultiple,
-      long overloadFor, double loadsFree, double loadShare, long loadWindow) {
+  public record Rules(
+      long drainGrace,
+      double coldFrom,
+      long coldFor,
+      double overloadMultiple,
+      long overloadFor,
+      double loadsFree,
+      double loadShare,
+      long loadWindow) {
     public Rules {
       require(drainGrace >= 0, "rules drainGrace");
       require(coldFrom >= 0 && coldFrom <= 1, "rules coldFrom");
@@ -85,9 +138,20 @@
   }
 
   /** Everything a dispatcher is told at its start. */
-  public record Settings(int ordinal, int dispatchers, String zone, long tick, long keepAlive,
-      boolean loadsOnMiss, boolean asksForList, long askWithin, double overShareWorth,
-      Limits limits, Rules rules, List<RequestClass> classes, List<Tenant> tenants) {
+  public record Settings(
+      int ordinal,
+      int dispatchers,
+      String zone,
+      long tick,
+      long keepAlive,
+      boolean loadsOnMiss,
+      boolean asksForList,
+      long askWithin,
+      double overShareWorth,
+      Limits limits,
+      Rules rules,
+      List<RequestClass> classes,
+      List<Tenant> tenants) {
     public Settings {
       require(ordinal >= 0, "ordinal");
       require(dispatchers > 0, "dispatchers");
@@ -106,7 +170,8 @@
   }
 
   /** One entry of the worker list; {@code born} is 0 where the last start was long ago. */
-  public record WorkerEntry(String worker, String zone, int cell, Phase phase, double weight, long born) {
+  public record WorkerEntry(
+      String worker, String zone, int cell, Phase phase, double weight, long born) {
     public WorkerEntry {
       require(worker != null, "worker");
       require(phase != null, "worker phase");
@@ -125,8 +190,18 @@
   }
 
   /** A request taken from a client; {@code loadTime} and {@code hint} are 0 where not told. */
-  public record Request(long id, String requestClass, String tenant, String function, long timeLeft,
-      long hint, double memoryMb, int lanes, long loadTime, boolean repeat) implements Event {}
+  public record Request(
+      long id,
+      String requestClass,
+      String tenant,
+      String function,
+      long timeLeft,
+      long hint,
+      double memoryMb,
+      int lanes,
+      long loadTime,
+      boolean repeat)
+      implements Event {}
 
   /** The first part of a streamed answer went to the client. */
   public record FirstByte(long id, int attempt, String worker, long latency) implements Event {}
@@ -135,8 +210,17 @@
    * An attempt ended. {@code crowd} is the calls of the function found there, -1 where not told; a
    * report may name {@code inFlight} or {@code queued} calls.
    */
-  public record Answer(long id, int attempt, String worker, Outcome outcome, boolean settled, long latency,
-      Note note, int crowd, Map<String, Double> report) implements Event {}
+  public record Answer(
+      long id,
+      int attempt,
+      String worker,
+      Outcome outcome,
+      boolean settled,
+      long latency,
+      Note note,
+      int crowd,
+      Map<String, Double> report)
+      implements Event {}
 
   /** The client left, or the final answer came too late. */
   public record ClientGone(long id) implements Event {}
@@ -162,7 +246,8 @@
    * A plan wants copies held at a worker ahead of need; the router may pass it over, and then nothing follows.
    * {@code loadTime} is 0 where not told.
    */
-  public record Hold(String worker, String function, int copies, int lanes, long loadTime) implements Event {
+  public record Hold(String worker, String function, int copies, int lanes, long loadTime)
+      implements Event {
     public Hold {
       require(worker != null, "hold worker");
       require(function != null, "hold function");
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -21,6 +21,7 @@
     long born;
     /** Counts the lives of the process; beliefs of an earlier life are void. */
     int life;
+
     int inFlight;
     double others;
     double pace = 1;
@@ -73,6 +74,7 @@
     double seenLoad;
     /** Calls that the fleet holds at once, as far as seen. */
     double atOnce;
+
     int seen;
     int inFlight;
     long lastAsked;
@@ -80,6 +82,7 @@
     Worker[] order = {};
     /** Beside {@code order}; null where nothing is known. */
     Copy[] copies = {};
+
     final ArrayDeque<Held> queue = new ArrayDeque<>();
 
     Function(String name, int hash) {
@@ -95,6 +98,7 @@
     double expected;
     /** Sent without a belief of its own that the copy stands. */
     boolean blind;
+
     boolean out = true;
     boolean cancelled;
     boolean neverRan;
--- a/decisions/src/main/java/gorseladder/admission/Admission.java
+++ b/decisions/src/main/java/gorseladder/admission/Admission.java
@@ -33,15 +33,18 @@
   private static final double FREE = 1.0 / 64;
   /** Stretch of time over which sends and shortest waits are counted, and how many of them are looked at. */
   private static final long STRETCH = 100_000;
+
   private static final int STRETCHES = 10;
   /** What is left of the room for calls of no worth beside the best, for tenants over their share, and for calls come again. */
   private static final double LEAST_WORTH = 0.5;
+
   private static final double OVER_SHARE = 0.6;
   private static final double COME_AGAIN = 0.75;
   /** The longest time a refusal is held back. */
   private static final long MOST_HELD = 1_000_000;
   /** Refused messages remembered, and for how long. */
   private static final int MOST_REFUSED = 20_000;
+
   private static final long REFUSED_FOR = 30_000_000;
 
   /** What the edge is told: calls in hand at the most, tenants' shares, the longest time a client may be told to wait. */
@@ -69,6 +72,7 @@
   private final Stretch[] stretches = new Stretch[STRETCHES];
   /** Oldest first. */
   private final Map<Long, Inside> waiting = new LinkedHashMap<>();
+
   private final Map<String, Integer> byTenant = new HashMap<>();
   private final Map<Long, Long> refused = new LinkedHashMap<>();
   private long probedAt = Long.MIN_VALUE / 2;
@@ -101,7 +105,9 @@
     refused.remove(message);
     refused.put(message, now);
     var oldest = refused.entrySet().iterator();
-    for (var e = oldest.next(); refused.size() > MOST_REFUSED || e.getValue() <= now - REFUSED_FOR; e = oldest.next()) {
+    for (var e = oldest.next();
+        refused.size() > MOST_REFUSED || e.getValue() <= now - REFUSED_FOR;
+        e = oldest.next()) {
       oldest.remove();
     }
   }
@@ -222,7 +228,9 @@
    */
   public int retryAfter() {
     long most = Math.max(1, (told.maxRetryAfter() + 999_999) / 1_000_000);
-    return 1 + (int) Math.min(most - 1, Math.floor(random.nextDouble() * most * Math.min(1, 2 * refusedShare)));
+    return 1
+        + (int) Math.min(
+            most - 1, Math.floor(random.nextDouble() * most * Math.min(1, 2 * refusedShare)));
   }
 
   /**
--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -36,8 +36,17 @@
    * @param savedMicros waiting spared to them
    * @param pushedOut calls that had to load what this copy pushed out, and {@code pushedMicros} the loads' time
    */
-  public record Entry(String worker, String function, long orderedAt, long loadMicros, double megabyteSeconds, int renewals,
-      int found, long savedMicros, int pushedOut, long pushedMicros) {}
+  public record Entry(
+      String worker,
+      String function,
+      long orderedAt,
+      long loadMicros,
+      double megabyteSeconds,
+      int renewals,
+      int found,
+      long savedMicros,
+      int pushedOut,
+      long pushedMicros) {}
 
   private record At(String worker, String function) {}
 
@@ -75,7 +84,13 @@
   }
 
   /** A load ahead ended well; one at a place where a record is open renews it. */
-  public void loaded(String worker, String function, long orderedAt, long loadMicros, double memoryMb, long holdEnds,
+  public void loaded(
+      String worker,
+      String function,
+      long orderedAt,
+      long loadMicros,
+      double memoryMb,
+      long holdEnds,
       long now) {
     Open known = open.get(new At(worker, function));
     if (known != null) {
@@ -85,7 +100,9 @@
       return;
     }
     Long lastUse = standing.get(new At(worker, function));
-    if (lastUse != null && now - lastUse < keepAlive && loadMicros * 4 < loadTime(function, loadMicros)) {
+    if (lastUse != null
+        && now - lastUse < keepAlive
+        && loadMicros * 4 < loadTime(function, loadMicros)) {
       return;
     }
     Open o = new Open();
@@ -147,7 +164,8 @@
   private void pushedOut(String worker, String function, long stood) {
     Open last = null;
     for (Map.Entry<At, Open> e : open.entrySet()) {
-      last = e.getKey().worker().equals(worker) && e.getValue().standsAt > stood ? e.getValue() : last;
+      last =
+          e.getKey().worker().equals(worker) && e.getValue().standsAt > stood ? e.getValue() : last;
     }
     if (last != null) {
       last.pushedOut++;
@@ -169,9 +187,19 @@
 
   private void close(At at, Open o, long now) {
     long end = Math.min(now, o.until);
-    long held = o.found == 0 ? end - o.orderedAt : o.idle + Math.max(0, end - o.lastUse - keepAlive);
-    closed.add(new Entry(at.worker(), at.function(), o.orderedAt, o.loadMicros, o.memoryMb * Math.max(0, held) / 1e6, o.renewals,
-        o.found, o.saved, o.pushedOut, o.pushed));
+    long held =
+        o.found == 0 ? end - o.orderedAt : o.idle + Math.max(0, end - o.lastUse - keepAlive);
+    closed.add(new Entry(
+        at.worker(),
+        at.function(),
+        o.orderedAt,
+        o.loadMicros,
+        o.memoryMb * Math.max(0, held) / 1e6,
+        o.renewals,
+        o.found,
+        o.saved,
+        o.pushedOut,
+        o.pushed));
   }
 
   /** When the copy loaded ahead there was last known to be used; 0 where it was not, or there is none. */
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -39,7 +39,12 @@
   private static final int MOST_AT_ONCE = 4;
 
   /** What became of a plan. */
-  public enum Verdict { TAKEN, OLDER, EXPIRED, ABSURD }
+  public enum Verdict {
+    TAKEN,
+    OLDER,
+    EXPIRED,
+    ABSURD
+  }
 
   private static final class Wish {
     private final Plan.Item item;
@@ -60,9 +65,11 @@
   private final Account account;
   /** All items of the plan in hand, and those that are ordered here and not over. */
   private final Map<Key, Wish> wishes = new LinkedHashMap<>();
+
   private final Set<Wish> mine = new LinkedHashSet<>();
   /** Orders under way, also those of a plan that was replaced since. */
   private final Map<Key, Wish> ordered = new HashMap<>();
+
   private Plan plan = new Plan(Long.MIN_VALUE, 0, 0, List.of());
   private long orders;
 
@@ -74,7 +81,8 @@
 
   /** Takes a plan, or says why not; the one in hand then stays. */
   public Verdict take(Plan next, long now) {
-    boolean newer = next.epoch() > plan.epoch() || next.epoch() == plan.epoch() && next.version() > plan.version();
+    boolean newer = next.epoch() > plan.epoch()
+        || next.epoch() == plan.epoch() && next.version() > plan.version();
     if (!newer) {
       return Verdict.OLDER;
     }
@@ -107,8 +115,14 @@
   }
 
   private static boolean absurd(Plan p, Plan.Item i) {
-    return i.worker().isEmpty() || i.copies() < 1 || i.copies() > MOST_COPIES || i.lanes() < 1 || i.until() <= i.from()
-        || i.from() > p.until() || i.loadTime() < 0 || !(i.memoryMb() >= 0);
+    return i.worker().isEmpty()
+        || i.copies() < 1
+        || i.copies() > MOST_COPIES
+        || i.lanes() < 1
+        || i.until() <= i.from()
+        || i.from() > p.until()
+        || i.loadTime() < 0
+        || !(i.memoryMb() >= 0);
   }
 
   /** What is to be proposed to the router now. Call it a few times a second; it spreads a plan by itself. */
@@ -164,10 +178,11 @@
     w.stands = outcome == Outcome.OK;
     w.renewAt = now + (long) (RENEW * keepAlive);
     if (w.stands) {
-      account.loaded(worker, function, w.orderedAt, latency, w.item.memoryMb(), w.item.until(),
-          now);
+      account.loaded(
+          worker, function, w.orderedAt, latency, w.item.memoryMb(), w.item.until(), now);
     } else if (wishes.get(key) == w) {
-      // Refused or lost: the archive or the worker has other things to do, and asking again would make that worse.
+      // Refused or lost: the archive or the worker has other things to do, and asking again
+      // would make that worse.
       wishes.remove(key);
       mine.remove(w);
     }
@@ -182,7 +197,10 @@
   public String served(String worker, String function, Note note, long now) {
     account.served(worker, function, note, now);
     Wish w = note == Note.WARM ? wishes.get(new Key(worker, function)) : null;
-    if (w == null || w.item.mine() || now < w.toldAt + (long) (TELL * keepAlive) || now < w.item.from()
+    if (w == null
+        || w.item.mine()
+        || now < w.toldAt + (long) (TELL * keepAlive)
+        || now < w.item.from()
         || now >= w.item.until()) {
       return null;
     }
--- a/decisions/src/main/java/gorseladder/ahead/Plan.java
+++ b/decisions/src/main/java/gorseladder/ahead/Plan.java
@@ -24,6 +24,14 @@
    * @param memoryMb of a copy, for the account
    * @param mine true where this dispatcher orders it; it hears of the others' so that it can tell them when it found their copy
    */
-  public record Item(String worker, String function, int copies, int lanes, long from, long until, long loadTime,
-      double memoryMb, boolean mine) {}
+  public record Item(
+      String worker,
+      String function,
+      int copies,
+      int lanes,
+      long from,
+      long until,
+      long loadTime,
+      double memoryMb,
+      boolean mine) {}
 }
--- a/decisions/src/main/java/gorseladder/answers/Reason.java
+++ b/decisions/src/main/java/gorseladder/answers/Reason.java
@@ -44,7 +44,13 @@
   WRONG_VERSION(Kind.REJECTED, 505, "an HTTP version other than 1.0 and 1.1");
 
   /** The sort of an end. Only SERVED, REFUSED and FAILED are final answers of calls taken. */
-  public enum Kind { SERVED, REFUSED, FAILED, GONE, REJECTED }
+  public enum Kind {
+    SERVED,
+    REFUSED,
+    FAILED,
+    GONE,
+    REJECTED
+  }
 
   public final Kind kind;
   public final int status;
@@ -63,6 +69,10 @@
 
   /** True where the answer invites the client to come back: only where a new try is surely harmless. */
   public boolean invitesRetry() {
-    return kind == Kind.REFUSED || this == BUSY || this == OVERLOADED || this == STOPPING || this == LEDGER_UNAVAILABLE;
+    return kind == Kind.REFUSED
+        || this == BUSY
+        || this == OVERLOADED
+        || this == STOPPING
+        || this == LEDGER_UNAVAILABLE;
   }
 }
--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -17,15 +17,27 @@
   private AttemptFate() {}
 
   /** How far an attempt got. The order matters: from {@link #LEAVING} on, bytes may have left. */
-  public enum Progress { WAITING, CONNECTING, CONNECTED, LEAVING, ANSWERING }
+  public enum Progress {
+    WAITING,
+    CONNECTING,
+    CONNECTED,
+    LEAVING,
+    ANSWERING
+  }
 
   /** What ended an attempt. */
   public enum Ending {
-    CONNECT_FAILED, GATE_CLOSED, CALL_OVER, RESPONSE,
+    CONNECT_FAILED,
+    GATE_CLOSED,
+    CALL_OVER,
+    RESPONSE,
     /** The connection ended, and with it, as far as is known, the worker's process. */
     BROKEN,
     /** The connection ended while others to the worker stand. */
-    CONNECTION_LOST, MALFORMED, TIMED_OUT, CANCELLED
+    CONNECTION_LOST,
+    MALFORMED,
+    TIMED_OUT,
+    CANCELLED
   }
 
   /**
@@ -55,7 +67,8 @@
     boolean mayHaveLeft = progress.compareTo(Progress.LEAVING) >= 0;
     if (!mayHaveLeft) {
       return switch (ending) {
-        case RESPONSE, MALFORMED -> throw new IllegalArgumentException("a response to an attempt that sent nothing");
+        case RESPONSE, MALFORMED ->
+          throw new IllegalArgumentException("a response to an attempt that sent nothing");
         case CONNECT_FAILED, BROKEN, CONNECTION_LOST, TIMED_OUT -> Outcome.CONNECT_FAILED;
         case GATE_CLOSED, CALL_OVER, CANCELLED -> Outcome.MOOT;
       };
@@ -72,7 +85,8 @@
   /** The outcome of an attempt that ended without an answer of its own; what spoilt another's says nothing of one unsent. */
   public static Outcome ofUnanswered(Progress progress, Ending ending) {
     boolean mayHaveLeft = progress.compareTo(Progress.LEAVING) >= 0;
-    return of(progress, ending == Ending.MALFORMED && !mayHaveLeft ? Ending.BROKEN : ending, 0, false);
+    return of(
+        progress, ending == Ending.MALFORMED && !mayHaveLeft ? Ending.BROKEN : ending, 0, false);
   }
 
   private static Outcome ofResponse(int status, boolean saysNeverRan) {
--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -96,15 +96,19 @@
     for (int i = 0; i < candidates.size(); i++) {
       Candidate c = candidates.get(i);
       Candidate than = best < 0 ? null : candidates.get(best);
-      boolean better = than == null || (effect == Effect.UNSAFE || c.carrying() == than.carrying()
-          ? c.idle() < than.idle() : c.carrying() < than.carrying());
+      boolean better = than == null
+          || (effect == Effect.UNSAFE || c.carrying() == than.carrying()
+              ? c.idle() < than.idle()
+              : c.carrying() < than.carrying());
       best = better ? i : best;
     }
     if (best < 0) {
       return -1;
     }
     Candidate chosen = candidates.get(best);
-    boolean another = effect == Effect.UNSAFE ? chosen.carrying() == 0 && chosen.idle() > JUST_NOW : chosen.carrying() > 0;
+    boolean another = effect == Effect.UNSAFE
+        ? chosen.carrying() == 0 && chosen.idle() > JUST_NOW
+        : chosen.carrying() > 0;
     return another && standing < MOST_SHARED ? -1 : best;
   }
 }
--- a/decisions/src/main/java/gorseladder/forecast/Forecasts.java
+++ b/decisions/src/main/java/gorseladder/forecast/Forecasts.java
@@ -16,6 +16,7 @@
 public final class Forecasts {
   /** Calls within about a day from which a function has a forecast of its own. */
   private static final int EARNS = 3;
+
   private static final int DROP_DAYS = 14;
 
   /**
@@ -65,7 +66,8 @@
         }
       }
     });
-    functions.forEach((function, forecast) -> forecast.observe(slot, calls.getOrDefault(function, 0)));
+    functions.forEach(
+        (function, forecast) -> forecast.observe(slot, calls.getOrDefault(function, 0)));
     return true;
   }
 
--- a/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
+++ b/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
@@ -28,6 +28,7 @@
   private final List<Forecaster> ways;
   /** Errors on common days, and on days whose name was met before: who is right on one kind need not be on the other. */
   private final double[][] errors;
+
   private final double keep;
   private double spread = 1;
   private final int[] speakers = new int[2];
@@ -35,7 +36,8 @@
 
   FunctionForecast(Slots slots) {
     sameDate = new SameDate(slots);
-    ways = List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots), sameDate);
+    ways =
+        List.of(new Sparse(), new LastSlot(), new LastWeek(slots), new Seasonal(slots), sameDate);
     speakers[1] = ways.indexOf(sameDate);
     errors = new double[2][ways.size()];
     keep = Math.pow(0.5, 1.0 / (HALF_LIFE_DAYS * slots.perDay()));
@@ -74,8 +76,8 @@
   Expectation expect(long slot) {
     Forecaster speaker = ways.get(speakers[kind(slot)]);
     double mean = speaker.mean(slot);
-    return new Expectation(mean, mean + UPPER * Math.sqrt(Math.max(1, spread) * Math.max(0.05, mean)),
-        speaker.name());
+    return new Expectation(
+        mean, mean + UPPER * Math.sqrt(Math.max(1, spread) * Math.max(0.05, mean)), speaker.name());
   }
 
   /** What each way would have missed by on common days, in calls, lately: the standing by which their speaker is chosen. */
--- a/decisions/src/main/java/gorseladder/forecast/SameDate.java
+++ b/decisions/src/main/java/gorseladder/forecast/SameDate.java
@@ -50,7 +50,8 @@
     if (date.isEmpty()) {
       common.observe(slot, calls);
     } else {
-      present.computeIfAbsent(date, d -> new float[slots.perDay()])[slots.ofDay(slot)] = (float) calls;
+      present.computeIfAbsent(date, d -> new float[slots.perDay()])[slots.ofDay(slot)] =
+          (float) calls;
     }
   }
 }
--- a/decisions/src/main/java/gorseladder/forecast/Seasonal.java
+++ b/decisions/src/main/java/gorseladder/forecast/Seasonal.java
@@ -66,7 +66,10 @@
 
   private double base(long slot) {
     double known = level >= 0 ? level : dayCount == 0 ? 0 : daySum / dayCount;
-    return known * ofDay[slots.ofDay(slot)].value() * ofWeek[slots.weekday(slot)].value() * date(slot);
+    return known
+        * ofDay[slots.ofDay(slot)].value()
+        * ofWeek[slots.weekday(slot)].value()
+        * date(slot);
   }
 
   @Override
--- a/decisions/src/main/java/gorseladder/placement/Demand.java
+++ b/decisions/src/main/java/gorseladder/placement/Demand.java
@@ -12,11 +12,25 @@
  * @param workSeconds of a call
  * @param loadSeconds of a copy
  */
-public record Demand(String function, double calls, double scatter, double callsBefore, double trust, double memoryMb,
-    int lanes, double workSeconds, double loadSeconds) {
+public record Demand(
+    String function,
+    double calls,
+    double scatter,
+    double callsBefore,
+    double trust,
+    double memoryMb,
+    int lanes,
+    double workSeconds,
+    double loadSeconds) {
   public Demand {
-    if (!(calls >= 0) || !(scatter >= 1) || !(callsBefore >= 0) || !(trust >= 0 && trust <= 1) || !(memoryMb >= 0) || lanes < 1
-        || !(workSeconds >= 0) || !(loadSeconds >= 0)) {
+    if (!(calls >= 0)
+        || !(scatter >= 1)
+        || !(callsBefore >= 0)
+        || !(trust >= 0 && trust <= 1)
+        || !(memoryMb >= 0)
+        || lanes < 1
+        || !(workSeconds >= 0)
+        || !(loadSeconds >= 0)) {
       throw new IllegalArgumentException("impossible demand of " + function);
     }
   }
--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -39,15 +39,18 @@
    * @param gain expected seconds of waiting saved; {@code cost} what that costs, in the same unit
    * @param hold seconds for which it is held without a call
    */
-  public record Placed(String function, String host, int number, double gain, double cost, double hold) {
+  public record Placed(
+      String function, String host, int number, double gain, double cost, double hold) {
     /** What it brings. */
     public double net() {
       return gain - cost;
     }
   }
 
-  private static final Comparator<Placed> LEAST_FIRST = Comparator.comparingDouble(Placed::net).thenComparing(Placed::function)
-      .thenComparingInt(Placed::number).thenComparing(Placed::host);
+  private static final Comparator<Placed> LEAST_FIRST = Comparator.comparingDouble(Placed::net)
+      .thenComparing(Placed::function)
+      .thenComparingInt(Placed::number)
+      .thenComparing(Placed::host);
 
   private record Candidate(Demand demand, int number, Worth.Copy worth, double density) {}
 
@@ -62,9 +65,11 @@
   private final Map<String, Demand> demands = new HashMap<>();
   /** What is placed, the least first; and the same by worker. */
   private final TreeSet<Placed> placed = new TreeSet<>(LEAST_FIRST);
+
   private final List<TreeSet<Placed>> byHost = new ArrayList<>();
   /** Copies placed of each function. */
   private final Map<String, Integer> copies = new HashMap<>();
+
   private final Map<String, Integer> index = new HashMap<>();
   private double gigabytes;
 
@@ -88,7 +93,12 @@
    * @param stretch its length in seconds
    * @param keepAlive seconds that an idle copy stays
    */
-  public static List<Placed> choose(List<Demand> demands, List<Host> hosts, Limits limits, Prices prices, double stretch,
+  public static List<Placed> choose(
+      List<Demand> demands,
+      List<Host> hosts,
+      Limits limits,
+      Prices prices,
+      double stretch,
       double keepAlive) {
     Placement placement = new Placement(hosts, limits, new Worth(prices, stretch, keepAlive));
     List<Candidate> left = placement.greedy(demands);
@@ -100,7 +110,8 @@
    * What the copy of this number (from 1) brings at a place of the function's shared order (from 0), in seconds of waiting; for
    * whoever solves the same problem another way.
    */
-  public static double net(Demand d, int number, int place, Prices prices, double stretch, double keepAlive) {
+  public static double net(
+      Demand d, int number, int place, Prices prices, double stretch, double keepAlive) {
     Worth.Copy copy = new Worth(prices, stretch, keepAlive).of(d, number);
     return copy.gain() * kept(number, place) - copy.cost();
   }
@@ -116,14 +127,16 @@
 
   private Candidate candidate(Demand d, int number) {
     Worth.Copy copy = worth.of(d, number);
-    // Orders and memory are what copies compete for; each counts by the part of the whole it takes.
+    // Orders and memory are what copies compete for; each counts by the part of the whole it
+    // takes.
     double takes = d.memoryMb() / memory + 1.0 / Math.max(1, limits.orders());
     return new Candidate(d, number, copy, copy.net() / takes);
   }
 
   private List<Candidate> greedy(List<Demand> all) {
-    PriorityQueue<Candidate> queue = new PriorityQueue<>(Comparator.comparingDouble((Candidate c) -> -c.density())
-        .thenComparing(c -> c.demand().function()));
+    PriorityQueue<Candidate> queue =
+        new PriorityQueue<>(Comparator.comparingDouble((Candidate c) -> -c.density())
+            .thenComparing(c -> c.demand().function()));
     for (Demand d : all) {
       demands.put(d.function(), d);
       Candidate first = candidate(d, 1);
@@ -153,10 +166,14 @@
       Integer[] order = new Integer[hosts.size()];
       for (int i = 0; i < order.length; i++) {
         order[i] = i;
-        distance[i] = Router.distance(f, hosts.get(i).name(), meanWeight, hosts.get(i).weight());
+        distance[i] =
+            Router.distance(f, hosts.get(i).name(), meanWeight, hosts.get(i).weight());
       }
       Arrays.sort(order, Comparator.comparingDouble(i -> distance[i]));
-      return Arrays.stream(order).mapToInt(Integer::intValue).limit(MOST_COPIES + MOST_PLACES).toArray();
+      return Arrays.stream(order)
+          .mapToInt(Integer::intValue)
+          .limit(MOST_COPIES + MOST_PLACES)
+          .toArray();
     });
   }
 
@@ -166,8 +183,13 @@
 
   private Placed at(Candidate c, int place) {
     double gain = c.worth().gain() * kept(c.number(), place);
-    return new Placed(c.demand().function(), hosts.get(nearest(c.demand().function())[place]).name(), c.number(), gain,
-        c.worth().cost(), c.worth().hold());
+    return new Placed(
+        c.demand().function(),
+        hosts.get(nearest(c.demand().function())[place]).name(),
+        c.number(),
+        gain,
+        c.worth().cost(),
+        c.worth().hold());
   }
 
   private boolean standsAt(String function, int host) {
@@ -181,7 +203,9 @@
     int[] order = nearest(c.demand().function());
     for (int place = 0; place < Math.min(order.length, places(c.number())); place++) {
       int host = order[place];
-      if (free[host] >= c.demand().memoryMb() && loads[host] > 0 && (c.number() == 1 || !standsAt(c.demand().function(), host))) {
+      if (free[host] >= c.demand().memoryMb()
+          && loads[host] > 0
+          && (c.number() == 1 || !standsAt(c.demand().function(), host))) {
         Placed p = at(c, place);
         if (p.net() > 0) {
           take(p);
@@ -235,12 +259,20 @@
   private boolean swap(Placed fresh, Demand d, int host) {
     // Where all orders are given out nothing can come for less than the least of them.
     boolean ordersBind = placed.size() >= limits.orders();
-    if (fresh.net() <= 0 || ordersBind && (placed.isEmpty() || fresh.net() <= placed.first().net())
-        || d.memoryMb() > hosts.get(host).freeMb() || copies.getOrDefault(d.function(), 0) != fresh.number() - 1) {
+    if (fresh.net() <= 0
+        || ordersBind && (placed.isEmpty() || fresh.net() <= placed.first().net())
+        || d.memoryMb() > hosts.get(host).freeMb()
+        || copies.getOrDefault(d.function(), 0) != fresh.number() - 1) {
       return false;
     }
     List<Placed> out = new ArrayList<>();
-    double lost = makeWay(byHost.get(host), d, out, () -> free[host] >= d.memoryMb() && loads[host] > 0, fresh.net(), 0);
+    double lost = makeWay(
+        byHost.get(host),
+        d,
+        out,
+        () -> free[host] >= d.memoryMb() && loads[host] > 0,
+        fresh.net(),
+        0);
     lost = makeWay(placed, d, out, () -> withinLimits(d), fresh.net(), lost);
     if (withinLimits(d) && free[host] >= d.memoryMb() && loads[host] > 0 && lost < fresh.net()) {
       take(fresh);
@@ -251,7 +283,13 @@
   }
 
   /** Leaves out the least, each the last copy of its function, until there is room or it would cost as much as it brings. */
-  private double makeWay(TreeSet<Placed> from, Demand d, List<Placed> out, BooleanSupplier room, double most, double lostSoFar) {
+  private double makeWay(
+      TreeSet<Placed> from,
+      Demand d,
+      List<Placed> out,
+      BooleanSupplier room,
+      double most,
+      double lostSoFar) {
     double lost = lostSoFar;
     for (Placed p = from.isEmpty() ? null : from.first(); p != null && !room.getAsBoolean(); ) {
       Placed next = from.higher(p);
--- a/decisions/src/main/java/gorseladder/placement/PlanMaker.java
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -44,7 +44,8 @@
    * @param archive loads a second that the archive serves well
    * @param ordersPerPlan what the users' ration leaves for one plan over all dispatchers
    */
-  public record Settings(double slot, double keepAlive, double archive, int ordersPerPlan, Prices prices) {
+  public record Settings(
+      double slot, double keepAlive, double archive, int ordersPerPlan, Prices prices) {
     public Settings {
       if (!(slot > 0) || !(keepAlive > 0) || !(archive > 0) || ordersPerPlan < 0) {
         throw new IllegalArgumentException("impossible settings of a planner");
@@ -101,8 +102,14 @@
 
   /** What was seen of a function's copies. */
   public void learn(String function, Facts seen) {
-    facts.merge(function, seen, (a, b) -> new Facts(b.memoryMb(), b.lanes(), mix(a.workSeconds(), b.workSeconds()),
-        mix(a.loadSeconds(), b.loadSeconds())));
+    facts.merge(
+        function,
+        seen,
+        (a, b) -> new Facts(
+            b.memoryMb(),
+            b.lanes(),
+            mix(a.workSeconds(), b.workSeconds()),
+            mix(a.loadSeconds(), b.loadSeconds())));
   }
 
   private static double mix(double before, double seen) {
@@ -114,12 +121,14 @@
     if (!forecasts.observe(slot, calls)) {
       return;
     }
-    said.getOrDefault(slot, Map.of()).forEach((f, s) -> trust.note(f, s.calls(), s.any(), calls.getOrDefault(f, 0)));
+    said.getOrDefault(slot, Map.of())
+        .forEach((f, s) -> trust.note(f, s.calls(), s.any(), calls.getOrDefault(f, 0)));
     said.headMap(slot, true).clear();
     HashSet<String> known = new HashSet<>(forecasts.functions());
     trust.keepOnly(known);
     known.addAll(calls.keySet());
-    // Kept beyond the forecasts: a function may be known by its copies before its history is read.
+    // Kept beyond the forecasts: a function may be known by its copies before its history is
+    // read.
     if (facts.size() > MOST_FACTS) {
       facts.keySet().retainAll(known);
     }
@@ -144,21 +153,38 @@
       double away = (e.upper() - e.mean()) / UPPER;
       double scatter = Math.max(1, Math.min(MOST_SCATTER, away * away / Math.max(0.05, e.mean())));
       saying.put(function, new Said(e.mean(), 1 - Math.exp(-e.mean())));
-      demands.add(new Demand(function, e.mean() * trust.calls(function), scatter,
-          now.getOrDefault(function, 0) / part, trust.any(function), f.memoryMb(), f.lanes(), f.workSeconds(), f.loadSeconds()));
+      demands.add(new Demand(
+          function,
+          e.mean() * trust.calls(function),
+          scatter,
+          now.getOrDefault(function, 0) / part,
+          trust.any(function),
+          f.memoryMb(),
+          f.lanes(),
+          f.workSeconds(),
+          f.loadSeconds()));
     }
     said.put(slot, saying);
     double lead = LEAD * settings.keepAlive();
     double pace = ARCHIVE_PART * settings.archive();
     int orders = (int) Math.min(settings.ordersPerPlan(), Math.floor(lead * pace));
-    List<Host> able = hosts.stream().map(h -> new Host(h.name(), h.freeMb(), Math.min(h.loads(), LOADS_PER_HOST), h.weight()))
+    List<Host> able = hosts.stream()
+        .map(h -> new Host(h.name(), h.freeMb(), Math.min(h.loads(), LOADS_PER_HOST), h.weight()))
         .toList();
-    List<Placed> placed = orders == 0 ? List.of() : Placement.choose(demands, able, new Limits(orders, Double.MAX_VALUE),
-        settings.prices(), settings.slot(), settings.keepAlive());
+    List<Placed> placed = orders == 0
+        ? List.of()
+        : Placement.choose(
+            demands,
+            able,
+            new Limits(orders, Double.MAX_VALUE),
+            settings.prices(),
+            settings.slot(),
+            settings.keepAlive());
     List<Order> all = new ArrayList<>();
     for (int i = 0; i < placed.size(); i++) {
       Facts f = facts.get(placed.get(i).function());
-      all.add(new Order(placed.get(i), f, -f.loadSeconds() - (i + 1) / pace, placed.get(i).hold()));
+      all.add(new Order(
+          placed.get(i), f, -f.loadSeconds() - (i + 1) / pace, placed.get(i).hold()));
     }
     return all;
   }
--- a/decisions/src/main/java/gorseladder/placement/Schedule.java
+++ b/decisions/src/main/java/gorseladder/placement/Schedule.java
@@ -24,7 +24,8 @@
     for (Order o : orders) {
       Key key = new Key(o.placed().host(), o.placed().function());
       Timed before = current.remove(key);
-      boolean goesOn = before != null && before.until() > now && before.until() >= slotBegins + o.from();
+      boolean goesOn =
+          before != null && before.until() > now && before.until() >= slotBegins + o.from();
       double from = goesOn ? before.from() : slotBegins + o.from();
       next.put(key, new Timed(o, from, slotBegins + o.until()));
     }
--- a/decisions/src/main/java/gorseladder/placement/Trust.java
+++ b/decisions/src/main/java/gorseladder/placement/Trust.java
@@ -38,7 +38,8 @@
       return;
     }
     Record r = records.computeIfAbsent(function, f -> new Record());
-    // A stretch weighs one event at the most, so that a single surge that stayed away does not end all belief.
+    // A stretch weighs one event at the most, so that a single surge that stayed away does not
+    // end all belief.
     double weight = 1 / Math.max(1, calls);
     r.said = r.said * KEEP + calls * weight;
     r.came = r.came * KEEP + Math.min(came * weight, MOST_OVER);
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -14,6 +14,7 @@
   private static final double NEGLIGIBLE = 1e-9;
   /** Keep-alives by which copies are ordered early, so that loads are spread; and for which an unused one stays after. */
   private static final double EARLY = 1.5;
+
   private static final double AFTER = 0.7;
   /** Keep-alives after which an unused copy is ordered anew. */
   private static final double RENEWED = 0.6;
@@ -65,14 +66,22 @@
     double waitToo = Math.min(d.lanes(), needed * d.loadSeconds());
     double spared = Math.exp(-neededBefore * keepAlive) * used + agedOut * later;
     double gain = spared * d.loadSeconds() * (1 + waitToo / 2);
-    double seconds = d.loadSeconds() + EARLY * keepAlive + agedOut * hold + (1 - used) * AFTER * keepAlive;
+    double seconds =
+        d.loadSeconds() + EARLY * keepAlive + agedOut * hold + (1 - used) * AFTER * keepAlive;
     double orders = 1 + agedOut * hold / (RENEWED * keepAlive);
-    return new Copy(gain, prices.fetch() + prices.order() * orders + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds, hold);
+    return new Copy(
+        gain,
+        prices.fetch()
+            + prices.order() * orders
+            + prices.gigabyteSecond() * d.memoryMb() / 1024 * seconds,
+        hold);
   }
 
   /** The chance of no call where so many are expected: a Poisson's, or a negative binomial's where they scatter more. */
   private static double none(double mean, double scatter) {
-    return scatter <= 1 + NEGLIGIBLE ? Math.exp(-mean) : Math.exp(-mean * Math.log(scatter) / (scatter - 1));
+    return scatter <= 1 + NEGLIGIBLE
+        ? Math.exp(-mean)
+        : Math.exp(-mean * Math.log(scatter) / (scatter - 1));
   }
 
   /** The chance of so many or more where a Poisson's mean is expected. */
--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -39,7 +39,8 @@
    * @param leftAt when the first such attempt may have left; read only where {@code mayHaveRun}
    * @param sameContent true where the new delivery has the same class, function and body
    */
-  public record Known(Phase phase, boolean live, boolean mayHaveRun, long leftAt, boolean sameContent) {}
+  public record Known(
+      Phase phase, boolean live, boolean mayHaveRun, long leftAt, boolean sameContent) {}
 
   /** What to do with a delivery. */
   public enum Deed {
@@ -69,8 +70,8 @@
    * @param now the present time
    * @param patience how long the client waits, more than 0
    */
-  public static Verdict onDelivery(RequestClass requestClass, boolean signatureSeen, Known known, long now,
-      long patience) {
+  public static Verdict onDelivery(
+      RequestClass requestClass, boolean signatureSeen, Known known, long now, long patience) {
     if (signatureSeen) {
       return new Verdict(Deed.REPLAYED, 0);
     }
@@ -86,8 +87,10 @@
     return switch (known.phase()) {
       case SERVED -> new Verdict(Deed.ANSWER_AGAIN, 0);
       case LEAVING -> again(requestClass, known.leftAt(), now, patience);
-      case ACCEPTED, CLOSED -> known.mayHaveRun() ? again(requestClass, known.leftAt(), now, patience)
-          : new Verdict(Deed.RUN, patience);
+      case ACCEPTED, CLOSED ->
+        known.mayHaveRun()
+            ? again(requestClass, known.leftAt(), now, patience)
+            : new Verdict(Deed.RUN, patience);
     };
   }
 
@@ -102,7 +105,8 @@
     }
     long windowLeft = leftAt + requestClass.repeatWindow() - now;
     boolean keyed = requestClass.effect() == Effect.KEYED && requestClass.group() == Group.ALL;
-    return keyed && windowLeft > 0 && leftAt <= now ? new Verdict(Deed.RUN, Math.min(patience, windowLeft))
+    return keyed && windowLeft > 0 && leftAt <= now
+        ? new Verdict(Deed.RUN, Math.min(patience, windowLeft))
         : new Verdict(Deed.MAY_HAVE_RUN, 0);
   }
 
--- a/decisions/src/test/java/gorseladder/ColdFleetTest.java
+++ b/decisions/src/test/java/gorseladder/ColdFleetTest.java
@@ -30,6 +30,7 @@
   private static final long SERVICE = 200 * MS;
   /** Calls a second that a warm worker can do. */
   private static final double CAPACITY = 20;
+
   private static final long NOTICE = 700 * MS;
 
   private record Due(long at, long order, int router, Event event) implements Comparable<Due> {
@@ -57,7 +58,17 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"3, 1, 1", "3, 2, 4", "30, 1, 1", "30, 2, 4", "30, 3, 9", "100, 1, 1", "100, 2, 4", "100, 3, 9", "200, 4, 6"})
+  @CsvSource({
+    "3, 1, 1",
+    "3, 2, 4",
+    "30, 1, 1",
+    "30, 2, 4",
+    "30, 3, 9",
+    "100, 1, 1",
+    "100, 2, 4",
+    "100, 3, 9",
+    "200, 4, 6"
+  })
   void allTogetherStayUnderWhatColdWorkersBear(int dispatchers, long seed, int secondsLater) {
     settings = TestSites.settings(true, false, dispatchers);
     Random random = new Random(seed);
@@ -101,7 +112,9 @@
     while (!queue.isEmpty() && queue.peek().at() < END) {
       Due due = queue.poll();
       now = due.at();
-      routers.get(due.router()).on(now, due.event(), action -> carryOut(due.router(), action, random));
+      routers
+          .get(due.router())
+          .on(now, due.event(), action -> carryOut(due.router(), action, random));
     }
     int most = 0;
     for (int i = 0; i < LOST; i++) {
@@ -116,11 +129,24 @@
     } else if (action instanceof Send s) {
       sends.computeIfAbsent(s.worker(), w -> new ArrayList<>()).add(now);
       int attempt = attempts.merge(s.id(), 1, Integer::sum) - 1;
-      boolean away = Integer.parseInt(s.worker().substring(1)) < LOST && now >= LOST_AT && now < BACK_AT;
+      boolean away =
+          Integer.parseInt(s.worker().substring(1)) < LOST && now >= LOST_AT && now < BACK_AT;
       boolean stood = !loaded.add(s.worker() + functions.get(s.id()));
-      long time = (long) (SERVICE * (0.5 + random.nextDouble()) / warmth(s.worker(), now)) + (stood ? 0 : 600 * MS);
-      later(now + (away ? 2 * MS : time), router, new Answer(s.id(), attempt, s.worker(), away ? Outcome.CONNECT_FAILED : Outcome.OK,
-          !away, time, away ? Note.NONE : stood ? Note.WARM : Note.BEGAN, away ? -1 : 0, Map.of()));
+      long time = (long) (SERVICE * (0.5 + random.nextDouble()) / warmth(s.worker(), now))
+          + (stood ? 0 : 600 * MS);
+      later(
+          now + (away ? 2 * MS : time),
+          router,
+          new Answer(
+              s.id(),
+              attempt,
+              s.worker(),
+              away ? Outcome.CONNECT_FAILED : Outcome.OK,
+              !away,
+              time,
+              away ? Note.NONE : stood ? Note.WARM : Note.BEGAN,
+              away ? -1 : 0,
+              Map.of()));
     }
   }
 
@@ -129,25 +155,33 @@
       return 1;
     }
     Rules rules = settings.rules();
-    return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * (at - BACK_AT) / rules.coldFor());
+    return Math.min(
+        1, rules.coldFrom() + (1 - rules.coldFrom()) * (at - BACK_AT) / rules.coldFor());
   }
 
   /** Slides the rule's window over what went to one worker since it came back; returns the most in one window. */
   private int check(String worker, int dispatchers) {
     Rules rules = settings.rules();
     List<Long> at = sends.getOrDefault(worker, List.of()).stream()
-        .filter(t -> t >= BACK_AT && t < BACK_AT + rules.coldFor()).toList();
+        .filter(t -> t >= BACK_AT && t < BACK_AT + rules.coldFor())
+        .toList();
     int most = 0;
     int from = 0;
     for (int i = 0; i < at.size(); i++) {
       while (at.get(from) <= at.get(i) - rules.overloadFor()) {
         from++;
       }
-      double allowed = rules.overloadMultiple() * CAPACITY * warmth(worker, at.get(from)) * rules.overloadFor() / SECOND;
+      double allowed = rules.overloadMultiple()
+          * CAPACITY
+          * warmth(worker, at.get(from))
+          * rules.overloadFor()
+          / SECOND;
       int sent = i - from + 1;
       most = Math.max(most, sent);
-      assertTrue(sent <= allowed + 2 * Math.sqrt(allowed) + 2, dispatchers + " dispatchers sent " + sent + " to " + worker
-          + " from " + (at.get(from) - BACK_AT) / MS + " ms after its start, allowed " + allowed);
+      assertTrue(
+          sent <= allowed + 2 * Math.sqrt(allowed) + 2,
+          dispatchers + " dispatchers sent " + sent + " to " + worker + " from "
+              + (at.get(from) - BACK_AT) / MS + " ms after its start, allowed " + allowed);
     }
     return most;
   }
--- a/decisions/src/test/java/gorseladder/LargeFleetTest.java
+++ b/decisions/src/test/java/gorseladder/LargeFleetTest.java
@@ -38,14 +38,19 @@
       }
     }
     Router router = new Router(TestSites.settings(true, false), 1);
-    router.on(1, new Workers(ListKind.SAVED, fleet), action -> { });
+    router.on(1, new Workers(ListKind.SAVED, fleet), action -> {});
     int reached = 0;
     for (int call = 0; call < CALLS; call++) {
       List<Action> actions = new ArrayList<>();
-      router.on(2, new Request(call, "safe", "", "function" + call, 3_000_000, 0, 100, 1, 0, false), actions::add);
+      router.on(
+          2,
+          new Request(call, "safe", "", "function" + call, 3_000_000, 0, 100, 1, 0, false),
+          actions::add);
       reached += (int) actions.stream()
-          .filter(action -> action instanceof Send send && past16Bits.contains(send.worker())).count();
+          .filter(action -> action instanceof Send send && past16Bits.contains(send.worker()))
+          .count();
     }
-    assertTrue(reached * 2 > CALLS, reached + " of " + CALLS + " calls past place " + LAST_OF_16_BITS);
+    assertTrue(
+        reached * 2 > CALLS, reached + " of " + CALLS + " calls past place " + LAST_OF_16_BITS);
   }
 }
--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -68,7 +68,8 @@
 
   private void answer(long id, int attempt, String worker, Outcome outcome) {
     Note note = outcome == Outcome.OK ? Note.WARM : Note.NONE;
-    tell(new Answer(id, attempt, worker, outcome, outcome == Outcome.OK, 100 * MS, note, 0, Map.of()));
+    tell(new Answer(
+        id, attempt, worker, outcome, outcome == Outcome.OK, 100 * MS, note, 0, Map.of()));
   }
 
   private static WorkerEntry running(String id) {
@@ -238,7 +239,8 @@
     String worker = sentTo();
     now += 3 * SECOND - 2 * MS;
     tell(new TimerDue("d1"));
-    assertEquals(List.of(new Fail(1)), actions.stream().filter(a -> a instanceof Fail).toList());
+    assertEquals(
+        List.of(new Fail(1)), actions.stream().filter(a -> a instanceof Fail).toList());
     answer(1, 0, worker, Outcome.TIMEOUT);
     tell(new TimerDue("d1"));
     assertTrue(actions.isEmpty());
@@ -312,16 +314,25 @@
     List<Router> routers = new ArrayList<>();
     for (int i = 0; i < dispatchers; i++) {
       routers.add(new Router(settings, i));
-      routers.get(i).on(now, new Workers(ListKind.SAVED, List.of(
-          TestSites.entry("cold", Phase.RUNNING, now), running("warm"))), actions::add);
+      routers
+          .get(i)
+          .on(
+              now,
+              new Workers(
+                  ListKind.SAVED,
+                  List.of(TestSites.entry("cold", Phase.RUNNING, now), running("warm"))),
+              actions::add);
     }
     long window = settings.rules().overloadFor();
     int[] sent = new int[1];
     for (long t = 0; t < window; t += 10 * MS) {
       long id = t;
-      routers.get((int) (t / 10 / MS * 67 % dispatchers)).on(now + t, new Request(id, "safe", "", "f" + id,
-          3 * SECOND, 0, 100, 1, 500 * MS, false),
-          a -> sent[0] += a instanceof Send s && s.worker().equals("cold") ? 1 : 0);
+      routers
+          .get((int) (t / 10 / MS * 67 % dispatchers))
+          .on(
+              now + t,
+              new Request(id, "safe", "", "f" + id, 3 * SECOND, 0, 100, 1, 500 * MS, false),
+              a -> sent[0] += a instanceof Send s && s.worker().equals("cold") ? 1 : 0);
     }
     double capacity = 1e6 / (200 * MS);
     double most = 2.5 * 0.2 * capacity * window / 1e6;
@@ -340,24 +351,30 @@
     String hint = got(RouterApi.TellPeers.class).get(0).text();
     Router peer = new Router(TestSites.settings(true, false, 50), 2);
     List<Action> done = new ArrayList<>();
-    peer.on(now, new Workers(ListKind.SAVED, List.of(running("a"), running("b"), running("c"))), done::add);
+    peer.on(
+        now,
+        new Workers(ListKind.SAVED, List.of(running("a"), running("b"), running("c"))),
+        done::add);
     peer.on(now, new RouterApi.PeerMessage(3, "no such words"), done::add);
     peer.on(now, new RouterApi.PeerMessage(3, "sick of-it"), done::add);
     peer.on(now, new RouterApi.PeerMessage(3, hint), done::add);
     peer.on(now, new RouterApi.PeerMessage(4, hint), done::add);
     for (long id = 2; id < 40; id++) {
-      peer.on(now, new Request(id, "unsafe", "", "f" + id, 3 * SECOND, 0, 100, 1, 0, false), done::add);
+      peer.on(
+          now, new Request(id, "unsafe", "", "f" + id, 3 * SECOND, 0, 100, 1, 0, false), done::add);
     }
     assertTrue(done.stream().anyMatch(a -> a instanceof Send));
     assertTrue(done.stream().noneMatch(a -> a instanceof Send s && s.worker().equals(bad)));
-    assertTrue(done.stream().noneMatch(a -> a instanceof RouterApi.TellPeers), "hearsay is not passed on");
+    assertTrue(
+        done.stream().noneMatch(a -> a instanceof RouterApi.TellPeers), "hearsay is not passed on");
   }
 
   /** Guards against a hot function that all dispatchers together pile onto one worker. */
   @Test
   void crowdsWidenTheHomeOfAFunction() {
     router = new Router(TestSites.settings(true, false, 50), 1);
-    tell(new Workers(ListKind.SAVED, List.of(running("a"), running("b"), running("c"), running("d"))));
+    tell(new Workers(
+        ListKind.SAVED, List.of(running("a"), running("b"), running("c"), running("d"))));
     java.util.Set<String> used = new java.util.HashSet<>();
     for (long id = 1; id < 40; id++) {
       request(id, "safe", "f");
@@ -373,7 +390,8 @@
   @Test
   void callsThatStayOutWidenTheHomeWithoutAnyAnswer() {
     router = new Router(TestSites.settings(true, false, 50), 1);
-    tell(new Workers(ListKind.SAVED, List.of(running("a"), running("b"), running("c"), running("d"))));
+    tell(new Workers(
+        ListKind.SAVED, List.of(running("a"), running("b"), running("c"), running("d"))));
     request(1, "safe", "f");
     String warm = sentTo();
     tell(new Answer(1, 0, warm, Outcome.OK, true, 300 * MS, Note.WARM, 0, Map.of()));
@@ -472,7 +490,8 @@
         request(id, "safe", "rare" + id);
         for (int attempt = 0; !got(Send.class).isEmpty(); attempt++) {
           now += 2 * MS;
-          tell(new Answer(id, attempt, sentTo(), Outcome.FULL, false, 2 * MS, Note.NONE, crowd, Map.of()));
+          tell(new Answer(
+              id, attempt, sentTo(), Outcome.FULL, false, 2 * MS, Note.NONE, crowd, Map.of()));
         }
         request(1000 + id, "safe", "hot");
         refused += got(Refuse.class).size();
@@ -481,7 +500,8 @@
           answer(s.id(), 0, s.worker(), Outcome.OK);
         }
       }
-      assertTrue(crowd == 0 ? refused == 0 : refused > 50, "crowd " + crowd + ", refused " + refused);
+      assertTrue(
+          crowd == 0 ? refused == 0 : refused > 50, "crowd " + crowd + ", refused " + refused);
     }
   }
 
@@ -521,7 +541,9 @@
   }
 
   @ParameterizedTest
-  @EnumSource(value = Outcome.class, names = {"RESET", "CONNECT_FAILED"})
+  @EnumSource(
+      value = Outcome.class,
+      names = {"RESET", "CONNECT_FAILED"})
   void workerThatBreaksIsAvoidedUntilATrial(Outcome outcome) {
     start(true, false, running("a"), running("b"), running("c"), running("d"));
     request(1, "safe", "f");
@@ -536,8 +558,9 @@
   @Test
   void twoErrorsNearEachOtherMakeAWorkerSuspect() {
     start(true, false, running("a"), running("b"), running("c"));
-    tell(new Workers(ListKind.DELTA, List.of(TestSites.entry("b", Phase.GONE, 0),
-        TestSites.entry("c", Phase.GONE, 0))));
+    tell(new Workers(
+        ListKind.DELTA,
+        List.of(TestSites.entry("b", Phase.GONE, 0), TestSites.entry("c", Phase.GONE, 0))));
     request(1, "unsafe", "f");
     answer(1, 0, "a", Outcome.ERROR);
     request(2, "unsafe", "g");
@@ -581,7 +604,9 @@
     request(1, "safe", "f");
     tell(new RouterApi.ClientGone(1));
     answer(1, 0, "a", Outcome.ERROR);
-    assertTrue(got(Send.class).isEmpty() && got(Fail.class).isEmpty() && got(Refuse.class).isEmpty());
+    assertTrue(got(Send.class).isEmpty()
+        && got(Fail.class).isEmpty()
+        && got(Refuse.class).isEmpty());
     answer(77, 0, "a", Outcome.OK);
     tell(new RouterApi.ClientGone(77));
     assertTrue(actions.isEmpty());
@@ -611,9 +636,14 @@
     request(1, "safe", "f");
     String worker = sentTo();
     tell(new Workers(ListKind.FULL, List.of()));
-    for (Event odd : List.of(new Loaded("nobody", "f", 1, Outcome.OK, MS), new Loaded("a", "nothing", 1, Outcome.OK, MS),
-        new TimerDue("d99"), new TimerDue("no such timer"), new RouterApi.FirstByte(99, 0, "a", MS),
-        new RouterApi.PeerMessage(99, ""), new Answer(1, 7, "a", Outcome.OK, true, MS, Note.WARM, 0, Map.of()),
+    for (Event odd : List.of(
+        new Loaded("nobody", "f", 1, Outcome.OK, MS),
+        new Loaded("a", "nothing", 1, Outcome.OK, MS),
+        new TimerDue("d99"),
+        new TimerDue("no such timer"),
+        new RouterApi.FirstByte(99, 0, "a", MS),
+        new RouterApi.PeerMessage(99, ""),
+        new Answer(1, 7, "a", Outcome.OK, true, MS, Note.WARM, 0, Map.of()),
         new Answer(1, -1, "a", Outcome.OK, true, MS, Note.WARM, 0, Map.of()))) {
       tell(odd);
       assertTrue(got(Send.class).isEmpty() && got(Load.class).isEmpty(), "on " + odd);
@@ -626,11 +656,26 @@
   @Test
   void impossibleSettingsAreNamed() {
     Settings good = TestSites.settings(true, true);
-    Exception e = assertThrows(IllegalArgumentException.class, () -> new Settings(0, 0, "", 1, 1, true, false,
-        0, 1, good.limits(), good.rules(), good.classes(), List.of()));
+    Exception e = assertThrows(
+        IllegalArgumentException.class,
+        () -> new Settings(
+            0,
+            0,
+            "",
+            1,
+            1,
+            true,
+            false,
+            0,
+            1,
+            good.limits(),
+            good.rules(),
+            good.classes(),
+            List.of()));
     assertTrue(e.getMessage().contains("dispatchers"));
-    e = assertThrows(IllegalArgumentException.class, () -> new RouterApi.RequestClass(null, Effect.SAFE,
-        Group.ALL, 1, 1, 1, 1, 1, false));
+    e = assertThrows(
+        IllegalArgumentException.class,
+        () -> new RouterApi.RequestClass(null, Effect.SAFE, Group.ALL, 1, 1, 1, 1, 1, false));
     assertTrue(e.getMessage().contains("class name"));
     assertThrows(IllegalArgumentException.class, () -> new Router(null, 1));
   }
@@ -655,7 +700,10 @@
     if (!sentTo().equals("b")) {
       answer(1, 0, sentTo(), Outcome.MISS);
     }
-    assertEquals("b", sentTo(), "the first of the shared order or the copy that stands; after a miss the latter");
+    assertEquals(
+        "b",
+        sentTo(),
+        "the first of the shared order or the copy that stands; after a miss the latter");
     now += 100 * MS;
     answer(1, got(Send.class).isEmpty() ? 0 : 1, "b", Outcome.OK);
     now += 6 * SECOND;
@@ -666,7 +714,12 @@
   /** Rules 3 to 5 hold for plans too, and calls come first. */
   @Test
   void planYieldsToDrainsColdWorkersWaitingCallsAndTheRation() {
-    start(false, false, running("a"), TestSites.entry("drains", Phase.DRAINING, 0), TestSites.entry("cold", Phase.RUNNING, now));
+    start(
+        false,
+        false,
+        running("a"),
+        TestSites.entry("drains", Phase.DRAINING, 0),
+        TestSites.entry("cold", Phase.RUNNING, now));
     tell(hold("drains", "f"));
     tell(hold("cold", "f"));
     tell(hold("unknown", "f"));
@@ -689,8 +742,11 @@
       String function = "f" + i;
       start(true, false, running("a"), running("b"), running("c"), running("d"));
       request(1, "safe", function);
-      assertEquals(Stream.of("a", "b", "c", "d").min(Comparator.comparingDouble(w -> Router.distance(function, w, 1, 1)))
-          .orElseThrow(), sentTo());
+      assertEquals(
+          Stream.of("a", "b", "c", "d")
+              .min(Comparator.comparingDouble(w -> Router.distance(function, w, 1, 1)))
+              .orElseThrow(),
+          sentTo());
     }
   }
 }
--- a/decisions/src/test/java/gorseladder/RulesTest.java
+++ b/decisions/src/test/java/gorseladder/RulesTest.java
@@ -7,12 +7,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.HashSet;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -65,8 +65,19 @@
     later(9000 * MS, new Workers(ListKind.DELTA, List.of(TestSites.entry("b", Phase.GONE, 0))));
     for (long id = 1; id <= 1500; id++) {
       String kind = settings.classes().get(random.nextInt(3)).name();
-      later(10 + random.nextInt(15_000) * MS, new Request(id, kind, "", "f" + random.nextInt(12),
-          (100 + random.nextInt(2900)) * MS, 0, 100, 1 + random.nextInt(3), 400 * MS, false));
+      later(
+          10 + random.nextInt(15_000) * MS,
+          new Request(
+              id,
+              kind,
+              "",
+              "f" + random.nextInt(12),
+              (100 + random.nextInt(2900)) * MS,
+              0,
+              100,
+              1 + random.nextInt(3),
+              400 * MS,
+              false));
     }
     while (!queue.isEmpty() && queue.peek().at() < 25_000 * MS) {
       Due due = queue.poll();
@@ -95,7 +106,9 @@
       calls.put(r.id(), call);
       taken.addLast(now);
     } else if (event instanceof Workers w) {
-      w.entries().stream().filter(e -> e.phase() != Phase.RUNNING).forEach(e -> stopped.add(e.worker()));
+      w.entries().stream()
+          .filter(e -> e.phase() != Phase.RUNNING)
+          .forEach(e -> stopped.add(e.worker()));
     } else if (event instanceof Loaded l) {
       orders.remove(l.worker() + " " + l.function());
     } else if (event instanceof Answer a) {
@@ -105,8 +118,16 @@
         call.over = true;
         call.finals++;
       }
-      return new Answer(a.id(), a.attempt(), a.worker(), a.outcome(), call.over, a.latency(), a.note(),
-          a.crowd(), a.report());
+      return new Answer(
+          a.id(),
+          a.attempt(),
+          a.worker(),
+          a.outcome(),
+          call.over,
+          a.latency(),
+          a.note(),
+          a.crowd(),
+          a.report());
     }
     return event;
   }
@@ -146,7 +167,8 @@
       boolean ran = call.ends.get(i) == null || !call.ends.get(i).neverRan;
       assertTrue(!ran || !call.request.requestClass().equals("unsafe"), "an unsafe call repeated");
       boolean inWindow = now - call.sentAt.get(i) <= 2000 * MS;
-      assertTrue(!ran || !call.request.requestClass().equals("keyed") || inWindow, "a key forgotten");
+      assertTrue(
+          !ran || !call.request.requestClass().equals("keyed") || inWindow, "a key forgotten");
     }
     if (s.worker().equals("cold")) {
       checkCold();
@@ -165,13 +187,17 @@
       outcome = Outcome.TIMEOUT;
     }
     Note note = Note.values()[random.nextInt(Note.values().length)];
-    later(in, new Answer(s.id(), number, s.worker(), outcome, false, in, note, random.nextInt(4), Map.of()));
+    later(
+        in,
+        new Answer(
+            s.id(), number, s.worker(), outcome, false, in, note, random.nextInt(4), Map.of()));
   }
 
   private void checkCold() {
     coldSends.addLast(now);
     coldSends.removeIf(t -> t <= now - settings.rules().overloadFor());
-    double ramp = settings.rules().coldFrom() + (1 - settings.rules().coldFrom()) * now / settings.rules().coldFor();
+    double ramp = settings.rules().coldFrom()
+        + (1 - settings.rules().coldFrom()) * now / settings.rules().coldFor();
     double fair = 1500 / 15.0 / 5 * settings.rules().overloadFor() / 1e6;
     double budget = Math.min(1, ramp) * settings.rules().overloadMultiple() * fair;
     assertTrue(coldSends.size() <= Math.max(1, budget), "cold worker pushed: " + coldSends.size());
@@ -179,7 +205,9 @@
 
   private void checkLoad(Load l) {
     assertTrue(orders.add(l.worker() + " " + l.function()), "two orders outstanding");
-    Outcome[] ends = {Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT};
+    Outcome[] ends = {
+      Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT
+    };
     Outcome outcome = l.copies() == 0 ? Outcome.OK : ends[random.nextInt(ends.length)];
     int stand = outcome == Outcome.OK ? l.copies() : 0;
     long in = 1 + random.nextInt(l.copies() == 0 ? 5 : 900) * MS;
--- a/decisions/src/test/java/gorseladder/admission/AdmissionTest.java
+++ b/decisions/src/test/java/gorseladder/admission/AdmissionTest.java
@@ -24,7 +24,8 @@
 
     private record Waiting(long id, long message, String tenant, double worth, long since) {}
 
-    private record Coming(long at, long message, String tenant, double worth, long first) implements Comparable<Coming> {
+    private record Coming(long at, long message, String tenant, double worth, long first)
+        implements Comparable<Coming> {
       @Override
       public int compareTo(Coming other) {
         return Long.compare(at, other.at);
@@ -84,7 +85,8 @@
 
     private long arrive(Coming c, long now, int retries) {
       boolean may = queue.size() < bound
-          && (admission == null || admission.mayEnter(new Asking(c.message(), c.tenant(), c.worth(), AIM, 0), now));
+          && (admission == null
+              || admission.mayEnter(new Asking(c.message(), c.tenant(), c.worth(), AIM, 0), now));
       if (may) {
         long id = ++messages;
         queue.add(new Waiting(id, c.message(), c.tenant(), c.worth(), c.at()));
@@ -96,7 +98,8 @@
       refused++;
       if (retries > 0 && now - c.first() < retries * 1_000_000L) {
         long wait = admission == null ? 1 : admission.retryAfter();
-        coming.add(new Coming(now + wait * 1_000_000, c.message(), c.tenant(), c.worth(), c.first()));
+        coming.add(
+            new Coming(now + wait * 1_000_000, c.message(), c.tenant(), c.worth(), c.first()));
       }
       return now + REFUSAL;
     }
@@ -128,7 +131,8 @@
       double with = goodput(admission(Map.of()), 1_000, multiple);
       double fixed = goodput(null, 1_000, multiple);
       double neither = goodput(null, Integer.MAX_VALUE, multiple);
-      table.append(String.format("%nx%.1f: %.2f with, %.2f fixed bound, %.2f neither", multiple, with, fixed, neither));
+      table.append(String.format(
+          "%nx%.1f: %.2f with, %.2f fixed bound, %.2f neither", multiple, with, fixed, neither));
       // What is left when every call beyond the server's is refused at a twentieth of its cost.
       double best = Math.min(multiple, (1 - 0.05 * multiple) / (1 - 0.05));
       assertTrue(with > 0.93 * Math.min(1, best), table.toString());
@@ -210,7 +214,9 @@
       admission.gone(inside.poll());
     }
     assertFalse(admission.mayEnter(new Asking(next, "a", 1, AIM, 0), now));
-    assertTrue(admission.mayEnter(new Asking(9_999, "a", 1, AIM, 0), now), "waiting " + admission.waiting() + " full " + full);
+    assertTrue(
+        admission.mayEnter(new Asking(9_999, "a", 1, AIM, 0), now),
+        "waiting " + admission.waiting() + " full " + full);
   }
 
   /** Calls that wait long for one function's load turn nobody away while others go through at once. */
--- a/decisions/src/test/java/gorseladder/ahead/AheadTest.java
+++ b/decisions/src/test/java/gorseladder/ahead/AheadTest.java
@@ -44,8 +44,11 @@
     assertEquals(Verdict.OLDER, ahead.take(plan(1, 9), now), "another planner that lost its turn");
     assertEquals(Verdict.EXPIRED, ahead.take(new Plan(3, 1, now, List.of()), now));
     Plan.Item good = item("w", "f");
-    for (Plan.Item bad : List.of(new Plan.Item("", "f", 1, 1, now, now + 1, 0, 1, true), new Plan.Item("w", "f", 65, 1, now, now + 1, 0, 1, true),
-        new Plan.Item("w", "f", 1, 0, now, now + 1, 0, 1, true), new Plan.Item("w", "f", 1, 1, now, now, 0, 1, true),
+    for (Plan.Item bad : List.of(
+        new Plan.Item("", "f", 1, 1, now, now + 1, 0, 1, true),
+        new Plan.Item("w", "f", 65, 1, now, now + 1, 0, 1, true),
+        new Plan.Item("w", "f", 1, 0, now, now + 1, 0, 1, true),
+        new Plan.Item("w", "f", 1, 1, now, now, 0, 1, true),
         new Plan.Item("w", "f", 1, 1, now + 2_000 * SECOND, Long.MAX_VALUE, 0, 1, true),
         new Plan.Item("w", "f", 1, 1, now, now + 1, 0, Double.NaN, true))) {
       assertEquals(Verdict.ABSURD, ahead.take(plan(3, 1, good, bad), now));
@@ -58,7 +61,8 @@
   void copiesAreProposedInTheirTimeAFewAtOnceAndUntilOrdered() {
     List<Plan.Item> items = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
-      items.add(new Plan.Item("w" + i, "f", 1, 1, now + 5 * SECOND, now + 60 * SECOND, LOAD, 400, true));
+      items.add(
+          new Plan.Item("w" + i, "f", 1, 1, now + 5 * SECOND, now + 60 * SECOND, LOAD, 400, true));
     }
     ahead.take(plan(1, 1, items.toArray(new Plan.Item[0])), now);
     assertEquals(List.of(), due(), "not yet");
@@ -88,7 +92,8 @@
     now += 4 * SECOND;
     ahead.served("w", "g", Note.WARM, now);
     now += 3 * SECOND;
-    assertEquals(List.of("f"), due().stream().map(Hold::function).toList(), "g was used a short while ago");
+    assertEquals(
+        List.of("f"), due().stream().map(Hold::function).toList(), "g was used a short while ago");
     load("w", "f");
     now += 7 * SECOND;
     assertEquals(2, due().size());
@@ -97,11 +102,15 @@
     ahead.served("w", "f", Note.WARM, now);
     now += 60 * SECOND;
     assertEquals(List.of(), due(), "the time of the holds is over");
-    Account.Entry f = ahead.account().take().stream().filter(e -> e.function().equals("f")).findFirst().orElseThrow();
+    Account.Entry f = ahead.account().take().stream()
+        .filter(e -> e.function().equals("f"))
+        .findFirst()
+        .orElseThrow();
     assertEquals(2, f.renewals());
     assertEquals(1, f.found());
     assertEquals(LOAD, f.savedMicros());
-    // From the first order to the first call: five loads of half a second, and what passed beside them.
+    // From the first order to the first call: five loads of half a second, and what passed
+    // beside them.
     assertEquals(400 * 16.5, f.megabyteSeconds(), 0.1);
   }
 
@@ -134,7 +143,8 @@
     ahead.loaded("w", "f", Outcome.FULL, LOAD, now);
     assertEquals(List.of("g"), due().stream().map(Hold::function).toList());
     ahead.take(plan(1, 2, item("w", "f")), now);
-    assertEquals(List.of("f"), due().stream().map(Hold::function).toList(), "a later plan may ask anew");
+    assertEquals(
+        List.of("f"), due().stream().map(Hold::function).toList(), "a later plan may ask anew");
     now += 1_000 * SECOND;
     assertEquals(List.of(), due());
   }
@@ -209,7 +219,8 @@
   void aCopyFoundByAnotherDispatcherIsCreditedAndNotHeldAnew() {
     Ahead other = new Ahead(KEEP);
     ahead.take(plan(1, 1, item("w", "f")), now);
-    other.take(plan(1, 1, new Plan.Item("w", "f", 1, 1, now, now + 60 * SECOND, LOAD, 400, false)), now);
+    other.take(
+        plan(1, 1, new Plan.Item("w", "f", 1, 1, now, now + 60 * SECOND, LOAD, 400, false)), now);
     assertEquals(List.of(), other.due(now), "not its order to give");
     load("w", "f");
     assertEquals(null, other.served("w", "g", Note.WARM, now));
--- a/decisions/src/test/java/gorseladder/answers/AnswersTest.java
+++ b/decisions/src/test/java/gorseladder/answers/AnswersTest.java
@@ -14,7 +14,10 @@
   void failuresNeverInviteARetry() {
     for (Reason r : Reason.values()) {
       boolean harmless = r.kind == Reason.Kind.REFUSED
-          || r == Reason.BUSY || r == Reason.OVERLOADED || r == Reason.STOPPING || r == Reason.LEDGER_UNAVAILABLE;
+          || r == Reason.BUSY
+          || r == Reason.OVERLOADED
+          || r == Reason.STOPPING
+          || r == Reason.LEDGER_UNAVAILABLE;
       assertEquals(harmless, r.invitesRetry(), r.name());
       assertFalse(r.invitesRetry() && r.status != 429 && r.status != 503, r.name());
       assertFalse(r.kind == Reason.Kind.FAILED && r.status != 502 && r.status != 504, r.name());
--- a/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -25,12 +25,16 @@
             boolean answer = ending == Ending.RESPONSE || ending == Ending.MALFORMED;
             int code = status;
             if (!left && answer) {
-              assertThrows(IllegalArgumentException.class, () -> AttemptFate.of(progress, ending, code, says));
+              assertThrows(
+                  IllegalArgumentException.class,
+                  () -> AttemptFate.of(progress, ending, code, says));
               continue;
             }
             Outcome outcome = AttemptFate.of(progress, ending, status, says);
-            boolean proof = !left || ending == Ending.RESPONSE && says && (status < 200 || status >= 300);
-            assertEquals(proof, outcome.neverRan, progress + " " + ending + " " + status + " " + says);
+            boolean proof =
+                !left || ending == Ending.RESPONSE && says && (status < 200 || status >= 300);
+            assertEquals(
+                proof, outcome.neverRan, progress + " " + ending + " " + status + " " + says);
           }
         }
       }
@@ -43,7 +47,9 @@
     Ending alone = AttemptFate.ofConnection(Ending.BROKEN, true);
     assertEquals(Outcome.ERROR, AttemptFate.of(Progress.LEAVING, alone, 0, false));
     assertEquals(Outcome.CONNECT_FAILED, AttemptFate.of(Progress.CONNECTED, alone, 0, false));
-    assertEquals(Outcome.RESET, AttemptFate.of(Progress.LEAVING, AttemptFate.ofConnection(Ending.BROKEN, false), 0, false));
+    assertEquals(
+        Outcome.RESET,
+        AttemptFate.of(Progress.LEAVING, AttemptFate.ofConnection(Ending.BROKEN, false), 0, false));
     assertEquals(Ending.MALFORMED, AttemptFate.ofConnection(Ending.MALFORMED, true));
   }
 
--- a/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
+++ b/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
@@ -21,7 +21,8 @@
 
   private static int poisson(double mean, Random random) {
     int count = 0;
-    for (double p = Math.exp(-Math.min(mean, 500)), sum = p, u = random.nextDouble(); u > sum && count < 2_000; ) {
+    for (double p = Math.exp(-Math.min(mean, 500)), sum = p, u = random.nextDouble();
+        u > sum && count < 2_000; ) {
       count++;
       p *= mean / count;
       sum += p;
@@ -42,7 +43,8 @@
     }
   }
 
-  private static Walk walk(Slots slots, LongToDoubleFunction rate, int fromDay, int toDay, long seed) {
+  private static Walk walk(
+      Slots slots, LongToDoubleFunction rate, int fromDay, int toDay, long seed) {
     return walk(slots, rate, (long) fromDay * PER_DAY, (long) toDay * PER_DAY, seed);
   }
 
@@ -66,7 +68,9 @@
   }
 
   private static double daily(long slot) {
-    return 20 + 15 * Math.sin(2 * Math.PI * (slot % PER_DAY) / PER_DAY) + (slot / PER_DAY % 7 >= 5 ? -5 : 0);
+    return 20
+        + 15 * Math.sin(2 * Math.PI * (slot % PER_DAY) / PER_DAY)
+        + (slot / PER_DAY % 7 >= 5 ? -5 : 0);
   }
 
   @Test
@@ -74,23 +78,32 @@
     Walk walk = walk(slots(Map.of()), ForecastsTest::daily, 14, 35, 1);
     assertTrue(walk.relative() < 0.24, "miss " + walk.relative());
     assertTrue(walk.over < 0.12 * walk.judged, walk.over + " of " + walk.judged);
-    assertTrue(walk.speakers.getOrDefault("seasonal", 0) > walk.judged / 2, walk.speakers.toString());
+    assertTrue(
+        walk.speakers.getOrDefault("seasonal", 0) > walk.judged / 2, walk.speakers.toString());
   }
 
   @Test
   void anUnknownDriftIsFollowedByWhatCameLast() {
-    Walk walk = walk(slots(Map.of()), slot -> 30 + 25 * Math.sin(slot / 37.0 + Math.sin(slot / 211.0) * 4), 7, 28, 2);
+    Walk walk = walk(
+        slots(Map.of()),
+        slot -> 30 + 25 * Math.sin(slot / 37.0 + Math.sin(slot / 211.0) * 4),
+        7,
+        28,
+        2);
     assertTrue(walk.relative() < 0.4, "miss " + walk.relative());
   }
 
   @Test
   void aKnownDateIsForeseenTheSecondTime() {
     Map<Integer, String> dates = Map.of(20, "term's end", 40, "term's end");
-    LongToDoubleFunction rate = slot -> daily(slot) * (dates.containsKey((int) (slot / PER_DAY)) ? 4 : 1);
+    LongToDoubleFunction rate =
+        slot -> daily(slot) * (dates.containsKey((int) (slot / PER_DAY)) ? 4 : 1);
     // The first hours are the point: later in the day what came last would tell it too.
     Walk told = walk(slots(dates), rate, 40L * PER_DAY, 40L * PER_DAY + 2, 3);
     Walk untold = walk(slots(Map.of()), rate, 40L * PER_DAY, 40L * PER_DAY + 2, 3);
-    assertTrue(told.relative() < 0.6 * untold.relative(), told.relative() + " against " + untold.relative());
+    assertTrue(
+        told.relative() < 0.6 * untold.relative(),
+        told.relative() + " against " + untold.relative());
     Walk dayAfter = walk(slots(dates), rate, 41, 42, 3);
     assertTrue(dayAfter.relative() < 0.5, "the day after is " + dayAfter.relative());
   }
@@ -98,7 +111,8 @@
   @Test
   void aForecastThatIsTenTimesWrongIsForgottenWithinDays() {
     for (double factor : new double[] {10, 0.1}) {
-      Walk after = walk(slots(Map.of()), slot -> daily(slot) * (slot >= 21 * PER_DAY ? factor : 1), 25, 28, 4);
+      Walk after = walk(
+          slots(Map.of()), slot -> daily(slot) * (slot >= 21 * PER_DAY ? factor : 1), 25, 28, 4);
       assertTrue(after.relative() < (factor > 1 ? 0.25 : 0.9), factor + ": " + after.relative());
     }
   }
@@ -116,7 +130,9 @@
       came += slot > 7 * PER_DAY ? calls : 0;
       forecasts.observe(slot, Map.of("f", calls));
     }
-    assertTrue(walk.judged > 0 && expected > 0.3 * came && expected < 2 * came, expected + " expected, " + came + " came");
+    assertTrue(
+        walk.judged > 0 && expected > 0.3 * came && expected < 2 * came,
+        expected + " expected, " + came + " came");
   }
 
   @Test
@@ -148,7 +164,9 @@
       forecasts.observe(slot, calls);
     }
     assertTrue(forecasts.functions().contains("hot"));
-    assertTrue(forecasts.functions().size() < 10, forecasts.functions().size() + " of 4801 have a table entry");
+    assertTrue(
+        forecasts.functions().size() < 10,
+        forecasts.functions().size() + " of 4801 have a table entry");
     for (long slot = 5L * PER_DAY; slot < 21L * PER_DAY; slot++) {
       forecasts.observe(slot, Map.of());
     }
@@ -190,8 +208,11 @@
       forecasts.observe(slot, Map.of("f", surge ? 100 : 4));
     }
     assertEquals("same-date", forecasts.expect("f", 12 * 96 + 36).by());
-    assertTrue(forecasts.expect("f", 12 * 96 + 36).mean() > 80, "" + forecasts.expect("f", 12 * 96 + 36));
-    assertTrue(forecasts.expect("f", 12 * 96 + 60).mean() < 10, "" + forecasts.expect("f", 12 * 96 + 60));
-    assertTrue(forecasts.expect("f", 13 * 96 + 36).mean() < 10, "" + forecasts.expect("f", 13 * 96 + 36));
+    assertTrue(
+        forecasts.expect("f", 12 * 96 + 36).mean() > 80, "" + forecasts.expect("f", 12 * 96 + 36));
+    assertTrue(
+        forecasts.expect("f", 12 * 96 + 60).mean() < 10, "" + forecasts.expect("f", 12 * 96 + 60));
+    assertTrue(
+        forecasts.expect("f", 13 * 96 + 36).mean() < 10, "" + forecasts.expect("f", 13 * 96 + 36));
   }
 }
--- a/decisions/src/test/java/gorseladder/placement/PlacementTest.java
+++ b/decisions/src/test/java/gorseladder/placement/PlacementTest.java
@@ -43,7 +43,11 @@
     for (int i = 0; i < 20; i++) {
       String f = "f" + i;
       Placed placed = choose(List.of(demand(f, 40, 0)), hosts, 10).get(0);
-      assertEquals(hosts.stream().map(Host::name).min(Comparator.comparingDouble(h -> Router.distance(f, h, 1, 1))).orElseThrow(),
+      assertEquals(
+          hosts.stream()
+              .map(Host::name)
+              .min(Comparator.comparingDouble(h -> Router.distance(f, h, 1, 1)))
+              .orElseThrow(),
           placed.host());
     }
   }
@@ -57,7 +61,12 @@
     }
     assertEquals(List.of(), choose(demands, hosts(20, 10_000), 500));
     demands.add(demand("wakes", 900, 0));
-    assertEquals(List.of("wakes"), choose(demands, hosts(20, 10_000), 500).stream().map(Placed::function).distinct().toList());
+    assertEquals(
+        List.of("wakes"),
+        choose(demands, hosts(20, 10_000), 500).stream()
+            .map(Placed::function)
+            .distinct()
+            .toList());
   }
 
   @Test
@@ -73,7 +82,9 @@
   @Test
   void aSurgeGetsCopiesForItsLanes() {
     List<Placed> placed = choose(List.of(demand("surge", 40 * STRETCH, 0)), hosts(12, 10_000), 100);
-    assertTrue(placed.size() >= 4 && placed.size() <= 12, placed.size() + " copies for 8 calls at once in the mean, in lanes of 2");
+    assertTrue(
+        placed.size() >= 4 && placed.size() <= 12,
+        placed.size() + " copies for 8 calls at once in the mean, in lanes of 2");
     assertEquals(placed.size(), placed.stream().map(Placed::host).distinct().count());
   }
 
@@ -85,30 +96,48 @@
     for (int round = 0; round < 300; round++) {
       List<Host> hosts = new ArrayList<>();
       for (int i = 0; i < 1 + random.nextInt(6); i++) {
-        hosts.add(new Host("h" + i, random.nextInt(3_000), random.nextInt(4), 0.5 + random.nextDouble()));
+        hosts.add(
+            new Host("h" + i, random.nextInt(3_000), random.nextInt(4), 0.5 + random.nextDouble()));
       }
       List<Demand> demands = new ArrayList<>();
       Map<String, Demand> byName = new HashMap<>();
       for (int i = 0; i < random.nextInt(30); i++) {
-        Demand d = new Demand("f" + i, random.nextInt(200), 1 + random.nextInt(3), random.nextInt(20), random.nextDouble(),
-            100 + random.nextInt(900), 1 + random.nextInt(4), 0.2, 0.2 + random.nextDouble());
+        Demand d = new Demand(
+            "f" + i,
+            random.nextInt(200),
+            1 + random.nextInt(3),
+            random.nextInt(20),
+            random.nextDouble(),
+            100 + random.nextInt(900),
+            1 + random.nextInt(4),
+            0.2,
+            0.2 + random.nextDouble());
         demands.add(d);
         byName.put(d.function(), d);
       }
       Limits limits = new Limits(random.nextInt(20), 1 + random.nextInt(10));
       List<Placed> placed = Placement.choose(demands, hosts, limits, PRICES, STRETCH, KEEP);
       assertTrue(placed.size() <= limits.orders());
-      assertTrue(placed.stream().mapToDouble(p -> byName.get(p.function()).memoryMb()).sum() / 1024 <= limits.gigabytes() + 1e-9);
+      assertTrue(placed.stream()
+                  .mapToDouble(p -> byName.get(p.function()).memoryMb())
+                  .sum()
+              / 1024
+          <= limits.gigabytes() + 1e-9);
       Set<String> once = new HashSet<>();
       for (Placed p : placed) {
         assertTrue(p.net() > 0);
         assertTrue(once.add(p.function() + " at " + p.host()));
-        assertTrue(p.number() == 1 || placed.stream().anyMatch(o -> o.function().equals(p.function()) && o.number() == p.number() - 1));
+        assertTrue(p.number() == 1
+            || placed.stream()
+                .anyMatch(o -> o.function().equals(p.function()) && o.number() == p.number() - 1));
       }
       for (Host h : hosts) {
-        List<Placed> here = placed.stream().filter(p -> p.host().equals(h.name())).toList();
+        List<Placed> here =
+            placed.stream().filter(p -> p.host().equals(h.name())).toList();
         assertTrue(here.size() <= h.loads());
-        assertTrue(here.stream().mapToDouble(p -> byName.get(p.function()).memoryMb()).sum() <= h.freeMb() + 1e-9);
+        assertTrue(
+            here.stream().mapToDouble(p -> byName.get(p.function()).memoryMb()).sum()
+                <= h.freeMb() + 1e-9);
         bound += here.size() == h.loads() ? 1 : 0;
       }
     }
