--- a/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
+++ b/decisions/src/test/java/gorseladder/placement/PlanMakerTest.java
@@ -16,8 +16,10 @@
 
 class PlanMakerTest {
   private static final Slots SLOTS = new Slots(96, 0, Map.of());
-  private static final Settings SETTINGS = new Settings(900, 10, 20, 50, new Prices(0.05, 0.002, 0));
-  private static final List<Host> HOSTS = IntStream.range(0, 6).mapToObj(i -> new Host("h" + i, 4_000, 9, 1)).toList();
+  private static final Settings SETTINGS =
+      new Settings(900, 10, 20, 50, new Prices(0.05, 0.002, 0));
+  private static final List<Host> HOSTS =
+      IntStream.range(0, 6).mapToObj(i -> new Host("h" + i, 4_000, 9, 1)).toList();
 
   /** Office hours: silent until slot 32, then busy until 72. */
   private static int office(long slot) {
@@ -41,12 +43,14 @@
     assertEquals(1, orders.size());
     Order o = orders.get(0);
     assertEquals("office", o.placed().function());
-    assertTrue(o.from() < -0.8 && o.from() > -30, "stands before the slot and not long: " + o.from());
+    assertTrue(
+        o.from() < -0.8 && o.from() > -30, "stands before the slot and not long: " + o.from());
     assertTrue(o.until() > 0);
     maker.observe(9 * 96 + 32, Map.of("office", 60));
     for (long slot = 9 * 96 + 33; slot < 9 * 96 + 72; slot++) {
       List<Order> warm = maker.plan(slot, Map.of("office", 60), 1, HOSTS);
-      assertTrue(warm.size() <= 1 && (warm.isEmpty() || warm.get(0).placed().net() < o.placed().net()));
+      assertTrue(warm.size() <= 1
+          && (warm.isEmpty() || warm.get(0).placed().net() < o.placed().net()));
       maker.observe(slot, Map.of("office", 60));
     }
   }
@@ -56,7 +60,9 @@
     assertEquals(List.of(), new PlanMaker(SLOTS, SETTINGS).plan(0, Map.of(), 1, HOSTS));
     PlanMaker maker = taught(9);
     maker.observe(9 * 96 + 32, Map.of("office", 60));
-    assertFalse(maker.plan(10 * 96 + 32, Map.of(), 1, HOSTS).isEmpty(), "a day of history is missing: what stands is not known");
+    assertFalse(
+        maker.plan(10 * 96 + 32, Map.of(), 1, HOSTS).isEmpty(),
+        "a day of history is missing: what stands is not known");
   }
 
   /** A forecast that is wrong by ten times loses its budget by itself and earns it back once it is right. */
@@ -66,14 +72,17 @@
     PlanMaker[] made = new PlanMaker[1];
     made[0] = new PlanMaker(SLOTS, SETTINGS, (f, slot) -> {
       boolean other = wrong[0] && slot % 2 == 1;
-      return wrong[0] ? new Expected(f, other ? 30 : 0, other ? 40 : 0, "wrong") : made[0].forecasts().expect(f, slot);
+      return wrong[0]
+          ? new Expected(f, other ? 30 : 0, other ? 40 : 0, "wrong")
+          : made[0].forecasts().expect(f, slot);
     });
     PlanMaker maker = made[0];
     maker.learn("f", new Facts(500, 2, 0.2, 0.8));
     int early = 0;
     int late = 0;
     for (long slot = 0; slot < 200; slot++) {
-      int orders = maker.plan(slot, Map.of("f", slot % 2 == 1 ? 6 : 0), 1, HOSTS).size();
+      int orders =
+          maker.plan(slot, Map.of("f", slot % 2 == 1 ? 6 : 0), 1, HOSTS).size();
       early += slot < 24 && slot % 2 == 1 ? orders : 0;
       late += slot >= 150 && slot % 2 == 1 ? orders : 0;
       maker.observe(slot, Map.of("f", slot % 2 == 0 ? 6 : 0));
@@ -86,6 +95,8 @@
       maker.plan(slot, Map.of("f", slot % 2 == 1 ? 6 : 0), 1, HOSTS);
       maker.observe(slot, Map.of("f", slot % 2 == 0 ? 6 : 0));
     }
-    assertTrue(maker.trust().any("f") > 0.7 && lost < 0.2, lost + " then " + maker.trust().any("f"));
+    assertTrue(
+        maker.trust().any("f") > 0.7 && lost < 0.2,
+        lost + " then " + maker.trust().any("f"));
   }
 }
--- a/decisions/src/test/java/gorseladder/repeats/RepeatsTest.java
+++ b/decisions/src/test/java/gorseladder/repeats/RepeatsTest.java
@@ -36,10 +36,18 @@
     RequestClass c = of(Effect.SAFE, Group.ALL);
     assertEquals(Deed.REPLAYED, Repeats.onDelivery(c, true, null, 0, PATIENCE).deed());
     assertEquals(Deed.RUN, Repeats.onDelivery(c, false, null, 0, PATIENCE).deed());
-    assertEquals(Deed.CONFLICT, judge(Effect.SAFE, Group.ALL, new Known(Phase.SERVED, false, true, 0, false), 0).deed());
-    assertEquals(Deed.JOIN, judge(Effect.UNSAFE, Group.ALL, new Known(Phase.LEAVING, true, true, 0, true), 0).deed());
-    assertEquals(Deed.ANSWER_AGAIN,
-        judge(Effect.UNSAFE, Group.ALL, new Known(Phase.SERVED, false, true, 0, true), 0).deed());
+    assertEquals(
+        Deed.CONFLICT,
+        judge(Effect.SAFE, Group.ALL, new Known(Phase.SERVED, false, true, 0, false), 0)
+            .deed());
+    assertEquals(
+        Deed.JOIN,
+        judge(Effect.UNSAFE, Group.ALL, new Known(Phase.LEAVING, true, true, 0, true), 0)
+            .deed());
+    assertEquals(
+        Deed.ANSWER_AGAIN,
+        judge(Effect.UNSAFE, Group.ALL, new Known(Phase.SERVED, false, true, 0, true), 0)
+            .deed());
   }
 
   @Test
@@ -49,22 +57,42 @@
     assertEquals(new Verdict(Deed.RUN, 2), judge(Effect.KEYED, Group.ALL, closed, 16));
     assertEquals(Deed.MAY_HAVE_RUN, judge(Effect.KEYED, Group.ALL, closed, 18).deed());
     assertEquals(Deed.MAY_HAVE_RUN, judge(Effect.KEYED, Group.ZONE, closed, 11).deed());
-    assertEquals(Deed.MAY_HAVE_RUN, judge(Effect.KEYED, Group.ALL, closed, 9).deed(), "the clock went back");
-    assertEquals(new Verdict(Deed.RUN, PATIENCE),
+    assertEquals(
+        Deed.MAY_HAVE_RUN, judge(Effect.KEYED, Group.ALL, closed, 9).deed(), "the clock went back");
+    assertEquals(
+        new Verdict(Deed.RUN, PATIENCE),
         judge(Effect.KEYED, Group.ZONE, new Known(Phase.CLOSED, false, false, 0, true), 11));
   }
 
   /** The life of one message: what the ledger has durably, whether this process holds it, and how often it ran. */
-  private record World(Phase phase, boolean mayHaveRun, long leftAt, boolean live, boolean sent, int runs, long firstRun,
-      long now, List<String> trace) {
-    World step(String what, Phase p, boolean ran, long left, boolean alive, boolean out, int count, long first, long t) {
+  private record World(
+      Phase phase,
+      boolean mayHaveRun,
+      long leftAt,
+      boolean live,
+      boolean sent,
+      int runs,
+      long firstRun,
+      long now,
+      List<String> trace) {
+    World step(
+        String what,
+        Phase p,
+        boolean ran,
+        long left,
+        boolean alive,
+        boolean out,
+        int count,
+        long first,
+        long t) {
       List<String> longer = new ArrayList<>(trace);
       longer.add(what);
       return new World(p, ran, left, alive, out, count, first, t, longer);
     }
 
     String key() {
-      return phase + " " + mayHaveRun + " " + leftAt + " " + live + " " + sent + " " + runs + " " + firstRun + " " + now;
+      return phase + " " + mayHaveRun + " " + leftAt + " " + live + " " + sent + " " + runs + " "
+          + firstRun + " " + now;
     }
   }
 
@@ -73,7 +101,9 @@
    * never runs twice, a keyed one never outside its window, where workers drop repeats within it.
    */
   @ParameterizedTest
-  @EnumSource(value = Effect.class, names = {"UNSAFE", "KEYED"})
+  @EnumSource(
+      value = Effect.class,
+      names = {"UNSAFE", "KEYED"})
   void noOrderOfEventsRunsAnEffectTwice(Effect effect) {
     ArrayDeque<World> open = new ArrayDeque<>();
     Set<String> seen = new HashSet<>();
@@ -94,29 +124,78 @@
   private static List<World> next(Effect effect, World w) {
     List<World> all = new ArrayList<>();
     long t = w.now();
-    all.add(w.step("time", w.phase(), w.mayHaveRun(), w.leftAt(), w.live(), w.sent(), w.runs(), w.firstRun(), t + 1));
+    all.add(w.step(
+        "time",
+        w.phase(),
+        w.mayHaveRun(),
+        w.leftAt(),
+        w.live(),
+        w.sent(),
+        w.runs(),
+        w.firstRun(),
+        t + 1));
     if (w.live()) {
-      all.add(w.step("kill", w.phase(), w.mayHaveRun(), w.leftAt(), false, w.sent(), w.runs(), w.firstRun(), t));
+      all.add(w.step(
+          "kill",
+          w.phase(),
+          w.mayHaveRun(),
+          w.leftAt(),
+          false,
+          w.sent(),
+          w.runs(),
+          w.firstRun(),
+          t));
       if (!w.sent() && w.phase() == Phase.ACCEPTED) {
         long left = w.mayHaveRun() ? w.leftAt() : t;
-        all.add(w.step("record", Phase.LEAVING, true, left, true, false, w.runs(), w.firstRun(), t));
-        all.add(w.step("refuse", Phase.CLOSED, w.mayHaveRun(), w.leftAt(), false, false, w.runs(), w.firstRun(), t));
+        all.add(
+            w.step("record", Phase.LEAVING, true, left, true, false, w.runs(), w.firstRun(), t));
+        all.add(w.step(
+            "refuse",
+            Phase.CLOSED,
+            w.mayHaveRun(),
+            w.leftAt(),
+            false,
+            false,
+            w.runs(),
+            w.firstRun(),
+            t));
       }
       if (w.phase() == Phase.LEAVING && !w.sent()) {
         all.add(w.step("send", w.phase(), true, w.leftAt(), true, true, w.runs(), w.firstRun(), t));
       }
       if (w.sent()) {
-        all.add(w.step("fail", Phase.CLOSED, true, w.leftAt(), false, true, w.runs(), w.firstRun(), t));
-        all.add(w.step("serve", Phase.SERVED, true, w.leftAt(), false, false, ran(effect, w), first(w), t));
+        all.add(
+            w.step("fail", Phase.CLOSED, true, w.leftAt(), false, true, w.runs(), w.firstRun(), t));
+        all.add(w.step(
+            "serve", Phase.SERVED, true, w.leftAt(), false, false, ran(effect, w), first(w), t));
       }
     } else if (w.sent()) {
-      all.add(w.step("runs unseen", w.phase(), w.mayHaveRun(), w.leftAt(), false, false, ran(effect, w), first(w), t));
+      all.add(w.step(
+          "runs unseen",
+          w.phase(),
+          w.mayHaveRun(),
+          w.leftAt(),
+          false,
+          false,
+          ran(effect, w),
+          first(w),
+          t));
     }
     if (!w.live()) {
-      Known known = w.phase() == null ? null : new Known(w.phase(), false, w.mayHaveRun(), w.leftAt(), true);
+      Known known =
+          w.phase() == null ? null : new Known(w.phase(), false, w.mayHaveRun(), w.leftAt(), true);
       Verdict v = judge(effect, Group.ALL, known, t);
       if (v.deed() == Deed.RUN) {
-        all.add(w.step("deliver", Phase.ACCEPTED, w.mayHaveRun(), w.leftAt(), true, false, w.runs(), w.firstRun(), t));
+        all.add(w.step(
+            "deliver",
+            Phase.ACCEPTED,
+            w.mayHaveRun(),
+            w.leftAt(),
+            true,
+            false,
+            w.runs(),
+            w.firstRun(),
+            t));
       }
     }
     return all;
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -62,26 +62,47 @@
     EdgeConfig config = new EdgeConfig(settings);
     Path directory = Path.of(settings.getDataDirectory());
     int stack = settings.getLimits().getStackBytes();
-    ledger = Ledger.open(directory.resolve("ledger"), settings.getLedger().getSync(),
+    ledger = Ledger.open(
+        directory.resolve("ledger"),
+        settings.getLedger().getSync(),
         settings.getLedger().getMaxMessages());
     try {
-      history = new CallHistory(History.open(directory.resolve("history"), new History.Bounds(
-          settings.getHistory().getSegmentBytes(), settings.getHistory().getFineMinutes(),
-          settings.getHistory().getMaxBytes())), stack);
+      history = new CallHistory(
+          History.open(
+              directory.resolve("history"),
+              new History.Bounds(
+                  settings.getHistory().getSegmentBytes(),
+                  settings.getHistory().getFineMinutes(),
+                  settings.getHistory().getMaxBytes())),
+          stack);
     } catch (IOException e) {
       ledger.close();
       throw e;
     }
     watchdog = new Watchdog("watchdog", stack);
-    runners = new Runners(config.runners(), ledger, new SendGate(config.rules(settings.getRules())), this::address,
+    runners = new Runners(
+        config.runners(),
+        ledger,
+        new SendGate(config.rules(settings.getRules())),
+        this::address,
         watchdog);
-    intake = new Intake(ledger, settings.getLimits().getMaxCalls(), settings.getLedger().getKeepS() * 1_000_000,
-        settings.getLedger().getMaxKeptAnswerBytes(), EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
+    intake = new Intake(
+        ledger,
+        settings.getLimits().getMaxCalls(),
+        settings.getLedger().getKeepS() * 1_000_000,
+        settings.getLedger().getMaxKeptAnswerBytes(),
+        EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
         new Hearer());
     RouterApi.Settings router = config.router();
     long seed = System.nanoTime() ^ settings.getOrdinal();
-    core = new Core<>(router, seed, new Hands(), settings.getLimits().getMaxCalls(), settings.hasPlanner(),
-        new RetryAdvice(router.limits().maxRetryAfter(), seed), CORE_STACK);
+    core = new Core<>(
+        router,
+        seed,
+        new Hands(),
+        settings.getLimits().getMaxCalls(),
+        settings.hasPlanner(),
+        new RetryAdvice(router.limits().maxRetryAfter(), seed),
+        CORE_STACK);
     runners.reportTo(new Runners.Hearer() {
       @Override
       public void attemptEnded(Core.AttemptEnd<TakenCall> end) {
@@ -96,15 +117,29 @@
       }
     });
     intake.admitTo(core);
-    list = new ListWatcher(Address.parse(settings.getWorkerList().getAddress()), settings.getWorkerList().getService(),
-        "gorseladder-edge/" + settings.getOrdinal(), settings.getWorkerList().getWaitMs(), directory.resolve("workers.json"), stack, new ListHearer());
-    planner = settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
-    front = new WebhookFront(config.webhooks(), new Door(config.admission()), intake, core, watchdog, log);
+    list = new ListWatcher(
+        Address.parse(settings.getWorkerList().getAddress()),
+        settings.getWorkerList().getService(),
+        "gorseladder-edge/" + settings.getOrdinal(),
+        settings.getWorkerList().getWaitMs(),
+        directory.resolve("workers.json"),
+        stack,
+        new ListHearer());
+    planner =
+        settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
+    front = new WebhookFront(
+        config.webhooks(), new Door(config.admission()), intake, core, watchdog, log);
     PeerLink link = null;
     HttpServer listening = null;
     try {
-      link = settings.hasPeers() ? new PeerLink(Address.parse(settings.getPeers().getListen()), settings.getOrdinal(),
-          settings.getPeers().getPeerList().stream().map(Address::parse).toList(), stack, core::peerMessage) : null;
+      link = settings.hasPeers()
+          ? new PeerLink(
+              Address.parse(settings.getPeers().getListen()),
+              settings.getOrdinal(),
+              settings.getPeers().getPeerList().stream().map(Address::parse).toList(),
+              stack,
+              core::peerMessage)
+          : null;
       list.start();
       listening = front.listen(Address.parse(settings.getListen()));
     } finally {
@@ -118,8 +153,12 @@
       planner.start();
     }
     tidyLater();
-    LOG.info("edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}", settings.getOrdinal(),
-        Address.print(address()), ledger.size(), ledger.boots());
+    LOG.info(
+        "edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}",
+        settings.getOrdinal(),
+        Address.print(address()),
+        ledger.size(),
+        ledger.boots());
   }
 
   /** Loads a settings file with all checks that an edge needs. */
@@ -215,8 +254,12 @@
     while (intake.inHand() + front.inProgress() > 0 && Clock.micros() < until) {
       Thread.sleep(5);
     }
-    LOG.info("edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}", settings.getOrdinal(),
-        intake.inHand(), counts(), runners.gateStory());
+    LOG.info(
+        "edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}",
+        settings.getOrdinal(),
+        intake.inHand(),
+        counts(),
+        runners.gateStory());
     close();
   }
 
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -33,33 +33,68 @@
   /** Throws IllegalArgumentException where a secret cannot check signatures. */
   static void checkSecret(String text) {
     if (!Secret.parse(text).canCheck()) {
-      throw new IllegalArgumentException("an endpoint needs the public key (whpk_), not the private one");
+      throw new IllegalArgumentException(
+          "an endpoint needs the public key (whpk_), not the private one");
     }
   }
 
   RouterApi.Settings router() {
     Runners r = s.getRunners();
     RuleFigures f = s.getRules();
-    return new RouterApi.Settings(s.getOrdinal(), s.getEdges(), s.getZone(), TICK, ms(r.getKeepAliveMs()),
-        r.getLoadsOnMiss(), false, 0, 1,
-        new RouterApi.Limits(r.getMaxAttempts(), r.getDuplicates(), r.getCancelling(), false,
-            s.getPeers().getPeerCount() > 0, r.getOrders(), true, ms(s.getLimits().getMaxRetryAfterMs()),
+    return new RouterApi.Settings(
+        s.getOrdinal(),
+        s.getEdges(),
+        s.getZone(),
+        TICK,
+        ms(r.getKeepAliveMs()),
+        r.getLoadsOnMiss(),
+        false,
+        0,
+        1,
+        new RouterApi.Limits(
+            r.getMaxAttempts(),
+            r.getDuplicates(),
+            r.getCancelling(),
+            false,
+            s.getPeers().getPeerCount() > 0,
+            r.getOrders(),
+            true,
+            ms(s.getLimits().getMaxRetryAfterMs()),
             ms(r.getOrderMs())),
-        rules(f), List.copyOf(classes().values()),
+        rules(f),
+        List.copyOf(classes().values()),
         s.getTenantList().stream()
-            .map(t -> new RouterApi.Tenant(t.getName(), t.getShare(), t.getQuotaPerS())).toList());
+            .map(t -> new RouterApi.Tenant(t.getName(), t.getShare(), t.getQuotaPerS()))
+            .toList());
   }
 
   RouterApi.Rules rules(RuleFigures f) {
-    return new RouterApi.Rules(ms(f.getDrainGraceMs()), f.getColdFrom(), ms(f.getColdMs()), f.getOverloadMultiple(),
-        ms(f.getOverloadMs()), f.getLoadsFree(), f.getLoadShare(), ms(f.getLoadWindowMs()));
+    return new RouterApi.Rules(
+        ms(f.getDrainGraceMs()),
+        f.getColdFrom(),
+        ms(f.getColdMs()),
+        f.getOverloadMultiple(),
+        ms(f.getOverloadMs()),
+        f.getLoadsFree(),
+        f.getLoadShare(),
+        ms(f.getLoadWindowMs()));
   }
 
   private Map<String, RequestClass> classes() {
     Map<String, RequestClass> classes = new LinkedHashMap<>();
-    s.getRequestClassList().forEach(c -> classes.put(c.getName(), new RequestClass(c.getName(),
-        RouterApi.Effect.valueOf(c.getEffect().name()), RouterApi.Group.valueOf(c.getGroup().name()),
-        ms(c.getRepeatWindowMs()), ms(c.getAimMs()), ms(c.getDeadlineMs()), c.getWorth(), c.getLateWorth(), false)));
+    s.getRequestClassList()
+        .forEach(c -> classes.put(
+            c.getName(),
+            new RequestClass(
+                c.getName(),
+                RouterApi.Effect.valueOf(c.getEffect().name()),
+                RouterApi.Group.valueOf(c.getGroup().name()),
+                ms(c.getRepeatWindowMs()),
+                ms(c.getAimMs()),
+                ms(c.getDeadlineMs()),
+                c.getWorth(),
+                c.getLateWorth(),
+                false)));
     return classes;
   }
 
@@ -69,35 +104,71 @@
     for (Endpoint e : s.getEndpointList()) {
       Map<String, WebhookSettings.Route> routes = new HashMap<>();
       e.getRouteList().forEach(r -> routes.put(r.getType(), route(r)));
-      endpoints.put(e.getPath(), new WebhookSettings.Endpoint(e.getPath(), e.getTenant(),
-          e.getSecretList().stream().map(Secret::parse).toList(), e.getToleranceS(), routes,
-          routes.values().stream().mapToLong(r -> r.requestClass().aim()).max().orElse(0)));
+      endpoints.put(
+          e.getPath(),
+          new WebhookSettings.Endpoint(
+              e.getPath(),
+              e.getTenant(),
+              e.getSecretList().stream().map(Secret::parse).toList(),
+              e.getToleranceS(),
+              routes,
+              routes.values().stream()
+                  .mapToLong(r -> r.requestClass().aim())
+                  .max()
+                  .orElse(0)));
     }
-    return new WebhookSettings(endpoints, new Networks(s.getAllowNetworkList()),
-        new HttpLimits(l.getMaxHeaderLine(), l.getMaxHeaderFields(), l.getMaxHeaderBytes(), l.getMaxBodyBytes()),
-        l.getMaxConnections(), ms(l.getRequestArrivalMs()), ms(l.getIdleMs()), ms(l.getAnswerWriteMs()),
-        l.getStackBytes(), classes().values().stream().mapToDouble(RequestClass::worth).filter(w -> w > 0).max().orElse(1));
+    return new WebhookSettings(
+        endpoints,
+        new Networks(s.getAllowNetworkList()),
+        new HttpLimits(
+            l.getMaxHeaderLine(),
+            l.getMaxHeaderFields(),
+            l.getMaxHeaderBytes(),
+            l.getMaxBodyBytes()),
+        l.getMaxConnections(),
+        ms(l.getRequestArrivalMs()),
+        ms(l.getIdleMs()),
+        ms(l.getAnswerWriteMs()),
+        l.getStackBytes(),
+        classes().values().stream()
+            .mapToDouble(RequestClass::worth)
+            .filter(w -> w > 0)
+            .max()
+            .orElse(1));
   }
 
   Admission admission() {
     Limits l = s.getLimits();
     Map<String, Double> shares = new HashMap<>();
     s.getTenantList().forEach(t -> shares.put(t.getName(), t.getShare()));
-    return s.getAdaptiveAdmission() ? new Admission(new Admission.Told(l.getMaxCalls(), shares, ms(l.getMaxRetryAfterMs())),
-        System.nanoTime() ^ s.getOrdinal()) : null;
+    return s.getAdaptiveAdmission()
+        ? new Admission(
+            new Admission.Told(l.getMaxCalls(), shares, ms(l.getMaxRetryAfterMs())),
+            System.nanoTime() ^ s.getOrdinal())
+        : null;
   }
 
   private WebhookSettings.Route route(Route r) {
-    var c = s.getRequestClassList().stream().filter(k -> k.getName().equals(r.getRequestClass())).findFirst()
+    var c = s.getRequestClassList().stream()
+        .filter(k -> k.getName().equals(r.getRequestClass()))
+        .findFirst()
         .orElseThrow();
-    return new WebhookSettings.Route(classes().get(c.getName()), r.getFunction(), c.getMemoryMb(), c.getLanes());
+    return new WebhookSettings.Route(
+        classes().get(c.getName()), r.getFunction(), c.getMemoryMb(), c.getLanes());
   }
 
   RunnerSettings runners() {
     Runners r = s.getRunners();
     int threads = s.getLimits().getMaxCalls() * (r.getDuplicates() ? 2 : 1) + 256;
-    return new RunnerSettings(s.getOrdinal(), ms(r.getConnectMs()), ms(r.getOrderMs()), ms(r.getConnectionIdleMs()),
-        ms(r.getUnsafeConnectionIdleMs()), r.getMaxAnswerBytes(), threads, s.getLimits().getStackBytes());
+    return new RunnerSettings(
+        s.getOrdinal(),
+        ms(r.getConnectMs()),
+        ms(r.getOrderMs()),
+        ms(r.getConnectionIdleMs()),
+        ms(r.getUnsafeConnectionIdleMs()),
+        r.getMaxAnswerBytes(),
+        threads,
+        s.getLimits().getStackBytes());
   }
 
   static long ms(long millis) {
--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -18,6 +18,7 @@
 public final class EdgeMain {
   /** Exit codes. */
   public static final int OK = 0;
+
   public static final int BAD_SETTINGS = 2;
   public static final int CANNOT_START = 3;
   private static final int KILLED = 143;
@@ -41,14 +42,16 @@
 
   /** Runs until a signal comes; one line of JSON on {@code out} says when it is ready and where. */
   public static int run(Path file, PrintStream out, PrintStream err) throws InterruptedException {
-    // Not by way of Edge: its class has a logger, and the settings decide how logging is set up.
+    // Not by way of Edge: its class has a logger, and the settings decide how logging is set
+    // up.
     SettingsFile loaded = SettingsFile.load(file, EdgeConfig::checkSecret);
     if (!loaded.faults().isEmpty()) {
       loaded.faults().forEach(err::println);
       return BAD_SETTINGS;
     }
     // Read by the logging's configuration, which must not be touched before.
-    System.setProperty("gorseladder.log.form", loaded.settings().getLog().getForm().name());
+    System.setProperty(
+        "gorseladder.log.form", loaded.settings().getLog().getForm().name());
     System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
     try (Edge edge = new Edge(loaded.settings())) {
       CountDownLatch stop = new CountDownLatch(1);
--- a/edge/src/main/java/gorseladder/edge/core/Door.java
+++ b/edge/src/main/java/gorseladder/edge/core/Door.java
@@ -16,6 +16,7 @@
 
   /** Null where no call is ever refused here. */
   private final Admission admission;
+
   private long ids;
   private long toldAt;
   private long toldRefusals;
@@ -88,7 +89,8 @@
    * @param longestAim the longest aim of the classes it may be of, in microseconds
    * @return null where it is refused
    */
-  public synchronized Pass enter(long message, String tenant, long longestAim, long waited, boolean remembered) {
+  public synchronized Pass enter(
+      long message, String tenant, long longestAim, long waited, boolean remembered) {
     Pass pass = new Pass(++ids, tenant, waited, remembered);
     if (admission == null) {
       return pass;
@@ -104,7 +106,9 @@
     long now = Clock.micros();
     boolean may = admission.mayEnter(call, now);
     if (!may && now >= toldAt + TELL_EVERY) {
-      LOG.warn("overloaded: {} calls refused since the last such line, {} wait to be sent", admission.refusals() - toldRefusals,
+      LOG.warn(
+          "overloaded: {} calls refused since the last such line, {} wait to be sent",
+          admission.refusals() - toldRefusals,
           admission.waiting());
       toldAt = now;
       toldRefusals = admission.refusals();
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -1,9 +1,9 @@
 package gorseladder.edge.core;
 
-import gorseladder.core.FinalAnswer;
-import gorseladder.core.Core;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
+import gorseladder.core.Core;
+import gorseladder.core.FinalAnswer;
 import gorseladder.repeats.Repeats;
 import gorseladder.repeats.Repeats.Verdict;
 import gorseladder.runtime.Clock;
@@ -33,8 +33,20 @@
   private static final int STRIPES = 256;
 
   /** What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is wall time. */
-  public record Delivery(String message, String request, long requestKeepUntil, RequestClass requestClass, String tenant,
-      String function, byte[] body, double memoryMb, int lanes, long loadTime, long arrivedAt, long patience, Door.Pass pass) {}
+  public record Delivery(
+      String message,
+      String request,
+      long requestKeepUntil,
+      RequestClass requestClass,
+      String tenant,
+      String function,
+      byte[] body,
+      double memoryMb,
+      int lanes,
+      long loadTime,
+      long arrivedAt,
+      long patience,
+      Door.Pass pass) {}
 
   /** What became of a delivery: a call to wait for, or an answer at once. */
   public record Result(TakenCall call, boolean joined, FinalAnswer answer) {}
@@ -55,6 +67,7 @@
   private final Map<String, TakenCall> live = new ConcurrentHashMap<>();
   /** Signed requests of calls that are out and on record with their end only. */
   private final Set<String> requestsOut = ConcurrentHashMap.newKeySet();
+
   private final Object[] stripes = new Object[STRIPES];
   private final AtomicLong ids = new AtomicLong();
   private volatile Core<TakenCall> core;
@@ -68,7 +81,8 @@
    * @param maxKept the longest answer kept for repeats, in bytes
    * @param reserve part of a client's patience kept back for writing the answer, in microseconds
    */
-  public Intake(Ledger ledger, int maxCalls, long keepMicros, int maxKept, long reserve, Hearer hearer) {
+  public Intake(
+      Ledger ledger, int maxCalls, long keepMicros, int maxKept, long reserve, Hearer hearer) {
     this.ledger = ledger;
     this.room = new Semaphore(maxCalls);
     this.keepMicros = keepMicros;
@@ -119,8 +133,12 @@
         TakenCall out = live.get(d.message());
         LedgerEntry known = out != null ? out.entry() : ledger.get(d.message());
         long wall = Clock.wallMicros();
-        Verdict verdict = Repeats.onDelivery(d.requestClass(), requestOut || ledger.seen(d.request()),
-            known == null ? null : known(known, out != null, content), wall, d.patience());
+        Verdict verdict = Repeats.onDelivery(
+            d.requestClass(),
+            requestOut || ledger.seen(d.request()),
+            known == null ? null : known(known, out != null, content),
+            wall,
+            d.patience());
         if (verdict.deed() != Repeats.Deed.RUN) {
           return turned(verdict, d, known, out);
         }
@@ -130,11 +148,27 @@
         if (!room.tryAcquire()) {
           return new Result(null, false, FinalAnswer.of(Reason.BUSY));
         }
-        LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, known != null && known.mayHaveRun(), wall,
-            known == null ? 0 : known.leftAt(), known == null ? wall + keepMicros : known.keepUntil(), content, "", 0, null);
+        LedgerEntry entry = new LedgerEntry(
+            Stage.ACCEPTED,
+            known != null && known.mayHaveRun(),
+            wall,
+            known == null ? 0 : known.leftAt(),
+            known == null ? wall + keepMicros : known.keepUntil(),
+            content,
+            "",
+            0,
+            null);
         boolean record = Repeats.recordAtTake(d.requestClass().effect());
-        call = new TakenCall(ids.incrementAndGet(), facts(d, verdict.mostTime(), known != null), ledger, entry,
-            record ? null : d.request(), d.requestKeepUntil(), maxKept, d.pass(), c -> ended(c, d.request()));
+        call = new TakenCall(
+            ids.incrementAndGet(),
+            facts(d, verdict.mostTime(), known != null),
+            ledger,
+            entry,
+            record ? null : d.request(),
+            d.requestKeepUntil(),
+            maxKept,
+            d.pass(),
+            c -> ended(c, d.request()));
         live.put(d.message(), call);
         if (record) {
           ticket = ledger.put(d.message(), entry, d.request(), d.requestKeepUntil());
@@ -161,17 +195,32 @@
   }
 
   private TakenCall.Facts facts(Delivery d, long mostTime, boolean repeat) {
-    return new TakenCall.Facts(d.message(), d.requestClass(), d.tenant(), d.function(), d.body(), d.memoryMb(), d.lanes(),
-        d.loadTime(), repeat, d.arrivedAt(), d.arrivedAt() + Math.max(1, Math.min(mostTime, d.patience()) - reserve));
+    return new TakenCall.Facts(
+        d.message(),
+        d.requestClass(),
+        d.tenant(),
+        d.function(),
+        d.body(),
+        d.memoryMb(),
+        d.lanes(),
+        d.loadTime(),
+        repeat,
+        d.arrivedAt(),
+        d.arrivedAt() + Math.max(1, Math.min(mostTime, d.patience()) - reserve));
   }
 
   private static Repeats.Known known(LedgerEntry entry, boolean out, byte[] content) {
-    return new Repeats.Known(Repeats.Phase.valueOf(entry.stage().name()), out, entry.mayHaveRun(), entry.leftAt(),
+    return new Repeats.Known(
+        Repeats.Phase.valueOf(entry.stage().name()),
+        out,
+        entry.mayHaveRun(),
+        entry.leftAt(),
         Arrays.equals(entry.content(), content));
   }
 
   /** A joined or repeated delivery's own signature is remembered too; whoever replays it later gets 409. */
-  private Result turned(Verdict verdict, Delivery d, LedgerEntry known, TakenCall out) throws LedgerException {
+  private Result turned(Verdict verdict, Delivery d, LedgerEntry known, TakenCall out)
+      throws LedgerException {
     if (verdict.deed() != Repeats.Deed.REPLAYED) {
       ledger.putRequest(d.request(), d.requestKeepUntil());
       ledger.soon();
@@ -181,7 +230,8 @@
     }
     return switch (verdict.deed()) {
       case JOIN -> new Result(out, true, null);
-      case ANSWER_AGAIN -> new Result(null, false, new FinalAnswer(Reason.SERVED_AGAIN, known.answer(), 0));
+      case ANSWER_AGAIN ->
+        new Result(null, false, new FinalAnswer(Reason.SERVED_AGAIN, known.answer(), 0));
       case REPLAYED -> new Result(null, false, FinalAnswer.of(Reason.REPLAYED));
       case CONFLICT -> new Result(null, false, FinalAnswer.of(Reason.CONFLICT));
       default -> new Result(null, false, FinalAnswer.of(Reason.FAILED_UNKNOWN_EFFECT));
@@ -204,7 +254,8 @@
     try {
       ledger.await(call.endTicket());
     } catch (LedgerException e) {
-      // The answer is given all the same: it is true, and after a kill the message counts as may have run.
+      // The answer is given all the same: it is true, and after a kill the message counts as
+      // may have run.
       LOG.error("{}", e.getMessage());
     }
   }
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -23,6 +23,7 @@
   private LedgerEntry entry;
   /** The signed request, where it is recorded with the end. */
   private final String request;
+
   private final long requestKeepUntil;
   private long endTicket;
   private int waiters = 1;
@@ -36,8 +37,16 @@
    * @param pass told when the call is first sent, and when it has ended
    * @param onEnd told once, when the call has its final answer
    */
-  public TakenCall(long id, Facts facts, Ledger ledger, LedgerEntry entry, String request, long requestKeepUntil, int maxKept,
-      Door.Pass pass, Consumer<TakenCall> onEnd) {
+  public TakenCall(
+      long id,
+      Facts facts,
+      Ledger ledger,
+      LedgerEntry entry,
+      String request,
+      long requestKeepUntil,
+      int maxKept,
+      Door.Pass pass,
+      Consumer<TakenCall> onEnd) {
     super(id, facts);
     this.request = request;
     this.requestKeepUntil = requestKeepUntil;
@@ -90,12 +99,16 @@
     try {
       present = ledger.get(facts().message());
     } catch (LedgerException e) {
-      // The record of its end stands: the sender's next try runs it again or hears that it may have run.
+      // The record of its end stands: the sender's next try runs it again or hears that it may
+      // have run.
       return;
     }
     FinalAnswer end = answer();
-    if (end != null && end.reason().kind != Reason.Kind.SERVED && present != null
-        && present.takenAt() == entry.takenAt() && present.stage() == Stage.CLOSED) {
+    if (end != null
+        && end.reason().kind != Reason.Kind.SERVED
+        && present != null
+        && present.takenAt() == entry.takenAt()
+        && present.stage() == Stage.CLOSED) {
       record(end, true, body, true);
       ledger.soon();
     }
@@ -104,12 +117,17 @@
   private void record(FinalAnswer end, boolean served, byte[] body, boolean mayHaveRun) {
     byte[] kept = body != null && body.length <= maxKept ? body : null;
     boolean keeps = served && (kept != null || body == null);
-    entry = entry.ended(keeps ? Stage.SERVED : Stage.CLOSED, served || mayHaveRun, end.reason().word(),
-        end.reason().status, kept);
+    entry = entry.ended(
+        keeps ? Stage.SERVED : Stage.CLOSED,
+        served || mayHaveRun,
+        end.reason().word(),
+        end.reason().status,
+        kept);
     try {
       endTicket = ledger.put(facts().message(), entry, request, requestKeepUntil);
     } catch (LedgerException e) {
-      // The record of its leaving stands: a repeat finds that it may have run, which is the safe side.
+      // The record of its leaving stands: a repeat finds that it may have run, which is the
+      // safe side.
       endTicket = 0;
     }
   }
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -32,7 +32,9 @@
   public void ended(TakenCall call) {
     FinalAnswer answer = call.answer();
     counts.get(answer.reason()).increment();
-    CALLS.atInfo().addKeyValue("id", call.facts().message())
+    CALLS
+        .atInfo()
+        .addKeyValue("id", call.facts().message())
         .addKeyValue("class", call.facts().requestClass().name())
         .addKeyValue("tenant", call.facts().tenant())
         .addKeyValue("function", call.facts().function())
@@ -46,8 +48,12 @@
   /** A delivery was answered from the ledger, without a call of its own. */
   public void answered(String message, Reason reason, long micros) {
     counts.get(reason).increment();
-    CALLS.atInfo().addKeyValue("id", message).addKeyValue("reason", reason.word())
-        .addKeyValue("ms", micros / 1000).log("not taken");
+    CALLS
+        .atInfo()
+        .addKeyValue("id", message)
+        .addKeyValue("reason", reason.word())
+        .addKeyValue("ms", micros / 1000)
+        .log("not taken");
   }
 
   /** A request was refused in a way that is told elsewhere; it is counted here. */
@@ -58,7 +64,11 @@
   /** A request was turned away before it could be a call. */
   public void rejected(InetSocketAddress peer, Reason reason, String detail) {
     counts.get(reason).increment();
-    CALLS.atInfo().addKeyValue("peer", peer).addKeyValue("reason", reason.word()).addKeyValue("detail", detail)
+    CALLS
+        .atInfo()
+        .addKeyValue("peer", peer)
+        .addKeyValue("reason", reason.word())
+        .addKeyValue("detail", detail)
         .log("rejected");
   }
 
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -3,8 +3,8 @@
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
 import gorseladder.core.Core;
-import gorseladder.edge.core.Door;
 import gorseladder.core.FinalAnswer;
+import gorseladder.edge.core.Door;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
@@ -43,13 +43,17 @@
   private static final Logger LOG = LoggerFactory.getLogger(WebhookFront.class);
   /** After what time a waiting thread first looks whether its client has left; each look is twice as long after the last. */
   private static final long LOOK = 50_000;
+
   private static final long MOST_LOOK = 400_000;
   /** How often a thread that holds a refusal back looks whether it still should. */
   private static final long HOLD_MILLIS = 100;
+
   private static final long SPREAD = 0x9E3779B97F4A7C15L;
   private static final long LINGER = 300_000;
-  private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-  private static final Pattern WAIT = Pattern.compile("(?:^|[,;\\s])wait=\"?([0-9]{1,6})\"?(?:$|[,;\\s])");
+  private static final byte[] CONTINUE =
+      "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final Pattern WAIT =
+      Pattern.compile("(?:^|[,;\\s])wait=\"?([0-9]{1,6})\"?(?:$|[,;\\s])");
 
   private final WebhookSettings settings;
   private final Intake intake;
@@ -62,7 +66,13 @@
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
-  public WebhookFront(WebhookSettings settings, Door door, Intake intake, Core<TakenCall> core, Watchdog watchdog, CallLog log) {
+  public WebhookFront(
+      WebhookSettings settings,
+      Door door,
+      Intake intake,
+      Core<TakenCall> core,
+      Watchdog watchdog,
+      CallLog log) {
     this.settings = settings;
     this.door = door;
     this.intake = intake;
@@ -109,7 +119,8 @@
       return;
     }
     Turnstile.Turn turn = turnstile.new Turn();
-    // Whoever has bytes to read and judge needs a turn, and has none while it waits for bytes, a record, an answer or a slow client.
+    // Whoever has bytes to read and judge needs a turn, and has none while it waits for bytes,
+    // a record, an answer or a slow client.
     c.aroundWaits(turn::give, turn::take);
     try {
       while (request(c, turn)) {
@@ -136,7 +147,7 @@
 
   /** Answers a request that cannot be read further, and closes so that the client still gets the answer. */
   private void reject(HttpConnection c, Reason reason, String detail) throws IOException {
-    c.aroundWaits(() -> { }, () -> { });
+    c.aroundWaits(() -> {}, () -> {});
     log.rejected(c.peer(), reason, detail);
     write(c, problem(FinalAnswer.of(reason), detail, false));
     c.closeGently(Clock.micros() + LINGER);
@@ -194,7 +205,11 @@
     if (answer.reason() == Reason.OVERLOADED) {
       hold();
     }
-    write(c, answer.reason().kind == Reason.Kind.SERVED ? served(answer, keep) : problem(answer, exchange.detail, keep));
+    write(
+        c,
+        answer.reason().kind == Reason.Kind.SERVED
+            ? served(answer, keep)
+            : problem(answer, exchange.detail, keep));
     return keep;
   }
 
@@ -209,7 +224,8 @@
     }
   }
 
-  private static void expectation(HttpConnection c, Head head, BodyParser body) throws IOException, BadMessage {
+  private static void expectation(HttpConnection c, Head head, BodyParser body)
+      throws IOException, BadMessage {
     String expect = head.get("expect");
     if (expect != null && !expect.equalsIgnoreCase("100-continue")) {
       throw new BadMessage(BadMessage.Fault.WRONG_EXPECTATION, Reason.WRONG_EXPECTATION.text);
@@ -256,21 +272,29 @@
       }
       Delivery delivery;
       try {
-        delivery = Delivery.of(head.get(Delivery.ID), head.get(Delivery.TIMESTAMP), head.get(Delivery.SIGNATURE));
+        delivery = Delivery.of(
+            head.get(Delivery.ID), head.get(Delivery.TIMESTAMP), head.get(Delivery.SIGNATURE));
       } catch (IllegalArgumentException e) {
         return no(Reason.BAD_SIGNATURE, e.getMessage());
       }
       String message = endpoint.path() + " " + delivery.id();
-      // Before the signature is checked: whoever is refused here costs little, and nothing of theirs is believed.
-      pass = door.enter(key(message, delivery), endpoint.tenant(), endpoint.longestAim(),
-          turn.waited(), intake.remembers(message));
+      // Before the signature is checked: whoever is refused here costs little, and nothing of
+      // theirs is believed.
+      pass = door.enter(
+          key(message, delivery),
+          endpoint.tenant(),
+          endpoint.longestAim(),
+          turn.waited(),
+          intake.remembers(message));
       if (pass == null) {
         return overloaded();
       }
       long wallSeconds = Clock.wallMicros() / 1_000_000;
-      Delivery.Check check = delivery.check(body, endpoint.secrets(), wallSeconds, endpoint.tolerance());
+      Delivery.Check check =
+          delivery.check(body, endpoint.secrets(), wallSeconds, endpoint.tolerance());
       if (check != Delivery.Check.GOOD) {
-        return no(check == Delivery.Check.STALE ? Reason.STALE_TIMESTAMP : Reason.BAD_SIGNATURE, null);
+        return no(
+            check == Delivery.Check.STALE ? Reason.STALE_TIMESTAMP : Reason.BAD_SIGNATURE, null);
       }
       try {
         return route(endpoint, message, delivery, Payload.parse(body));
@@ -285,26 +309,40 @@
       return new FinalAnswer(Reason.OVERLOADED, null, door.retryAfter() * 1_000_000L);
     }
 
-    private FinalAnswer route(Endpoint endpoint, String message, Delivery delivery, Payload payload) {
+    private FinalAnswer route(
+        Endpoint endpoint, String message, Delivery delivery, Payload payload) {
       Route route = endpoint.routes().get(payload.type());
-      String function = payload.function() != null || route == null ? payload.function() : route.function();
+      String function =
+          payload.function() != null || route == null ? payload.function() : route.function();
       if (route == null || function == null || function.isEmpty()) {
         return no(Reason.UNKNOWN_TYPE, route == null ? null : "the payload names no function");
       }
       RequestClass requestClass = route.requestClass();
-      boolean stays = pass.mayStay(key(message, delivery), requestClass.worth() / settings.topWorth(), requestClass.aim());
+      boolean stays = pass.mayStay(
+          key(message, delivery), requestClass.worth() / settings.topWorth(), requestClass.aim());
       // Another delivery of the message may have been taken meanwhile.
       if (!stays && !intake.remembers(message)) {
         return overloaded();
       }
-      // Remembered past the last moment at which the same time stamp could pass again, with the tolerance as slack.
+      // Remembered past the last moment at which the same time stamp could pass again, with the
+      // tolerance as slack.
       long keepRequest = (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000;
       long patience = Math.min(requestClass.deadline(), patience(head));
       turn.give();
-      Intake.Result result = intake.take(new Intake.Delivery(message,
-          Intake.requestKey(message, delivery.timestamp(), body), keepRequest, requestClass, endpoint.tenant(),
-          function, body, payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
-          payload.lanes() > 0 ? payload.lanes() : route.lanes(), payload.loadMillis() * 1000, arrivedAt, patience, pass));
+      Intake.Result result = intake.take(new Intake.Delivery(
+          message,
+          Intake.requestKey(message, delivery.timestamp(), body),
+          keepRequest,
+          requestClass,
+          endpoint.tenant(),
+          function,
+          body,
+          payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
+          payload.lanes() > 0 ? payload.lanes() : route.lanes(),
+          payload.loadMillis() * 1000,
+          arrivedAt,
+          patience,
+          pass));
       if (result.call() == null) {
         detail = result.answer().reason().text;
         log.answered(message, result.answer().reason(), Clock.micros() - arrivedAt);
@@ -322,7 +360,9 @@
     private FinalAnswer await(TakenCall call, boolean joined, long until) {
       try {
         long look = LOOK;
-        for (long now = Clock.micros(); now < until; now = Clock.micros(), look = Math.min(2 * look, MOST_LOOK)) {
+        for (long now = Clock.micros();
+            now < until;
+            now = Clock.micros(), look = Math.min(2 * look, MOST_LOOK)) {
           FinalAnswer answer = call.await(Math.min(until, now + look));
           if (answer != null) {
             intake.awaitRecord(call);
@@ -330,7 +370,8 @@
             return ownerLeft ? new FinalAnswer(Reason.FAILED_OVERDUE, null, 0) : answer;
           }
           if (c.peerGone()) {
-            if (call.waiterLeft() && call.finish(new FinalAnswer(Reason.GONE, null, 0), Clock.micros())) {
+            if (call.waiterLeft()
+                && call.finish(new FinalAnswer(Reason.GONE, null, 0), Clock.micros())) {
               core.clientGone(call);
             }
             return new FinalAnswer(Reason.GONE, null, 0);
@@ -360,8 +401,12 @@
 
   private static byte[] served(FinalAnswer answer, boolean keep) {
     byte[] body = answer.body() == null ? new byte[0] : answer.body();
-    return close(HeadWriter.response(200).field("Content-Type", "application/json")
-        .field("gorseladder-reason", answer.reason().word()), keep).with(body);
+    return close(
+            HeadWriter.response(200)
+                .field("Content-Type", "application/json")
+                .field("gorseladder-reason", answer.reason().word()),
+            keep)
+        .with(body);
   }
 
   private static byte[] problem(FinalAnswer answer, String detail, boolean keep) {
@@ -374,7 +419,8 @@
     if (detail != null && !detail.equals(reason.text)) {
       content.put("detail", detail);
     }
-    HeadWriter w = HeadWriter.response(reason.status).field("Content-Type", "application/problem+json")
+    HeadWriter w = HeadWriter.response(reason.status)
+        .field("Content-Type", "application/problem+json")
         .field("gorseladder-reason", reason.word());
     if (answer.retryAfter() > 0) {
       w.field("Retry-After", answer.retryAfterSeconds());
--- a/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
@@ -8,10 +8,23 @@
 import java.util.Map;
 
 /** What the webhook front is told; times in microseconds, the tolerance in seconds, the worth of the class worth most. */
-public record WebhookSettings(Map<String, Endpoint> endpoints, Networks allowed, HttpLimits limits, int maxConnections,
-    long arrival, long idle, long answerWrite, int stackBytes, double topWorth) {
+public record WebhookSettings(
+    Map<String, Endpoint> endpoints,
+    Networks allowed,
+    HttpLimits limits,
+    int maxConnections,
+    long arrival,
+    long idle,
+    long answerWrite,
+    int stackBytes,
+    double topWorth) {
   /** One path; the longest aim of its classes in microseconds. */
-  public record Endpoint(String path, String tenant, List<Secret> secrets, long tolerance, Map<String, Route> routes,
+  public record Endpoint(
+      String path,
+      String tenant,
+      List<Secret> secrets,
+      long tolerance,
+      Map<String, Route> routes,
       long longestAim) {}
 
   /** Which class takes an event type, and what a copy needs where the payload does not say. */
--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -61,13 +61,17 @@
     Key key = new Key(function, requestClass, tenant);
     Counts known = counts.get(key);
     if (known == null) {
-      known = counts.computeIfAbsent(counts.size() < MOST_KEYS ? key : new Key("", requestClass, tenant), k -> new Counts());
+      known = counts.computeIfAbsent(
+          counts.size() < MOST_KEYS ? key : new Key("", requestClass, tenant), k -> new Counts());
     }
     return known;
   }
 
   private Counts of(TakenCall call) {
-    return at(call.facts().function(), call.facts().requestClass().name(), call.facts().tenant());
+    return at(
+        call.facts().function(),
+        call.facts().requestClass().name(),
+        call.facts().tenant());
   }
 
   /** A call got its final answer. */
@@ -87,7 +91,7 @@
         case WARM -> c.found++;
         case BEGAN -> c.began++;
         case WAITED -> c.awaited++;
-        default -> { }
+        default -> {}
       }
     }
   }
@@ -127,8 +131,21 @@
   /** What cannot be written is lost to the history and said so; calls go on. */
   private void write(long minute) {
     List<HistoryRow> rows = new ArrayList<>();
-    take().forEach((k, c) -> rows.add(new HistoryRow(minute, 1, k.function(), k.requestClass(), k.tenant(), c.calls, c.found,
-        c.began, c.awaited, c.refused, c.failed, c.loads, c.loadMicros)));
+    take()
+        .forEach((k, c) -> rows.add(new HistoryRow(
+            minute,
+            1,
+            k.function(),
+            k.requestClass(),
+            k.tenant(),
+            c.calls,
+            c.found,
+            c.began,
+            c.awaited,
+            c.refused,
+            c.failed,
+            c.loads,
+            c.loadMicros)));
     if (rows.isEmpty()) {
       // Says that this edge ran: a minute without any row is one of which nothing is known.
       rows.add(new HistoryRow(minute, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -68,8 +68,14 @@
   private Thread thread;
 
   /** A watcher that starts with {@link #start()}. */
-  public ListWatcher(InetSocketAddress address, String service, String agent, long waitMillis, Path saved,
-      int stackBytes, Hearer hearer) {
+  public ListWatcher(
+      InetSocketAddress address,
+      String service,
+      String agent,
+      long waitMillis,
+      Path saved,
+      int stackBytes,
+      Hearer hearer) {
     this.address = address;
     this.service = service;
     this.agent = agent;
@@ -92,7 +98,8 @@
         entries = entries(Json.read(Files.readAllBytes(saved)));
       }
     } catch (IOException | IllegalArgumentException e) {
-      LOG.warn("the saved worker list {} cannot be read and is passed over: {}", saved, e.getMessage());
+      LOG.warn(
+          "the saved worker list {} cannot be read and is passed over: {}", saved, e.getMessage());
     }
     tell(ListKind.SAVED, entries, Clock.micros());
     thread = Threads.start("list", stackBytes, this::follow);
@@ -108,7 +115,8 @@
         }
       } catch (IOException | BadMessage | IllegalArgumentException e) {
         if (!stopped) {
-          LOG.warn("worker list at {}: {}; the old list stays", Address.print(address), e.toString());
+          LOG.warn(
+              "worker list at {}: {}; the old list stays", Address.print(address), e.toString());
         }
       }
       pause = pause(pause);
@@ -126,8 +134,12 @@
   }
 
   private boolean query(HttpConnection c) throws IOException, BadMessage {
-    c.write(HeadWriter.request("GET", "/v1/health/service/" + service + "?index=" + index + "&wait=" + waitMillis + "ms",
-        Address.print(address)).field("User-Agent", agent).with(new byte[0]));
+    c.write(HeadWriter.request(
+            "GET",
+            "/v1/health/service/" + service + "?index=" + index + "&wait=" + waitMillis + "ms",
+            Address.print(address))
+        .field("User-Agent", agent)
+        .with(new byte[0]));
     // Consul adds up to a sixteenth of the wait; a stalled connection is found soon after that.
     long until = Clock.micros() + (waitMillis + waitMillis / 16 + 2_000) * 1000;
     Head head = c.readResponse(until);
@@ -141,7 +153,8 @@
       throw new IOException("no X-Consul-Index");
     }
     boolean news = !next.equals(index);
-    // An index that goes backward, or is 0, says that the server lost its state: ask anew without one.
+    // An index that goes backward, or is 0, says that the server lost its state: ask anew
+    // without one.
     index = Long.parseLong(next) < Long.parseLong(index) || next.equals("0") ? "0" : next;
     if (news) {
       List<WorkerEntry> entries = entries(Json.read(body));
@@ -194,10 +207,15 @@
     if (!(port instanceof Double number)) {
       throw new IllegalArgumentException("no port at " + host);
     }
-    String id = Address.print(Address.parse((host.contains(":") ? "[" + host + "]" : host) + ":" + number.intValue()));
+    String id = Address.print(
+        Address.parse((host.contains(":") ? "[" + host + "]" : host) + ":" + number.intValue()));
     boolean draining = "draining".equals(Json.at(service, "Meta", "phase"));
-    return new WorkerEntry(id, text(Json.at(service, "Meta", "zone")), (int) number(Json.at(service, "Meta", "cell"), 0),
-        draining ? Phase.DRAINING : Phase.RUNNING, number(Json.at(service, "Meta", "weight"), 1),
+    return new WorkerEntry(
+        id,
+        text(Json.at(service, "Meta", "zone")),
+        (int) number(Json.at(service, "Meta", "cell"), 0),
+        draining ? Phase.DRAINING : Phase.RUNNING,
+        number(Json.at(service, "Meta", "weight"), 1),
         births.at(id, (long) number(Json.at(service, "Meta", "born"), 0)));
   }
 
@@ -207,7 +225,9 @@
 
   private static double number(Object value, double otherwise) {
     try {
-      return value instanceof String s ? Double.parseDouble(s) : value instanceof Double d ? d : otherwise;
+      return value instanceof String s
+          ? Double.parseDouble(s)
+          : value instanceof Double d ? d : otherwise;
     } catch (NumberFormatException e) {
       throw new IllegalArgumentException("not a number: " + value);
     }
--- a/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
+++ b/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
@@ -34,7 +34,12 @@
   private volatile long dropped;
 
   /** Opens the socket and begins to hear. */
-  public PeerLink(InetSocketAddress at, int ordinal, List<InetSocketAddress> peers, int stackBytes, Hearer hearer)
+  public PeerLink(
+      InetSocketAddress at,
+      int ordinal,
+      List<InetSocketAddress> peers,
+      int stackBytes,
+      Hearer hearer)
       throws IOException {
     this.socket = new DatagramSocket(at);
     this.ordinal = ordinal;
@@ -73,9 +78,12 @@
         socket.receive(packet);
         String text = new String(buffer, 0, packet.getLength(), StandardCharsets.UTF_8);
         int space = text.indexOf(' ', MARK.length());
-        if (known.contains(packet.getSocketAddress()) && text.startsWith(MARK) && space > 0
+        if (known.contains(packet.getSocketAddress())
+            && text.startsWith(MARK)
+            && space > 0
             && text.substring(MARK.length(), space).matches("[0-9]{1,6}")) {
-          hearer.heard(Integer.parseInt(text.substring(MARK.length(), space)), text.substring(space + 1));
+          hearer.heard(
+              Integer.parseInt(text.substring(MARK.length(), space)), text.substring(space + 1));
         } else {
           dropped++;
         }
--- a/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -52,6 +52,7 @@
   private static final int MOST_ROWS = 20_000;
   /** Records of loads ahead kept for a planner that is away; the oldest are dropped and the log says so. */
   private static final int MOST_LOADS = 20_000;
+
   private static final int MOST_BACKOFF = 6;
 
   private record Numbered(long number, Account.Entry entry, long orderedWall) {}
@@ -82,7 +83,8 @@
 
   /** Begins to ask. */
   public void start() {
-    thread = Threads.start("planner-link", Math.max(256 << 10, settings.getLimits().getStackBytes()), this::run);
+    thread = Threads.start(
+        "planner-link", Math.max(256 << 10, settings.getLimits().getStackBytes()), this::run);
   }
 
   private void run() {
@@ -97,7 +99,9 @@
           failures = 0;
         } catch (IOException | BadMessage | IllegalArgumentException e) {
           if (failures++ == 0 && !stopped) {
-            LOG.warn("the planner at {} does not answer ({}); the plan in hand runs out, calls go on", Address.print(address),
+            LOG.warn(
+                "the planner at {} does not answer ({}); the plan in hand runs out, calls go on",
+                Address.print(address),
                 e.toString());
           }
           drop();
@@ -126,21 +130,39 @@
     Collected collected = collect();
     History.Batch batch = history.read(from, MOST_ROWS);
     boolean caughtUp = batch.next() >= history.next();
-    Ask.Builder ask = Ask.newBuilder().setOrdinal(settings.getOrdinal()).setEdges(settings.getEdges()).setBoot(boot)
-        .setHistory(history.identity()).setAsked(from).setFrom(batch.from()).setNext(batch.next()).setCaughtUp(caughtUp)
-        .setEpoch(collected.epoch()).setVersion(collected.version());
+    Ask.Builder ask = Ask.newBuilder()
+        .setOrdinal(settings.getOrdinal())
+        .setEdges(settings.getEdges())
+        .setBoot(boot)
+        .setHistory(history.identity())
+        .setAsked(from)
+        .setFrom(batch.from())
+        .setNext(batch.next())
+        .setCaughtUp(caughtUp)
+        .setEpoch(collected.epoch())
+        .setVersion(collected.version());
     for (HistoryRow row : batch.rows()) {
       ask.addRow(ByteString.copyFrom(row.toBytes()));
     }
     untold = collected.seen();
-    collected.seen().forEach((f, s) -> ask.addSeen(gorseladder.config.exchange.Seen.newBuilder().setFunction(f).setCalls(s.calls())
-        .setMemoryMb(s.memoryMb()).setLanes(s.lanes()).setWorkUs((long) s.work()).setLoadUs((long) s.load())));
-    collected.workers().forEach(w -> ask.addWorker(Worker.newBuilder().setName(w.worker()).setWeight(w.weight())));
+    collected
+        .seen()
+        .forEach((f, s) -> ask.addSeen(gorseladder.config.exchange.Seen.newBuilder()
+            .setFunction(f)
+            .setCalls(s.calls())
+            .setMemoryMb(s.memoryMb())
+            .setLanes(s.lanes())
+            .setWorkUs((long) s.work())
+            .setLoadUs((long) s.load())));
+    collected
+        .workers()
+        .forEach(w -> ask.addWorker(Worker.newBuilder().setName(w.worker()).setWeight(w.weight())));
     loads.forEach(l -> ask.addLoad(print(l)));
     Answer answer = exchange(ask.build().toByteArray());
     untold = Map.of();
     loads.removeIf(l -> l.number() <= answer.getLoadsKept());
-    boolean moved = !answer.getHistory().equals(history.identity()) || answer.getWant() != batch.next();
+    boolean moved =
+        !answer.getHistory().equals(history.identity()) || answer.getWant() != batch.next();
     from = answer.getHistory().equals(history.identity()) ? answer.getWant() : 0;
     if (answer.hasPlan()) {
       core.planned(plan(answer.getPlan(), Clock.micros()));
@@ -161,7 +183,9 @@
         loads.addLast(new Numbered(++loadNumber, e, e.orderedAt() + ago));
       }
       if (loads.size() > MOST_LOADS) {
-        LOG.warn("{} records of loads ahead are dropped: no planner took them", loads.size() - MOST_LOADS);
+        LOG.warn(
+            "{} records of loads ahead are dropped: no planner took them",
+            loads.size() - MOST_LOADS);
         while (loads.size() > MOST_LOADS) {
           loads.removeFirst();
         }
@@ -174,9 +198,19 @@
 
   private static LoadAhead print(Numbered l) {
     Account.Entry e = l.entry();
-    return LoadAhead.newBuilder().setNumber(l.number()).setWorker(e.worker()).setFunction(e.function()).setOrderedAt(l.orderedWall())
-        .setLoadUs(e.loadMicros()).setMegabyteSeconds(e.megabyteSeconds()).setRenewals(e.renewals()).setFound(e.found())
-        .setSavedUs(e.savedMicros()).setPushedOut(e.pushedOut()).setPushedUs(e.pushedMicros()).build();
+    return LoadAhead.newBuilder()
+        .setNumber(l.number())
+        .setWorker(e.worker())
+        .setFunction(e.function())
+        .setOrderedAt(l.orderedWall())
+        .setLoadUs(e.loadMicros())
+        .setMegabyteSeconds(e.megabyteSeconds())
+        .setRenewals(e.renewals())
+        .setFound(e.found())
+        .setSavedUs(e.savedMicros())
+        .setPushedOut(e.pushedOut())
+        .setPushedUs(e.pushedMicros())
+        .build();
   }
 
   private Answer exchange(byte[] body) throws IOException, BadMessage {
@@ -186,10 +220,12 @@
       c = HttpConnection.open(address, CONNECT_MILLIS, HttpLimits.INNER);
       connection = c;
     }
-    c.write(HeadWriter.request("POST", "/v1/exchange", Address.print(address)).field("Content-Type", "application/x-protobuf")
+    c.write(HeadWriter.request("POST", "/v1/exchange", Address.print(address))
+        .field("Content-Type", "application/x-protobuf")
         .with(body));
     Head head = c.readResponse(Clock.micros() + ANSWER_MICROS);
-    byte[] content = c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), Clock.micros() + ANSWER_MICROS);
+    byte[] content =
+        c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), Clock.micros() + ANSWER_MICROS);
     if (head.status() != 200) {
       throw new IOException("status " + head.status());
     }
@@ -202,8 +238,17 @@
 
   private static Plan plan(gorseladder.config.exchange.Plan p, long now) {
     List<Plan.Item> items = new ArrayList<>();
-    p.getItemList().forEach(i -> items.add(new Plan.Item(i.getWorker(), i.getFunction(), i.getCopies(), i.getLanes(),
-        now + i.getFromMs() * 1000, now + i.getUntilMs() * 1000, i.getLoadUs(), i.getMemoryMb(), i.getMine())));
+    p.getItemList()
+        .forEach(i -> items.add(new Plan.Item(
+            i.getWorker(),
+            i.getFunction(),
+            i.getCopies(),
+            i.getLanes(),
+            now + i.getFromMs() * 1000,
+            now + i.getUntilMs() * 1000,
+            i.getLoadUs(),
+            i.getMemoryMb(),
+            i.getMine())));
     return new Plan(p.getEpoch(), p.getVersion(), now + p.getLivesMs() * 1000, items);
   }
 
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -72,7 +72,11 @@
   private record Kept(HttpConnection connection, long since) {}
 
   /** Runner connections by these settings; {@code addresses} gives the socket address of a worker id. */
-  public Runners(RunnerSettings settings, Ledger ledger, SendGate gate, Function<String, InetSocketAddress> addresses,
+  public Runners(
+      RunnerSettings settings,
+      Ledger ledger,
+      SendGate gate,
+      Function<String, InetSocketAddress> addresses,
       Watchdog watchdog) {
     this.settings = settings;
     this.limits = new HttpLimits(16_384, 100, 65_536, settings.maxAnswerBytes());
@@ -262,7 +266,8 @@
         w.field(Oip.LOAD_TIME, f.loadTime() / 1000);
       }
       if (f.requestClass().effect() == Effect.KEYED) {
-        w.field("Idempotency-Key", "\"" + f.message().replace("\"", "%22").replace("\\", "%5C") + "\"");
+        w.field(
+            "Idempotency-Key", "\"" + f.message().replace("\"", "%22").replace("\\", "%5C") + "\"");
       }
       return w.with(Oip.request(f.message(), f.body()));
     }
@@ -283,7 +288,8 @@
         try {
           result = Oip.content(body).data();
         } catch (IllegalArgumentException e) {
-          LOG.warn("runner {} answered what is not an inference response: {}", worker, e.getMessage());
+          LOG.warn(
+              "runner {} answered what is not an inference response: {}", worker, e.getMessage());
           outcome = Outcome.ERROR;
         }
       }
@@ -306,19 +312,23 @@
         return all.isEmpty() ? null : all;
       });
       Note note = head == null ? Note.NONE : note(head.get(Oip.COPY));
-      Map<String, Double> load = head == null ? Map.of() : LoadReport.parse(head.get(LoadReport.HEADER));
-      hearer.attemptEnded(new AttemptEnd<>(call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
+      Map<String, Double> load =
+          head == null ? Map.of() : LoadReport.parse(head.get(LoadReport.HEADER));
+      hearer.attemptEnded(new AttemptEnd<>(
+          call, number, outcome, result, note, head == null ? -1 : crowd(head), load));
     }
   }
 
   private static Note note(String copy) {
-    return copy == null ? Note.NONE : switch (copy) {
-      case "found" -> Note.WARM;
-      case "began" -> Note.BEGAN;
-      case "awaited" -> Note.WAITED;
-      case "load-failed" -> Note.LOAD_FAILED;
-      default -> Note.NONE;
-    };
+    return copy == null
+        ? Note.NONE
+        : switch (copy) {
+          case "found" -> Note.WARM;
+          case "began" -> Note.BEGAN;
+          case "awaited" -> Note.WAITED;
+          case "load-failed" -> Note.LOAD_FAILED;
+          default -> Note.NONE;
+        };
   }
 
   private static int crowd(Head head) {
@@ -330,33 +340,40 @@
     Progress progress = Progress.CONNECTING;
     long until = began + settings.order();
     InetSocketAddress address = addresses.apply(worker);
-    try (HttpConnection connection = address == null ? null
-        : HttpConnection.open(address, settings.connect() / 1000, limits)) {
+    try (HttpConnection connection =
+        address == null ? null : HttpConnection.open(address, settings.connect() / 1000, limits)) {
       boolean open;
       synchronized (gate) {
         open = connection != null && gate.orderMayLeave(worker, Clock.micros());
       }
       if (!open) {
-        return loaded(worker, function, 0, connection == null ? Outcome.CONNECT_FAILED : Outcome.MOOT, began);
+        return loaded(
+            worker, function, 0, connection == null ? Outcome.CONNECT_FAILED : Outcome.MOOT, began);
       }
       progress = Progress.LEAVING;
       connection.write(HeadWriter.request("POST", Oip.loadTarget(function), worker)
-          .field("Content-Type", "application/json").field("Connection", "close").field(Oip.EDGE, settings.edge())
+          .field("Content-Type", "application/json")
+          .field("Connection", "close")
+          .field(Oip.EDGE, settings.edge())
           .with(Oip.loadRequest(copies)));
       Head head = connection.readResponse(until);
       byte[] body = connection.readBody(BodyParser.forResponse(head, limits), until);
-      Outcome outcome = AttemptFate.of(Progress.ANSWERING, Ending.RESPONSE, head.status(),
-          "no".equals(head.get(Oip.RAN)));
-      return loaded(worker, function, Oip.copiesIn(outcome == Outcome.OK ? body : NOTHING), outcome, began);
+      Outcome outcome = AttemptFate.of(
+          Progress.ANSWERING, Ending.RESPONSE, head.status(), "no".equals(head.get(Oip.RAN)));
+      return loaded(
+          worker, function, Oip.copiesIn(outcome == Outcome.OK ? body : NOTHING), outcome, began);
     } catch (SocketTimeoutException e) {
-      return loaded(worker, function, 0, AttemptFate.of(progress, Ending.TIMED_OUT, 0, false), began);
+      return loaded(
+          worker, function, 0, AttemptFate.of(progress, Ending.TIMED_OUT, 0, false), began);
     } catch (IOException | BadMessage | IllegalArgumentException e) {
       return loaded(worker, function, 0, AttemptFate.of(progress, Ending.BROKEN, 0, false), began);
     }
   }
 
-  private static Loaded loaded(String worker, String function, int copies, Outcome outcome, long began) {
-    return new Loaded(worker, function, outcome == Outcome.OK ? copies : 0, outcome, Clock.micros() - began);
+  private static Loaded loaded(
+      String worker, String function, int copies, Outcome outcome, long began) {
+    return new Loaded(
+        worker, function, outcome == Outcome.OK ? copies : 0, outcome, Clock.micros() - began);
   }
 
   /** The newest kept connection that this call may use and whose other side still stands; null where there is none. */
@@ -371,8 +388,10 @@
         return null;
       }
       long age = Clock.micros() - newest.since();
-      if (ConnectionChoice.mayReuse(effect, age, settings.connectionIdle(), settings.unsafeConnectionIdle())
-          && !newest.connection().peerGone() && !newest.connection().hasUnreadBytes()) {
+      if (ConnectionChoice.mayReuse(
+              effect, age, settings.connectionIdle(), settings.unsafeConnectionIdle())
+          && !newest.connection().peerGone()
+          && !newest.connection().hasUnreadBytes()) {
         return newest.connection();
       }
       boolean onlyTooOldForThis = effect == Effect.UNSAFE
@@ -395,7 +414,9 @@
   private void giveBack(String worker, HttpConnection connection, Head head, Effect effect) {
     ArrayDeque<Kept> kept = idle.computeIfAbsent(worker, w -> new ArrayDeque<>());
     synchronized (kept) {
-      if (head.keepsConnection() && !connection.hasUnreadBytes() && ConnectionChoice.mayKeep(effect, kept.size())) {
+      if (head.keepsConnection()
+          && !connection.hasUnreadBytes()
+          && ConnectionChoice.mayKeep(effect, kept.size())) {
         keep(kept, new Kept(connection, Clock.micros()));
         return;
       }
@@ -408,8 +429,9 @@
     long now = Clock.micros();
     idle.forEach((worker, kept) -> {
       synchronized (kept) {
-        while (!kept.isEmpty() && (addresses.apply(worker) == null
-            || now - kept.peekFirst().since() >= settings.connectionIdle())) {
+        while (!kept.isEmpty()
+            && (addresses.apply(worker) == null
+                || now - kept.peekFirst().since() >= settings.connectionIdle())) {
           kept.pollFirst().connection().close();
         }
       }
--- a/edge/src/test/java/gorseladder/edge/ExampleTest.java
+++ b/edge/src/test/java/gorseladder/edge/ExampleTest.java
@@ -24,7 +24,8 @@
     Path example = Path.of("..", "examples", "edge.txtpb");
     assertEquals(List.of(), Edge.load(example).faults());
     String text = Files.readString(example);
-    String own = text.replace("127.0.0.1:8080", "127.0.0.1:0").replace("/var/lib/gorseladder/edge-0", dir.resolve("data").toString());
+    String own = text.replace("127.0.0.1:8080", "127.0.0.1:0")
+        .replace("/var/lib/gorseladder/edge-0", dir.resolve("data").toString());
     assertTrue(own.contains(dir.toString()) && !own.contains("8080"));
     SettingsFile settings = Edge.load(Files.writeString(dir.resolve("edge.txtpb"), own));
     assertEquals(List.of(), settings.faults());
--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -1,6 +1,5 @@
 package gorseladder.edge.core;
 
-import gorseladder.core.FinalAnswer;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +9,7 @@
 import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
+import gorseladder.core.FinalAnswer;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
@@ -46,10 +46,19 @@
   }
 
   private TakenCall call(String message, boolean ranBefore) throws IOException {
-    LedgerEntry entry = new LedgerEntry(Stage.ACCEPTED, ranBefore, 5, ranBefore ? 3 : 0, 1L << 60, new byte[16], "", 0, null);
+    LedgerEntry entry = new LedgerEntry(
+        Stage.ACCEPTED, ranBefore, 5, ranBefore ? 3 : 0, 1L << 60, new byte[16], "", 0, null);
     ledger.put(message, entry);
-    return new TakenCall(1, new TakenCall.Facts(message, ISSUE, "", "f", new byte[0], 1, 1, 0, false, 0, 3_000), ledger,
-        entry, null, 0, 100, new Door(null).enter(1, "", 0, 0, false), c -> ends.incrementAndGet());
+    return new TakenCall(
+        1,
+        new TakenCall.Facts(message, ISSUE, "", "f", new byte[0], 1, 1, 0, false, 0, 3_000),
+        ledger,
+        entry,
+        null,
+        0,
+        100,
+        new Door(null).enter(1, "", 0, 0, false),
+        c -> ends.incrementAndGet());
   }
 
   @Test
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedEdge.java
@@ -40,7 +40,8 @@
 
   /** What befell a call, told once, at its final answer. */
   interface Judge {
-    void ended(Drawn function, RequestClass requestClass, long arrivedAt, Outcome outcome, boolean cold);
+    void ended(
+        Drawn function, RequestClass requestClass, long arrivedAt, Outcome outcome, boolean cold);
 
     /** Something was held against a rule. */
     void judged(String rule);
@@ -85,13 +86,19 @@
   private final Map<String, Long> notRunning = new HashMap<>();
   private final ArrayDeque<Long> taken = new ArrayDeque<>();
   private final ArrayDeque<Long> ordered = new ArrayDeque<>();
-  private Consumer<String> peers = text -> { };
+  private Consumer<String> peers = text -> {};
   private long ids;
   private boolean looking;
   private boolean holding;
 
-  EmulatedEdge(Settings settings, long seed, Agenda agenda, long network, Function<String, EmulatedRunner> runners,
-      Function<String, Drawn> functions, Judge judge) {
+  EmulatedEdge(
+      Settings settings,
+      long seed,
+      Agenda agenda,
+      long network,
+      Function<String, EmulatedRunner> runners,
+      Function<String, Drawn> functions,
+      Judge judge) {
     this.settings = settings;
     this.agenda = agenda;
     this.network = network;
@@ -133,8 +140,17 @@
     held.put(id, h);
     seen.taken(f.name(), f.memoryMb(), f.lanes());
     taken.addLast(agenda.now());
-    tell(new Request(id, h.requestClass.name(), "", f.name(), h.requestClass.deadline(), 0, f.memoryMb(), f.lanes(),
-        (long) f.loadMicros(), false));
+    tell(new Request(
+        id,
+        h.requestClass.name(),
+        "",
+        f.name(),
+        h.requestClass.deadline(),
+        0,
+        f.memoryMb(),
+        f.lanes(),
+        (long) f.loadMicros(),
+        false));
     agenda.after(h.requestClass.deadline(), () -> {
       if (!h.over) {
         judge.broken("rule 1: no answer within the deadline");
@@ -198,7 +214,10 @@
     h.out++;
     agenda.after(network, () -> {
       if (!attempt.ended) {
-        attempt.number = attempt.runner.call(h.function, h.work, settings.loadsOnMiss(),
+        attempt.number = attempt.runner.call(
+            h.function,
+            h.work,
+            settings.loadsOnMiss(),
             result -> agenda.after(network, () -> answered(a.id(), h, number, result)));
       }
     });
@@ -224,7 +243,15 @@
     if (settles) {
       over(id, h, Outcome.OK);
     }
-    tell(new Answer(id, number, attempt.runner.name(), r.outcome(), settles, latency, r.note(), r.crowd(),
+    tell(new Answer(
+        id,
+        number,
+        attempt.runner.name(),
+        r.outcome(),
+        settles,
+        latency,
+        r.note(),
+        r.crowd(),
         Map.of("inFlight", (double) r.held())));
     release(id, h);
   }
@@ -235,7 +262,13 @@
     if (attempt.number >= 0) {
       agenda.after(network, () -> attempt.runner.cancel(attempt.number));
     }
-    agenda.after(0, () -> answered(a.id(), h, a.attempt(), new EmulatedRunner.Result(Outcome.CANCELLED, Note.NONE, -1, 0)));
+    agenda.after(
+        0,
+        () -> answered(
+            a.id(),
+            h,
+            a.attempt(),
+            new EmulatedRunner.Result(Outcome.CANCELLED, Note.NONE, -1, 0)));
   }
 
   private void load(Load a) {
@@ -246,15 +279,19 @@
       ahead.ordered(a.worker(), a.function(), began);
     }
     EmulatedRunner runner = runners.apply(a.worker());
-    agenda.after(network, () -> runner.order(functions.apply(a.function()), a.copies(),
-        (outcome, copies) -> agenda.after(network, () -> {
-          long latency = agenda.now() - began;
-          if (outcome == Outcome.OK) {
-            seen.loaded(a.function(), latency);
-          }
-          ahead.loaded(a.worker(), a.function(), outcome, latency, agenda.now());
-          tell(new Loaded(a.worker(), a.function(), copies, outcome, latency));
-        })));
+    agenda.after(
+        network,
+        () -> runner.order(
+            functions.apply(a.function()),
+            a.copies(),
+            (outcome, copies) -> agenda.after(network, () -> {
+              long latency = agenda.now() - began;
+              if (outcome == Outcome.OK) {
+                seen.loaded(a.function(), latency);
+              }
+              ahead.loaded(a.worker(), a.function(), outcome, latency, agenda.now());
+              tell(new Loaded(a.worker(), a.function(), copies, outcome, latency));
+            })));
   }
 
   private void inRation() {
@@ -271,7 +308,8 @@
     while (!taken.isEmpty() && taken.peekFirst() <= agenda.now() - window) {
       taken.removeFirst();
     }
-    if (ordered.size() > settings.rules().loadsFree() + settings.rules().loadShare() * taken.size()) {
+    if (ordered.size()
+        > settings.rules().loadsFree() + settings.rules().loadShare() * taken.size()) {
       judge.broken("rule 5: an order beyond the ration");
     }
   }
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -59,20 +59,30 @@
     this.slot = day / e.getSlots();
     this.outcomes = new Outcomes(agenda, e.getTeachDays() * day, this::inSurge);
     this.workload = new Workload(e, recording);
-    this.archive = new EmulatedArchive(agenda, e.getArchive().getAtOnce(), e.getArchive().getMost());
+    this.archive =
+        new EmulatedArchive(agenda, e.getArchive().getAtOnce(), e.getArchive().getMost());
     this.planner = e.getAhead().getMode() == Mode.NONE ? null : new EmulatedPlanner(e);
     for (int i = 0; i < e.getFleet().getRunners(); i++) {
-      double speed = e.getFleet().getSpeedFrom() + random.nextDouble() * (e.getFleet().getSpeedTo() - e.getFleet().getSpeedFrom());
-      EmulatedRunner r = new EmulatedRunner("runner-" + i, agenda, e.getFleet(), speed, e.getArchive().getFetchPart(), archive);
+      double speed = e.getFleet().getSpeedFrom()
+          + random.nextDouble() * (e.getFleet().getSpeedTo() - e.getFleet().getSpeedFrom());
+      EmulatedRunner r = new EmulatedRunner(
+          "runner-" + i, agenda, e.getFleet(), speed, e.getArchive().getFetchPart(), archive);
       runners.put(r.name(), r);
       list.put(r.name(), new WorkerEntry(r.name(), "zone", 0, Phase.RUNNING, 1, 0));
     }
     for (int i = 0; i < e.getEdges().getCount(); i++) {
-      EmulatedEdge edge = new EmulatedEdge(settings(i), random.nextLong(), agenda, (long) (e.getFleet().getNetworkMs() * 1000),
-          runners::get, workload::function, outcomes);
+      EmulatedEdge edge = new EmulatedEdge(
+          settings(i),
+          random.nextLong(),
+          agenda,
+          (long) (e.getFleet().getNetworkMs() * 1000),
+          runners::get,
+          workload::function,
+          outcomes);
       int number = i;
-      edge.tellPeersBy(text -> edges.stream().filter(o -> o != edge).forEach(o -> agenda.after(1_000,
-          () -> o.tell(new PeerMessage(number, text)))));
+      edge.tellPeersBy(text -> edges.stream()
+          .filter(o -> o != edge)
+          .forEach(o -> agenda.after(1_000, () -> o.tell(new PeerMessage(number, text)))));
       edges.add(edge);
     }
   }
@@ -94,7 +104,13 @@
    * @param recording null for the settings' own calls
    */
   public static Outcomes run(Emulation emulation, Recording recording, DoubleConsumer progress) {
-    Emulation e = recording == null ? emulation : emulation.toBuilder().setDays(recording.days()).setDayS(86_400).clearSurge().build();
+    Emulation e = recording == null
+        ? emulation
+        : emulation.toBuilder()
+            .setDays(recording.days())
+            .setDayS(86_400)
+            .clearSurge()
+            .build();
     check(e);
     EmulatedFleet fleet = new EmulatedFleet(e, recording);
     fleet.play(progress);
@@ -106,15 +122,26 @@
     require(e.getPopulationCount() > 0, "population: at least one is needed");
     require(e.getDays() > e.getTeachDays() && e.getTeachDays() >= 0, "days: more than teach_days");
     require(e.getSlots() >= 1 && e.getSlots() <= 1440, "slots: 1 to 1440");
-    require(e.getDayS() / e.getSlots() >= 5 * e.getFleet().getKeepAliveMs() / 1000.0, "day_s: a slot lasts five keep-alives or more");
-    require(e.getFleet().getRunners() >= 1 && e.getFleet().getCores() >= 1, "fleet: runners and cores of 1 or more");
-    require(e.getFleet().getSpeedFrom() > 0 && e.getFleet().getSpeedTo() >= e.getFleet().getSpeedFrom(), "fleet: speeds above 0");
+    require(
+        e.getDayS() / e.getSlots() >= 5 * e.getFleet().getKeepAliveMs() / 1000.0,
+        "day_s: a slot lasts five keep-alives or more");
+    require(
+        e.getFleet().getRunners() >= 1 && e.getFleet().getCores() >= 1,
+        "fleet: runners and cores of 1 or more");
+    require(
+        e.getFleet().getSpeedFrom() > 0
+            && e.getFleet().getSpeedTo() >= e.getFleet().getSpeedFrom(),
+        "fleet: speeds above 0");
     require(e.getEdges().getCount() >= 1, "edges: count of 1 or more");
     require(e.getArchive().getAtOnce() > 0, "archive: at_once above 0");
-    e.getSurgeList().forEach(s -> require(e.getPopulationList().stream().anyMatch(p -> p.getName().equals(s.getPopulation())),
-        "surge: there is no population " + s.getPopulation()));
-    e.getPopulationList().forEach(p -> require(p.getFunctions() >= 1 && p.getLanes() >= 1 && p.getCallsPerS() > 0,
-        "population " + p.getName() + ": functions, lanes and calls_per_s above 0"));
+    e.getSurgeList()
+        .forEach(s -> require(
+            e.getPopulationList().stream().anyMatch(p -> p.getName().equals(s.getPopulation())),
+            "surge: there is no population " + s.getPopulation()));
+    e.getPopulationList()
+        .forEach(p -> require(
+            p.getFunctions() >= 1 && p.getLanes() >= 1 && p.getCallsPerS() > 0,
+            "population " + p.getName() + ": functions, lanes and calls_per_s above 0"));
   }
 
   private static void require(boolean holds, String what) {
@@ -125,13 +152,40 @@
 
   private Settings settings(int ordinal) {
     Edges s = e.getEdges();
-    List<RequestClass> classes = e.getCallClassList().stream().map(c -> new RequestClass(c.getName(),
-        Effect.valueOf(c.getEffect().name()), Group.ALL, 0, c.getAimMs() * 1000, c.getDeadlineMs() * 1000, c.getWorth(), LATE, false))
+    List<RequestClass> classes = e.getCallClassList().stream()
+        .map(c -> new RequestClass(
+            c.getName(),
+            Effect.valueOf(c.getEffect().name()),
+            Group.ALL,
+            0,
+            c.getAimMs() * 1000,
+            c.getDeadlineMs() * 1000,
+            c.getWorth(),
+            LATE,
+            false))
         .toList();
-    return new Settings(ordinal, s.getCount(), "zone", TICK, e.getFleet().getKeepAliveMs() * 1000, s.getLoadsOnMiss(), false, 0, 1,
+    return new Settings(
+        ordinal,
+        s.getCount(),
+        "zone",
+        TICK,
+        e.getFleet().getKeepAliveMs() * 1000,
+        s.getLoadsOnMiss(),
+        false,
+        0,
+        1,
         new Limits(4, false, e.getFleet().getCancelling(), false, true, true, false, 0, 10_000_000),
-        new Rules(s.getDrainGraceMs() * 1000, 0.16, 18_000_000, 2.5, 1_500_000, s.getLoadsFree(), s.getLoadShare(),
-            s.getLoadWindowMs() * 1000), classes, List.of());
+        new Rules(
+            s.getDrainGraceMs() * 1000,
+            0.16,
+            18_000_000,
+            2.5,
+            1_500_000,
+            s.getLoadsFree(),
+            s.getLoadShare(),
+            s.getLoadWindowMs() * 1000),
+        classes,
+        List.of());
   }
 
   private void play(DoubleConsumer progress) {
@@ -153,7 +207,8 @@
     agenda.runUntil(slots * slot + 20_000_000);
     edges.forEach(edge -> settle(edge));
     outcomes.fetches = archive.done();
-    outcomes.aheadOrders = edges.stream().mapToLong(edge -> edge.ahead().orders()).sum();
+    outcomes.aheadOrders =
+        edges.stream().mapToLong(edge -> edge.ahead().orders()).sum();
     outcomes.events = agenda.done();
   }
 
@@ -173,7 +228,10 @@
   private boolean inSurge(long at, Drawn f) {
     for (Surge s : e.getSurgeList()) {
       long begins = s.getDay() * day + (long) (s.getHour() / 24 * day);
-      if (s.getComes() && s.getPopulation().equals(f.population()) && at >= begins && at < begins + FIRST_MINUTE) {
+      if (s.getComes()
+          && s.getPopulation().equals(f.population())
+          && at >= begins
+          && at < begins + FIRST_MINUTE) {
         return true;
       }
     }
@@ -181,7 +239,8 @@
   }
 
   private void slotOver(long number) {
-    List<Map<String, Seen.Of>> seen = edges.stream().map(edge -> edge.seen().take()).toList();
+    List<Map<String, Seen.Of>> seen =
+        edges.stream().map(edge -> edge.seen().take()).toList();
     if (planner != null) {
       planner.slotOver(number, seen);
     }
@@ -198,8 +257,10 @@
   }
 
   private void makePlan(long forSlot) {
-    List<Host> hosts = list.values().stream().filter(w -> w.phase() == Phase.RUNNING)
-        .map(w -> new Host(w.worker(), e.getAhead().getMemoryMb(), Integer.MAX_VALUE, 1)).toList();
+    List<Host> hosts = list.values().stream()
+        .filter(w -> w.phase() == Phase.RUNNING)
+        .map(w -> new Host(w.worker(), e.getAhead().getMemoryMb(), Integer.MAX_VALUE, 1))
+        .toList();
     List<Plan> plans = planner.plan(forSlot, agenda.now(), hosts, edges.size());
     for (int i = 0; i < plans.size(); i++) {
       EmulatedEdge edge = edges.get(i);
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -38,11 +38,18 @@
         dates.put(s.getToldDay() >= 0 ? s.getToldDay() : s.getDay(), s.getDate());
       }
     }
-    // Of what one plan may order, the archive of the emulation serves so many loads a second alone.
+    // Of what one plan may order, the archive of the emulation serves so many loads a second
+    // alone.
     double archive = e.getArchive().getAtOnce() / 0.5;
-    this.maker = new PlanMaker(new Slots(e.getSlots(), 0, dates),
-        new PlanMaker.Settings(slotSeconds, e.getFleet().getKeepAliveMs() / 1000.0, archive, a.getOrdersPerPlan(),
-            new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice(), a.getOrderPrice())), this::foresee);
+    this.maker = new PlanMaker(
+        new Slots(e.getSlots(), 0, dates),
+        new PlanMaker.Settings(
+            slotSeconds,
+            e.getFleet().getKeepAliveMs() / 1000.0,
+            archive,
+            a.getOrdersPerPlan(),
+            new Prices(a.getFetchPrice(), a.getGigabyteSecondPrice(), a.getOrderPrice())),
+        this::foresee);
   }
 
   private Forecasts.Expected foresee(String function, long slot) {
@@ -52,7 +59,8 @@
       of = all.get((all.indexOf(function) + all.size() / 2 + 1) % all.size());
     }
     Forecasts.Expected x = maker.forecasts().expect(of, slot + a.getShiftedSlots());
-    return new Forecasts.Expected(function, x.mean() * a.getTimes(), x.upper() * a.getTimes(), x.by());
+    return new Forecasts.Expected(
+        function, x.mean() * a.getTimes(), x.upper() * a.getTimes(), x.by());
   }
 
   void arrived(String function) {
@@ -76,7 +84,8 @@
     }
     counts = new HashMap<>();
     for (Map<String, Seen.Of> edge : seen) {
-      edge.forEach((f, s) -> maker.learn(f, new PlanMaker.Facts(s.memoryMb(), s.lanes(), s.work() / 1e6, s.load() / 1e6)));
+      edge.forEach((f, s) -> maker.learn(
+          f, new PlanMaker.Facts(s.memoryMb(), s.lanes(), s.work() / 1e6, s.load() / 1e6)));
     }
     if (!away((slot + 1) * slotSeconds)) {
       unread.forEach(maker::observe);
@@ -94,7 +103,8 @@
     if (away(now / 1e6)) {
       return List.of();
     }
-    List<PlanMaker.Order> orders = maker.plan(slot, counts, (slotSeconds - lead()) / slotSeconds, hosts);
+    List<PlanMaker.Order> orders =
+        maker.plan(slot, counts, (slotSeconds - lead()) / slotSeconds, hosts);
     List<Schedule.Timed> holds = schedule.add(slot * slotSeconds, orders, now / 1e6);
     long until = (long) ((slot + 1) * slotSeconds * 1e6);
     version++;
@@ -104,8 +114,16 @@
       for (Schedule.Timed t : holds) {
         PlanMaker.Order o = t.order();
         boolean mine = Math.floorMod(o.placed().function().hashCode(), edges) == edge;
-        items.add(new Plan.Item(o.placed().host(), o.placed().function(), 1, o.facts().lanes(), (long) (t.from() * 1e6),
-            (long) (t.until() * 1e6), (long) (o.facts().loadSeconds() * 1e6), o.facts().memoryMb(), mine));
+        items.add(new Plan.Item(
+            o.placed().host(),
+            o.placed().function(),
+            1,
+            o.facts().lanes(),
+            (long) (t.from() * 1e6),
+            (long) (t.until() * 1e6),
+            (long) (o.facts().loadSeconds() * 1e6),
+            o.facts().memoryMb(),
+            mine));
       }
       plans.add(new Plan(1, version, until, items));
     }
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
@@ -92,7 +92,13 @@
   private boolean up = true;
   private int numbers;
 
-  EmulatedRunner(String name, Agenda agenda, Fleet fleet, double speed, double fetchPart, EmulatedArchive archive) {
+  EmulatedRunner(
+      String name,
+      Agenda agenda,
+      Fleet fleet,
+      double speed,
+      double fetchPart,
+      EmulatedArchive archive) {
     this.name = name;
     this.agenda = agenda;
     this.fleet = fleet;
@@ -124,14 +130,22 @@
     }
     Note note = s.copies > 0 ? Note.WARM : s.loading > 0 ? Note.WAITED : Note.BEGAN;
     int[] mine = {number};
-    Call c = new Call(function, work, result -> {
-      calls.remove(mine[0]);
-      hearer.ended(result);
-    }, crowd, note);
+    Call c = new Call(
+        function,
+        work,
+        result -> {
+          calls.remove(mine[0]);
+          hearer.ended(result);
+        },
+        crowd,
+        note);
     calls.put(number, c);
     s.queue.addLast(c);
     serve(s);
-    if (!c.runs && loadsOnMiss && s.queue.size() > (s.copies + s.loading) * function.lanes() && !load(s, s.copies > 0)
+    if (!c.runs
+        && loadsOnMiss
+        && s.queue.size() > (s.copies + s.loading) * function.lanes()
+        && !load(s, s.copies > 0)
         && s.copies + s.loading == 0) {
       s.queue.remove(c);
       end(c, Outcome.FULL);
@@ -140,7 +154,8 @@
   }
 
   private void end(Call c, Outcome outcome) {
-    c.hearer.ended(new Result(outcome, outcome == Outcome.OK ? c.note : Note.NONE, c.crowd, calls.size() - 1));
+    c.hearer.ended(
+        new Result(outcome, outcome == Outcome.OK ? c.note : Note.NONE, c.crowd, calls.size() - 1));
   }
 
   /** Ends a call whose caller does not wait any more; nobody hears of it. */
@@ -222,8 +237,13 @@
     if (usedMb + need <= fleet.getMemoryMb()) {
       return true;
     }
-    List<Copies> idle = sets.values().stream().filter(s -> s.idle() > 0).sorted(Comparator.comparingLong(s -> s.lastUsed)).toList();
-    double free = fleet.getMemoryMb() - usedMb + idle.stream().mapToDouble(s -> s.idle() * s.function.memoryMb()).sum();
+    List<Copies> idle = sets.values().stream()
+        .filter(s -> s.idle() > 0)
+        .sorted(Comparator.comparingLong(s -> s.lastUsed))
+        .toList();
+    double free = fleet.getMemoryMb()
+        - usedMb
+        + idle.stream().mapToDouble(s -> s.idle() * s.function.memoryMb()).sum();
     if (free < need) {
       return false;
     }
@@ -240,11 +260,14 @@
     loads.add(l);
     double micros = l.set.function.loadMicros();
     int mine = life;
-    boolean taken = archive.fetch(l, micros * fetchPart, () -> agenda.after((long) (micros * (1 - fetchPart)), () -> {
-      if (mine == life) {
-        loaded(l);
-      }
-    }));
+    boolean taken = archive.fetch(
+        l,
+        micros * fetchPart,
+        () -> agenda.after((long) (micros * (1 - fetchPart)), () -> {
+          if (mine == life) {
+            loaded(l);
+          }
+        }));
     if (!taken) {
       agenda.after(1000, () -> {
         if (mine == life) {
@@ -298,7 +321,11 @@
     long used = s.lastUsed;
     int mine = life;
     agenda.after(keep, () -> {
-      if (mine == life && s.lastUsed == used && s.running == 0 && s.queue.isEmpty() && s.copies > 0) {
+      if (mine == life
+          && s.lastUsed == used
+          && s.running == 0
+          && s.queue.isEmpty()
+          && s.copies > 0) {
         usedMb -= s.copies * s.function.memoryMb();
         s.copies = 0;
       }
--- a/emulator/src/main/java/gorseladder/emulator/Experiment.java
+++ b/emulator/src/main/java/gorseladder/emulator/Experiment.java
@@ -29,7 +29,10 @@
 /** A grid of emulations over seeds, run side by side; tables with intervals, and plots. All figures are simulated. */
 public final class Experiment {
   /** Two-sided 95 % points of Student's distribution for 1 to 10 degrees of freedom; beyond, the normal's. */
-  private static final double[] STUDENT = {12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23};
+  private static final double[] STUDENT = {
+    12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23
+  };
+
   private static final double NORMAL = 1.96;
 
   /** What is compared. */
@@ -41,11 +44,15 @@
     P99("p99", "ms", o -> o.latencyMillis(99)),
     FETCHES("fetches", "fetches a call", o -> o.fetches() / (double) Math.max(1, o.calls())),
     AHEAD("orders of plans", "orders", o -> (double) o.aheadOrders()),
-    WASTED("of them wasted", "part of the loads ahead", o -> o.balance().wasted() / (double) Math.max(1, o.balance().loads())),
+    WASTED(
+        "of them wasted",
+        "part of the loads ahead",
+        o -> o.balance().wasted() / (double) Math.max(1, o.balance().loads())),
     SAVED("waiting saved", "s", o -> o.balance().saved()),
     PUSHED("waiting caused by what was pushed out", "s", o -> o.balance().pushed()),
     HELD("held ahead", "GB s", o -> o.balance().gigabyteSeconds()),
-    BROKEN("broken rules", "times", o -> (double) o.broken().values().stream().mapToLong(Long::longValue).sum());
+    BROKEN("broken rules", "times", o ->
+        (double) o.broken().values().stream().mapToLong(Long::longValue).sum());
 
     private final String title;
     private final String unit;
@@ -81,7 +88,9 @@
       cells.clear();
       before.forEach((name, e) -> {
         for (Choice c : axis.getChoiceList()) {
-          cells.put(name.isEmpty() ? c.getName() : name + ", " + c.getName(), e.toBuilder().mergeFrom(c.getSet()).build());
+          cells.put(
+              name.isEmpty() ? c.getName() : name + ", " + c.getName(),
+              e.toBuilder().mergeFrom(c.getSet()).build());
         }
       });
     }
@@ -117,15 +126,22 @@
     ExecutorService threads = Executors.newFixedThreadPool(atOnce);
     Map<String, List<Future<Outcomes>>> running = new LinkedHashMap<>();
     int parts = 100;
-    try (ProgressBar bar = new ProgressBarBuilder().setTaskName("emulating").setUpdateIntervalMillis(500)
-        .setInitialMax((long) cells.size() * settings.getSeedCount() * parts).build()) {
-      cells.forEach((name, e) -> running.put(name, settings.getSeedList().stream().map(seed -> threads.submit(() -> {
-        int[] told = {0};
-        return EmulatedFleet.run(e.toBuilder().setSeed(seed).build(), done -> {
-          bar.stepBy((int) (done * parts) - told[0]);
-          told[0] = (int) (done * parts);
-        });
-      })).toList()));
+    try (ProgressBar bar = new ProgressBarBuilder()
+        .setTaskName("emulating")
+        .setUpdateIntervalMillis(500)
+        .setInitialMax((long) cells.size() * settings.getSeedCount() * parts)
+        .build()) {
+      cells.forEach((name, e) -> running.put(
+          name,
+          settings.getSeedList().stream()
+              .map(seed -> threads.submit(() -> {
+                int[] told = {0};
+                return EmulatedFleet.run(e.toBuilder().setSeed(seed).build(), done -> {
+                  bar.stepBy((int) (done * parts) - told[0]);
+                  told[0] = (int) (done * parts);
+                });
+              }))
+              .toList()));
       for (Map.Entry<String, List<Future<Outcomes>>> e : running.entrySet()) {
         List<Outcomes> all = new ArrayList<>();
         for (Future<Outcomes> f : e.getValue()) {
@@ -157,13 +173,20 @@
 
   /** Draws one measure as bars with intervals. */
   public void plot(Measure m, Path png) throws IOException {
-    CategoryChart chart = new CategoryChartBuilder().width(1000).height(520).title(m.title() + " (simulated)").yAxisTitle(m.title())
+    CategoryChart chart = new CategoryChartBuilder()
+        .width(1000)
+        .height(520)
+        .title(m.title() + " (simulated)")
+        .yAxisTitle(m.title())
         .build();
     chart.getStyler().setLegendPosition(LegendPosition.InsideNE).setLegendVisible(false);
     chart.getStyler().setXAxisLabelRotation(20);
     List<String> names = List.copyOf(results.keySet());
     List<Double> means = names.stream().map(n -> interval(n, m).mean()).toList();
-    List<Double> halves = names.stream().map(n -> interval(n, m).half()).map(h -> h.isNaN() ? 0 : h).toList();
+    List<Double> halves = names.stream()
+        .map(n -> interval(n, m).half())
+        .map(h -> h.isNaN() ? 0 : h)
+        .toList();
     chart.addSeries(m.title(), names, means, halves);
     BitmapEncoder.saveBitmap(chart, png.toString(), BitmapFormat.PNG);
   }
--- a/emulator/src/main/java/gorseladder/emulator/Outcomes.java
+++ b/emulator/src/main/java/gorseladder/emulator/Outcomes.java
@@ -110,7 +110,8 @@
   }
 
   @Override
-  public void ended(Drawn function, RequestClass c, long arrivedAt, Outcome outcome, boolean wasCold) {
+  public void ended(
+      Drawn function, RequestClass c, long arrivedAt, Outcome outcome, boolean wasCold) {
     if (arrivedAt < from) {
       return;
     }
@@ -123,7 +124,8 @@
     cold += wasCold ? 1 : 0;
     surgeCalls += surge ? 1 : 0;
     surgeCold += surge && wasCold ? 1 : 0;
-    long[] f = byFunction.computeIfAbsent(function.population().equals("once") ? "once" : function.name(), n -> new long[2]);
+    long[] f = byFunction.computeIfAbsent(
+        function.population().equals("once") ? "once" : function.name(), n -> new long[2]);
     f[0]++;
     f[1] += wasCold ? 1 : 0;
     if (outcome == Outcome.OK) {
--- a/emulator/src/main/java/gorseladder/emulator/Recording.java
+++ b/emulator/src/main/java/gorseladder/emulator/Recording.java
@@ -48,7 +48,9 @@
   Map<Long, List<Entry>> between(double from, double until) {
     long first = minutes.isEmpty() ? 0 : minutes.firstKey() / DAY * DAY;
     Map<Long, List<Entry>> out = new TreeMap<>();
-    minutes.subMap(first + (long) Math.ceil(from / 60), true, first + (long) Math.ceil(until / 60), false)
+    minutes
+        .subMap(
+            first + (long) Math.ceil(from / 60), true, first + (long) Math.ceil(until / 60), false)
         .forEach((m, all) -> out.put(m - first, all));
     return out;
   }
--- a/emulator/src/main/java/gorseladder/emulator/SharedRate.java
+++ b/emulator/src/main/java/gorseladder/emulator/SharedRate.java
@@ -70,7 +70,9 @@
       least = Math.min(least, w.left);
     }
     if (!all.isEmpty()) {
-      agenda.after((long) Math.ceil(Math.max(0, least) / rate.applyAsDouble(all.size())), () -> finish(mine));
+      agenda.after(
+          (long) Math.ceil(Math.max(0, least) / rate.applyAsDouble(all.size())),
+          () -> finish(mine));
     }
   }
 
--- a/emulator/src/main/java/gorseladder/emulator/Workload.java
+++ b/emulator/src/main/java/gorseladder/emulator/Workload.java
@@ -15,6 +15,7 @@
 final class Workload {
   /** The office day, and what is left of a rate outside of it and at weekends. */
   private static final double OPENS = 8;
+
   private static final double CLOSES = 17;
   private static final double NIGHT = 0.01;
   private static final double WEEKEND = 0.2;
@@ -22,7 +23,13 @@
   /** A call to come. */
   record Arrival(long at, Drawn function, double work) {}
 
-  private record Member(Population population, int index, Drawn function, Drawn renamed, double share, double phase) {}
+  private record Member(
+      Population population,
+      int index,
+      Drawn function,
+      Drawn renamed,
+      double share,
+      double phase) {}
 
   private final Emulation e;
   private final Random random;
@@ -52,9 +59,16 @@
       }
       for (int i = 0; i < p.getFunctions(); i++) {
         Drawn f = draw(p, p.getName() + "-" + i, number++ % e.getCallClassCount());
-        Drawn renamed = new Drawn(f.name() + "-new", f.population(), f.requestClass(), f.memoryMb(), f.lanes(), f.workMicros(),
+        Drawn renamed = new Drawn(
+            f.name() + "-new",
+            f.population(),
+            f.requestClass(),
+            f.memoryMb(),
+            f.lanes(),
+            f.workMicros(),
             f.loadMicros());
-        members.add(new Member(p, i, f, renamed, Math.pow(i + 1, -p.getZipf()) / sum, random.nextDouble()));
+        members.add(
+            new Member(p, i, f, renamed, Math.pow(i + 1, -p.getZipf()) / sum, random.nextDouble()));
         functions.put(f.name(), f);
         functions.put(renamed.name(), renamed);
       }
@@ -66,8 +80,14 @@
   }
 
   private Drawn draw(Population p, String name, int requestClass) {
-    return new Drawn(name, p.getName(), requestClass, between(p.getMemoryFromMb(), p.getMemoryToMb()), p.getLanes(),
-        1000 * between(p.getWorkFromMs(), p.getWorkToMs()), 1000 * between(p.getLoadFromMs(), p.getLoadToMs()));
+    return new Drawn(
+        name,
+        p.getName(),
+        requestClass,
+        between(p.getMemoryFromMb(), p.getMemoryToMb()),
+        p.getLanes(),
+        1000 * between(p.getWorkFromMs(), p.getWorkToMs()),
+        1000 * between(p.getLoadFromMs(), p.getLoadToMs()));
   }
 
   /** The function of that name, or null. */
@@ -89,10 +109,14 @@
     int number = (int) (time / day);
     double rate = p.getCallsPerS() * m.share();
     if (p.getShape() == Shape.OFFICE) {
-      rate *= (hour >= OPENS && hour < CLOSES ? 1 - 0.6 * Math.abs(hour - 12.5) / 4.5 : NIGHT) * (number % 7 >= 5 ? WEEKEND : 1);
+      rate *= (hour >= OPENS && hour < CLOSES ? 1 - 0.6 * Math.abs(hour - 12.5) / 4.5 : NIGHT)
+          * (number % 7 >= 5 ? WEEKEND : 1);
     }
     for (Surge s : e.getSurgeList()) {
-      boolean on = s.getComes() && s.getPopulation().equals(p.getName()) && s.getDay() == number && hour >= s.getHour()
+      boolean on = s.getComes()
+          && s.getPopulation().equals(p.getName())
+          && s.getDay() == number
+          && hour >= s.getHour()
           && hour < s.getHour() + s.getHours();
       rate *= on ? s.getTimes() : 1;
     }
@@ -113,7 +137,9 @@
       Drawn f = renamed ? m.renamed() : m.function();
       if (p.getShape() == Shape.TIMER) {
         double period = 1e6 / (p.getCallsPerS() * m.share());
-        for (double at = Math.ceil(from / period - m.phase()) * period + m.phase() * period; at < until; at += period) {
+        for (double at = Math.ceil(from / period - m.phase()) * period + m.phase() * period;
+            at < until;
+            at += period) {
           all.add(new Arrival((long) at, f, work(f)));
         }
         continue;
@@ -131,12 +157,14 @@
 
   /** Calls of a recorded minute come at times drawn evenly over it. */
   private void recorded(long from, long until, List<Arrival> all) {
-    recording.between(from / 1e6, until / 1e6).forEach((minute, entries) -> entries.forEach(entry -> {
-      Drawn f = functions.get(entry.function());
-      for (long i = 0; i < entry.calls(); i++) {
-        all.add(new Arrival((long) ((minute + random.nextDouble()) * 60e6), f, work(f)));
-      }
-    }));
+    recording
+        .between(from / 1e6, until / 1e6)
+        .forEach((minute, entries) -> entries.forEach(entry -> {
+          Drawn f = functions.get(entry.function());
+          for (long i = 0; i < entry.calls(); i++) {
+            all.add(new Arrival((long) ((minute + random.nextDouble()) * 60e6), f, work(f)));
+          }
+        }));
     all.sort(Comparator.comparingLong(Arrival::at));
   }
 
--- a/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
+++ b/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
@@ -33,7 +33,7 @@
     } catch (TextFormat.ParseException e) {
       throw new IllegalArgumentException(e);
     }
-    return EmulatedFleet.run(b.build(), part -> { });
+    return EmulatedFleet.run(b.build(), part -> {});
   }
 
   @Test
@@ -52,12 +52,18 @@
   void aKnownSurgeMeetsCopiesAndABadForecastDoesNoHarm() {
     Outcomes none = run("");
     Outcomes good = run("ahead { mode: FORECAST }");
-    assertTrue(none.surgeCalls() > 100 && none.surgeColdShare() > 0.08, none.surgeColdShare() + " of " + none.surgeCalls());
-    assertTrue(good.surgeColdShare() < none.surgeColdShare() / 3, good.surgeColdShare() + " for " + none.surgeColdShare());
+    assertTrue(
+        none.surgeCalls() > 100 && none.surgeColdShare() > 0.08,
+        none.surgeColdShare() + " of " + none.surgeCalls());
+    assertTrue(
+        good.surgeColdShare() < none.surgeColdShare() / 3,
+        good.surgeColdShare() + " for " + none.surgeColdShare());
     assertTrue(good.meanMillis() < none.meanMillis());
-    for (String bad : new String[] {"times: 10", "times: 0.1", "shuffled: true", "shifted_slots: 24"}) {
+    for (String bad :
+        new String[] {"times: 10", "times: 0.1", "shuffled: true", "shifted_slots: 24"}) {
       Outcomes o = run("ahead { mode: FORECAST " + bad + " }");
-      assertTrue(o.service() > none.service() - 0.01, bad + ": " + o.service() + " for " + none.service());
+      assertTrue(
+          o.service() > none.service() - 0.01, bad + ": " + o.service() + " for " + none.service());
       assertEquals(Map.of(), o.broken());
     }
   }
@@ -65,9 +71,12 @@
   @Test
   void aSurgeADayEarlyOrOneThatDoesNotComeDoesNoHarm() {
     for (String odd : new String[] {"told_day: 11", "comes: false"}) {
-      String surge = "surge { population: \"office\" day: 10 hour: 15 hours: 1 times: 10 date: \"odd\" " + odd + " }"
-          + " surge { population: \"office\" day: 4 hour: 15 hours: 1 times: 10 date: \"odd\" }";
-      assertTrue(run(surge + "ahead { mode: FORECAST }").service() > run(surge).service() - 0.01, odd);
+      String surge =
+          "surge { population: \"office\" day: 10 hour: 15 hours: 1 times: 10 date: \"odd\" " + odd
+              + " }"
+              + " surge { population: \"office\" day: 4 hour: 15 hours: 1 times: 10 date: \"odd\" }";
+      assertTrue(
+          run(surge + "ahead { mode: FORECAST }").service() > run(surge).service() - 0.01, odd);
     }
   }
 
@@ -76,10 +85,16 @@
   void aWarmFleetIsLeftAlone() {
     String steady = "population { name: \"steady\" functions: 8 zipf: 0 calls_per_s: 8 }";
     Outcomes o = run(steady + "ahead { mode: FORECAST }");
-    long ofSteady = o.balances().entrySet().stream().filter(e -> e.getKey().startsWith("steady")).mapToLong(e -> e.getValue().loads())
+    long ofSteady = o.balances().entrySet().stream()
+        .filter(e -> e.getKey().startsWith("steady"))
+        .mapToLong(e -> e.getValue().loads())
         .sum();
-    long calls = o.byFunction().entrySet().stream().filter(e -> e.getKey().startsWith("steady")).mapToLong(e -> e.getValue()[0]).sum();
-    assertTrue(calls > 200_000 && ofSteady < calls / 500, ofSteady + " loads for " + calls + " calls");
+    long calls = o.byFunction().entrySet().stream()
+        .filter(e -> e.getKey().startsWith("steady"))
+        .mapToLong(e -> e.getValue()[0])
+        .sum();
+    assertTrue(
+        calls > 200_000 && ofSteady < calls / 500, ofSteady + " loads for " + calls + " calls");
   }
 
   /** Rules 1, 3 and 5 with plans, drains, deaths and a ration, on fleets that load on order only and on miss. */
@@ -91,7 +106,8 @@
     for (String site : new String[] {"loads_on_miss: true }", "loads_on_miss: false }"}) {
       Outcomes o = run(troubles + site + "ahead { mode: FORECAST }");
       assertEquals(Map.of(), o.broken());
-      assertTrue(o.judged().get("rule 5, orders under a ration") > 500, o.judged().toString());
+      assertTrue(
+          o.judged().get("rule 5, orders under a ration") > 500, o.judged().toString());
       assertTrue(o.aheadOrders() > 100, "plans took part: " + o.aheadOrders());
       assertTrue(o.judged().get("rule 1, final answers") >= o.calls());
     }
@@ -101,19 +117,31 @@
   void aPlannerThatWasAwayReadsWhatItMissed() {
     Outcomes always = run("ahead { mode: FORECAST }");
     Outcomes away = run("ahead { mode: FORECAST away_from_day: 8 away_days: 2 }");
-    assertTrue(away.aheadOrders() < always.aheadOrders() * 0.9, away.aheadOrders() + " of " + always.aheadOrders());
-    assertTrue(away.surgeColdShare() < run("").surgeColdShare() / 3, "the surge after its return is met: " + away.surgeColdShare());
-    assertTrue(run("ahead { mode: FORECAST hole_from_hour: 9 hole_to_hour: 10 }").service() > run("").service() - 0.01);
+    assertTrue(
+        away.aheadOrders() < always.aheadOrders() * 0.9,
+        away.aheadOrders() + " of " + always.aheadOrders());
+    assertTrue(
+        away.surgeColdShare() < run("").surgeColdShare() / 3,
+        "the surge after its return is met: " + away.surgeColdShare());
+    assertTrue(
+        run("ahead { mode: FORECAST hole_from_hour: 9 hole_to_hour: 10 }").service()
+            > run("").service() - 0.01);
   }
 
   @Test
   void badSettingsAreNamed(@TempDir Path dir) throws IOException {
     Path file = dir.resolve("e.txtpb");
     Files.writeString(file, "days: 3\nteach_days: x\n");
-    assertTrue(assertThrows(IllegalArgumentException.class, () -> Experiment.emulation(file)).getMessage().contains(":2:"));
-    assertTrue(assertThrows(IllegalArgumentException.class, () -> run("surge { population: \"nobody\" day: 1 }")).getMessage()
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> Experiment.emulation(file))
+        .getMessage()
+        .contains(":2:"));
+    assertTrue(assertThrows(
+            IllegalArgumentException.class, () -> run("surge { population: \"nobody\" day: 1 }"))
+        .getMessage()
         .contains("nobody"));
-    assertTrue(assertThrows(IllegalArgumentException.class, () -> run("teach_days: 12")).getMessage().contains("teach_days"));
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> run("teach_days: 12"))
+        .getMessage()
+        .contains("teach_days"));
   }
 
   /** A recorded history is replayed call by call, walk-forward, with every function listed. */
@@ -129,12 +157,17 @@
     }
     Emulation.Builder e = Emulation.newBuilder();
     TextFormat.merge(BASE + "ahead { mode: FORECAST }", e);
-    Outcomes with = EmulatedFleet.run(e.build(), recording, part -> { });
-    Outcomes without = EmulatedFleet.run(e.clearAhead().build(), recording, part -> { });
+    Outcomes with = EmulatedFleet.run(e.build(), recording, part -> {});
+    Outcomes without = EmulatedFleet.run(e.clearAhead().build(), recording, part -> {});
     assertEquals(4 * 50, with.calls(), "four counted days");
     assertEquals(5, with.byFunction().size());
-    assertEquals(4 * 4 * 5, with.byFunction().entrySet().stream().filter(f -> f.getKey().startsWith("svc/morning")).mapToLong(
-        f -> f.getValue()[0]).sum());
-    assertTrue(with.coldShare() < without.coldShare(), with.coldShare() + " for " + without.coldShare());
+    assertEquals(
+        4 * 4 * 5,
+        with.byFunction().entrySet().stream()
+            .filter(f -> f.getKey().startsWith("svc/morning"))
+            .mapToLong(f -> f.getValue()[0])
+            .sum());
+    assertTrue(
+        with.coldShare() < without.coldShare(), with.coldShare() + " for " + without.coldShare());
   }
 }
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -31,6 +31,7 @@
   private static final long PAUSE = 150_000;
   /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
   private static final int OWN_DESCRIPTORS = 48;
+
   private static final int MOST_ANSWER = 1 << 20;
   /** Part of the memory that bodies held may take. */
   private static final int BODY_PART = 8;
@@ -38,9 +39,11 @@
   private static final long STOP_TAKING = 900_000;
   /** The longest deadline counts as so much at the most when SIGKILL is timed, and comes no sooner than {@link #KILLED}. */
   private static final long LONGEST_COUNTED = 3_000_000;
+
   private static final long KILLED = 700_000;
   /** Before SIGKILL everything is closed, and some time before that what is still held gets its final answer. */
   private static final long LEAVE_BEFORE = 150_000;
+
   private static final long ANSWER_BEFORE = 250_000;
   private static final long LOOK_AGAIN = 5_000;
   /** Seconds between two lines of what it holds; 0, as usual, for none. */
@@ -68,9 +71,17 @@
     watchdog = new Watchdog("watchdog", STACK);
     writers = new Writers(MOST_WRITERS, STACK);
     int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
-    links = new RunnerLinks(config.links(), config.router().limits(), new SendGate(config.router().rules()), watchdog,
-        writers, config.sockets() - OWN_DESCRIPTORS - forClients, MOST_ANSWER, STACK);
-    core = new Core<>(config.router(), config.seed(), new Hands(), config.mostHeld(), false, null, CORE_STACK);
+    links = new RunnerLinks(
+        config.links(),
+        config.router().limits(),
+        new SendGate(config.router().rules()),
+        watchdog,
+        writers,
+        config.sockets() - OWN_DESCRIPTORS - forClients,
+        MOST_ANSWER,
+        STACK);
+    core = new Core<>(
+        config.router(), config.seed(), new Hands(), config.mostHeld(), false, null, CORE_STACK);
     links.reportTo(new RunnerLinks.Hearer() {
       @Override
       public void attemptEnded(AttemptEnd<NodeCall> end) {
@@ -82,22 +93,38 @@
         core.loadEnded(loaded);
       }
     });
-    front = new FastCgiFront(new RequestReader(config.router())::read, core, writers, forClients, config.mostHeld(),
-        config.memoryBytes() / BODY_PART, call -> links.taken(Clock.micros()));
-    changeLog = new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
-      @Override
-      public void runner(WorkerEntry entry, InetSocketAddress address, long at) {
-        links.told(entry.worker(), entry.phase(), address, at);
-      }
+    front = new FastCgiFront(
+        new RequestReader(config.router())::read,
+        core,
+        writers,
+        forClients,
+        config.mostHeld(),
+        config.memoryBytes() / BODY_PART,
+        call -> links.taken(Clock.micros()));
+    changeLog =
+        new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
+          @Override
+          public void runner(WorkerEntry entry, InetSocketAddress address, long at) {
+            links.told(entry.worker(), entry.phase(), address, at);
+          }
 
-      @Override
-      public void list(Workers workers) {
-        core.listNews(workers);
-      }
-    });
-    boolean mayTell = config.router().limits().peers() && config.peerListen() != null && config.peersAll() != null;
-    peers = mayTell ? new TierLink(config.peerListen(), config.peers(), config.peersAll(), config.router().ordinal(), STACK,
-        core::peerMessage) : null;
+          @Override
+          public void list(Workers workers) {
+            core.listNews(workers);
+          }
+        });
+    boolean mayTell = config.router().limits().peers()
+        && config.peerListen() != null
+        && config.peersAll() != null;
+    peers = mayTell
+        ? new TierLink(
+            config.peerListen(),
+            config.peers(),
+            config.peersAll(),
+            config.router().ordinal(),
+            STACK,
+            core::peerMessage)
+        : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
     front.listen(config.listen(), STACK);
     tidyLater();
@@ -144,7 +171,11 @@
         long lag = Clock.micros() - due;
         longestLag = Math.max(longestLag, lag);
         if (lag > PAUSE) {
-          LOG.warn("{} stood still for {} ms, calls waited {} us for the core; {}", config.name(), lag / 1000, core.longestWait(),
+          LOG.warn(
+              "{} stood still for {} ms, calls waited {} us for the core; {}",
+              config.name(),
+              lag / 1000,
+              core.longestWait(),
               story());
         }
         tellStory();
@@ -160,7 +191,11 @@
   private void tellStory() {
     if (STORY_EVERY > 0 && Clock.micros() >= storyAt) {
       storyAt = Clock.micros() + STORY_EVERY * 1_000_000;
-      LOG.info("{}; longest wait for the core {} us, longest pause {} us; {}", config.name(), core.longestWait(), longestLag,
+      LOG.info(
+          "{}; longest wait for the core {} us, longest pause {} us; {}",
+          config.name(),
+          core.longestWait(),
+          longestLag,
           story());
       longestLag = 0;
     }
@@ -208,7 +243,8 @@
    */
   public void stop() throws InterruptedException {
     long begun = Clock.micros();
-    long longest = config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
+    long longest =
+        config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
     long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
     sleepUntil(Math.min(begun + STOP_TAKING, leaves - ANSWER_BEFORE));
     front.stopAccepting();
--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -22,12 +22,25 @@
  * @param peersAll where a datagram to every other dispatcher goes; null where there are none
  * @param known the change log's events up to the start
  */
-public record NodeConfig(String name, InetSocketAddress listen, long seed, int sockets, long memoryBytes,
-    InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress changeLog,
-    long knownSeq, List<ChangeLine> known, RouterApi.Settings router, Links links, int mostHeld) {
+public record NodeConfig(
+    String name,
+    InetSocketAddress listen,
+    long seed,
+    int sockets,
+    long memoryBytes,
+    InetSocketAddress peerListen,
+    List<InetSocketAddress> peers,
+    InetSocketAddress peersAll,
+    InetSocketAddress changeLog,
+    long knownSeq,
+    List<ChangeLine> known,
+    RouterApi.Settings router,
+    Links links,
+    int mostHeld) {
 
   /** What runner links are told of connections. */
-  public record Links(long connect, long idle, int multiplex, boolean tellsNote, boolean tellsCrowd) {}
+  public record Links(
+      long connect, long idle, int multiplex, boolean tellsNote, boolean tellsCrowd) {}
 
   private static final long MEGABYTE = 1 << 20;
 
@@ -73,13 +86,26 @@
     for (Map<String, Object> event : Fields.list(known, "results", true)) {
       events.add(ChangeLine.of(event));
     }
-    Links links = new Links(Fields.micros(siteLimits, "connectTimeoutMs"), Fields.micros(siteLimits, "connIdleMs"),
-        (int) Fields.number(siteLimits, "multiplex"), Fields.flag(family, "marksCold"),
+    Links links = new Links(
+        Fields.micros(siteLimits, "connectTimeoutMs"),
+        Fields.micros(siteLimits, "connIdleMs"),
+        (int) Fields.number(siteLimits, "multiplex"),
+        Fields.flag(family, "marksCold"),
         Fields.flag(family, "notesPeersInHand"));
-    return new NodeConfig(name, listen, seed(Fields.text(all, "seed")), (int) Fields.number(limits, "sockets"),
-        (long) (Fields.number(limits, "memory_mb") * MEGABYTE), optional(all, "peer_listen"), List.copyOf(peers),
-        optional(all, "peers_all"), address(Fields.text(all, "changelog"), "changelog"),
-        (long) Fields.number(known, "seq"), List.copyOf(events), router, links,
+    return new NodeConfig(
+        name,
+        listen,
+        seed(Fields.text(all, "seed")),
+        (int) Fields.number(limits, "sockets"),
+        (long) (Fields.number(limits, "memory_mb") * MEGABYTE),
+        optional(all, "peer_listen"),
+        List.copyOf(peers),
+        optional(all, "peers_all"),
+        address(Fields.text(all, "changelog"), "changelog"),
+        (long) Fields.number(known, "seq"),
+        List.copyOf(events),
+        router,
+        links,
         (int) Fields.number(siteLimits, "mostHeld", 20_000));
   }
 
@@ -122,7 +148,8 @@
   public static InetSocketAddress address(String text, String where) {
     int colon = text.lastIndexOf(':');
     String host = colon < 0 ? "" : text.substring(0, colon);
-    if (!host.matches("[0-9.]{7,15}|\\[[0-9a-fA-F:.]{2,45}\\]") || !text.substring(colon + 1).matches("[0-9]{1,5}")
+    if (!host.matches("[0-9.]{7,15}|\\[[0-9a-fA-F:.]{2,45}\\]")
+        || !text.substring(colon + 1).matches("[0-9]{1,5}")
         || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
       throw new BadInput("'" + where + "' is no address and port: " + text);
     }
--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -17,13 +17,15 @@
 public final class NodeMain {
   /** Exit codes. */
   public static final int OK = 0;
+
   public static final int CANNOT_START = 3;
 
   private NodeMain() {}
 
   /** Runs until SIGTERM or SIGINT and returns the exit code; one line on standard error where it cannot start. */
   public static int run() throws InterruptedException {
-    // Read by the logging's configuration: what the dispatcher says is seldom and worth keeping.
+    // Read by the logging's configuration: what the dispatcher says is seldom and worth
+    // keeping.
     if (System.getProperty("gorseladder.log.level") == null) {
       System.setProperty("gorseladder.log.level", "INFO");
     }
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -116,7 +116,8 @@
     byte[] buffer = new byte[READ];
     gap = false;
     while (!stopped && !gap) {
-      // Counted from the last line that told something: bytes that trickle and never make one must not put it off.
+      // Counted from the last line that told something: bytes that trickle and never make one
+      // must not put it off.
       from.setSoTimeout((int) Math.max(1, pace.left(Clock.micros()) / 1_000));
       int count = in.read(buffer);
       if (count < 0) {
@@ -150,8 +151,8 @@
     if (change.fleet().all()) {
       Map<String, InetSocketAddress> before = new HashMap<>(addresses);
       entries.forEach(e -> before.remove(e.worker()));
-      before.forEach((uid, was) -> hearer.runner(
-          new WorkerEntry(uid, "", 0, Phase.GONE, 1, 0), was, at));
+      before.forEach(
+          (uid, was) -> hearer.runner(new WorkerEntry(uid, "", 0, Phase.GONE, 1, 0), was, at));
       before.keySet().forEach(this::forget);
     }
     entries.forEach(e -> hearer.runner(e, addresses.get(e.worker()), at));
@@ -168,7 +169,8 @@
     List<WorkerEntry> entries = new ArrayList<>();
     for (Map<String, Object> target : fleet.targets()) {
       WorkerEntry entry = PlatformList.ofChangeLog(target, births::at);
-      addresses.put(entry.worker(), NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
+      addresses.put(
+          entry.worker(), NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
       entries.add(entry);
     }
     return entries;
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -31,13 +31,15 @@
   private static final long SILENT = 2_000_000;
   /** Clients close connections idle for 4 s; ours comes later, so that the two do not cross. */
   private static final long IDLE = 6_000_000;
+
   private static final long STUCK = 2_000_000;
   /** Past its client's time by more than the platform's slack an answer is counted as late. */
   private static final long LATE = 50_000;
 
   /** Turns a request that arrived whole into a call's facts, as {@link RequestReader#read} does. */
   public interface Reader {
-    Facts read(Map<String, String> params, byte[] body, long arrivedAt) throws RequestReader.Unusable;
+    Facts read(Map<String, String> params, byte[] body, long arrivedAt)
+        throws RequestReader.Unusable;
   }
 
   /** Hears of calls taken, before the core does. */
@@ -67,8 +69,14 @@
    * @param mostHeld calls held at the most, as the platform tells
    * @param mostBodyBytes bytes of bodies held at the most
    */
-  public FastCgiFront(Reader reader, Core<NodeCall> core, Executor writers, int mostConnections, int mostHeld,
-      long mostBodyBytes, Hearer hearer) {
+  public FastCgiFront(
+      Reader reader,
+      Core<NodeCall> core,
+      Executor writers,
+      int mostConnections,
+      int mostHeld,
+      long mostBodyBytes,
+      Hearer hearer) {
     this.reader = reader;
     this.core = core;
     this.writers = writers;
@@ -117,8 +125,10 @@
 
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
   private boolean makeRoom() {
-    boolean made = connections.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
-        .sorted(Comparator.comparingLong(FrontConnection::idleSince)).anyMatch(FrontConnection::closeIfFree);
+    boolean made = connections.values().stream()
+        .filter(c -> c.idleSince() < Long.MAX_VALUE)
+        .sorted(Comparator.comparingLong(FrontConnection::idleSince))
+        .anyMatch(FrontConnection::closeIfFree);
     if (made) {
       count("connection closed for room");
     }
@@ -148,19 +158,25 @@
    * @param taken hears of the call before it can end
    * @throws RequestReader.Unusable where it cannot be used; nothing was taken then
    */
-  void take(Map<String, String> params, byte[] body, long arrivedAt, BiConsumer<NodeCall, FinalAnswer> onEnd,
-      Consumer<NodeCall> taken) throws RequestReader.Unusable {
+  void take(
+      Map<String, String> params,
+      byte[] body,
+      long arrivedAt,
+      BiConsumer<NodeCall, FinalAnswer> onEnd,
+      Consumer<NodeCall> taken)
+      throws RequestReader.Unusable {
     Facts facts = reader.read(params, body, arrivedAt);
-    NodeCall call = new NodeCall(ids.incrementAndGet(), facts, RequestReader.key(params), (c, end) -> {
-      if (held.remove(facts.message(), c)) {
-        bodyBytes.addAndGet(-body.length);
-      }
-      count(end.reason().word());
-      if (Clock.micros() > facts.deadlineAt() + LATE) {
-        count("answered late");
-      }
-      onEnd.accept(c, end);
-    });
+    NodeCall call =
+        new NodeCall(ids.incrementAndGet(), facts, RequestReader.key(params), (c, end) -> {
+          if (held.remove(facts.message(), c)) {
+            bodyBytes.addAndGet(-body.length);
+          }
+          count(end.reason().word());
+          if (Clock.micros() > facts.deadlineAt() + LATE) {
+            count("answered late");
+          }
+          onEnd.accept(c, end);
+        });
     if (held.putIfAbsent(facts.message(), call) != null) {
       throw new RequestReader.Unusable(Reason.CONFLICT, "the id is open already");
     }
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -41,9 +41,14 @@
   private static final long LINGER = 1_000_000;
   /** By how much a connection that never asked counts as idle for longer than one that did. */
   private static final long SILENT_FIRST = 600_000_000;
+
   private static final byte[] NOTHING = {};
 
-  private enum State { OPEN, HALF_CLOSED, CLOSED }
+  private enum State {
+    OPEN,
+    HALF_CLOSED,
+    CLOSED
+  }
 
   /** A request on this connection, from BEGIN_REQUEST to END_REQUEST; what still comes for it after that is passed over. */
   private static final class Exchange {
@@ -54,6 +59,7 @@
     private Map<String, String> params;
     /** Its last byte has come; from then on it is no half request. */
     private boolean whole;
+
     private NodeCall call;
     private boolean answered;
 
@@ -68,7 +74,8 @@
         return false;
       }
       if (has + length > gathered.length) {
-        gathered = Arrays.copyOf(gathered, Math.min(most, Math.max(256, Math.max(has + length, 2 * has))));
+        gathered =
+            Arrays.copyOf(gathered, Math.min(most, Math.max(256, Math.max(has + length, 2 * has))));
       }
       System.arraycopy(bytes, from, gathered, has, length);
       has += length;
@@ -134,7 +141,8 @@
     }
     synchronized (this) {
       if (state != State.OPEN) {
-        // It crossed our end on the wire; nothing is taken any more, and its client asks again elsewhere.
+        // It crossed our end on the wire; nothing is taken any more, and its client asks again
+        // elsewhere.
         return;
       }
       Exchange before = open.get(id);
@@ -245,12 +253,16 @@
       e.gathered = NOTHING;
     }
     if (FastCgiFront.LIVE.equals(e.params.get("SCRIPT_NAME"))) {
-      answer(e, RecordWriter.response(id, front.live() ? 200 : 503, Map.of("Content-Type", "text/plain"), NOTHING));
+      answer(
+          e,
+          RecordWriter.response(
+              id, front.live() ? 200 : 503, Map.of("Content-Type", "text/plain"), NOTHING));
       forget(e);
       return;
     }
     try {
-      front.take(e.params, body, Clock.micros(), (call, end) -> ended(e, end), call -> taken(e, call));
+      front.take(
+          e.params, body, Clock.micros(), (call, end) -> ended(e, end), call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
       front.count("unusable: " + bad.getMessage());
       answer(e, bad.reason());
@@ -274,9 +286,15 @@
   public void getValues(byte[] content) {
     Map<String, String> answer = new LinkedHashMap<>();
     try {
-      Map<String, String> known = Map.of("FCGI_MAX_CONNS", Integer.toString(front.mostConnections()), "FCGI_MAX_REQS",
-          Integer.toString(front.mostConnections() * MOST_OPEN), "FCGI_MPXS_CONNS", "1");
-      NameValues.read(content, content.length, MOST_PAIRS).keySet().stream().filter(known::containsKey)
+      Map<String, String> known = Map.of(
+          "FCGI_MAX_CONNS",
+          Integer.toString(front.mostConnections()),
+          "FCGI_MAX_REQS",
+          Integer.toString(front.mostConnections() * MOST_OPEN),
+          "FCGI_MPXS_CONNS",
+          "1");
+      NameValues.read(content, content.length, MOST_PAIRS).keySet().stream()
+          .filter(known::containsKey)
           .forEach(name -> answer.put(name, known.get(name)));
     } catch (BadRecord e) {
       front.count("bad record");
@@ -316,7 +334,9 @@
   }
 
   private void answer(Exchange e, Reason reason) {
-    answer(e, RecordWriter.response(e.id, reason.status, Map.of("Content-Type", "text/plain"), NOTHING));
+    answer(
+        e,
+        RecordWriter.response(e.id, reason.status, Map.of("Content-Type", "text/plain"), NOTHING));
   }
 
   private void answer(Exchange e, byte[] bytes) {
@@ -329,7 +349,8 @@
       requests++;
       unanswered--;
       idleSince = Clock.micros();
-      // Put while the lock is held: seen from outside nothing is open only once the last answer is on its way.
+      // Put while the lock is held: seen from outside nothing is open only once the last answer
+      // is on its way.
       put = outbox.put(bytes);
       if (put && closesAfterAnswers) {
         halfCloseIfFree();
@@ -400,7 +421,10 @@
       over = state == State.HALF_CLOSED && now - halfClosedAt > LINGER;
       if (closesAfterAnswers) {
         halfCloseIfFree();
-      } else if (state == State.OPEN && requests > 0 && now - idleSince >= idle && halfCloseIfFree()) {
+      } else if (state == State.OPEN
+          && requests > 0
+          && now - idleSince >= idle
+          && halfCloseIfFree()) {
         front.count("idle connection closed");
       } else if (state == State.OPEN && requests == 0 && now - connectedAt >= silent && free()) {
         front.count("silent connection closed");
@@ -433,7 +457,9 @@
 
   /** Since when it has been idle; {@code Long.MAX_VALUE} where a request is open. One that never asked comes first. */
   synchronized long idleSince() {
-    return state != State.OPEN ? 0 : unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
+    return state != State.OPEN
+        ? 0
+        : unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
   }
 
   void closeIfStuck(long now, long most) {
@@ -452,7 +478,9 @@
         return;
       }
       state = State.CLOSED;
-      open.values().stream().filter(e -> !e.answered && e.call != null).forEach(e -> left.add(e.call));
+      open.values().stream()
+          .filter(e -> !e.answered && e.call != null)
+          .forEach(e -> left.add(e.call));
       open.clear();
     }
     outbox.close();
--- a/node/src/main/java/gorseladder/node/front/RequestReader.java
+++ b/node/src/main/java/gorseladder/node/front/RequestReader.java
@@ -58,7 +58,8 @@
    */
   public Facts read(Map<String, String> params, byte[] body, long arrivedAt) throws Unusable {
     String script = params.getOrDefault("SCRIPT_NAME", "");
-    RequestClass requestClass = script.startsWith(PREFIX) ? classes.get(script.substring(PREFIX.length())) : null;
+    RequestClass requestClass =
+        script.startsWith(PREFIX) ? classes.get(script.substring(PREFIX.length())) : null;
     if (requestClass == null) {
       throw new Unusable(Reason.UNKNOWN_PATH, "no class has this path");
     }
@@ -87,8 +88,18 @@
     if (lanes != Math.rint(lanes)) {
       throw bad("lanes is no whole number");
     }
-    return new Facts(id, requestClass, tenant, function, body, memory, (int) lanes, Math.round(load * 1000), retry != null,
-        arrivedAt, arrivedAt + time);
+    return new Facts(
+        id,
+        requestClass,
+        tenant,
+        function,
+        body,
+        memory,
+        (int) lanes,
+        Math.round(load * 1000),
+        retry != null,
+        arrivedAt,
+        arrivedAt + time);
   }
 
   /**
@@ -98,8 +109,10 @@
    */
   public static String key(Map<String, String> params) throws Unusable {
     String key = params.get("HTTP_IDEMPOTENCY_KEY");
-    if (key != null && (key.isEmpty() || key.length() > MOST_KEY
-        || !key.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '='))) {
+    if (key != null
+        && (key.isEmpty()
+            || key.length() > MOST_KEY
+            || !key.chars().allMatch(c -> c > ' ' && c < 127 && c != ',' && c != '='))) {
       throw bad("HTTP_IDEMPOTENCY_KEY is no word of " + MOST_KEY + " characters at the most");
     }
     return key;
@@ -111,7 +124,9 @@
 
   private static String hex(Map<String, String> params, String name) throws Unusable {
     String value = params.get(name);
-    if (value == null || value.length() != 16 || !value.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f')) {
+    if (value == null
+        || value.length() != 16
+        || !value.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f')) {
       throw bad(name + " is not 16 hex digits");
     }
     return value;
@@ -148,7 +163,8 @@
     return figures;
   }
 
-  private static double figure(Map<String, Double> figures, String name, double least, double most) throws Unusable {
+  private static double figure(Map<String, Double> figures, String name, double least, double most)
+      throws Unusable {
     Double value = figures.get(name);
     if (value == null || value < least || value > most) {
       throw bad(name + " is missing or out of range");
--- a/node/src/main/java/gorseladder/node/peers/TierLink.java
+++ b/node/src/main/java/gorseladder/node/peers/TierLink.java
@@ -33,8 +33,14 @@
   private final Hearer hearer;
 
   /** Opens the socket and begins to hear; {@code peers} stand in the order of their numbers, this one included. */
-  public TierLink(InetSocketAddress at, List<InetSocketAddress> peers, InetSocketAddress all, int ordinal, int stackBytes,
-      Hearer hearer) throws IOException {
+  public TierLink(
+      InetSocketAddress at,
+      List<InetSocketAddress> peers,
+      InetSocketAddress all,
+      int ordinal,
+      int stackBytes,
+      Hearer hearer)
+      throws IOException {
     this.socket = new DatagramSocket(at);
     this.all = all;
     this.ordinal = ordinal;
--- a/node/src/main/java/gorseladder/node/runners/Errand.java
+++ b/node/src/main/java/gorseladder/node/runners/Errand.java
@@ -136,7 +136,9 @@
       if (ended || by != connection) {
         return;
       }
-      moves = progress == Progress.CONNECTING && ending != Ending.CONNECT_FAILED && this.moves++ < MOST_MOVES;
+      moves = progress == Progress.CONNECTING
+          && ending != Ending.CONNECT_FAILED
+          && this.moves++ < MOST_MOVES;
       if (moves) {
         connection = null;
       }
@@ -152,7 +154,8 @@
     LinkConnection carrier;
     boolean left;
     synchronized (this) {
-      // How far it got and that it is over are one step: bytes that leave between the two would count as never sent.
+      // How far it got and that it is over are one step: bytes that leave between the two would
+      // count as never sent.
       if (!end()) {
         return;
       }
@@ -161,7 +164,8 @@
       carrier = connection;
     }
     if (carrier != null && left) {
-      carrier.abandon(this, halt(), ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()));
+      carrier.abandon(
+          this, halt(), ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()));
     } else if (carrier != null) {
       carrier.drop(this);
     }
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -59,7 +59,9 @@
     List<Candidate> candidates = new ArrayList<>(connections.size());
     for (LinkConnection c : connections) {
       int carrying = c.carrying();
-      if (carrying < settings.multiplex() && c.idle(now) < settings.idle() && c.mayCarry(errand.id())
+      if (carrying < settings.multiplex()
+          && c.idle(now) < settings.idle()
+          && c.mayCarry(errand.id())
           && (call == null || !call.wasOn(c))) {
         may.add(c);
         candidates.add(new Candidate(carrying, c.idle(now)));
@@ -77,8 +79,8 @@
       return otherwise;
     }
     try {
-      LinkConnection opened = new LinkConnection(address, settings.connect(), settings.mostAnswer(), settings.writers(),
-          this::closed);
+      LinkConnection opened = new LinkConnection(
+          address, settings.connect(), settings.mostAnswer(), settings.writers(), this::closed);
       connections.add(opened);
       settings.threads().newThread(opened::run).start();
       return opened;
@@ -117,7 +119,10 @@
   /** A connection on which nothing is out, the one used longest ago; null where there is none. */
   synchronized LinkConnection idlest() {
     long now = Clock.micros();
-    return connections.stream().filter(c -> c.carrying() == 0).max(Comparator.comparingLong(c -> c.idle(now))).orElse(null);
+    return connections.stream()
+        .filter(c -> c.carrying() == 0)
+        .max(Comparator.comparingLong(c -> c.idle(now)))
+        .orElse(null);
   }
 
   /** The runner has gone: nothing new is opened, and connections close after what is out on them. */
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -50,7 +50,9 @@
   private volatile long usedAt = Clock.micros();
   private volatile long heardAt;
 
-  LinkConnection(InetSocketAddress address, long connect, int mostAnswer, Executor writers, Owner owner) throws IOException {
+  LinkConnection(
+      InetSocketAddress address, long connect, int mostAnswer, Executor writers, Owner owner)
+      throws IOException {
     this.address = address;
     this.connectMillis = (int) Math.max(1, connect / 1000);
     this.parser = new AnswerParser(mostAnswer);
@@ -117,7 +119,8 @@
     }
     if (!outbox.put(leaving(errand))) {
       synchronized (this) {
-        // Where it is out no more, the end of this connection has told it already, and it may be on its way elsewhere.
+        // Where it is out no more, the end of this connection has told it already, and it may
+        // be on its way elsewhere.
         return !out.remove(errand.id(), errand);
       }
     }
--- a/node/src/main/java/gorseladder/node/runners/LinkSettings.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkSettings.java
@@ -13,8 +13,16 @@
  * @param mostAnswer bytes of an answer's body at the most
  * @param descriptors descriptors left for all links together
  */
-record LinkSettings(long connect, long idle, int multiplex, int mostAnswer, Semaphore descriptors, ThreadFactory threads,
-    Executor writers, Closes closes, Consumer<String> log) {
+record LinkSettings(
+    long connect,
+    long idle,
+    int multiplex,
+    int mostAnswer,
+    Semaphore descriptors,
+    ThreadFactory threads,
+    Executor writers,
+    Closes closes,
+    Consumer<String> log) {
 
   /** Counts how connections ended. */
   interface Closes {
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -54,6 +54,7 @@
   private final Map<String, Link> links = new ConcurrentHashMap<>();
   /** Links to runners that have gone, or have another address now, until nothing is out on them. */
   private final Set<Link> leaving = ConcurrentHashMap.newKeySet();
+
   private final Map<NodeCall, Map<Integer, Trip>> out = new ConcurrentHashMap<>();
   private final AtomicLong tags = new AtomicLong();
   private final Counts closes = new Counts();
@@ -65,14 +66,29 @@
    * @param descriptors descriptors that all links together may hold
    * @param mostAnswer bytes of an answer's body at the most
    */
-  public RunnerLinks(NodeConfig.Links told, Limits limits, SendGate gate, Watchdog watchdog, Executor writers,
-      int descriptors, int mostAnswer, int stackBytes) {
+  public RunnerLinks(
+      NodeConfig.Links told,
+      Limits limits,
+      SendGate gate,
+      Watchdog watchdog,
+      Executor writers,
+      int descriptors,
+      int mostAnswer,
+      int stackBytes) {
     this.told = told;
     this.limits = limits;
     this.gate = gate;
     this.watchdog = watchdog;
-    this.settings = new LinkSettings(told.connect(), ConnectionChoice.mostIdle(told.idle()), told.multiplex(), mostAnswer,
-        new Semaphore(descriptors), Threads.factory("runner", stackBytes), writers, this::closed, LOG::warn);
+    this.settings = new LinkSettings(
+        told.connect(),
+        ConnectionChoice.mostIdle(told.idle()),
+        told.multiplex(),
+        mostAnswer,
+        new Semaphore(descriptors),
+        Threads.factory("runner", stackBytes),
+        writers,
+        this::closed,
+        LOG::warn);
   }
 
   /** Names who hears the ends; once, before anything is sent. */
@@ -104,7 +120,8 @@
       if (before != null) {
         leaving.add(before);
       }
-      // A runner that comes back, here or at another address, gets a link of its own: what has gone takes nothing new.
+      // A runner that comes back, here or at another address, gets a link of its own: what has
+      // gone takes nothing new.
       if (phase == Phase.GONE) {
         links.remove(uid);
       } else {
@@ -153,8 +170,12 @@
   private boolean makeRoom() {
     long now = Clock.micros();
     return settings.descriptors().availablePermits() == 0
-        && links.values().stream().map(Link::idlest).filter(Objects::nonNull).max(Comparator.comparingLong(c -> c.idle(now)))
-            .map(LinkConnection::closeIfFree).orElse(false);
+        && links.values().stream()
+            .map(Link::idlest)
+            .filter(Objects::nonNull)
+            .max(Comparator.comparingLong(c -> c.idle(now)))
+            .map(LinkConnection::closeIfFree)
+            .orElse(false);
   }
 
   /** Stops an attempt; its end still comes. */
@@ -167,7 +188,9 @@
 
   /** Orders copies held; the end comes by {@link Hearer#loadEnded}. */
   public void load(String worker, String function, int copies) {
-    start(new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies), limits.orderTimeout());
+    start(
+        new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies),
+        limits.orderTimeout());
   }
 
   void ended(Trip trip, AttemptEnd<NodeCall> end) {
@@ -202,8 +225,9 @@
   public String story() {
     int standing = links.values().stream().mapToInt(Link::standing).sum();
     synchronized (gate) {
-      return links.size() + " runners, " + standing + " connections, " + out.size() + " calls out, ended " + closes
-          + ", stopped at the last look " + gate.refusedCalls() + " calls " + gate.refusedOrders() + " orders";
+      return links.size() + " runners, " + standing + " connections, " + out.size()
+          + " calls out, ended " + closes + ", stopped at the last look " + gate.refusedCalls()
+          + " calls " + gate.refusedOrders() + " orders";
     }
   }
 
--- a/node/src/main/java/gorseladder/node/runners/Trip.java
+++ b/node/src/main/java/gorseladder/node/runners/Trip.java
@@ -58,8 +58,13 @@
 
   @Override
   byte[] bytes(long now) {
-    return Commands.go(id(), call.facts().requestClass().name(), call.facts().function(), Math.max(1, (until - now) / 1000),
-        call.key(), call.facts().body());
+    return Commands.go(
+        id(),
+        call.facts().requestClass().name(),
+        call.facts().function(),
+        Math.max(1, (until - now) / 1000),
+        call.key(),
+        call.facts().body());
   }
 
   @Override
@@ -75,8 +80,12 @@
   @Override
   void report(Outcome outcome, Answer answer) {
     boolean heard = answer != null;
-    Note note = heard && links.tellsNote() ? PlatformAnswers.note(answer.fields().get("remark")) : Note.NONE;
-    int crowd = heard ? PlatformAnswers.crowd(outcome, links.tellsCrowd() ? answer.fields().get("depth") : null) : -1;
+    Note note = heard && links.tellsNote()
+        ? PlatformAnswers.note(answer.fields().get("remark"))
+        : Note.NONE;
+    int crowd = heard
+        ? PlatformAnswers.crowd(outcome, links.tellsCrowd() ? answer.fields().get("depth") : null)
+        : -1;
     byte[] body = heard && outcome == Outcome.OK ? answer.body() : null;
     links.ended(this, new AttemptEnd<>(call, number, outcome, body, note, crowd, Map.of()));
   }
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -41,7 +41,7 @@
 
   private final AtomicInteger sent = new AtomicInteger();
   private final AtomicInteger pauses = new AtomicInteger();
-  private Runnable atRead = () -> { };
+  private Runnable atRead = () -> {};
   private Core<NodeCall> core;
   private FastCgiFront front;
   private FrontConnection connection;
@@ -50,40 +50,69 @@
 
   @BeforeEach
   void start() throws IOException {
-    Settings settings = new Settings(0, 1, "z", 2_000, 8 * SECOND, true, false, 0, 0.05,
-        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0),
-        List.of(new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 2 * SECOND, 1, 0.2, false)), List.of());
-    core = new Core<>(settings, 1, new Core.Hands<>() {
-      @Override
-      public void send(NodeCall call, int attempt, String worker, long timeout) {
-        sent.incrementAndGet();
-      }
-
-      @Override
-      public void cancel(NodeCall call, int attempt) {}
-
-      @Override
-      public void load(String worker, String function, int copies) {}
-
-      @Override
-      public void tellPeers(String text) {}
-
-      @Override
-      public void watchList() {}
-
-      @Override
-      public void pausing() {
-        pauses.incrementAndGet();
-      }
-    }, 100, false, null, 512 << 10);
-    core.listNews(new Workers(ListKind.SAVED, List.of(new WorkerEntry("r", "z", 0, Phase.RUNNING, 1, 0))));
+    Settings settings = new Settings(
+        0,
+        1,
+        "z",
+        2_000,
+        8 * SECOND,
+        true,
+        false,
+        0,
+        0.05,
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND),
+        new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0),
+        List.of(
+            new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 2 * SECOND, 1, 0.2, false)),
+        List.of());
+    core = new Core<>(
+        settings,
+        1,
+        new Core.Hands<>() {
+          @Override
+          public void send(NodeCall call, int attempt, String worker, long timeout) {
+            sent.incrementAndGet();
+          }
+
+          @Override
+          public void cancel(NodeCall call, int attempt) {}
+
+          @Override
+          public void load(String worker, String function, int copies) {}
+
+          @Override
+          public void tellPeers(String text) {}
+
+          @Override
+          public void watchList() {}
+
+          @Override
+          public void pausing() {
+            pauses.incrementAndGet();
+          }
+        },
+        100,
+        false,
+        null,
+        512 << 10);
+    core.listNews(
+        new Workers(ListKind.SAVED, List.of(new WorkerEntry("r", "z", 0, Phase.RUNNING, 1, 0))));
     RequestReader reader = new RequestReader(settings);
-    front = new FastCgiFront((params, body, at) -> {
-      atRead.run();
-      return reader.read(params, body, at);
-    }, core, Runnable::run, 10, 100, 1 << 20, call -> { });
-    ServerSocketChannel server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    client = new Socket(InetAddress.getLoopbackAddress(), ((InetSocketAddress) server.getLocalAddress()).getPort());
+    front = new FastCgiFront(
+        (params, body, at) -> {
+          atRead.run();
+          return reader.read(params, body, at);
+        },
+        core,
+        Runnable::run,
+        10,
+        100,
+        1 << 20,
+        call -> {});
+    ServerSocketChannel server =
+        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    client = new Socket(
+        InetAddress.getLoopbackAddress(), ((InetSocketAddress) server.getLocalAddress()).getPort());
     accepted = server.accept();
     server.close();
     connection = new FrontConnection(front, accepted);
@@ -98,7 +127,9 @@
 
   /** Writes a whole request and waits until the system holds it, unread. */
   private void ask() throws IOException {
-    client.getOutputStream().write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
+    client
+        .getOutputStream()
+        .write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
     while (accepted.socket().getInputStream().available() == 0) {
       Thread.onSpinWait();
     }
@@ -150,7 +181,9 @@
     connection.drain();
     assertEquals("", answer(), "the end");
     atRead = sent::incrementAndGet;
-    client.getOutputStream().write(RecordWriter.request(2, true, Map.of("SCRIPT_NAME", "/svc/safe"), new byte[0]));
+    client
+        .getOutputStream()
+        .write(RecordWriter.request(2, true, Map.of("SCRIPT_NAME", "/svc/safe"), new byte[0]));
     client.shutdownOutput();
     while (accepted.isOpen()) {
       Thread.onSpinWait();
@@ -166,16 +199,31 @@
       connection.close();
       read.countDown();
     };
-    client.getOutputStream().write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/safe", "HTTP_X_REQUEST_ID",
-        "00000000000000aa", "HTTP_X_OBJECT", "00000000000000ff", "HTTP_X_TIMEOUT_MS", "1500", "HTTP_X_FACTS",
-        "memory_mb:10;lanes:1"), new byte[3]));
+    client
+        .getOutputStream()
+        .write(RecordWriter.request(
+            1,
+            true,
+            Map.of(
+                "SCRIPT_NAME",
+                "/svc/safe",
+                "HTTP_X_REQUEST_ID",
+                "00000000000000aa",
+                "HTTP_X_OBJECT",
+                "00000000000000ff",
+                "HTTP_X_TIMEOUT_MS",
+                "1500",
+                "HTTP_X_FACTS",
+                "memory_mb:10;lanes:1"),
+            new byte[3]));
     readAll();
     read.await();
     assertTimeoutPreemptively(Duration.ofSeconds(5), () -> {
       while (front.held() > 0) {
         Thread.onSpinWait();
       }
-      // By the second time the core has nothing to do it has looked at all that was put before the first.
+      // By the second time the core has nothing to do it has looked at all that was put before
+      // the first.
       int before = pauses.get();
       core.listNews(new Workers(ListKind.DELTA, List.of()));
       while (pauses.get() < before + 2) {
--- a/node/src/test/java/gorseladder/node/runners/ErrandTest.java
+++ b/node/src/test/java/gorseladder/node/runners/ErrandTest.java
@@ -38,8 +38,8 @@
   /** An errand that does at each step what the test says. */
   private class Probe extends Errand {
     final List<Outcome> ends = new ArrayList<>();
-    Runnable atSize = () -> { };
-    Runnable atLastLook = () -> { };
+    Runnable atSize = () -> {};
+    Runnable atLastLook = () -> {};
     int size = 10;
 
     Probe() {
@@ -99,9 +99,15 @@
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     watchdog = new Watchdog("watchdog", 128 << 10);
     Rules rules = new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0);
-    links = new RunnerLinks(new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
-        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), new SendGate(rules), watchdog, Runnable::run, 4,
-        1 << 20, 128 << 10);
+    links = new RunnerLinks(
+        new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND),
+        new SendGate(rules),
+        watchdog,
+        Runnable::run,
+        4,
+        1 << 20,
+        128 << 10);
   }
 
   @AfterEach
@@ -177,7 +183,9 @@
     errand.on(carrier);
     errand.size = 5 << 20;
     errand.atSize = () -> carrier.close(Ending.BROKEN, "test");
-    assertTrue(carrier.carry(errand), "its end has told of it; carrying it elsewhere too would send it twice");
+    assertTrue(
+        carrier.carry(errand),
+        "its end has told of it; carrying it elsewhere too would send it twice");
     assertEquals(1, errand.ends.size());
     assertTrue(errand.ends.get(0).neverRan);
   }
--- a/planner/src/main/java/gorseladder/planner/Planner.java
+++ b/planner/src/main/java/gorseladder/planner/Planner.java
@@ -48,6 +48,7 @@
   private static final long LATE = 90;
   /** Seconds after the start in which edges are waited for. */
   private static final long GATHER = 10;
+
   private static final int MOST_NAME = 512;
   private static final int MOST_EDGES = 10_000;
 
@@ -91,9 +92,17 @@
     for (KnownDate d : settings.getDateList()) {
       dates.put(LocalSlots.day(LocalDate.parse(d.getDay())), d.getName());
     }
-    maker = new PlanMaker(new Slots(local.perDay(), LocalSlots.firstWeekday(), dates),
-        new PlanMaker.Settings(settings.getSlotMinutes() * 60.0, settings.getKeepAliveMs() / 1000.0, settings.getArchiveLoadsPerS(),
-            settings.getOrdersPerPlan(), new Prices(settings.getFetchPrice(), settings.getGigabyteSecondPrice(), settings.getOrderPrice())));
+    maker = new PlanMaker(
+        new Slots(local.perDay(), LocalSlots.firstWeekday(), dates),
+        new PlanMaker.Settings(
+            settings.getSlotMinutes() * 60.0,
+            settings.getKeepAliveMs() / 1000.0,
+            settings.getArchiveLoadsPerS(),
+            settings.getOrdersPerPlan(),
+            new Prices(
+                settings.getFetchPrice(),
+                settings.getGigabyteSecondPrice(),
+                settings.getOrderPrice())));
     store = PlannerStore.open(Path.of(settings.getDataDirectory()));
     startedAt = now();
     soFarSince = startedAt;
@@ -106,7 +115,11 @@
         LOG.warn("what was known of {} cannot be read and is learned anew", function);
       }
     });
-    LOG.info("planner epoch {}; {} rows of history, {} slots to observe", store.epoch(), store.rows(), unobserved.size());
+    LOG.info(
+        "planner epoch {}; {} rows of history, {} slots to observe",
+        store.epoch(),
+        store.rows(),
+        unobserved.size());
   }
 
   private double now() {
@@ -129,7 +142,9 @@
   }
 
   private void learn(Seen s) {
-    maker.learn(s.getFunction(), new Facts(s.getMemoryMb(), s.getLanes(), s.getWorkUs() / 1e6, s.getLoadUs() / 1e6));
+    maker.learn(
+        s.getFunction(),
+        new Facts(s.getMemoryMb(), s.getLanes(), s.getWorkUs() / 1e6, s.getLoadUs() / 1e6));
   }
 
   /**
@@ -139,15 +154,28 @@
    */
   public synchronized Answer exchange(Ask ask) {
     require(ask.hasOrdinal() && ask.getOrdinal() >= 0 && ask.getOrdinal() < MOST_EDGES, "ordinal");
-    require(!ask.getHistory().isEmpty() && ask.getHistory().length() <= MOST_NAME && ask.getHistory().indexOf(' ') < 0, "history");
-    require(ask.getAsked() >= 0 && ask.getFrom() >= 0 && ask.getNext() >= ask.getFrom(), "asked, from or next");
+    require(
+        !ask.getHistory().isEmpty()
+            && ask.getHistory().length() <= MOST_NAME
+            && ask.getHistory().indexOf(' ') < 0,
+        "history");
+    require(
+        ask.getAsked() >= 0 && ask.getFrom() >= 0 && ask.getNext() >= ask.getFrom(),
+        "asked, from or next");
     List<HistoryRow> rows = new ArrayList<>();
     for (ByteString bytes : ask.getRowList()) {
       rows.add(HistoryRow.of(bytes.toByteArray()));
     }
     for (Seen s : ask.getSeenList()) {
-      require(!s.getFunction().isEmpty() && s.getFunction().length() <= MOST_NAME && s.getLanes() >= 1 && s.getMemoryMb() >= 0
-          && s.getWorkUs() >= 0 && s.getLoadUs() >= 0 && s.getCalls() >= 0, "seen");
+      require(
+          !s.getFunction().isEmpty()
+              && s.getFunction().length() <= MOST_NAME
+              && s.getLanes() >= 1
+              && s.getMemoryMb() >= 0
+              && s.getWorkUs() >= 0
+              && s.getLoadUs() >= 0
+              && s.getCalls() >= 0,
+          "seen");
     }
     EdgeSeen edge = edges.computeIfAbsent(ask.getOrdinal(), o -> new EdgeSeen());
     edge.heardAt = now();
@@ -160,8 +188,12 @@
     }
     store.commit();
     PlannerStore.Cursor cursor = store.cursor(ask.getOrdinal());
-    edge.caughtUp = ask.getCaughtUp() && cursor.next() >= ask.getNext() && cursor.history().equals(ask.getHistory());
-    Answer.Builder answer = Answer.newBuilder().setHistory(cursor.history()).setWant(cursor.next())
+    edge.caughtUp = ask.getCaughtUp()
+        && cursor.next() >= ask.getNext()
+        && cursor.history().equals(ask.getHistory());
+    Answer.Builder answer = Answer.newBuilder()
+        .setHistory(cursor.history())
+        .setWant(cursor.next())
         .setLoadsKept(store.loadsKept(ask.getOrdinal(), ask.getBoot()));
     boolean has = ask.getEpoch() == store.epoch() && ask.getVersion() == version;
     if (version > 0 && !has && planUntil > now()) {
@@ -187,7 +219,11 @@
       return;
     }
     if (ask.getFrom() > cursor.next()) {
-      LOG.warn("edge {} has no rows {} to {} of its history any more", ask.getOrdinal(), cursor.next(), ask.getFrom());
+      LOG.warn(
+          "edge {} has no rows {} to {} of its history any more",
+          ask.getOrdinal(),
+          cursor.next(),
+          ask.getFrom());
     } else if (ask.getFrom() < cursor.next()) {
       // What was read there was compacted since: it comes whole once more, in hours.
       store.forgetFrom(ask.getOrdinal(), ask.getHistory(), ask.getFrom());
@@ -213,15 +249,26 @@
   private Plan print(int edge) {
     double now = now();
     List<Integer> asking = asking();
-    Plan.Builder plan = Plan.newBuilder().setEpoch(store.epoch()).setVersion(version).setLivesMs((long) ((planUntil - now) * 1000));
+    Plan.Builder plan = Plan.newBuilder()
+        .setEpoch(store.epoch())
+        .setVersion(version)
+        .setLivesMs((long) ((planUntil - now) * 1000));
     for (Timed t : holds) {
       Order o = t.order();
       long until = (long) ((t.until() - now) * 1000);
-      int owner = asking.isEmpty() ? edge : asking.get(Math.floorMod(o.placed().function().hashCode(), asking.size()));
+      int owner = asking.isEmpty()
+          ? edge
+          : asking.get(Math.floorMod(o.placed().function().hashCode(), asking.size()));
       if (until > 0) {
-        plan.addItem(Item.newBuilder().setWorker(o.placed().host()).setFunction(o.placed().function()).setLanes(o.facts().lanes())
-            .setFromMs((long) ((t.from() - now) * 1000)).setUntilMs(until).setLoadUs((long) (o.facts().loadSeconds() * 1e6))
-            .setMemoryMb(o.facts().memoryMb()).setMine(owner == edge));
+        plan.addItem(Item.newBuilder()
+            .setWorker(o.placed().host())
+            .setFunction(o.placed().function())
+            .setLanes(o.facts().lanes())
+            .setFromMs((long) ((t.from() - now) * 1000))
+            .setUntilMs(until)
+            .setLoadUs((long) (o.facts().loadSeconds() * 1e6))
+            .setMemoryMb(o.facts().memoryMb())
+            .setMine(owner == edge));
       }
     }
     return plan.build();
@@ -230,7 +277,10 @@
   /** Edges that asked of late. */
   private List<Integer> asking() {
     double since = now() - settings.getEdgeSilentMs() / 1000.0;
-    return edges.entrySet().stream().filter(e -> e.getValue().heardAt >= since).map(Map.Entry::getKey).toList();
+    return edges.entrySet().stream()
+        .filter(e -> e.getValue().heardAt >= since)
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   /** Observes what is over and plans what comes; called a few times a second. */
@@ -253,14 +303,17 @@
   /** Every edge that asks has told its rows, and those that may ask had the time to. */
   private boolean ready(double now) {
     List<Integer> asking = asking();
-    return now >= startedAt + GATHER && !asking.isEmpty() && asking.stream().allMatch(e -> edges.get(e).caughtUp);
+    return now >= startedAt + GATHER
+        && !asking.isEmpty()
+        && asking.stream().allMatch(e -> edges.get(e).caughtUp);
   }
 
   private void observe(double now) {
     if (!ready(now)) {
       return;
     }
-    // An edge that ran wrote a row each minute, so a slot without any is a hole, which teaches nothing.
+    // An edge that ran wrote a row each minute, so a slot without any is a hole, which teaches
+    // nothing.
     while (!unobserved.isEmpty() && local.begins(unobserved.firstKey() + 1) + LATE <= now) {
       Map.Entry<Long, Map<String, Integer>> first = unobserved.pollFirstEntry();
       maker.observe(first.getKey(), first.getValue());
@@ -271,11 +324,19 @@
     long began = System.nanoTime();
     Map<String, Double> weights = new LinkedHashMap<>();
     asking().forEach(e -> weights.putAll(edges.get(e).weights));
-    // A worker that one edge knows to drain is not loaded ahead, whatever the others know; an edge without a list knows nothing.
-    asking().stream().map(edges::get).filter(e -> !e.weights.isEmpty())
+    // A worker that one edge knows to drain is not loaded ahead, whatever the others know; an
+    // edge without a list knows nothing.
+    asking().stream()
+        .map(edges::get)
+        .filter(e -> !e.weights.isEmpty())
         .forEach(e -> weights.keySet().retainAll(e.weights.keySet()));
     List<Host> hosts = weights.entrySet().stream()
-        .map(w -> new Host(w.getKey(), settings.getRunnerMemoryMb(), Integer.MAX_VALUE, w.getValue() > 0 ? w.getValue() : 1)).toList();
+        .map(w -> new Host(
+            w.getKey(),
+            settings.getRunnerMemoryMb(),
+            Integer.MAX_VALUE,
+            w.getValue() > 0 ? w.getValue() : 1))
+        .toList();
     double length = settings.getSlotMinutes() * 60.0;
     boolean known = soFarSlot == slot - 1;
     double part = Math.max(0.01, Math.min(1, (now - soFarSince) / length));
@@ -285,8 +346,16 @@
     planUntil = begins + length;
     version++;
     planMillis = (System.nanoTime() - began) / 1e6;
-    LOG.info("plan {}/{} for slot {}: {} new holds of {}, {} functions foreseen, {} workers, made in {} ms", store.epoch(), version, slot,
-        orders.size(), holds.size(), maker.forecasts().functions().size(), hosts.size(), Math.round(planMillis));
+    LOG.info(
+        "plan {}/{} for slot {}: {} new holds of {}, {} functions foreseen, {} workers, made in {} ms",
+        store.epoch(),
+        version,
+        slot,
+        orders.size(),
+        holds.size(),
+        maker.forecasts().functions().size(),
+        hosts.size(),
+        Math.round(planMillis));
   }
 
   /** The state in short, for whoever asks. */
@@ -297,7 +366,9 @@
     state.put("slot", version == 0 ? null : plannedFor);
     state.put("holds", holds.size());
     state.put("functions", maker.forecasts().functions().size());
-    state.put("observed", maker.forecasts().last() == Long.MIN_VALUE ? null : maker.forecasts().last());
+    state.put(
+        "observed",
+        maker.forecasts().last() == Long.MIN_VALUE ? null : maker.forecasts().last());
     state.put("rows", store.rows());
     state.put("edges", asking());
     state.put("plan_ms", planMillis);
--- a/planner/src/main/java/gorseladder/planner/PlannerFile.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerFile.java
@@ -61,7 +61,8 @@
   private void require(boolean holds, String field, int index, String reason) {
     if (!holds) {
       var locations = places.getLocations(TYPE.findFieldByName(field));
-      faults.add(new Fault(file, index < locations.size() ? locations.get(index).getLine() + 1 : 0, field, reason));
+      faults.add(new Fault(
+          file, index < locations.size() ? locations.get(index).getLine() + 1 : 0, field, reason));
     }
   }
 
@@ -76,12 +77,25 @@
 
   private void check() {
     PlannerSettings s = settings;
-    require(parses(() -> Address.parse(s.getListen())), "listen", 0, "is not a numeric address with a port");
+    require(
+        parses(() -> Address.parse(s.getListen())),
+        "listen",
+        0,
+        "is not a numeric address with a port");
     require(!s.getDataDirectory().isEmpty(), "data_directory", 0, "is needed");
     require(parses(() -> ZoneId.of(s.getTimeZone())), "time_zone", 0, "is no time zone");
-    require(s.getSlotMinutes() > 0 && 1440 % Math.max(1, s.getSlotMinutes()) == 0, "slot_minutes", 0, "must divide a day");
-    require(s.getSlotMinutes() * 60_000L >= 5 * s.getKeepAliveMs(), "slot_minutes", 0, "must be five keep-alives or more");
-    require(s.getKeepDays() >= 1 && s.getKeepDays() <= 3660, "keep_days", 0, "must be from 1 to 3660");
+    require(
+        s.getSlotMinutes() > 0 && 1440 % Math.max(1, s.getSlotMinutes()) == 0,
+        "slot_minutes",
+        0,
+        "must divide a day");
+    require(
+        s.getSlotMinutes() * 60_000L >= 5 * s.getKeepAliveMs(),
+        "slot_minutes",
+        0,
+        "must be five keep-alives or more");
+    require(
+        s.getKeepDays() >= 1 && s.getKeepDays() <= 3660, "keep_days", 0, "must be from 1 to 3660");
     require(s.getKeepAliveMs() >= 100, "keep_alive_ms", 0, "must be 100 or more");
     require(s.getRunnerMemoryMb() >= 0, "runner_memory_mb", 0, "must not be negative");
     require(s.getArchiveLoadsPerS() > 0, "archive_loads_per_s", 0, "must be above 0");
@@ -93,11 +107,19 @@
     require(s.getEdgeSilentMs() >= 1_000, "edge_silent_ms", 0, "must be 1000 or more");
     for (int i = 0; i < s.getDateCount(); i++) {
       KnownDate d = s.getDate(i);
-      require(!d.getName().isEmpty() && parses(() -> LocalDate.parse(d.getDay())), "date", i, "needs a name and a day as 2026-12-18");
+      require(
+          !d.getName().isEmpty() && parses(() -> LocalDate.parse(d.getDay())),
+          "date",
+          i,
+          "needs a name and a day as 2026-12-18");
     }
     for (int i = 0; i < s.getAllowNetworkCount(); i++) {
       String network = s.getAllowNetwork(i);
-      require(parses(() -> new Networks(List.of(network))), "allow_network", i, "is not an address or network");
+      require(
+          parses(() -> new Networks(List.of(network))),
+          "allow_network",
+          i,
+          "is not an address or network");
     }
   }
 }
--- a/planner/src/main/java/gorseladder/planner/PlannerMain.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerMain.java
@@ -31,7 +31,8 @@
       loaded.faults().forEach(err::println);
       return BAD_SETTINGS;
     }
-    System.setProperty("gorseladder.log.form", loaded.settings().getLog().getForm().name());
+    System.setProperty(
+        "gorseladder.log.form", loaded.settings().getLog().getForm().name());
     System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
     try (PlannerServer server = new PlannerServer(loaded.settings(), Clock::wallMicros)) {
       CountDownLatch stop = new CountDownLatch(1);
--- a/planner/src/main/java/gorseladder/planner/PlannerServer.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerServer.java
@@ -47,7 +47,8 @@
     planner = new Planner(settings, wall);
     HttpServer listening = null;
     try {
-      listening = HttpServer.listen(Address.parse(settings.getListen()), "planner", settings.getStackBytes(), this::serve);
+      listening = HttpServer.listen(
+          Address.parse(settings.getListen()), "planner", settings.getStackBytes(), this::serve);
     } finally {
       server = listening;
       if (listening == null) {
@@ -106,7 +107,8 @@
     String what = head.method() + " " + head.path();
     try {
       if (what.equals("POST /v1/exchange")) {
-        return HeadWriter.response(200).field("Content-Type", "application/x-protobuf")
+        return HeadWriter.response(200)
+            .field("Content-Type", "application/x-protobuf")
             .with(planner.exchange(Ask.parseFrom(body)).toByteArray());
       }
       Object value = switch (what) {
@@ -115,9 +117,11 @@
         case "GET /v1/forecast" -> planner.forecast(head.query());
         default -> null;
       };
-      return value == null ? text(404, "there is /v1/exchange, /v1/state, /v1/account and /v1/forecast?FUNCTION")
-          : HeadWriter.response(200).field("Content-Type", "application/json").with((Json.write(value) + "\n")
-              .getBytes(StandardCharsets.UTF_8));
+      return value == null
+          ? text(404, "there is /v1/exchange, /v1/state, /v1/account and /v1/forecast?FUNCTION")
+          : HeadWriter.response(200)
+              .field("Content-Type", "application/json")
+              .with((Json.write(value) + "\n").getBytes(StandardCharsets.UTF_8));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       LOG.warn("a message is passed over: {}", e.getMessage());
       return text(400, e.getMessage());
@@ -125,7 +129,9 @@
   }
 
   private static byte[] text(int status, String text) {
-    return HeadWriter.response(status).field("Content-Type", "text/plain").with((text + "\n").getBytes(StandardCharsets.UTF_8));
+    return HeadWriter.response(status)
+        .field("Content-Type", "text/plain")
+        .with((text + "\n").getBytes(StandardCharsets.UTF_8));
   }
 
   private static Map<String, Object> sheet(AccountSheet account) {
--- a/planner/src/main/java/gorseladder/planner/PlannerStore.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerStore.java
@@ -39,7 +39,8 @@
     MVMap<String, String> about = store.openMap("about");
     String format = about.getOrDefault("format", FORMAT);
     if (!format.equals(FORMAT)) {
-      throw new IllegalArgumentException("its format is " + format + " and this program reads " + FORMAT);
+      throw new IllegalArgumentException(
+          "its format is " + format + " and this program reads " + FORMAT);
     }
     about.put("format", FORMAT);
     epoch = Long.parseLong(about.getOrDefault("epoch", "0")) + 1;
@@ -59,15 +60,22 @@
     Path file = directory.resolve("planner.mv");
     MVStore store = null;
     try {
-      store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(16).open();
+      store = new MVStore.Builder()
+          .fileName(file.toString())
+          .autoCommitDisabled()
+          .cacheSize(16)
+          .open();
       store.setVersionsToKeep(0);
       return new PlannerStore(store);
     } catch (MVStoreException | IllegalArgumentException e) {
       if (store != null) {
         store.closeImmediately();
       }
-      throw new IOException("planner store " + file + " cannot be used: " + String.valueOf(e.getMessage()).lines().findFirst()
-          .orElse("") + ". Way out: move it away; the edges then tell their history anew, the account begins anew.", e);
+      throw new IOException(
+          "planner store " + file + " cannot be used: "
+              + String.valueOf(e.getMessage()).lines().findFirst().orElse("")
+              + ". Way out: move it away; the edges then tell their history anew, the account begins anew.",
+          e);
     }
   }
 
@@ -80,7 +88,9 @@
   Cursor cursor(int edge) {
     String text = cursors.get(edge);
     int space = text == null ? -1 : text.indexOf(' ');
-    return space < 0 ? new Cursor("", 0) : new Cursor(text.substring(0, space), Long.parseLong(text.substring(space + 1)));
+    return space < 0
+        ? new Cursor("", 0)
+        : new Cursor(text.substring(0, space), Long.parseLong(text.substring(space + 1)));
   }
 
   private static String key(long minute, int edge, String history, long number) {
@@ -102,7 +112,8 @@
     for (var at = rows.keyIterator(null); at.hasNext(); ) {
       String key = at.next();
       int slash = key.lastIndexOf('/');
-      if (key.startsWith(of, key.indexOf('/')) && Long.parseLong(key.substring(slash + 1)) >= from) {
+      if (key.startsWith(of, key.indexOf('/'))
+          && Long.parseLong(key.substring(slash + 1)) >= from) {
         gone.add(key);
       }
     }
@@ -114,7 +125,8 @@
     for (var at = rows.cursor(null); at.hasNext(); ) {
       String key = at.next();
       int slash = key.indexOf('/');
-      hearer.accept(Integer.parseInt(key.substring(slash + 1, slash + 6)), HistoryRow.of(at.getValue()));
+      hearer.accept(
+          Integer.parseInt(key.substring(slash + 1, slash + 6)), HistoryRow.of(at.getValue()));
     }
   }
 
@@ -147,7 +159,11 @@
       return false;
     }
     loadsKept.put(life, load.getNumber());
-    loads.put(String.format("%012d/%05d/%010d/%020d", load.getOrderedAt() / 60_000_000, edge, boot, load.getNumber()), load.toByteArray());
+    loads.put(
+        String.format(
+            "%012d/%05d/%010d/%020d",
+            load.getOrderedAt() / 60_000_000, edge, boot, load.getNumber()),
+        load.toByteArray());
     return true;
   }
 
--- a/planner/src/test/java/gorseladder/planner/PlannerTest.java
+++ b/planner/src/test/java/gorseladder/planner/PlannerTest.java
@@ -36,7 +36,10 @@
   private double now;
 
   private PlannerSettings settings() {
-    return PlannerSettings.newBuilder().setDataDirectory(dir.toString()).setSlotMinutes(15).build();
+    return PlannerSettings.newBuilder()
+        .setDataDirectory(dir.toString())
+        .setSlotMinutes(15)
+        .build();
   }
 
   private Planner planner() throws IOException {
@@ -48,12 +51,20 @@
   }
 
   private static Ask.Builder ask(int edge, String history, long from, HistoryRow... rows) {
-    Ask.Builder ask = Ask.newBuilder().setOrdinal(edge).setEdges(2).setBoot(1).setHistory(history).setAsked(from).setFrom(from)
-        .setNext(from + rows.length).setCaughtUp(true);
+    Ask.Builder ask = Ask.newBuilder()
+        .setOrdinal(edge)
+        .setEdges(2)
+        .setBoot(1)
+        .setHistory(history)
+        .setAsked(from)
+        .setFrom(from)
+        .setNext(from + rows.length)
+        .setCaughtUp(true);
     for (HistoryRow r : rows) {
       ask.addRow(ByteString.copyFrom(r.toBytes()));
     }
-    return ask.addWorker(Worker.newBuilder().setName("w1").setWeight(1)).addWorker(Worker.newBuilder().setName("w2").setWeight(1));
+    return ask.addWorker(Worker.newBuilder().setName("w1").setWeight(1))
+        .addWorker(Worker.newBuilder().setName("w2").setWeight(1));
   }
 
   /** Ten days on which f is called from 9:00 to 9:15 each day; a row a day says that the edge ran in the slot before. */
@@ -68,7 +79,14 @@
   }
 
   private static Seen seen() {
-    return Seen.newBuilder().setFunction("f").setCalls(0).setMemoryMb(400).setLanes(2).setWorkUs(200_000).setLoadUs(700_000).build();
+    return Seen.newBuilder()
+        .setFunction("f")
+        .setCalls(0)
+        .setMemoryMb(400)
+        .setLanes(2)
+        .setWorkUs(200_000)
+        .setLoadUs(700_000)
+        .build();
   }
 
   @Test
@@ -86,11 +104,24 @@
       planner.tick();
       Answer first = planner.exchange(ask(0, "h0", 960).build());
       Answer second = planner.exchange(ask(1, "h1", 0).build());
-      assertEquals(List.of("f"), first.getPlan().getItemList().stream().map(i -> i.getFunction()).distinct().toList());
+      assertEquals(
+          List.of("f"),
+          first.getPlan().getItemList().stream()
+              .map(i -> i.getFunction())
+              .distinct()
+              .toList());
       Answer third = planner.exchange(ask(2, "h2", 0).build());
-      assertEquals(1, List.of(first, second, third).stream().filter(a -> a.getPlan().getItem(0).getMine()).count());
-      assertTrue(first.getPlan().getItem(0).getFromMs() > 0 && first.getPlan().getItem(0).getFromMs() < 30_000);
-      Ask has = ask(0, "h0", 960).setEpoch(first.getPlan().getEpoch()).setVersion(first.getPlan().getVersion()).build();
+      assertEquals(
+          1,
+          List.of(first, second, third).stream()
+              .filter(a -> a.getPlan().getItem(0).getMine())
+              .count());
+      assertTrue(first.getPlan().getItem(0).getFromMs() > 0
+          && first.getPlan().getItem(0).getFromMs() < 30_000);
+      Ask has = ask(0, "h0", 960)
+          .setEpoch(first.getPlan().getEpoch())
+          .setVersion(first.getPlan().getVersion())
+          .build();
       assertFalse(planner.exchange(has).hasPlan(), "it has it already");
     }
   }
@@ -103,34 +134,50 @@
     try (Planner planner = planner()) {
       assertEquals(3, planner.exchange(ask(0, "h", 0, rows).build()).getWant());
       assertEquals(3, planner.exchange(ask(0, "h", 0, rows).build()).getWant(), "told twice");
-      assertEquals(3, planner.exchange(ask(0, "h", 7, rows).build()).getWant(), "not what is wanted");
+      assertEquals(
+          3, planner.exchange(ask(0, "h", 7, rows).build()).getWant(), "not what is wanted");
       assertEquals(3L, planner.state().get("rows"));
       Files.copy(dir.resolve("planner.mv"), dir.resolve("copy.mv"));
     }
-    Files.move(dir.resolve("copy.mv"), dir.resolve("planner.mv"), StandardCopyOption.REPLACE_EXISTING);
+    Files.move(
+        dir.resolve("copy.mv"), dir.resolve("planner.mv"), StandardCopyOption.REPLACE_EXISTING);
     try (Planner planner = planner()) {
       assertEquals(3L, planner.state().get("rows"), "what was answered for survives a kill");
       assertEquals(2L, planner.state().get("epoch"));
       assertEquals(3, planner.exchange(ask(0, "h", 3).build()).getWant());
-      assertEquals(0, planner.exchange(ask(0, "other", 5, rows).build()).getWant(), "a history begun anew is read from its start");
+      assertEquals(
+          0,
+          planner.exchange(ask(0, "other", 5, rows).build()).getWant(),
+          "a history begun anew is read from its start");
       assertEquals(3, planner.exchange(ask(0, "other", 0, rows).build()).getWant());
       assertEquals(6L, planner.state().get("rows"));
-      Ask compacted = ask(0, "other", 1, row(START, "f", 6)).setAsked(3).setNext(4).build();
+      Ask compacted =
+          ask(0, "other", 1, row(START, "f", 6)).setAsked(3).setNext(4).build();
       assertEquals(4, planner.exchange(compacted).getWant());
-      assertEquals(5L, planner.state().get("rows"), "rows that come compacted replace those from there on");
+      assertEquals(
+          5L, planner.state().get("rows"), "rows that come compacted replace those from there on");
     }
   }
 
   @Test
   void recordsOfLoadsAheadCountOnceAlsoOverLives() throws IOException {
-    LoadAhead.Builder load = LoadAhead.newBuilder().setWorker("w").setFunction("f").setOrderedAt(START * 60_000_000L).setLoadUs(700_000)
+    LoadAhead.Builder load = LoadAhead.newBuilder()
+        .setWorker("w")
+        .setFunction("f")
+        .setOrderedAt(START * 60_000_000L)
+        .setLoadUs(700_000)
         .setMegabyteSeconds(1024);
     try (Planner planner = planner()) {
-      Ask.Builder ask = ask(0, "h", 0).addLoad(load.setNumber(1).setFound(2).setSavedUs(900_000)).addLoad(load.setNumber(2).setFound(0)
-          .setSavedUs(0));
+      Ask.Builder ask = ask(0, "h", 0)
+          .addLoad(load.setNumber(1).setFound(2).setSavedUs(900_000))
+          .addLoad(load.setNumber(2).setFound(0).setSavedUs(0));
       assertEquals(2, planner.exchange(ask.build()).getLoadsKept());
       assertEquals(2, planner.exchange(ask.build()).getLoadsKept());
-      assertEquals(1, planner.exchange(ask(0, "h", 0).setBoot(2).addLoad(load.setNumber(1)).build()).getLoadsKept());
+      assertEquals(
+          1,
+          planner
+              .exchange(ask(0, "h", 0).setBoot(2).addLoad(load.setNumber(1)).build())
+              .getLoadsKept());
       AccountSheet sheet = planner.account();
       assertEquals(3, sheet.all().loads());
       assertEquals(2, sheet.all().wasted());
@@ -145,13 +192,21 @@
   @Test
   void badMessagesAreNamedAndNothingOfThemIsTaken() throws IOException {
     try (Planner planner = planner()) {
-      Ask broken = ask(0, "h", 0, row(START, "f", 1)).addRow(ByteString.copyFromUtf8("x")).build();
+      Ask broken = ask(0, "h", 0, row(START, "f", 1))
+          .addRow(ByteString.copyFromUtf8("x"))
+          .build();
       assertThrows(IllegalArgumentException.class, () -> planner.exchange(broken));
-      for (Ask.Builder bad : List.of(ask(-1, "h", 0), ask(0, "a b", 0), ask(0, "h", 5).setNext(1),
+      for (Ask.Builder bad : List.of(
+          ask(-1, "h", 0),
+          ask(0, "a b", 0),
+          ask(0, "h", 5).setNext(1),
           ask(0, "h", 0).addSeen(seen().toBuilder().setLanes(0)))) {
         assertThrows(IllegalArgumentException.class, () -> planner.exchange(bad.build()));
       }
-      assertThrows(IllegalArgumentException.class, () -> planner.exchange(Ask.getDefaultInstance()), "bytes that are no message");
+      assertThrows(
+          IllegalArgumentException.class,
+          () -> planner.exchange(Ask.getDefaultInstance()),
+          "bytes that are no message");
       assertEquals(0L, planner.state().get("rows"));
       assertEquals(List.of(), planner.state().get("edges"));
     }
@@ -163,11 +218,15 @@
     now = (START + 10 * DAY + 9 * 60) * 60 - 40;
     HistoryRow[] rows = tenDays();
     try (Planner planner = planner()) {
-      planner.exchange(ask(0, "h0", 0, Arrays.copyOf(rows, 500)).setCaughtUp(false).addSeen(seen()).build());
+      planner.exchange(ask(0, "h0", 0, Arrays.copyOf(rows, 500))
+          .setCaughtUp(false)
+          .addSeen(seen())
+          .build());
       now += 15;
       planner.tick();
       assertEquals(0L, planner.state().get("version"), "not caught up");
-      planner.exchange(ask(0, "h0", 500, Arrays.copyOfRange(rows, 500, rows.length)).build());
+      planner.exchange(
+          ask(0, "h0", 500, Arrays.copyOfRange(rows, 500, rows.length)).build());
       planner.tick();
       assertEquals(1L, planner.state().get("version"));
       assertTrue((int) planner.state().get("holds") > 0);
@@ -178,7 +237,9 @@
   void slotsFollowTheLocalDayAlsoWhenTheClocksChange() {
     LocalSlots slots = new LocalSlots(ZoneId.of("Europe/Stockholm"), 15);
     ZoneId zone = ZoneId.of("Europe/Stockholm");
-    for (LocalDateTime day : List.of(LocalDateTime.of(2026, 3, 28, 9, 0), LocalDateTime.of(2026, 3, 29, 9, 0),
+    for (LocalDateTime day : List.of(
+        LocalDateTime.of(2026, 3, 28, 9, 0),
+        LocalDateTime.of(2026, 3, 29, 9, 0),
         LocalDateTime.of(2026, 10, 25, 9, 0))) {
       long slot = slots.slot(day.atZone(zone).toEpochSecond());
       assertEquals(36, Math.floorMod(slot, 96L), "nine o'clock is nine o'clock");
@@ -193,8 +254,12 @@
   @Test
   void settingsAreCheckedWithLineAndField() throws IOException {
     Path file = dir.resolve("planner.txtpb");
-    Files.writeString(file, "data_directory: \"x\"\nslot_minutes: 7\ntime_zone: \"Mars\"\ndate { name: \"t\" day: \"soon\" }\n");
-    List<String> faults = PlannerFile.load(file).faults().stream().map(f -> f.line() + " " + f.field()).toList();
+    Files.writeString(
+        file,
+        "data_directory: \"x\"\nslot_minutes: 7\ntime_zone: \"Mars\"\ndate { name: \"t\" day: \"soon\" }\n");
+    List<String> faults = PlannerFile.load(file).faults().stream()
+        .map(f -> f.line() + " " + f.field())
+        .toList();
     assertEquals(List.of("2 slot_minutes", "3 time_zone", "4 date"), faults);
     Files.writeString(file, "data_directory: \"x\"\ndate { name: \"t\" day: \"2026-12-18\" }\n");
     assertEquals(List.of(), PlannerFile.load(file).faults());
--- a/runtime/src/main/java/gorseladder/runtime/Counts.java
+++ b/runtime/src/main/java/gorseladder/runtime/Counts.java
@@ -11,7 +11,8 @@
 
   /** Counts one. */
   public synchronized void count(String word) {
-    counts.merge(counts.size() < MOST_WORDS || counts.containsKey(word) ? word : "other", 1L, Long::sum);
+    counts.merge(
+        counts.size() < MOST_WORDS || counts.containsKey(word) ? word : "other", 1L, Long::sum);
   }
 
   /** The counts by words, in their order, for the log. */
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -31,8 +31,8 @@
   private int to;
   private boolean ended;
   private long readBytes;
-  private Runnable beforeWait = () -> { };
-  private Runnable afterWait = () -> { };
+  private Runnable beforeWait = () -> {};
+  private Runnable afterWait = () -> {};
 
   /** Wraps a connected blocking channel. */
   public HttpConnection(SocketChannel channel, HttpLimits limits) throws IOException {
@@ -43,7 +43,8 @@
   }
 
   /** Opens a connection within so many milliseconds. */
-  public static HttpConnection open(InetSocketAddress to, long connectMillis, HttpLimits limits) throws IOException {
+  public static HttpConnection open(InetSocketAddress to, long connectMillis, HttpLimits limits)
+      throws IOException {
     SocketChannel channel = SocketChannel.open();
     try {
       channel.socket().connect(to, (int) Math.max(1, Math.min(connectMillis, Integer.MAX_VALUE)));
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -47,7 +47,8 @@
   /** True while accepting fails; the accepting thread's own. */
   private boolean failing;
 
-  private HttpServer(ServerSocketChannel server, Selector selector, String name, int stackBytes, Handler handler) {
+  private HttpServer(
+      ServerSocketChannel server, Selector selector, String name, int stackBytes, Handler handler) {
     this.server = server;
     this.selector = selector;
     this.handler = handler;
@@ -56,8 +57,8 @@
   }
 
   /** Listens; the port may be 0. */
-  public static HttpServer listen(InetSocketAddress at, String name, int stackBytes, Handler handler)
-      throws IOException {
+  public static HttpServer listen(
+      InetSocketAddress at, String name, int stackBytes, Handler handler) throws IOException {
     ServerSocketChannel server = ServerSocketChannel.open();
     try {
       server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -87,13 +88,15 @@
   }
 
   private void accept() {
-    try (selector; server) {
+    try (selector;
+        server) {
       while (!stopped) {
         selector.select();
         selector.selectedKeys().clear();
         acceptAll();
       }
-      // What the system had accepted before the listener goes belongs to clients that may have asked already.
+      // What the system had accepted before the listener goes belongs to clients that may have
+      // asked already.
       acceptAll();
     } catch (IOException e) {
       LOG.error("accepting ended", e);
@@ -103,7 +106,9 @@
   /** Accepts all that the system holds ready. */
   private void acceptAll() {
     try {
-      for (SocketChannel connection = server.accept(); connection != null; connection = server.accept()) {
+      for (SocketChannel connection = server.accept();
+          connection != null;
+          connection = server.accept()) {
         failing = false;
         if (handler.admit(connection)) {
           open.add(connection);
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -124,7 +124,8 @@
       boolean last;
       synchronized (this) {
         int gathered = 0;
-        while (!items.isEmpty() && (gathered == 0 || gathered + items.peekFirst().size() <= ONE_GO)) {
+        while (!items.isEmpty()
+            && (gathered == 0 || gathered + items.peekFirst().size() <= ONE_GO)) {
           Item item = items.pollFirst();
           gathered += item.size();
           bytes -= item.size();
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -1,8 +1,8 @@
 package gorseladder.runtime;
 
+import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
@@ -20,7 +20,8 @@
     return task -> {
       Thread thread = new Thread(null, task, name + "-" + next.getAndIncrement(), stackBytes);
       thread.setDaemon(true);
-      thread.setUncaughtExceptionHandler((t, e) -> LOG.error("thread {} ended by an error", t.getName(), e));
+      thread.setUncaughtExceptionHandler(
+          (t, e) -> LOG.error("thread {} ended by an error", t.getName(), e));
       return thread;
     };
   }
@@ -43,7 +44,7 @@
 
   /** A pool that grows up to a bound and keeps idle threads for half a minute; past the bound tasks are rejected. */
   public static ThreadPoolExecutor pool(String name, int most, int stackBytes) {
-    return new ThreadPoolExecutor(0, most, 30, TimeUnit.SECONDS, new SynchronousQueue<>(),
-        factory(name, stackBytes));
+    return new ThreadPoolExecutor(
+        0, most, 30, TimeUnit.SECONDS, new SynchronousQueue<>(), factory(name, stackBytes));
   }
 }
--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -96,10 +96,12 @@
   void aConnectionTellsWhenItsPeerLeftAndWhenTimeIsOver() throws IOException {
     try (ServerSocketChannel server = ServerSocketChannel.open()) {
       server.bind(new InetSocketAddress("127.0.0.1", 0));
-      HttpConnection client = HttpConnection.open((InetSocketAddress) server.getLocalAddress(), 1_000, HttpLimits.INNER);
+      HttpConnection client = HttpConnection.open(
+          (InetSocketAddress) server.getLocalAddress(), 1_000, HttpLimits.INNER);
       HttpConnection peer = new HttpConnection(server.accept(), HttpLimits.INNER);
       assertFalse(client.peerGone());
-      assertThrows(SocketTimeoutException.class, () -> client.awaitMessage(Clock.micros() + 20_000));
+      assertThrows(
+          SocketTimeoutException.class, () -> client.awaitMessage(Clock.micros() + 20_000));
       assertThrows(SocketTimeoutException.class, () -> client.awaitMessage(Clock.micros() - 1));
       peer.write(new byte[] {'x'});
       assertTrue(client.awaitMessage(Clock.micros() + 5_000_000));
@@ -114,12 +116,13 @@
 
   @Test
   void aClosedServerGivesItsAddressBack() throws IOException {
-    HttpServer first = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, c -> { });
+    HttpServer first =
+        HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, c -> {});
     InetSocketAddress at = first.address();
     for (int i = 0; i < 20; i++) {
-      assertThrows(IOException.class, () -> HttpServer.listen(at, "t", 128 << 10, c -> { }));
+      assertThrows(IOException.class, () -> HttpServer.listen(at, "t", 128 << 10, c -> {}));
       first.close();
-      first = HttpServer.listen(at, "s", 128 << 10, c -> { });
+      first = HttpServer.listen(at, "s", 128 << 10, c -> {});
     }
     first.close();
   }
@@ -130,24 +133,25 @@
     CountDownLatch first = new CountDownLatch(1);
     CountDownLatch goOn = new CountDownLatch(1);
     AtomicInteger served = new AtomicInteger();
-    HttpServer server = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, new HttpServer.Handler() {
-      @Override
-      public boolean admit(SocketChannel connection) {
-        first.countDown();
-        try {
-          goOn.await();
-        } catch (InterruptedException e) {
-          Thread.currentThread().interrupt();
-        }
-        return true;
-      }
+    HttpServer server = HttpServer.listen(
+        new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, new HttpServer.Handler() {
+          @Override
+          public boolean admit(SocketChannel connection) {
+            first.countDown();
+            try {
+              goOn.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+            return true;
+          }
 
-      @Override
-      public void serve(SocketChannel connection) throws IOException {
-        connection.write(ByteBuffer.wrap(new byte[] {7}));
-        served.incrementAndGet();
-      }
-    });
+          @Override
+          public void serve(SocketChannel connection) throws IOException {
+            connection.write(ByteBuffer.wrap(new byte[] {7}));
+            served.incrementAndGet();
+          }
+        });
     List<Socket> clients = new ArrayList<>();
     for (int i = 0; i < 20; i++) {
       clients.add(new Socket(server.address().getAddress(), server.address().getPort()));
--- a/store/src/main/java/gorseladder/store/FormerLedger.java
+++ b/store/src/main/java/gorseladder/store/FormerLedger.java
@@ -25,11 +25,13 @@
     if (!Files.exists(file)) {
       return;
     }
-    try (MVStore store = new MVStore.Builder().fileName(file.toString()).readOnly().open()) {
+    try (MVStore store =
+        new MVStore.Builder().fileName(file.toString()).readOnly().open()) {
       MVMap<String, String> about = store.openMap("about");
       String format = about.getOrDefault("format", "2");
       if (!format.equals("1") && !format.equals("2")) {
-        throw new IOException("the format of " + file.getFileName() + " is " + format + " and this program reads 1 to 3");
+        throw new IOException("the format of " + file.getFileName() + " is " + format
+            + " and this program reads 1 to 3");
       }
       MVMap<String, byte[]> messages = store.openMap("messages");
       for (var at = messages.cursor(null); at.hasNext(); ) {
@@ -39,9 +41,11 @@
       for (var at = requests.cursor(null); at.hasNext(); ) {
         taker.take(new LedgerRecord(null, null, at.next(), at.getValue(), 0));
       }
-      taker.take(new LedgerRecord(null, null, null, 0, Long.parseLong(about.getOrDefault("boots", "0"))));
+      taker.take(
+          new LedgerRecord(null, null, null, 0, Long.parseLong(about.getOrDefault("boots", "0"))));
     }
     taker.written();
-    Files.move(file, file.resolveSibling(file.getFileName() + DONE), StandardCopyOption.ATOMIC_MOVE);
+    Files.move(
+        file, file.resolveSibling(file.getFileName() + DONE), StandardCopyOption.ATOMIC_MOVE);
   }
 }
