--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -40,6 +40,7 @@
   private static final String FORMER = ".mv";
   /** A segment ends at this size, or at a part of the whole where that is more, so that there are never many to look into. */
   private static final int SEGMENT_BYTES = 32 << 20;
+
   private static final int MOST_SEGMENT_BYTES = 1 << 30;
   private static final int SEGMENTS = 32;
   /** A segment also ends when it has run for this part of the time its messages are kept, so that bytes go soon after that. */
@@ -48,6 +49,7 @@
   private static final long COUNTED = 1_000_000;
   /** Bytes that gather before a write begins without being asked for. */
   private static final int MOST_GATHERED = 1 << 20;
+
   private static final ThreadLocal<MessageDigest> SHA = ThreadLocal.withInitial(Digests::sha256);
 
   private final Path folder;
@@ -58,12 +60,14 @@
   private final FileChannel lockFile;
   /** Tables are keyed by a digest with this in it, so that no sender can choose where its messages come to stand. */
   private final byte[] salt = new byte[16];
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition changed = lock.newCondition();
   private final Thread committer;
   private final long boots;
   /** Oldest first; the last is written. Guarded by the lock, as is all below. */
   private final List<LedgerSegment> segments = new ArrayList<>();
+
   private final TreeMap<Long, Integer> expiring = new TreeMap<>();
   private Gathered pending = new Gathered();
   private Gathered writing;
@@ -103,7 +107,9 @@
     }
   }
 
-  private Ledger(Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink) throws IOException {
+  private Ledger(
+      Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink)
+      throws IOException {
     this.folder = folder;
     this.sync = sync;
     this.maxMessages = maxMessages;
@@ -111,7 +117,8 @@
     this.sink = sink;
     new SecureRandom().nextBytes(salt);
     Files.createDirectories(folder);
-    lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+    lockFile = FileChannel.open(
+        folder.resolve("lock"), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
     try {
       if (lockFile.tryLock() == null) {
         throw new IOException("another process holds it");
@@ -128,17 +135,18 @@
     committer.setDaemon(true);
     committer.start();
     try {
-      FormerLedger.takeOver(folder.resolveSibling(folder.getFileName() + FORMER), new FormerLedger.Taker() {
-        @Override
-        public void take(LedgerRecord record) throws LedgerException {
-          add(record);
-        }
-
-        @Override
-        public void written() throws IOException {
-          await(issued);
-        }
-      });
+      FormerLedger.takeOver(
+          folder.resolveSibling(folder.getFileName() + FORMER), new FormerLedger.Taker() {
+            @Override
+            public void take(LedgerRecord record) throws LedgerException {
+              add(record);
+            }
+
+            @Override
+            public void written() throws IOException {
+              await(issued);
+            }
+          });
       boots = nextBoot();
       await(add(new LedgerRecord(null, null, null, 0, boots)));
     } catch (IOException | RuntimeException e) {
@@ -163,10 +171,13 @@
     }
     for (Path file : files) {
       String name = file.getFileName().toString();
-      LedgerSegment segment = new LedgerSegment(file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), sink);
+      LedgerSegment segment = new LedgerSegment(
+          file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), sink);
       segments.add(segment);
-      segment.load(file.equals(files.get(files.size() - 1)), (at, record) -> index(segment, at, record,
-          digest('m', record.message()), digest('r', record.request())));
+      segment.load(
+          file.equals(files.get(files.size() - 1)),
+          (at, record) -> index(
+              segment, at, record, digest('m', record.message()), digest('r', record.request())));
     }
     if (segments.isEmpty()) {
       begin(1);
@@ -174,7 +185,8 @@
   }
 
   private void begin(long number) {
-    segments.add(new LedgerSegment(folder.resolve(String.format("%016x%s", number, SUFFIX)), number, sink));
+    segments.add(
+        new LedgerSegment(folder.resolve(String.format("%016x%s", number, SUFFIX)), number, sink));
     // Each segment knows the count of openings, as earlier ones go.
     pending.writeBytes(new LedgerRecord(null, null, null, 0, seenBoots).toBytes());
   }
@@ -194,14 +206,19 @@
   }
 
   /** As above, with the least size of a segment and a way to write that tests choose. */
-  static Ledger open(Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink) throws LedgerException {
+  static Ledger open(
+      Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink)
+      throws LedgerException {
     try {
       return new Ledger(folder, sync, maxMessages, segmentBytes, sink);
     } catch (MVStoreException | IllegalArgumentException | IllegalStateException | IOException e) {
       String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-      throw new LedgerException("ledger " + folder + " cannot be used: " + why + ". Nothing was changed. Way out: free the"
-          + " disk or restore the folder; or move it away, but then no message before now is remembered: let the edge take"
-          + " no unsafe calls until the senders' retries are over.", e);
+      throw new LedgerException(
+          "ledger " + folder + " cannot be used: " + why
+              + ". Nothing was changed. Way out: free the"
+              + " disk or restore the folder; or move it away, but then no message before now is remembered: let the edge take"
+              + " no unsafe calls until the senders' retries are over.",
+          e);
     }
   }
 
@@ -234,7 +251,8 @@
     Digest d = digest('m', message);
     lock.lock();
     try {
-      for (ListIterator<LedgerSegment> it = segments.listIterator(segments.size()); it.hasPrevious(); ) {
+      for (ListIterator<LedgerSegment> it = segments.listIterator(segments.size());
+          it.hasPrevious(); ) {
         LedgerSegment segment = it.previous();
         int at = segment.messages.get(d.first(), d.second());
         if (at >= 0) {
@@ -275,7 +293,8 @@
   }
 
   /** Records a message and the signed request it came with as one; the request may be null. */
-  public long put(String message, LedgerEntry entry, String request, long requestUntil) throws LedgerException {
+  public long put(String message, LedgerEntry entry, String request, long requestUntil)
+      throws LedgerException {
     return add(new LedgerRecord(message, entry, request, requestUntil, 0));
   }
 
@@ -305,12 +324,14 @@
     }
   }
 
-  private void index(LedgerSegment segment, int at, LedgerRecord record, Digest message, Digest request) {
+  private void index(
+      LedgerSegment segment, int at, LedgerRecord record, Digest message, Digest request) {
     seenBoots = Math.max(seenBoots, record.boots());
     segment.begunAt = segment.begunAt == 0 ? now : segment.begunAt;
     if (message != null) {
       long until = record.entry().keepUntil();
-      boolean known = segments.stream().anyMatch(s -> s.messages.get(message.first(), message.second()) >= 0);
+      boolean known =
+          segments.stream().anyMatch(s -> s.messages.get(message.first(), message.second()) >= 0);
       segment.messages.put(message.first(), message.second(), at);
       segment.messagesUntil = Math.max(segment.messagesUntil, until);
       if (!known && until > now) {
@@ -353,7 +374,8 @@
 
   private void requireWritable() throws LedgerException {
     if (broken != null) {
-      throw new LedgerException("ledger " + folder + " cannot be written: " + broken.getMessage(), broken);
+      throw new LedgerException(
+          "ledger " + folder + " cannot be written: " + broken.getMessage(), broken);
     }
   }
 
@@ -393,7 +415,9 @@
     lock.lock();
     try {
       now = Math.max(now, time);
-      for (Map.Entry<Long, Integer> e = expiring.firstEntry(); e != null && e.getKey() * COUNTED < now; e = expiring.firstEntry()) {
+      for (Map.Entry<Long, Integer> e = expiring.firstEntry();
+          e != null && e.getKey() * COUNTED < now;
+          e = expiring.firstEntry()) {
         count -= e.getValue();
         expiring.pollFirstEntry();
       }
@@ -474,8 +498,10 @@
 
   private boolean full(LedgerSegment segment) {
     long all = segments.stream().mapToLong(s -> s.end).sum();
-    boolean large = segment.end >= Math.min(MOST_SEGMENT_BYTES, Math.max(segmentBytes, all / SEGMENTS));
-    boolean old = segment.begunAt > 0 && now - segment.begunAt > (segment.until() - segment.begunAt) / TIME_PARTS;
+    boolean large =
+        segment.end >= Math.min(MOST_SEGMENT_BYTES, Math.max(segmentBytes, all / SEGMENTS));
+    boolean old = segment.begunAt > 0
+        && now - segment.begunAt > (segment.until() - segment.begunAt) / TIME_PARTS;
     return segment.end > LedgerSegment.HEAD && (large || old);
   }
 
--- a/store/src/main/java/gorseladder/store/LedgerEntry.java
+++ b/store/src/main/java/gorseladder/store/LedgerEntry.java
@@ -19,12 +19,25 @@
  * @param status the HTTP status answered, 0 before the end
  * @param answer the answer's content where it is kept, else null
  */
-public record LedgerEntry(Stage stage, boolean mayHaveRun, long takenAt, long leftAt, long keepUntil, byte[] content,
-    String reason, int status, byte[] answer) {
+public record LedgerEntry(
+    Stage stage,
+    boolean mayHaveRun,
+    long takenAt,
+    long leftAt,
+    long keepUntil,
+    byte[] content,
+    String reason,
+    int status,
+    byte[] answer) {
   private static final byte FORMAT = 1;
 
   /** How far a message got. Order and number are part of the file format. */
-  public enum Stage { ACCEPTED, LEAVING, SERVED, CLOSED }
+  public enum Stage {
+    ACCEPTED,
+    LEAVING,
+    SERVED,
+    CLOSED
+  }
 
   /** The same message at another stage, without an end. */
   public LedgerEntry at(Stage next, boolean ran, long left) {
@@ -33,14 +46,15 @@
 
   /** The same message with its end. */
   public LedgerEntry ended(Stage next, boolean ran, String why, int code, byte[] body) {
-    return new LedgerEntry(next, ran, takenAt, ran ? leftAt : 0, keepUntil, content, why, code, body);
+    return new LedgerEntry(
+        next, ran, takenAt, ran ? leftAt : 0, keepUntil, content, why, code, body);
   }
 
   byte[] toBytes() {
     byte[] word = reason.getBytes(StandardCharsets.UTF_8);
     int answerLength = answer == null ? -1 : answer.length;
-    ByteBuffer out = ByteBuffer.allocate(4 + 3 + 24 + 2 + content.length + 2 + word.length + 2 + 4
-        + Math.max(0, answerLength));
+    ByteBuffer out = ByteBuffer.allocate(
+        4 + 3 + 24 + 2 + content.length + 2 + word.length + 2 + 4 + Math.max(0, answerLength));
     out.position(4);
     out.put(FORMAT).put((byte) stage.ordinal()).put((byte) (mayHaveRun ? 1 : 0));
     out.putLong(takenAt).putLong(leftAt).putLong(keepUntil);
@@ -74,7 +88,15 @@
       String reason = new String(read(in, in.getShort()), StandardCharsets.UTF_8);
       int status = in.getShort();
       int answerLength = in.getInt();
-      return new LedgerEntry(stage, mayHaveRun, takenAt, leftAt, keepUntil, content, reason, status,
+      return new LedgerEntry(
+          stage,
+          mayHaveRun,
+          takenAt,
+          leftAt,
+          keepUntil,
+          content,
+          reason,
+          status,
           answerLength < 0 ? null : read(in, answerLength));
     } catch (BufferUnderflowException | IndexOutOfBoundsException | NegativeArraySizeException e) {
       throw new IllegalArgumentException("length", e);
--- a/store/src/main/java/gorseladder/store/LedgerRecord.java
+++ b/store/src/main/java/gorseladder/store/LedgerRecord.java
@@ -12,7 +12,8 @@
  * @param request null where it is about no request
  * @param boots how often the ledger was opened; 0 in all other records
  */
-record LedgerRecord(String message, LedgerEntry entry, String request, long requestUntil, long boots) {
+record LedgerRecord(
+    String message, LedgerEntry entry, String request, long requestUntil, long boots) {
   private static final int MESSAGE = 1;
   private static final int REQUEST = 2;
   private static final int BOOTS = 4;
@@ -22,9 +23,13 @@
     byte[] name = message == null ? null : message.getBytes(StandardCharsets.UTF_8);
     byte[] about = entry == null ? null : entry.toBytes();
     byte[] key = request == null ? null : request.getBytes(StandardCharsets.UTF_8);
-    int length = 1 + (name == null ? 0 : 8 + name.length + about.length) + (key == null ? 0 : 12 + key.length) + (boots > 0 ? 8 : 0);
+    int length = 1
+        + (name == null ? 0 : 8 + name.length + about.length)
+        + (key == null ? 0 : 12 + key.length)
+        + (boots > 0 ? 8 : 0);
     ByteBuffer out = ByteBuffer.allocate(4 + length);
-    out.putInt(length).put((byte) ((name == null ? 0 : MESSAGE) | (key == null ? 0 : REQUEST) | (boots > 0 ? BOOTS : 0)));
+    out.putInt(length).put((byte)
+        ((name == null ? 0 : MESSAGE) | (key == null ? 0 : REQUEST) | (boots > 0 ? BOOTS : 0)));
     if (name != null) {
       out.putInt(name.length).put(name).putInt(about.length).put(about);
     }
@@ -46,7 +51,8 @@
       LedgerEntry entry = message == null ? null : LedgerEntry.of(read(in));
       String request = (has & REQUEST) != 0 ? new String(read(in), StandardCharsets.UTF_8) : null;
       long until = request == null ? 0 : in.getLong();
-      return new LedgerRecord(message, entry, request, until, (has & BOOTS) != 0 ? in.getLong() : 0);
+      return new LedgerRecord(
+          message, entry, request, until, (has & BOOTS) != 0 ? in.getLong() : 0);
     } catch (BufferUnderflowException e) {
       throw new IllegalArgumentException("length", e);
     }
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -53,6 +53,7 @@
   long begunAt;
   /** Where the next frame will begin, with all that was put by now. */
   int end = HEAD;
+
   private final Sink sink;
   private FileChannel out;
   private RandomAccessFile in;
@@ -81,7 +82,10 @@
       out.position(out.size());
     }
     int length = frame.limit() - FRAME_HEAD;
-    frame.putInt(0, FRAME_MARK).putInt(4, length).putInt(8, Digests.crc(frame.array(), FRAME_HEAD, length));
+    frame
+        .putInt(0, FRAME_MARK)
+        .putInt(4, length)
+        .putInt(8, Digests.crc(frame.array(), FRAME_HEAD, length));
     sink.write(out, frame);
     if (sync) {
       out.force(false);
@@ -122,7 +126,8 @@
       Files.delete(file);
       return;
     }
-    try (DataInputStream bytes = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 18))) {
+    try (DataInputStream bytes =
+        new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 18))) {
       byte[] head = new byte[HEAD];
       bytes.readFully(head);
       ByteBuffer h = ByteBuffer.wrap(head);
@@ -131,7 +136,8 @@
       }
       int format = h.getInt();
       if (format != FORMAT) {
-        throw new IOException("the format of " + file.getFileName() + " is " + format + " and this program reads " + FORMAT);
+        throw new IOException("the format of " + file.getFileName() + " is " + format
+            + " and this program reads " + FORMAT);
       }
       while (end < length && frame(bytes, length - end, reader)) {
         continue;
--- a/store/src/main/java/gorseladder/store/history/History.java
+++ b/store/src/main/java/gorseladder/store/history/History.java
@@ -46,7 +46,8 @@
   }
 
   /** One segment in memory: where it is and which numbers it stands for. */
-  private record Part(Path file, long first, long covers, long bytes, long lastMinute, boolean coarse) {
+  private record Part(
+      Path file, long first, long covers, long bytes, long lastMinute, boolean coarse) {
     long end() {
       return first + covers;
     }
@@ -115,7 +116,8 @@
         cut(f, content.goodBytes());
       }
       if (content == null || content.first() < next || content.goodBytes() != Files.size(f)) {
-        throw new IOException("history segment " + f + " is damaged; move it away to go on without its rows");
+        throw new IOException(
+            "history segment " + f + " is damaged; move it away to go on without its rows");
       }
       add(f, content);
     }
@@ -130,9 +132,13 @@
   }
 
   private void add(Path f, Segment.Content content) {
-    long latest = content.rows().stream().mapToLong(r -> r.from() + r.minutes() - 1).max().orElse(0);
-    boolean coarse = content.covers() != content.rows().size() || content.rows().stream().allMatch(r -> r.minutes() >= HOUR);
-    parts.put(content.first(), new Part(f, content.first(), content.covers(), content.goodBytes(), latest, coarse));
+    long latest =
+        content.rows().stream().mapToLong(r -> r.from() + r.minutes() - 1).max().orElse(0);
+    boolean coarse = content.covers() != content.rows().size()
+        || content.rows().stream().allMatch(r -> r.minutes() >= HOUR);
+    parts.put(
+        content.first(),
+        new Part(f, content.first(), content.covers(), content.goodBytes(), latest, coarse));
     next = content.first() + content.covers();
   }
 
@@ -140,7 +146,11 @@
   private void begin() throws IOException {
     file = name(next);
     first = next;
-    channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
+    channel = FileChannel.open(
+        file,
+        StandardOpenOption.CREATE,
+        StandardOpenOption.WRITE,
+        StandardOpenOption.TRUNCATE_EXISTING);
     channel.write(ByteBuffer.wrap(Segment.head(first, 0)));
     bytes = Segment.HEAD;
     lastMinute = 0;
@@ -199,7 +209,12 @@
       }
       Segment.Content content = Segment.read(part.file());
       long start = part.coarse() ? part.first() : Math.max(part.first(), at);
-      rows.addAll(part.coarse() ? content.rows() : content.rows().subList((int) (start - part.first()), content.rows().size()));
+      rows.addAll(
+          part.coarse()
+              ? content.rows()
+              : content
+                  .rows()
+                  .subList((int) (start - part.first()), content.rows().size()));
       begins = begins < 0 ? start : begins;
       at = part.end();
     }
@@ -226,10 +241,14 @@
     for (HistoryRow row : Segment.read(part.file()).rows()) {
       long hour = row.from() / HOUR * HOUR;
       int length = Math.max(HOUR, row.minutes());
-      hours.merge(List.of(hour, row.key()), row.over(hour, length), (a, b) -> a.plus(b, hour, length));
+      hours.merge(
+          List.of(hour, row.key()), row.over(hour, length), (a, b) -> a.plus(b, hour, length));
     }
     Path fresh = part.file().resolveSibling(part.file().getFileName() + ".new");
-    try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+    try (FileChannel out = FileChannel.open(
+        fresh,
+        StandardOpenOption.CREATE,
+        StandardOpenOption.WRITE,
         StandardOpenOption.TRUNCATE_EXISTING)) {
       out.write(ByteBuffer.wrap(Segment.head(part.first(), part.covers())));
       for (HistoryRow row : hours.values()) {
@@ -237,9 +256,17 @@
       }
       out.force(true);
     }
-    Files.move(fresh, part.file(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-    parts.put(part.first(),
-        new Part(part.file(), part.first(), part.covers(), Files.size(part.file()), part.lastMinute(), true));
+    Files.move(
+        fresh, part.file(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    parts.put(
+        part.first(),
+        new Part(
+            part.file(),
+            part.first(),
+            part.covers(),
+            Files.size(part.file()),
+            part.lastMinute(),
+            true));
   }
 
   /** Bytes on disk. */
--- a/store/src/main/java/gorseladder/store/history/HistoryRow.java
+++ b/store/src/main/java/gorseladder/store/history/HistoryRow.java
@@ -12,8 +12,20 @@
  * @param calls taken; {@code found}, {@code began} and {@code awaited} say what their served attempts met
  * @param loads copies loaded and {@code loadMicros} the time they took in all
  */
-public record HistoryRow(long from, int minutes, String function, String requestClass, String tenant, long calls,
-    long found, long began, long awaited, long refused, long failed, long loads, long loadMicros) {
+public record HistoryRow(
+    long from,
+    int minutes,
+    String function,
+    String requestClass,
+    String tenant,
+    long calls,
+    long found,
+    long began,
+    long awaited,
+    long refused,
+    long failed,
+    long loads,
+    long loadMicros) {
   public HistoryRow {
     if (minutes < 1 || from < 0) {
       throw new IllegalArgumentException("a row covers at least one minute since 1970");
@@ -29,25 +41,54 @@
 
   /** The sum of two rows of one key, as a row over the given stretch. */
   HistoryRow plus(HistoryRow o, long start, int length) {
-    return new HistoryRow(start, length, function, requestClass, tenant, calls + o.calls, found + o.found, began + o.began,
-        awaited + o.awaited, refused + o.refused, failed + o.failed, loads + o.loads, loadMicros + o.loadMicros);
+    return new HistoryRow(
+        start,
+        length,
+        function,
+        requestClass,
+        tenant,
+        calls + o.calls,
+        found + o.found,
+        began + o.began,
+        awaited + o.awaited,
+        refused + o.refused,
+        failed + o.failed,
+        loads + o.loads,
+        loadMicros + o.loadMicros);
   }
 
   HistoryRow over(long start, int length) {
-    return new HistoryRow(start, length, function, requestClass, tenant, calls, found, began, awaited, refused, failed,
-        loads, loadMicros);
+    return new HistoryRow(
+        start,
+        length,
+        function,
+        requestClass,
+        tenant,
+        calls,
+        found,
+        began,
+        awaited,
+        refused,
+        failed,
+        loads,
+        loadMicros);
   }
 
   /** The row in its form on disk, without length and checksum. */
   public byte[] toBytes() {
-    byte[][] texts = {function.getBytes(StandardCharsets.UTF_8), requestClass.getBytes(StandardCharsets.UTF_8),
-        tenant.getBytes(StandardCharsets.UTF_8)};
-    ByteBuffer out = ByteBuffer.allocate(8 + 4 + 6 + texts[0].length + texts[1].length + texts[2].length + 8 * 8);
+    byte[][] texts = {
+      function.getBytes(StandardCharsets.UTF_8),
+      requestClass.getBytes(StandardCharsets.UTF_8),
+      tenant.getBytes(StandardCharsets.UTF_8)
+    };
+    ByteBuffer out = ByteBuffer.allocate(
+        8 + 4 + 6 + texts[0].length + texts[1].length + texts[2].length + 8 * 8);
     out.putLong(from).putInt(minutes);
     for (byte[] text : texts) {
       out.putShort((short) text.length).put(text);
     }
-    for (long number : new long[] {calls, found, began, awaited, refused, failed, loads, loadMicros}) {
+    for (long number :
+        new long[] {calls, found, began, awaited, refused, failed, loads, loadMicros}) {
       out.putLong(number);
     }
     return out.array();
@@ -69,8 +110,20 @@
         in.get(text);
         texts[i] = new String(text, StandardCharsets.UTF_8);
       }
-      return new HistoryRow(from, minutes, texts[0], texts[1], texts[2], in.getLong(), in.getLong(), in.getLong(),
-          in.getLong(), in.getLong(), in.getLong(), in.getLong(), in.getLong());
+      return new HistoryRow(
+          from,
+          minutes,
+          texts[0],
+          texts[1],
+          texts[2],
+          in.getLong(),
+          in.getLong(),
+          in.getLong(),
+          in.getLong(),
+          in.getLong(),
+          in.getLong(),
+          in.getLong(),
+          in.getLong());
     } catch (BufferUnderflowException e) {
       throw new IllegalArgumentException("a row that ends early", e);
     }
--- a/store/src/main/java/gorseladder/store/history/Segment.java
+++ b/store/src/main/java/gorseladder/store/history/Segment.java
@@ -45,11 +45,14 @@
    */
   static Content read(Path file) throws IOException {
     ByteBuffer in = ByteBuffer.wrap(Files.readAllBytes(file));
-    if (in.capacity() < HEAD || in.getInt(0) != MARK || in.getInt(28) != Digests.crc(in.array(), 0, 28)) {
+    if (in.capacity() < HEAD
+        || in.getInt(0) != MARK
+        || in.getInt(28) != Digests.crc(in.array(), 0, 28)) {
       return null;
     }
     if (in.getInt(4) != FORMAT) {
-      throw new IOException(file + " has format " + in.getInt(4) + " and this program reads " + FORMAT);
+      throw new IOException(
+          file + " has format " + in.getInt(4) + " and this program reads " + FORMAT);
     }
     long first = in.getLong(8);
     long covers = in.getLong(16);
--- a/store/src/test/java/gorseladder/store/LedgerTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerTest.java
@@ -28,7 +28,8 @@
   Path dir;
 
   private static LedgerEntry entry(Stage stage, long keepUntil) {
-    return new LedgerEntry(stage, stage == Stage.LEAVING, 1, 2, keepUntil, new byte[] {1, 2, 3}, "", 0, null);
+    return new LedgerEntry(
+        stage, stage == Stage.LEAVING, 1, 2, keepUntil, new byte[] {1, 2, 3}, "", 0, null);
   }
 
   private Path folder() {
@@ -56,7 +57,8 @@
 
   @Test
   void entriesSurviveAnOrderlyCloseAndCountBoots() throws IOException {
-    LedgerEntry served = entry(Stage.LEAVING, 99).ended(Stage.SERVED, false, "served", 200, new byte[] {7});
+    LedgerEntry served =
+        entry(Stage.LEAVING, 99).ended(Stage.SERVED, false, "served", 200, new byte[] {7});
     try (Ledger ledger = Ledger.open(folder(), true, 10)) {
       ledger.put("a", entry(Stage.ACCEPTED, 99));
       ledger.await(ledger.put("b", served, "q", 98));
@@ -112,7 +114,8 @@
     for (int length = 0; length <= whole.length; length++) {
       Path cut = dir.resolve("cut" + length);
       Files.createDirectories(cut);
-      Files.write(cut.resolve(segments(folder()).get(0).getFileName()), Arrays.copyOf(whole, length));
+      Files.write(
+          cut.resolve(segments(folder()).get(0).getFileName()), Arrays.copyOf(whole, length));
       for (int opening = 0; opening < 2; opening++) {
         try (Ledger ledger = open(cut)) {
           for (int i = 0; i < 4; i++) {
@@ -156,13 +159,16 @@
     try (Ledger ledger = Ledger.open(folder(), false, 100_000, 2_000, LedgerSegment.Sink.PLAIN)) {
       for (int i = 0; i < 200; i++) {
         ledger.forgetUntil(i * second);
-        ledger.await(ledger.put("k" + i, entry(Stage.LEAVING, (i + 50) * second), "r" + i, (i + 10) * second));
+        ledger.await(ledger.put(
+            "k" + i, entry(Stage.LEAVING, (i + 50) * second), "r" + i, (i + 10) * second));
         ledger.await(ledger.put("k" + i, entry(Stage.CLOSED, (i + 50) * second)));
         for (int k = 0; k <= i; k++) {
           assertEquals(k + 50 > i, ledger.get("k" + k) != null, i + " " + k);
           assertEquals(k + 10 > i, ledger.seen("r" + k), i + " " + k);
         }
-        assertTrue(ledger.size() <= 51 && segments(folder()).size() <= 30, ledger.size() + " " + segments(folder()).size());
+        assertTrue(
+            ledger.size() <= 51 && segments(folder()).size() <= 30,
+            ledger.size() + " " + segments(folder()).size());
       }
       assertFalse(Files.exists(folder().resolve("0000000000000001.segment")));
     }
@@ -182,7 +188,9 @@
     try (MVStore store = new MVStore.Builder().fileName(former.toString()).open()) {
       store.<String, String>openMap("about").put("format", "2");
       store.<String, String>openMap("about").put("boots", "7");
-      store.<String, byte[]>openMap("messages").put("a", entry(Stage.LEAVING, 50).toBytes());
+      store
+          .<String, byte[]>openMap("messages")
+          .put("a", entry(Stage.LEAVING, 50).toBytes());
       store.<String, Long>openMap("requests").put("r", 60L);
     }
     byte[] bytes = Files.readAllBytes(former);
@@ -249,7 +257,9 @@
         copy(folder(), copy);
         Files.write(copy.resolve(file.getFileName()), bad);
         String said = assertThrows(LedgerException.class, () -> open(copy)).getMessage();
-        assertTrue(said.contains(file.getFileName() + " is damaged at byte ") && said.contains("Way out"), said);
+        assertTrue(
+            said.contains(file.getFileName() + " is damaged at byte ") && said.contains("Way out"),
+            said);
         assertArrayEquals(bad, Files.readAllBytes(copy.resolve(file.getFileName())));
       }
     }
@@ -259,7 +269,9 @@
   @Test
   void aSecondProcessCannotHoldTheSameLedger() throws IOException {
     try (Ledger ledger = open(folder())) {
-      assertTrue(assertThrows(LedgerException.class, () -> open(folder())).getMessage().contains("cannot be used"));
+      assertTrue(assertThrows(LedgerException.class, () -> open(folder()))
+          .getMessage()
+          .contains("cannot be used"));
       assertTrue(ledger.hasRoom());
     }
   }
@@ -287,7 +299,9 @@
           failure = e;
         }
       }
-      assertTrue(failure != null && failure.getMessage().contains("cannot be written"), String.valueOf(failure));
+      assertTrue(
+          failure != null && failure.getMessage().contains("cannot be written"),
+          String.valueOf(failure));
       assertFalse(ledger.hasRoom());
       assertThrows(LedgerException.class, () -> ledger.put("more", entry(Stage.ACCEPTED, 1000)));
     }
@@ -297,7 +311,8 @@
         assertTrue(after.get(k) != null, "an awaited record is missing");
       }
     }
-    assertThrows(LedgerException.class, () -> Ledger.open(dir.resolve("new"), false, 10, 1000, disk));
+    assertThrows(
+        LedgerException.class, () -> Ledger.open(dir.resolve("new"), false, 10, 1000, disk));
   }
 
   /** Thousands of draws of records put, awaited, forgotten and opened anew, beside a plain map. */
@@ -312,9 +327,18 @@
       LedgerEntry old = plain.get(name);
       assertEquals(old != null && old.keepUntil() > now ? old : null, ledger.get(name));
       if (random.nextInt(3) > 0) {
-        long until = old != null && old.keepUntil() > now ? old.keepUntil() : now + random.nextInt(5_000);
-        LedgerEntry next = new LedgerEntry(Stage.values()[random.nextInt(4)], random.nextBoolean(), step, 2, until,
-            new byte[random.nextInt(30)], "w", 200, null);
+        long until =
+            old != null && old.keepUntil() > now ? old.keepUntil() : now + random.nextInt(5_000);
+        LedgerEntry next = new LedgerEntry(
+            Stage.values()[random.nextInt(4)],
+            random.nextBoolean(),
+            step,
+            2,
+            until,
+            new byte[random.nextInt(30)],
+            "w",
+            200,
+            null);
         plain.put(name, next);
         long ticket = ledger.put(name, next);
         if (random.nextInt(10) == 0) {
--- a/store/src/test/java/gorseladder/store/history/HistoryTest.java
+++ b/store/src/test/java/gorseladder/store/history/HistoryTest.java
@@ -23,7 +23,8 @@
   Path dir;
 
   private static HistoryRow row(long minute, int function, long calls) {
-    return new HistoryRow(minute, 1, "svc/f" + function, "safe", "t", calls, calls / 2, 1, 0, 0, 1, 1, 300_000);
+    return new HistoryRow(
+        minute, 1, "svc/f" + function, "safe", "t", calls, calls / 2, 1, 0, 0, 1, 1, 300_000);
   }
 
   private static List<HistoryRow> rows(long minute) {
@@ -55,7 +56,10 @@
       int expected = Math.max(0, (cut - Segment.HEAD) / recordBytes);
       for (int open = 0; open < 2; open++) {
         try (History history = History.open(copy, BOUNDS)) {
-          assertEquals(all.subList(0, expected), history.read(0, 1000).rows().subList(0, expected), "cut at " + cut);
+          assertEquals(
+              all.subList(0, expected),
+              history.read(0, 1000).rows().subList(0, expected),
+              "cut at " + cut);
           assertEquals(expected + open, history.next());
           history.append(List.of(row(99, 9, 9)));
         }
@@ -80,7 +84,8 @@
     byte[] bytes = Files.readAllBytes(victim);
     bytes[bytes.length / 2] ^= 1;
     Files.write(victim, bytes);
-    String why = assertThrows(IOException.class, () -> History.open(dir, BOUNDS)).getMessage();
+    String why =
+        assertThrows(IOException.class, () -> History.open(dir, BOUNDS)).getMessage();
     assertTrue(why.contains(victim.toString()) && why.contains("move it away"), why);
     Files.move(victim, dir.resolve("away"));
     try (History history = History.open(dir, BOUNDS)) {
@@ -122,11 +127,13 @@
   }
 
   /** Remembers batches by the number they begin at; a batch that begins lower replaces what was read from there on. */
-  private static long follow(History history, long cursor, TreeMap<Long, List<HistoryRow>> read) throws IOException {
+  private static long follow(History history, long cursor, TreeMap<Long, List<HistoryRow>> read)
+      throws IOException {
     long at = cursor;
     while (at < history.next()) {
       History.Batch batch = history.read(at, 10);
-      // What a compacted segment stands for may reach back into batches read before: those are read again whole.
+      // What a compacted segment stands for may reach back into batches read before: those are
+      // read again whole.
       Long covering = read.floorKey(batch.from());
       if (covering != null && batch.from() < at) {
         read.tailMap(covering, true).clear();
@@ -158,6 +165,8 @@
   @Test
   void impossibleBoundsAndRowsAreRejected() {
     assertThrows(IllegalArgumentException.class, () -> new History.Bounds(10, 60, 1 << 20));
-    assertThrows(IllegalArgumentException.class, () -> new HistoryRow(-1, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> new HistoryRow(-1, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
   }
 }
--- a/structures/src/main/java/gorseladder/structures/TimerWheel.java
+++ b/structures/src/main/java/gorseladder/structures/TimerWheel.java
@@ -194,7 +194,8 @@
 
   private int fireDue(Consumer<? super T> sink) {
     int fired = 0;
-    // Only what is due now: a sink that schedules for the past is served at the next call, not in an endless loop.
+    // Only what is due now: a sink that schedules for the past is served at the next call, not
+    // in an endless loop.
     int most = size;
     while (due.after != due && fired < most) {
       Node<T> node = due.after;
--- a/structures/src/test/java/gorseladder/structures/DigestTableTest.java
+++ b/structures/src/test/java/gorseladder/structures/DigestTableTest.java
@@ -25,7 +25,8 @@
     assertEquals(plain.size(), table.size());
     for (long a = 0; a < 210; a++) {
       for (long b = 0; b < 210; b++) {
-        assertEquals(plain.getOrDefault(List.of(a * 0x100000001L, b), -1), table.get(a * 0x100000001L, b));
+        assertEquals(
+            plain.getOrDefault(List.of(a * 0x100000001L, b), -1), table.get(a * 0x100000001L, b));
       }
     }
     assertThrows(IllegalArgumentException.class, () -> table.put(1, 1, -1));
--- a/structures/src/test/java/gorseladder/structures/TimerWheelTest.java
+++ b/structures/src/test/java/gorseladder/structures/TimerWheelTest.java
@@ -42,7 +42,9 @@
       }
       if (random.nextInt(5) == 0) {
         long next = wheel.nextDue();
-        now += random.nextBoolean() && next != Long.MAX_VALUE ? Math.max(0, next - now) : random.nextInt(1 << 20);
+        now += random.nextBoolean() && next != Long.MAX_VALUE
+            ? Math.max(0, next - now)
+            : random.nextInt(1 << 20);
         long at = now;
         wheel.advance(now, id -> {
           Long due = expected.remove(id);
@@ -50,7 +52,9 @@
           assertTrue(due <= at, "early");
         });
         long latest = now - tick;
-        assertTrue(expected.values().stream().allMatch(due -> due > latest), "a due timer was passed over");
+        assertTrue(
+            expected.values().stream().allMatch(due -> due > latest),
+            "a due timer was passed over");
       }
       assertEquals(expected.size(), wheel.size());
     }
--- a/testbed/src/main/java/gorseladder/testbed/LagMeter.java
+++ b/testbed/src/main/java/gorseladder/testbed/LagMeter.java
@@ -45,7 +45,8 @@
   public long ofACallAt(long at) {
     long most = USUAL;
     // A long stall is found by its end.
-    for (Map.Entry<Long, Long> e = lags.floorEntry(at + AROUND); e != null && e.getKey() + e.getValue() >= at - AROUND;
+    for (Map.Entry<Long, Long> e = lags.floorEntry(at + AROUND);
+        e != null && e.getKey() + e.getValue() >= at - AROUND;
         e = lags.lowerEntry(e.getKey())) {
       most = Math.max(most, e.getValue());
     }
--- a/testbed/src/main/java/gorseladder/testbed/ListStandIn.java
+++ b/testbed/src/main/java/gorseladder/testbed/ListStandIn.java
@@ -45,7 +45,8 @@
   public ListStandIn(Tap tap, long late) throws IOException {
     this.tap = tap;
     this.late = late;
-    this.server = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "list", STACK, this::serve);
+    this.server =
+        HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "list", STACK, this::serve);
   }
 
   /** Where it listens. */
@@ -156,7 +157,10 @@
       at = index;
       phases = shownPhases;
     }
-    c.write(HeadWriter.response(200).field("X-Consul-Index", at).field("Content-Type", "application/json").with(body));
+    c.write(HeadWriter.response(200)
+        .field("X-Consul-Index", at)
+        .field("Content-Type", "application/json")
+        .with(body));
     String agent = String.valueOf(head.get("user-agent"));
     int edge = Integer.parseInt(agent.substring(agent.indexOf('/') + 1));
     told(edge, phases, Clock.micros());
@@ -165,7 +169,8 @@
   /** Notes for the checker what this edge was told now that differs from what it was told before. */
   private synchronized void told(int edge, Map<String, Phase> phases, long now) {
     Map<String, Phase> before = lastTold.getOrDefault(edge, Map.of());
-    before.keySet().stream().filter(r -> !phases.containsKey(r))
+    before.keySet().stream()
+        .filter(r -> !phases.containsKey(r))
         .forEach(r -> tap.told(new Tap.Told(edge, r, Phase.GONE, now)));
     phases.forEach((runner, phase) -> {
       if (phase != before.get(runner)) {
--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -24,6 +24,7 @@
   private static final int STACK = 512 << 10;
   /** What may pass between a socket and the tap on an idle machine; {@link LagMeter} adds for one that was busy at the moment. */
   public static final long SLACK = 40_000;
+
   private static final long ENDS_WITHIN = 30_000;
 
   private final DayScript script;
@@ -32,7 +33,8 @@
   private final Random random;
   private final List<Thread> running = new ArrayList<>();
   private final List<Trouble> unplayed = java.util.Collections.synchronizedList(new ArrayList<>());
-  private final List<Portal.Kind> kinds = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW);
+  private final List<Portal.Kind> kinds =
+      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW);
   private volatile double burst = 1;
   private volatile double hot;
   private volatile double scan;
@@ -46,7 +48,13 @@
   }
 
   /** The outcome of a day. */
-  public record Verdict(Portal.Totals totals, int attempts, int loads, List<Break> breaks, int fallen, List<Trouble> unplayed,
+  public record Verdict(
+      Portal.Totals totals,
+      int attempts,
+      int loads,
+      List<Break> breaks,
+      int fallen,
+      List<Trouble> unplayed,
       List<Pressure> pressures) {
     /** True where no rule was broken and every trouble was played. */
     public boolean good() {
@@ -55,7 +63,10 @@
 
     /** Rules of which the day showed nothing. */
     public List<Integer> untested() {
-      return pressures.stream().filter(p -> p.occasions() == 0).map(Pressure::rule).toList();
+      return pressures.stream()
+          .filter(p -> p.occasions() == 0)
+          .map(Pressure::rule)
+          .toList();
     }
 
     /** The table of the day. */
@@ -68,15 +79,21 @@
       out.printf(Locale.ROOT, "%-34s %8d%n", "not reached", totals.unreached.get());
       out.printf(Locale.ROOT, "%-34s %8d%n", "attempts at runners", attempts);
       out.printf(Locale.ROOT, "%-34s %8d%n", "loads", loads);
-      out.printf(Locale.ROOT, "%-34s %5.0f / %.0f ms%n", "served from intended time, p50/p99", totals.millis(50),
+      out.printf(
+          Locale.ROOT,
+          "%-34s %5.0f / %.0f ms%n",
+          "served from intended time, p50/p99",
+          totals.millis(50),
           totals.millis(99));
       out.printf(Locale.ROOT, "%-34s %s%n", "reasons", Portal.print(totals.reasons));
       pressures.forEach(out::println);
       out.printf(Locale.ROOT, "%-34s %8d%n", "rules broken", breaks.size());
       breaks.stream().limit(10).forEach(b -> out.println("  " + b));
-      out.println(good() ? "GOOD: every call got exactly one final answer and no rule was broken"
-          : "BAD: " + breaks.size() + " breaks of rules, " + fallen + " runners pushed over, " + unplayed.size()
-          + " troubles not played");
+      out.println(
+          good()
+              ? "GOOD: every call got exactly one final answer and no rule was broken"
+              : "BAD: " + breaks.size() + " breaks of rules, " + fallen + " runners pushed over, "
+                  + unplayed.size() + " troubles not played");
     }
   }
 
@@ -95,14 +112,21 @@
     boolean ended = portal.finish(ENDS_WITHIN);
     lag.close();
     Tap tap = world.tap();
-    RuleChecker.Report report = RuleChecker.report(tap, world.rules(), World.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
+    RuleChecker.Report report = RuleChecker.report(
+        tap, world.rules(), World.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
     List<Break> breaks = new ArrayList<>(report.breaks());
     if (!ended) {
       breaks.add(new Break(1, "calls were still open long after the day"));
     }
     int fallen = (int) world.runners().stream().filter(StandInRunner::fallen).count();
     synchronized (tap) {
-      return new Verdict(portal.totals(), tap.arrivals.size(), world.archive().fetched(), breaks, fallen, List.copyOf(unplayed),
+      return new Verdict(
+          portal.totals(),
+          tap.arrivals.size(),
+          world.archive().fetched(),
+          breaks,
+          fallen,
+          List.copyOf(unplayed),
           report.pressures());
     }
   }
@@ -120,16 +144,25 @@
       at += -Math.log(1 - random.nextDouble()) * 1e6 / (script.number("rate") * burst);
       if (progress != null && at > nextLine) {
         Portal.Totals t = portal.totals();
-        progress.printf(Locale.ROOT, "%3d s  calls %5d  served %5d  refused %4d  failed %4d%n", (nextLine - start) / 1_000_000,
-            t.calls.get(), t.served.get(), t.refused.get(), t.failed.get());
+        progress.printf(
+            Locale.ROOT,
+            "%3d s  calls %5d  served %5d  refused %4d  failed %4d%n",
+            (nextLine - start) / 1_000_000,
+            t.calls.get(),
+            t.served.get(),
+            t.refused.get(),
+            t.failed.get());
         nextLine += 1_000_000;
       }
     }
   }
 
   private void call(long number, long meantFor) {
-    double draw = random.nextDouble() * (script.number("safe") + script.number("keyed") + script.number("unsafe"));
-    int kind = draw < script.number("safe") ? 0 : draw < script.number("safe") + script.number("keyed") ? 1 : 2;
+    double draw = random.nextDouble()
+        * (script.number("safe") + script.number("keyed") + script.number("unsafe"));
+    int kind = draw < script.number("safe")
+        ? 0
+        : draw < script.number("safe") + script.number("keyed") ? 1 : 2;
     // Few functions draw much of the traffic.
     int rank = (int) (Math.pow(random.nextDouble(), 2) * script.count("functions"));
     String function = "svc/f" + kind + "-" + rank;
@@ -139,8 +172,19 @@
     } else if (odd < hot + scan) {
       function = "svc/once-" + number;
     }
-    portal.call("msg_" + script.count("seed") + "_" + number, random.nextInt(world.edges()), kinds.get(kind), function,
-        Map.of("lanes", script.count("lanes"), "memory_mb", 300, "load_ms", (long) script.number("load") / 1000), meantFor,
+    portal.call(
+        "msg_" + script.count("seed") + "_" + number,
+        random.nextInt(world.edges()),
+        kinds.get(kind),
+        function,
+        Map.of(
+            "lanes",
+            script.count("lanes"),
+            "memory_mb",
+            300,
+            "load_ms",
+            (long) script.number("load") / 1000),
+        meantFor,
         random.nextLong());
   }
 
@@ -164,7 +208,8 @@
 
   private List<StandInRunner> victims(Trouble t) {
     List<StandInRunner> all = new ArrayList<>(world.runners());
-    java.util.Collections.shuffle(all, new Random(t.at() ^ t.kind().ordinal() ^ script.count("seed")));
+    java.util.Collections.shuffle(
+        all, new Random(t.at() ^ t.kind().ordinal() ^ script.count("seed")));
     return all.subList(0, t.of(all.size()));
   }
 
@@ -215,9 +260,12 @@
       begin(t.kind(), t, r);
     }
     if (t.kind() == Kind.NEIGHBOUR || t.kind() == Kind.AGEING) {
-      for (double grown = 1; Clock.micros() < until; grown = grown > 1 && t.kind() == Kind.NEIGHBOUR ? 1 : grown + 1) {
+      for (double grown = 1;
+          Clock.micros() < until;
+          grown = grown > 1 && t.kind() == Kind.NEIGHBOUR ? 1 : grown + 1) {
         for (StandInRunner r : victims) {
-          r.faults().slower = t.kind() == Kind.AGEING ? grown * t.factor() / 2 : grown > 1 ? t.factor() : 1;
+          r.faults().slower =
+              t.kind() == Kind.AGEING ? grown * t.factor() / 2 : grown > 1 ? t.factor() : 1;
         }
         Thread.sleep(500);
       }
@@ -250,7 +298,7 @@
         f.draining = true;
         world.list().set(r, Phase.DRAINING, false, true);
       }
-      default -> { }
+      default -> {}
     }
   }
 
@@ -273,7 +321,7 @@
         r.restart();
         world.list().set(r, Phase.RUNNING, true, true);
       }
-      default -> { }
+      default -> {}
     }
     f.hang = false;
     f.slower = 1;
--- a/testbed/src/main/java/gorseladder/testbed/Portal.java
+++ b/testbed/src/main/java/gorseladder/testbed/Portal.java
@@ -92,7 +92,13 @@
   }
 
   /** Starts a call that was meant for this time. */
-  public void call(String message, int edge, Kind kind, String function, Map<String, Object> hints, long meantFor,
+  public void call(
+      String message,
+      int edge,
+      Kind kind,
+      String function,
+      Map<String, Object> hints,
+      long meantFor,
       long seed) {
     totals.calls.incrementAndGet();
     threads.execute(() -> run(message, edge, kind, function, hints, meantFor, new Random(seed)));
@@ -114,7 +120,13 @@
     return Json.write(payload).getBytes(StandardCharsets.UTF_8);
   }
 
-  private void run(String message, int edge, Kind kind, String function, Map<String, Object> hints, long meantFor,
+  private void run(
+      String message,
+      int edge,
+      Kind kind,
+      String function,
+      Map<String, Object> hints,
+      long meantFor,
       Random random) {
     byte[] body = body(kind, function, hints);
     long stamp = 0;
@@ -124,7 +136,8 @@
     try {
       for (int i = 0; i < tries; i++) {
         stamp = Math.max(stamp + 1, System.currentTimeMillis() / 1000);
-        long patience = kind.deadline() / 2_000_000 * 1_000_000 < 1_000_000 || random.nextBoolean() ? kind.deadline()
+        long patience = kind.deadline() / 2_000_000 * 1_000_000 < 1_000_000 || random.nextBoolean()
+            ? kind.deadline()
             : (kind.deadline() / 1_000_000 - 1) * 1_000_000;
         last = attempt(message, edge, kind, body, stamp, patience);
         if (served(last) || !mayRetry(last, kind, firstAt)) {
@@ -156,7 +169,10 @@
       totals.failed.incrementAndGet();
     }
     if (last != null) {
-      totals.reason(last.reason.isEmpty() ? last.unreached ? "not_reached" : "connection_broke" : last.reason);
+      totals.reason(
+          last.reason.isEmpty()
+              ? last.unreached ? "not_reached" : "connection_broke"
+              : last.reason);
     }
   }
 
@@ -164,20 +180,24 @@
     return switch (kind.effect()) {
       case SAFE -> true;
       case KEYED -> Clock.micros() + kind.deadline() < firstAt + kind.repeatWindow();
-      // A broken connection says nothing: its edge must know by its ledger whether the call may have run.
+      // A broken connection says nothing: its edge must know by its ledger whether the call may
+      // have run.
       case UNSAFE -> last.unreached || last.retryAfter || last.broken;
     };
   }
 
   /** One try; also what tests use to send exactly one request. */
-  public Tap.Try attempt(String message, int edge, Kind kind, byte[] body, long stamp, long patience) {
+  public Tap.Try attempt(
+      String message, int edge, Kind kind, byte[] body, long stamp, long patience) {
     InetSocketAddress to = edges.apply(edge);
     Tap.Try t = tap.sent(path + " " + message, edge, kind.effect(), Clock.micros(), patience);
     HttpConnection c = null;
     try {
       c = borrow(to);
-      HeadWriter w = HeadWriter.request("POST", path, "edge").field("Content-Type", "application/json")
-          .field(Delivery.ID, message).field(Delivery.TIMESTAMP, stamp)
+      HeadWriter w = HeadWriter.request("POST", path, "edge")
+          .field("Content-Type", "application/json")
+          .field(Delivery.ID, message)
+          .field(Delivery.TIMESTAMP, stamp)
           .field(Delivery.SIGNATURE, secret.sign(message, stamp, body));
       if (patience < kind.deadline()) {
         w.field("Prefer", "wait=" + patience / 1_000_000);
@@ -196,7 +216,8 @@
     return t;
   }
 
-  private void answer(HttpConnection c, Tap.Try t, InetSocketAddress to) throws IOException, BadMessage {
+  private void answer(HttpConnection c, Tap.Try t, InetSocketAddress to)
+      throws IOException, BadMessage {
     long until = t.sentAt + t.patience + NO_ANSWER_AFTER;
     Head head = c.readResponse(until);
     c.readBody(BodyParser.forResponse(head, HttpLimits.INNER), until);
@@ -245,12 +266,15 @@
 
   /** Reasons by count, in their order. */
   public static String print(Map<String, Integer> reasons) {
-    return String.join(", ", reasons.entrySet().stream().map(e -> e.getKey() + " " + e.getValue()).toList());
+    return String.join(
+        ", ",
+        reasons.entrySet().stream().map(e -> e.getKey() + " " + e.getValue()).toList());
   }
 
   /** The kinds of call that every world takes, by their event types. */
   public static List<Kind> kinds(long aim, long deadline, long repeatWindow) {
-    return List.of(new Kind("hours.read", Effect.SAFE, deadline, aim, 0),
+    return List.of(
+        new Kind("hours.read", Effect.SAFE, deadline, aim, 0),
         new Kind("assessment.saved", Effect.KEYED, deadline, aim, repeatWindow),
         new Kind("certificate.issued", Effect.UNSAFE, deadline, aim, 0));
   }
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -41,13 +41,31 @@
    * @param notJudged what was past its bound by no more than that: neither kept nor broken
    * @param closest how near the nearest came to breaking, in {@code unit}; below 0 it was past the bound; NaN or the largest value where nothing came near a bound
    */
-  public record Pressure(int rule, String what, long occasions, double closest, String unit, long slackMillis, long notJudged) {
+  public record Pressure(
+      int rule,
+      String what,
+      long occasions,
+      double closest,
+      String unit,
+      long slackMillis,
+      long notJudged) {
     @Override
     public String toString() {
-      return occasions == 0 ? "rule " + rule + ": no occasion, not tested"
-          : String.format(Locale.ROOT, "rule %d: %d %s%s%s", rule, occasions, what,
-              Double.isNaN(closest) || closest == Double.MAX_VALUE ? "" : String.format(Locale.ROOT, ", closest %.0f %s", closest, unit),
-              slackMillis < 0 ? "" : String.format(Locale.ROOT, ", slack p99 %d ms, not judged %d", slackMillis, notJudged));
+      return occasions == 0
+          ? "rule " + rule + ": no occasion, not tested"
+          : String.format(
+              Locale.ROOT,
+              "rule %d: %d %s%s%s",
+              rule,
+              occasions,
+              what,
+              Double.isNaN(closest) || closest == Double.MAX_VALUE
+                  ? ""
+                  : String.format(Locale.ROOT, ", closest %.0f %s", closest, unit),
+              slackMillis < 0
+                  ? ""
+                  : String.format(
+                      Locale.ROOT, ", slack p99 %d ms, not judged %d", slackMillis, notJudged));
     }
   }
 
@@ -65,7 +83,9 @@
   private final long[] notJudged = new long[6];
   private final List<Break> breaks = new ArrayList<>();
   private final long[] occasions = new long[6];
-  private final double[] closest = {0, Double.MAX_VALUE, Double.NaN, Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE};
+  private final double[] closest = {
+    0, Double.MAX_VALUE, Double.NaN, Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE
+  };
 
   private RuleChecker(Tap tap, Rules rules, long repeatWindow, LongUnaryOperator slackAt) {
     this.tap = tap;
@@ -100,9 +120,13 @@
   }
 
   private List<Pressure> pressures() {
-    return List.of(pressure(1, "tries answered", "ms before the client gave up"),
+    return List.of(
+        pressure(1, "tries answered", "ms before the client gave up"),
         pressure(2, "repeats or refusals of what had been sent", ""),
-        pressure(3, "drains told of runners in use, and calls and orders after one", "ms before the grace ended"),
+        pressure(
+            3,
+            "drains told of runners in use, and calls and orders after one",
+            "ms before the grace ended"),
         pressure(4, "calls at cold runners", "% of the allowance left"),
         pressure(5, "load orders under a ration", "orders left"));
   }
@@ -110,7 +134,13 @@
   private Pressure pressure(int rule, String what, String unit) {
     List<Long> all = slacks.get(rule);
     Collections.sort(all);
-    return new Pressure(rule, what, occasions[rule], closest[rule], unit, all.isEmpty() ? -1 : all.get((all.size() - 1) * 99 / 100) / 1000,
+    return new Pressure(
+        rule,
+        what,
+        occasions[rule],
+        closest[rule],
+        unit,
+        all.isEmpty() ? -1 : all.get((all.size() - 1) * 99 / 100) / 1000,
         notJudged[rule]);
   }
 
@@ -133,7 +163,9 @@
 
   private boolean edgeWasDown(Try t) {
     return tap.downs.stream()
-        .anyMatch(d -> d.edge() == t.edge && d.from() <= t.sentAt + t.patience + slackAt.applyAsLong(d.from()) && d.to() >= t.sentAt);
+        .anyMatch(d -> d.edge() == t.edge
+            && d.from() <= t.sentAt + t.patience + slackAt.applyAsLong(d.from())
+            && d.to() >= t.sentAt);
   }
 
   private static <T> Map<String, List<T>> group(List<T> all, Function<T, String> by) {
@@ -146,20 +178,33 @@
       if (t.unreached || edgeWasDown(t)) {
         continue;
       }
-      judged(1, t.statuses.isEmpty() ? Double.MAX_VALUE : (t.sentAt + t.patience - t.answeredAt) / 1000.0);
+      judged(
+          1,
+          t.statuses.isEmpty()
+              ? Double.MAX_VALUE
+              : (t.sentAt + t.patience - t.answeredAt) / 1000.0);
       if (t.statuses.isEmpty()) {
-        broke(1, t.message + " got no answer from edge " + t.edge + (t.broken ? ", the connection broke" : ""));
+        broke(
+            1,
+            t.message + " got no answer from edge " + t.edge
+                + (t.broken ? ", the connection broke" : ""));
       } else if (t.statuses.size() > 1) {
         broke(1, t.message + " got " + t.statuses.size() + " answers " + t.statuses);
       } else if (past(1, t.answeredAt, t.sentAt + t.patience)) {
-        broke(1, t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000 + " ms too late");
+        broke(
+            1,
+            t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000
+                + " ms too late");
       }
     }
     Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
     for (Arrival a : tap.arrivals) {
       List<Try> of = tries.getOrDefault(a.message, List.of());
-      boolean wanted = of.stream().anyMatch(t -> t.sentAt <= a.at
-          && (t.statuses.isEmpty() || edgeWasDown(t) || a.at <= t.answeredAt + slackAt.applyAsLong(a.at)));
+      boolean wanted = of.stream()
+          .anyMatch(t -> t.sentAt <= a.at
+              && (t.statuses.isEmpty()
+                  || edgeWasDown(t)
+                  || a.at <= t.answeredAt + slackAt.applyAsLong(a.at)));
       if (!wanted) {
         broke(1, a.message + " was sent to " + a.runner + " after its final answer");
       }
@@ -197,7 +242,10 @@
       for (Arrival earlier : all.subList(0, i)) {
         boolean mayHaveRun = !provenNeverRan(earlier, later.at);
         if (mayHaveRun && effect == Effect.UNSAFE) {
-          broke(2, message + " was sent to " + later.runner + " though it may have run at " + earlier.runner);
+          broke(
+              2,
+              message + " was sent to " + later.runner + " though it may have run at "
+                  + earlier.runner);
           return;
         }
         if (mayHaveRun && effect == Effect.KEYED && past(2, later.at, earlier.at + repeatWindow)) {
@@ -214,7 +262,8 @@
       if (refused && all.stream().anyMatch(a -> a.at < t.answeredAt)) {
         judged(2, Double.NaN);
       }
-      if (refused && all.stream().anyMatch(a -> a.at < t.answeredAt && !provenNeverRan(a, t.answeredAt))) {
+      if (refused
+          && all.stream().anyMatch(a -> a.at < t.answeredAt && !provenNeverRan(a, t.answeredAt))) {
         broke(2, message + " was refused as harmless though it may have run");
       }
     }
@@ -226,17 +275,28 @@
     words.values().forEach(list -> list.sort(Comparator.comparingLong(Told::at)));
     for (Told word : tap.told) {
       // An edge that had just sent there would have sent on: that is what the word had to stop.
-      if (word.phase() != Phase.RUNNING && tap.arrivals.stream().anyMatch(a -> a.edge == word.edge()
-          && a.runner.equals(word.runner()) && a.at <= word.at() && a.at > word.at() - IN_USE)) {
+      if (word.phase() != Phase.RUNNING
+          && tap.arrivals.stream()
+              .anyMatch(a -> a.edge == word.edge()
+                  && a.runner.equals(word.runner())
+                  && a.at <= word.at()
+                  && a.at > word.at() - IN_USE)) {
         judged(3, Double.MAX_VALUE);
       }
     }
     for (Arrival a : tap.arrivals) {
-      drain(words.getOrDefault(a.edge + " " + a.runner, List.of()), a.at, "call " + a.message, a.runner);
+      drain(
+          words.getOrDefault(a.edge + " " + a.runner, List.of()),
+          a.at,
+          "call " + a.message,
+          a.runner);
     }
     for (Order o : tap.orders) {
       if (o.copies() > 0) {
-        drain(words.getOrDefault(o.edge() + " " + o.runner(), List.of()), o.at(), "order for " + o.function(),
+        drain(
+            words.getOrDefault(o.edge() + " " + o.runner(), List.of()),
+            o.at(),
+            "order for " + o.function(),
             o.runner());
       }
     }
@@ -254,7 +314,10 @@
       judged(3, (closedSince + rules.drainGrace() - at) / 1000.0);
     }
     if (closedSince >= 0 && past(3, at, closedSince + rules.drainGrace())) {
-      broke(3, what + " reached " + runner + " " + (at - closedSince) / 1000 + " ms after its drain was told");
+      broke(
+          3,
+          what + " reached " + runner + " " + (at - closedSince) / 1000
+              + " ms after its drain was told");
     }
   }
 
@@ -264,7 +327,8 @@
     for (Start start : tap.starts) {
       List<Arrival> cold = arrivals.getOrDefault(start.runner(), List.of()).stream()
           .filter(a -> a.at >= start.at() && a.at <= start.at() + rules.coldFor())
-          .sorted(Comparator.comparingLong(a -> a.at)).toList();
+          .sorted(Comparator.comparingLong(a -> a.at))
+          .toList();
       double sum = 0;
       int first = 0;
       for (Arrival a : cold) {
@@ -272,12 +336,15 @@
         while (cold.get(first).at <= a.at - rules.overloadFor()) {
           sum -= cold.get(first++).work;
         }
-        double warmth = rules.coldFrom() + (1 - rules.coldFrom()) * (a.at - start.at()) / rules.coldFor();
+        double warmth =
+            rules.coldFrom() + (1 - rules.coldFrom()) * (a.at - start.at()) / rules.coldFor();
         double most = rules.overloadMultiple() * start.capacity() * warmth * rules.overloadFor();
         judged(4, 100 * (most - sum) / most);
         if (sum > most + 2 * a.work) {
-          broke(4, start.runner() + " was sent " + Math.round(sum / 1000) + " ms of work in a window for "
-              + Math.round(most / 1000) + " while cold");
+          broke(
+              4,
+              start.runner() + " was sent " + Math.round(sum / 1000)
+                  + " ms of work in a window for " + Math.round(most / 1000) + " while cold");
           break;
         }
       }
@@ -289,17 +356,23 @@
     if (rules.loadWindow() == 0) {
       return;
     }
-    List<Order> counted = tap.orders.stream().filter(o -> o.copies() > 0)
-        .sorted(Comparator.comparingLong(Order::at)).toList();
+    List<Order> counted = tap.orders.stream()
+        .filter(o -> o.copies() > 0)
+        .sorted(Comparator.comparingLong(Order::at))
+        .toList();
     for (Order o : counted) {
       long from = o.at() - rules.loadWindow();
       long slack = slackAt.applyAsLong(o.at());
-      long within = counted.stream().filter(p -> p.edge() == o.edge() && p.at() > from + slack && p.at() <= o.at()).count();
+      long within = counted.stream()
+          .filter(p -> p.edge() == o.edge() && p.at() > from + slack && p.at() <= o.at())
+          .count();
       long taken = tap.tries.stream()
-          .filter(t -> t.edge == o.edge() && t.sentAt > from - slack && t.sentAt <= o.at()).count();
+          .filter(t -> t.edge == o.edge() && t.sentAt > from - slack && t.sentAt <= o.at())
+          .count();
       judged(5, rules.loadsFree() + rules.loadShare() * taken - within);
       if (within > rules.loadsFree() + rules.loadShare() * taken) {
-        broke(5, "edge " + o.edge() + " ordered " + within + " loads with " + taken + " calls taken");
+        broke(
+            5, "edge " + o.edge() + " ordered " + within + " loads with " + taken + " calls taken");
       }
     }
   }
--- a/testbed/src/main/java/gorseladder/testbed/StandInPlanner.java
+++ b/testbed/src/main/java/gorseladder/testbed/StandInPlanner.java
@@ -41,7 +41,8 @@
   public StandInPlanner(List<String> functions, long seed) throws IOException {
     this.functions = List.copyOf(functions);
     this.random = new Random(seed);
-    this.server = HttpServer.listen(new InetSocketAddress("127.0.0.1", 0), "stand-in-planner", STACK, this::serve);
+    this.server = HttpServer.listen(
+        new InetSocketAddress("127.0.0.1", 0), "stand-in-planner", STACK, this::serve);
   }
 
   /** Where it listens. */
@@ -59,7 +60,8 @@
     try {
       while (c.awaitMessage(Clock.micros() + PATIENCE)) {
         Head head = c.readRequest(Clock.micros() + PATIENCE);
-        byte[] body = c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + PATIENCE);
+        byte[] body =
+            c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + PATIENCE);
         c.write(answer(Ask.parseFrom(body)));
       }
     } catch (BadMessage e) {
@@ -76,16 +78,30 @@
     if (mood == 1) {
       return HeadWriter.response(503).with(new byte[0]);
     }
-    Plan.Builder plan = Plan.newBuilder().setEpoch(mood == 2 ? 1 : 2).setVersion(++version).setLivesMs(30_000);
+    Plan.Builder plan =
+        Plan.newBuilder().setEpoch(mood == 2 ? 1 : 2).setVersion(++version).setLivesMs(30_000);
     for (String f : functions) {
       for (String w : workers) {
-        plan.addItem(Item.newBuilder().setWorker(w).setFunction(f).setCopies(mood == 3 ? 9_999 : 1 + random.nextInt(2)).setLanes(1)
-            .setFromMs(0).setUntilMs(20_000).setMemoryMb(100).setMine(true));
+        plan.addItem(Item.newBuilder()
+            .setWorker(w)
+            .setFunction(f)
+            .setCopies(mood == 3 ? 9_999 : 1 + random.nextInt(2))
+            .setLanes(1)
+            .setFromMs(0)
+            .setUntilMs(20_000)
+            .setMemoryMb(100)
+            .setMine(true));
       }
     }
     plans++;
-    return HeadWriter.response(200).with(Answer.newBuilder().setHistory(ask.getHistory()).setWant(ask.getNext())
-        .setLoadsKept(Long.MAX_VALUE).setPlan(plan).build().toByteArray());
+    return HeadWriter.response(200)
+        .with(Answer.newBuilder()
+            .setHistory(ask.getHistory())
+            .setWant(ask.getNext())
+            .setLoadsKept(Long.MAX_VALUE)
+            .setPlan(plan)
+            .build()
+            .toByteArray());
   }
 
   @Override
--- a/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
@@ -33,8 +33,20 @@
   private static final long SLICE_MILLIS = 5;
 
   /** What a runner is like; times in microseconds. */
-  public record Nature(String zone, int cell, int cores, double speed, double memoryMb, int mostHeld, long work, long load,
-      long keepAlive, boolean loadsOnMiss, boolean cancelling, long repeatWindow, Rules rules) {}
+  public record Nature(
+      String zone,
+      int cell,
+      int cores,
+      double speed,
+      double memoryMb,
+      int mostHeld,
+      long work,
+      long load,
+      long keepAlive,
+      boolean loadsOnMiss,
+      boolean cancelling,
+      long repeatWindow,
+      Rules rules) {}
 
   /** Misbehaviour that a script turns on and off. */
   public static final class Faults {
@@ -96,8 +108,14 @@
   private String lastReport;
 
   /** Starts a runner on a free loopback port, warm; {@code log} hears a line for each infer request that began. */
-  public StandInRunner(Nature nature, Archive archive, KeyMemory keys, Tap tap, long seed,
-      Consumer<Map<String, Object>> log) throws IOException {
+  public StandInRunner(
+      Nature nature,
+      Archive archive,
+      KeyMemory keys,
+      Tap tap,
+      long seed,
+      Consumer<Map<String, Object>> log)
+      throws IOException {
     this.nature = nature;
     this.archive = archive;
     this.keys = keys;
@@ -171,7 +189,8 @@
       born = life;
     }
     try {
-      // A connection that is slow to be served holds bytes that came meanwhile: they count from its beginning.
+      // A connection that is slow to be served holds bytes that came meanwhile: they count from
+      // its beginning.
       long openedAt = Clock.micros();
       long handshake = faults.handshake;
       Thread.sleep(handshake / 1000);
@@ -179,7 +198,8 @@
       while (c.awaitMessage(Clock.micros() + 60_000_000L)) {
         long at = first && handshake > 0 ? openedAt : Clock.micros();
         Head head = c.readRequest(Clock.micros() + 10_000_000L);
-        byte[] body = c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + 10_000_000L);
+        byte[] body =
+            c.readBody(BodyParser.forRequest(head, HttpLimits.INNER), Clock.micros() + 10_000_000L);
         if (!alive(born) || !answer(c, head, body, born, first, at) || !head.keepsConnection()) {
           break;
         }
@@ -220,8 +240,8 @@
 
   private synchronized byte[] index() {
     java.util.List<Object> all = new java.util.ArrayList<>();
-    copies.forEach((name, copy) -> all.add(Map.of("name", name, "state", copy.standing > 0 ? "READY" : "LOADING",
-        "copies", copy.standing)));
+    copies.forEach((name, copy) -> all.add(Map.of(
+        "name", name, "state", copy.standing > 0 ? "READY" : "LOADING", "copies", copy.standing)));
     return gorseladder.wire.json.Json.write(all).getBytes(StandardCharsets.UTF_8);
   }
 
@@ -230,7 +250,8 @@
     return value != null && value.matches("[0-9]{1,9}") ? Integer.parseInt(value) : otherwise;
   }
 
-  private boolean infer(HttpConnection c, Head head, byte[] body, String model, int born, boolean first, long at)
+  private boolean infer(
+      HttpConnection c, Head head, byte[] body, String model, int born, boolean first, long at)
       throws IOException, InterruptedException {
     Oip.Content content;
     try {
@@ -239,7 +260,8 @@
       c.write(HeadWriter.response(400).field(Oip.RAN, "no").with(new byte[0]));
       return true;
     }
-    Tap.Arrival arrival = tap.arrived(content.id(), id(), header(head, Oip.EDGE, -1), model, at, nature.work());
+    Tap.Arrival arrival =
+        tap.arrived(content.id(), id(), header(head, Oip.EDGE, -1), model, at, nature.work());
     try {
       pushed(arrival);
       if (faults.stale && !first) {
@@ -277,17 +299,24 @@
       windowWork = 0;
     }
     windowWork += arrival.work;
-    fallen |= windowWork > rules.overloadMultiple() * nature.cores() * nature.speed() * warmth(age) * rules.overloadFor()
-        + 2 * arrival.work;
+    fallen |= windowWork
+        > rules.overloadMultiple()
+                * nature.cores()
+                * nature.speed()
+                * warmth(age)
+                * rules.overloadFor()
+            + 2 * arrival.work;
   }
 
   private double warmth(long age) {
     Rules rules = nature.rules();
-    return warmFromStart || age >= rules.coldFor() ? 1
+    return warmFromStart || age >= rules.coldFor()
+        ? 1
         : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldFor();
   }
 
-  private boolean run(HttpConnection c, Head head, Oip.Content content, String model, int born, Tap.Arrival arrival)
+  private boolean run(
+      HttpConnection c, Head head, Oip.Content content, String model, int born, Tap.Arrival arrival)
       throws IOException, InterruptedException {
     String copyWord;
     int crowd;
@@ -317,7 +346,9 @@
         return respond(c, arrival, 404, "load-failed", crowd, new byte[0]);
       }
       if (!lane(c, model, born)) {
-        return alive(born) && !c.peerGone() && respond(c, arrival, 404, "load-failed", crowd, new byte[0]);
+        return alive(born)
+            && !c.peerGone()
+            && respond(c, arrival, 404, "load-failed", crowd, new byte[0]);
       }
       try {
         return work(c, head, content, model, born, arrival, copyWord, crowd);
@@ -334,8 +365,16 @@
     }
   }
 
-  private boolean work(HttpConnection c, Head head, Oip.Content content, String model, int born, Tap.Arrival arrival,
-      String copyWord, int crowd) throws IOException, InterruptedException {
+  private boolean work(
+      HttpConnection c,
+      Head head,
+      Oip.Content content,
+      String model,
+      int born,
+      Tap.Arrival arrival,
+      String copyWord,
+      int crowd)
+      throws IOException, InterruptedException {
     String key = head.get("idempotency-key");
     boolean fresh = key == null || keys.begin(key, Clock.micros(), nature.repeatWindow());
     if (fresh) {
@@ -355,7 +394,8 @@
         .getBytes(StandardCharsets.UTF_8);
     byte[] message = Oip.response(content.id(), model, result);
     if (faults.reset) {
-      c.write(java.util.Arrays.copyOf("HTTP/1.1 200 OK\r\nContent-Le".getBytes(StandardCharsets.US_ASCII), 20));
+      c.write(java.util.Arrays.copyOf(
+          "HTTP/1.1 200 OK\r\nContent-Le".getBytes(StandardCharsets.US_ASCII), 20));
       c.abort();
       return false;
     }
@@ -368,8 +408,12 @@
     synchronized (this) {
       running++;
       double share = Math.max(1, (double) running / nature.cores());
-      left = nature.work() / 1000.0 * (0.6 + 0.8 * random.nextDouble()) * share
-          / nature.speed() / warmth(Clock.micros() - startedAt);
+      left = nature.work()
+          / 1000.0
+          * (0.6 + 0.8 * random.nextDouble())
+          * share
+          / nature.speed()
+          / warmth(Clock.micros() - startedAt);
     }
     try {
       while (left > 0) {
@@ -388,12 +432,14 @@
     }
   }
 
-  private boolean respond(HttpConnection c, Tap.Arrival arrival, int status, String copy, int crowd, byte[] body)
+  private boolean respond(
+      HttpConnection c, Tap.Arrival arrival, int status, String copy, int crowd, byte[] body)
       throws IOException {
     boolean neverRan = status == 429 || status == 404;
     arrival.saidNeverRan = neverRan;
     arrival.endedAt = Clock.micros();
-    HeadWriter w = HeadWriter.response(status).field("Content-Type", "application/json")
+    HeadWriter w = HeadWriter.response(status)
+        .field("Content-Type", "application/json")
         .field(LoadReport.HEADER, report());
     if (neverRan) {
       w.field(Oip.RAN, "no");
@@ -410,7 +456,8 @@
 
   private synchronized String report() {
     if (!faults.reportsLate || lastReport == null) {
-      lastReport = LoadReport.print(Math.min(1, (double) running / nature.cores()), Map.of("inFlight", (double) held));
+      lastReport = LoadReport.print(
+          Math.min(1, (double) running / nature.cores()), Map.of("inFlight", (double) held));
     }
     return lastReport;
   }
@@ -425,11 +472,15 @@
 
   /** Unloads idle copies of other functions, least lately used first, until there is room. */
   private boolean makeRoom(String model, double memoryMb) {
-    double used = copies.values().stream().mapToDouble(k -> (k.standing + k.loading) * k.memoryMb).sum();
+    double used = copies.values().stream()
+        .mapToDouble(k -> (k.standing + k.loading) * k.memoryMb)
+        .sum();
     while (used + memoryMb > nature.memoryMb()) {
       var victim = copies.entrySet().stream()
-          .filter(e -> !e.getKey().equals(model) && e.getValue().standing > 0 && e.getValue().held == 0)
-          .min(Comparator.comparingLong(e -> e.getValue().lastUsed)).orElse(null);
+          .filter(
+              e -> !e.getKey().equals(model) && e.getValue().standing > 0 && e.getValue().held == 0)
+          .min(Comparator.comparingLong(e -> e.getValue().lastUsed))
+          .orElse(null);
       if (victim == null) {
         return false;
       }
@@ -513,8 +564,10 @@
     synchronized (this) {
       standing = copies.get(model).standing;
     }
-    c.write(loaded ? HeadWriter.response(200).with(Oip.loadRequest(standing))
-        : HeadWriter.response(500).with(new byte[0]));
+    c.write(
+        loaded
+            ? HeadWriter.response(200).with(Oip.loadRequest(standing))
+            : HeadWriter.response(500).with(new byte[0]));
     return true;
   }
 
--- a/testbed/src/main/java/gorseladder/testbed/Tap.java
+++ b/testbed/src/main/java/gorseladder/testbed/Tap.java
@@ -19,6 +19,7 @@
     public final long patience;
     /** Answers that came; 0 status where the connection broke or could not be opened. */
     public final List<Integer> statuses = new ArrayList<>();
+
     public boolean retryAfter;
     public long answeredAt;
     public boolean unreached;
@@ -81,7 +82,8 @@
     return t;
   }
 
-  synchronized Arrival arrived(String message, String runner, int edge, String function, long at, double work) {
+  synchronized Arrival arrived(
+      String message, String runner, int edge, String function, long at, double work) {
     Arrival a = new Arrival(message, runner, edge, function, at, work);
     arrivals.add(a);
     return a;
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -31,11 +31,13 @@
 public final class World implements Closeable {
   /** The path of every world's endpoint. */
   public static final String PATH = "/hooks/portal";
+
   public static final long AIM = 1_000_000;
   public static final long DEADLINE = 3_000_000;
   public static final long REPEAT_WINDOW = 8_000_000;
   /** Microseconds that an idle copy stays, as the edges are told. */
   public static final long KEEP_ALIVE = 8_000_000;
+
   private static final long STARTS_WITHIN = 30_000;
 
   private final DayScript script;
@@ -77,29 +79,46 @@
       }
       String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
       List<String> command = new ArrayList<>(prefix);
-      command.addAll(List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-Xshare:auto", "-cp",
-          System.getProperty("java.class.path"), EdgeMain.class.getName(), settings.toString()));
+      command.addAll(List.of(
+          java,
+          "-Xmx512m",
+          "-XX:+UseSerialGC",
+          "-Xshare:auto",
+          "-cp",
+          System.getProperty("java.class.path"),
+          EdgeMain.class.getName(),
+          settings.toString()));
       process = new ProcessBuilder(command)
-          .redirectError(ProcessBuilder.Redirect.appendTo(directory.resolve("edge-" + number + ".err").toFile())).start();
+          .redirectError(ProcessBuilder.Redirect.appendTo(
+              directory.resolve("edge-" + number + ".err").toFile()))
+          .start();
     }
 
     void awaitReady() throws IOException {
       if (process == null) {
         return;
       }
-      BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+      BufferedReader out = new BufferedReader(
+          new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
       long until = System.currentTimeMillis() + STARTS_WITHIN;
       List<String> said = new ArrayList<>();
-      for (String line = out.readLine(); line != null && System.currentTimeMillis() < until; line = out.readLine()) {
+      for (String line = out.readLine();
+          line != null && System.currentTimeMillis() < until;
+          line = out.readLine()) {
         said.add(line);
         if (line.contains("\"ready\":true")) {
           Process mine = process;
-          gorseladder.runtime.Threads.start("edge-out", 128 << 10, () -> drain(mine, out, logFile()));
+          gorseladder.runtime.Threads.start(
+              "edge-out", 128 << 10, () -> drain(mine, out, logFile()));
           return;
         }
       }
-      throw new IOException("edge " + number + " did not start, " + (process.isAlive() ? "still runs" : "ended with " + process.exitValue())
-          + ": " + Files.readString(directory.resolve("edge-" + number + ".err")).lines().limit(3).toList() + said.stream().limit(5).toList());
+      throw new IOException("edge " + number + " did not start, "
+          + (process.isAlive() ? "still runs" : "ended with " + process.exitValue()) + ": "
+          + Files.readString(directory.resolve("edge-" + number + ".err"))
+              .lines()
+              .limit(3)
+              .toList() + said.stream().limit(5).toList());
     }
 
     private Path logFile() {
@@ -116,7 +135,8 @@
 
     void stop() throws InterruptedException {
       if (process != null) {
-        // By its handle: Process.destroy would also close the standard input, which tells the edge that its parent ended.
+        // By its handle: Process.destroy would also close the standard input, which tells the
+        // edge that its parent ended.
         process.toHandle().destroy();
         if (!process.waitFor(15, TimeUnit.SECONDS)) {
           process.destroyForcibly();
@@ -128,8 +148,8 @@
   }
 
   private static void drain(Process process, BufferedReader out, Path to) {
-    try (var log = Files.newBufferedWriter(to, java.nio.file.StandardOpenOption.CREATE,
-        java.nio.file.StandardOpenOption.APPEND)) {
+    try (var log = Files.newBufferedWriter(
+        to, java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND)) {
       for (String line = out.readLine(); line != null; line = out.readLine()) {
         log.write(line);
         log.newLine();
@@ -145,20 +165,32 @@
    * @param processes true for edges in processes of their own, which can be killed outright
    * @param runnerLog hears a line for each infer request that began at a runner
    */
-  public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog)
+  public World(
+      DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog)
       throws IOException {
     this(script, directory, processes, runnerLog, List.of());
   }
 
   /** As above, with words before each edge's command, for example a pin to processors. */
-  public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog,
-      List<String> prefix) throws IOException {
+  public World(
+      DayScript script,
+      Path directory,
+      boolean processes,
+      Consumer<Map<String, Object>> runnerLog,
+      List<String> prefix)
+      throws IOException {
     this(script, directory, processes, runnerLog, prefix, "");
   }
 
   /** As above, with more settings for each edge, for example a planner. */
-  public World(DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog,
-      List<String> prefix, String moreSettings) throws IOException {
+  public World(
+      DayScript script,
+      Path directory,
+      boolean processes,
+      Consumer<Map<String, Object>> runnerLog,
+      List<String> prefix,
+      String moreSettings)
+      throws IOException {
     this.prefix = prefix;
     this.moreSettings = moreSettings;
     this.script = script;
@@ -175,10 +207,22 @@
     list = new ListStandIn(tap, (long) script.number("list_late"));
     StandInRunner.KeyMemory keys = new StandInRunner.KeyMemory();
     for (int i = 0; i < count; i++) {
-      StandInRunner.Nature nature = new StandInRunner.Nature("hus-" + "abc".charAt(i % 3), i / 4, script.count("cores"),
-          i % 3 == 2 ? 0.7 : 1, 6_000, 64, (long) script.number("work"), (long) script.number("load"), KEEP_ALIVE,
-          loadsOnMiss, script.number("cancelling") > 0, REPEAT_WINDOW, rules);
-      runners.add(new StandInRunner(nature, archive, keys, tap, script.count("seed") * 1000L + i, runnerLog));
+      StandInRunner.Nature nature = new StandInRunner.Nature(
+          "hus-" + "abc".charAt(i % 3),
+          i / 4,
+          script.count("cores"),
+          i % 3 == 2 ? 0.7 : 1,
+          6_000,
+          64,
+          (long) script.number("work"),
+          (long) script.number("load"),
+          KEEP_ALIVE,
+          loadsOnMiss,
+          script.number("cancelling") > 0,
+          REPEAT_WINDOW,
+          rules);
+      runners.add(new StandInRunner(
+          nature, archive, keys, tap, script.count("seed") * 1000L + i, runnerLog));
       list.set(runners.get(i), Phase.RUNNING, false, true);
     }
     for (int i = 0; i < script.count("edges"); i++) {
@@ -196,9 +240,12 @@
 
   private String settings(EdgeSlot slot) {
     StringBuilder peers = new StringBuilder();
-    edges.stream().filter(e -> e != slot).forEach(e -> peers.append("  peer: \"127.0.0.1:").append(e.peerPort)
-        .append("\"\n"));
-    return String.format(Locale.ROOT, """
+    edges.stream()
+        .filter(e -> e != slot)
+        .forEach(e -> peers.append("  peer: \"127.0.0.1:").append(e.peerPort).append("\"\n"));
+    return String.format(
+            Locale.ROOT,
+            """
         # Written for this world; a complete example of an edge's settings.
         listen: "127.0.0.1:%d"
         ordinal: %d
@@ -232,19 +279,47 @@
         allow_network: "127.0.0.0/8"
         limits { request_arrival_ms: 2000 }
         log { form: JSON level: "INFO" }
-        """, slot.address.getPort(), slot.number, edges.size(), directory.resolve("data-" + slot.number),
-        AIM / 1000, DEADLINE / 1000, script.count("lanes"), AIM / 1000, DEADLINE / 1000, script.count("lanes"),
-        REPEAT_WINDOW / 1000, AIM / 1000, DEADLINE / 1000, script.count("lanes"), PATH, secret,
-        script.number("on_miss") > 0, script.number("duplicates") > 0, script.number("cancelling") > 0,
-        KEEP_ALIVE / 1000, rules.drainGrace() / 1000, rules.coldFrom(), rules.coldFor() / 1000,
-        rules.overloadMultiple(), rules.overloadFor() / 1000, rules.loadsFree(), rules.loadShare(),
-        rules.loadWindow() / 1000, list.address(), slot.peerPort, peers) + moreSettings;
+        """,
+            slot.address.getPort(),
+            slot.number,
+            edges.size(),
+            directory.resolve("data-" + slot.number),
+            AIM / 1000,
+            DEADLINE / 1000,
+            script.count("lanes"),
+            AIM / 1000,
+            DEADLINE / 1000,
+            script.count("lanes"),
+            REPEAT_WINDOW / 1000,
+            AIM / 1000,
+            DEADLINE / 1000,
+            script.count("lanes"),
+            PATH,
+            secret,
+            script.number("on_miss") > 0,
+            script.number("duplicates") > 0,
+            script.number("cancelling") > 0,
+            KEEP_ALIVE / 1000,
+            rules.drainGrace() / 1000,
+            rules.coldFrom(),
+            rules.coldFor() / 1000,
+            rules.overloadMultiple(),
+            rules.overloadFor() / 1000,
+            rules.loadsFree(),
+            rules.loadShare(),
+            rules.loadWindow() / 1000,
+            list.address(),
+            slot.peerPort,
+            peers)
+        + moreSettings;
   }
 
   /** Processor time that the process of an edge has used so far, in microseconds; 0 where it has no process of its own. */
   public long edgeProcessorMicros(int number) {
     Process process = edges.get(number).process;
-    return process == null ? 0 : process.info().totalCpuDuration().map(d -> d.toNanos() / 1000).orElse(0L);
+    return process == null
+        ? 0
+        : process.info().totalCpuDuration().map(d -> d.toNanos() / 1000).orElse(0L);
   }
 
   public Tap tap() {
@@ -340,7 +415,8 @@
     types.put("unsafe", "certificate.issued");
     Map<String, Object> line = new java.util.LinkedHashMap<>();
     line.put("ready", true);
-    line.put("edges", edges.stream().map(e -> "127.0.0.1:" + e.address.getPort()).toList());
+    line.put(
+        "edges", edges.stream().map(e -> "127.0.0.1:" + e.address.getPort()).toList());
     line.put("path", PATH);
     line.put("secret", secret);
     line.put("types", types);
--- a/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
@@ -45,7 +45,8 @@
   }
 
   /** The parameters of a request that can be used. */
-  public static Map<String, String> params(String requestClass, String id, String function, long timeoutMillis) {
+  public static Map<String, String> params(
+      String requestClass, String id, String function, long timeoutMillis) {
     Map<String, String> params = new LinkedHashMap<>();
     params.put("SCRIPT_NAME", "/svc/" + requestClass);
     params.put("HTTP_X_REQUEST_ID", id);
@@ -90,7 +91,11 @@
       streams.computeIfAbsent(id, i -> new ByteArrayOutputStream()).writeBytes(content);
     } else if (type == END_REQUEST) {
       ByteArrayOutputStream stream = streams.remove(id);
-      second += answers.put(id, answer(stream == null ? new byte[0] : stream.toByteArray(), content[4])) == null ? 0 : 1;
+      second +=
+          answers.put(id, answer(stream == null ? new byte[0] : stream.toByteArray(), content[4]))
+                  == null
+              ? 0
+              : 1;
       notifyAll();
     }
   }
@@ -103,9 +108,14 @@
     }
     Map<String, String> fields = new HashMap<>();
     for (String line : text.substring(0, split).split("\r\n")) {
-      fields.put(line.substring(0, line.indexOf(':')), line.substring(line.indexOf(':') + 1).strip());
+      fields.put(
+          line.substring(0, line.indexOf(':')),
+          line.substring(line.indexOf(':') + 1).strip());
     }
-    return new Answer(Integer.parseInt(fields.get("Status")), fields, Arrays.copyOfRange(bytes, split + 4, bytes.length),
+    return new Answer(
+        Integer.parseInt(fields.get("Status")),
+        fields,
+        Arrays.copyOfRange(bytes, split + 4, bytes.length),
         protocol);
   }
 
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -20,7 +20,12 @@
   private static final int BEAT_MILLIS = 200;
 
   /** What the present connection is told. */
-  private enum Telling { ALL, NOTHING, BYTES, OLD_BEATS }
+  private enum Telling {
+    ALL,
+    NOTHING,
+    BYTES,
+    OLD_BEATS
+  }
 
   private final ServerSocket server;
   private final List<String> events;
@@ -49,9 +54,12 @@
   }
 
   /** One event; the first has the number 1. */
-  public static String event(long seq, boolean all, String uid, InetSocketAddress at, String state) {
-    return "{\"seq\":" + seq + ",\"fleet\":{\"rev\":" + seq + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"" + uid
-        + "\",\"endpoint\":\"127.0.0.1:" + at.getPort() + "\",\"az\":\"z\",\"model\":\"std\",\"pod_group\":0,\"state\":\""
+  public static String event(
+      long seq, boolean all, String uid, InetSocketAddress at, String state) {
+    return "{\"seq\":" + seq + ",\"fleet\":{\"rev\":" + seq + ",\"all\":" + all
+        + ",\"targets\":[{\"uid\":\"" + uid
+        + "\",\"endpoint\":\"127.0.0.1:" + at.getPort()
+        + "\",\"az\":\"z\",\"model\":\"std\",\"pod_group\":0,\"state\":\""
         + state + "\",\"capacity_hint\":4,\"boot_ms\":0}]}}";
   }
 
@@ -74,7 +82,9 @@
 
   private void tell(Socket socket) {
     try (socket) {
-      String line = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+      String line = new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+          .readLine();
       int from = Integer.parseInt(line.substring("since ".length()));
       OutputStream out = socket.getOutputStream();
       synchronized (this) {
@@ -86,12 +96,13 @@
           for (; telling == Telling.ALL && from < events.size(); from++) {
             text.append((events.get(from) + "\n").repeat(1 + doubles));
           }
-          text.append(switch (telling) {
-            case ALL -> from + "\n";
-            case NOTHING -> "";
-            case BYTES -> " ";
-            case OLD_BEATS -> "0\n";
-          });
+          text.append(
+              switch (telling) {
+                case ALL -> from + "\n";
+                case NOTHING -> "";
+                case BYTES -> " ";
+                case OLD_BEATS -> "0\n";
+              });
           out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
           wait(BEAT_MILLIS);
         }
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformConfig.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformConfig.java
@@ -23,7 +23,8 @@
    * @param deadlineMillis the deadline of both classes, {@code safe} and {@code unsafe}
    */
   public static String text(InetSocketAddress changeLog, String event, long deadlineMillis) {
-    return "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:" + changeLog.getPort()
-        + "\",\"known\":{\"seq\":1,\"results\":[" + event + "]},\"settings\":" + SETTINGS.formatted(deadlineMillis) + "}";
+    return "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:"
+        + changeLog.getPort() + "\",\"known\":{\"seq\":1,\"results\":[" + event + "]},\"settings\":"
+        + SETTINGS.formatted(deadlineMillis) + "}";
   }
 }
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -26,10 +26,23 @@
  */
 public final class PlatformRunner implements Closeable {
   /** What is done with a request. */
-  public enum Deed { SERVE, REFUSE, MISS, ERROR, SILENT, RESET, NOISE, HUGE, HALF, TWICE, AHEAD }
+  public enum Deed {
+    SERVE,
+    REFUSE,
+    MISS,
+    ERROR,
+    SILENT,
+    RESET,
+    NOISE,
+    HUGE,
+    HALF,
+    TWICE,
+    AHEAD
+  }
 
   /** A request that arrived whole; {@code at} is {@link System#nanoTime()}. */
-  public record Arrival(String id, Map<String, String> fields, String body, int connection, long at) {
+  public record Arrival(
+      String id, Map<String, String> fields, String body, int connection, long at) {
     /** Its class. */
     public String requestClass() {
       return fields.get("profile");
@@ -155,17 +168,19 @@
     return "made of " + id + " " + body;
   }
 
-  private void go(String[] words, InputStream in, OutputStream out, Socket socket, int connection) throws IOException {
+  private void go(String[] words, InputStream in, OutputStream out, Socket socket, int connection)
+      throws IOException {
     int length = Integer.parseInt(words[3]);
     byte[] body = in.readNBytes(length);
     if (body.length < length || in.read() != '\r' || in.read() != '\n') {
       throw new IOException("half a request");
     }
     String id = words[1];
-    Map<String, String> fields = Arrays.stream(words[2].split(",")).map(f -> f.split("=", 2))
+    Map<String, String> fields = Arrays.stream(words[2].split(","))
+        .map(f -> f.split("=", 2))
         .collect(Collectors.toMap(f -> f[0], f -> f[1]));
-    Arrival arrival = new Arrival(id, fields, new String(body, StandardCharsets.ISO_8859_1), connection,
-        System.nanoTime());
+    Arrival arrival = new Arrival(
+        id, fields, new String(body, StandardCharsets.ISO_8859_1), connection, System.nanoTime());
     synchronized (this) {
       arrivals.add(arrival);
     }
@@ -176,7 +191,7 @@
       case REFUSE -> write(out, id + " refused depth=3 0\r\n\r\n");
       case MISS -> write(out, id + " nothing remark=crashed 0\r\n\r\n");
       case ERROR -> write(out, id + " error - 0\r\n\r\n");
-      case SILENT -> { }
+      case SILENT -> {}
       case RESET -> {
         socket.setSoLinger(true, 0);
         socket.close();
--- a/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
+++ b/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
@@ -65,7 +65,8 @@
    *
    * @param amount a count, or a share where {@code share}
    */
-  public record Trouble(Kind kind, long at, long lasts, double amount, boolean share, double factor) {
+  public record Trouble(
+      Kind kind, long at, long lasts, double amount, boolean share, double factor) {
     /** How many of so many it hits: at least one. */
     public int of(int all) {
       return (int) Math.max(1, Math.min(all, Math.round(share ? amount * all : amount)));
@@ -82,11 +83,24 @@
   }
 
   /** Settings with their defaults: day and warm-up in microseconds, counts, calls a second, shares. */
-  private static final Map<String, Double> DEFAULTS = Map.ofEntries(Map.entry("day", 20e6), Map.entry("seed", 1.0),
-      Map.entry("edges", 3.0), Map.entry("runners", 12.0), Map.entry("functions", 12.0), Map.entry("rate", 60.0),
-      Map.entry("safe", 0.5), Map.entry("keyed", 0.25), Map.entry("unsafe", 0.25), Map.entry("work", 30e3),
-      Map.entry("lanes", 2.0), Map.entry("cores", 4.0), Map.entry("load", 300e3), Map.entry("on_miss", 1.0),
-      Map.entry("list_late", 300e3), Map.entry("duplicates", 0.0), Map.entry("cancelling", 1.0));
+  private static final Map<String, Double> DEFAULTS = Map.ofEntries(
+      Map.entry("day", 20e6),
+      Map.entry("seed", 1.0),
+      Map.entry("edges", 3.0),
+      Map.entry("runners", 12.0),
+      Map.entry("functions", 12.0),
+      Map.entry("rate", 60.0),
+      Map.entry("safe", 0.5),
+      Map.entry("keyed", 0.25),
+      Map.entry("unsafe", 0.25),
+      Map.entry("work", 30e3),
+      Map.entry("lanes", 2.0),
+      Map.entry("cores", 4.0),
+      Map.entry("load", 300e3),
+      Map.entry("on_miss", 1.0),
+      Map.entry("list_late", 300e3),
+      Map.entry("duplicates", 0.0),
+      Map.entry("cancelling", 1.0));
 
   private final Map<String, Double> settings = new TreeMap<>(DEFAULTS);
   private final List<Trouble> troubles = new ArrayList<>();
@@ -98,7 +112,12 @@
     List<BadScript> errors = new ArrayList<>();
     BaseErrorListener listener = new BaseErrorListener() {
       @Override
-      public void syntaxError(Recognizer<?, ?> recognizer, Object symbol, int line, int column, String message,
+      public void syntaxError(
+          Recognizer<?, ?> recognizer,
+          Object symbol,
+          int line,
+          int column,
+          String message,
           RecognitionException e) {
         errors.add(new BadScript(line, column + 1, message));
       }
@@ -135,7 +154,9 @@
   private void setting(DayParser.SettingContext s) throws BadScript {
     String name = s.NAME().getText();
     if (!DEFAULTS.containsKey(name)) {
-      throw bad(s, "no setting is called '" + name + "'; there are " + String.join(", ", settings.keySet()));
+      throw bad(
+          s,
+          "no setting is called '" + name + "'; there are " + String.join(", ", settings.keySet()));
     }
     DayParser.ValueContext v = s.value();
     boolean isTime = List.of("day", "work", "load", "list_late").contains(name);
@@ -143,7 +164,8 @@
       throw bad(s, name + (isTime ? " needs a time, for example 20s" : " takes no unit of time"));
     }
     double number = Double.parseDouble(v.NUMBER().getText());
-    settings.put(name, isTime ? time(v.NUMBER(), v.UNIT()) : v.PERCENT() != null ? number / 100 : number);
+    settings.put(
+        name, isTime ? time(v.NUMBER(), v.UNIT()) : v.PERCENT() != null ? number / 100 : number);
   }
 
   private void trouble(DayParser.TroubleContext t) throws BadScript {
@@ -156,8 +178,11 @@
     long at = (long) time(t.NUMBER(0), t.UNIT(0));
     long lasts = t.UNIT().size() > 1 ? (long) time(t.NUMBER(1), t.UNIT(1)) : 3_000_000;
     boolean share = t.amount() != null && t.amount().PERCENT() != null;
-    double amount = t.amount() == null ? 1 : Double.parseDouble(t.amount().NUMBER().getText()) / (share ? 100 : 1);
-    double factor = t.factor() == null ? 3 : Double.parseDouble(t.factor().NUMBER().getText());
+    double amount = t.amount() == null
+        ? 1
+        : Double.parseDouble(t.amount().NUMBER().getText()) / (share ? 100 : 1);
+    double factor =
+        t.factor() == null ? 3 : Double.parseDouble(t.factor().NUMBER().getText());
     if (factor <= 0 || share && amount > 1) {
       throw bad(t, "an amount of at most 100% and a factor above 0 are needed");
     }
--- a/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -17,7 +17,7 @@
 
   private Play.Verdict play(String script, boolean processes) throws Exception {
     DayScript day = DayScript.parse(script);
-    try (World world = new World(day, dir, processes, line -> { })) {
+    try (World world = new World(day, dir, processes, line -> {})) {
       Play.Verdict verdict = new Play(day, world).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
       return verdict;
@@ -36,7 +36,8 @@
         """, false);
     assertTrue(verdict.totals().calls.get() > 9_000, "calls " + verdict.totals().calls);
     Portal.Totals t = verdict.totals();
-    assertEquals(t.calls.get(), t.served.get() + t.refused.get() + t.failed.get() + t.unreached.get());
+    assertEquals(
+        t.calls.get(), t.served.get() + t.refused.get() + t.failed.get() + t.unreached.get());
   }
 
   @Test
@@ -62,14 +63,27 @@
         day = 10s; seed = 21; edges = 2; runners = 8; functions = 6; rate = 60; on_miss = 0;
         at 1s for 2s drain 2; at 4s for 2s crash 2; at 6s for 2s drain 2;
         """);
-    List<String> functions = IntStream.range(0, 30).mapToObj(i -> "svc/plan-" + i).toList();
-    try (StandInPlanner planner = new StandInPlanner(functions, 21); World world = new World(day, dir.resolve("planned"), false,
-        l -> { }, List.of(), "planner { address: \"" + planner.address() + "\" ask_ms: 150 }\n")) {
+    List<String> functions =
+        IntStream.range(0, 30).mapToObj(i -> "svc/plan-" + i).toList();
+    try (StandInPlanner planner = new StandInPlanner(functions, 21);
+        World world = new World(
+            day,
+            dir.resolve("planned"),
+            false,
+            l -> {},
+            List.of(),
+            "planner { address: \"" + planner.address() + "\" ask_ms: 150 }\n")) {
       Play.Verdict verdict = new Play(day, world).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
-      assertTrue(verdict.totals().served.get() > 0.9 * verdict.totals().calls.get(), verdict.totals().reasons.toString());
-      long planned = world.tap().orders.stream().filter(o -> o.function().startsWith("svc/plan-")).count();
-      assertTrue(planner.plans() > 20 && planned >= 5, planner.plans() + " plans, " + planned + " orders of them");
+      assertTrue(
+          verdict.totals().served.get() > 0.9 * verdict.totals().calls.get(),
+          verdict.totals().reasons.toString());
+      long planned = world.tap().orders.stream()
+          .filter(o -> o.function().startsWith("svc/plan-"))
+          .count();
+      assertTrue(
+          planner.plans() > 20 && planned >= 5,
+          planner.plans() + " plans, " + planned + " orders of them");
     }
   }
 
@@ -85,11 +99,15 @@
   void scriptsNameTheirFaults() throws Exception {
     assertEquals("1:1: no setting is called 'dya'", message("dya = 3s;").substring(0, 31));
     assertTrue(message("day = 3;").contains("1:1: day needs a time"));
-    assertTrue(message("rate = 3;\nat 1s burts by 2;").startsWith("2:1: no trouble is called 'burts'"));
+    assertTrue(
+        message("rate = 3;\nat 1s burts by 2;").startsWith("2:1: no trouble is called 'burts'"));
     assertTrue(message("at 1s hang 200%;").contains("100%"));
     assertTrue(message("at 1s\nfor hang;").startsWith("2:"));
-    assertEquals(List.of(2, 1), DayScript.parse("at 1s hang 15%; at 2s hang 1;").troubles().stream()
-        .map(t -> t.of(12)).toList());
+    assertEquals(
+        List.of(2, 1),
+        DayScript.parse("at 1s hang 15%; at 2s hang 1;").troubles().stream()
+            .map(t -> t.of(12))
+            .toList());
   }
 
   private static String message(String script) {
--- a/testbed/src/test/java/gorseladder/testbed/FrontTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/FrontTest.java
@@ -33,7 +33,11 @@
 
   @BeforeAll
   static void start() throws Exception {
-    world = new World(DayScript.parse("edges = 1; runners = 2; work = 5ms; load = 10ms;"), dir, false, line -> { });
+    world = new World(
+        DayScript.parse("edges = 1; runners = 2; work = 5ms; load = 10ms;"),
+        dir,
+        false,
+        line -> {});
   }
 
   @AfterAll
@@ -43,9 +47,10 @@
 
   private static String signed(String id, String body, String more) {
     long now = System.currentTimeMillis() / 1000;
-    String signature = Secret.parse(world.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
-    return "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: " + id + "\r\nwebhook-timestamp: " + now
-        + "\r\nwebhook-signature: " + signature + "\r\n" + more;
+    String signature =
+        Secret.parse(world.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
+    return "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: " + id
+        + "\r\nwebhook-timestamp: " + now + "\r\nwebhook-signature: " + signature + "\r\n" + more;
   }
 
   private static String call(String id) {
@@ -86,7 +91,10 @@
   void pipelinedRequestsAreAnsweredInTheirOrder() throws IOException {
     String answer = talk(call("p1") + call("p2") + call("p3"), false);
     assertEquals(List.of(200, 200, 200), statuses(answer));
-    assertTrue(answer.indexOf(" p1") < answer.indexOf(" p2") && answer.indexOf(" p2") < answer.indexOf(" p3"), answer);
+    assertTrue(
+        answer.indexOf(" p1") < answer.indexOf(" p2")
+            && answer.indexOf(" p2") < answer.indexOf(" p3"),
+        answer);
     assertTrue(answer.endsWith("<open>"));
   }
 
@@ -94,24 +102,37 @@
   void chunkedContentAndExpectContinue() throws IOException {
     String body = "{\"type\":\"hours.read\",\"data\":{\"function\":\"svc/c\"}}";
     String chunks = Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
-    assertEquals(List.of(200), statuses(talk(signed("c1", body, "Transfer-Encoding: chunked\r\n\r\n") + chunks, false)));
+    assertEquals(
+        List.of(200),
+        statuses(talk(signed("c1", body, "Transfer-Encoding: chunked\r\n\r\n") + chunks, false)));
     try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
-      String head = signed("c2", body, "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n");
+      String head = signed(
+          "c2", body, "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n");
       socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
       byte[] interim = socket.getInputStream().readNBytes(25);
       assertEquals("HTTP/1.1 100 Continue\r\n\r\n", new String(interim, StandardCharsets.US_ASCII));
       socket.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
-      assertTrue(new String(socket.getInputStream().readNBytes(15), StandardCharsets.US_ASCII).contains("200"));
+      assertTrue(new String(socket.getInputStream().readNBytes(15), StandardCharsets.US_ASCII)
+          .contains("200"));
     }
   }
 
   /** What cannot be read, or be read two ways, is answered once and the connection is closed. */
   @ParameterizedTest
-  @CsvSource({"'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n',400", "'Content-Length: 5\r\nContent-Length: 5\r\n',400",
-      "'Content-Length: +5\r\n',400", "'X: a\n',400", "'X: a\r\n b\r\n',400", "'Expect: 200\r\nContent-Length: 5\r\n',417",
-      "'Transfer-Encoding: gzip\r\n',501", "'Content-Length: 99999999\r\n',413"})
+  @CsvSource({
+    "'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n',400",
+    "'Content-Length: 5\r\nContent-Length: 5\r\n',400",
+    "'Content-Length: +5\r\n',400",
+    "'X: a\n',400",
+    "'X: a\r\n b\r\n',400",
+    "'Expect: 200\r\nContent-Length: 5\r\n',417",
+    "'Transfer-Encoding: gzip\r\n',501",
+    "'Content-Length: 99999999\r\n',413"
+  })
   void unreadableRequestsAreAnsweredAndClosed(String headers, int status) throws IOException {
-    String answer = talk("POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\n" + headers + "\r\nhello" + call("never"), true);
+    String answer = talk(
+        "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\n" + headers + "\r\nhello" + call("never"),
+        true);
     assertEquals(List.of(status), statuses(answer), answer);
     assertTrue(answer.contains("application/problem+json") && answer.endsWith("<closed>"), answer);
   }
@@ -125,7 +146,8 @@
     String body = "{\"type\":\"no.such\",\"data\":{\"function\":\"f\"}}";
     String unknown = signed("w3", body, "Content-Length: " + body.length() + "\r\n\r\n") + body;
     String broken = signed("w4", "{", "Content-Length: 1\r\n\r\n") + "{";
-    String answer = talk(wrongPath + get + unsigned + tampered + unknown + broken + call("w5"), false);
+    String answer =
+        talk(wrongPath + get + unsigned + tampered + unknown + broken + call("w5"), false);
     assertEquals(List.of(404, 405, 401, 401, 422, 400, 200), statuses(answer), answer);
     assertTrue(!answer.contains("Retry-After"));
   }
@@ -136,7 +158,9 @@
     try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
       socket.setSoTimeout(10_000);
       for (int i = 0; i < 5; i++) {
-        socket.getOutputStream().write(request.substring(i, i + 1).getBytes(StandardCharsets.US_ASCII));
+        socket
+            .getOutputStream()
+            .write(request.substring(i, i + 1).getBytes(StandardCharsets.US_ASCII));
         Thread.sleep(100);
       }
       assertEquals(List.of(200), statuses(talk(call("quick"), false)));
@@ -171,7 +195,8 @@
   void preferWaitShortensTheClientsPatience() throws IOException {
     world.runners().forEach(r -> r.faults().hang = true);
     long began = System.nanoTime();
-    String answer = talk(call("wait").replace("Host: e", "Host: e\r\nPrefer: wait=1\r\nConnection: close"), true);
+    String answer = talk(
+        call("wait").replace("Host: e", "Host: e\r\nPrefer: wait=1\r\nConnection: close"), true);
     world.runners().forEach(r -> r.faults().hang = false);
     long millis = (System.nanoTime() - began) / 1_000_000;
     assertTrue(millis >= 900 && millis < 2_900, millis + " ms");
@@ -181,7 +206,8 @@
   @Test
   void theFirstFaultOfASettingsFileIsNotTheOnlyOneNamed() throws IOException {
     Path bad = dir.resolve("bad.txtpb");
-    Files.writeString(bad, Files.readString(world.settings(0)).replace("aim_ms: 1000", "aim_ms: 0"));
+    Files.writeString(
+        bad, Files.readString(world.settings(0)).replace("aim_ms: 1000", "aim_ms: 0"));
     assertEquals(3, gorseladder.edge.Edge.load(bad).faults().size());
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -23,9 +23,12 @@
 
 /** The cases in which an effect could happen twice or an answer be lost, each caused on sockets. */
 class HardCasesTest {
-  private static final Portal.Kind SAFE = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
-  private static final Portal.Kind KEYED = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(1);
-  private static final Portal.Kind UNSAFE = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
+  private static final Portal.Kind SAFE =
+      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+  private static final Portal.Kind KEYED =
+      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(1);
+  private static final Portal.Kind UNSAFE =
+      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
 
   @TempDir
   Path dir;
@@ -35,15 +38,16 @@
   private Portal portal;
 
   private void world(String script) throws Exception {
-    world = new World(DayScript.parse(script + " edges = 1;"), dir, false, line -> { });
+    world = new World(DayScript.parse(script + " edges = 1;"), dir, false, line -> {});
     portal = world.portal();
   }
 
   @AfterEach
   void close() {
     if (world != null) {
-      List<RuleChecker.Break> breaks = RuleChecker.report(world.tap(), world.rules(), World.REPEAT_WINDOW,
-          at -> Play.SLACK + lag.ofACallAt(at)).breaks();
+      List<RuleChecker.Break> breaks = RuleChecker.report(
+              world.tap(), world.rules(), World.REPEAT_WINDOW, at -> Play.SLACK + lag.ofACallAt(at))
+          .breaks();
       lag.close();
       world.close();
       assertEquals(List.of(), breaks);
@@ -56,18 +60,23 @@
   }
 
   private static byte[] body(Portal.Kind kind) {
-    return ("{\"type\":\"" + kind.type() + "\",\"data\":{\"function\":\"svc/x\"}}").getBytes(StandardCharsets.UTF_8);
+    return ("{\"type\":\"" + kind.type() + "\",\"data\":{\"function\":\"svc/x\"}}")
+        .getBytes(StandardCharsets.UTF_8);
   }
 
   private long runs(String id) {
     synchronized (world.tap()) {
-      return world.tap().arrivals.stream().filter(a -> a.message.endsWith(" " + id) && a.ran).count();
+      return world.tap().arrivals.stream()
+          .filter(a -> a.message.endsWith(" " + id) && a.ran)
+          .count();
     }
   }
 
   private long arrivals(String id) {
     synchronized (world.tap()) {
-      return world.tap().arrivals.stream().filter(a -> a.message.endsWith(" " + id)).count();
+      return world.tap().arrivals.stream()
+          .filter(a -> a.message.endsWith(" " + id))
+          .count();
     }
   }
 
@@ -80,7 +89,9 @@
     assertFalse(first.retryAfter, "a failure promises nothing");
     world.runners().forEach(r -> r.faults().hang = false);
     Tap.Try second = send("msg_hang", UNSAFE, 1);
-    assertTrue(second.statuses.equals(List.of(502)) && second.reason.equals("failed_unknown_effect"), second.reason);
+    assertTrue(
+        second.statuses.equals(List.of(502)) && second.reason.equals("failed_unknown_effect"),
+        second.reason);
     assertEquals(1, arrivals("msg_hang"));
   }
 
@@ -115,19 +126,30 @@
     world("runners = 2;");
     assertEquals(List.of(200), send("msg_a", UNSAFE, 0).statuses);
     long stamp = System.currentTimeMillis() / 1000 + 5;
-    assertEquals("served_again", portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).reason);
-    assertEquals(List.of(409), portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
-    assertEquals(List.of(422), portal.attempt("msg_a", 0, UNSAFE, body(SAFE), stamp + 1, UNSAFE.deadline()).statuses);
+    assertEquals(
+        "served_again",
+        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).reason);
+    assertEquals(
+        List.of(409),
+        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+    assertEquals(
+        List.of(422),
+        portal.attempt("msg_a", 0, UNSAFE, body(SAFE), stamp + 1, UNSAFE.deadline()).statuses);
     world.restartEdge(0, 0);
-    assertEquals(List.of(409), portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
-    assertEquals("served_again", portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp + 2, UNSAFE.deadline()).reason);
+    assertEquals(
+        List.of(409),
+        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+    assertEquals(
+        "served_again",
+        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp + 2, UNSAFE.deadline()).reason);
     assertEquals(1, runs("msg_a"));
   }
 
   @Test
   void aRetryWhileTheFirstIsOutJoinsIt() throws Exception {
     world("runners = 2; work = 500ms;");
-    CompletableFuture<Tap.Try> first = CompletableFuture.supplyAsync(() -> send("msg_join", UNSAFE, 0));
+    CompletableFuture<Tap.Try> first =
+        CompletableFuture.supplyAsync(() -> send("msg_join", UNSAFE, 0));
     Thread.sleep(200);
     Tap.Try second = send("msg_join", UNSAFE, 1);
     assertEquals(List.of(200), second.statuses);
@@ -140,7 +162,8 @@
   void aSafeCallThatIsOutIsJoinedAndItsSignatureIsNotTakenTwice() throws Exception {
     world("runners = 2; work = 250ms;");
     long stamp = System.currentTimeMillis() / 1000 + 5;
-    CompletableFuture<Tap.Try> first = CompletableFuture.supplyAsync(() -> attempt("msg_safe", SAFE, stamp));
+    CompletableFuture<Tap.Try> first =
+        CompletableFuture.supplyAsync(() -> attempt("msg_safe", SAFE, stamp));
     Thread.sleep(100);
     assertEquals(List.of(409), attempt("msg_safe", SAFE, stamp).statuses);
     assertEquals("served", send("msg_safe", SAFE, 1).reason);
@@ -168,22 +191,38 @@
     long now = System.currentTimeMillis() * 1000;
     try (Ledger ledger = Ledger.open(dir.resolve("data-0").resolve("ledger"), false, 100)) {
       for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
-        String name = kind.effect() == Effect.SAFE ? "safe" : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
+        String name = kind.effect() == Effect.SAFE
+            ? "safe"
+            : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
         byte[] content = content(name, kind);
-        LedgerEntry taken = new LedgerEntry(Stage.ACCEPTED, false, now, 0, now * 2, content, "", 0, null);
+        LedgerEntry taken =
+            new LedgerEntry(Stage.ACCEPTED, false, now, 0, now * 2, content, "", 0, null);
         ledger.put(World.PATH + " msg_taken_" + name, taken);
         ledger.put(World.PATH + " msg_left_" + name, taken.at(Stage.LEAVING, true, now));
-        ledger.put(World.PATH + " msg_old_" + name, taken.at(Stage.LEAVING, true, now - World.REPEAT_WINDOW));
-        ledger.put(World.PATH + " msg_served_" + name,
-            taken.at(Stage.LEAVING, true, now).ended(Stage.SERVED, true, "served", 200, "{}".getBytes()));
+        ledger.put(
+            World.PATH + " msg_old_" + name,
+            taken.at(Stage.LEAVING, true, now - World.REPEAT_WINDOW));
+        ledger.put(
+            World.PATH + " msg_served_" + name,
+            taken
+                .at(Stage.LEAVING, true, now)
+                .ended(Stage.SERVED, true, "served", 200, "{}".getBytes()));
       }
     }
     world.restartEdge(0, 0);
     for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
-      String name = kind.effect() == Effect.SAFE ? "safe" : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
+      String name = kind.effect() == Effect.SAFE
+          ? "safe"
+          : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
       assertEquals("served", send("msg_taken_" + name, kind, 0).reason, name);
-      assertEquals(kind == UNSAFE ? "failed_unknown_effect" : "served", send("msg_left_" + name, kind, 0).reason, name);
-      assertEquals(kind == SAFE ? "served" : "failed_unknown_effect", send("msg_old_" + name, kind, 0).reason, name);
+      assertEquals(
+          kind == UNSAFE ? "failed_unknown_effect" : "served",
+          send("msg_left_" + name, kind, 0).reason,
+          name);
+      assertEquals(
+          kind == SAFE ? "served" : "failed_unknown_effect",
+          send("msg_old_" + name, kind, 0).reason,
+          name);
       assertEquals("served_again", send("msg_served_" + name, kind, 0).reason, name);
     }
     assertEquals(0, arrivals("msg_left_unsafe"));
@@ -205,7 +244,8 @@
       world.list().set(world.runners().get(i), Phase.GONE, false, true);
       world.restartEdge(0, 0);
       for (int j = 0; j < 10; j++) {
-        assertEquals(List.of(200), send("msg_old_" + i + "_" + j, j % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
+        assertEquals(
+            List.of(200), send("msg_old_" + i + "_" + j, j % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
       }
     }
   }
@@ -219,9 +259,12 @@
     byte[] bytes = Files.readAllBytes(file);
     Files.write(file, new byte[bytes.length]);
     java.io.ByteArrayOutputStream err = new java.io.ByteArrayOutputStream();
-    int code = gorseladder.edge.EdgeMain.run(world.settings(0), System.out, new java.io.PrintStream(err));
+    int code =
+        gorseladder.edge.EdgeMain.run(world.settings(0), System.out, new java.io.PrintStream(err));
     assertEquals(gorseladder.edge.EdgeMain.CANNOT_START, code);
-    assertTrue(err.toString().contains(folder.toString()) && err.toString().contains("Way out"), err.toString());
+    assertTrue(
+        err.toString().contains(folder.toString()) && err.toString().contains("Way out"),
+        err.toString());
     Files.write(file, bytes);
     world.restartEdge(0, 0);
     assertEquals(List.of(200), send("msg_again", SAFE, 0).statuses);
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -14,8 +14,8 @@
 import gorseladder.RouterApi.Workers;
 import gorseladder.config.Address;
 import gorseladder.core.Core;
-import gorseladder.edge.core.Door;
 import gorseladder.core.FinalAnswer;
+import gorseladder.edge.core.Door;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.runners.RunnerSettings;
@@ -39,42 +39,66 @@
   @Test
   void anAttemptHeldBackBeyondADrainNeverLeavesAndTheCallGoesElsewhere() throws Exception {
     Tap tap = new Tap();
-    StandInRunner.Nature nature = new StandInRunner.Nature("z", 0, 4, 1, 6_000, 64, 5_000, 5_000, 8_000_000, true, true,
-        8_000_000, RULES);
+    StandInRunner.Nature nature = new StandInRunner.Nature(
+        "z", 0, 4, 1, 6_000, 64, 5_000, 5_000, 8_000_000, true, true, 8_000_000, RULES);
     StandInRunner.KeyMemory keys = new StandInRunner.KeyMemory();
     SendGate gate = new SendGate(RULES);
-    try (StandInRunner a = new StandInRunner(nature, new Archive(4, 40), keys, tap, 1, l -> { });
-        StandInRunner b = new StandInRunner(nature, new Archive(4, 40), keys, tap, 2, l -> { });
+    try (StandInRunner a = new StandInRunner(nature, new Archive(4, 40), keys, tap, 1, l -> {});
+        StandInRunner b = new StandInRunner(nature, new Archive(4, 40), keys, tap, 2, l -> {});
         Ledger ledger = Ledger.open(dir.resolve("ledger"), false, 100);
         Watchdog watchdog = new Watchdog("watchdog", 256 << 10);
-        Runners runners = new Runners(new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, 50, 256 << 10), ledger,
-            gate, Address::parse, watchdog)) {
+        Runners runners = new Runners(
+            new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, 50, 256 << 10),
+            ledger,
+            gate,
+            Address::parse,
+            watchdog)) {
       String[] first = new String[1];
-      RequestClass issue = new RequestClass("issue", Effect.UNSAFE, Group.ALL, 0, 1_000_000, 3_000_000, 1, 0.2, false);
-      Settings settings = new Settings(0, 1, "z", 2_000, 8_000_000, true, false, 0, 1,
-          new gorseladder.RouterApi.Limits(4, false, true, false, false, true, true, 1_000_000, 1_000_000), RULES,
-          List.of(issue), List.of());
-      Core<TakenCall> core = new Core<>(settings, 1, new Core.Hands<TakenCall>() {
-        @Override
-        public void send(TakenCall call, int attempt, String worker, long timeout) {
-          first[0] = first[0] == null ? worker : first[0];
-          runners.send(call, attempt, worker, timeout);
-        }
+      RequestClass issue = new RequestClass(
+          "issue", Effect.UNSAFE, Group.ALL, 0, 1_000_000, 3_000_000, 1, 0.2, false);
+      Settings settings = new Settings(
+          0,
+          1,
+          "z",
+          2_000,
+          8_000_000,
+          true,
+          false,
+          0,
+          1,
+          new gorseladder.RouterApi.Limits(
+              4, false, true, false, false, true, true, 1_000_000, 1_000_000),
+          RULES,
+          List.of(issue),
+          List.of());
+      Core<TakenCall> core = new Core<>(
+          settings,
+          1,
+          new Core.Hands<TakenCall>() {
+            @Override
+            public void send(TakenCall call, int attempt, String worker, long timeout) {
+              first[0] = first[0] == null ? worker : first[0];
+              runners.send(call, attempt, worker, timeout);
+            }
 
-        @Override
-        public void cancel(TakenCall call, int attempt) {
-          runners.cancel(call, attempt);
-        }
+            @Override
+            public void cancel(TakenCall call, int attempt) {
+              runners.cancel(call, attempt);
+            }
 
-        @Override
-        public void load(String worker, String function, int copies) {}
+            @Override
+            public void load(String worker, String function, int copies) {}
 
-        @Override
-        public void tellPeers(String text) {}
+            @Override
+            public void tellPeers(String text) {}
 
-        @Override
-        public void watchList() {}
-      }, 10, false, null, 256 << 10);
+            @Override
+            public void watchList() {}
+          },
+          10,
+          false,
+          null,
+          256 << 10);
       runners.reportTo(new Runners.Hearer() {
         @Override
         public void attemptEnded(Core.AttemptEnd<TakenCall> end) {
@@ -94,13 +118,31 @@
         public void ended(TakenCall call) {}
       });
       intake.admitTo(core);
-      core.listNews(new Workers(ListKind.SAVED, List.of(new WorkerEntry(a.id(), "z", 0, Phase.RUNNING, 1, 0),
-          new WorkerEntry(b.id(), "z", 0, Phase.RUNNING, 1, 0))));
+      core.listNews(new Workers(
+          ListKind.SAVED,
+          List.of(
+              new WorkerEntry(a.id(), "z", 0, Phase.RUNNING, 1, 0),
+              new WorkerEntry(b.id(), "z", 0, Phase.RUNNING, 1, 0))));
       TakenCall call;
-      // The gate's lock is what every attempt takes last: holding it holds the attempt between decision and write.
+      // The gate's lock is what every attempt takes last: holding it holds the attempt between
+      // decision and write.
       synchronized (gate) {
-        call = intake.take(new Intake.Delivery("m", "r", 9_000_000_000_000_000L, issue, "", "f", "{}".getBytes(), 100, 1, 0,
-            Clock.micros(), 3_000_000, new Door(null).enter(1, "", 0, 0, false))).call();
+        call = intake
+            .take(new Intake.Delivery(
+                "m",
+                "r",
+                9_000_000_000_000_000L,
+                issue,
+                "",
+                "f",
+                "{}".getBytes(),
+                100,
+                1,
+                0,
+                Clock.micros(),
+                3_000_000,
+                new Door(null).enter(1, "", 0, 0, false)))
+            .call();
         Thread.sleep(300);
         gate.told(first[0], Phase.DRAINING, Clock.micros());
       }
--- a/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
@@ -30,8 +30,15 @@
   private final AtomicLong wall = new AtomicLong();
 
   private PlannerServer planner(InetSocketAddress at) throws Exception {
-    return new PlannerServer(PlannerSettings.newBuilder().setListen(Address.print(at)).setDataDirectory(dir.resolve("planner").toString())
-        .setSlotMinutes(1).setKeepAliveMs(2_000).setOrderPrice(0).build(), wall::get);
+    return new PlannerServer(
+        PlannerSettings.newBuilder()
+            .setListen(Address.print(at))
+            .setDataDirectory(dir.resolve("planner").toString())
+            .setSlotMinutes(1)
+            .setKeepAliveMs(2_000)
+            .setOrderPrice(0)
+            .build(),
+        wall::get);
   }
 
   private static void until(String what, BooleanSupplier holds) throws InterruptedException {
@@ -47,10 +54,24 @@
     List<HistoryRow> rows = new ArrayList<>();
     for (int d = DAYS; d >= 1; d--) {
       for (int m = -30; m <= 30; m++) {
-        rows.add(new HistoryRow(minute - d * 1440L + m, 1, FUNCTION, "safe", "bygg-sektion", m == 0 ? 60 : 0, 0, 0, 0, 0, 0, 0, 0));
+        rows.add(new HistoryRow(
+            minute - d * 1440L + m,
+            1,
+            FUNCTION,
+            "safe",
+            "bygg-sektion",
+            m == 0 ? 60 : 0,
+            0,
+            0,
+            0,
+            0,
+            0,
+            0,
+            0));
       }
     }
-    try (History history = History.open(dir.resolve("data-" + edge).resolve("history"), History.Bounds.USUAL)) {
+    try (History history =
+        History.open(dir.resolve("data-" + edge).resolve("history"), History.Bounds.USUAL)) {
       history.append(rows);
     }
   }
@@ -64,15 +85,18 @@
     history(0, minute);
     DayScript script = DayScript.parse("edges = 2; runners = 4; work = 5ms; load = 60ms;");
     String more = "planner { address: \"" + Address.print(at) + "\" ask_ms: 100 }\n";
-    try (World world = new World(script, dir, false, l -> { }, List.of(), more)) {
+    try (World world = new World(script, dir, false, l -> {}, List.of(), more)) {
       PlannerServer planner = planner(at);
       Portal portal = world.portal();
-      Portal.Kind kind = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+      Portal.Kind kind =
+          Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
       call(portal, kind, "first", 0);
       call(portal, kind, "second", 0);
-      until("the rows of the past", () -> (long) planner.planner().state().get("rows") >= DAYS * 61);
+      until(
+          "the rows of the past", () -> (long) planner.planner().state().get("rows") >= DAYS * 61);
       until("both edges", () -> planner.planner().state().get("edges").equals(List.of(0, 1)));
-      // A copy that an edge believes warm is not ordered anew, and the plan may name the very worker of the first two calls.
+      // A copy that an edge believes warm is not ordered anew, and the plan may name the very
+      // worker of the first two calls.
       long agedOut = Clock.micros() + World.KEEP_ALIVE + 1_000_000;
       until("the first copies aged out", () -> Clock.micros() > agedOut);
       int before = orders(world);
@@ -85,7 +109,11 @@
       for (int i = 0; i < 40; i++) {
         call(portal, kind, "alone-" + i, i % 2);
       }
-      assertEquals(43, world.tap().tries.stream().filter(t -> t.statuses.equals(List.of(200))).count());
+      assertEquals(
+          43,
+          world.tap().tries.stream()
+              .filter(t -> t.statuses.equals(List.of(200)))
+              .count());
       long rows;
       try (PlannerServer again = planner(at)) {
         until("both edges again", () -> again.planner().state().get("edges").equals(List.of(0, 1)));
@@ -98,11 +126,19 @@
 
   private static int orders(World world) {
     synchronized (world.tap()) {
-      return (int) world.tap().orders.stream().filter(o -> o.function().equals(FUNCTION)).count();
+      return (int)
+          world.tap().orders.stream().filter(o -> o.function().equals(FUNCTION)).count();
     }
   }
 
-  private static void call(Portal portal, Portal.Kind kind, String message, int edge) throws Exception {
-    portal.attempt(message, edge, kind, portal.payload(kind, FUNCTION), System.currentTimeMillis() / 1000, kind.deadline());
+  private static void call(Portal portal, Portal.Kind kind, String message, int edge)
+      throws Exception {
+    portal.attempt(
+        message,
+        edge,
+        kind,
+        portal.payload(kind, FUNCTION),
+        System.currentTimeMillis() / 1000,
+        kind.deadline());
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
@@ -18,17 +18,24 @@
 
 /** An edge as a process: signals, exit codes, networks. */
 class ProcessTest {
-  private static final Portal.Kind UNSAFE = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
+  private static final Portal.Kind UNSAFE =
+      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
 
   @TempDir
   Path dir;
 
   @Test
   void theFirstSignalAnswersWhatWasTakenAndTheSecondEndsAtOnce() throws Exception {
-    try (World world = new World(DayScript.parse("edges = 2; runners = 2; work = 600ms;"), dir, true, line -> { })) {
+    try (World world = new World(
+        DayScript.parse("edges = 2; runners = 2; work = 600ms;"), dir, true, line -> {})) {
       Portal portal = world.portal();
-      CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> portal.attempt("msg_stop", 0, UNSAFE,
-          portal.payload(UNSAFE, "svc/a"), System.currentTimeMillis() / 1000, UNSAFE.deadline()));
+      CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> portal.attempt(
+          "msg_stop",
+          0,
+          UNSAFE,
+          portal.payload(UNSAFE, "svc/a"),
+          System.currentTimeMillis() / 1000,
+          UNSAFE.deadline()));
       awaitArrival(world, 1);
       world.process(0).toHandle().destroy();
       assertEquals(List.of(200), call.get(10, TimeUnit.SECONDS).statuses);
@@ -36,8 +43,13 @@
       assertEquals(EdgeMain.OK, world.process(0).exitValue());
 
       world.runners().forEach(r -> r.faults().hang = true);
-      CompletableFuture.runAsync(() -> portal.attempt("msg_end", 1, UNSAFE, portal.payload(UNSAFE, "svc/a"),
-          System.currentTimeMillis() / 1000, UNSAFE.deadline()));
+      CompletableFuture.runAsync(() -> portal.attempt(
+          "msg_end",
+          1,
+          UNSAFE,
+          portal.payload(UNSAFE, "svc/a"),
+          System.currentTimeMillis() / 1000,
+          UNSAFE.deadline()));
       awaitArrival(world, 2);
       world.process(1).toHandle().destroy();
       Thread.sleep(300);
@@ -61,31 +73,43 @@
 
   @Test
   void aTakenAddressAndBadSettingsHaveTheirExitCodes() throws Exception {
-    try (World world = new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> { })) {
+    try (World world =
+        new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("second.txtpb");
       String good = Files.readString(world.settings(0));
       Files.writeString(file, good.replace("data-0", "data-second"));
       java.io.ByteArrayOutputStream err = new java.io.ByteArrayOutputStream();
-      assertEquals(EdgeMain.CANNOT_START, EdgeMain.run(file, System.out, new java.io.PrintStream(err)));
+      assertEquals(
+          EdgeMain.CANNOT_START, EdgeMain.run(file, System.out, new java.io.PrintStream(err)));
       Files.writeString(file, good.replace("whsec_", "whsk_"));
-      assertEquals(EdgeMain.BAD_SETTINGS, EdgeMain.run(file, System.out, new java.io.PrintStream(err)));
+      assertEquals(
+          EdgeMain.BAD_SETTINGS, EdgeMain.run(file, System.out, new java.io.PrintStream(err)));
       assertTrue(err.toString().contains("endpoint[0].secret[0]"), err.toString());
     }
   }
 
   @Test
   void clientsFromOtherNetworksAreTurnedAway() throws Exception {
-    try (World world = new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> { })) {
+    try (World world =
+        new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("far.txtpb");
-      Files.writeString(file, Files.readString(world.settings(0)).replace("data-0", "data-far")
-          .replace("allow_network: \"127.0.0.0/8\"", "allow_network: \"10.0.0.0/8\" allow_network: \"2001:db8::/32\"")
-          .replaceFirst("listen: \"127.0.0.1:\\d+\"", "listen: \"127.0.0.1:0\"").replaceAll("(?s)peers \\{.*?\\n\\}", ""));
+      Files.writeString(
+          file,
+          Files.readString(world.settings(0))
+              .replace("data-0", "data-far")
+              .replace(
+                  "allow_network: \"127.0.0.0/8\"",
+                  "allow_network: \"10.0.0.0/8\" allow_network: \"2001:db8::/32\"")
+              .replaceFirst("listen: \"127.0.0.1:\\d+\"", "listen: \"127.0.0.1:0\"")
+              .replaceAll("(?s)peers \\{.*?\\n\\}", ""));
       SettingsFile loaded = Edge.load(file);
       assertEquals(List.of(), loaded.faults());
-      try (Edge edge = new Edge(loaded.settings()); Socket socket = new Socket("127.0.0.1", edge.address().getPort())) {
+      try (Edge edge = new Edge(loaded.settings());
+          Socket socket = new Socket("127.0.0.1", edge.address().getPort())) {
         socket.setSoTimeout(5_000);
         String answer = new String(socket.getInputStream().readAllBytes());
-        assertTrue(answer.startsWith("HTTP/1.1 403 ") && answer.contains("forbidden_network"), answer);
+        assertTrue(
+            answer.startsWith("HTTP/1.1 403 ") && answer.contains("forbidden_network"), answer);
       }
     }
   }
--- a/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
@@ -15,7 +15,10 @@
   private final Tap tap = new Tap();
 
   private List<Integer> rules() {
-    return RuleChecker.check(tap, RULES, 2000, 10).stream().map(RuleChecker.Break::rule).distinct().toList();
+    return RuleChecker.check(tap, RULES, 2000, 10).stream()
+        .map(RuleChecker.Break::rule)
+        .distinct()
+        .toList();
   }
 
   private Tap.Try answered(String message, Effect effect, long sent, long at, int... statuses) {
@@ -129,8 +132,11 @@
     arrived("a", "r2", 20, true, false);
     tap.told(new Tap.Told(0, "r1", Phase.DRAINING, 50));
     arrived("b", "r1", 60, true, false);
-    List<RuleChecker.Pressure> all = RuleChecker.report(tap, RULES, 2000, at -> 10).pressures();
-    assertEquals(List.of(1L, 1L, 2L, 0L), all.subList(0, 4).stream().map(RuleChecker.Pressure::occasions).toList());
+    List<RuleChecker.Pressure> all =
+        RuleChecker.report(tap, RULES, 2000, at -> 10).pressures();
+    assertEquals(
+        List.of(1L, 1L, 2L, 0L),
+        all.subList(0, 4).stream().map(RuleChecker.Pressure::occasions).toList());
     assertEquals(0.9, all.get(0).closest(), 1e-9);
     assertEquals((RULES.drainGrace() - 10) / 1000.0, all.get(2).closest(), 1e-9);
     assertEquals("rule 4: no occasion, not tested", all.get(3).toString());
@@ -143,9 +149,12 @@
     long grace = 1_000 + RULES.drainGrace();
     arrived("in-stall", "r1", grace + 60, true, false);
     arrived("after-it", "r1", grace + 160, true, false);
-    RuleChecker.Report report = RuleChecker.report(tap, RULES, 2000, at -> at < grace + 100 ? 80 : 10);
+    RuleChecker.Report report =
+        RuleChecker.report(tap, RULES, 2000, at -> at < grace + 100 ? 80 : 10);
     assertEquals(1, report.breaks().stream().filter(b -> b.rule() == 3).count());
-    assertTrue(report.breaks().stream().anyMatch(b -> b.toString().contains("after-it")), report.breaks().toString());
+    assertTrue(
+        report.breaks().stream().anyMatch(b -> b.toString().contains("after-it")),
+        report.breaks().toString());
     assertEquals(1, report.pressures().get(2).notJudged());
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
@@ -19,11 +19,18 @@
   /** The history's sums are the edge's own counts, also after a restart in the middle. */
   @Test
   void theHistoryAddsUpToWhatWasTaken() throws Exception {
-    Portal.Kind kind = Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
-    try (World world = new World(DayScript.parse("edges = 1; runners = 2; work = 2ms; load = 5ms;"), dir, false, l -> { })) {
+    Portal.Kind kind =
+        Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+    try (World world = new World(
+        DayScript.parse("edges = 1; runners = 2; work = 2ms; load = 5ms;"), dir, false, l -> {})) {
       Portal portal = world.portal();
       for (int i = 0; i < 30; i++) {
-        portal.attempt("msg_" + i, 0, kind, portal.payload(kind, "svc/f" + i % 3), System.currentTimeMillis() / 1000,
+        portal.attempt(
+            "msg_" + i,
+            0,
+            kind,
+            portal.payload(kind, "svc/f" + i % 3),
+            System.currentTimeMillis() / 1000,
             kind.deadline());
         if (i == 15) {
           world.restartEdge(0, 0);
@@ -31,22 +38,33 @@
       }
       world.stopEdge(0);
     }
-    try (History history = History.open(dir.resolve("data-0").resolve("history"), History.Bounds.USUAL)) {
+    try (History history =
+        History.open(dir.resolve("data-0").resolve("history"), History.Bounds.USUAL)) {
       List<HistoryRow> rows = history.read(0, Integer.MAX_VALUE).rows();
       assertEquals(30, rows.stream().mapToLong(HistoryRow::calls).sum());
-      assertEquals(30, rows.stream().mapToLong(r -> r.found() + r.began() + r.awaited()).sum());
-      assertEquals(10, rows.stream().filter(r -> r.function().equals("svc/f1")).mapToLong(HistoryRow::calls).sum());
+      assertEquals(
+          30, rows.stream().mapToLong(r -> r.found() + r.began() + r.awaited()).sum());
+      assertEquals(
+          10,
+          rows.stream()
+              .filter(r -> r.function().equals("svc/f1"))
+              .mapToLong(HistoryRow::calls)
+              .sum());
       assertTrue(rows.stream().mapToLong(HistoryRow::began).sum() >= 3);
     }
   }
 
   @Test
   void aCalmDayServesEveryCall() throws Exception {
-    DayScript script = DayScript.parse("day = 2s; edges = 2; runners = 4; functions = 4; rate = 60;");
-    try (World world = new World(script, dir, false, line -> { })) {
+    DayScript script =
+        DayScript.parse("day = 2s; edges = 2; runners = 4; functions = 4; rate = 60;");
+    try (World world = new World(script, dir, false, line -> {})) {
       Play.Verdict verdict = new Play(script, world).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString());
-      assertEquals(verdict.totals().calls.get(), verdict.totals().served.get(), verdict.totals().reasons.toString());
+      assertEquals(
+          verdict.totals().calls.get(),
+          verdict.totals().served.get(),
+          verdict.totals().reasons.toString());
     }
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
@@ -24,7 +24,11 @@
 /** Two events at one moment, between a live dispatcher and its clients; the script decides which comes first. */
 class CrossingsTest extends NodeWorld {
   private byte[] request(int number, String requestClass, long timeout) {
-    return RecordWriter.request(number, true, FastCgiClient.params(requestClass, id(number), FUNCTION, timeout), body(number));
+    return RecordWriter.request(
+        number,
+        true,
+        FastCgiClient.params(requestClass, id(number), FUNCTION, timeout),
+        body(number));
   }
 
   /** A request in pieces whose last byte comes while the dispatcher stops is served, also one whose pieces are bytes. */
@@ -88,11 +92,13 @@
       socket.getOutputStream().write(request(1, "safe", 1_500));
       Thread stopping = stopping();
       stopping.join(4_000);
-      // Asked after the end: the connection must end by a close, and the answer before it must still be there to read.
+      // Asked after the end: the connection must end by a close, and the answer before it must
+      // still be there to read.
       InputStream in = socket.getInputStream();
       socket.setSoTimeout(2_000);
       byte[] all = in.readAllBytes();
-      assertTrue(all.length > 60 && new String(all, StandardCharsets.ISO_8859_1).contains("made of " + id(1)));
+      assertTrue(all.length > 60
+          && new String(all, StandardCharsets.ISO_8859_1).contains("made of " + id(1)));
     }
   }
 
@@ -129,7 +135,10 @@
     log.add(PlatformChangeLog.event(3, false, "r0", runners.get(0).address(), "active"));
     Thread.sleep(400);
     client.send(2, FastCgiClient.params("safe", id(2), FUNCTION, 1_500), body(2));
-    assertEquals(200, client.await(2, 2_000).status(), "back at its address, while an attempt was out; " + node.story());
+    assertEquals(
+        200,
+        client.await(2, 2_000).status(),
+        "back at its address, while an attempt was out; " + node.story());
     PlatformRunner next = new PlatformRunner(a -> Deed.SERVE);
     runners.add(next);
     log.add(PlatformChangeLog.event(4, true, "r0", next.address(), "active"));
@@ -150,7 +159,8 @@
       client();
       most = Math.max(most, node.connections());
     }
-    // All were accepted once all but a share of them have been closed again; none is closed for its silence before two seconds.
+    // All were accepted once all but a share of them have been closed again; none is closed for
+    // its silence before two seconds.
     for (FastCgiClient client : clients.subList(0, 2 * share)) {
       while (!client.awaitEnd(5)) {
         most = Math.max(most, node.connections());
@@ -173,7 +183,8 @@
       PlatformRunner next = new PlatformRunner(a -> Deed.SERVE);
       runners.add(next);
       log.add(PlatformChangeLog.event(2 * i, false, "r" + i, next.address(), "active"));
-      log.add(PlatformChangeLog.event(2 * i + 1, false, "r" + (i - 1), runners.get(i - 1).address(), "leaving"));
+      log.add(PlatformChangeLog.event(
+          2 * i + 1, false, "r" + (i - 1), runners.get(i - 1).address(), "leaving"));
       String newest = "r" + i;
       assertTrue(within(1_000, () -> node.runners().contains(newest)));
       Thread.sleep(50);
@@ -227,6 +238,7 @@
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     log.breakOff();
     log.add(PlatformChangeLog.event(3, true, "r7", runners.get(0).address(), "active"));
-    assertTrue(within(2_000, () -> node.runners().equals(Set.of("r7"))), node.runners().toString());
+    assertTrue(
+        within(2_000, () -> node.runners().equals(Set.of("r7"))), node.runners().toString());
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -48,14 +48,19 @@
       FastCgiClient client = client();
       int from = at;
       for (; at < Math.min(calls, from + 25); at++) {
-        client.send(at - from + 1, FastCgiClient.params(at % 3 == 0 ? "unsafe" : "safe", id(at), FUNCTION, 1_500), body(at));
+        client.send(
+            at - from + 1,
+            FastCgiClient.params(at % 3 == 0 ? "unsafe" : "safe", id(at), FUNCTION, 1_500),
+            body(at));
       }
       for (int i = from; i < at; i++) {
         Answer answer = client.await(i - from + 1, 4_000);
         assertNotNull(answer, "call " + i + " got no answer");
         kinds[answer.status() == 200 ? 0 : answer.refused() ? 1 : 2]++;
         if (answer.status() == 200) {
-          assertEquals(PlatformRunner.result(id(i), "body " + i), new String(answer.body(), StandardCharsets.ISO_8859_1));
+          assertEquals(
+              PlatformRunner.result(id(i), "body " + i),
+              new String(answer.body(), StandardCharsets.ISO_8859_1));
         }
       }
       assertEquals(0, client.second());
@@ -72,11 +77,15 @@
       }
     }
     assertEquals(Map.of(), notOnce(carried), "an id went twice over one connection");
-    // A runner that said that it never ran (full, miss) leaves an unsafe call free to go elsewhere; nothing else does.
+    // A runner that said that it never ran (full, miss) leaves an unsafe call free to go
+    // elsewhere; nothing else does.
     long harmless = done.getOrDefault(Deed.REFUSE, 0) + done.getOrDefault(Deed.MISS, 0);
-    assertTrue(notOnce(unsafe).size() <= harmless, "unsafe calls that arrived twice: " + notOnce(unsafe));
+    assertTrue(
+        notOnce(unsafe).size() <= harmless, "unsafe calls that arrived twice: " + notOnce(unsafe));
     assertEquals(Deed.values().length, done.size(), "played " + done);
-    assertTrue(kinds[0] > calls / 2 && kinds[2] > 0, "served, refused, failed: " + kinds[0] + " " + kinds[1] + " " + kinds[2]);
+    assertTrue(
+        kinds[0] > calls / 2 && kinds[2] > 0,
+        "served, refused, failed: " + kinds[0] + " " + kinds[1] + " " + kinds[2]);
     assertTrue(within(3_000, () -> node.idle()), node.story());
   }
 
@@ -114,7 +123,9 @@
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
     Answer answer = client.await(1, 3_000);
     assertEquals(200, answer.status());
-    assertEquals(PlatformRunner.result(id(1), "body 1"), new String(answer.body(), StandardCharsets.ISO_8859_1));
+    assertEquals(
+        PlatformRunner.result(id(1), "body 1"),
+        new String(answer.body(), StandardCharsets.ISO_8859_1));
   }
 
   @Test
@@ -166,12 +177,28 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"HTTP_X_REQUEST_ID,,400", "HTTP_X_REQUEST_ID,xyz,400", "HTTP_X_OBJECT,,400", "HTTP_X_OBJECT,../etc,400",
-      "HTTP_X_TIMEOUT_MS,,400", "HTTP_X_TIMEOUT_MS,0,400", "HTTP_X_TIMEOUT_MS,-5,400", "HTTP_X_TIMEOUT_MS,NaN,400",
-      "HTTP_X_TIMEOUT_MS,1e3,400", "HTTP_X_TIMEOUT_MS,99999999999,400", "HTTP_X_TENANT,nobody,400", "SCRIPT_NAME,/svc/none,404",
-      "HTTP_X_FACTS,lanes:0;memory_mb:1,400", "HTTP_X_FACTS,lanes:1.5;memory_mb:1,400", "HTTP_X_FACTS,lanes:x,400",
-      "HTTP_X_FACTS,memory_mb:-1;lanes:1,400", "HTTP_X_RETRY,7,400", "CONTENT_LENGTH,99,400"})
-  void whatCannotBeUsedIsAnsweredAtOnceAndReachesNoRunner(String name, String value, int status) throws Exception {
+  @CsvSource({
+    "HTTP_X_REQUEST_ID,,400",
+    "HTTP_X_REQUEST_ID,xyz,400",
+    "HTTP_X_OBJECT,,400",
+    "HTTP_X_OBJECT,../etc,400",
+    "HTTP_X_TIMEOUT_MS,,400",
+    "HTTP_X_TIMEOUT_MS,0,400",
+    "HTTP_X_TIMEOUT_MS,-5,400",
+    "HTTP_X_TIMEOUT_MS,NaN,400",
+    "HTTP_X_TIMEOUT_MS,1e3,400",
+    "HTTP_X_TIMEOUT_MS,99999999999,400",
+    "HTTP_X_TENANT,nobody,400",
+    "SCRIPT_NAME,/svc/none,404",
+    "HTTP_X_FACTS,lanes:0;memory_mb:1,400",
+    "HTTP_X_FACTS,lanes:1.5;memory_mb:1,400",
+    "HTTP_X_FACTS,lanes:x,400",
+    "HTTP_X_FACTS,memory_mb:-1;lanes:1,400",
+    "HTTP_X_RETRY,7,400",
+    "CONTENT_LENGTH,99,400"
+  })
+  void whatCannotBeUsedIsAnsweredAtOnceAndReachesNoRunner(String name, String value, int status)
+      throws Exception {
     start(1, a -> Deed.SERVE);
     FastCgiClient client = client();
     Map<String, String> params = FastCgiClient.params("safe", id(1), FUNCTION, 1_500);
@@ -205,7 +232,8 @@
   void endlessBodiesAndParametersAreAnsweredEarly() throws Exception {
     start(1, a -> Deed.SERVE);
     FastCgiClient client = client();
-    byte[] begin = RecordWriter.request(1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), new byte[200_000]);
+    byte[] begin = RecordWriter.request(
+        1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), new byte[200_000]);
     client.write(begin);
     assertEquals(413, client.await(1, 2_000).status());
     Map<String, String> params = FastCgiClient.params("safe", id(2), FUNCTION, 1_500);
@@ -236,7 +264,8 @@
   void aNumberUsedAgainCountsAsOpenToo() throws Exception {
     start(1, a -> Deed.SILENT);
     FastCgiClient client = client();
-    byte[] tooLong = RecordWriter.request(50, true, FastCgiClient.params("safe", id(50), FUNCTION, 1_000), new byte[20_000]);
+    byte[] tooLong = RecordWriter.request(
+        50, true, FastCgiClient.params("safe", id(50), FUNCTION, 1_000), new byte[20_000]);
     client.write(Arrays.copyOf(tooLong, tooLong.length - 8));
     assertEquals(413, client.await(50, 2_000).status());
     for (int i = 1; i <= 32; i++) {
@@ -264,7 +293,8 @@
     start(1, a -> Deed.SERVE);
     FastCgiClient silent = client();
     FastCgiClient half = client();
-    byte[] whole = RecordWriter.request(1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
+    byte[] whole = RecordWriter.request(
+        1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
     half.write(Arrays.copyOf(whole, 100));
     assertTrue(silent.awaitEnd(4_000));
     assertTrue(half.await(1, 4_000) != null || half.awaitEnd(1_000));
@@ -280,7 +310,8 @@
     Thread stopping = stopping();
     FastCgiClient late = client();
     for (int i = 2; i <= 20; i++) {
-      late.send(i, FastCgiClient.params(i % 2 == 0 ? "safe" : "unsafe", id(i), FUNCTION, 1_500), body(i));
+      late.send(
+          i, FastCgiClient.params(i % 2 == 0 ? "safe" : "unsafe", id(i), FUNCTION, 1_500), body(i));
       Thread.sleep(20);
     }
     for (int i = 1; i <= 20; i++) {
@@ -308,7 +339,9 @@
       assertEquals(400, client.await(3, 2_000).status(), bad);
       client.forget(3);
     }
-    assertEquals(Arrays.asList("k-77/a", null), arrivals().stream().map(a -> a.fields().get("replay")).toList());
+    assertEquals(
+        Arrays.asList("k-77/a", null),
+        arrivals().stream().map(a -> a.fields().get("replay")).toList());
   }
 
   /** Ids, connections and runners are new all day: what is kept of them must not grow. */
@@ -318,14 +351,17 @@
     int seq = 2;
     int number = 0;
     for (int round = 0; round < 40; round++) {
-      log.add(PlatformChangeLog.event(++seq, false, "new" + round, runners.get(0).address(), "active"));
+      log.add(
+          PlatformChangeLog.event(++seq, false, "new" + round, runners.get(0).address(), "active"));
       if (round > 0) {
-        log.add(PlatformChangeLog.event(++seq, false, "new" + (round - 1), runners.get(0).address(), "left"));
+        log.add(PlatformChangeLog.event(
+            ++seq, false, "new" + (round - 1), runners.get(0).address(), "left"));
       }
       try (FastCgiClient client = new FastCgiClient(node.address())) {
         for (int i = 1; i <= 300; i += 30) {
           for (int k = i; k < i + 30; k++) {
-            client.send(k, FastCgiClient.params("safe", id(++number), id(number % 500), 1_900), body(k));
+            client.send(
+                k, FastCgiClient.params("safe", id(++number), id(number % 500), 1_900), body(k));
           }
           for (int k = i; k < i + 30; k++) {
             assertNotNull(client.await(k, 3_000));
@@ -333,7 +369,9 @@
         }
       }
     }
-    assertTrue(within(4_000, () -> node.runners().size() == 3 && node.connections() == 0 && node.idle()), node.story());
+    assertTrue(
+        within(4_000, () -> node.runners().size() == 3 && node.connections() == 0 && node.idle()),
+        node.story());
     assertTrue(arrivals().size() > 10_000, arrivals().size() + " arrived");
   }
 
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -57,18 +57,31 @@
     Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
         .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
     assertTrue(run.find() && run.group(1).contains(JAR), "the run line");
-    String command = run.group(1).replace(JAR, "-cp " + System.getProperty("java.class.path") + " " + NodeProcess.class.getName());
-    ProcessBuilder builder = new ProcessBuilder("sh", "-c", first + command).directory(ROOT.toFile())
-        .redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile());
-    builder.environment().putAll(Map.of("ROUTER_NAME", "n0", "ROUTER_LISTEN", "127.0.0.1:" + listen.getPort(), "ROUTER_CONFIG",
-        dir.resolve("config.json").toString()));
+    String command = run.group(1)
+        .replace(
+            JAR,
+            "-cp " + System.getProperty("java.class.path") + " " + NodeProcess.class.getName());
+    ProcessBuilder builder = new ProcessBuilder("sh", "-c", first + command)
+        .directory(ROOT.toFile())
+        .redirectErrorStream(true)
+        .redirectOutput(dir.resolve("log").toFile());
+    builder
+        .environment()
+        .putAll(Map.of(
+            "ROUTER_NAME",
+            "n0",
+            "ROUTER_LISTEN",
+            "127.0.0.1:" + listen.getPort(),
+            "ROUTER_CONFIG",
+            dir.resolve("config.json").toString()));
     process = builder.start();
     assertTrue(NodeWorld.within(20_000, this::live), () -> "not live: " + said());
   }
 
   private boolean live() {
     try (FastCgiClient client = new FastCgiClient(listen)) {
-      client.write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
+      client.write(
+          RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
       FastCgiClient.Answer answer = client.await(1, 1_000);
       return answer != null && answer.status() == 200;
     } catch (IOException | InterruptedException e) {
@@ -85,7 +98,11 @@
   }
 
   private void signal(String name) throws Exception {
-    assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    assertEquals(
+        0,
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+            .start()
+            .waitFor());
   }
 
   @AfterEach
@@ -114,7 +131,10 @@
   void aStopWithDiscoveryDownAnswersItsCallAndEndsInTime() throws Exception {
     start(Deed.SILENT, "");
     try (FastCgiClient client = new FastCgiClient(listen)) {
-      client.send(1, FastCgiClient.params("unsafe", NodeWorld.id(1), NodeWorld.FUNCTION, 19_000), new byte[10]);
+      client.send(
+          1,
+          FastCgiClient.params("unsafe", NodeWorld.id(1), NodeWorld.FUNCTION, 19_000),
+          new byte[10]);
       assertTrue(NodeWorld.within(3_000, () -> runner.arrivals().size() == 1));
       log.close();
       signal("TERM");
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeWorld.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeWorld.java
@@ -38,6 +38,7 @@
   long connect = 250_000;
   /** Deadline of the classes; before {@link #start}. */
   long deadline = 2 * SECOND;
+
   PlatformChangeLog log;
   Node node;
 
@@ -56,7 +57,8 @@
   /** Starts a dispatcher that knows the runners. */
   void start() throws IOException {
     for (int i = 0; i < runners.size(); i++) {
-      events.add(PlatformChangeLog.event(i + 1, i == 0, "r" + i, runners.get(i).address(), "active"));
+      events.add(
+          PlatformChangeLog.event(i + 1, i == 0, "r" + i, runners.get(i).address(), "active"));
     }
     log = new PlatformChangeLog(events);
     node = new Node(config());
@@ -64,14 +66,41 @@
 
   /** What the dispatcher is told: the events so far, and the log. */
   NodeConfig config() {
-    Settings settings = new Settings(0, 1, "z", 2_000, 8 * SECOND, true, false, 0, 0.05,
-        new Limits(4, false, true, false, false, true, true, SECOND, SECOND), RULES,
-        List.of(requestClass("safe", Effect.SAFE), requestClass("unsafe", Effect.UNSAFE), requestClass("keyed", Effect.KEYED)),
+    Settings settings = new Settings(
+        0,
+        1,
+        "z",
+        2_000,
+        8 * SECOND,
+        true,
+        false,
+        0,
+        0.05,
+        new Limits(4, false, true, false, false, true, true, SECOND, SECOND),
+        RULES,
+        List.of(
+            requestClass("safe", Effect.SAFE),
+            requestClass("unsafe", Effect.UNSAFE),
+            requestClass("keyed", Effect.KEYED)),
         List.of(new Tenant("t", 1, 100)));
-    List<ChangeLine> known = events.stream().map(e -> ChangeLine.of(Json.read(e.getBytes(StandardCharsets.US_ASCII)))).toList();
-    return new NodeConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 5, sockets, 128 << 20, null,
-        List.of(), null, log.address(), events.size(), known, settings,
-        new NodeConfig.Links(connect, 30 * SECOND, 100, true, true), 20_000);
+    List<ChangeLine> known = events.stream()
+        .map(e -> ChangeLine.of(Json.read(e.getBytes(StandardCharsets.US_ASCII))))
+        .toList();
+    return new NodeConfig(
+        "n0",
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        5,
+        sockets,
+        128 << 20,
+        null,
+        List.of(),
+        null,
+        log.address(),
+        events.size(),
+        known,
+        settings,
+        new NodeConfig.Links(connect, 30 * SECOND, 100, true, true),
+        20_000);
   }
 
   FastCgiClient client() throws IOException {
--- a/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
@@ -48,35 +48,61 @@
   }
 
   @ParameterizedTest(name = "{0}")
-  @CsvSource(delimiter = '#', quoteCharacter = '`', value = {
-      "no fault####nothingIsSentForAClientThatLeftWhileItsCallWaited",
-      "client gone ignored#front/FrontConnection.java#left.forEach(front::gone);#"
-          + "#nothingIsSentForAClientThatLeftWhileItsCallWaited",
-      "idle close without looking#front/FrontConnection.java#if (state != State.OPEN || !free()) {#if (state != State.OPEN) {"
-          + "#whatIsHalfReadWhenTheStopBeginsIsServed",
-      "connections counted late#front/FastCgiFront.java#connections.size() >= mostConnections && !makeRoom()#false"
-          + "#idleClientsNeverTakeMoreThanTheirShareOfDescriptors",
-      "a link kept after its runner went#runners/RunnerLinks.java#before != null && before.address().equals(address)#before != null"
-          + "#aRunnerThatGoesAndComesBackIsReached",
-      "held calls forgotten at the end#Node.java#core.giveUpAll();##aStopAnswersWhatIsHeldBeforeItMayBeKilled"})
-  void eachIsFound(String fault, String file, String find, String replace, String test) throws Exception {
+  @CsvSource(
+      delimiter = '#',
+      quoteCharacter = '`',
+      value = {
+        "no fault####nothingIsSentForAClientThatLeftWhileItsCallWaited",
+        "client gone ignored#front/FrontConnection.java#left.forEach(front::gone);#"
+            + "#nothingIsSentForAClientThatLeftWhileItsCallWaited",
+        "idle close without looking#front/FrontConnection.java#if (state != State.OPEN || !free()) {#if (state != State.OPEN) {"
+            + "#whatIsHalfReadWhenTheStopBeginsIsServed",
+        "connections counted late#front/FastCgiFront.java#connections.size() >= mostConnections && !makeRoom()#false"
+            + "#idleClientsNeverTakeMoreThanTheirShareOfDescriptors",
+        "a link kept after its runner went#runners/RunnerLinks.java#before != null && before.address().equals(address)#before != null"
+            + "#aRunnerThatGoesAndComesBackIsReached",
+        "held calls forgotten at the end#Node.java#core.giveUpAll();##aStopAnswersWhatIsHeldBeforeItMayBeKilled"
+      })
+  void eachIsFound(String fault, String file, String find, String replace, String test)
+      throws Exception {
     String own = System.getProperty("java.class.path");
     Path classes = Files.createDirectories(dir.resolve("classes"));
     if (file != null) {
       String text = Files.readString(ROOT.resolve(NODE + file));
       int at = text.indexOf(find);
-      assertTrue(at >= 0 && text.indexOf(find, at + 1) < 0, "the fault's text does not stand exactly once in " + file);
+      assertTrue(
+          at >= 0 && text.indexOf(find, at + 1) < 0,
+          "the fault's text does not stand exactly once in " + file);
       Path source = dir.resolve(Path.of(file).getFileName().toString());
-      Files.writeString(source, text.substring(0, at) + (replace == null ? "" : replace) + text.substring(at + find.length()));
+      Files.writeString(
+          source,
+          text.substring(0, at)
+              + (replace == null ? "" : replace)
+              + text.substring(at + find.length()));
       JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
       try (var files = compiler.getStandardFileManager(null, Locale.ROOT, StandardCharsets.UTF_8)) {
-        assertTrue(compiler.getTask(null, files, null, List.of("-proc:none", "-nowarn", "-cp", own, "-d", classes.toString()), null,
-            files.getJavaFileObjects(source)).call(), "it does not compile");
+        assertTrue(
+            compiler
+                .getTask(
+                    null,
+                    files,
+                    null,
+                    List.of("-proc:none", "-nowarn", "-cp", own, "-d", classes.toString()),
+                    null,
+                    files.getJavaFileObjects(source))
+                .call(),
+            "it does not compile");
       }
     }
-    Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-        classes + File.pathSeparator + own, One.class.getName(), test).redirectErrorStream(true)
-        .redirectOutput(dir.resolve("said").toFile()).start();
+    Process process = new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp",
+            classes + File.pathSeparator + own,
+            One.class.getName(),
+            test)
+        .redirectErrorStream(true)
+        .redirectOutput(dir.resolve("said").toFile())
+        .start();
     assertTrue(process.waitFor(60, TimeUnit.SECONDS));
     assertEquals(file == null ? 0 : FAILED, process.exitValue(), () -> said());
   }
--- a/wire/src/main/java/gorseladder/wire/changelog/ChangeLine.java
+++ b/wire/src/main/java/gorseladder/wire/changelog/ChangeLine.java
@@ -23,7 +23,8 @@
    */
   public static ChangeLine read(byte[] line) {
     if (line.length > 0 && line.length < 18 && digits(line)) {
-      return new ChangeLine(Long.parseLong(new String(line, StandardCharsets.US_ASCII)), false, null);
+      return new ChangeLine(
+          Long.parseLong(new String(line, StandardCharsets.US_ASCII)), false, null);
     }
     return of(Json.read(line));
   }
@@ -42,11 +43,14 @@
     if (fleet == null) {
       return new ChangeLine(seq.longValue(), true, null);
     }
-    if (!(Json.at(fleet, "targets") instanceof List<?> targets) || !targets.stream().allMatch(t -> t instanceof Map)) {
+    if (!(Json.at(fleet, "targets") instanceof List<?> targets)
+        || !targets.stream().allMatch(t -> t instanceof Map)) {
       throw new IllegalArgumentException("event " + seq.longValue() + " has no list of runners");
     }
-    return new ChangeLine(seq.longValue(), true,
-        new Fleet(Boolean.TRUE.equals(Json.at(fleet, "all")), (List<Map<String, Object>>) (List<?>) targets));
+    return new ChangeLine(
+        seq.longValue(), true, new Fleet(Boolean.TRUE.equals(Json.at(fleet, "all")), (List<
+                Map<String, Object>>)
+            (List<?>) targets));
   }
 
   /** The line with which a reader asks for every event after a number. */
--- a/wire/src/main/java/gorseladder/wire/fastcgi/NameValues.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/NameValues.java
@@ -22,10 +22,12 @@
       long nameLength = length(bytes, length, at);
       long valueLength = length(bytes, length, at);
       if (nameLength + valueLength > length - at[0]) {
-        throw new BadRecord("a pair of " + nameLength + " and " + valueLength + " bytes does not fit");
+        throw new BadRecord(
+            "a pair of " + nameLength + " and " + valueLength + " bytes does not fit");
       }
       String name = new String(bytes, at[0], (int) nameLength, StandardCharsets.ISO_8859_1);
-      String value = new String(bytes, at[0] + (int) nameLength, (int) valueLength, StandardCharsets.ISO_8859_1);
+      String value = new String(
+          bytes, at[0] + (int) nameLength, (int) valueLength, StandardCharsets.ISO_8859_1);
       at[0] += (int) (nameLength + valueLength);
       if (pairs.put(name, value) != null) {
         throw new BadRecord("a name stands twice");
--- a/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
@@ -12,6 +12,7 @@
 public final class RecordParser {
   /** Content of a management record at the most; a longer one is refused. */
   private static final int MOST_KEPT = 1_024;
+
   private static final int HEADER = 8;
   private static final int BEGIN_LENGTH = 8;
 
@@ -133,7 +134,7 @@
         System.arraycopy(bytes, from, kept, keptHas, length);
         keptHas += length;
       }
-      default -> { }
+      default -> {}
     }
   }
 
--- a/wire/src/main/java/gorseladder/wire/fastcgi/RecordWriter.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/RecordWriter.java
@@ -10,7 +10,12 @@
  */
 public final class RecordWriter {
   /** Protocol status of END_REQUEST (section 5.5). */
-  public enum Status { REQUEST_COMPLETE, CANT_MPX_CONN, OVERLOADED, UNKNOWN_ROLE }
+  public enum Status {
+    REQUEST_COMPLETE,
+    CANT_MPX_CONN,
+    OVERLOADED,
+    UNKNOWN_ROLE
+  }
 
   private static final int MOST_CONTENT = 32_768;
   private static final int RESPONDER = 1;
@@ -33,8 +38,16 @@
 
   /** END_REQUEST alone. */
   public static byte[] end(int id, Status status, int appStatus) {
-    byte[] content = {(byte) (appStatus >>> 24), (byte) (appStatus >>> 16), (byte) (appStatus >>> 8), (byte) appStatus,
-        (byte) status.ordinal(), 0, 0, 0};
+    byte[] content = {
+      (byte) (appStatus >>> 24),
+      (byte) (appStatus >>> 16),
+      (byte) (appStatus >>> 8),
+      (byte) appStatus,
+      (byte) status.ordinal(),
+      0,
+      0,
+      0
+    };
     return record(RecordParser.END_REQUEST, id, content);
   }
 
@@ -51,7 +64,9 @@
   /** A whole request of a web server to a responder. */
   public static byte[] request(int id, boolean keeps, Map<String, String> params, byte[] body) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    out.writeBytes(record(RecordParser.BEGIN_REQUEST, id, new byte[] {0, RESPONDER, (byte) (keeps ? 1 : 0), 0, 0, 0, 0, 0}));
+    out.writeBytes(record(RecordParser.BEGIN_REQUEST, id, new byte[] {
+      0, RESPONDER, (byte) (keeps ? 1 : 0), 0, 0, 0, 0, 0
+    }));
     stream(out, RecordParser.PARAMS, id, NameValues.write(params));
     stream(out, RecordParser.STDIN, id, body);
     return out.toByteArray();
@@ -83,7 +98,15 @@
 
   /** Padding keeps records at multiples of eight bytes, as section 3.3 recommends. */
   private static void header(ByteArrayOutputStream out, int type, int id, int length) {
-    out.writeBytes(new byte[] {RecordParser.VERSION, (byte) type, (byte) (id >>> 8), (byte) id, (byte) (length >>> 8),
-        (byte) length, (byte) (-length & 7), 0});
+    out.writeBytes(new byte[] {
+      RecordParser.VERSION,
+      (byte) type,
+      (byte) (id >>> 8),
+      (byte) id,
+      (byte) (length >>> 8),
+      (byte) length,
+      (byte) (-length & 7),
+      0
+    });
   }
 }
--- a/wire/src/main/java/gorseladder/wire/http1/BadMessage.java
+++ b/wire/src/main/java/gorseladder/wire/http1/BadMessage.java
@@ -5,7 +5,14 @@
   private static final long serialVersionUID = 1L;
 
   /** What is wrong, by the answer it deserves. */
-  public enum Fault { MALFORMED, TOO_LARGE, HEADERS_TOO_LARGE, NOT_IMPLEMENTED, WRONG_VERSION, WRONG_EXPECTATION }
+  public enum Fault {
+    MALFORMED,
+    TOO_LARGE,
+    HEADERS_TOO_LARGE,
+    NOT_IMPLEMENTED,
+    WRONG_VERSION,
+    WRONG_EXPECTATION
+  }
 
   private final Fault fault;
 
--- a/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
@@ -10,7 +10,19 @@
  * one Content-Length (even alike), a sign or any other character in it. Not thread safe; one instance for one message.
  */
 public final class BodyParser {
-  private enum State { FIXED, SIZE, EXTENSION, SIZE_LF, DATA, DATA_CR, DATA_LF, TRAILER, TRAILER_LF, UNTIL_CLOSE, DONE }
+  private enum State {
+    FIXED,
+    SIZE,
+    EXTENSION,
+    SIZE_LF,
+    DATA,
+    DATA_CR,
+    DATA_LF,
+    TRAILER,
+    TRAILER_LF,
+    UNTIL_CLOSE,
+    DONE
+  }
 
   private static final int MOST_EXTENSION = 256;
 
@@ -186,7 +198,8 @@
   /** Trailer fields are read past: nothing here uses them and merging them into the header is unsafe. */
   private void trailer(byte b) throws BadMessage {
     if (++trailerTotal > limits.maxHead()) {
-      throw new BadMessage(Fault.HEADERS_TOO_LARGE, "trailer section over " + limits.maxHead() + " bytes");
+      throw new BadMessage(
+          Fault.HEADERS_TOO_LARGE, "trailer section over " + limits.maxHead() + " bytes");
     }
     if (b == '\r') {
       state = State.TRAILER_LF;
--- a/wire/src/main/java/gorseladder/wire/http1/Head.java
+++ b/wire/src/main/java/gorseladder/wire/http1/Head.java
@@ -87,6 +87,7 @@
 
   /** True where the connection may carry a further message after this one (RFC 9112 section 9.3). */
   public boolean keepsConnection() {
-    return !hasToken("connection", "close") && (minorVersion >= 1 || hasToken("connection", "keep-alive"));
+    return !hasToken("connection", "close")
+        && (minorVersion >= 1 || hasToken("connection", "keep-alive"));
   }
 }
--- a/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
@@ -14,7 +14,8 @@
   private static final boolean[] TOKEN = new boolean[128];
 
   static {
-    for (char c : "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ".toCharArray()) {
+    for (char c : "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+        .toCharArray()) {
       TOKEN[c] = true;
     }
   }
@@ -74,7 +75,8 @@
 
   private void take(byte b) throws BadMessage {
     if (++total > limits.maxHead()) {
-      throw new BadMessage(Fault.HEADERS_TOO_LARGE, "header section over " + limits.maxHead() + " bytes");
+      throw new BadMessage(
+          Fault.HEADERS_TOO_LARGE, "header section over " + limits.maxHead() + " bytes");
     }
     if (sawCr) {
       if (b != '\n') {
@@ -88,7 +90,8 @@
       throw BadMessage.malformed("bare LF in the header section");
     } else {
       if (length == limits.maxLine()) {
-        throw new BadMessage(Fault.HEADERS_TOO_LARGE, "a header line over " + limits.maxLine() + " bytes");
+        throw new BadMessage(
+            Fault.HEADERS_TOO_LARGE, "a header line over " + limits.maxLine() + " bytes");
       }
       if (length == line.length) {
         line = java.util.Arrays.copyOf(line, Math.min(limits.maxLine(), line.length * 2));
@@ -100,7 +103,8 @@
   private void endLine() throws BadMessage {
     boolean first = head.method.isEmpty() && head.status == 0;
     if (first && length == 0) {
-      // RFC 9112 section 2.2: an empty line before the request line is passed over, but not endlessly.
+      // RFC 9112 section 2.2: an empty line before the request line is passed over, but not
+      // endlessly.
       if (!request || ++emptyLines > 1) {
         throw BadMessage.malformed("empty lines before the start line");
       }
@@ -178,12 +182,14 @@
       return 0;
     }
     boolean http = version.matches("HTTP/\\d\\.\\d");
-    throw new BadMessage(http ? Fault.WRONG_VERSION : Fault.MALFORMED, "version is not HTTP/1.1 or HTTP/1.0");
+    throw new BadMessage(
+        http ? Fault.WRONG_VERSION : Fault.MALFORMED, "version is not HTTP/1.1 or HTTP/1.0");
   }
 
   private void field() throws BadMessage {
     if (++fieldCount > limits.maxFields()) {
-      throw new BadMessage(Fault.HEADERS_TOO_LARGE, "more than " + limits.maxFields() + " header fields");
+      throw new BadMessage(
+          Fault.HEADERS_TOO_LARGE, "more than " + limits.maxFields() + " header fields");
     }
     if (line[0] == ' ' || line[0] == '\t') {
       throw BadMessage.malformed("a folded header line");
--- a/wire/src/main/java/gorseladder/wire/json/Json.java
+++ b/wire/src/main/java/gorseladder/wire/json/Json.java
@@ -32,7 +32,8 @@
       }
       return value;
     } catch (IOException e) {
-      throw new IllegalArgumentException("not JSON: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+      throw new IllegalArgumentException(
+          "not JSON: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
     }
   }
 
--- a/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
+++ b/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
@@ -13,6 +13,7 @@
 public final class LoadReport {
   /** The header's name, in lower case. */
   public static final String HEADER = "endpoint-load-metrics";
+
   private static final String NAMED = "named_metrics.";
   private static final int MOST = 32;
 
@@ -45,9 +46,13 @@
 
   /** The TEXT form of processor use (0 to 1) and named metrics. */
   public static String print(double cpu, Map<String, Double> named) {
-    StringBuilder out = new StringBuilder("TEXT cpu_utilization=").append(String.format(Locale.ROOT, "%.3f", cpu));
-    named.forEach((name, number) ->
-        out.append(", ").append(NAMED).append(name).append('=').append(String.format(Locale.ROOT, "%.3f", number)));
+    StringBuilder out =
+        new StringBuilder("TEXT cpu_utilization=").append(String.format(Locale.ROOT, "%.3f", cpu));
+    named.forEach((name, number) -> out.append(", ")
+        .append(NAMED)
+        .append(name)
+        .append('=')
+        .append(String.format(Locale.ROOT, "%.3f", number)));
     return out.toString();
   }
 }
--- a/wire/src/main/java/gorseladder/wire/oip/Oip.java
+++ b/wire/src/main/java/gorseladder/wire/oip/Oip.java
@@ -30,6 +30,7 @@
   public static final String PATIENCE = "gorseladder-patience-ms";
   /** Memory of one copy in MB, calls at a time and usual load time in ms, where told by the caller. */
   public static final String FOOTPRINT = "gorseladder-footprint-mb";
+
   public static final String LANES = "gorseladder-lanes";
   public static final String LOAD_TIME = "gorseladder-load-ms";
 
@@ -49,12 +50,16 @@
 
   /** The model named by a target that begins with the prefix and ends with the suffix; null where it does not. */
   public static String modelIn(String path, String prefix, String suffix) {
-    if (!path.startsWith(prefix) || !path.endsWith(suffix) || path.length() <= prefix.length() + suffix.length()) {
+    if (!path.startsWith(prefix)
+        || !path.endsWith(suffix)
+        || path.length() <= prefix.length() + suffix.length()) {
       return null;
     }
     String name = path.substring(prefix.length(), path.length() - suffix.length());
     try {
-      return name.contains("/") ? null : URLDecoder.decode(name.replace("+", "%2B"), StandardCharsets.UTF_8);
+      return name.contains("/")
+          ? null
+          : URLDecoder.decode(name.replace("+", "%2B"), StandardCharsets.UTF_8);
     } catch (IllegalArgumentException e) {
       return null;
     }
@@ -64,7 +69,10 @@
   static String encode(String text) {
     StringBuilder out = new StringBuilder(text.length() + 16);
     for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
-      boolean plain = b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || "-._~".indexOf(b) >= 0;
+      boolean plain = b >= 'a' && b <= 'z'
+          || b >= 'A' && b <= 'Z'
+          || b >= '0' && b <= '9'
+          || "-._~".indexOf(b) >= 0;
       out.append(plain ? String.valueOf((char) b) : String.format("%%%02X", b & 0xff));
     }
     return out.toString();
--- a/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
+++ b/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
@@ -15,7 +15,8 @@
 public final class AnswerParser {
   private static final int MOST_LINE = 1_024;
   private static final int MOST_DIGITS = 9;
-  private static final Set<String> WORDS = Set.of("ok", "nothing", "refused", "error", "stale", "yes", "no");
+  private static final Set<String> WORDS =
+      Set.of("ok", "nothing", "refused", "error", "stale", "yes", "no");
 
   /** One answer; {@code id} is the request's id or the order's tag. */
   public record Answer(String id, String word, Map<String, String> fields, byte[] body) {}
@@ -93,7 +94,9 @@
   }
 
   private int length(String word) throws BadAnswer {
-    if (word.isEmpty() || word.length() > MOST_DIGITS || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
+    if (word.isEmpty()
+        || word.length() > MOST_DIGITS
+        || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
       throw new BadAnswer("a length that is none");
     }
     int length = Integer.parseInt(word);
--- a/wire/src/main/java/gorseladder/wire/runner/Commands.java
+++ b/wire/src/main/java/gorseladder/wire/runner/Commands.java
@@ -15,9 +15,10 @@
    * @param max how long the answer is awaited, in milliseconds
    * @param key the client's idempotency key, by which the runner knows a repeat; null where it gave none
    */
-  public static byte[] go(String id, String requestClass, String function, long max, String key, byte[] body) {
-    byte[] head = ascii("go " + id + " profile=" + requestClass + ",thing=" + function + ",max=" + max
-        + (key == null ? "" : ",replay=" + key) + " " + body.length + "\r\n");
+  public static byte[] go(
+      String id, String requestClass, String function, long max, String key, byte[] body) {
+    byte[] head = ascii("go " + id + " profile=" + requestClass + ",thing=" + function + ",max="
+        + max + (key == null ? "" : ",replay=" + key) + " " + body.length + "\r\n");
     byte[] all = new byte[head.length + body.length + 2];
     System.arraycopy(head, 0, all, 0, head.length);
     System.arraycopy(body, 0, all, head.length, body.length);
--- a/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
@@ -16,11 +16,16 @@
 
   /** Header names, in lower case. */
   public static final String ID = "webhook-id";
+
   public static final String TIMESTAMP = "webhook-timestamp";
   public static final String SIGNATURE = "webhook-signature";
 
   /** How a check ended. */
-  public enum Check { GOOD, BAD_SIGNATURE, STALE }
+  public enum Check {
+    GOOD,
+    BAD_SIGNATURE,
+    STALE
+  }
 
   /**
    * Reads the three header values.
--- a/wire/src/main/java/gorseladder/wire/webhook/Payload.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Payload.java
@@ -39,12 +39,14 @@
         throw new IllegalArgumentException("something follows the JSON object");
       }
     } catch (IOException e) {
-      throw new IllegalArgumentException("not JSON: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+      throw new IllegalArgumentException(
+          "not JSON: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
     }
     if (reader.type == null || reader.type.isEmpty()) {
       throw new IllegalArgumentException("the payload has no type");
     }
-    return new Payload(reader.type, reader.function, reader.memoryMb, reader.lanes, reader.loadMillis);
+    return new Payload(
+        reader.type, reader.function, reader.memoryMb, reader.lanes, reader.loadMillis);
   }
 
   private static final class Reader {
@@ -84,14 +86,18 @@
     }
 
     private static String functionName(String name) {
-      if (name.isEmpty() || name.length() > 200 || !name.chars().allMatch(c -> c > 0x20 && c < 0x7f)) {
-        throw new IllegalArgumentException("data.function is not 1 to 200 visible ASCII characters");
+      if (name.isEmpty()
+          || name.length() > 200
+          || !name.chars().allMatch(c -> c > 0x20 && c < 0x7f)) {
+        throw new IllegalArgumentException(
+            "data.function is not 1 to 200 visible ASCII characters");
       }
       return name;
     }
 
     private static double number(JsonParser in, String where, double most) throws IOException {
-      if (!in.currentToken().isNumeric() || !(in.getDoubleValue() >= 0 && in.getDoubleValue() <= most)) {
+      if (!in.currentToken().isNumeric()
+          || !(in.getDoubleValue() >= 0 && in.getDoubleValue() <= most)) {
         throw new IllegalArgumentException(where + " is not a number from 0 to " + (long) most);
       }
       return in.getDoubleValue();
--- a/wire/src/main/java/gorseladder/wire/webhook/Secret.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Secret.java
@@ -46,17 +46,24 @@
       if (text.startsWith("whsec_")) {
         byte[] key = Base64.getDecoder().decode(text.substring(6));
         if (key.length < LEAST_BYTES || key.length > MOST_BYTES) {
-          throw new IllegalArgumentException("a whsec_ key has " + LEAST_BYTES + " to " + MOST_BYTES + " bytes");
+          throw new IllegalArgumentException(
+              "a whsec_ key has " + LEAST_BYTES + " to " + MOST_BYTES + " bytes");
         }
         return new Secret(new SecretKeySpec(key, "HmacSHA256"), null, null);
       }
       if (text.startsWith("whsk_")) {
         byte[] der = join(PKCS8_ED25519, seed(text));
-        return new Secret(null, KeyFactory.getInstance("Ed25519").generatePrivate(new PKCS8EncodedKeySpec(der)), null);
+        return new Secret(
+            null,
+            KeyFactory.getInstance("Ed25519").generatePrivate(new PKCS8EncodedKeySpec(der)),
+            null);
       }
       if (text.startsWith("whpk_")) {
         byte[] der = join(X509_ED25519, seed(text));
-        return new Secret(null, null, KeyFactory.getInstance("Ed25519").generatePublic(new X509EncodedKeySpec(der)));
+        return new Secret(
+            null,
+            null,
+            KeyFactory.getInstance("Ed25519").generatePublic(new X509EncodedKeySpec(der)));
       }
     } catch (GeneralSecurityException e) {
       throw new IllegalArgumentException("not an Ed25519 key", e);
@@ -105,7 +112,8 @@
     String version = versioned.substring(0, comma);
     byte[] given;
     try {
-      given = Base64.getDecoder().decode(versioned.substring(comma + 1).getBytes(StandardCharsets.ISO_8859_1));
+      given = Base64.getDecoder()
+          .decode(versioned.substring(comma + 1).getBytes(StandardCharsets.ISO_8859_1));
     } catch (IllegalArgumentException e) {
       return false;
     }
--- a/wire/src/test/java/gorseladder/wire/FastCgiTest.java
+++ b/wire/src/test/java/gorseladder/wire/FastCgiTest.java
@@ -107,7 +107,7 @@
     byte[] answer = RecordWriter.response(1, 200, Map.of("A", "b"), body);
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     int ends = 0;
-    for (int at = 0; at < answer.length;) {
+    for (int at = 0; at < answer.length; ) {
       int length = (answer[at + 4] & 0xff) << 8 | answer[at + 5] & 0xff;
       if (answer[at + 1] == 6) {
         out.write(answer, at + 8, length);
@@ -122,24 +122,39 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {
-      "02 01 0001 0008 00 00",
-      "01 01 0000 0008 00 00",
-      "01 04 0000 0001 00 00",
-      "01 01 0001 0007 00 00",
-      "01 09 0000 0401 00 00"})
+  @ValueSource(
+      strings = {
+        "02 01 0001 0008 00 00",
+        "01 01 0000 0008 00 00",
+        "01 04 0000 0001 00 00",
+        "01 01 0001 0007 00 00",
+        "01 09 0000 0401 00 00"
+      })
   void whatCannotBeARecordIsRefusedAtItsHeader(String hex) {
     assertThrows(BadRecord.class, () -> parse(bytes(hex), 1));
   }
 
   @Test
   void unknownManagementTypesAndAbortsAreHeard() throws BadRecord {
-    assertEquals(List.of("unknown 77", "abort 3", "values 0"),
-        parse(bytes("01 4d 0000 0002 00 00 abcd  01 02 0003 0000 00 00  01 09 0000 0000 01 00 ff"), 5).heard);
+    assertEquals(
+        List.of("unknown 77", "abort 3", "values 0"),
+        parse(
+                bytes(
+                    "01 4d 0000 0002 00 00 abcd  01 02 0003 0000 00 00  01 09 0000 0000 01 00 ff"),
+                5)
+            .heard);
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"05", "0180000000", "01 ff ffffff 41", "8000", "01 01 41 42 01 01 41 42", "ff ff ff ff ff ff ff ff"})
+  @ValueSource(
+      strings = {
+        "05",
+        "0180000000",
+        "01 ff ffffff 41",
+        "8000",
+        "01 01 41 42 01 01 41 42",
+        "ff ff ff ff ff ff ff ff"
+      })
   void pairsWhoseLengthsLieAreRefused(String hex) {
     byte[] pairs = bytes(hex);
     assertThrows(BadRecord.class, () -> NameValues.read(pairs, pairs.length, 10));
@@ -147,7 +162,8 @@
 
   /** Whatever comes, it is read or refused: no other error, and no more kept than came. */
   @Property(tries = 500)
-  void randomBytesAreReadOrRefused(@ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(min = 1, max = 50) int step) {
+  void randomBytesAreReadOrRefused(
+      @ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(min = 1, max = 50) int step) {
     if (bytes.length > 1) {
       bytes[0] = 1;
       bytes[1] = (byte) (bytes[1] & 15);
--- a/wire/src/test/java/gorseladder/wire/Http1Test.java
+++ b/wire/src/test/java/gorseladder/wire/Http1Test.java
@@ -61,36 +61,75 @@
     assertEquals("b c", fixed.head().get("x-a"));
     assertEquals("/hooks", fixed.head().path());
     assertEquals("a=b", fixed.head().query());
-    Message chunked = parse(post("Transfer-Encoding: chunked\r\n", "3;x=\"y\"\r\nhel\r\n2\r\nlo\r\n0\r\nT: u\r\n\r\n"), step);
+    Message chunked = parse(
+        post("Transfer-Encoding: chunked\r\n", "3;x=\"y\"\r\nhel\r\n2\r\nlo\r\n0\r\nT: u\r\n\r\n"),
+        step);
     assertEquals("hello", new String(chunked.body(), StandardCharsets.US_ASCII));
   }
 
   /** Forms in which two parsers may see two different requests. */
   @ParameterizedTest
-  @ValueSource(strings = {
-      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
-      "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 5, 5\r\n", "Content-Length: 0x5\r\n",
-      "Content-Length: \r\n", "Content-Length : 5\r\n", "X: a\r\n folded\r\n", "X: a\nY: b\r\n", "X: a\rb\r\n",
-      "Host: y\r\n", ": empty\r\n", "X: a\u0000b\r\n", "X\u00e9: a\r\n"})
+  @ValueSource(
+      strings = {
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: -5\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Content-Length: 0x5\r\n",
+        "Content-Length: \r\n",
+        "Content-Length : 5\r\n",
+        "X: a\r\n folded\r\n",
+        "X: a\nY: b\r\n",
+        "X: a\rb\r\n",
+        "Host: y\r\n",
+        ": empty\r\n",
+        "X: a\u0000b\r\n",
+        "X\u00e9: a\r\n"
+      })
   void smugglingFormsAreMalformed(String headers) {
-    assertEquals(Fault.MALFORMED, assertThrows(BadMessage.class, () -> parse(post(headers, "hello"), 1000)).fault());
+    assertEquals(
+        Fault.MALFORMED,
+        assertThrows(BadMessage.class, () -> parse(post(headers, "hello"), 1000))
+            .fault());
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"5\nhello\r\n0\r\n\r\n", "5 \r\nhello\r\n0\r\n\r\n", "+5\r\nhello\r\n0\r\n\r\n",
-      "5\r\nhelloX\r\n0\r\n\r\n", "\r\n", "g\r\n", "1111111111111111\r\n", "5\r\nhello\n0\r\n\r\n", "0\r\nT: u\n\r\n"})
+  @ValueSource(
+      strings = {
+        "5\nhello\r\n0\r\n\r\n",
+        "5 \r\nhello\r\n0\r\n\r\n",
+        "+5\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhelloX\r\n0\r\n\r\n",
+        "\r\n",
+        "g\r\n",
+        "1111111111111111\r\n",
+        "5\r\nhello\n0\r\n\r\n",
+        "0\r\nT: u\n\r\n"
+      })
   void badChunksAreMalformed(String body) {
-    assertEquals(Fault.MALFORMED,
-        assertThrows(BadMessage.class, () -> parse(post("Transfer-Encoding: chunked\r\n", body), 1000)).fault());
+    assertEquals(
+        Fault.MALFORMED,
+        assertThrows(
+                BadMessage.class, () -> parse(post("Transfer-Encoding: chunked\r\n", body), 1000))
+            .fault());
   }
 
   @ParameterizedTest
-  @CsvSource({"'GET / HTTP/2.0',WRONG_VERSION", "'GET /  HTTP/1.1',MALFORMED", "'GET /',MALFORMED",
-      "'G@T / HTTP/1.1',MALFORMED", "'GET /\u00e9 HTTP/1.1',MALFORMED", "' GET / HTTP/1.1',MALFORMED",
-      "'GET / http/1.1',MALFORMED"})
+  @CsvSource({
+    "'GET / HTTP/2.0',WRONG_VERSION",
+    "'GET /  HTTP/1.1',MALFORMED",
+    "'GET /',MALFORMED",
+    "'G@T / HTTP/1.1',MALFORMED",
+    "'GET /\u00e9 HTTP/1.1',MALFORMED",
+    "' GET / HTTP/1.1',MALFORMED",
+    "'GET / http/1.1',MALFORMED"
+  })
   void badRequestLinesAreNamed(String line, Fault fault) {
-    assertEquals(fault,
-        assertThrows(BadMessage.class, () -> parse(line + "\r\nHost: x\r\n\r\n", 1000)).fault());
+    assertEquals(
+        fault,
+        assertThrows(BadMessage.class, () -> parse(line + "\r\nHost: x\r\n\r\n", 1000))
+            .fault());
   }
 
   @Test
@@ -99,10 +138,12 @@
     assertEquals(Fault.TOO_LARGE, fault(post("Transfer-Encoding: chunked\r\n", "3e9\r\n")));
     assertEquals(Fault.HEADERS_TOO_LARGE, fault(post("X: " + "a".repeat(200) + "\r\n", "")));
     assertEquals(Fault.HEADERS_TOO_LARGE, fault(post("X: a\r\n".repeat(8), "")));
-    assertEquals(Fault.HEADERS_TOO_LARGE, fault(post(("X: " + "a".repeat(150) + "\r\n").repeat(4), "")));
+    assertEquals(
+        Fault.HEADERS_TOO_LARGE, fault(post(("X: " + "a".repeat(150) + "\r\n").repeat(4), "")));
     assertEquals(Fault.NOT_IMPLEMENTED, fault(post("Transfer-Encoding: gzip, chunked\r\n", "")));
     assertEquals(Fault.MALFORMED, fault("POST / HTTP/1.1\r\n\r\n"));
-    assertEquals(Fault.MALFORMED, fault("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    assertEquals(
+        Fault.MALFORMED, fault("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
     assertEquals(0, parse("\r\nGET / HTTP/1.0\r\n\r\n", 1).head().minorVersion());
   }
 
@@ -112,9 +153,12 @@
 
   /** Whatever bytes come, the parser takes them or names a fault; it never fails otherwise and never takes too many. */
   @Property(tries = 3000, seed = "42")
-  void anyBytesAreTakenOrNamed(@ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(min = 0, max = 60) int cut) {
-    byte[] start = post("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
-    byte[] all = java.util.Arrays.copyOf(start, start.length - Math.min(cut, start.length) + bytes.length);
+  void anyBytesAreTakenOrNamed(
+      @ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(min = 0, max = 60) int cut) {
+    byte[] start = post("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n")
+        .getBytes(StandardCharsets.US_ASCII);
+    byte[] all =
+        java.util.Arrays.copyOf(start, start.length - Math.min(cut, start.length) + bytes.length);
     System.arraycopy(bytes, 0, all, all.length - bytes.length, bytes.length);
     try {
       HeadParser head = HeadParser.forRequest(LIMITS);
@@ -132,8 +176,11 @@
 
   /** Where the bytes are cut between reads makes no difference. */
   @Property(tries = 500, seed = "43")
-  void piecesMakeNoDifference(@ForAll @Size(max = 40) byte[] noise, @ForAll @IntRange(min = 1, max = 50) int step) {
-    String text = post("X: " + new String(noise, StandardCharsets.ISO_8859_1) + "\r\nContent-Length: 3\r\n", "abc");
+  void piecesMakeNoDifference(
+      @ForAll @Size(max = 40) byte[] noise, @ForAll @IntRange(min = 1, max = 50) int step) {
+    String text = post(
+        "X: " + new String(noise, StandardCharsets.ISO_8859_1) + "\r\nContent-Length: 3\r\n",
+        "abc");
     assertEquals(result(text, 10_000), result(text, step));
   }
 
@@ -148,7 +195,8 @@
 
   @Test
   void aWriterCannotBeMadeToSplitAMessage() {
-    assertThrows(IllegalArgumentException.class, () -> HeadWriter.response(200).field("A", "b\r\nC: d"));
+    assertThrows(
+        IllegalArgumentException.class, () -> HeadWriter.response(200).field("A", "b\r\nC: d"));
   }
 
   @Test
--- a/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
+++ b/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
@@ -53,8 +53,21 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"a ok - 1\n", "a ok - 3000000000\r\n", "a ok - 1001\r\n", "a ok - -1\r\n", "a fine - 0\r\n",
-      "a ok 0\r\n", " ok - 0\r\n", "a ok - 1\r\nxyz", "a ok x 0\r\n", "a ok u=1,u=2 0\r\n", "a ok - \r\n", "\u0001"})
+  @ValueSource(
+      strings = {
+        "a ok - 1\n",
+        "a ok - 3000000000\r\n",
+        "a ok - 1001\r\n",
+        "a ok - -1\r\n",
+        "a fine - 0\r\n",
+        "a ok 0\r\n",
+        " ok - 0\r\n",
+        "a ok - 1\r\nxyz",
+        "a ok x 0\r\n",
+        "a ok u=1,u=2 0\r\n",
+        "a ok - \r\n",
+        "\u0001"
+      })
   void whatIsNoAnswerEndsTheConnection(String text) {
     assertThrows(BadAnswer.class, () -> parse(ascii(text), 100));
   }
@@ -65,7 +78,8 @@
   }
 
   @Property(tries = 500)
-  void randomBytesAreReadOrRefused(@ForAll @Size(max = 200) byte[] bytes, @ForAll @IntRange(min = 1, max = 40) int step) {
+  void randomBytesAreReadOrRefused(
+      @ForAll @Size(max = 200) byte[] bytes, @ForAll @IntRange(min = 1, max = 40) int step) {
     try {
       assertTrue(parse(bytes, step).size() <= bytes.length);
     } catch (BadAnswer e) {
@@ -75,22 +89,29 @@
 
   @Test
   void commandsAreLinesOfWords() {
-    assertEquals("go 9b profile=c,thing=f,max=1500 2\r\nhi\r\n",
-        new String(Commands.go("9b", "c", "f", 1_500, null, ascii("hi")), StandardCharsets.ISO_8859_1));
-    assertEquals("go 9b profile=c,thing=f,max=5,replay=k1 0\r\n\r\n",
+    assertEquals(
+        "go 9b profile=c,thing=f,max=1500 2\r\nhi\r\n",
+        new String(
+            Commands.go("9b", "c", "f", 1_500, null, ascii("hi")), StandardCharsets.ISO_8859_1));
+    assertEquals(
+        "go 9b profile=c,thing=f,max=5,replay=k1 0\r\n\r\n",
         new String(Commands.go("9b", "c", "f", 5, "k1", ascii("")), StandardCharsets.ISO_8859_1));
     assertEquals("halt 9b\r\n", new String(Commands.halt("9b"), StandardCharsets.ISO_8859_1));
-    assertEquals("stage l1 thing=f,pods=2\r\n", new String(Commands.stage("l1", "f", 2), StandardCharsets.ISO_8859_1));
+    assertEquals(
+        "stage l1 thing=f,pods=2\r\n",
+        new String(Commands.stage("l1", "f", 2), StandardCharsets.ISO_8859_1));
   }
 
   @Test
   void changeLinesSplitAtEveryByteAndHalfOnesAreKeptBack() {
-    byte[] bytes = ascii("41\r\n{\"seq\":42,\"fleet\":{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s\"}]}}\n{\"seq\":43");
+    byte[] bytes = ascii(
+        "41\r\n{\"seq\":42,\"fleet\":{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s\"}]}}\n{\"seq\":43");
     for (int step = 1; step <= bytes.length; step++) {
       List<ChangeLine> lines = new ArrayList<>();
       LineParser parser = new LineParser(200);
       for (int at = 0; at < bytes.length; at += step) {
-        parser.feed(bytes, at, Math.min(step, bytes.length - at), line -> lines.add(ChangeLine.read(line)));
+        parser.feed(
+            bytes, at, Math.min(step, bytes.length - at), line -> lines.add(ChangeLine.read(line)));
       }
       assertEquals(2, lines.size());
       assertEquals(41, lines.get(0).seq());
@@ -101,8 +122,17 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"", "{", "[]", "{\"seq\":1.5}", "{\"fleet\":{}}", "{\"seq\":1,\"fleet\":{\"targets\":[3]}}",
-      "{\"seq\":1,\"fleet\":{}}", "123456789012345678901234567890"})
+  @ValueSource(
+      strings = {
+        "",
+        "{",
+        "[]",
+        "{\"seq\":1.5}",
+        "{\"fleet\":{}}",
+        "{\"seq\":1,\"fleet\":{\"targets\":[3]}}",
+        "{\"seq\":1,\"fleet\":{}}",
+        "123456789012345678901234567890"
+      })
   void whatIsNoChangeIsRefused(String text) {
     assertThrows(IllegalArgumentException.class, () -> ChangeLine.read(ascii(text)));
   }
@@ -110,6 +140,7 @@
   @Test
   void aChangeLineHasABound() {
     LineParser parser = new LineParser(10);
-    assertThrows(IllegalArgumentException.class, () -> parser.feed(new byte[11], 0, 11, line -> { }));
+    assertThrows(
+        IllegalArgumentException.class, () -> parser.feed(new byte[11], 0, 11, line -> {}));
   }
 }
