--- a/wire/src/test/java/gorseladder/wire/WebhookTest.java
+++ b/wire/src/test/java/gorseladder/wire/WebhookTest.java
@@ -43,12 +43,19 @@
     String theirs = new Webhook(KEY).sign("msg_p", now, new String(BODY, StandardCharsets.UTF_8));
     String ours = Secret.parse(KEY).sign("msg_p", now, BODY);
     assertEquals(theirs, ours);
-    Map<String, List<String>> headers = Map.of(Delivery.ID, List.of("msg_p"), Delivery.TIMESTAMP,
-        List.of(Long.toString(now)), Delivery.SIGNATURE, List.of(ours));
-    assertDoesNotThrow(() -> new Webhook(KEY).verify(new String(BODY, StandardCharsets.UTF_8),
-        HttpHeaders.of(headers, (a, b) -> true)));
-    assertEquals(Check.GOOD, Delivery.of("msg_p", Long.toString(now), theirs).check(BODY,
-        List.of(Secret.parse(KEY)), now, 300));
+    Map<String, List<String>> headers = Map.of(
+        Delivery.ID,
+        List.of("msg_p"),
+        Delivery.TIMESTAMP,
+        List.of(Long.toString(now)),
+        Delivery.SIGNATURE,
+        List.of(ours));
+    assertDoesNotThrow(() -> new Webhook(KEY)
+        .verify(new String(BODY, StandardCharsets.UTF_8), HttpHeaders.of(headers, (a, b) -> true)));
+    assertEquals(
+        Check.GOOD,
+        Delivery.of("msg_p", Long.toString(now), theirs)
+            .check(BODY, List.of(Secret.parse(KEY)), now, 300));
   }
 
   @Test
@@ -59,7 +66,9 @@
     assertEquals(Check.GOOD, check(old + " " + good, 1000, KEY));
     assertEquals(Check.GOOD, check(good, 1000, other, KEY));
     assertEquals(Check.BAD_SIGNATURE, check(old, 1000, KEY));
-    assertEquals(Check.BAD_SIGNATURE, check("v2," + good.substring(3) + " v1a," + good.substring(3), 1000, KEY));
+    assertEquals(
+        Check.BAD_SIGNATURE,
+        check("v2," + good.substring(3) + " v1a," + good.substring(3), 1000, KEY));
     assertEquals(Check.BAD_SIGNATURE, check("v1,%%% v1 ,", 1000, KEY));
   }
 
@@ -76,8 +85,10 @@
   /** Key pair and message of RFC 8032 section 7.1, test 1, wrapped as seed and public key. */
   @Test
   void asymmetricSignatures() {
-    String seed = "whsk_" + base64("9d61b19deffd5a60ba844af492ec2cc44449c5697b326919703bac031cae7f60");
-    String open = "whpk_" + base64("d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a");
+    String seed =
+        "whsk_" + base64("9d61b19deffd5a60ba844af492ec2cc44449c5697b326919703bac031cae7f60");
+    String open =
+        "whpk_" + base64("d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a");
     String signature = Secret.parse(seed).sign("msg_1", 1000, BODY);
     assertTrue(signature.startsWith("v1a,"));
     assertEquals(Check.GOOD, check(signature, 1000, open));
@@ -91,14 +102,19 @@
   }
 
   @Property(tries = 2000, seed = "7")
-  void anyChangedBitIsSeen(@ForAll @Size(min = 1, max = 64) byte[] body, @ForAll @IntRange(min = 0, max = 511) int bit) {
+  void anyChangedBitIsSeen(
+      @ForAll @Size(min = 1, max = 64) byte[] body, @ForAll @IntRange(min = 0, max = 511) int bit) {
     String signature = Secret.parse(KEY).sign("msg_1", 1000, body);
     byte[] changed = body.clone();
     changed[bit / 8 % body.length] ^= (byte) (1 << bit % 8);
     List<Secret> keys = List.of(Secret.parse(KEY));
-    assertEquals(Check.BAD_SIGNATURE, Delivery.of("msg_1", "1000", signature).check(changed, keys, 1000, 300));
-    assertEquals(Check.BAD_SIGNATURE, Delivery.of("msg_2", "1000", signature).check(body, keys, 1000, 300));
-    assertEquals(Check.BAD_SIGNATURE, Delivery.of("msg_1", "1001", signature).check(body, keys, 1000, 300));
+    assertEquals(
+        Check.BAD_SIGNATURE,
+        Delivery.of("msg_1", "1000", signature).check(changed, keys, 1000, 300));
+    assertEquals(
+        Check.BAD_SIGNATURE, Delivery.of("msg_2", "1000", signature).check(body, keys, 1000, 300));
+    assertEquals(
+        Check.BAD_SIGNATURE, Delivery.of("msg_1", "1001", signature).check(body, keys, 1000, 300));
     assertEquals(Check.GOOD, Delivery.of("msg_1", "1000", signature).check(body, keys, 1000, 300));
   }
 
@@ -106,7 +122,9 @@
   void anySignatureTextIsJudged(@ForAll @Size(min = 1, max = 60) byte[] noise) {
     String text = "v1," + new String(noise, StandardCharsets.ISO_8859_1);
     try {
-      assertNotEquals(Check.GOOD, Delivery.of("msg_1", "1000", text).check(BODY, List.of(Secret.parse(KEY)), 1000, 300));
+      assertNotEquals(
+          Check.GOOD,
+          Delivery.of("msg_1", "1000", text).check(BODY, List.of(Secret.parse(KEY)), 1000, 300));
     } catch (IllegalArgumentException e) {
       assertTrue(e.getMessage().contains(Delivery.SIGNATURE));
     }
@@ -115,7 +133,8 @@
   @ParameterizedTest
   @ValueSource(strings = {"", "whsec_", "whsec_AAAA", "whsec_%%%", "key", "whpk_AAAA"})
   void unusableKeysAreNamedWithoutQuotingThem(String key) {
-    String why = assertThrows(IllegalArgumentException.class, () -> Secret.parse(key)).getMessage();
+    String why =
+        assertThrows(IllegalArgumentException.class, () -> Secret.parse(key)).getMessage();
     assertFalse(!key.isEmpty() && why.contains(key) && key.length() > 6);
     assertEquals("whsec_…", Secret.parse(KEY).toString());
   }
@@ -129,13 +148,26 @@
 
   @Test
   void payloads() {
-    Payload p = Payload.parse("{\"type\":\"a\",\"x\":[{}],\"data\":{\"function\":\"f/1\",\"lanes\":2,\"load_ms\":5,"
-        .concat("\"memory_mb\":1.5,\"deep\":{\"function\":\"no\"}}}").getBytes(StandardCharsets.UTF_8));
+    Payload p = Payload.parse(
+        "{\"type\":\"a\",\"x\":[{}],\"data\":{\"function\":\"f/1\",\"lanes\":2,\"load_ms\":5,"
+            .concat("\"memory_mb\":1.5,\"deep\":{\"function\":\"no\"}}}")
+            .getBytes(StandardCharsets.UTF_8));
     assertEquals(new Payload("a", "f/1", 1.5, 2, 5), p);
-    for (String bad : new String[] {"", "[]", "{", "{\"type\":1}", "{\"type\":\"a\",\"type\":\"b\"}", "{\"type\":\"a\"} x",
-        "{\"type\":\"a\",\"data\":{\"function\":\"a b\"}}", "{\"type\":\"a\",\"data\":{\"lanes\":-1}}",
-        "{\"a\":".repeat(80) + "1" + "}".repeat(80)}) {
-      assertThrows(IllegalArgumentException.class, () -> Payload.parse(bad.getBytes(StandardCharsets.UTF_8)), bad);
+    for (String bad : new String[] {
+      "",
+      "[]",
+      "{",
+      "{\"type\":1}",
+      "{\"type\":\"a\",\"type\":\"b\"}",
+      "{\"type\":\"a\"} x",
+      "{\"type\":\"a\",\"data\":{\"function\":\"a b\"}}",
+      "{\"type\":\"a\",\"data\":{\"lanes\":-1}}",
+      "{\"a\":".repeat(80) + "1" + "}".repeat(80)
+    }) {
+      assertThrows(
+          IllegalArgumentException.class,
+          () -> Payload.parse(bad.getBytes(StandardCharsets.UTF_8)),
+          bad);
     }
   }
 
@@ -143,12 +175,16 @@
   void inferenceMessages() {
     Oip.Content request = Oip.content(Oip.request("id 1", BODY));
     assertEquals("id 1", request.id());
-    assertEquals(new String(BODY, StandardCharsets.UTF_8), new String(request.data(), StandardCharsets.UTF_8));
+    assertEquals(
+        new String(BODY, StandardCharsets.UTF_8),
+        new String(request.data(), StandardCharsets.UTF_8));
     assertEquals("svc/a b%", Oip.modelIn(Oip.inferTarget("svc/a b%"), "/v2/models/", "/infer"));
     assertEquals(null, Oip.modelIn("/v2/models/a/b/infer", "/v2/models/", "/infer"));
     assertEquals(null, Oip.modelIn("/v2/models/%zz/infer", "/v2/models/", "/infer"));
     assertEquals(3, Oip.copiesIn(Oip.loadRequest(3)));
-    assertThrows(IllegalArgumentException.class, () -> Oip.content("{\"outputs\":[]}".getBytes(StandardCharsets.UTF_8)));
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> Oip.content("{\"outputs\":[]}".getBytes(StandardCharsets.UTF_8)));
   }
 
   @Test
