A scale run: hollow dispatchers beside real processes, swept sizes, fitted slopes

Need: the figures for 4,400 dispatchers come from slopes that anybody can measure again.

Change: `./gorseladder scale FILE`, module `scale`. Hollow dispatchers are the real router fed with lines of the change log, on a simulated clock; real ones are processes started by the run line of the deploy file, between stand-ins, and end with the run also where it is killed. The router counts the workers that it looks at.

--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -27,6 +27,7 @@
       AccountCommand.class,
       EmulateCommand.class,
       ExperimentCommand.class,
+      ScaleCommand.class,
       ReplayCommand.class,
       SabotageCommand.class,
       Main.VersionCommand.class,
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -108,6 +108,7 @@
   private double admitted = 1;
   private final double dearest;
   private long nextForget;
+  private long workersExamined;
 
   public Router(Settings settings, long seed) {
     if (settings == null) {
@@ -150,6 +151,11 @@
     }
   }
 
+  /** Workers looked at so far, by calls, changes of the list and the shared order; a measure of work. */
+  public long workersExamined() {
+    return workersExamined;
+  }
+
   // ---- the worker list
 
   private void onWorkers(Workers event) {
@@ -176,6 +182,7 @@
     }
     workers.values().removeIf(w -> w.phase == Phase.GONE && w.inFlight == 0);
     Worker[] known = workers.values().toArray(new Worker[0]);
+    workersExamined += known.length;
     listVersion += Arrays.equals(known, fleet) ? 0 : 1;
     fleet = known;
     meanWeight = workers.values().stream().mapToDouble(w -> w.weight).average().orElse(1);
@@ -685,6 +692,7 @@
       return;
     }
     f.version = listVersion;
+    workersExamined += fleet.length;
     long[] keys = new long[fleet.length];
     // A place in the list takes as many low bits as the list needs: a fixed 16 hid every worker
     // past 65,535.
@@ -766,6 +774,7 @@
     double soonestCost = 0;
     double loads = 0;
     int lanesOut = 0;
+    workersExamined += f.order.length;
     for (int i = 0; i < f.order.length; i++) {
       Worker w = f.order[i];
       int place = rank;
@@ -813,6 +822,7 @@
   private boolean mostSuspect() {
     int suspects = 0;
     int running = 0;
+    workersExamined += fleet.length;
     for (Worker w : fleet) {
       running += w.phase == Phase.RUNNING ? 1 : 0;
       suspects += w.phase == Phase.RUNNING && w.failures >= SUSPECT ? 1 : 0;
--- /dev/null
+++ b/scale/src/main/java/gorseladder/scale/HollowDispatcher.java
@@ -0,0 +1,146 @@
+package gorseladder.scale;
+
+import gorseladder.Router;
+import gorseladder.RouterApi.Action;
+import gorseladder.RouterApi.Answer;
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Request;
+import gorseladder.RouterApi.Send;
+import gorseladder.RouterApi.SetTimer;
+import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.TellPeers;
+import gorseladder.RouterApi.TimerDue;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import gorseladder.platform.PlatformList;
+import gorseladder.runtime.Births;
+import gorseladder.wire.changelog.ChangeLine;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One dispatcher without sockets: the real router and the real handling of change log lines, on a clock that its owner
+ * moves. Every call is served after {@link #SERVICE_MICROS}. Not thread safe.
+ */
+final class HollowDispatcher {
+  /** How long every call takes at its worker, in microseconds. */
+  static final long SERVICE_MICROS = 50_000;
+
+  private static final String SWEEP = "sweep";
+  private static final long NEVER = Long.MAX_VALUE;
+
+  private record Attempt(long id, int number, String worker, long sentAt) {}
+
+  private final Router router;
+  private final Births births = new Births();
+  private final ArrayDeque<Attempt> inFlight = new ArrayDeque<>();
+  private final Map<Long, Integer> attempts = new HashMap<>();
+  private final Set<String> contacted = new HashSet<>();
+  private long now;
+  private long sweepAt = NEVER;
+  private long messagesOut;
+  private long bytesIn;
+  private String firstWorker;
+
+  HollowDispatcher(Settings settings, long seed, long startMicros) {
+    router = new Router(settings, seed);
+    now = startMicros;
+  }
+
+  /** Reads a line of the change log and tells the router; a line of an unknown form is an error. */
+  void changeLogLine(byte[] line) {
+    bytesIn += line.length + 1;
+    ChangeLine.Fleet change = ChangeLine.read(line).fleet();
+    List<WorkerEntry> entries = change.targets().stream()
+        .map(target -> PlatformList.ofChangeLog(target, births::at))
+        .toList();
+    router.on(
+        now, new Workers(change.all() ? ListKind.FULL : ListKind.DELTA, entries), this::carryOut);
+  }
+
+  /** Takes a call; returns the worker it went to first, null where it waits. */
+  String call(long id, String requestClass, String function) {
+    firstWorker = null;
+    long deadline = 60 * SERVICE_MICROS;
+    router.on(
+        now,
+        new Request(id, requestClass, "", function, deadline, 0, 10, 1, 0, false),
+        this::carryOut);
+    return firstWorker;
+  }
+
+  /** Moves the clock on and delivers the answers and the sweeps that are due by then. */
+  void moveTo(long micros) {
+    while (nextDue() <= micros) {
+      now = Math.max(now, nextDue());
+      if (sweepAt <= now) {
+        sweepAt = NEVER;
+        router.on(now, new TimerDue(SWEEP), this::carryOut);
+      } else {
+        answer(inFlight.removeFirst());
+      }
+    }
+    now = micros;
+  }
+
+  private long nextDue() {
+    long answerAt = inFlight.isEmpty() ? NEVER : inFlight.peekFirst().sentAt() + SERVICE_MICROS;
+    return Math.min(answerAt, sweepAt);
+  }
+
+  private void answer(Attempt attempt) {
+    attempts.remove(attempt.id());
+    router.on(
+        now,
+        new Answer(
+            attempt.id(),
+            attempt.number(),
+            attempt.worker(),
+            Outcome.OK,
+            true,
+            now - attempt.sentAt(),
+            Note.WARM,
+            0,
+            Map.of()),
+        this::carryOut);
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Send send) {
+      int number = attempts.merge(send.id(), 1, Integer::sum) - 1;
+      inFlight.addLast(new Attempt(send.id(), number, send.worker(), now));
+      contacted.add(send.worker());
+      firstWorker = firstWorker == null ? send.worker() : firstWorker;
+    } else if (action instanceof SetTimer timer && timer.token().equals(SWEEP)) {
+      sweepAt = now + timer.in();
+    } else if (action instanceof TellPeers) {
+      messagesOut++;
+    }
+  }
+
+  /** Messages to the other dispatchers so far, each counted once. */
+  long messagesOut() {
+    return messagesOut;
+  }
+
+  /** Bytes of the change log taken so far. */
+  long bytesIn() {
+    return bytesIn;
+  }
+
+  /** Different workers that calls went to so far: each needs a connection. */
+  int workersContacted() {
+    return contacted.size();
+  }
+
+  /** Workers that the router looked at so far. */
+  long workersExamined() {
+    return router.workersExamined();
+  }
+}
--- /dev/null
+++ b/scale/src/main/java/gorseladder/scale/RunLine.java
@@ -0,0 +1,37 @@
+package gorseladder.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The command by which the deploy file starts a dispatcher. */
+final class RunLine {
+  private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
+  private static final Path JAR = Path.of("app/target/gorseladder.jar");
+  private static final String JAR_COMMAND = "-jar " + JAR + " node";
+  private static final String MAIN = "gorseladder.app.Main node";
+  private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
+
+  private RunLine() {}
+
+  /**
+   * Reads it; a program that does not run from the jar starts dispatchers from its own class path.
+   *
+   * @throws IOException where there is no deploy file or no such line in it
+   */
+  static String read(Path root) throws IOException {
+    Path file = root.resolve(DEPLOY_FILE);
+    Matcher run = RUN.matcher(Files.readString(file));
+    if (!run.find() || !run.group(1).contains(JAR_COMMAND)) {
+      throw new IOException(file + ": no run line with '" + JAR_COMMAND + "'");
+    }
+    String own = System.getProperty("java.class.path");
+    boolean fromJar = Path.of(own.split(java.io.File.pathSeparator)[0])
+        .toAbsolutePath()
+        .normalize()
+        .equals(root.resolve(JAR).toAbsolutePath().normalize());
+    return fromJar ? run.group(1) : run.group(1).replace(JAR_COMMAND, "-cp " + own + " " + MAIN);
+  }
+}
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformConfig.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformConfig.java
@@ -23,8 +23,26 @@
    * @param deadlineMillis the deadline of both classes, {@code safe} and {@code unsafe}
    */
   public static String text(InetSocketAddress changeLog, String event, long deadlineMillis) {
-    return "{\"seed\":\"5\",\"limits\":{\"memory_mb\":128,\"sockets\":512},\"changelog\":\"127.0.0.1:"
-        + changeLog.getPort() + "\",\"known\":{\"seq\":1,\"results\":[" + event + "]},\"settings\":"
-        + SETTINGS.formatted(deadlineMillis) + "}";
+    return text(changeLog, event, deadlineMillis, 128, 512);
+  }
+
+  /**
+   * The text of the file, with limits.
+   *
+   * @param event the first event of the change log, which is known at the start
+   * @param deadlineMillis the deadline of both classes
+   * @param sockets descriptors that the dispatcher may open
+   */
+  public static String text(
+      InetSocketAddress changeLog,
+      String event,
+      long deadlineMillis,
+      int memoryMegabytes,
+      int sockets) {
+    return "{\"seed\":\"5\",\"limits\":{\"memory_mb\":" + memoryMegabytes + ",\"sockets\":"
+        + sockets
+        + "},\"changelog\":\"127.0.0.1:" + changeLog.getPort()
+        + "\",\"known\":{\"seq\":1,\"results\":["
+        + event + "]},\"settings\":" + SETTINGS.formatted(deadlineMillis) + "}";
   }
 }
