--- a/scale/src/main/java/gorseladder/scale/ChildProcess.java
+++ b/scale/src/main/java/gorseladder/scale/ChildProcess.java
@@ -33,6 +33,8 @@
     ProcessBuilder builder = new ProcessBuilder("sh", "-c", GUARD.formatted("{ " + command + "; }"))
         .directory(directory.toFile())
         .redirectError(log);
+    // An option of this process's own is none of the child's.
+    builder.environment().remove("JAVA_TOOL_OPTIONS");
     builder.environment().putAll(environment);
     shell = builder.start();
     String line = shell.inputReader().readLine();
--- a/scale/src/main/java/gorseladder/scale/RealCell.java
+++ b/scale/src/main/java/gorseladder/scale/RealCell.java
@@ -160,8 +160,13 @@
     }
   }
 
+  /** The first error that a dispatcher logged, else its last line. */
   private String said(int number) throws IOException {
-    return Files.readAllLines(log(number)).stream().limit(1).findFirst().orElse("it said nothing");
+    List<String> lines = Files.readAllLines(log(number));
+    return lines.stream()
+        .filter(line -> line.contains("Error"))
+        .findFirst()
+        .orElse(lines.isEmpty() ? "it said nothing" : lines.get(lines.size() - 1));
   }
 
   /** One task for each dispatcher, side by side. */
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -91,8 +91,8 @@
         asked.add((long) from);
       }
       while (true) {
+        StringBuilder text = new StringBuilder();
         synchronized (this) {
-          StringBuilder text = new StringBuilder();
           for (; telling == Telling.ALL && from < events.size(); from++) {
             text.append((events.get(from) + "\n").repeat(1 + doubles));
           }
@@ -103,8 +103,15 @@
                 case BYTES -> " ";
                 case OLD_BEATS -> "0\n";
               });
+        }
+        // Outside the lock: a slow reader holds up no other.
+        synchronized (socket) {
           out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
-          wait(BEAT_MILLIS);
+        }
+        synchronized (this) {
+          if (telling != Telling.ALL || from >= events.size()) {
+            wait(BEAT_MILLIS);
+          }
         }
       }
     } catch (IOException | InterruptedException e) {
@@ -141,8 +148,10 @@
   /** Breaks the present connection off inside an event. */
   public synchronized void breakOff() throws IOException {
     if (current != null) {
-      current.getOutputStream().write("{\"seq\":9".getBytes(StandardCharsets.US_ASCII));
-      current.close();
+      synchronized (current) {
+        current.getOutputStream().write("{\"seq\":9".getBytes(StandardCharsets.US_ASCII));
+        current.close();
+      }
     }
   }
 
