Candidates come on demand from a shared index; calls and changes cost the same in any fleet

Cause: `arrange` sorted the whole fleet for every function and version of the list, `choose`, `mostSuspect`, `meanWeight` and the copy of the list walked all of it (scale run: a known function looked at 2.5 workers for each in the list, 46 ms at 180,000).

Change: `SharedOrder` (multi-probe consistent hashing, keys of the pair alone) hands out the first few workers of a function; `choose` stops where no further place can be better, looks at 256 at the most, then at a slice of the fleet, counted. `Fleet` keeps the counts as workers change. A copy is kept by worker, not by place. The cold budget saves by the mean warmth since the last look, as looks are rare.

Ruled out: workers' identity hashes as table keys (11.9 us a call), a heap over the probes' walks (13 to 40 us for a function's first). A stretch of the distance by 1 to 16, uniform in its inverse, left one of 240 workers with 0.56 of its share; by 1/v^2 it is 0.6 at least.

--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -74,8 +74,12 @@
   private static final double AHEAD_PART = 0.5;
   /** Part of the keep-alive that must be gone before a copy that stands is ordered held anew by a plan. */
   private static final double RENEW_PART = 0.5;
-  /** Bits of a sort key behind the point of its score, the place in the list included. */
-  private static final int KEY_BITS = 46;
+  /** Workers of the shared order asked for at first; nearly all calls are decided among them. */
+  private static final int FEWEST_CANDIDATES = 4;
+  /** Growth of that number where more are needed. */
+  private static final int CANDIDATE_GROWTH = 4;
+  /** Workers looked at for a call at the most, so that its cost does not grow with the fleet. */
+  private static final int MOST_CANDIDATES = 256;
   /** First word of the message that a worker is sick. */
   private static final String SICK = "sick ";
 
@@ -83,8 +87,11 @@
   private final Random random;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
-  private Worker[] fleet = {};
+  private final Fleet fleet = new Fleet();
+  private final Set<Worker> gone = new LinkedHashSet<>();
   private int listVersion;
+  private int listNumber;
+  private int nextInFleet;
   private final Map<String, Function> functions = new LinkedHashMap<>();
   private final Map<Long, Held> requests = new LinkedHashMap<>();
   private final Set<Function> waiting = new LinkedHashSet<>();
@@ -98,7 +105,6 @@
   private double secondTokens = 1;
   private double meanLoadTime;
   private double meanUsual;
-  private double meanWeight = 1;
   private double servedRate;
   private long lastServed;
   private double strain;
@@ -109,6 +115,7 @@
   private final double dearest;
   private long nextForget;
   private long workersExamined;
+  private long fallThroughs;
 
   public Router(Settings settings, long seed) {
     if (settings == null) {
@@ -153,7 +160,19 @@
 
   /** Workers looked at so far, by calls, changes of the list and the shared order; a measure of work. */
   public long workersExamined() {
-    return workersExamined;
+    return workersExamined + fleet.order().examined();
+  }
+
+  /** Calls so far that found nobody among their candidates and looked through a part of the whole fleet. */
+  public long fallThroughs() {
+    return fallThroughs;
+  }
+
+  /** Candidates and beliefs kept of all functions together; a measure of state. */
+  long functionEntries() {
+    return functions.values().stream()
+        .mapToLong(f -> f.order.size() + f.known.size())
+        .sum();
   }
 
   // ---- the worker list
@@ -166,29 +185,50 @@
     if (event.kind() == ListKind.SAVED && settings.asksForList()) {
       out.accept(new WatchList());
     }
+    listNumber++;
+    event.entries().forEach(this::onWorker);
     if (event.kind() != ListKind.DELTA) {
-      workers.values().forEach(w -> w.phase = Phase.GONE);
-    }
-    for (WorkerEntry entry : event.entries()) {
-      Worker w = workers.computeIfAbsent(entry.worker(), id -> new Worker(id, mix(id.hashCode())));
-      w.zone = entry.zone();
-      w.cell = entry.cell();
-      w.phase = entry.phase();
-      w.weight = entry.weight() > 0 ? entry.weight() : 1;
-      if (entry.born() > w.born) {
-        w.born = entry.born();
-        restarted(w);
-      }
+      workers.values().forEach(this::goneUnlessListed);
     }
-    workers.values().removeIf(w -> w.phase == Phase.GONE && w.inFlight == 0);
-    Worker[] known = workers.values().toArray(new Worker[0]);
-    workersExamined += known.length;
-    listVersion += Arrays.equals(known, fleet) ? 0 : 1;
-    fleet = known;
-    meanWeight = workers.values().stream().mapToDouble(w -> w.weight).average().orElse(1);
+    gone.removeIf(w -> w.phase != Phase.GONE || w.inFlight == 0 && workers.remove(w.name(), w));
     serveWaiting();
   }
 
+  private void onWorker(WorkerEntry entry) {
+    workersExamined++;
+    Worker w = workers.computeIfAbsent(entry.worker(), Worker::new);
+    w.listed = listNumber;
+    w.zone = entry.zone();
+    w.cell = entry.cell();
+    w.phase = entry.phase();
+    w.weight = entry.weight() > 0 ? entry.weight() : 1;
+    if (entry.born() > w.born) {
+      w.born = entry.born();
+      restarted(w);
+    }
+    takeInOrOut(w);
+  }
+
+  private void goneUnlessListed(Worker w) {
+    workersExamined++;
+    if (w.listed != listNumber) {
+      w.phase = Phase.GONE;
+      takeInOrOut(w);
+    }
+  }
+
+  private void takeInOrOut(Worker w) {
+    listVersion += fleet.update(w) ? 1 : 0;
+    if (w.phase == Phase.GONE) {
+      gone.add(w);
+    }
+    count(w);
+  }
+
+  private void count(Worker w) {
+    fleet.count(w, w.failures >= SUSPECT);
+  }
+
   /** A new birth time: whatever was loaded is gone, and so is what made the old process suspect. */
   private void restarted(Worker w) {
     w.life++;
@@ -208,8 +248,7 @@
       throw new IllegalArgumentException("unknown class " + event.requestClass());
     }
     forgetFunctions();
-    Function f =
-        functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
+    Function f = functions.computeIfAbsent(event.function(), Function::new);
     f.lanes = Math.max(1, event.lanes());
     f.loadTime = event.loadTime();
     f.lastAsked = now;
@@ -269,6 +308,7 @@
       nextForget = now + settings.keepAlive();
       long old = now - 2 * settings.keepAlive();
       functions.values().removeIf(f -> f.lastAsked < old && f.inFlight == 0 && f.queue.isEmpty());
+      functions.values().forEach(f -> f.known.values().removeIf(this::saysNothing));
     }
   }
 
@@ -334,6 +374,7 @@
     attempt.copy.inFlight--;
     held.function.inFlight--;
     learn(held, attempt, event);
+    count(attempt.copy.worker);
     if (held.done) {
       if (held.out == 0) {
         requests.remove(held.id);
@@ -468,7 +509,7 @@
 
   /** How many workers of the shared order, from the first, are taken to hold the function. */
   private double home(Function f) {
-    return Math.max(1, Math.min(fleet.length, f.atOnce / fill(f)));
+    return Math.max(1, Math.min(fleet.size(), f.atOnce / fill(f)));
   }
 
   /**
@@ -477,17 +518,18 @@
    */
   private void failed(Worker w, double weight, boolean own) {
     w.failures += weight * (1 - w.failures);
+    count(w);
     if (w.failures < SUSPECT) {
       return;
     }
-    double gap = fleet.length / Math.max(1e-3, servedRate) * 1e6;
+    double gap = fleet.size() / Math.max(1e-3, servedRate) * 1e6;
     double wait = Math.max(shortestAim, Math.min(TRIAL_GAPS * gap, settings.keepAlive()));
     w.trialAt = now + (long) wait * (1 << Math.min(w.strikes, TRIAL_DOUBLINGS));
     w.strikes++;
     boolean news = w.toldSick == 0 || now - w.toldSick > settings.keepAlive();
     if (own && news && settings.limits().peers() && settings.dispatchers() > 1) {
       w.toldSick = now;
-      out.accept(new TellPeers(SICK + w.id));
+      out.accept(new TellPeers(SICK + w.name()));
     }
   }
 
@@ -562,8 +604,7 @@
         || !mayLoad(AHEAD_PART)) {
       return;
     }
-    Function f =
-        functions.computeIfAbsent(event.function(), id -> new Function(id, mix(id.hashCode())));
+    Function f = functions.computeIfAbsent(event.function(), Function::new);
     f.lanes = f.lanes == 0 ? event.lanes() : f.lanes;
     f.loadTime = f.loadTime == 0 ? event.loadTime() : f.loadTime;
     f.lastAsked = now;
@@ -599,7 +640,7 @@
     }
     copy.ordered = count;
     copy.orderedAt = now;
-    out.accept(new Load(copy.worker.id, copy.function.name, count));
+    out.accept(new Load(copy.worker.name(), copy.function.name, count));
   }
 
   // ---- what waits
@@ -686,70 +727,33 @@
     }
   }
 
-  /** The shared order of workers for a function; heavier workers come first more often. */
+  /** Begins the order of a function's workers anew where the list has changed. */
   private void arrange(Function f) {
-    if (f.version == listVersion) {
-      return;
-    }
-    f.version = listVersion;
-    workersExamined += fleet.length;
-    long[] keys = new long[fleet.length];
-    // A place in the list takes as many low bits as the list needs: a fixed 16 hid every worker
-    // past 65,535.
-    int placeBits = Math.max(16, Integer.SIZE - Integer.numberOfLeadingZeros(keys.length));
-    long placeMask = (1L << placeBits) - 1;
-    double scale = 1L << KEY_BITS - placeBits;
-    for (int i = 0; i < keys.length; i++) {
-      double score = score(f.hash, fleet[i].hash, meanWeight, fleet[i].weight);
-      keys[i] = (long) (Math.min(score, 1e4) * scale) << placeBits | i;
-    }
-    Arrays.sort(keys);
-    for (int i = 0; i < f.order.length; i++) {
-      f.order[i].moving = f.copies[i];
-    }
-    f.order = new Worker[keys.length];
-    f.copies = new Copy[keys.length];
-    for (int i = 0; i < keys.length; i++) {
-      f.order[i] = fleet[(int) (keys[i] & placeMask)];
-      f.copies[i] = f.order[i].moving;
-      f.order[i].moving = null;
+    if (f.version != listVersion) {
+      f.version = listVersion;
+      f.order = fleet.order().first(f.hash, FEWEST_CANDIDATES);
+      f.known.values().removeIf(copy -> !copy.worker.isOrdered() && copy.inFlight == 0);
     }
   }
 
-  private static double score(int function, int worker, double meanWeight, double weight) {
-    double unit = (mix(function ^ worker) >>> 1) / (double) Integer.MAX_VALUE;
-    return -StrictMath.log(Math.max(unit, 1e-9)) * meanWeight / weight;
-  }
-
-  /**
-   * Where a worker stands in the shared order of a function: the lowest comes first. Planners use it too,
-   * so that a copy loaded ahead stands where all dispatchers look first.
-   */
-  public static double distance(String function, String worker, double meanWeight, double weight) {
-    return score(mix(function.hashCode()), mix(worker.hashCode()), meanWeight, weight);
-  }
-
-  private static int mix(int value) {
-    int h = (value ^ (value >>> 16)) * 0x7feb352d;
-    h = (h ^ (h >>> 15)) * 0x846ca68b;
-    return h ^ (h >>> 16);
+  /** Asks for more of a function's order where it is needed; false where it does not reach so far. */
+  private boolean reaches(Function f, int place) {
+    if (place >= f.order.size() && f.order.size() < fleet.size()) {
+      int more = Math.min(f.order.size() * CANDIDATE_GROWTH, MOST_CANDIDATES);
+      int block = (place / MOST_CANDIDATES + 1) * MOST_CANDIDATES;
+      f.order = fleet.order().first(f.hash, place < more ? more : block);
+    }
+    return place < f.order.size();
   }
 
   private Copy copyAt(Function f, Worker w) {
-    arrange(f);
-    for (int i = 0; i < f.order.length; i++) {
-      if (f.order[i] == w) {
-        return copyAt(f, i);
-      }
-    }
-    return new Copy(f, w);
+    return f.known.computeIfAbsent(w, worker -> new Copy(f, worker));
   }
 
-  private static Copy copyAt(Function f, int i) {
-    if (f.copies[i] == null) {
-      f.copies[i] = new Copy(f, f.order[i]);
-    }
-    return f.copies[i];
+  /** True where it makes no difference to a call whether this is remembered. */
+  private boolean saysNothing(Copy copy) {
+    long until = Math.max(Math.max(copy.busyUntil, copy.struckUntil), copy.crowdUntil);
+    return !warm(copy) && copy.inFlight == 0 && copy.ordered < 0 && until <= now;
   }
 
   private Copy choose(Held held) {
@@ -765,24 +769,31 @@
    */
   private Copy choose(Held held, boolean untried) {
     Function f = held.function;
-    boolean distrust = mostSuspect();
+    boolean distrust = fleet.mostSuspect();
     long home = Math.round(home(f));
-    int rank = 0;
+    // A home wider than may be looked at is sampled.
+    int from = home <= MOST_CANDIDATES ? 0 : random.nextInt((int) home - MOST_CANDIDATES + 1);
+    int rank = from;
     int warm = -1;
     int soonest = -1;
     double warmCost = 0;
     double soonestCost = 0;
-    double loads = 0;
     int lanesOut = 0;
-    workersExamined += f.order.length;
-    for (int i = 0; i < f.order.length; i++) {
-      Worker w = f.order[i];
+    int knownSeen = 0;
+    for (int i = from; i < from + MOST_CANDIDATES && reaches(f, i); i++) {
+      boolean othersUnknown = rank >= home && knownSeen >= f.known.size();
+      if (othersUnknown && soonest >= 0 && soonestCost <= leastCost(f, rank, home)) {
+        break;
+      }
+      workersExamined++;
+      Worker w = f.order.get(i);
+      Copy copy = f.known.get(w);
+      knownSeen += copy == null ? 0 : 1;
       int place = rank;
       rank += eligible(held, w, distrust) ? 1 : 0;
       if (place == rank || untried && tried(held, w)) {
         continue;
       }
-      Copy copy = f.copies[i];
       boolean known = copy != null && warm(copy);
       boolean shared = place < home && (copy == null || copy.struckUntil <= now);
       double cost = cost(held, w, copy, shared);
@@ -800,34 +811,55 @@
         soonestCost = cost;
       }
       lanesOut += known && copy.busyUntil <= now && copy.inFlight > 0 ? f.lanes * copy.copies : 0;
-      loads += load(w);
     }
-    if (warm >= 0 && load(f.order[warm]) <= BALANCE * loads / rank + BALANCE_SLACK) {
-      return chosen(f, warm, home);
+    double balanced = BALANCE * fleet.meanLoad(distrust) + BALANCE_SLACK;
+    if (warm >= 0 && load(f.order.get(warm)) <= balanced) {
+      return chosen(f, f.order.get(warm), warm < home);
+    }
+    if (soonest < 0) {
+      return fleet.size() <= MOST_CANDIDATES ? null : fallThrough(held, untried, distrust);
     }
     // Guards against copies loaded for a moment's queue, which under overload push each other
     // out. It could harm where others keep the lanes taken: the answers' crowd counts then
     // widen the home.
     boolean wait = warm < 0 && (f.queue.size() + 1) * usual(f) < loadTime(f) * lanesOut;
-    return wait || soonest < 0 ? null : chosen(f, soonest, home);
+    return wait ? null : chosen(f, f.order.get(soonest), soonest < home);
   }
 
-  private Copy chosen(Function f, int i, long home) {
-    Copy copy = copyAt(f, i);
-    copy.home = i < home && copy.struckUntil <= now;
-    return copy;
+  /** What a call costs at the least at a worker of this place or behind, where no copy is known. */
+  private double leastCost(Function f, int place, long home) {
+    return loadTime(f) * (1 + RANK_COST * (place - home + 1));
   }
 
-  /** When most of the fleet looks suspect the signal is distrusted, not the fleet. */
-  private boolean mostSuspect() {
-    int suspects = 0;
-    int running = 0;
-    workersExamined += fleet.length;
-    for (Worker w : fleet) {
-      running += w.phase == Phase.RUNNING ? 1 : 0;
-      suspects += w.phase == Phase.RUNNING && w.failures >= SUSPECT ? 1 : 0;
+  /**
+   * The best of the next few of the whole fleet. Guards against candidates that are all drained, suspect,
+   * cold, tried or of another zone while others are free; a call that still finds nobody waits and goes on
+   * from there. It could harm where most of a large fleet is out: each call then costs as much as it may.
+   */
+  private Copy fallThrough(Held held, boolean untried, boolean distrust) {
+    fallThroughs++;
+    Worker best = null;
+    double bestCost = 0;
+    for (int i = 0; i < MOST_CANDIDATES; i++) {
+      workersExamined++;
+      nextInFleet = (nextInFleet + 1) % fleet.size();
+      Worker w = fleet.get(nextInFleet);
+      if (!eligible(held, w, distrust) || untried && tried(held, w)) {
+        continue;
+      }
+      double cost = cost(held, w, held.function.known.get(w), false);
+      if (best == null || cost < bestCost) {
+        best = w;
+        bestCost = cost;
+      }
     }
-    return suspects * 2 > running;
+    return best == null ? null : chosen(held.function, best, false);
+  }
+
+  private Copy chosen(Function f, Worker w, boolean isHome) {
+    Copy copy = copyAt(f, w);
+    copy.home = isHome && copy.struckUntil <= now;
+    return copy;
   }
 
   private boolean eligible(Held held, Worker w, boolean distrust) {
@@ -870,18 +902,25 @@
       return true;
     }
     double least = 1e6 / meanUsual / settings.dispatchers();
-    double rate = Math.max(servedRate / Math.max(1, fleet.length), least);
-    double part = COLD_MARGIN * settings.rules().overloadMultiple() * warmth;
-    double most = Math.max(1, rate * part * settings.rules().overloadFor() / 1e6);
-    w.coldTokens = Math.min(most, w.coldTokens + (now - w.coldAt) / 1e6 * rate * part);
+    double rate = Math.max(servedRate / Math.max(1, fleet.size()), least);
+    double multiple = COLD_MARGIN * settings.rules().overloadMultiple();
+    double most = Math.max(1, rate * multiple * warmth * settings.rules().overloadFor() / 1e6);
+    // Looked at seldom, so the warmth in between counts and not the one reached by now.
+    double meanWarmth = (warmth + warmthAt(w, w.coldAt)) / 2;
+    double saved = (now - w.coldAt) / 1e6 * rate * multiple * meanWarmth;
+    w.coldTokens = Math.min(most, w.coldTokens + saved);
     w.coldAt = now;
     return w.coldTokens >= 1;
   }
 
   /** The part of its capacity that a worker has at least, by its birth and the told ramp. */
   private double warmth(Worker w) {
+    return warmthAt(w, now);
+  }
+
+  private double warmthAt(Worker w, long at) {
     double from = settings.rules().coldFrom();
-    double age = Math.max(0, now - w.born) / Math.max(1.0, settings.rules().coldFor());
+    double age = Math.max(0, at - w.born) / Math.max(1.0, settings.rules().coldFor());
     return w.born == 0 || age >= 1 ? 1 : from + (1 - from) * age;
   }
 
@@ -902,7 +941,7 @@
 
   /** Calls in flight there as far as known, for a worker of mean weight. */
   private double load(Worker w) {
-    return (w.inFlight + w.others) * meanWeight / w.weight;
+    return (w.inFlight + w.others) * fleet.meanWeight() / w.weight;
   }
 
   /** How long a call sent now should take: calls in flight in time, plus queue or load. */
@@ -943,6 +982,7 @@
     held.attempts.add(attempt);
     held.out++;
     w.inFlight++;
+    count(w);
     copy.inFlight++;
     held.function.inFlight++;
     if (warm(copy)) {
@@ -953,7 +993,7 @@
     if (warmth(w) < 1) {
       w.coldTokens--;
     }
-    out.accept(new Send(held.id, w.id, 0));
+    out.accept(new Send(held.id, w.name(), 0));
   }
 
   // ---- timers
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -2,22 +2,24 @@
 
 import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.RequestClass;
+import gorseladder.order.Member;
+import gorseladder.order.SharedOrder;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What {@link Router} keeps in mind: fields only. Every decision on them is the router's. */
 final class RouterState {
   private RouterState() {}
 
   /** What is known of one worker. */
-  static final class Worker {
-    final String id;
-    final int hash;
+  static final class Worker extends Member {
     String zone;
     int cell;
-    Phase phase;
-    double weight;
+    Phase phase = Phase.GONE;
+    double weight = 1;
     long born;
     /** Counts the lives of the process; beliefs of an earlier life are void. */
     int life;
@@ -32,12 +34,19 @@
     long lastHeard;
     double coldTokens;
     long coldAt;
-    /** Only while a function's order is rebuilt. */
-    Copy moving;
+    /** The number of the last list that named it. */
+    int listed;
+    /** Its number in the {@link Fleet}; -1 where it is not in. */
+    int fleetIndex = -1;
+    /** As {@link Fleet} last counted it. */
+    Phase countedPhase = Phase.GONE;
 
-    Worker(String id, int hash) {
-      this.id = id;
-      this.hash = hash;
+    boolean countedSuspect;
+    double countedWeight;
+    double countedLoad;
+
+    Worker(String name) {
+      super(name);
     }
   }
 
@@ -67,7 +76,7 @@
   /** What is known of one function; the order of workers is shared by all dispatchers. */
   static final class Function {
     final String name;
-    final int hash;
+    final long hash;
     int lanes;
     long loadTime;
     double usual;
@@ -79,15 +88,16 @@
     int inFlight;
     long lastAsked;
     int version = -1;
-    Worker[] order = {};
-    /** Beside {@code order}; null where nothing is known. */
-    Copy[] copies = {};
+    /** The first workers of the shared order, as many as were asked for so far. */
+    List<Worker> order = List.of();
+    /** What is known of the function at single workers, in the order or not. */
+    final Map<Worker, Copy> known = new HashMap<>(4);
 
-    final ArrayDeque<Held> queue = new ArrayDeque<>();
+    final ArrayDeque<Held> queue = new ArrayDeque<>(1);
 
-    Function(String name, int hash) {
+    Function(String name) {
       this.name = name;
-      this.hash = hash;
+      this.hash = SharedOrder.function(name);
     }
   }
 
--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -1,6 +1,6 @@
 package gorseladder.placement;
 
-import gorseladder.Router;
+import gorseladder.order.SharedOrder;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -55,7 +55,6 @@
   private record Candidate(Demand demand, int number, Worth.Copy worth, double density) {}
 
   private final List<Host> hosts;
-  private final double meanWeight;
   private final Limits limits;
   private final Worth worth;
   private final double[] free;
@@ -77,7 +76,6 @@
     this.hosts = List.copyOf(hosts);
     this.limits = limits;
     this.worth = worth;
-    meanWeight = hosts.stream().mapToDouble(Host::weight).average().orElse(1);
     free = hosts.stream().mapToDouble(Host::freeMb).toArray();
     loads = hosts.stream().mapToInt(Host::loads).toArray();
     memory = Math.max(1, Arrays.stream(free).sum());
@@ -166,8 +164,7 @@
       Integer[] order = new Integer[hosts.size()];
       for (int i = 0; i < order.length; i++) {
         order[i] = i;
-        distance[i] =
-            Router.distance(f, hosts.get(i).name(), meanWeight, hosts.get(i).weight());
+        distance[i] = SharedOrder.key(f, hosts.get(i).name(), hosts.get(i).weight());
       }
       Arrays.sort(order, Comparator.comparingDouble(i -> distance[i]));
       return Arrays.stream(order)
--- a/scale/src/main/java/gorseladder/scale/HollowCell.java
+++ b/scale/src/main/java/gorseladder/scale/HollowCell.java
@@ -106,6 +106,9 @@
         dispatchers.stream().mapToInt(HollowDispatcher::workersContacted).sum();
     measures.put(Measure.CONNECTIONS_PER_SECOND, contacted / seconds);
     measures.put(Measure.FIRST_PLACE_PEAK, peak());
+    long fallThroughs =
+        dispatchers.stream().mapToLong(HollowDispatcher::fallThroughs).sum();
+    measures.put(Measure.FALL_THROUGHS, 1e3 * fallThroughs / callsMade);
     return measures;
   }
 
--- a/scale/src/main/java/gorseladder/scale/HollowDispatcher.java
+++ b/scale/src/main/java/gorseladder/scale/HollowDispatcher.java
@@ -139,6 +139,11 @@
     return contacted.size();
   }
 
+  /** Calls so far that looked through a part of the whole fleet. */
+  long fallThroughs() {
+    return router.fallThroughs();
+  }
+
   /** Workers that the router looked at so far. */
   long workersExamined() {
     return router.workersExamined();
--- a/scale/src/main/java/gorseladder/scale/Measure.java
+++ b/scale/src/main/java/gorseladder/scale/Measure.java
@@ -14,6 +14,8 @@
   LIST_MICROS_A_WORKER("processor a worker of a whole list", "us"),
   EXAMINED_A_CALL("workers examined a call", "workers"),
   EXAMINED_A_CHANGE("workers examined a change", "workers"),
+  /** Calls that found nobody among their candidates, of a thousand. */
+  FALL_THROUGHS("calls that fell through to the fleet", "in 1000"),
   BYTES_A_WORKER("heap a worker", "bytes"),
   BYTES_A_FUNCTION("heap a function met", "bytes"),
   CONTROL_BYTES_PER_SECOND("control bytes in", "bytes/s"),
