A keyed call keeps to the window of an attempt that was out beside another one

A probe on a scratch copy showed: sent at 17.376 s, a second attempt at 18.736 s beside it, the first one's MISS after 2.900 s, a third send 3.572 s after the first (window 3 s), 2.212 s after the second. Four other calls were sent past the window of an attempt that never ran and were not counted: there that attempt had ended before the next was sent. So an attempt that was out beside another binds the call, whatever it proves later.

Change: such an attempt does not count as never run, for resends, groups and refusals.

Measured: the test fails without the mend ("2.1 s after the first attempt, whose window is 2 s").

--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -369,7 +369,13 @@
     Attempt attempt = held.attempts.get(event.attempt());
     attempt.out = false;
     held.out--;
-    attempt.neverRan = event.outcome().neverRan;
+    // Guards against a keyed call that is sent again past the window of an attempt that was out
+    // beside
+    // another: once two were out the platform holds both windows, whatever one of them proves
+    // later. It
+    // covers groups and refusals too; it could harm where the proof comes late and the call has
+    // time left.
+    attempt.neverRan = event.outcome().neverRan && !attempt.overlapped;
     attempt.copy.worker.inFlight--;
     attempt.copy.inFlight--;
     held.function.inFlight--;
@@ -974,6 +980,7 @@
       return;
     }
     unqueue(held);
+    held.attempts.forEach(earlier -> earlier.overlapped |= earlier.out);
     Attempt attempt = new Attempt();
     attempt.copy = copy;
     attempt.sentAt = now;
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -112,6 +112,9 @@
     boolean out = true;
     boolean cancelled;
     boolean neverRan;
+    /** Was out when another attempt of the request was sent. */
+    boolean overlapped;
+
     boolean slow;
     /** Found no copy there; the worker may still serve the request after a load. */
     boolean missed;
--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -736,6 +736,25 @@
     assertTrue(got(Load.class).isEmpty(), "a call waits");
   }
 
+  /**
+   * Seen on a simulated day: a keyed call's first attempt was out beside a second one, proved not to have run, and the
+   * call was sent a third time after the first one's window.
+   */
+  @Test
+  void theWindowOfAnAttemptThatWasOutBesideAnotherCountsThoughItNeverRan() {
+    start(true, true, running("a"), running("b"), running("c"));
+    request(1, "keyed", "f");
+    String first = sentTo();
+    later(1100 * MS);
+    String second = sentTo();
+    now += 700 * MS;
+    answer(1, 0, first, Outcome.MISS);
+    now += 300 * MS;
+    answer(1, 1, second, Outcome.RESET);
+    assertTrue(got(Send.class).isEmpty(), "2.1 s after the first attempt, whose window is 2 s");
+    assertEquals(1, got(Fail.class).size());
+  }
+
   /** A function whose shared order begins with the first of these workers. */
   private static String functionThatStartsAt(String first, String... others) {
     return Stream.iterate(0, i -> i + 1)
