--- a/app/src/main/java/gorseladder/app/bench/BenchCommand.java
+++ b/app/src/main/java/gorseladder/app/bench/BenchCommand.java
@@ -14,6 +14,7 @@
       LatencyBench.class,
       OverloadBench.class,
       RouterBench.class,
+      OrderBench.class,
       LedgerBench.class,
       IdleBench.class,
       TimersCommand.class,
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -63,9 +63,9 @@
   /** Parts of the shortest aim between two looks at what waits or is out. */
   private static final long SWEEPS_PER_AIM = 40;
   /** Part of its aim after which an answer counts as late for the fleet's strain; the rest is the tail's. */
-  private static final double CROWDED = 0.5;
+  private static final double LATE_PART = 0.5;
   /** Weight of the newest answer in what changes within an aim: strain and reports. */
-  private static final double CROWD_WEIGHT = 0.2;
+  private static final double FAST_WEIGHT = 0.2;
   /** Usual times a call needs before its aim, below which it counts as late. */
   private static final double LATE_MARGIN = 1.5;
   /** Waiting calls tried at one look; bounds the work of a look when thousands wait. */
@@ -93,7 +93,7 @@
   private int listNumber;
   private int nextInFleet;
   private final Map<String, Function> functions = new LinkedHashMap<>();
-  private final Map<Long, Held> requests = new LinkedHashMap<>();
+  private final Map<Long, PendingCall> requests = new LinkedHashMap<>();
   private final Set<Function> waiting = new LinkedHashSet<>();
   private final ArrayDeque<Long> takenTimes = new ArrayDeque<>();
   private final ArrayDeque<Long> loadTimes = new ArrayDeque<>();
@@ -233,7 +233,7 @@
   private void restarted(Worker w) {
     w.life++;
     w.failures = 0;
-    w.strikes = 0;
+    w.suspicions = 0;
     w.pace = 1;
     w.lastHeard = now;
     w.coldTokens = random.nextDouble();
@@ -259,20 +259,20 @@
     if (settings.rules().loadWindow() > 0) {
       takenTimes.addLast(now);
     }
-    Held held = new Held();
-    held.id = event.id();
-    held.requestClass = requestClass;
-    held.function = f;
-    held.aimAt = now + requestClass.aim();
-    held.deadline = now + event.timeLeft();
-    held.worth = requestClass.worth() * (event.repeat() ? requestClass.lateWorth() : 1);
-    requests.put(held.id, held);
+    PendingCall call = new PendingCall();
+    call.id = event.id();
+    call.requestClass = requestClass;
+    call.function = f;
+    call.aimAt = now + requestClass.aim();
+    call.deadline = now + event.timeLeft();
+    call.worth = requestClass.worth() * (event.repeat() ? requestClass.lateWorth() : 1);
+    requests.put(call.id, call);
     long left = Math.max(0, event.timeLeft() - settings.tick());
-    out.accept(new SetTimer(left, "d" + held.id));
-    if (admits(held)) {
-      place(held);
+    out.accept(new SetTimer(left, "d" + call.id));
+    if (admits(call)) {
+      place(call);
     } else {
-      giveUp(held);
+      giveUp(call);
     }
     armSweep();
   }
@@ -282,20 +282,20 @@
    * as a whole holds more than it can run, whoever sent it. Cheap calls go first. It could harm where all
    * work alone takes half its aim; a trickle is always admitted, so that relief is seen.
    */
-  private boolean admits(Held held) {
+  private boolean admits(PendingCall call) {
     double aims = (now - strainAt) / (double) shortestAim;
     strainAt = now;
     strain /= 1 + aims / STRAIN_AIMS;
     if (strain < STRAINED) {
       admitted = Math.min(1, admitted + aims / RELIEF_AIMS);
     }
-    return random.nextDouble() < Math.pow(admitted, dearest / Math.max(1e-9, held.worth));
+    return random.nextDouble() < Math.pow(admitted, dearest / Math.max(1e-9, call.worth));
   }
 
   private void noteStrain(boolean bad) {
     double gap = (now - notedAt) / (double) shortestAim;
     notedAt = now;
-    strain += Math.max(CROWD_WEIGHT / 10, Math.min(CROWD_WEIGHT, gap)) * ((bad ? 1 : 0) - strain);
+    strain += Math.max(FAST_WEIGHT / 10, Math.min(FAST_WEIGHT, gap)) * ((bad ? 1 : 0) - strain);
     if (strain > STRAINED && now - shedAt > meanUsual) {
       shedAt = now;
       admitted = Math.max(LEAST_ADMITTED, admitted * (1 - SHED_STEP));
@@ -312,63 +312,63 @@
     }
   }
 
-  private void onClientGone(Held held) {
-    if (held != null && !held.done) {
+  private void onClientGone(PendingCall call) {
+    if (call != null && !call.done) {
       // A client that waited long says that the fleet is slow; one that withdraws at once says
       // nothing of it. Guards against shedding for clients that take back what they just asked;
       // it covers connections that break. It could harm where clients give up within half an
       // aim: their leaving is then no sign.
-      long waited = now - (held.aimAt - held.requestClass.aim());
-      if (waited > CROWDED * held.requestClass.aim()) {
+      long waited = now - (call.aimAt - call.requestClass.aim());
+      if (waited > LATE_PART * call.requestClass.aim()) {
         noteStrain(true);
       }
-      finish(held);
+      finish(call);
     }
   }
 
   /** The one final answer that is not a served one: refused where a repeat is harmless, else failed. */
-  private void giveUp(Held held) {
-    out.accept(harmless(held) ? new Refuse(held.id, 0) : new Fail(held.id));
-    finish(held);
+  private void giveUp(PendingCall call) {
+    out.accept(harmless(call) ? new Refuse(call.id, 0) : new Fail(call.id));
+    finish(call);
   }
 
-  private boolean harmless(Held held) {
-    RequestClass c = held.requestClass;
+  private boolean harmless(PendingCall call) {
+    RequestClass c = call.requestClass;
     return c.effect() == Effect.SAFE
-        || held.attempts.stream().allMatch(a -> a.neverRan)
+        || call.attempts.stream().allMatch(a -> a.neverRan)
         || c.effect() == Effect.KEYED && c.group() == Group.ALL;
   }
 
-  private void finish(Held held) {
-    held.done = true;
-    unqueue(held);
-    for (int i = 0; i < held.attempts.size(); i++) {
-      cancel(held, i);
+  private void finish(PendingCall call) {
+    call.done = true;
+    unqueue(call);
+    for (int i = 0; i < call.attempts.size(); i++) {
+      cancel(call, i);
     }
-    if (held.out == 0) {
-      requests.remove(held.id);
+    if (call.out == 0) {
+      requests.remove(call.id);
     }
   }
 
-  private void cancel(Held held, int number) {
-    Attempt attempt = held.attempts.get(number);
+  private void cancel(PendingCall call, int number) {
+    Attempt attempt = call.attempts.get(number);
     if (attempt.out && !attempt.cancelled && settings.limits().cancelling()) {
       attempt.cancelled = true;
-      out.accept(new Cancel(held.id, number));
+      out.accept(new Cancel(call.id, number));
     }
   }
 
   private void onAnswer(Answer event) {
-    Held held = requests.get(event.id());
-    if (held == null
+    PendingCall call = requests.get(event.id());
+    if (call == null
         || event.attempt() < 0
-        || event.attempt() >= held.attempts.size()
-        || !held.attempts.get(event.attempt()).out) {
+        || event.attempt() >= call.attempts.size()
+        || !call.attempts.get(event.attempt()).out) {
       return;
     }
-    Attempt attempt = held.attempts.get(event.attempt());
+    Attempt attempt = call.attempts.get(event.attempt());
     attempt.out = false;
-    held.out--;
+    call.out--;
     // Guards against a keyed call that is sent again past the window of an attempt that was out
     // beside
     // another: once two were out the platform holds both windows, whatever one of them proves
@@ -378,35 +378,35 @@
     attempt.neverRan = event.outcome().neverRan && !attempt.overlapped;
     attempt.copy.worker.inFlight--;
     attempt.copy.inFlight--;
-    held.function.inFlight--;
-    learn(held, attempt, event);
+    call.function.inFlight--;
+    learn(call, attempt, event);
     count(attempt.copy.worker);
-    if (held.done) {
-      if (held.out == 0) {
-        requests.remove(held.id);
+    if (call.done) {
+      if (call.out == 0) {
+        requests.remove(call.id);
       }
     } else if (event.settled()) {
-      finish(held);
-    } else if (held.out == 0) {
-      goOn(held);
+      finish(call);
+    } else if (call.out == 0) {
+      goOn(call);
     }
-    serve(held.function, MOST_TRIES);
+    serve(call.function, MOST_TRIES);
   }
 
   /** After a failed attempt: try again where the class allows it, else answer now. */
-  private void goOn(Held held) {
-    boolean attemptsLeft = held.attempts.size() < settings.limits().maxAttempts();
-    if (!attemptsLeft || held.deadline <= now || !mayResend(held)) {
-      giveUp(held);
+  private void goOn(PendingCall call) {
+    boolean attemptsLeft = call.attempts.size() < settings.limits().maxAttempts();
+    if (!attemptsLeft || call.deadline <= now || !mayResend(call)) {
+      giveUp(call);
     } else {
-      place(held);
+      place(call);
     }
   }
 
-  private boolean mayResend(Held held) {
-    RequestClass c = held.requestClass;
+  private boolean mayResend(PendingCall call) {
+    RequestClass c = call.requestClass;
     return c.effect() == Effect.SAFE
-        || held.attempts.stream()
+        || call.attempts.stream()
             .allMatch(a -> a.neverRan
                 || c.effect() == Effect.KEYED
                     && now - a.sentAt < c.repeatWindow() - 2 * settings.tick());
@@ -414,10 +414,10 @@
 
   // ---- what an answer teaches
 
-  private void learn(Held held, Attempt attempt, Answer event) {
+  private void learn(PendingCall call, Attempt attempt, Answer event) {
     Copy copy = attempt.copy;
     Worker w = copy.worker;
-    Function f = held.function;
+    Function f = call.function;
     noteReport(w, event.report());
     boolean heard = event.outcome() != Outcome.TIMEOUT && event.outcome() != Outcome.CANCELLED;
     w.lastHeard = heard ? now : w.lastHeard;
@@ -430,7 +430,7 @@
     // turned away come back at once.
     boolean noRoom = full && event.crowd() == 0 && attempt.blind;
     if (!attempt.slow && (full && !noRoom || warm)) {
-      noteStrain(full || event.latency() > CROWDED * held.requestClass.aim());
+      noteStrain(full || event.latency() > LATE_PART * call.requestClass.aim());
     }
     if (event.crowd() >= 0) {
       copy.crowd = Math.max(0, event.crowd() - copy.inFlight - (full ? 0 : 1));
@@ -439,11 +439,11 @@
       noteNeed(f, Math.max(f.inFlight + f.queue.size(), home(f) * Math.min(event.crowd(), most)));
     }
     switch (event.outcome()) {
-      case OK -> learnServed(held, attempt, event, warm);
+      case OK -> learnServed(call, attempt, event, warm);
       case MISS -> {
         attempt.missed = true;
         copy.copies = 0;
-        copy.struckUntil = now + 2 * (long) loadTime(f);
+        copy.missingUntil = now + 2 * (long) loadTime(f);
         if (event.note() == Note.LOAD_FAILED) {
           copy.busyUntil = now + (long) loadTime(f);
         } else if (!settings.loadsOnMiss()) {
@@ -455,7 +455,7 @@
         // Guards against a call that fails wherever it goes: from its second error on it speaks
         // of itself. It covers bad input of any kind; it could harm where two sick workers meet
         // one call after the other.
-        boolean again = held.attempts.stream().anyMatch(a -> a.erred);
+        boolean again = call.attempts.stream().anyMatch(a -> a.erred);
         attempt.erred = true;
         if (event.note() == Note.LOAD_FAILED) {
           copy.copies = 0;
@@ -472,13 +472,13 @@
     }
   }
 
-  private void learnServed(Held held, Attempt attempt, Answer event, boolean warm) {
+  private void learnServed(PendingCall call, Attempt attempt, Answer event, boolean warm) {
     Copy copy = attempt.copy;
     Worker w = copy.worker;
-    Function f = held.function;
+    Function f = call.function;
     w.failures *= 1 - FAILURE_WEIGHT;
     if (w.failures < SUSPECT) {
-      w.strikes = 0;
+      w.suspicions = 0;
     }
     double gap = Math.max(1, now - lastServed) / 1e6;
     servedRate += Math.min(1, gap / RATE_SECONDS) * (1 / gap - servedRate);
@@ -530,8 +530,8 @@
     }
     double gap = fleet.size() / Math.max(1e-3, servedRate) * 1e6;
     double wait = Math.max(shortestAim, Math.min(TRIAL_GAPS * gap, settings.keepAlive()));
-    w.trialAt = now + (long) wait * (1 << Math.min(w.strikes, TRIAL_DOUBLINGS));
-    w.strikes++;
+    w.trialAt = now + (long) wait * (1 << Math.min(w.suspicions, TRIAL_DOUBLINGS));
+    w.suspicions++;
     boolean news = w.toldSick == 0 || now - w.toldSick > settings.keepAlive();
     if (own && news && settings.limits().peers() && settings.dispatchers() > 1) {
       w.toldSick = now;
@@ -551,7 +551,7 @@
     double seen = report.containsKey("inFlight")
         ? Math.max(0, report.get("inFlight") - w.inFlight)
         : report.getOrDefault("queued", w.others);
-    w.others += CROWD_WEIGHT * (seen - w.others);
+    w.others += FAST_WEIGHT * (seen - w.others);
   }
 
   // ---- load orders
@@ -573,7 +573,7 @@
       case RESET, CONNECT_FAILED -> failed(w, 1, true);
       default -> {
         copy.busyUntil = now + (long) loadTime(f);
-        copy.struckUntil = copy.busyUntil;
+        copy.missingUntil = copy.busyUntil;
         copy.copies = event.copies();
       }
     }
@@ -658,20 +658,20 @@
     }
   }
 
-  private void enqueue(Held held) {
-    if (!held.queued) {
-      held.queued = true;
-      held.function.queue.addLast(held);
-      waiting.add(held.function);
+  private void enqueue(PendingCall call) {
+    if (!call.queued) {
+      call.queued = true;
+      call.function.queue.addLast(call);
+      waiting.add(call.function);
     }
   }
 
-  private void unqueue(Held held) {
-    if (held.queued) {
-      held.queued = false;
-      held.function.queue.removeFirstOccurrence(held);
-      if (held.function.queue.isEmpty()) {
-        waiting.remove(held.function);
+  private void unqueue(PendingCall call) {
+    if (call.queued) {
+      call.queued = false;
+      call.function.queue.removeFirstOccurrence(call);
+      if (call.function.queue.isEmpty()) {
+        waiting.remove(call.function);
       }
     }
   }
@@ -680,10 +680,10 @@
   private int serve(Function f, int tries) {
     int left = tries;
     while (left > 0 && !f.queue.isEmpty()) {
-      Held held = f.queue.peekLast();
+      PendingCall call = f.queue.peekLast();
       left--;
-      place(held);
-      if (held.queued) {
+      place(call);
+      if (call.queued) {
         break;
       }
     }
@@ -707,29 +707,29 @@
     }
   }
 
-  private boolean late(Held held) {
-    return held.aimAt - now < LATE_MARGIN * usual(held.function);
+  private boolean late(PendingCall call) {
+    return call.aimAt - now < LATE_MARGIN * usual(call.function);
   }
 
-  private double value(Held held) {
-    return held.worth * (late(held) ? held.requestClass.lateWorth() : 1);
+  private double value(PendingCall call) {
+    return call.worth * (late(call) ? call.requestClass.lateWorth() : 1);
   }
 
   // ---- the pick
 
   /** Sends a request to the worker chosen for it, or has the function loaded there and waits. */
-  private void place(Held held) {
-    Copy copy = choose(held);
+  private void place(PendingCall call) {
+    Copy copy = choose(call);
     boolean orders = !settings.loadsOnMiss() && settings.limits().orders();
     boolean blind =
-        copy != null && copy.home && held.attempts.size() < settings.limits().maxAttempts() - 2;
+        copy != null && copy.home && call.attempts.size() < settings.limits().maxAttempts() - 2;
     if (copy != null && (warm(copy) || blind || !orders)) {
-      send(held, copy);
+      send(call, copy);
     } else if (copy != null && copy.ordered < 0) {
       order(copy, 1);
     }
-    if (held.out == 0 && !held.done) {
-      enqueue(held);
+    if (call.out == 0 && !call.done) {
+      enqueue(call);
     }
   }
 
@@ -758,14 +758,14 @@
 
   /** True where it makes no difference to a call whether this is remembered. */
   private boolean saysNothing(Copy copy) {
-    long until = Math.max(Math.max(copy.busyUntil, copy.struckUntil), copy.crowdUntil);
+    long until = Math.max(Math.max(copy.busyUntil, copy.missingUntil), copy.crowdUntil);
     return !warm(copy) && copy.inFlight == 0 && copy.ordered < 0 && until <= now;
   }
 
-  private Copy choose(Held held) {
-    arrange(held.function);
-    Copy untried = choose(held, true);
-    return untried != null || held.attempts.isEmpty() ? untried : choose(held, false);
+  private Copy choose(PendingCall call) {
+    arrange(call.function);
+    Copy untried = choose(call, true);
+    return untried != null || call.attempts.isEmpty() ? untried : choose(call, false);
   }
 
   /**
@@ -773,8 +773,8 @@
    * unless its load passes the balance threshold; then the one where the call should be over first. Null
    * where none may take it, or where a lane should be free here before a load is done.
    */
-  private Copy choose(Held held, boolean untried) {
-    Function f = held.function;
+  private Copy choose(PendingCall call, boolean untried) {
+    Function f = call.function;
     boolean distrust = fleet.mostSuspect();
     long home = Math.round(home(f));
     // A home wider than may be looked at is sampled.
@@ -796,13 +796,13 @@
       Copy copy = f.known.get(w);
       knownSeen += copy == null ? 0 : 1;
       int place = rank;
-      rank += eligible(held, w, distrust) ? 1 : 0;
-      if (place == rank || untried && tried(held, w)) {
+      rank += eligible(call, w, distrust) ? 1 : 0;
+      if (place == rank || untried && tried(call, w)) {
         continue;
       }
       boolean known = copy != null && warm(copy);
-      boolean shared = place < home && (copy == null || copy.struckUntil <= now);
-      double cost = cost(held, w, copy, shared);
+      boolean shared = place < home && (copy == null || copy.missingUntil <= now);
+      double cost = cost(call, w, copy, shared);
       cost += place >= home
           ? RANK_COST * (place - home + 1) * loadTime(f)
           : copy == null || copy.ordered <= 0 ? JITTER * cost * random.nextDouble() : 0;
@@ -823,7 +823,7 @@
       return chosen(f, f.order.get(warm), warm < home);
     }
     if (soonest < 0) {
-      return fleet.size() <= MOST_CANDIDATES ? null : fallThrough(held, untried, distrust);
+      return fleet.size() <= MOST_CANDIDATES ? null : fallThrough(call, untried, distrust);
     }
     // Guards against copies loaded for a moment's queue, which under overload push each other
     // out. It could harm where others keep the lanes taken: the answers' crowd counts then
@@ -842,7 +842,7 @@
    * cold, tried or of another zone while others are free; a call that still finds nobody waits and goes on
    * from there. It could harm where most of a large fleet is out: each call then costs as much as it may.
    */
-  private Copy fallThrough(Held held, boolean untried, boolean distrust) {
+  private Copy fallThrough(PendingCall call, boolean untried, boolean distrust) {
     fallThroughs++;
     Worker best = null;
     double bestCost = 0;
@@ -850,49 +850,49 @@
       workersExamined++;
       nextInFleet = (nextInFleet + 1) % fleet.size();
       Worker w = fleet.get(nextInFleet);
-      if (!eligible(held, w, distrust) || untried && tried(held, w)) {
+      if (!eligible(call, w, distrust) || untried && tried(call, w)) {
         continue;
       }
-      double cost = cost(held, w, held.function.known.get(w), false);
+      double cost = cost(call, w, call.function.known.get(w), false);
       if (best == null || cost < bestCost) {
         best = w;
         bestCost = cost;
       }
     }
-    return best == null ? null : chosen(held.function, best, false);
+    return best == null ? null : chosen(call.function, best, false);
   }
 
   private Copy chosen(Function f, Worker w, boolean isHome) {
     Copy copy = copyAt(f, w);
-    copy.home = isHome && copy.struckUntil <= now;
+    copy.home = isHome && copy.missingUntil <= now;
     return copy;
   }
 
-  private boolean eligible(Held held, Worker w, boolean distrust) {
+  private boolean eligible(PendingCall call, Worker w, boolean distrust) {
     return w.phase == Phase.RUNNING
         && coldRoom(w)
-        && groupAllows(held, w)
-        && (w.failures < SUSPECT || distrust || trialDue(held, w));
+        && groupAllows(call, w)
+        && (w.failures < SUSPECT || distrust || trialDue(call, w));
   }
 
-  private boolean trialDue(Held held, Worker w) {
+  private boolean trialDue(PendingCall call, Worker w) {
     return w.trialAt <= now
         && w.inFlight == 0
-        && held.requestClass.effect() == Effect.SAFE
-        && held.attempts.isEmpty();
+        && call.requestClass.effect() == Effect.SAFE
+        && call.attempts.isEmpty();
   }
 
-  private boolean tried(Held held, Worker w) {
-    return !held.attempts.isEmpty()
-        && held.attempts.stream().anyMatch(a -> !a.missed && a.copy.worker == w);
+  private boolean tried(PendingCall call, Worker w) {
+    return !call.attempts.isEmpty()
+        && call.attempts.stream().anyMatch(a -> !a.missed && a.copy.worker == w);
   }
 
-  private boolean groupAllows(Held held, Worker w) {
-    if (held.requestClass.effect() != Effect.KEYED || held.requestClass.group() == Group.ALL) {
+  private boolean groupAllows(PendingCall call, Worker w) {
+    if (call.requestClass.effect() != Effect.KEYED || call.requestClass.group() == Group.ALL) {
       return true;
     }
-    boolean zone = held.requestClass.group() == Group.ZONE;
-    return held.attempts.stream()
+    boolean zone = call.requestClass.group() == Group.ZONE;
+    return call.attempts.stream()
         .map(a -> a.neverRan ? w : a.copy.worker)
         .allMatch(before -> zone ? before.zone.equals(w.zone) : before.cell == w.cell);
   }
@@ -938,7 +938,7 @@
     copy.copies = count;
     copy.life = copy.worker.life;
     copy.until = now + settings.keepAlive();
-    copy.struckUntil = 0;
+    copy.missingUntil = 0;
   }
 
   private int busy(Copy copy) {
@@ -951,8 +951,8 @@
   }
 
   /** How long a call sent now should take: calls in flight in time, plus queue or load. */
-  private double cost(Held held, Worker w, Copy copy, boolean shared) {
-    Function f = held.function;
+  private double cost(PendingCall call, Worker w, Copy copy, boolean shared) {
+    Function f = call.function;
     double own = usual(f) * w.pace;
     double time = own * (1 + load(w) / PARALLEL) / warmth(w);
     if (copy != null && warm(copy)) {
@@ -967,31 +967,31 @@
   }
 
   /** The one place that emits a send; a request that may not be sent again never passes here. */
-  private void send(Held held, Copy copy) {
+  private void send(PendingCall call, Copy copy) {
     Worker w = copy.worker;
-    boolean second = held.out > 0;
-    boolean allowed = held.attempts.isEmpty() || mayResend(held);
-    if (held.done
+    boolean second = call.out > 0;
+    boolean allowed = call.attempts.isEmpty() || mayResend(call);
+    if (call.done
         || !allowed
         || second && !settings.limits().duplicates()
         || w.phase != Phase.RUNNING
-        || held.attempts.size() >= settings.limits().maxAttempts()
+        || call.attempts.size() >= settings.limits().maxAttempts()
         || !coldRoom(w)) {
       return;
     }
-    unqueue(held);
-    held.attempts.forEach(earlier -> earlier.overlapped |= earlier.out);
+    unqueue(call);
+    call.attempts.forEach(earlier -> earlier.overlapped |= earlier.out);
     Attempt attempt = new Attempt();
     attempt.copy = copy;
     attempt.sentAt = now;
     attempt.blind = !warm(copy);
-    attempt.expected = cost(held, w, copy, copy.home);
-    held.attempts.add(attempt);
-    held.out++;
+    attempt.expected = cost(call, w, copy, copy.home);
+    call.attempts.add(attempt);
+    call.out++;
     w.inFlight++;
     count(w);
     copy.inFlight++;
-    held.function.inFlight++;
+    call.function.inFlight++;
     if (warm(copy)) {
       copy.until = Math.max(copy.until, now + settings.keepAlive());
     } else if (settings.loadsOnMiss()) {
@@ -1000,7 +1000,7 @@
     if (warmth(w) < 1) {
       w.coldTokens--;
     }
-    out.accept(new Send(held.id, w.name(), 0));
+    out.accept(new Send(call.id, w.name(), 0));
   }
 
   // ---- timers
@@ -1015,32 +1015,32 @@
     timeUp(token.startsWith("d") ? requests.get(Long.parseLong(token.substring(1))) : null);
   }
 
-  private void timeUp(Held held) {
-    if (held != null && !held.done && !held.streaming) {
-      giveUp(held);
+  private void timeUp(PendingCall call) {
+    if (call != null && !call.done && !call.streaming) {
+      giveUp(call);
     }
   }
 
   private void sweep() {
-    for (Held held : requests.values()) {
-      if (!held.done && !held.streaming && held.out > 0) {
-        watch(held);
+    for (PendingCall call : requests.values()) {
+      if (!call.done && !call.streaming && call.out > 0) {
+        watch(call);
       }
     }
     serveWaiting();
   }
 
   /** Looks at the attempts of a request that take longer than they should. */
-  private void watch(Held held) {
-    Attempt last = held.attempts.get(held.attempts.size() - 1);
+  private void watch(PendingCall call) {
+    Attempt last = call.attempts.get(call.attempts.size() - 1);
     if (!last.out || last.cancelled) {
       return;
     }
-    Function f = held.function;
+    Function f = call.function;
     // Guards against lanes that hold more than they can run and so never answer: calls still
     // out there are the only sign. It covers slow workers too; it could harm where all work
     // takes half its aim.
-    if (!last.slow && !last.blind && now - last.sentAt > CROWDED * held.requestClass.aim()) {
+    if (!last.slow && !last.blind && now - last.sentAt > LATE_PART * call.requestClass.aim()) {
       last.slow = true;
       noteStrain(true);
       noteNeed(f, home(f) * HOME_STEP * fill(f));
@@ -1053,24 +1053,24 @@
     }
     if (age > OVERDUE) {
       w.pace = Math.max(w.pace, Math.min(10, age));
-      second(held, last);
+      second(call, last);
     }
   }
 
   /** A second try elsewhere for an overdue attempt, where class, site and budget allow it. */
-  private void second(Held held, Attempt last) {
-    boolean left = held.attempts.size() < settings.limits().maxAttempts();
+  private void second(PendingCall call, Attempt last) {
+    boolean left = call.attempts.size() < settings.limits().maxAttempts();
     boolean suspect = last.copy.worker.failures >= SUSPECT;
-    Copy copy = left && mayResend(held) && secondTokens >= 1 && held.out < 2 ? choose(held) : null;
+    Copy copy = left && mayResend(call) && secondTokens >= 1 && call.out < 2 ? choose(call) : null;
     boolean better = copy != null && copy.worker != last.copy.worker && (warm(copy) || copy.home);
     if (copy == null || !better && !suspect) {
       return;
     }
     secondTokens--;
     if (!settings.limits().duplicates()) {
-      cancel(held, held.attempts.size() - 1);
+      cancel(call, call.attempts.size() - 1);
     } else if (better || settings.loadsOnMiss()) {
-      send(held, copy);
+      send(call, copy);
     }
   }
 }
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -28,7 +28,7 @@
     double others;
     double pace = 1;
     double failures;
-    int strikes;
+    int suspicions;
     long trialAt;
     long toldSick;
     long lastHeard;
@@ -61,7 +61,7 @@
     int crowd;
     long crowdUntil;
     long busyUntil;
-    long struckUntil;
+    long missingUntil;
     int ordered = -1;
     long orderedAt;
     /** Set by the pick: likely warm by others' doing. */
@@ -93,7 +93,7 @@
     /** What is known of the function at single workers, in the order or not. */
     final Map<Worker, Copy> known = new HashMap<>(4);
 
-    final ArrayDeque<Held> queue = new ArrayDeque<>(1);
+    final ArrayDeque<PendingCall> queue = new ArrayDeque<>(1);
 
     Function(String name) {
       this.name = name;
@@ -123,7 +123,7 @@
   }
 
   /** A request taken and not yet forgotten; done once it has its final answer. */
-  static final class Held {
+  static final class PendingCall {
     long id;
     RequestClass requestClass;
     Function function;
--- a/scale/src/main/java/gorseladder/scale/HollowCell.java
+++ b/scale/src/main/java/gorseladder/scale/HollowCell.java
@@ -51,6 +51,7 @@
   private long callNanos;
   private long changeNanos;
   private long changeExamined;
+  private long listExamined;
 
   HollowCell(Sizes sizes, double mostSeconds, long seed) {
     this.sizes = sizes;
@@ -92,7 +93,8 @@
     measures.put(Measure.CALL_MICROS, callNanos / NANOS_A_MICRO / callsMade);
     putMedian(measures, Measure.NEW_FUNCTION_MICROS, newFunction);
     putMedian(measures, Measure.KNOWN_FUNCTION_MICROS, knownFunction);
-    measures.put(Measure.EXAMINED_A_CALL, (examined() - changeExamined) / (double) callsMade);
+    double examinedByCalls = examined() - listExamined - changeExamined;
+    measures.put(Measure.EXAMINED_A_CALL, examinedByCalls / callsMade);
     if (changesMade > 0) {
       double handled = changesMade * perDispatcher;
       measures.put(Measure.CHANGE_MICROS, changeNanos / NANOS_A_MICRO / handled);
@@ -118,6 +120,7 @@
     long before = threads.getCurrentThreadCpuTime();
     dispatchers.forEach(dispatcher -> dispatcher.changeLogLine(list));
     double nanos = threads.getCurrentThreadCpuTime() - before;
+    listExamined = examined();
     double told = (double) dispatchers.size() * fleet.size();
     measures.put(Measure.LIST_MICROS_A_WORKER, nanos / NANOS_A_MICRO / told);
     measures.put(Measure.BYTES_A_WORKER, (Heap.used() - heapBefore) / told);
