--- a/decisions/src/test/java/gorseladder/LargeFleetTest.java
+++ b/decisions/src/test/java/gorseladder/LargeFleetTest.java
@@ -345,22 +345,32 @@
     assertTrue(sent > 150, sent + " of 200 calls were sent");
   }
 
+  /** A keyed call that is out at a worker, and the other workers of that worker's zone. */
+  private record KeyedCall(long id, String worker, List<Integer> othersOfItsZone) {}
+
+  private KeyedCall keyedCall(int workers) {
+    tell(fleet(workers, LargeFleetTest::running));
+    String worker = call(router, "keyed", "function");
+    int zone = number(worker) % ZONES;
+    List<Integer> others = IntStream.range(0, workers)
+        .filter(other -> other % ZONES == zone && other != number(worker))
+        .boxed()
+        .toList();
+    return new KeyedCall(lastCall, worker, others);
+  }
+
+  private void lose(List<Integer> workers) {
+    tell(router, ListKind.DELTA, workers.stream().map(LargeFleetTest::gone).toList());
+  }
+
   /** A keyed repeat stays in its zone: where nobody is left there it waits, at a bounded cost. */
   @Test
   void aKeyedRepeatWhoseZoneIsEmptyWaits() {
-    int count = 5_700;
-    tell(fleet(count, LargeFleetTest::running));
-    String first = call(router, "keyed", "function");
-    long id = lastCall;
-    int zone = number(first) % ZONES;
-    List<WorkerEntry> others = IntStream.range(0, count)
-        .filter(w -> w % ZONES == zone && w != number(first))
-        .mapToObj(LargeFleetTest::gone)
-        .toList();
-    tell(router, ListKind.DELTA, others);
-    tell(router, ListKind.DELTA, List.of(entry(number(first), Phase.DRAINING, 1, 0)));
+    KeyedCall call = keyedCall(5_700);
+    lose(call.othersOfItsZone());
+    tell(router, ListKind.DELTA, List.of(entry(number(call.worker()), Phase.DRAINING, 1, 0)));
     long before = router.workersExamined();
-    assertNull(answer(id, 0, first, Outcome.RESET));
+    assertNull(answer(call.id(), 0, call.worker(), Outcome.RESET));
     long examined = router.workersExamined() - before;
     assertTrue(examined <= 20 * MOST_CANDIDATES, examined + " examined");
     assertTrue(router.fallThroughs() > 0);
@@ -369,28 +379,17 @@
   /** The last worker of a zone is found for a keyed repeat, if not at once then by looking on. */
   @Test
   void aKeyedRepeatFindsTheLastWorkerOfItsZone() {
-    int count = 5_700;
-    tell(fleet(count, LargeFleetTest::running));
-    String first = call(router, "keyed", "function");
-    long id = lastCall;
-    int zone = number(first) % ZONES;
-    int last = IntStream.range(0, count)
-        .filter(w -> w % ZONES == zone && w != number(first))
-        .max()
-        .orElseThrow();
-    List<WorkerEntry> others = IntStream.range(0, count)
-        .filter(w -> w % ZONES == zone && w != number(first) && w != last)
-        .mapToObj(LargeFleetTest::gone)
-        .toList();
-    tell(router, ListKind.DELTA, others);
-    String second = answer(id, 0, first, Outcome.RESET);
+    KeyedCall call = keyedCall(5_700);
+    int last = call.othersOfItsZone().size() - 1;
+    lose(call.othersOfItsZone().subList(0, last));
+    String second = answer(call.id(), 0, call.worker(), Outcome.RESET);
     for (int look = 0; look < 60 && second == null; look++) {
       now += 25 * MILLISECOND;
       List<Action> actions = new ArrayList<>();
       router.on(now, new TimerDue("sweep"), actions::add);
       second = sentTo(actions);
     }
-    assertEquals(name(last), second);
+    assertEquals(name(call.othersOfItsZone().get(last)), second);
   }
 
   /** A dispatcher that knows nothing but the list sends a function first where the others look first. */
