--- a/app/src/main/java/gorseladder/app/RehearseCommand.java
+++ b/app/src/main/java/gorseladder/app/RehearseCommand.java
@@ -6,7 +6,7 @@
 import gorseladder.testbed.platform.PlatformChangeLog;
 import gorseladder.testbed.platform.PlatformConfig;
 import gorseladder.testbed.platform.PlatformRunner;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -34,14 +34,20 @@
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    Deed[] deeds = {
-      Deed.SERVE, Deed.SERVE, Deed.REFUSE, Deed.SERVE, Deed.RESET, Deed.SERVE, Deed.NOISE
+    Reaction[] deeds = {
+      Reaction.SERVE,
+      Reaction.SERVE,
+      Reaction.REFUSE,
+      Reaction.SERVE,
+      Reaction.RESET,
+      Reaction.SERVE,
+      Reaction.NOISE
     };
     int[] next = new int[1];
     List<String> events = new ArrayList<>();
     Path file = Files.createTempFile("rehearsal", ".json");
     try (PlatformRunner a = new PlatformRunner(arrival -> deeds[next[0]++ % deeds.length]);
-        PlatformRunner b = new PlatformRunner(arrival -> Deed.SERVE);
+        PlatformRunner b = new PlatformRunner(arrival -> Reaction.SERVE);
         PlatformChangeLog log = new PlatformChangeLog(events)) {
       events.add(PlatformChangeLog.event(1, true, "a", a.address(), "active"));
       Files.writeString(file, PlatformConfig.text(log.address(), events.get(0), DEADLINE));
--- a/scale/src/main/java/gorseladder/scale/RealCell.java
+++ b/scale/src/main/java/gorseladder/scale/RealCell.java
@@ -6,7 +6,7 @@
 import gorseladder.testbed.platform.PlatformChangeLog;
 import gorseladder.testbed.platform.PlatformConfig;
 import gorseladder.testbed.platform.PlatformRunner;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -45,10 +45,10 @@
   private final RealDispatchers real;
   private final Path directory;
   private final Set<String> atSecond = ConcurrentHashMap.newKeySet();
-  private final PlatformRunner first = new PlatformRunner(arrival -> Deed.SERVE);
+  private final PlatformRunner first = new PlatformRunner(arrival -> Reaction.SERVE);
   private final PlatformRunner second = new PlatformRunner(arrival -> {
     atSecond.add(arrival.id());
-    return Deed.SERVE;
+    return Reaction.SERVE;
   });
   private final SyntheticFleet fleet;
   private final PlatformChangeLog changeLog;
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -26,7 +26,7 @@
  */
 public final class PlatformRunner implements Closeable {
   /** What is done with a request. */
-  public enum Deed {
+  public enum Reaction {
     SERVE,
     REFUSE,
     MISS,
@@ -50,7 +50,7 @@
   }
 
   private final ServerSocket server;
-  private final Function<Arrival, Deed> script;
+  private final Function<Arrival, Reaction> script;
   private final List<Arrival> arrivals = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
   private final List<Socket> blockers = new ArrayList<>();
@@ -59,18 +59,18 @@
   private int connections;
 
   /** Listens on a free port of the loopback. */
-  public PlatformRunner(Function<Arrival, Deed> script) throws IOException {
+  public PlatformRunner(Function<Arrival, Reaction> script) throws IOException {
     this(script, 200);
     start(this::accept);
   }
 
-  private PlatformRunner(Function<Arrival, Deed> script, int backlog) throws IOException {
+  private PlatformRunner(Function<Arrival, Reaction> script, int backlog) throws IOException {
     this.script = script;
     server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
   }
 
   /** A runner whose connections come up late: none before {@link #comeUp}, and then within about a second. */
-  public static PlatformRunner late(Function<Arrival, Deed> script) throws IOException {
+  public static PlatformRunner late(Function<Arrival, Reaction> script) throws IOException {
     PlatformRunner runner = new PlatformRunner(script, 1);
     try {
       // Once its queue of connections is full the system answers no further one.
--- a/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorseladder.testbed.platform.PlatformRunner.Arrival;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -22,7 +22,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Two events at one moment, between a live dispatcher and its clients; the script decides which comes first. */
-class CrossingsTest extends NodeWorld {
+class CrossingsTest extends DispatcherFixture {
   private byte[] request(int number, String requestClass, long timeout) {
     return RecordWriter.request(
         number,
@@ -34,7 +34,7 @@
   /** A request in pieces whose last byte comes while the dispatcher stops is served, also one whose pieces are bytes. */
   @Test
   void whatIsHalfReadWhenTheStopBeginsIsServed() throws Exception {
-    start(2, a -> Deed.SERVE);
+    start(2, a -> Reaction.SERVE);
     FastCgiClient client = client();
     byte[] whole = request(1, "unsafe", 1_500);
     client.write(Arrays.copyOf(whole, 60));
@@ -53,7 +53,7 @@
   /** A connection on which an answer is awaited when the listener closes takes what else comes on it, until it is free. */
   @Test
   void aConnectionInUseTakesRequestsUntilNothingIsAskedOnIt() throws Exception {
-    start(1, a -> a.id().equals(id(1)) ? Deed.SILENT : Deed.SERVE);
+    start(1, a -> a.id().equals(id(1)) ? Reaction.SILENT : Reaction.SERVE);
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
     assertTrue(within(1_000, () -> arrivals().size() == 1));
@@ -70,7 +70,7 @@
   @Test
   void aStopAnswersWhatIsHeldBeforeItMayBeKilled() throws Exception {
     deadline = 20 * SECOND;
-    start(1, a -> Deed.SILENT);
+    start(1, a -> Reaction.SILENT);
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 19_000), body(1));
     client.send(2, FastCgiClient.params("unsafe", id(2), FUNCTION, 19_000), body(2));
@@ -87,7 +87,7 @@
   /** A connection ends by a half-close: what was on its way is still there to read, and then comes the end. */
   @Test
   void aStopEndsAConnectionByAHalfCloseAndNothingOnItsWayIsLost() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     try (Socket socket = new Socket(node.address().getAddress(), node.address().getPort())) {
       socket.getOutputStream().write(request(1, "safe", 1_500));
       Thread stopping = stopping();
@@ -107,7 +107,7 @@
   void nothingIsSentForAClientThatLeftWhileItsCallWaited() throws Exception {
     connect = 5 * SECOND;
     deadline = 5 * SECOND;
-    runners.add(PlatformRunner.late(a -> Deed.SERVE));
+    runners.add(PlatformRunner.late(a -> Reaction.SERVE));
     start();
     FastCgiClient closes = client();
     closes.send(1, FastCgiClient.params("unsafe", id(1), FUNCTION, 4_900), body(1));
@@ -127,7 +127,7 @@
   /** A runner that the list leaves out and brings back under its id, at another address too, is reached again. */
   @Test
   void aRunnerThatGoesAndComesBackIsReached() throws Exception {
-    start(1, a -> a.id().equals(id(1)) ? Deed.SILENT : Deed.SERVE);
+    start(1, a -> a.id().equals(id(1)) ? Reaction.SILENT : Reaction.SERVE);
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
     assertTrue(within(1_000, () -> arrivals().size() == 1));
@@ -139,7 +139,7 @@
         200,
         client.await(2, 2_000).status(),
         "back at its address, while an attempt was out; " + node.story());
-    PlatformRunner next = new PlatformRunner(a -> Deed.SERVE);
+    PlatformRunner next = new PlatformRunner(a -> Reaction.SERVE);
     runners.add(next);
     log.add(PlatformChangeLog.event(4, true, "r0", next.address(), "active"));
     Thread.sleep(400);
@@ -152,7 +152,7 @@
   @Test
   void idleClientsNeverTakeMoreThanTheirShareOfDescriptors() throws Exception {
     sockets = 128;
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     int share = (sockets - 48) / 2;
     int most = 0;
     for (int i = 0; i < 3 * share; i++) {
@@ -177,10 +177,10 @@
   @Test
   void idleConnectionsGiveTheirDescriptorsToOtherRunners() throws Exception {
     sockets = 56;
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     FastCgiClient client = client();
     for (int i = 1; i <= 8; i++) {
-      PlatformRunner next = new PlatformRunner(a -> Deed.SERVE);
+      PlatformRunner next = new PlatformRunner(a -> Reaction.SERVE);
       runners.add(next);
       log.add(PlatformChangeLog.event(2 * i, false, "r" + i, next.address(), "active"));
       log.add(PlatformChangeLog.event(
@@ -198,7 +198,7 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void aWatchThatTricklesOrFallsBehindIsAskedAnew(boolean trickles) throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     if (trickles) {
       log.trickle();
@@ -213,7 +213,7 @@
   /** Moved to a change log that is down at first: it is asked as soon as it is there, and the list stays until then. */
   @Test
   void aNewChangeLogThatIsDownAtFirstIsFollowed() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     InetSocketAddress address;
     // Nobody ever accepts there, so that nothing of it can answer once it is closed.
@@ -234,7 +234,7 @@
   /** A whole list that takes the place of one half told: what it leaves out has gone, what it has is there. */
   @Test
   void aWholeListAfterABreakInsideAnEventStands() throws Exception {
-    start(2, a -> Deed.SERVE);
+    start(2, a -> Reaction.SERVE);
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     log.breakOff();
     log.add(PlatformChangeLog.event(3, true, "r7", runners.get(0).address(), "active"));
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeWorld.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/DispatcherFixture.java
@@ -10,7 +10,7 @@
 import gorseladder.node.Node;
 import gorseladder.node.NodeConfig;
 import gorseladder.testbed.platform.PlatformRunner.Arrival;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import gorseladder.wire.changelog.ChangeLine;
 import gorseladder.wire.json.Json;
 import java.io.IOException;
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 
 /** What tests of a live dispatcher have in common: it stands between scripted clients, runners and a change log on loopback. */
-abstract class NodeWorld {
+abstract class DispatcherFixture {
   static final long SECOND = 1_000_000;
   static final Rules RULES = new Rules(500_000, 0.2, 6 * SECOND, 2.5, 1_500_000, 0, 0, 0);
   static final String FUNCTION = "00000000000000ff";
@@ -47,7 +47,7 @@
   }
 
   /** Starts runners that follow a script, and a dispatcher that knows them. */
-  void start(int count, Function<Arrival, Deed> script) throws IOException {
+  void start(int count, Function<Arrival, Reaction> script) throws IOException {
     for (int i = 0; i < count; i++) {
       runners.add(new PlatformRunner(script));
     }
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -10,7 +10,7 @@
 import gorseladder.platform.BadInput;
 import gorseladder.testbed.platform.FastCgiClient.Answer;
 import gorseladder.testbed.platform.PlatformRunner.Arrival;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -25,18 +25,19 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A live dispatcher between scripted clients, runners and a change log, all on loopback. */
-class NodePathTest extends NodeWorld {
+class NodePathTest extends DispatcherFixture {
   /** Every way in which an answer can go wrong, in turn, on thousands of calls of both kinds. */
   @Test
   void eachCallGetsOneAnswerAndNothingUnsafeRunsTwice() throws Exception {
-    Map<Deed, Integer> done = new EnumMap<>(Deed.class);
+    Map<Reaction, Integer> done = new EnumMap<>(Reaction.class);
     Random random = new Random(11);
     start(4, a -> {
       synchronized (done) {
-        Deed[] deeds = Deed.values();
-        Deed deed = random.nextInt(100) < 80 ? Deed.SERVE : deeds[random.nextInt(deeds.length)];
+        Reaction[] deeds = Reaction.values();
+        Reaction deed =
+            random.nextInt(100) < 80 ? Reaction.SERVE : deeds[random.nextInt(deeds.length)];
         // Silence costs its call the whole time it has, so it is kept rare.
-        deed = deed == Deed.SILENT && random.nextInt(4) > 0 ? Deed.ERROR : deed;
+        deed = deed == Reaction.SILENT && random.nextInt(4) > 0 ? Reaction.ERROR : deed;
         done.merge(deed, 1, Integer::sum);
         return deed;
       }
@@ -79,10 +80,10 @@
     assertEquals(Map.of(), notOnce(carried), "an id went twice over one connection");
     // A runner that said that it never ran (full, miss) leaves an unsafe call free to go
     // elsewhere; nothing else does.
-    long harmless = done.getOrDefault(Deed.REFUSE, 0) + done.getOrDefault(Deed.MISS, 0);
+    long harmless = done.getOrDefault(Reaction.REFUSE, 0) + done.getOrDefault(Reaction.MISS, 0);
     assertTrue(
         notOnce(unsafe).size() <= harmless, "unsafe calls that arrived twice: " + notOnce(unsafe));
-    assertEquals(Deed.values().length, done.size(), "played " + done);
+    assertEquals(Reaction.values().length, done.size(), "played " + done);
     assertTrue(
         kinds[0] > calls / 2 && kinds[2] > 0,
         "served, refused, failed: " + kinds[0] + " " + kinds[1] + " " + kinds[2]);
@@ -99,7 +100,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"RESET", "NOISE", "HUGE", "HALF", "ERROR"})
   void anUnsafeCallThatMayHaveRunIsFailedAndNotSentAgain(String deed) throws Exception {
-    start(3, a -> Deed.valueOf(deed));
+    start(3, a -> Reaction.valueOf(deed));
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("unsafe", id(1), FUNCTION, 1_500), body(1));
     Answer answer = client.await(1, 3_000);
@@ -114,7 +115,7 @@
     boolean[] first = {true};
     start(3, a -> {
       synchronized (first) {
-        Deed now = first[0] ? Deed.valueOf(deed) : Deed.SERVE;
+        Reaction now = first[0] ? Reaction.valueOf(deed) : Reaction.SERVE;
         first[0] = false;
         return now;
       }
@@ -130,7 +131,7 @@
 
   @Test
   void nothingLeavesAfterADrainIsTold() throws Exception {
-    start(2, a -> Deed.SERVE);
+    start(2, a -> Reaction.SERVE);
     log.add(PlatformChangeLog.event(3, false, "r0", runners.get(0).address(), "leaving"));
     log.add(PlatformChangeLog.event(4, false, "r1", runners.get(1).address(), "leaving"));
     Thread.sleep(600);
@@ -144,7 +145,7 @@
   /** An event that says nothing of the runners has a number too: it must not be asked for again for ever. */
   @Test
   void anEventWithoutRunnersIsPassedOver() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     log.add("{\"seq\":2,\"other\":{}}");
     log.add(PlatformChangeLog.event(3, false, "r1", runners.get(0).address(), "active"));
@@ -155,7 +156,7 @@
   /** Breaks, silence, doubled events and another address: the list is whole after each. */
   @Test
   void theChangeLogIsFollowedThroughBreaksSilenceDoublesAndAMove() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     assertTrue(within(2_000, () -> log.asked().size() == 1));
     log.breakOff();
     log.add(PlatformChangeLog.event(2, false, "r1", runners.get(0).address(), "active"));
@@ -199,7 +200,7 @@
   })
   void whatCannotBeUsedIsAnsweredAtOnceAndReachesNoRunner(String name, String value, int status)
       throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     FastCgiClient client = client();
     Map<String, String> params = FastCgiClient.params("safe", id(1), FUNCTION, 1_500);
     if (value == null) {
@@ -216,7 +217,7 @@
 
   @Test
   void anIdThatIsOpenIsTurnedAwayAndANumberInUseEndsTheConnection() throws Exception {
-    start(1, a -> a.id().equals(id(1)) ? Deed.SILENT : Deed.SERVE);
+    start(1, a -> a.id().equals(id(1)) ? Reaction.SILENT : Reaction.SERVE);
     FastCgiClient first = client();
     first.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
     assertTrue(within(1_000, () -> arrivals().size() == 1));
@@ -230,7 +231,7 @@
 
   @Test
   void endlessBodiesAndParametersAreAnsweredEarly() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     FastCgiClient client = client();
     byte[] begin = RecordWriter.request(
         1, true, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), new byte[200_000]);
@@ -246,7 +247,7 @@
 
   @Test
   void moreThan32OpenRequestsAreTurnedAway() throws Exception {
-    start(1, a -> Deed.SILENT);
+    start(1, a -> Reaction.SILENT);
     FastCgiClient client = client();
     for (int i = 1; i <= 40; i++) {
       client.send(i, FastCgiClient.params("safe", id(i), FUNCTION, 1_000), body(i));
@@ -262,7 +263,7 @@
   /** A number whose request was answered before its body ended is free again, but not past the bound on open requests. */
   @Test
   void aNumberUsedAgainCountsAsOpenToo() throws Exception {
-    start(1, a -> Deed.SILENT);
+    start(1, a -> Reaction.SILENT);
     FastCgiClient client = client();
     byte[] tooLong = RecordWriter.request(
         50, true, FastCgiClient.params("safe", id(50), FUNCTION, 1_000), new byte[20_000]);
@@ -279,7 +280,7 @@
 
   @Test
   void aRequestThatIsWithdrawnIsGivenUpAtTheRunner() throws Exception {
-    start(1, a -> Deed.SILENT);
+    start(1, a -> Reaction.SILENT);
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_900), body(1));
     assertTrue(within(1_000, () -> arrivals().size() == 1));
@@ -290,7 +291,7 @@
 
   @Test
   void silentAndHalfReadConnectionsAreClosedInTime() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     FastCgiClient silent = client();
     FastCgiClient half = client();
     byte[] whole = RecordWriter.request(
@@ -304,7 +305,7 @@
   /** SIGTERM under load: what was taken is answered, also what comes a little later. */
   @Test
   void aStopAnswersWhatWasTaken() throws Exception {
-    start(2, a -> Deed.SERVE);
+    start(2, a -> Reaction.SERVE);
     FastCgiClient client = client();
     client.send(1, FastCgiClient.params("safe", id(1), FUNCTION, 1_500), body(1));
     Thread stopping = stopping();
@@ -325,7 +326,7 @@
   /** A keyed request's key reaches the runner as its client gave it; one that is no word reaches none. */
   @Test
   void anIdempotencyKeyGoesOnUnchanged() throws Exception {
-    start(1, a -> Deed.SERVE);
+    start(1, a -> Reaction.SERVE);
     FastCgiClient client = client();
     Map<String, String> params = FastCgiClient.params("keyed", id(1), FUNCTION, 1_500);
     params.put("HTTP_IDEMPOTENCY_KEY", "k-77/a");
@@ -347,7 +348,7 @@
   /** Ids, connections and runners are new all day: what is kept of them must not grow. */
   @Test
   void nothingIsKeptOfCallsConnectionsAndRunnersThatAreGone() throws Exception {
-    start(2, a -> Deed.SERVE);
+    start(2, a -> Reaction.SERVE);
     int seq = 2;
     int number = 0;
     for (int round = 0; round < 40; round++) {
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorseladder.node.NodeMain;
-import gorseladder.testbed.platform.PlatformRunner.Deed;
+import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -46,7 +46,7 @@
   }
 
   /** Starts it from a shell that does something first, and waits until it is live. */
-  private void start(Deed deed, String first) throws Exception {
+  private void start(Reaction deed, String first) throws Exception {
     runner = new PlatformRunner(a -> deed);
     events.add(PlatformChangeLog.event(1, true, "r0", runner.address(), "active"));
     log = new PlatformChangeLog(events);
@@ -75,7 +75,7 @@
             "ROUTER_CONFIG",
             dir.resolve("config.json").toString()));
     process = builder.start();
-    assertTrue(NodeWorld.within(20_000, this::live), () -> "not live: " + said());
+    assertTrue(DispatcherFixture.within(20_000, this::live), () -> "not live: " + said());
   }
 
   private boolean live() {
@@ -115,11 +115,11 @@
   /** A parent that ignores signals hands that on to its children; the run line takes it back. */
   @Test
   void aNewConfigurationIsReadThoughTheParentIgnoresSignals() throws Exception {
-    start(Deed.SERVE, "trap '' HUP TERM INT; ");
+    start(Reaction.SERVE, "trap '' HUP TERM INT; ");
     try (PlatformChangeLog next = new PlatformChangeLog(events)) {
       configure(next.address());
       signal("HUP");
-      assertTrue(NodeWorld.within(5_000, () -> !next.asked().isEmpty()), this::said);
+      assertTrue(DispatcherFixture.within(5_000, () -> !next.asked().isEmpty()), this::said);
     }
     signal("TERM");
     assertTrue(process.waitFor(6, TimeUnit.SECONDS), this::said);
@@ -129,13 +129,14 @@
   /** Told to stop, twice, and to read its configuration anew in between, with discovery down and a call that nobody answers. */
   @Test
   void aStopWithDiscoveryDownAnswersItsCallAndEndsInTime() throws Exception {
-    start(Deed.SILENT, "");
+    start(Reaction.SILENT, "");
     try (FastCgiClient client = new FastCgiClient(listen)) {
       client.send(
           1,
-          FastCgiClient.params("unsafe", NodeWorld.id(1), NodeWorld.FUNCTION, 19_000),
+          FastCgiClient.params(
+              "unsafe", DispatcherFixture.id(1), DispatcherFixture.FUNCTION, 19_000),
           new byte[10]);
-      assertTrue(NodeWorld.within(3_000, () -> runner.arrivals().size() == 1));
+      assertTrue(DispatcherFixture.within(3_000, () -> runner.arrivals().size() == 1));
       log.close();
       signal("TERM");
       signal("HUP");
