Read once more: a function's probes are drawn once for all its keys; one check of liveness

The scale run asked whether a dispatcher is live as NodeProcessTest does; both call `FastCgiClient.isLive`. A bound of ports that could never bind, a supplier asked at once and a field used only in a constructor are gone. No behaviour changes; `SharedOrder.first`, which the dispatcher asks, and the policy file are untouched.

--- a/decisions/src/main/java/gorseladder/order/SharedOrder.java
+++ b/decisions/src/main/java/gorseladder/order/SharedOrder.java
@@ -92,10 +92,25 @@
 
   /** The key of a worker in the order of a function: the lowest comes first. */
   public static double key(String function, String worker, double weight) {
-    long hash = Hashes.name(function);
-    long workerHash = Hashes.name(worker);
-    return key(
-        nearest(probes(hash), Hashes.circle(workerHash)), hash, Hashes.circle(workerHash), weight);
+    return new Keys(function).of(worker, weight);
+  }
+
+  /** The keys of one function, for who asks for many workers. */
+  public static final class Keys {
+    private final long function;
+    private final long[] probes;
+
+    /** The keys of the function of this name. */
+    public Keys(String function) {
+      this.function = Hashes.name(function);
+      probes = probes(this.function);
+    }
+
+    /** The key of a worker: the lowest comes first. */
+    public double of(String worker, double weight) {
+      long point = Hashes.circle(Hashes.name(worker));
+      return key(nearest(probes, point), function, point, weight);
+    }
   }
 
   private static long[] probes(long function) {
--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -160,11 +160,12 @@
   /** Hosts in the function's shared order, nearest first. */
   private int[] nearest(String function) {
     return nearest.computeIfAbsent(function, f -> {
+      SharedOrder.Keys keys = new SharedOrder.Keys(f);
       double[] distance = new double[hosts.size()];
       Integer[] order = new Integer[hosts.size()];
       for (int i = 0; i < order.length; i++) {
         order[i] = i;
-        distance[i] = SharedOrder.key(f, hosts.get(i).name(), hosts.get(i).weight());
+        distance[i] = keys.of(hosts.get(i).name(), hosts.get(i).weight());
       }
       Arrays.sort(order, Comparator.comparingDouble(i -> distance[i]));
       return Arrays.stream(order)
--- a/scale/src/main/java/gorseladder/scale/HollowCell.java
+++ b/scale/src/main/java/gorseladder/scale/HollowCell.java
@@ -38,7 +38,6 @@
   private final double mostSeconds;
   private final SyntheticFleet fleet;
   private final ZipfCalls calls;
-  private final Random random;
   private final List<HollowDispatcher> dispatchers = new ArrayList<>();
   private final Set<Long> met = new HashSet<>();
   private final Histogram newFunction = new Histogram(MOST_NANOS, SIGNIFICANT_DIGITS);
@@ -58,7 +57,7 @@
     this.mostSeconds = mostSeconds;
     fleet = new SyntheticFleet(sizes, seed, PORT);
     calls = new ZipfCalls(sizes.getFunctions(), sizes.getZipf(), seed);
-    random = new Random(seed);
+    Random random = new Random(seed);
     for (int i = 0; i < sizes.getDispatchers(); i++) {
       dispatchers.add(
           new HollowDispatcher(settings(sizes.getDispatchers()), random.nextLong(), START));
--- a/scale/src/main/java/gorseladder/scale/RealCell.java
+++ b/scale/src/main/java/gorseladder/scale/RealCell.java
@@ -7,7 +7,6 @@
 import gorseladder.testbed.platform.PlatformConfig;
 import gorseladder.testbed.platform.PlatformRunner;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
-import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -15,11 +14,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -106,12 +107,12 @@
     measures.put(Measure.CALL_MICROS, (processorNanos() - before) / NANOS_A_MICRO / madeCalls);
     measures.put(
         Measure.LIST_IN_FORCE_MILLIS,
-        inForce(() -> fleet.wholeList(++seq, second.address().getPort())));
+        inForce(fleet.wholeList(++seq, second.address().getPort())));
     changeLog.add(fleet.listOfOne(++seq, 0, first.address().getPort()));
     Thread.sleep(SETTLE_MILLIS);
     measures.put(
         Measure.CHANGE_IN_FORCE_MILLIS,
-        inForce(() -> fleet.listOfOne(++seq, 0, second.address().getPort())));
+        inForce(fleet.listOfOne(++seq, 0, second.address().getPort())));
     return measures;
   }
 
@@ -140,7 +141,7 @@
 
   private void awaitLive(int number) throws IOException, InterruptedException {
     long until = System.nanoTime() + (long) (LIVE_MILLIS * NANOS_A_MILLI);
-    while (!live(number)) {
+    while (!FastCgiClient.isLive(addresses.get(number), ANSWER_MILLIS)) {
       if (!processes.get(number).isAlive() || System.nanoTime() > until) {
         throw new IOException("dispatcher " + number + " with " + sizes.getWorkers()
             + " workers is not live: " + said(number));
@@ -149,17 +150,6 @@
     }
   }
 
-  private boolean live(int number) throws InterruptedException {
-    try (FastCgiClient client = new FastCgiClient(addresses.get(number))) {
-      client.write(
-          RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
-      FastCgiClient.Answer answer = client.await(1, ANSWER_MILLIS);
-      return answer != null && answer.status() == 200;
-    } catch (IOException e) {
-      return false;
-    }
-  }
-
   /** The first error that a dispatcher logged, else its last line. */
   private String said(int number) throws IOException {
     List<String> lines = Files.readAllLines(log(number));
@@ -186,7 +176,7 @@
     for (Future<Void> one : all) {
       try {
         one.get();
-      } catch (java.util.concurrent.ExecutionException e) {
+      } catch (ExecutionException e) {
         throw new IOException(e.getCause().getMessage(), e.getCause());
       }
     }
@@ -216,12 +206,10 @@
   }
 
   /** Milliseconds from a new event of the log until calls of every dispatcher arrive at the second stand-in. */
-  private double inForce(java.util.function.Supplier<String> event)
-      throws IOException, InterruptedException {
+  private double inForce(String event) throws IOException, InterruptedException {
     atSecond.clear();
-    String line = event.get();
     long told = System.nanoTime();
-    changeLog.add(line);
+    changeLog.add(event);
     double[] millis = new double[sizes.getDispatchers()];
     int firstCall = real.getCalls() + (int) seq * 1_000_000;
     forEachDispatcher(number -> {
@@ -230,7 +218,7 @@
         while (!atSecond.contains(call(client, number, call++, 0))) {
           if (System.nanoTime() - told > FORCE_MILLIS * NANOS_A_MILLI) {
             throw new IOException(
-                "event " + seq + " of " + line.length() + " bytes is not in force at dispatcher "
+                "event " + seq + " of " + event.length() + " bytes is not in force at dispatcher "
                     + number + " after " + FORCE_MILLIS + " ms: " + said(number));
           }
           Thread.sleep(PAUSE_MILLIS);
@@ -238,7 +226,7 @@
         millis[number] = (System.nanoTime() - told) / NANOS_A_MILLI;
       }
     });
-    return java.util.Arrays.stream(millis).max().orElse(0);
+    return Arrays.stream(millis).max().orElse(0);
   }
 
   private double processorNanos() {
--- a/scale/src/main/java/gorseladder/scale/ScaleFile.java
+++ b/scale/src/main/java/gorseladder/scale/ScaleFile.java
@@ -26,7 +26,6 @@
   /** Memory of a real dispatcher on the machine, at the most, in bytes. */
   private static final long BYTES_A_PROCESS = 150L << 20;
 
-  private static final int MOST_PORTS = 1000;
   private static final double GIGABYTE = 1 << 30;
 
   private ScaleFile() {}
@@ -129,7 +128,7 @@
     positive("real", "calls", real.getCalls());
     for (int dispatchers : real.getDispatchersList()) {
       positive("real", "dispatchers", dispatchers);
-      if (dispatchers > Math.min(MOST_PROCESSES, MOST_PORTS)) {
+      if (dispatchers > MOST_PROCESSES) {
         throw wrong("real dispatchers", dispatchers + " is over " + MOST_PROCESSES + " processes");
       }
       if (dispatchers * BYTES_A_PROCESS > machineBytes / 2) {
--- a/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
@@ -20,6 +20,7 @@
 public final class FastCgiClient implements Closeable {
   private static final int STDOUT = 6;
   private static final int END_REQUEST = 3;
+  private static final String LIVE = "/status/live";
 
   /** A whole answer; {@code status} is 0 where it had no response, {@code protocol} the protocol status. */
   public record Answer(int status, Map<String, String> fields, byte[] body, int protocol) {
@@ -44,6 +45,18 @@
     reader.start();
   }
 
+  /** True where a dispatcher can be reached and says within so long that it is live. */
+  public static boolean isLive(InetSocketAddress dispatcher, long millis)
+      throws InterruptedException {
+    try (FastCgiClient client = new FastCgiClient(dispatcher)) {
+      client.write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", LIVE), new byte[0]));
+      Answer answer = client.await(1, millis);
+      return answer != null && answer.status() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** The parameters of a request that can be used. */
   public static Map<String, String> params(
       String requestClass, String id, String function, long timeoutMillis) {
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -6,7 +6,6 @@
 
 import gorseladder.node.NodeMain;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
-import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -79,12 +78,9 @@
   }
 
   private boolean live() {
-    try (FastCgiClient client = new FastCgiClient(listen)) {
-      client.write(
-          RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/status/live"), new byte[0]));
-      FastCgiClient.Answer answer = client.await(1, 1_000);
-      return answer != null && answer.status() == 200;
-    } catch (IOException | InterruptedException e) {
+    try {
+      return FastCgiClient.isLive(listen, 1_000);
+    } catch (InterruptedException e) {
       return false;
     }
   }
