--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -56,11 +56,17 @@
   /** One event; the first has the number 1. */
   public static String event(
       long seq, boolean all, String uid, InetSocketAddress at, String state) {
+    return event(seq, all, uid, at, state, 0);
+  }
+
+  /** One event about a runner with a late start, in Unix milliseconds; 0 for long ago. */
+  public static String event(
+      long seq, boolean all, String uid, InetSocketAddress at, String state, long bootMillis) {
     return "{\"seq\":" + seq + ",\"fleet\":{\"rev\":" + seq + ",\"all\":" + all
         + ",\"targets\":[{\"uid\":\"" + uid
         + "\",\"endpoint\":\"127.0.0.1:" + at.getPort()
         + "\",\"az\":\"z\",\"model\":\"std\",\"pod_group\":0,\"state\":\""
-        + state + "\",\"capacity_hint\":4,\"boot_ms\":0}]}}";
+        + state + "\",\"capacity_hint\":4,\"boot_ms\":" + bootMillis + "}]}}";
   }
 
   private void accept() {
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -7,9 +7,11 @@
 import gorseladder.node.NodeMain;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -142,4 +144,44 @@
       assertEquals(NodeMain.OK, process.exitValue(), this::said);
     }
   }
+
+  /**
+   * Three configurations within a moment, while the first of them is still being read: the last one holds. The first one is a
+   * pipe, so that the test decides when its reader goes on.
+   */
+  @Test
+  void theLastOfSeveralNewConfigurationsHolds() throws Exception {
+    start(Reaction.SERVE, "");
+    Path pipe = dir.resolve("pipe");
+    assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+    Files.move(pipe, dir.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+    try (PlatformChangeLog replaced = new PlatformChangeLog(events);
+        PlatformChangeLog last = new PlatformChangeLog(events)) {
+      signal("HUP");
+      // Opened for writing only once the first reload reads it; by then its name can stand for
+      // another file.
+      try (OutputStream first = Files.newOutputStream(dir.resolve("config.json"))) {
+        configure(last.address());
+        signal("HUP");
+        signal("HUP");
+        Thread.sleep(500);
+        first.write(PlatformConfig.text(replaced.address(), events.get(0), 20_000)
+            .getBytes(StandardCharsets.UTF_8));
+      }
+      assertTrue(DispatcherFixture.within(5_000, () -> !last.asked().isEmpty()), this::said);
+      Thread.sleep(1_000);
+      assertTrue(isFollowed(last), this::said);
+    }
+  }
+
+  /** True where a dispatcher asks again after its connection broke; one that is not followed has none. */
+  private static boolean isFollowed(PlatformChangeLog log) throws InterruptedException {
+    int before = log.asked().size();
+    try {
+      log.breakOff();
+    } catch (IOException e) {
+      return false;
+    }
+    return DispatcherFixture.within(5_000, () -> log.asked().size() > before);
+  }
 }
