Reloads run one after the other: an older configuration is never applied last

Cause: each SIGHUP is handled on a thread of its own, which read the file and then told the follower, with nothing between the two to keep their order. Of two side by side the one that had read the older file could tell it last; the follower then followed an address for good that nobody serves any more. Class: read and apply were two steps (check then act).

Related paths looked at: moveTo against a connect under way (the connection is asked again for its address after the write, and closed from outside), A-B-A within one connect (the same address again, rightly followed), SIGHUP during the stop (harmless).

--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -2,12 +2,7 @@
 
 import gorseladder.platform.BadInput;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
 /**
@@ -30,20 +25,13 @@
       System.setProperty("gorseladder.log.level", "INFO");
     }
     CountDownLatch stop = new CountDownLatch(1);
-    AtomicReference<Node> running = new AtomicReference<>();
-    AtomicBoolean early = new AtomicBoolean();
-    Signal.handle(new Signal("HUP"), signal -> {
-      early.set(true);
-      reload(running.get());
-    });
+    Reload reload = new Reload(() -> NodeConfig.changeLog(System.getenv()));
+    Signal.handle(new Signal("HUP"), signal -> reload.ask());
     Signal.handle(new Signal("TERM"), signal -> stop.countDown());
     Signal.handle(new Signal("INT"), signal -> stop.countDown());
     try (Node node = new Node(NodeConfig.read(System.getenv()))) {
-      running.set(node);
-      if (early.get()) {
-        // Replaced while it started: the file may have been read before that.
-        reload(node);
-      }
+      // Where it was replaced during the start, the file may have been read before that.
+      reload.appliesTo(node::changeLogAt);
       stop.await();
       node.stop();
       return OK;
@@ -52,17 +40,4 @@
       return CANNOT_START;
     }
   }
-
-  private static void reload(Node node) {
-    Logger log = LoggerFactory.getLogger(NodeMain.class);
-    try {
-      InetSocketAddress address = NodeConfig.changeLog(System.getenv());
-      if (node != null) {
-        node.changeLogAt(address);
-      }
-      log.info("configuration read again: change log at {}", address);
-    } catch (BadInput e) {
-      log.warn("the configuration stays as it was: {}", e.getMessage());
-    }
-  }
 }
