The age of a worker holds though wall clocks differ or are stepped

Cause: Births took "wall clock now minus the told stamp" as an age. The two are readings of two clocks, and either may be stepped. With the dispatcher's clock an hour ahead a runner that had just started was an hour old: warm, no slow start. A new stamp that came out older than the former start was even ignored by the router. Class: a difference of two clocks, or of one clock over a step, used as a span.

Change: StartTimes (pure, decisions) replaces Births at dispatcher, edge and hollow dispatcher. It keeps the differences of wall and monotonic clock seen so far (a step makes a further one) and takes the least age that is possible; what the list did not have a moment ago is no more than 10 s older than that moment, else it counts as started now. Workers that left are remembered a while, so that being told again is no new start.

--- /dev/null
+++ b/decisions/src/test/java/gorseladder/starts/StartTimesTest.java
@@ -0,0 +1,77 @@
+package gorseladder.starts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.starts.StartTimes.Reading;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StartTimesTest {
+  private static final long SECOND = 1_000_000;
+  private static final long HOUR = 3_600 * SECOND;
+  private static final long EPOCH = 1_800_000_000L * SECOND;
+
+  private final StartTimes starts = new StartTimes();
+
+  /** The clocks after so many seconds, the wall clock stepped by so much. */
+  private static Reading at(long seconds, long step) {
+    return new Reading(HOUR + seconds * SECOND, EPOCH + seconds * SECOND + step);
+  }
+
+  private static long stamp(long seconds, long step) {
+    return at(seconds, step).wall() / 1_000;
+  }
+
+  private long age(long stampMillis, Reading now, long absentAt) {
+    return now.monotonic() - starts.startedAt("w", stampMillis, now, absentAt);
+  }
+
+  @Test
+  void withoutAStepTheStampTellsTheAge() {
+    assertEquals(3 * SECOND, age(stamp(5, 0), at(8, 0), at(7, 0).monotonic()));
+    assertEquals(0, starts.startedAt("old", 0, at(8, 0), StartTimes.ALWAYS_LISTED));
+    assertEquals(0, new StartTimes().startedAt("o", -1, at(8, 0), StartTimes.ALWAYS_LISTED));
+  }
+
+  /** Both clocks are stepped together, or only this process's one, before the worker starts or after it. */
+  @ParameterizedTest
+  @ValueSource(longs = {HOUR, -HOUR, 5 * SECOND, -5 * SECOND})
+  void aStepMakesNoWorkerOlder(long step) {
+    starts.observe(at(0, 0));
+    assertEquals(SECOND, age(stamp(9, step), at(10, step), at(9, step).monotonic()));
+    assertEquals(2 * SECOND, age(stamp(8, 0), at(10, step), at(9, 0).monotonic()));
+  }
+
+  /** The other machine's clock was stepped, this one's never: what was not there a moment ago has not run for an hour. */
+  @ParameterizedTest
+  @ValueSource(longs = {HOUR, -HOUR})
+  void aStampOfAnotherClockMakesNoWorkerOlderThanTheListAllows(long step) {
+    assertEquals(0, age(stamp(9, step), at(10, 0), at(9, 0).monotonic()));
+  }
+
+  /** After a time without news a worker may well be older than the last look. */
+  @Test
+  void aWorkerToldLateKeepsItsAge() {
+    assertEquals(25 * SECOND, age(stamp(5, 0), at(30, 0), at(4, 0).monotonic()));
+    assertEquals(
+        HOUR / 2,
+        new Reading(2 * HOUR, EPOCH).monotonic()
+            - starts.startedAt(
+                "first",
+                (EPOCH - HOUR / 2) / 1_000,
+                new Reading(2 * HOUR, EPOCH),
+                StartTimes.ALWAYS_LISTED));
+  }
+
+  /** One start a stamp, also over a step and a short absence; a new stamp is a new start. */
+  @Test
+  void aStartStaysAndANewStampIsANewOne() {
+    long first = starts.startedAt("w", stamp(5, 0), at(6, 0), at(4, 0).monotonic());
+    assertEquals(first, starts.startedAt("w", stamp(5, 0), at(9, HOUR), at(8, 0).monotonic()));
+    starts.forget("w"::equals);
+    assertEquals(first, starts.startedAt("w", stamp(5, 0), at(20, 0), at(19, 0).monotonic()));
+    assertTrue(starts.startedAt("w", stamp(21, 0), at(21, 0), at(20, 0).monotonic()) > first);
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -5,10 +5,11 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.config.Address;
-import gorseladder.runtime.Births;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.Threads;
+import gorseladder.starts.StartTimes;
+import gorseladder.starts.StartTimes.Reading;
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
 import gorseladder.wire.http1.Head;
@@ -59,7 +60,10 @@
   private final Path saved;
   private final Hearer hearer;
   private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-  private final Births births = new Births();
+  private final StartTimes starts = new StartTimes();
+  /** When the list was last read whole. */
+  private long listedAt = StartTimes.ALWAYS_LISTED;
+
   private final Random random = new Random();
   private final int stackBytes;
   private volatile HttpConnection connection;
@@ -161,6 +165,7 @@
       tell(ListKind.FULL, entries, at);
       save(body);
     }
+    listedAt = at;
     return head.keepsConnection();
   }
 
@@ -172,7 +177,7 @@
     phases.forEach((worker, phase) -> hearer.phase(worker, phase, at));
     hearer.list(new Workers(kind, entries));
     addresses.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
-    births.forget(w -> phases.get(w) == Phase.GONE);
+    starts.forget(w -> phases.get(w) == Phase.GONE);
   }
 
   private void save(byte[] body) {
@@ -216,7 +221,11 @@
         (int) number(Json.at(service, "Meta", "cell"), 0),
         draining ? Phase.DRAINING : Phase.RUNNING,
         number(Json.at(service, "Meta", "weight"), 1),
-        births.at(id, (long) number(Json.at(service, "Meta", "born"), 0)));
+        starts.startedAt(
+            id,
+            (long) number(Json.at(service, "Meta", "born"), 0),
+            new Reading(Clock.micros(), Clock.wallMicros()),
+            listedAt));
   }
 
   private static String text(Object value) {
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -8,9 +8,10 @@
 import gorseladder.node.NodeConfig;
 import gorseladder.platform.Fields;
 import gorseladder.platform.PlatformList;
-import gorseladder.runtime.Births;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
+import gorseladder.starts.StartTimes;
+import gorseladder.starts.StartTimes.Reading;
 import gorseladder.wire.changelog.ChangeLine;
 import gorseladder.wire.changelog.LineParser;
 import java.io.IOException;
@@ -47,13 +48,15 @@
 
   private final Hearer hearer;
   private final FollowPace pace;
-  private final Births births = new Births();
+  private final StartTimes starts = new StartTimes();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private volatile InetSocketAddress address;
   private volatile Socket socket;
   private volatile boolean stopped;
   private long last;
   private boolean gap;
+  /** When the log last told that nothing beyond what is known had happened. */
+  private long currentAt;
 
   /** A follower that begins with {@link #start}. */
   public ChangeLogFollower(InetSocketAddress address, long seed, Hearer hearer) {
@@ -71,11 +74,12 @@
         if (line.fleet().all()) {
           list.clear();
         }
-        entries(line.fleet()).forEach(e -> list.put(e.worker(), e));
+        entries(line.fleet(), StartTimes.ALWAYS_LISTED).forEach(e -> list.put(e.worker(), e));
       }
       last = Math.max(last, line.seq());
     }
     last = Math.max(last, knownSeq);
+    currentAt = at;
     list.values().forEach(e -> hearer.runner(e, addresses.get(e.worker()), at));
     hearer.list(new Workers(ListKind.SAVED, new ArrayList<>(list.values())));
     Threads.start("changelog", stackBytes, this::follow);
@@ -137,12 +141,19 @@
     }
     ChangeLine change = ChangeLine.read(line);
     pace.line(change.seq(), last, at);
+    starts.observe(clocks());
     // A beat past the last event, or an event past the next one, says that one was missed.
     gap = change.seq() > (change.event() ? last + 1 : last);
-    if (gap || !change.event() || change.seq() <= last) {
+    if (gap) {
+      return;
+    }
+    long absentAt = currentAt;
+    currentAt = at;
+    if (!change.event() || change.seq() <= last) {
       return;
     }
-    List<WorkerEntry> entries = change.fleet() == null ? List.of() : entries(change.fleet());
+    List<WorkerEntry> entries =
+        change.fleet() == null ? List.of() : entries(change.fleet(), absentAt);
     last = change.seq();
     if (change.fleet() == null) {
       // An event that says nothing of the list; it has its number all the same.
@@ -162,13 +173,19 @@
 
   private void forget(String uid) {
     addresses.remove(uid);
-    births.forget(uid::equals);
+    starts.forget(uid::equals);
+  }
+
+  private static Reading clocks() {
+    return new Reading(Clock.micros(), Clock.wallMicros());
   }
 
-  private List<WorkerEntry> entries(ChangeLine.Fleet fleet) {
+  private List<WorkerEntry> entries(ChangeLine.Fleet fleet, long absentAt) {
+    Reading now = clocks();
     List<WorkerEntry> entries = new ArrayList<>();
     for (Map<String, Object> target : fleet.targets()) {
-      WorkerEntry entry = PlatformList.ofChangeLog(target, births::at);
+      WorkerEntry entry = PlatformList.ofChangeLog(
+          target, (uid, stamp) -> starts.startedAt(uid, stamp, now, absentAt));
       addresses.put(
           entry.worker(), NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
       entries.add(entry);
--- a/scale/src/main/java/gorseladder/scale/HollowDispatcher.java
+++ b/scale/src/main/java/gorseladder/scale/HollowDispatcher.java
@@ -15,7 +15,9 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.platform.PlatformList;
-import gorseladder.runtime.Births;
+import gorseladder.runtime.Clock;
+import gorseladder.starts.StartTimes;
+import gorseladder.starts.StartTimes.Reading;
 import gorseladder.wire.changelog.ChangeLine;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -38,7 +40,7 @@
   private record Attempt(long id, int number, String worker, long sentAt) {}
 
   private final Router router;
-  private final Births births = new Births();
+  private final StartTimes starts = new StartTimes();
   private final ArrayDeque<Attempt> inFlight = new ArrayDeque<>();
   private final Map<Long, Integer> attempts = new HashMap<>();
   private final Set<String> contacted = new HashSet<>();
@@ -57,8 +59,10 @@
   void changeLogLine(byte[] line) {
     bytesIn += line.length + 1;
     ChangeLine.Fleet change = ChangeLine.read(line).fleet();
+    Reading clocks = new Reading(Clock.micros(), Clock.wallMicros());
     List<WorkerEntry> entries = change.targets().stream()
-        .map(target -> PlatformList.ofChangeLog(target, births::at))
+        .map(target -> PlatformList.ofChangeLog(
+            target, (uid, stamp) -> starts.startedAt(uid, stamp, clocks, StartTimes.ALWAYS_LISTED)))
         .toList();
     router.on(
         now, new Workers(change.all() ? ListKind.FULL : ListKind.DELTA, entries), this::carryOut);
