--- a/core/src/main/java/gorseladder/core/Call.java
+++ b/core/src/main/java/gorseladder/core/Call.java
@@ -2,6 +2,9 @@
 
 import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.RequestClass;
+import gorseladder.permits.Permits;
+import gorseladder.permits.Verdict;
+import gorseladder.rules.RuleWatch.Other;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -32,12 +35,19 @@
   public static final class Attempt {
     private final String worker;
     private final long decidedAt;
-    private boolean left;
+    private final long decidedWith;
+    /** When its bytes began to leave; 0 before. */
+    private long leftAt;
+
+    private long endedAt;
     private Outcome outcome;
+    /** Was out when another attempt left: what one of them proves later says nothing of the other. */
+    private boolean overlapped;
 
-    private Attempt(String worker, long decidedAt) {
+    private Attempt(String worker, long decidedAt, long decidedWith) {
       this.worker = worker;
       this.decidedAt = decidedAt;
+      this.decidedWith = decidedWith;
     }
 
     /** The worker it goes to. */
@@ -49,8 +59,37 @@
     public long decidedAt() {
       return decidedAt;
     }
+
+    /** How many news of the worker list the router knew when it decided it. */
+    public long decidedWith() {
+      return decidedWith;
+    }
+
+    private boolean isOut() {
+      return leftAt > 0 && outcome == null;
+    }
+
+    private boolean mayHaveRun() {
+      return leftAt > 0 && (outcome == null || !outcome.neverRan || overlapped);
+    }
   }
 
+  /**
+   * What the last look knows beside the call itself.
+   *
+   * @param until when the time of the attempt is over
+   * @param draining the worker is draining or gone
+   * @param restartedSince the worker started after the attempt was decided
+   * @param clientSeen from when on what clients did before a pause of this process is known; 0 for always
+   * @param mayDuplicate two attempts may be out at a time
+   */
+  public record LastLook(
+      long until,
+      boolean draining,
+      boolean restartedSince,
+      long clientSeen,
+      boolean mayDuplicate) {}
+
   private final long id;
   private final Facts facts;
   private final List<Attempt> attempts = new ArrayList<>(2);
@@ -73,9 +112,13 @@
     return facts;
   }
 
-  /** Adds an attempt; returns its number from 0. */
-  public final synchronized int begin(String worker, long now) {
-    attempts.add(new Attempt(worker, now));
+  /**
+   * Adds an attempt; returns its number from 0.
+   *
+   * @param news how many news of the worker list are known
+   */
+  public final synchronized int begin(String worker, long now, long news) {
+    attempts.add(new Attempt(worker, now, news));
     return attempts.size() - 1;
   }
 
@@ -89,32 +132,79 @@
     return answer != null;
   }
 
-  /** The last step before the write: true where the attempt may leave, and from then on counts as may have run. */
-  public final synchronized boolean leave(int number) {
-    if (answer == null) {
-      attempts.get(number).left = true;
+  /**
+   * The last step before the write: where it is allowed the attempt counts as may have run from then on, and its bytes must
+   * follow at once.
+   */
+  public final synchronized Verdict leave(int number, LastLook look, long now) {
+    Verdict verdict = Permits.maySend(
+        new Permits.Sending(
+            answer != null,
+            look.until(),
+            look.draining(),
+            look.restartedSince(),
+            look.clientSeen(),
+            afterEarlier(number, look.mayDuplicate(), now)),
+        now);
+    if (verdict.allowed()) {
+      attempts.forEach(earlier -> earlier.overlapped |= earlier.isOut());
+      attempts.get(number).leftAt = now;
       leaving();
     }
-    return answer == null;
+    return verdict;
+  }
+
+  private Verdict afterEarlier(int number, boolean mayDuplicate, long now) {
+    for (Attempt earlier : attempts) {
+      if (earlier == attempts.get(number)) {
+        continue;
+      }
+      if (earlier.isOut() && !mayDuplicate) {
+        return Verdict.ATTEMPT_OUT;
+      }
+      Verdict verdict = Permits.mayRepeatAfter(
+          facts.requestClass().effect(),
+          earlier.mayHaveRun(),
+          now - earlier.leftAt,
+          facts.requestClass().repeatWindow());
+      if (!verdict.allowed()) {
+        return verdict;
+      }
+    }
+    return Verdict.ALLOWED;
+  }
+
+  /** The other attempts that left, for the second look at the rules. */
+  public final synchronized List<Other> others(int number) {
+    List<Other> others = new ArrayList<>(1);
+    for (Attempt other : attempts) {
+      if (other != attempts.get(number)
+          && other.leftAt > 0
+          && other.leftAt <= attempts.get(number).leftAt) {
+        others.add(new Other(other.leftAt, other.endedAt, !other.mayHaveRun()));
+      }
+    }
+    return others;
   }
 
-  /** Notes how an attempt ended. */
-  public final synchronized void ended(int number, Outcome outcome) {
+  /** Notes how an attempt ended; it is given up on the wire, or was answered, by now. */
+  public final synchronized void ended(int number, Outcome outcome, long now) {
     attempts.get(number).outcome = outcome;
+    attempts.get(number).endedAt = now;
   }
 
   /** Outcomes so far, null for an attempt that is out and has left. */
   public final synchronized List<Outcome> outcomes() {
     List<Outcome> all = new ArrayList<>();
     for (Attempt a : attempts) {
-      all.add(a.outcome == null && !a.left ? Outcome.MOOT : a.outcome);
+      all.add(a.outcome == null && a.leftAt == 0 ? Outcome.MOOT : a.outcome);
     }
     return all;
   }
 
   /** True where some attempt left and nothing says that it did not run; the caller holds the lock. */
   protected final boolean someMayHaveRun() {
-    return attempts.stream().anyMatch(a -> a.left && (a.outcome == null || !a.outcome.neverRan));
+    return attempts.stream().anyMatch(Attempt::mayHaveRun);
   }
 
   /** Gives the call its final answer; false where it has one. The first wins, whoever calls. */
@@ -155,11 +245,12 @@
   }
 
   /** Workers tried and how each attempt ended, for the log. */
-  public final synchronized List<String> story() {
-    List<String> story = new ArrayList<>();
+  public final synchronized List<String> describeAttempts() {
+    List<String> described = new ArrayList<>();
     for (Attempt a : attempts) {
-      story.add(a.worker + "=" + (a.outcome != null ? a.outcome : a.left ? "OUT" : "UNSENT"));
+      described.add(
+          a.worker + "=" + (a.outcome != null ? a.outcome : a.leftAt > 0 ? "OUT" : "UNSENT"));
     }
-    return story;
+    return described;
   }
 }
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -135,6 +135,7 @@
   private final AtomicLong longestWait = new AtomicLong();
   private volatile boolean stopped;
   private long now;
+  private long newsKnown;
 
   /**
    * Starts the core.
@@ -239,6 +240,7 @@
       release(m.call());
     } else if (message instanceof News<C> m) {
       noteNews(m.event());
+      newsKnown += m.event() instanceof Workers ? 1 : 0;
       tell(m.event());
     } else if (message instanceof GiveUp<C>) {
       givingUp = true;
@@ -312,6 +314,11 @@
     }
   }
 
+  /** How many news of the worker list the router was told; on the core's thread, while it carries out what was decided. */
+  public long newsKnown() {
+    return newsKnown;
+  }
+
   /** The longest wait of a call for the core since this was last asked, in microseconds; any thread. */
   public long longestWait() {
     return longestWait.getAndSet(0);
@@ -348,7 +355,7 @@
 
   private void ended(AttemptEnd<C> end) {
     C call = end.call();
-    call.ended(end.attempt(), end.outcome());
+    call.ended(end.attempt(), end.outcome(), now);
     Call.Attempt attempt = call.attempt(end.attempt());
     boolean served = end.outcome() == Outcome.OK;
     Outcome outcome = end.outcome();
@@ -409,7 +416,7 @@
   private void carryOut(Action action) {
     if (action instanceof Send a) {
       C call = calls.get(a.id());
-      int number = call.begin(a.worker(), now);
+      int number = call.begin(a.worker(), now, newsKnown);
       attemptsOut.merge(call, 1, Integer::sum);
       hands.send(call, number, a.worker(), a.timeout());
     } else if (action instanceof SetTimer a) {
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -2,6 +2,7 @@
 
 import gorseladder.RouterApi.*;
 import gorseladder.RouterState.*;
+import gorseladder.permits.Permits;
 import java.util.*;
 import java.util.function.Consumer;
 
@@ -334,9 +335,9 @@
 
   private boolean harmless(PendingCall call) {
     RequestClass c = call.requestClass;
-    return c.effect() == Effect.SAFE
-        || call.attempts.stream().allMatch(a -> a.neverRan)
-        || c.effect() == Effect.KEYED && c.group() == Group.ALL;
+    return call.attempts.stream()
+        .allMatch(
+            a -> Permits.mayRefuseAfter(c.effect(), c.group(), !a.neverRan).allowed());
   }
 
   private void finish(PendingCall call) {
@@ -405,11 +406,10 @@
 
   private boolean mayResend(PendingCall call) {
     RequestClass c = call.requestClass;
-    return c.effect() == Effect.SAFE
-        || call.attempts.stream()
-            .allMatch(a -> a.neverRan
-                || c.effect() == Effect.KEYED
-                    && now - a.sentAt < c.repeatWindow() - 2 * settings.tick());
+    long window = c.repeatWindow() - 2 * settings.tick();
+    return call.attempts.stream()
+        .allMatch(a -> Permits.mayRepeatAfter(c.effect(), !a.neverRan, now - a.sentAt, window)
+            .allowed());
   }
 
   // ---- what an answer teaches
--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -1,6 +1,7 @@
 package gorseladder.attempts;
 
 import gorseladder.RouterApi.Outcome;
+import gorseladder.permits.Verdict;
 
 /**
  * Decides what an attempt that ended on the network is worth as knowledge: the outcome the router is told, and with it
@@ -89,6 +90,20 @@
         progress, ending == Ending.MALFORMED && !mayHaveLeft ? Ending.BROKEN : ending, 0, false);
   }
 
+  /**
+   * The end of an attempt that was held back at the last look.
+   *
+   * @throws IllegalArgumentException where it was allowed, or has only to wait
+   */
+  public static Ending ofHeldBack(Verdict verdict) {
+    return switch (verdict) {
+      case CALL_ENDED, TIME_UP -> Ending.CALL_OVER;
+      case DRAINING, WORKER_RESTARTED, MAY_HAVE_RUN, WINDOW_OVER, ATTEMPT_OUT, RATION_SPENT ->
+        Ending.GATE_CLOSED;
+      default -> throw new IllegalArgumentException("not held back for good: " + verdict);
+    };
+  }
+
   private static Outcome ofResponse(int status, boolean saysNeverRan) {
     if (status >= 200 && status < 300) {
       return Outcome.OK;
--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -3,6 +3,7 @@
 import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Group;
 import gorseladder.RouterApi.RequestClass;
+import gorseladder.permits.Permits;
 
 /**
  * Decides what a delivery of a message means, from what the ledger remembers of its id: run it, let it wait for the first
@@ -100,13 +101,15 @@
    * attempt, so the time of the call is cut to what is left of the window. Everything else never runs again.
    */
   private static Verdict again(RequestClass requestClass, long leftAt, long now, long patience) {
+    long since = now - leftAt;
+    boolean mayRun = Permits.mayRepeatAfter(
+            requestClass.effect(), true, since, requestClass.repeatWindow())
+        .allowed();
     if (requestClass.effect() == Effect.SAFE) {
       return new Verdict(Deed.RUN, patience);
     }
-    long windowLeft = leftAt + requestClass.repeatWindow() - now;
-    boolean keyed = requestClass.effect() == Effect.KEYED && requestClass.group() == Group.ALL;
-    return keyed && windowLeft > 0 && leftAt <= now
-        ? new Verdict(Deed.RUN, Math.min(patience, windowLeft))
+    return mayRun && requestClass.group() == Group.ALL
+        ? new Verdict(Deed.RUN, Math.min(patience, requestClass.repeatWindow() - since))
         : new Verdict(Deed.MAY_HAVE_RUN, 0);
   }
 
--- a/decisions/src/test/java/gorseladder/gate/SendGateTest.java
+++ b/decisions/src/test/java/gorseladder/gate/SendGateTest.java
@@ -20,7 +20,7 @@
     assertTrue(gate.callMayLeave("w"));
     gate.told("w", Phase.DRAINING, 100);
     assertFalse(gate.callMayLeave("w"));
-    assertFalse(gate.orderMayLeave("w", 101));
+    assertFalse(gate.orderMayLeave("w", 0, 101).allowed());
     assertTrue(gate.callMayLeave("v"));
     gate.told("w", Phase.RUNNING, 90);
     assertFalse(gate.callMayLeave("w"), "older news opened it");
@@ -51,7 +51,7 @@
       if (random.nextInt(3) > 0) {
         gate.taken(now);
         taken.add(now);
-      } else if (gate.orderMayLeave("w", now)) {
+      } else if (gate.orderMayLeave("w", 0, now).allowed()) {
         ordered.add(now);
         long from = now - 5000;
         long orders = ordered.stream().filter(t -> t > from).count();
@@ -65,7 +65,7 @@
   void withoutAWindowOrdersAreFree() {
     SendGate gate = new SendGate(new Rules(500, 0.2, 1000, 2.5, 100, 0, 0, 0));
     for (int i = 0; i < 100; i++) {
-      assertTrue(gate.orderMayLeave("w", i));
+      assertTrue(gate.orderMayLeave("w", 0, i).allowed());
     }
   }
 }
--- /dev/null
+++ b/decisions/src/test/java/gorseladder/permits/PermitsTest.java
@@ -0,0 +1,69 @@
+package gorseladder.permits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Group;
+import gorseladder.permits.Permits.Closing;
+import gorseladder.permits.Permits.Sending;
+import org.junit.jupiter.api.Test;
+
+class PermitsTest {
+  private static Verdict send(Sending attempt) {
+    return Permits.maySend(attempt, 1_000);
+  }
+
+  @Test
+  void anAttemptLeavesOnlyWhereNothingStandsAgainstIt() {
+    Verdict may = Verdict.ALLOWED;
+    assertEquals(may, send(new Sending(false, 1_001, false, false, 1_000, may)));
+    assertEquals(Verdict.CALL_ENDED, send(new Sending(true, 1_001, true, true, 0, may)));
+    assertEquals(Verdict.TIME_UP, send(new Sending(false, 1_000, false, false, 0, may)));
+    assertEquals(Verdict.DRAINING, send(new Sending(false, 2_000, true, false, 0, may)));
+    assertEquals(Verdict.WORKER_RESTARTED, send(new Sending(false, 2_000, false, true, 0, may)));
+    assertEquals(
+        Verdict.WINDOW_OVER,
+        send(new Sending(false, 2_000, false, false, 2_000, Verdict.WINDOW_OVER)));
+    assertEquals(Verdict.CLIENT_UNSEEN, send(new Sending(false, 2_000, false, false, 1_001, may)));
+  }
+
+  @Test
+  void aCallRunsAgainOnlyAsItsClassAllows() {
+    assertEquals(Verdict.ALLOWED, Permits.mayRepeatAfter(Effect.SAFE, true, 99, 1));
+    assertEquals(Verdict.ALLOWED, Permits.mayRepeatAfter(Effect.UNSAFE, false, 99, 1));
+    assertEquals(Verdict.MAY_HAVE_RUN, Permits.mayRepeatAfter(Effect.UNSAFE, true, 0, 99));
+    assertEquals(Verdict.ALLOWED, Permits.mayRepeatAfter(Effect.KEYED, true, 98, 99));
+    assertEquals(Verdict.WINDOW_OVER, Permits.mayRepeatAfter(Effect.KEYED, true, 99, 99));
+    assertEquals(Verdict.WINDOW_OVER, Permits.mayRepeatAfter(Effect.KEYED, true, -1, 99));
+  }
+
+  @Test
+  void aRefusalPromisesThatARepeatIsHarmless() {
+    assertEquals(Verdict.ALLOWED, Permits.mayRefuseAfter(Effect.UNSAFE, Group.ALL, false));
+    assertEquals(Verdict.MAY_HAVE_RUN, Permits.mayRefuseAfter(Effect.UNSAFE, Group.ALL, true));
+    assertEquals(Verdict.ALLOWED, Permits.mayRefuseAfter(Effect.KEYED, Group.ALL, true));
+    assertEquals(Verdict.MAY_HAVE_RUN, Permits.mayRefuseAfter(Effect.KEYED, Group.ZONE, true));
+    assertEquals(Verdict.ALLOWED, Permits.mayRefuseAfter(Effect.SAFE, Group.CELL, true));
+  }
+
+  @Test
+  void aConnectionIsClosedOnlyWhereNothingIsAskedOnIt() {
+    assertEquals(Verdict.IN_USE, Permits.mayClose(new Closing(1, true, true)));
+    assertEquals(Verdict.UNREAD, Permits.mayClose(new Closing(0, true, true)));
+    assertEquals(Verdict.UNWRITTEN, Permits.mayClose(new Closing(0, false, true)));
+    assertEquals(Verdict.ALLOWED, Permits.mayClose(new Closing(0, false, false)));
+    assertEquals(Verdict.IN_USE, Permits.mayCloseLink(1));
+    assertEquals(Verdict.ALLOWED, Permits.mayCloseLink(0));
+  }
+
+  @Test
+  void whatIsStartedFitsItsBounds() {
+    assertEquals(Verdict.ALLOWED, Permits.mayTake(5, 5, 10, 10));
+    assertEquals(Verdict.NO_ROOM, Permits.mayTake(6, 5, 10, 10));
+    assertEquals(Verdict.NO_ROOM, Permits.mayTake(5, 5, 11, 10));
+    assertEquals(Verdict.DRAINING, Permits.mayOrder(true, true, false));
+    assertEquals(Verdict.WORKER_RESTARTED, Permits.mayOrder(false, true, false));
+    assertEquals(Verdict.RATION_SPENT, Permits.mayOrder(false, false, false));
+    assertEquals(Verdict.ALLOWED, Permits.mayOrder(false, false, true));
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -197,7 +197,7 @@
 
     @Override
     public void load(String worker, String function, int copies) {
-      runners.load(worker, function, copies);
+      runners.load(worker, function, copies, core.newsKnown());
     }
 
     @Override
@@ -214,13 +214,17 @@
   }
 
   private final class ListHearer implements ListWatcher.Hearer {
+    /** News of the list told to the core; the thread's that watches the list. */
+    private long newsTold;
+
     @Override
-    public void phase(String worker, Phase phase, long at) {
-      runners.told(worker, phase, at);
+    public void worker(String worker, Phase phase, long born, long at) {
+      runners.told(worker, phase, born, newsTold + 1, at);
     }
 
     @Override
     public void list(Workers workers) {
+      newsTold++;
       core.listNews(workers);
     }
   }
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -168,7 +168,8 @@
         ms(r.getUnsafeConnectionIdleMs()),
         r.getMaxAnswerBytes(),
         threads,
-        s.getLimits().getStackBytes());
+        s.getLimits().getStackBytes(),
+        r.getDuplicates());
   }
 
   static long ms(long millis) {
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -38,7 +38,7 @@
         .addKeyValue("class", call.facts().requestClass().name())
         .addKeyValue("tenant", call.facts().tenant())
         .addKeyValue("function", call.facts().function())
-        .addKeyValue("attempts", String.join(" ", call.story()))
+        .addKeyValue("attempts", String.join(" ", call.describeAttempts()))
         .addKeyValue("kind", answer.reason().kind.name().toLowerCase(java.util.Locale.ROOT))
         .addKeyValue("reason", answer.reason().word())
         .addKeyValue("ms", (call.endedAt() - call.facts().takenAt()) / 1000)
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -46,8 +46,12 @@
 
   /** Who hears the list. */
   public interface Hearer {
-    /** A worker's phase; {@code at} is when the bytes that say so had arrived. Called before {@link #list}. */
-    void phase(String worker, Phase phase, long at);
+    /**
+     * A worker's phase and start; {@code at} is when the bytes that say so had arrived. Called before {@link #list}.
+     *
+     * @param born when it started, 0 for long ago
+     */
+    void worker(String worker, Phase phase, long born, long at);
 
     /** The whole list. */
     void list(Workers workers);
@@ -174,7 +178,10 @@
     addresses.keySet().forEach(w -> phases.put(w, Phase.GONE));
     entries.forEach(e -> phases.put(e.worker(), e.phase()));
     entries.forEach(e -> addresses.computeIfAbsent(e.worker(), Address::parse));
-    phases.forEach((worker, phase) -> hearer.phase(worker, phase, at));
+    Map<String, Long> born = new HashMap<>();
+    entries.forEach(e -> born.put(e.worker(), e.born()));
+    phases.forEach(
+        (worker, phase) -> hearer.worker(worker, phase, born.getOrDefault(worker, 0L), at));
     hearer.list(new Workers(kind, entries));
     addresses.keySet().removeIf(w -> phases.get(w) == Phase.GONE);
     starts.forget(w -> phases.get(w) == Phase.GONE);
--- a/edge/src/main/java/gorseladder/edge/runners/RunnerSettings.java
+++ b/edge/src/main/java/gorseladder/edge/runners/RunnerSettings.java
@@ -1,6 +1,10 @@
 package gorseladder.edge.runners;
 
-/** What the runner side is told; times in microseconds. */
+/**
+ * What the runner side is told; times in microseconds.
+ *
+ * @param mayDuplicate two attempts of a call may be out at a time
+ */
 public record RunnerSettings(
     int edge,
     long connect,
@@ -9,4 +13,5 @@
     long unsafeConnectionIdle,
     int maxAnswerBytes,
     int mostThreads,
-    int stackBytes) {}
+    int stackBytes,
+    boolean mayDuplicate) {}
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -9,9 +9,11 @@
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.attempts.AttemptFate.Progress;
 import gorseladder.attempts.ConnectionChoice;
+import gorseladder.core.Call;
 import gorseladder.core.Core.AttemptEnd;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
+import gorseladder.permits.Verdict;
 import gorseladder.repeats.Repeats;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
@@ -92,10 +94,19 @@
     hearer = hears;
   }
 
-  /** News of a worker's phase, with the time at which its bytes reached this process. */
-  public void told(String worker, Phase phase, long at) {
+  /**
+   * News of a worker.
+   *
+   * @param born when it started, 0 for long ago
+   * @param news the number of the list's news that it comes with, from 1
+   * @param at when its bytes reached this process
+   */
+  public void told(String worker, Phase phase, long born, long news, long at) {
     synchronized (gate) {
       gate.told(worker, phase, at);
+      if (phase != Phase.GONE) {
+        gate.started(worker, born, news, at);
+      }
     }
   }
 
@@ -132,11 +143,15 @@
     }
   }
 
-  /** Orders copies of a function held; its end comes by {@link Hearer#loadEnded}. */
-  public void load(String worker, String function, int copies) {
+  /**
+   * Orders copies of a function held; its end comes by {@link Hearer#loadEnded}.
+   *
+   * @param news how many news of the list were known when it was decided
+   */
+  public void load(String worker, String function, int copies, long news) {
     long began = Clock.micros();
     try {
-      threads.execute(() -> hearer.loadEnded(order(worker, function, copies, began)));
+      threads.execute(() -> hearer.loadEnded(order(worker, function, copies, news, began)));
     } catch (RejectedExecutionException e) {
       hearer.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
     }
@@ -220,17 +235,23 @@
 
     /** The last look; nothing but the write itself comes after it. */
     private boolean mayLeave() {
+      Verdict verdict;
       synchronized (gate) {
-        if (!gate.callMayLeave(worker)) {
-          end(Ending.GATE_CLOSED);
-          return false;
-        }
-        if (Clock.micros() >= until || isCancelled() || !call.leave(number)) {
-          end(Ending.CALL_OVER);
-          return false;
-        }
-        return true;
+        long now = Clock.micros();
+        Call.LastLook look = new Call.LastLook(
+            isCancelled() ? now : until,
+            !gate.callMayLeave(worker),
+            gate.restartedSince(worker, call.attempt(number).decidedWith()),
+            0,
+            settings.mayDuplicate());
+        verdict = call.leave(number, look, now);
+      }
+      if (!verdict.allowed()) {
+        LOG.debug(
+            "request={} worker={} held back: {}", call.facts().message(), worker, verdict.word());
+        end(AttemptFate.ofHeldBack(verdict));
       }
+      return verdict.allowed();
     }
 
     private synchronized boolean isCancelled() {
@@ -336,7 +357,7 @@
     return crowd != null && crowd.matches("[0-9]{1,6}") ? Integer.parseInt(crowd) : -1;
   }
 
-  private Loaded order(String worker, String function, int copies, long began) {
+  private Loaded order(String worker, String function, int copies, long decidedWith, long began) {
     Progress progress = Progress.CONNECTING;
     long until = began + settings.order();
     InetSocketAddress address = addresses.apply(worker);
@@ -344,7 +365,8 @@
         address == null ? null : HttpConnection.open(address, settings.connect() / 1000, limits)) {
       boolean open;
       synchronized (gate) {
-        open = connection != null && gate.orderMayLeave(worker, Clock.micros());
+        open = connection != null
+            && gate.orderMayLeave(worker, decidedWith, Clock.micros()).allowed();
       }
       if (!open) {
         return loaded(
--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -9,6 +9,7 @@
 import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.answers.Reason;
+import gorseladder.core.Call;
 import gorseladder.core.FinalAnswer;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
@@ -64,10 +65,10 @@
   @Test
   void afterTheAnswerNothingLeavesAndTheFirstAnswerStands() throws IOException {
     TakenCall call = call("m", false);
-    int attempt = call.begin("w", 0);
+    int attempt = call.begin("w", 0, 0);
     assertTrue(call.finish(REFUSED, 1));
     assertFalse(call.finish(SERVED, 2));
-    assertFalse(call.leave(attempt));
+    assertFalse(leaves(call, attempt));
     assertEquals(0, call.recordLeaving(9));
     assertEquals(REFUSED, call.answer());
     assertEquals(1, ends.get());
@@ -79,16 +80,16 @@
   void whatLeftCountsAsMayHaveRunUnlessItIsKnownNotTo() throws IOException {
     TakenCall out = call("out", false);
     out.recordLeaving(9);
-    out.leave(out.begin("w", 0));
+    leaves(out, out.begin("w", 0, 0));
     out.finish(new FinalAnswer(Reason.FAILED_TIMEOUT, null, 0), 1);
     assertTrue(ledger.get("out").mayHaveRun());
     assertEquals(9, ledger.get("out").leftAt());
 
     TakenCall full = call("full", false);
     full.recordLeaving(9);
-    int attempt = full.begin("w", 0);
-    full.leave(attempt);
-    full.ended(attempt, Outcome.FULL);
+    int attempt = full.begin("w", 0, 0);
+    leaves(full, attempt);
+    full.ended(attempt, Outcome.FULL, 2);
     full.finish(REFUSED, 1);
     assertFalse(ledger.get("full").mayHaveRun());
 
@@ -102,7 +103,7 @@
   void anAnswerThatComesAfterTheEndIsKeptForTheSendersNextTry() throws IOException {
     TakenCall call = call("late", false);
     call.recordLeaving(9);
-    call.leave(call.begin("w", 0));
+    leaves(call, call.begin("w", 0, 0));
     call.servedLate(new byte[] {7});
     assertEquals(Stage.LEAVING, ledger.get("late").stage(), "not over yet");
     call.finish(new FinalAnswer(Reason.FAILED_TIMEOUT, null, 0), 1);
@@ -120,13 +121,13 @@
     int left = 0;
     for (int round = 0; round < 3_000; round++) {
       TakenCall call = call("r" + round, false);
-      int attempt = call.begin("w", 0);
+      int attempt = call.begin("w", 0, 0);
       boolean[] leaves = new boolean[1];
       Thread sender = new Thread(() -> {
         try {
           barrier.await();
           call.recordLeaving(9);
-          leaves[0] = call.leave(attempt);
+          leaves[0] = leaves(call, attempt);
         } catch (Exception e) {
           throw new IllegalStateException(e);
         }
@@ -141,4 +142,9 @@
     }
     assertTrue(left < 3_000 && ends.get() == 3_000, left + " left");
   }
+
+  private static boolean leaves(TakenCall call, int attempt) {
+    Call.LastLook look = new Call.LastLook(Long.MAX_VALUE, false, false, 0, false);
+    return call.leave(attempt, look, 1).allowed();
+  }
 }
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -5,17 +5,21 @@
 import gorseladder.RouterApi.Workers;
 import gorseladder.core.Core;
 import gorseladder.core.Core.AttemptEnd;
+import gorseladder.core.PauseClock;
+import gorseladder.core.RuleLog;
 import gorseladder.gate.SendGate;
 import gorseladder.node.changelog.ChangeLogFollower;
 import gorseladder.node.front.FastCgiFront;
 import gorseladder.node.front.RequestReader;
 import gorseladder.node.peers.TierLink;
 import gorseladder.node.runners.RunnerLinks;
+import gorseladder.rules.Rule;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Watchdog;
 import gorseladder.runtime.Writers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +56,8 @@
   private final NodeConfig config;
   private final Watchdog watchdog;
   private final Writers writers;
+  private final PauseClock pauses;
+  private final RuleLog rules = new RuleLog();
   private final RunnerLinks links;
   private final Core<NodeCall> core;
   private final ChangeLogFollower changeLog;
@@ -60,6 +66,8 @@
   private long longestLag;
   private long storyAt;
   private volatile boolean closed;
+  /** News of the list told to the core; the thread's that follows the change log. */
+  private long newsTold;
 
   /**
    * Starts a dispatcher; it is live when this returns.
@@ -70,11 +78,14 @@
     this.config = config;
     watchdog = new Watchdog("watchdog", STACK);
     writers = new Writers(MOST_WRITERS, STACK);
+    pauses = new PauseClock(watchdog);
     int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
     links = new RunnerLinks(
         config.links(),
         config.router().limits(),
         new SendGate(config.router().rules()),
+        pauses,
+        rules,
         watchdog,
         writers,
         config.sockets() - OWN_DESCRIPTORS - forClients,
@@ -100,16 +111,19 @@
         forClients,
         config.mostHeld(),
         config.memoryBytes() / BODY_PART,
+        pauses,
+        rules,
         call -> links.taken(Clock.micros()));
     changeLog =
         new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
           @Override
           public void runner(WorkerEntry entry, InetSocketAddress address, long at) {
-            links.told(entry.worker(), entry.phase(), address, at);
+            links.told(entry, address, newsTold + 1, at);
           }
 
           @Override
           public void list(Workers workers) {
+            newsTold++;
             core.listNews(workers);
           }
         });
@@ -143,7 +157,7 @@
 
     @Override
     public void load(String worker, String function, int copies) {
-      links.load(worker, function, copies);
+      links.load(worker, function, copies, core.newsKnown());
     }
 
     @Override
@@ -233,7 +247,13 @@
 
   /** What it holds and counted, for the log. */
   public String story() {
-    return "front: " + front.story() + "; links: " + links.story();
+    return "front: " + front.story() + "; links: " + links.story() + "; pauses " + pauses.stalls()
+        + "; rules broken " + rules.counts();
+  }
+
+  /** How often a rule was broken as far as this dispatcher can see; empty where none was. */
+  public Map<Rule, Long> rulesBroken() {
+    return rules.counts();
   }
 
   /**
@@ -277,6 +297,7 @@
     changeLog.close();
     core.close();
     links.close();
+    pauses.stop();
     watchdog.close();
     writers.close();
   }
--- a/node/src/main/java/gorseladder/node/NodeCall.java
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -9,6 +9,7 @@
 /** A call of the platform: it is answered on the connection it came on, and nothing of it is kept after its end. */
 public final class NodeCall extends Call {
   private final String key;
+  private final long seenFrom;
   private final BiConsumer<NodeCall, FinalAnswer> onEnd;
   /** Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's. */
   private final Set<Object> carriers = new HashSet<>();
@@ -17,11 +18,14 @@
    * A call just taken.
    *
    * @param key the client's idempotency key, passed on to the runner unchanged; null where it gave none
+   * @param seenFrom from when on it is known whether its client is still there; 0 for always
    * @param onEnd hears its final answer once
    */
-  public NodeCall(long id, Facts facts, String key, BiConsumer<NodeCall, FinalAnswer> onEnd) {
+  public NodeCall(
+      long id, Facts facts, String key, long seenFrom, BiConsumer<NodeCall, FinalAnswer> onEnd) {
     super(id, facts);
     this.key = key;
+    this.seenFrom = seenFrom;
     this.onEnd = onEnd;
   }
 
@@ -30,6 +34,11 @@
     return key;
   }
 
+  /** From when on it is known whether its client is still there; 0 for always. */
+  public long seenFrom() {
+    return seenFrom;
+  }
+
   @Override
   protected void answered(FinalAnswer end) {
     onEnd.accept(this, end);
@@ -40,6 +49,11 @@
     carriers.add(connection);
   }
 
+  /** Takes a claim back: nothing of the call was written on that connection. */
+  public synchronized void release(Object connection) {
+    carriers.remove(connection);
+  }
+
   /** True where the connection carried this call before. */
   public synchronized boolean wasOn(Object connection) {
     return carriers.contains(connection);
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -4,7 +4,11 @@
 import gorseladder.core.Call.Facts;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
+import gorseladder.core.PauseClock;
+import gorseladder.core.RuleLog;
 import gorseladder.node.NodeCall;
+import gorseladder.permits.Permits;
+import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.HttpServer;
@@ -18,6 +22,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The platform's front: FastCGI 1.0 over TCP, a thread for each connection. It turns requests into calls and final answers
@@ -25,6 +31,7 @@
  * refused at once and counted.
  */
 public final class FastCgiFront implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(FastCgiFront.class);
   /** Answered with 200 once calls can be served. */
   static final String LIVE = "/status/live";
   /** What a connection that says nothing gets before it is closed; its client is owed an end within 3 s. */
@@ -54,6 +61,8 @@
   private final int mostConnections;
   private final int mostHeld;
   private final long mostBodyBytes;
+  private final PauseClock pauses;
+  private final RuleLog rules;
   private final Map<SocketChannel, FrontConnection> connections = new ConcurrentHashMap<>();
   private final Map<String, NodeCall> held = new ConcurrentHashMap<>();
   private final AtomicLong ids = new AtomicLong();
@@ -76,6 +85,8 @@
       int mostConnections,
       int mostHeld,
       long mostBodyBytes,
+      PauseClock pauses,
+      RuleLog rules,
       Hearer hearer) {
     this.reader = reader;
     this.core = core;
@@ -83,6 +94,8 @@
     this.mostConnections = mostConnections;
     this.mostHeld = mostHeld;
     this.mostBodyBytes = mostBodyBytes;
+    this.pauses = pauses;
+    this.rules = rules;
     this.hearer = hearer;
   }
 
@@ -100,12 +113,12 @@
   /** Connections are counted where they are accepted, one at a time: many at once cannot pass the bound together. */
   private final class Accepted implements HttpServer.Handler {
     @Override
-    public boolean admit(SocketChannel channel) {
+    public boolean admit(SocketChannel channel, long waitedSince) {
       if (connections.size() >= mostConnections && !makeRoom()) {
         count("no room for a connection");
         return false;
       }
-      connections.put(channel, new FrontConnection(FastCgiFront.this, channel));
+      connections.put(channel, new FrontConnection(FastCgiFront.this, channel, waitedSince));
       return true;
     }
 
@@ -129,14 +142,22 @@
         .filter(c -> c.idleSince() < Long.MAX_VALUE)
         .sorted(Comparator.comparingLong(FrontConnection::idleSince))
         .anyMatch(FrontConnection::closeIfFree);
-    if (made) {
-      count("connection closed for room");
-    }
     return made;
   }
 
-  void closed(SocketChannel channel) {
+  /** A connection has ended, with so many requests that have no answer. */
+  void closed(SocketChannel channel, CloseReason why, int open) {
     connections.remove(channel);
+    counts.count("closed: " + why.word());
+    LOG.debug("client connection closed: {}, {} requests open", why.word(), open);
+    if (open > 0 && why.ownChoice()) {
+      rules.closedWithRequests(open, why.word());
+    }
+  }
+
+  /** The earliest time at which something may have come that is read now. */
+  long cameAt(long now) {
+    return pauses.cameAt(now);
   }
 
   Executor writers() {
@@ -161,20 +182,21 @@
   void take(
       Map<String, String> params,
       byte[] body,
-      long arrivedAt,
+      Arrival arrival,
       BiConsumer<NodeCall, FinalAnswer> onEnd,
       Consumer<NodeCall> taken)
       throws RequestReader.Unusable {
-    Facts facts = reader.read(params, body, arrivedAt);
-    NodeCall call =
-        new NodeCall(ids.incrementAndGet(), facts, RequestReader.key(params), (c, end) -> {
+    Facts facts = reader.read(params, body, arrival.at());
+    NodeCall call = new NodeCall(
+        ids.incrementAndGet(),
+        facts,
+        RequestReader.key(params),
+        arrival.clientSeenFrom(),
+        (c, end) -> {
           if (held.remove(facts.message(), c)) {
             bodyBytes.addAndGet(-body.length);
           }
-          count(end.reason().word());
-          if (Clock.micros() > facts.deadlineAt() + LATE) {
-            count("answered late");
-          }
+          ended(c, end);
           onEnd.accept(c, end);
         });
     if (held.putIfAbsent(facts.message(), call) != null) {
@@ -183,11 +205,36 @@
     long bytes = bodyBytes.addAndGet(body.length);
     taken.accept(call);
     hearer.taken(call);
-    if (held.size() > mostHeld || bytes > mostBodyBytes || !core.offer(call)) {
+    LOG.debug(
+        "request={} taken, class={} time_ms={}",
+        facts.message(),
+        facts.requestClass().name(),
+        (facts.deadlineAt() - Clock.micros()) / 1_000);
+    Verdict mayTake = Permits.mayTake(held.size(), mostHeld, bytes, mostBodyBytes);
+    if (!mayTake.allowed() || !core.offer(call)) {
       call.finish(FinalAnswer.silent(Reason.BUSY), Clock.micros());
     }
   }
 
+  private void ended(NodeCall call, FinalAnswer end) {
+    Facts facts = call.facts();
+    count(end.reason().word());
+    long now = Clock.micros();
+    if (now > facts.deadlineAt() + LATE) {
+      count("answered late");
+    }
+    if (end.reason().kind != Reason.Kind.GONE) {
+      rules.answered(facts.message(), now, facts.deadlineAt());
+    }
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "request={} ended: {} attempts={}",
+          facts.message(),
+          end.reason().word(),
+          String.join(" ", call.describeAttempts()));
+    }
+  }
+
   /** The client of a call left. */
   void gone(NodeCall call) {
     call.finish(FinalAnswer.silent(Reason.GONE), Clock.micros());
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -3,8 +3,11 @@
 import gorseladder.answers.Reason;
 import gorseladder.core.FinalAnswer;
 import gorseladder.node.NodeCall;
+import gorseladder.permits.Permits;
+import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
+import gorseladder.stalls.StallWatch;
 import gorseladder.wire.fastcgi.BadRecord;
 import gorseladder.wire.fastcgi.NameValues;
 import gorseladder.wire.fastcgi.RecordParser;
@@ -29,6 +32,12 @@
  * is looked at under the lock that takes it.
  */
 final class FrontConnection implements RecordParser.Sink {
+  /**
+   * Read first, without the lock; less than any record. What is left of a request is then seen unread by whoever wants to close
+   * the connection, until {@link #looking} says that it is being looked at.
+   */
+  private static final int PEEK = 1;
+
   private static final int FIRST_READ = 512;
   private static final int READ = 8_192;
   private static final int MOST_OPEN = 32;
@@ -89,6 +98,7 @@
   private final RecordParser parser = new RecordParser();
   private final Map<Integer, Exchange> open = new HashMap<>();
   private final long connectedAt = Clock.micros();
+  private final long waitedSince;
   private long idleSince = connectedAt;
   private int requests;
   private int unanswered;
@@ -96,10 +106,20 @@
   private long halfClosedAt;
   /** Closes once nothing is open; it goes on taking what comes before. */
   private boolean closesAfterAnswers;
+  /** Its thread has bytes that it has not looked at yet. */
+  private boolean looking;
+  /** Why it ends; the first reason that is told before its end counts. */
+  private volatile CloseReason closedBecause;
 
-  FrontConnection(FastCgiFront front, SocketChannel channel) {
+  /**
+   * A connection just accepted.
+   *
+   * @param waitedSince since when it may have waited to be accepted, with what was sent on it
+   */
+  FrontConnection(FastCgiFront front, SocketChannel channel, long waitedSince) {
     this.front = front;
     this.channel = channel;
+    this.waitedSince = waitedSince;
     this.outbox = new Outbox(front.writers(), MOST_WAITING_BYTES, e -> close());
     outbox.open(channel);
   }
@@ -110,23 +130,36 @@
     try {
       channel.socket().setTcpNoDelay(true);
       while (true) {
-        buffer.clear();
-        int count = channel.read(buffer);
-        if (count < 0) {
+        buffer.clear().limit(PEEK);
+        if (channel.read(buffer) < 0) {
+          closedBecause = CloseReason.CLIENT_CLOSED;
           break;
         }
-        parser.feed(buffer.array(), 0, count, this);
-        if (count == FIRST_READ && buffer.capacity() == FIRST_READ) {
+        look(true);
+        buffer.limit(buffer.capacity());
+        if (channel.socket().getInputStream().available() > 0) {
+          channel.read(buffer);
+        }
+        parser.feed(buffer.array(), 0, buffer.position(), this);
+        look(false);
+        if (buffer.position() == FIRST_READ && buffer.capacity() == FIRST_READ) {
           buffer = ByteBuffer.allocate(READ);
         }
       }
     } catch (BadRecord e) {
-      front.count("bad record");
+      closedBecause = CloseReason.BAD_RECORD;
+    } catch (IOException e) {
+      closedBecause = CloseReason.BROKEN;
+      throw e;
     } finally {
       close();
     }
   }
 
+  private synchronized void look(boolean begins) {
+    looking = begins;
+  }
+
   // ---- records, on the connection's thread
 
   @Override
@@ -135,8 +168,7 @@
     boolean over;
     Exchange exchange = new Exchange(id);
     if (endless()) {
-      front.count("too many requests without their ends");
-      close();
+      close(CloseReason.ENDLESS_REQUESTS);
       return;
     }
     synchronized (this) {
@@ -156,8 +188,7 @@
     }
     if (inUse) {
       // Two requests under one number: nobody could tell whose an answer is.
-      front.count("number in use");
-      close();
+      close(CloseReason.NUMBER_IN_USE);
     } else if (over || role != RESPONDER) {
       front.count(over ? "over 32 open" : "unknown role");
       answer(exchange, RecordWriter.end(id, over ? Status.OVERLOADED : Status.UNKNOWN_ROLE, 0));
@@ -261,8 +292,7 @@
       return;
     }
     try {
-      front.take(
-          e.params, body, Clock.micros(), (call, end) -> ended(e, end), call -> taken(e, call));
+      front.take(e.params, body, arrival(), (call, end) -> ended(e, end), call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
       front.count("unusable: " + bad.getMessage());
       answer(e, bad.reason());
@@ -270,6 +300,14 @@
     }
   }
 
+  /** When a request may have come that was read just now, and from when on it is known whether its client is still there. */
+  private Arrival arrival() {
+    long now = Clock.micros();
+    boolean accepted = now - connectedAt < StallWatch.SETTLE && waitedSince < connectedAt;
+    long came = Math.min(front.cameAt(now), accepted ? waitedSince : now);
+    return new Arrival(came, came < now ? now + StallWatch.SETTLE : 0);
+  }
+
   /** Names the call of a request; where the connection has ended by now its client has left. */
   private void taken(Exchange e, NodeCall call) {
     boolean left;
@@ -297,8 +335,7 @@
           .filter(known::containsKey)
           .forEach(name -> answer.put(name, known.get(name)));
     } catch (BadRecord e) {
-      front.count("bad record");
-      close();
+      close(CloseReason.BAD_RECORD);
       return;
     }
     outbox.put(RecordWriter.values(answer));
@@ -353,12 +390,11 @@
       // is on its way.
       put = outbox.put(bytes);
       if (put && closesAfterAnswers) {
-        halfCloseIfFree();
+        halfCloseIfFree(CloseReason.LAST_ANSWERED);
       }
     }
     if (!put) {
-      front.count("client does not read");
-      close();
+      close(CloseReason.CLIENT_DOES_NOT_READ);
     }
   }
 
@@ -369,30 +405,49 @@
 
   // ---- its end
 
-  /** True where nothing is asked, also not by bytes that the system holds unread; the lock is held. */
-  private boolean free() {
-    if (unanswered > 0) {
-      return false;
-    }
+  /** Whether it may be closed from here now; the lock is held. */
+  private Verdict mayClose() {
+    return Permits.mayClose(
+        new Permits.Closing(unanswered, looking || holdsUnread(), !outbox.idle()));
+  }
+
+  private boolean holdsUnread() {
     try {
-      return channel.socket().getInputStream().available() == 0;
+      return channel.socket().getInputStream().available() > 0;
     } catch (IOException e) {
       // It has ended; its reader is told too.
-      return true;
+      return false;
     }
   }
 
-  /** Tells the other side that nothing more comes, where nothing is asked; the lock is held. */
-  private boolean halfCloseIfFree() {
-    if (state != State.OPEN || !free()) {
+  /**
+   * Tells the other side that nothing more comes, where nothing is asked; the lock is held. That leaves before this returns: what
+   * comes after it crossed it on the wire. Where an answer is still being written it is tried again after that.
+   */
+  private boolean halfCloseIfFree(CloseReason why) {
+    if (state != State.OPEN) {
+      return false;
+    }
+    Verdict verdict = mayClose();
+    if (verdict == Verdict.UNWRITTEN) {
+      outbox.whenIdle(this::closeAfterAnswers);
+    }
+    if (!verdict.allowed()) {
       return false;
     }
     state = State.HALF_CLOSED;
     halfClosedAt = Clock.micros();
+    closedBecause = why;
     outbox.finish();
     return true;
   }
 
+  private synchronized void closeAfterAnswers() {
+    if (closesAfterAnswers) {
+      halfCloseIfFree(CloseReason.LAST_ANSWERED);
+    }
+  }
+
   /** Requests that were read in part and wait for the rest; the lock is held. */
   private Exchange oldestHalf() {
     Exchange oldest = null;
@@ -420,14 +475,14 @@
       }
       over = state == State.HALF_CLOSED && now - halfClosedAt > LINGER;
       if (closesAfterAnswers) {
-        halfCloseIfFree();
+        halfCloseIfFree(CloseReason.LAST_ANSWERED);
+      } else if (state == State.OPEN && requests > 0 && now - idleSince >= idle) {
+        halfCloseIfFree(CloseReason.IDLE);
       } else if (state == State.OPEN
-          && requests > 0
-          && now - idleSince >= idle
-          && halfCloseIfFree()) {
-        front.count("idle connection closed");
-      } else if (state == State.OPEN && requests == 0 && now - connectedAt >= silent && free()) {
-        front.count("silent connection closed");
+          && requests == 0
+          && now - connectedAt >= silent
+          && mayClose().allowed()) {
+        closedBecause = CloseReason.SILENT;
         state = State.HALF_CLOSED;
         over = true;
       }
@@ -440,19 +495,19 @@
   /** Closes at once where nothing is asked and every answer is written; false where something is. */
   boolean closeIfFree() {
     synchronized (this) {
-      if (state == State.CLOSED || !free() || !outbox.idle()) {
+      if (state == State.CLOSED || !mayClose().allowed()) {
         return false;
       }
       state = State.HALF_CLOSED;
     }
-    close();
+    close(CloseReason.FOR_ROOM);
     return true;
   }
 
   /** Takes what has come, answers what is open, then half-closes; asked again and again while the dispatcher stops. */
   synchronized void drain() {
     closesAfterAnswers = true;
-    halfCloseIfFree();
+    halfCloseIfFree(CloseReason.STOPPING);
   }
 
   /** Since when it has been idle; {@code Long.MAX_VALUE} where a request is open. One that never asked comes first. */
@@ -465,11 +520,16 @@
   void closeIfStuck(long now, long most) {
     long since = outbox.writingSince();
     if (since > 0 && now - since > most) {
-      front.count("client does not read");
-      close();
+      close(CloseReason.CLIENT_DOES_NOT_READ);
     }
   }
 
+  /** Ends the connection for a reason of its own. */
+  private void close(CloseReason why) {
+    closedBecause = why;
+    close();
+  }
+
   /** Ends the connection; clients of calls that are open have left. */
   void close() {
     List<NodeCall> left = new ArrayList<>();
@@ -489,7 +549,8 @@
     } catch (IOException e) {
       // Nothing is left to release.
     }
-    front.closed(channel);
+    front.closed(
+        channel, closedBecause == null ? CloseReason.STOPPING : closedBecause, left.size());
     left.forEach(front::gone);
   }
 }
--- a/node/src/main/java/gorseladder/node/runners/Trip.java
+++ b/node/src/main/java/gorseladder/node/runners/AttemptRequest.java
@@ -3,21 +3,25 @@
 import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Note;
 import gorseladder.RouterApi.Outcome;
-import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.core.Call;
 import gorseladder.core.Core.AttemptEnd;
+import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
+import gorseladder.permits.Verdict;
 import gorseladder.platform.PlatformAnswers;
+import gorseladder.rules.RuleWatch.Written;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import gorseladder.wire.runner.Commands;
 import java.util.Map;
 
 /** One attempt on its way. Any thread. */
-final class Trip extends Errand {
+final class AttemptRequest extends RunnerRequest {
   private final NodeCall call;
   private final int number;
   private final long until;
+  private volatile long timePassed;
 
-  Trip(RunnerLinks links, NodeCall call, int number, String worker, long until) {
+  AttemptRequest(RunnerLinks links, NodeCall call, int number, String worker, long until) {
     super(links, worker);
     this.call = call;
     this.number = number;
@@ -49,24 +53,59 @@
   }
 
   @Override
-  Ending mayLeave(long now) {
-    if (!links.gate().callMayLeave(worker())) {
-      return Ending.GATE_CLOSED;
-    }
-    return now >= until || !call.leave(number) ? Ending.CALL_OVER : null;
+  Verdict mayLeave(long now) {
+    SendGate gate = links.gate();
+    Call.LastLook look = new Call.LastLook(
+        until,
+        !gate.callMayLeave(worker()),
+        gate.restartedSince(worker(), call.attempt(number).decidedWith()),
+        Math.max(call.seenFrom(), links.clientsSeenFrom(now)),
+        links.mayDuplicate());
+    return call.leave(number, look, now);
   }
 
   @Override
   byte[] bytes(long now) {
+    timePassed = Math.max(1, (until - now) / 1000);
     return Commands.go(
         id(),
         call.facts().requestClass().name(),
         call.facts().function(),
-        Math.max(1, (until - now) / 1000),
+        timePassed,
         call.key(),
         call.facts().body());
   }
 
+  @Override
+  void written(long now) {
+    SendGate gate = links.gate();
+    long drainToldAt;
+    long restartToldAt;
+    synchronized (gate) {
+      drainToldAt = gate.drainToldAt(worker());
+      restartToldAt = gate.restartToldAt(worker());
+    }
+    Call.Attempt attempt = call.attempt(number);
+    links
+        .rules()
+        .written(
+            id(),
+            new Written(
+                leftAt(),
+                now,
+                drainToldAt,
+                gate.grace(),
+                restartToldAt,
+                attempt.decidedAt(),
+                call.endedAt(),
+                timePassed * 1_000,
+                call.facts().deadlineAt(),
+                effect(),
+                call.facts().requestClass().repeatWindow(),
+                links.mayDuplicate(),
+                call.others(number)));
+  }
+
   @Override
   byte[] halt() {
     return Commands.halt(id());
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -33,27 +33,27 @@
     return uid;
   }
 
-  /** Hands an errand to a connection; false where none can be had, and then nothing of it leaves. */
-  boolean carry(Errand errand) {
-    NodeCall call = errand.call();
+  /** Hands a request to a connection; false where none can be had, and then nothing of it leaves. */
+  boolean carry(RunnerRequest request) {
+    NodeCall call = request.call();
     for (int tries = 0; tries < 3; tries++) {
-      LinkConnection connection = choose(errand);
+      LinkConnection connection = choose(request);
       if (connection == null) {
         return false;
       }
       if (call != null) {
         call.claim(connection);
       }
-      errand.on(connection);
-      if (connection.carry(errand)) {
+      request.on(connection);
+      if (connection.carry(request)) {
         return true;
       }
     }
     return false;
   }
 
-  private synchronized LinkConnection choose(Errand errand) {
-    NodeCall call = errand.call();
+  private synchronized LinkConnection choose(RunnerRequest request) {
+    NodeCall call = request.call();
     long now = Clock.micros();
     List<LinkConnection> may = new ArrayList<>(connections.size());
     List<Candidate> candidates = new ArrayList<>(connections.size());
@@ -61,13 +61,13 @@
       int carrying = c.carrying();
       if (carrying < settings.multiplex()
           && c.idle(now) < settings.idle()
-          && c.mayCarry(errand.id())
+          && c.mayCarry(request.id())
           && (call == null || !call.wasOn(c))) {
         may.add(c);
         candidates.add(new Candidate(carrying, c.idle(now)));
       }
     }
-    int picked = ConnectionChoice.pick(errand.effect(), candidates, connections.size());
+    int picked = ConnectionChoice.pick(request.effect(), candidates, connections.size());
     if (picked >= 0) {
       return may.get(picked);
     }
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -2,6 +2,7 @@
 
 import gorseladder.attempts.AttemptFate;
 import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.permits.Permits;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
 import gorseladder.wire.runner.AnswerParser;
@@ -22,8 +23,8 @@
 import java.util.concurrent.Executor;
 
 /**
- * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every errand on it
- * ends in exactly one of: its answer, {@link Errand#broken}, or being given up by its owner.
+ * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every request on it
+ * ends in exactly one of: its answer, {@link RunnerRequest#broken}, or being given up by its owner.
  */
 final class LinkConnection {
   private static final int READ = 8_192;
@@ -42,8 +43,11 @@
   private final AnswerParser parser;
   private final Outbox outbox;
   private final Owner owner;
-  private final Map<String, Errand> out = new HashMap<>();
+  private final Map<String, RunnerRequest> out = new HashMap<>();
   private final Set<String> abandoned = new HashSet<>();
+  /** Ends of requests given up, to be told once that has left, or the connection has ended. */
+  private final Set<GivenUp> givingUp = new HashSet<>();
+
   private boolean open;
   private boolean closed;
   private boolean retired;
@@ -98,72 +102,125 @@
   }
 
   private void answered(Answer answer) {
-    Errand errand;
+    RunnerRequest request;
     synchronized (this) {
-      errand = out.remove(answer.id());
+      request = out.remove(answer.id());
       usedAt = heardAt;
     }
-    if (errand != null) {
-      errand.answered(answer);
+    if (request != null) {
+      request.answered(answer);
     }
     closeIfDone();
   }
 
-  /** Takes an errand; false where it cannot, and then this connection says nothing more of it. */
-  boolean carry(Errand errand) {
+  /** Takes an request; false where it cannot, and then this connection says nothing more of it. */
+  boolean carry(RunnerRequest request) {
     synchronized (this) {
-      if (closed || retired || out.putIfAbsent(errand.id(), errand) != null) {
+      if (closed || retired || out.putIfAbsent(request.id(), request) != null) {
         return false;
       }
       usedAt = Clock.micros();
     }
-    if (!outbox.put(leaving(errand))) {
+    if (!outbox.put(leaving(request))) {
       synchronized (this) {
         // Where it is out no more, the end of this connection has told it already, and it may
         // be on its way elsewhere.
-        return !out.remove(errand.id(), errand);
+        return !out.remove(request.id(), request);
       }
     }
-    if (errand.over()) {
+    if (request.over()) {
       // It was given up while it was handed over, and found nothing to take back here.
-      drop(errand);
+      drop(request);
     }
     return true;
   }
 
-  private Outbox.Item leaving(Errand errand) {
+  private Outbox.Item leaving(RunnerRequest request) {
     return new Outbox.Item() {
       @Override
       public byte[] take() {
-        return errand.take(LinkConnection.this);
+        return request.take(LinkConnection.this);
       }
 
       @Override
       public int size() {
-        return errand.size();
+        return request.size();
+      }
+
+      @Override
+      public void written(long at) {
+        request.written(at);
       }
     };
   }
 
-  /** Forgets an errand that ended before anything of it was written. */
-  void drop(Errand errand) {
+  /** Forgets an request that ended before anything of it was written. */
+  void drop(RunnerRequest request) {
     synchronized (this) {
-      out.remove(errand.id(), errand);
+      out.remove(request.id(), request);
     }
     closeIfDone();
   }
 
-  /** Gives an errand up that was written; whatever still comes for it is dropped. */
-  void abandon(Errand errand, byte[] halt, boolean carriesOn) {
+  /** The end of a request that was given up after it left: told once, when its halt has left or the connection has ended. */
+  private final class GivenUp implements Outbox.Item {
+    private final byte[] halt;
+    private final Runnable told;
+
+    private GivenUp(byte[] halt, Runnable told) {
+      this.halt = halt;
+      this.told = told;
+    }
+
+    @Override
+    public byte[] take() {
+      return halt;
+    }
+
+    @Override
+    public int size() {
+      return halt.length;
+    }
+
+    @Override
+    public void written(long at) {
+      tell();
+    }
+
+    private void tell() {
+      boolean first;
+      synchronized (LinkConnection.this) {
+        first = givingUp.remove(this);
+      }
+      if (first) {
+        told.run();
+      }
+      closeIfDone();
+    }
+  }
+
+  /**
+   * Gives a request up that was written; whatever still comes for it is dropped.
+   *
+   * @param givenUp run once this is on the wire, or the connection has ended
+   */
+  void abandon(RunnerRequest request, byte[] halt, boolean carriesOn, Runnable givenUp) {
+    GivenUp end = halt == null ? null : new GivenUp(halt, givenUp);
+    boolean over;
     synchronized (this) {
-      if (!out.remove(errand.id(), errand) || closed) {
-        return;
+      over = !out.remove(request.id(), request) || closed;
+      if (!over) {
+        abandoned.add(request.id());
+        retired |= !carriesOn || abandoned.size() > MOST_ABANDONED;
+        if (end != null) {
+          givingUp.add(end);
+        }
       }
-      abandoned.add(errand.id());
-      retired |= !carriesOn || abandoned.size() > MOST_ABANDONED;
     }
-    if (halt != null) {
-      outbox.put(halt);
+    if (over || end == null) {
+      givenUp.run();
+    } else if (!outbox.put(end)) {
+      close(Ending.BROKEN, "the runner does not read");
     }
     closeIfDone();
   }
@@ -178,7 +235,7 @@
     return open && !closed;
   }
 
-  /** Errands out. */
+  /** RunnerRequests out. */
   synchronized int carrying() {
     return out.size();
   }
@@ -195,7 +252,7 @@
   /** Closes it where nothing is out on it; false where something is. */
   boolean closeIfFree() {
     synchronized (this) {
-      if (closed || !out.isEmpty()) {
+      if (closed || !Permits.mayCloseLink(out.size()).allowed()) {
         return false;
       }
       retired = true;
@@ -215,7 +272,7 @@
   private void closeIfDone() {
     boolean done;
     synchronized (this) {
-      done = retired && out.isEmpty() && !closed;
+      done = retired && givingUp.isEmpty() && Permits.mayCloseLink(out.size()).allowed() && !closed;
     }
     if (done) {
       close(Ending.BROKEN, "retired");
@@ -231,7 +288,8 @@
   }
 
   void close(Ending ending, String why) {
-    List<Errand> left;
+    List<RunnerRequest> left;
+    List<GivenUp> ends;
     boolean was;
     synchronized (this) {
       if (closed) {
@@ -241,6 +299,7 @@
       was = open;
       left = new ArrayList<>(out.values());
       out.clear();
+      ends = new ArrayList<>(givingUp);
     }
     outbox.close();
     try {
@@ -249,6 +308,7 @@
       // Nothing is left to release.
     }
     Ending told = AttemptFate.ofConnection(ending, owner.closed(this, was, why));
-    left.forEach(errand -> errand.broken(this, told));
+    ends.forEach(GivenUp::tell);
+    left.forEach(request -> request.broken(this, told));
   }
 }
--- a/node/src/main/java/gorseladder/node/runners/LoadOrder.java
+++ b/node/src/main/java/gorseladder/node/runners/LoadOrder.java
@@ -3,24 +3,27 @@
 import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Outcome;
-import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.node.NodeCall;
+import gorseladder.permits.Verdict;
 import gorseladder.platform.PlatformAnswers;
 import gorseladder.runtime.Clock;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import gorseladder.wire.runner.Commands;
 
 /** One order to hold copies. Any thread. */
-final class LoadOrder extends Errand {
+final class LoadOrder extends RunnerRequest {
   private final String tag;
   private final String function;
   private final int copies;
+  private final long decidedWith;
 
-  LoadOrder(RunnerLinks links, String tag, String worker, String function, int copies) {
+  LoadOrder(
+      RunnerLinks links, String tag, String worker, String function, int copies, long decidedWith) {
     super(links, worker);
     this.tag = tag;
     this.function = function;
     this.copies = copies;
+    this.decidedWith = decidedWith;
   }
 
   @Override
@@ -44,8 +47,8 @@
   }
 
   @Override
-  Ending mayLeave(long now) {
-    return links.gate().orderMayLeave(worker(), now) ? null : Ending.GATE_CLOSED;
+  Verdict mayLeave(long now) {
+    return links.gate().orderMayLeave(worker(), decidedWith, now);
   }
 
   @Override
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -3,12 +3,16 @@
 import gorseladder.RouterApi.Limits;
 import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.Phase;
+import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.core.Core.AttemptEnd;
+import gorseladder.core.PauseClock;
+import gorseladder.core.RuleLog;
 import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
+import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.Threads;
@@ -55,7 +59,10 @@
   /** Links to runners that have gone, or have another address now, until nothing is out on them. */
   private final Set<Link> leaving = ConcurrentHashMap.newKeySet();
 
-  private final Map<NodeCall, Map<Integer, Trip>> out = new ConcurrentHashMap<>();
+  private final Map<NodeCall, Map<Integer, AttemptRequest>> out = new ConcurrentHashMap<>();
+  private final PauseClock pauses;
+  private final RuleLog rules;
+  private final Counts heldBack = new Counts();
   private final AtomicLong tags = new AtomicLong();
   private final Counts closes = new Counts();
   private volatile Hearer hearer;
@@ -70,6 +77,8 @@
       NodeConfig.Links told,
       Limits limits,
       SendGate gate,
+      PauseClock pauses,
+      RuleLog rules,
       Watchdog watchdog,
       Executor writers,
       int descriptors,
@@ -78,6 +87,8 @@
     this.told = told;
     this.limits = limits;
     this.gate = gate;
+    this.pauses = pauses;
+    this.rules = rules;
     this.watchdog = watchdog;
     this.settings = new LinkSettings(
         told.connect(),
@@ -100,6 +111,30 @@
     return gate;
   }
 
+  RuleLog rules() {
+    return rules;
+  }
+
+  /** True where two attempts of a call may be out at a time. */
+  boolean mayDuplicate() {
+    return limits.duplicates();
+  }
+
+  /** From when on it is known what clients did before the last pause of this process. */
+  long clientsSeenFrom(long now) {
+    return pauses.settledAt(now);
+  }
+
+  /** Counts what was held back at the last look. */
+  void heldBack(Verdict verdict) {
+    heldBack.count(verdict.word());
+  }
+
+  /** Runs a short task after so many microseconds. */
+  void after(long micros, Runnable task) {
+    watchdog.after(micros, task);
+  }
+
   boolean tellsNote() {
     return told.tellsNote();
   }
@@ -108,11 +143,21 @@
     return told.tellsCrowd();
   }
 
-  /** News of a runner, with the time at which its bytes reached this process. */
-  public void told(String uid, Phase phase, InetSocketAddress address, long at) {
+  /**
+   * News of a runner.
+   *
+   * @param news the number of the list's news that it comes with, from 1
+   * @param at when its bytes reached this process
+   */
+  public void told(WorkerEntry entry, InetSocketAddress address, long news, long at) {
+    String uid = entry.worker();
+    Phase phase = entry.phase();
     Link before;
     synchronized (gate) {
       gate.told(uid, phase, at);
+      if (phase != Phase.GONE) {
+        gate.started(uid, entry.born(), news, at);
+      }
       before = links.get(uid);
       if (phase != Phase.GONE && before != null && before.address().equals(address)) {
         return;
@@ -145,22 +190,22 @@
     long deadline = call.facts().deadlineAt();
     long now = Clock.micros();
     long until = timeout > 0 ? Math.min(deadline, now + timeout) : deadline;
-    Trip trip = new Trip(this, call, number, worker, until);
-    out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, trip);
-    start(trip, until - now);
+    AttemptRequest attempt = new AttemptRequest(this, call, number, worker, until);
+    out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, attempt);
+    start(attempt, until - now);
   }
 
-  private void start(Errand errand, long time) {
-    errand.guard(watchdog.after(Math.max(0, time), () -> errand.giveUp(Ending.TIMED_OUT)));
-    if (!carry(errand)) {
-      errand.giveUp(Ending.CONNECT_FAILED);
+  private void start(RunnerRequest request, long time) {
+    request.guard(watchdog.after(Math.max(0, time), () -> request.giveUp(Ending.TIMED_OUT)));
+    if (!carry(request)) {
+      request.giveUp(Ending.CONNECT_FAILED);
     }
   }
 
-  /** Hands an errand to a connection of its runner; false where none can be had. */
-  boolean carry(Errand errand) {
-    Link link = links.get(errand.worker());
-    return link != null && (link.carry(errand) || makeRoom() && link.carry(errand));
+  /** Hands a request to a connection of its runner; false where none can be had. */
+  boolean carry(RunnerRequest request) {
+    Link link = links.get(request.worker());
+    return link != null && (link.carry(request) || makeRoom() && link.carry(request));
   }
 
   /**
@@ -180,22 +225,26 @@
 
   /** Stops an attempt; its end still comes. */
   public void cancel(NodeCall call, int number) {
-    Trip trip = out.getOrDefault(call, Map.of()).get(number);
-    if (trip != null) {
-      trip.giveUp(Ending.CANCELLED);
+    AttemptRequest attempt = out.getOrDefault(call, Map.of()).get(number);
+    if (attempt != null) {
+      attempt.giveUp(Ending.CANCELLED);
     }
   }
 
-  /** Orders copies held; the end comes by {@link Hearer#loadEnded}. */
-  public void load(String worker, String function, int copies) {
+  /**
+   * Orders copies held; the end comes by {@link Hearer#loadEnded}.
+   *
+   * @param news how many news of the list were known when it was decided
+   */
+  public void load(String worker, String function, int copies, long news) {
     start(
-        new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies),
+        new LoadOrder(this, "l" + tags.incrementAndGet(), worker, function, copies, news),
         limits.orderTimeout());
   }
 
-  void ended(Trip trip, AttemptEnd<NodeCall> end) {
-    out.computeIfPresent(trip.call(), (c, all) -> {
-      all.remove(trip.number());
+  void ended(AttemptRequest attempt, AttemptEnd<NodeCall> end) {
+    out.computeIfPresent(attempt.call(), (c, all) -> {
+      all.remove(attempt.number());
       return all.isEmpty() ? null : all;
     });
     hearer.attemptEnded(end);
@@ -227,7 +276,7 @@
     synchronized (gate) {
       return links.size() + " runners, " + standing + " connections, " + out.size()
           + " calls out, ended " + closes + ", stopped at the last look " + gate.refusedCalls()
-          + " calls " + gate.refusedOrders() + " orders";
+          + " calls " + gate.refusedOrders() + " orders, held back " + heldBack;
     }
   }
 
--- a/node/src/main/java/gorseladder/node/runners/Errand.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
@@ -7,18 +7,26 @@
 import gorseladder.attempts.AttemptFate.Progress;
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.node.NodeCall;
+import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Watchdog;
+import gorseladder.stalls.StallWatch;
 import gorseladder.wire.runner.AnswerParser.Answer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Something sent to a runner under an id that an answer may come for: an attempt or a load order. Its whole life stands here,
  * each step under its own lock: it is carried by one connection at a time, leaves at most once, and ends in exactly one
  * report. So an end and the leaving of its bytes cannot cross: whichever comes first, the other one sees it.
  *
- * <p>Lock order: the gate, then the errand, then its call. Any thread.
+ * <p>One that is given up after it left is reported once that is on the wire: until then it is out, and another attempt of the
+ * same call would be a second one at a time.
+ *
+ * <p>Lock order: the gate, then the request, then its call. Any thread.
  */
-abstract class Errand {
+abstract class RunnerRequest {
+  private static final Logger LOG = LoggerFactory.getLogger(RunnerRequest.class);
   /** Moves to another connection at the most: a peer that ends every connection must not be met again and again. */
   private static final int MOST_MOVES = 3;
 
@@ -32,7 +40,7 @@
   private int moves;
   private boolean ended;
 
-  Errand(RunnerLinks links, String worker) {
+  RunnerRequest(RunnerLinks links, String worker) {
     this.links = links;
     this.worker = worker;
   }
@@ -46,6 +54,11 @@
     return began;
   }
 
+  /** When it left; 0 before. */
+  final synchronized long leftAt() {
+    return leftAt;
+  }
+
   /** The id that its answer comes under. */
   abstract String id();
 
@@ -58,12 +71,15 @@
   /** What a repeat of it does. */
   abstract Effect effect();
 
-  /** Asked last, with the gate's lock and its own held: null where it may leave, else what stops it. */
-  abstract Ending mayLeave(long now);
+  /** Asked last, with the gate's lock and its own held: whether it may leave. */
+  abstract Verdict mayLeave(long now);
 
   /** The bytes to write. */
   abstract byte[] bytes(long now);
 
+  /** Its bytes were written; any thread. */
+  void written(long now) {}
+
   /** What gives it up once it was written; null where nothing does. */
   abstract byte[] halt();
 
@@ -92,7 +108,7 @@
 
   /** The last look of the connection that is about to write it: the bytes, or null. Nothing but the write comes after it. */
   final byte[] take(LinkConnection by) {
-    Ending stopped;
+    Verdict verdict;
     long now;
     synchronized (links.gate()) {
       synchronized (this) {
@@ -100,18 +116,44 @@
           return null;
         }
         now = Clock.micros();
-        stopped = mayLeave(now);
-        if (stopped == null) {
+        verdict = mayLeave(now);
+        if (verdict.allowed()) {
           progress = Progress.LEAVING;
           leftAt = now;
         }
       }
     }
-    if (stopped != null) {
-      giveUp(stopped);
-      return null;
+    if (verdict.allowed()) {
+      LOG.debug("request={} worker={} leaves", id(), worker);
+      return bytes(now);
+    }
+    LOG.debug("request={} worker={} held back: {}", id(), worker, verdict.word());
+    links.heldBack(verdict);
+    if (verdict == Verdict.CLIENT_UNSEEN) {
+      postpone(by);
+    } else {
+      giveUp(AttemptFate.ofHeldBack(verdict));
+    }
+    return null;
+  }
+
+  /** Lets it leave a moment later, on whatever connection may carry it then. */
+  private void postpone(LinkConnection by) {
+    synchronized (this) {
+      if (ended || by != connection) {
+        return;
+      }
+      connection = null;
+    }
+    by.drop(this);
+    if (call() != null) {
+      call().release(by);
     }
-    return bytes(now);
+    links.after(StallWatch.SETTLE, () -> {
+      if (!over() && !links.carry(this)) {
+        giveUp(Ending.CONNECT_FAILED);
+      }
+    });
   }
 
   /** The answer; on the connection's thread. */
@@ -126,6 +168,7 @@
         return;
       }
     }
+    LOG.debug("request={} worker={} answered: {}", id(), worker, outcome);
     report(outcome, answer);
   }
 
@@ -163,10 +206,16 @@
       outcome = AttemptFate.ofUnanswered(progress, ending);
       carrier = connection;
     }
+    LOG.debug("request={} worker={} given up: {}, {}", id(), worker, ending, outcome);
     if (carrier != null && left) {
       carrier.abandon(
-          this, halt(), ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()));
-    } else if (carrier != null) {
+          this,
+          halt(),
+          ConnectionChoice.carriesOn(leftAt, carrier.heardAt(), Clock.micros()),
+          () -> report(outcome, null));
+      return;
+    }
+    if (carrier != null) {
       carrier.drop(this);
     }
     report(outcome, null);
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -16,8 +16,11 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.core.Core;
+import gorseladder.core.PauseClock;
+import gorseladder.core.RuleLog;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.Watchdog;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -43,6 +46,8 @@
   private final AtomicInteger pauses = new AtomicInteger();
   private Runnable atRead = () -> {};
   private Runnable atWrite = () -> {};
+  private final Watchdog watchdog = new Watchdog("watchdog", 128 << 10);
+  private final RuleLog rules = new RuleLog();
   private Core<NodeCall> core;
   private FastCgiFront front;
   private FrontConnection connection;
@@ -112,6 +117,8 @@
         10,
         100,
         1 << 20,
+        new PauseClock(watchdog),
+        rules,
         call -> {});
     ServerSocketChannel server =
         ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -119,7 +126,7 @@
         InetAddress.getLoopbackAddress(), ((InetSocketAddress) server.getLocalAddress()).getPort());
     accepted = server.accept();
     server.close();
-    connection = new FrontConnection(front, accepted);
+    connection = new FrontConnection(front, accepted, Clock.micros());
   }
 
   @AfterEach
@@ -127,6 +134,8 @@
     connection.close();
     client.close();
     core.close();
+    watchdog.close();
+    assertEquals(Map.of(), rules.counts(), "rules broken");
   }
 
   /** Writes a whole request and waits until the system holds it, unread. */
@@ -268,7 +277,9 @@
     atWrite = () -> {};
     looked.countDown();
     String told = answer();
-    for (String more = answer(); !more.isEmpty() && !told.contains("Status"); more = answer()) {
+    String more = told;
+    while (!more.isEmpty() && !told.contains("Status")) {
+      more = answer();
       told += more;
     }
     assertTrue(told.contains("Status: 503"), "the request that was read got no answer");
--- a/node/src/test/java/gorseladder/node/runners/ErrandTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -11,9 +11,12 @@
 import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.Rules;
 import gorseladder.attempts.AttemptFate.Ending;
+import gorseladder.core.PauseClock;
+import gorseladder.core.RuleLog;
 import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
+import gorseladder.permits.Verdict;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import java.io.IOException;
@@ -27,23 +30,23 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The moments at which an errand, its connection and its end can cross; a seam of the errand holds each. */
-class ErrandTest {
+/** The moments at which a request, its connection and its end can cross; a seam of the request holds each. */
+class RunnerRequestTest {
   private static final long SECOND = 1_000_000;
 
   private ServerSocket server;
   private Watchdog watchdog;
   private RunnerLinks links;
 
-  /** An errand that does at each step what the test says. */
-  private class Probe extends Errand {
+  /** An request that does at each step what the test says. */
+  private class Probe extends RunnerRequest {
     final List<Outcome> ends = new ArrayList<>();
     Runnable atSize = () -> {};
     Runnable atLastLook = () -> {};
     int size = 10;
 
     Probe() {
-      super(ErrandTest.this.links, "r");
+      super(RunnerRequestTest.this.links, "r");
     }
 
     @Override
@@ -68,9 +71,9 @@
     }
 
     @Override
-    Ending mayLeave(long now) {
+    Verdict mayLeave(long now) {
       atLastLook.run();
-      return null;
+      return Verdict.ALLOWED;
     }
 
     @Override
@@ -103,6 +106,8 @@
         new NodeConfig.Links(250_000, 30 * SECOND, 100, true, true),
         new Limits(4, false, true, false, false, true, true, SECOND, SECOND),
         new SendGate(rules),
+        new PauseClock(watchdog),
+        new RuleLog(),
         watchdog,
         Runnable::run,
         4,
@@ -128,42 +133,42 @@
 
   @Test
   void whatIsGivenUpAtTheLastLookCountsAsMayHaveRun() throws Exception {
-    Probe errand = new Probe();
+    Probe request = new Probe();
     LinkConnection carrier = connection();
-    errand.on(carrier);
+    request.on(carrier);
     CountDownLatch looking = new CountDownLatch(1);
     Thread gives = new Thread(() -> {
       try {
         looking.await();
-        errand.giveUp(Ending.CANCELLED);
+        request.giveUp(Ending.CANCELLED);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
     });
     gives.start();
-    errand.atLastLook = () -> {
+    request.atLastLook = () -> {
       looking.countDown();
       // Held here until the other thread stands at the lock, or has gone past it.
       while (gives.getState() != Thread.State.BLOCKED && gives.isAlive()) {
         Thread.onSpinWait();
       }
     };
-    assertNotNull(errand.take(carrier), "it leaves");
+    assertNotNull(request.take(carrier), "it leaves");
     gives.join();
-    assertEquals(List.of(Outcome.CANCELLED), errand.ends);
-    assertFalse(errand.ends.get(0).neverRan);
+    assertEquals(List.of(Outcome.CANCELLED), request.ends);
+    assertFalse(request.ends.get(0).neverRan);
   }
 
   @Test
   void itLeavesOnceAndOnlyByTheConnectionThatCarriesIt() throws Exception {
-    Probe errand = new Probe();
+    Probe request = new Probe();
     LinkConnection first = connection();
     LinkConnection second = connection();
-    errand.on(first);
-    errand.on(second);
-    assertNull(errand.take(first));
-    assertNotNull(errand.take(second));
-    assertNull(errand.take(second));
+    request.on(first);
+    request.on(second);
+    assertNull(request.take(first));
+    assertNotNull(request.take(second));
+    assertNull(request.take(second));
     Probe given = new Probe();
     given.on(first);
     given.giveUp(Ending.CANCELLED);
@@ -171,32 +176,32 @@
     assertEquals(List.of(Outcome.MOOT), given.ends);
   }
 
-  /** The connection ends, and tells so, while the errand is being put on it: it moves once, not twice. */
+  /** The connection ends, and tells so, while the request is being put on it: it moves once, not twice. */
   @Test
   void aConnectionThatEndsInTheHandOverSaysItOnce() throws Exception {
     Probe blocks = new Probe();
     blocks.size = 5 << 20;
-    Probe errand = new Probe();
+    Probe request = new Probe();
     LinkConnection carrier = connection();
     blocks.on(carrier);
     assertTrue(carrier.carry(blocks));
-    errand.on(carrier);
-    errand.size = 5 << 20;
-    errand.atSize = () -> carrier.close(Ending.BROKEN, "test");
+    request.on(carrier);
+    request.size = 5 << 20;
+    request.atSize = () -> carrier.close(Ending.BROKEN, "test");
     assertTrue(
-        carrier.carry(errand),
+        carrier.carry(request),
         "its end has told of it; carrying it elsewhere too would send it twice");
-    assertEquals(1, errand.ends.size());
-    assertTrue(errand.ends.get(0).neverRan);
+    assertEquals(1, request.ends.size());
+    assertTrue(request.ends.get(0).neverRan);
   }
 
   @Test
   void whatIsGivenUpInTheHandOverStaysNowhere() throws Exception {
-    Probe errand = new Probe();
+    Probe request = new Probe();
     LinkConnection carrier = connection();
-    errand.on(carrier);
-    errand.atSize = () -> errand.giveUp(Ending.CANCELLED);
-    assertTrue(carrier.carry(errand));
+    request.on(carrier);
+    request.atSize = () -> request.giveUp(Ending.CANCELLED);
+    assertTrue(carrier.carry(request));
     assertEquals(0, carrier.carrying());
     Probe before = new Probe();
     before.on(carrier);
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -28,8 +28,10 @@
     /**
      * A connection was accepted; false turns it away. On the accepting thread and for one connection at a time, so that what is
      * counted here cannot be passed by many at once. Must not block.
+     *
+     * @param waitedSince since when the connection may have waited to be accepted, with what was sent on it
      */
-    default boolean admit(SocketChannel connection) {
+    default boolean admit(SocketChannel connection, long waitedSince) {
       return true;
     }
 
@@ -44,8 +46,8 @@
   private final Set<SocketChannel> open = ConcurrentHashMap.newKeySet();
   private final Thread acceptor;
   private volatile boolean stopped;
-  /** True while accepting fails; the accepting thread's own. */
-  private boolean failing;
+  /** Since when accepting fails; 0 while it does not. The accepting thread's own. */
+  private long failingSince;
 
   private HttpServer(
       ServerSocketChannel server, Selector selector, String name, int stackBytes, Handler handler) {
@@ -105,23 +107,25 @@
 
   /** Accepts all that the system holds ready. */
   private void acceptAll() {
+    // All that waits now may have waited since accepting began to fail.
+    long waitedSince = failingSince > 0 ? failingSince : Clock.micros();
     try {
       for (SocketChannel connection = server.accept();
           connection != null;
           connection = server.accept()) {
-        failing = false;
-        if (handler.admit(connection)) {
+        if (handler.admit(connection, waitedSince)) {
           open.add(connection);
           start(connection);
         } else {
           connection.close();
         }
       }
+      failingSince = 0;
     } catch (IOException e) {
-      if (!failing) {
+      if (failingSince == 0) {
         LOG.warn("accept failed: {}", e.toString());
+        failingSince = waitedSince;
       }
-      failing = true;
       pause();
     }
   }
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.concurrent.Executor;
 
 /**
@@ -22,6 +23,9 @@
 
     /** About how many bytes; held against the bound. */
     int size();
+
+    /** The bytes were handed to the system whole; only where there were any. */
+    default void written(long at) {}
   }
 
   /** Hears that the connection is of no further use; may come more than once. */
@@ -39,6 +43,7 @@
   private boolean busy;
   private boolean closed;
   private boolean closesWhenEmpty;
+  private Runnable whenIdle;
   private volatile long writingSince;
 
   /** An outbox that holds about so many bytes; nothing is written before {@link #open}. */
@@ -90,12 +95,26 @@
     items.clear();
   }
 
-  /** Takes nothing more; once all is written the other side is told that nothing comes after it. */
+  /**
+   * Takes nothing more; once all is written the other side is told that nothing comes after it. Where nothing waits that is done
+   * before this returns: what crosses the end on the wire is little only if the end leaves at once.
+   */
   public void finish() {
+    boolean now;
     synchronized (this) {
       closesWhenEmpty = true;
+      now = !busy && !closed && channel != null && items.isEmpty();
+      closed |= now;
+    }
+    if (!now) {
+      wake();
+      return;
+    }
+    try {
+      channel.shutdownOutput();
+    } catch (IOException e) {
+      // It has ended, and its reader is told too.
     }
-    wake();
   }
 
   /** True where nothing waits or is being written. */
@@ -103,6 +122,17 @@
     return items.isEmpty() && !busy;
   }
 
+  /** Runs a task once nothing waits or is being written: at once, or by the thread that writes. The last one told counts. */
+  public void whenIdle(Runnable task) {
+    synchronized (this) {
+      if (!items.isEmpty() || busy) {
+        whenIdle = task;
+        return;
+      }
+    }
+    task.run();
+  }
+
   /** Since when the present write has been under way, 0 where there is none; {@link Clock#micros()}. */
   public long writingSince() {
     return writingSince;
@@ -122,6 +152,7 @@
     while (true) {
       ArrayDeque<Item> now = new ArrayDeque<>();
       boolean last;
+      Runnable idle = null;
       synchronized (this) {
         int gathered = 0;
         while (!items.isEmpty()
@@ -135,9 +166,8 @@
           busy = false;
           last = closesWhenEmpty && !closed;
           closed |= closesWhenEmpty;
-          if (!last) {
-            return;
-          }
+          idle = whenIdle;
+          whenIdle = null;
         } else {
           last = false;
         }
@@ -145,6 +175,11 @@
       try {
         if (last) {
           channel.shutdownOutput();
+        }
+        if (idle != null) {
+          idle.run();
+        }
+        if (now.isEmpty()) {
           return;
         }
         ByteBuffer out = gather(now);
@@ -153,6 +188,8 @@
           channel.write(out);
         }
         writingSince = 0;
+        long at = Clock.micros();
+        now.forEach(item -> item.written(at));
       } catch (IOException e) {
         fail(e);
         return;
@@ -163,20 +200,22 @@
     }
   }
 
+  /** The bytes of all items; those that have nothing to write any more are taken out. */
   private static ByteBuffer gather(ArrayDeque<Item> items) {
-    if (items.size() == 1) {
-      byte[] only = items.peekFirst().take();
-      return ByteBuffer.wrap(only == null ? new byte[0] : only);
-    }
     int length = 0;
     ArrayDeque<byte[]> parts = new ArrayDeque<>();
-    for (Item item : items) {
-      byte[] part = item.take();
-      if (part != null) {
+    for (Iterator<Item> it = items.iterator(); it.hasNext(); ) {
+      byte[] part = it.next().take();
+      if (part == null) {
+        it.remove();
+      } else {
         parts.addLast(part);
         length += part.length;
       }
     }
+    if (parts.size() == 1) {
+      return ByteBuffer.wrap(parts.peekFirst());
+    }
     ByteBuffer out = ByteBuffer.allocate(length);
     parts.forEach(out::put);
     return out.flip();
--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -136,7 +136,7 @@
     HttpServer server = HttpServer.listen(
         new InetSocketAddress("127.0.0.1", 0), "s", 128 << 10, new HttpServer.Handler() {
           @Override
-          public boolean admit(SocketChannel connection) {
+          public boolean admit(SocketChannel connection, long waitedSince) {
             first.countDown();
             try {
               goOn.await();
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -48,7 +48,7 @@
         Ledger ledger = Ledger.open(dir.resolve("ledger"), false, 100);
         Watchdog watchdog = new Watchdog("watchdog", 256 << 10);
         Runners runners = new Runners(
-            new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, 50, 256 << 10),
+            new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, 50, 256 << 10, false),
             ledger,
             gate,
             Address::parse,
--- a/testbed/src/test/java/gorseladder/testbed/platform/DispatcherFixture.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/DispatcherFixture.java
@@ -1,5 +1,7 @@
 package gorseladder.testbed.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Group;
 import gorseladder.RouterApi.Limits;
@@ -19,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
@@ -152,6 +155,7 @@
     }
     if (node != null) {
       node.close();
+      assertEquals(Map.of(), node.rulesBroken(), "rules broken, as the dispatcher itself saw");
     }
     if (log != null) {
       log.close();
--- a/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
@@ -55,7 +55,7 @@
         "no fault####nothingIsSentForAClientThatLeftWhileItsCallWaited",
         "client gone ignored#front/FrontConnection.java#left.forEach(front::gone);#"
             + "#nothingIsSentForAClientThatLeftWhileItsCallWaited",
-        "idle close without looking#front/FrontConnection.java#if (state != State.OPEN || !free()) {#if (state != State.OPEN) {"
+        "idle close without looking#front/FrontConnection.java#if (!verdict.allowed()) {#if (state == null) {"
             + "#whatIsHalfReadWhenTheStopBeginsIsServed",
         "connections counted late#front/FastCgiFront.java#connections.size() >= mostConnections && !makeRoom()#false"
             + "#idleClientsNeverTakeMoreThanTheirShareOfDescriptors",
