--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -28,6 +28,7 @@
       EmulateCommand.class,
       ExperimentCommand.class,
       ScaleCommand.class,
+      SoakCommand.class,
       ReplayCommand.class,
       SabotageCommand.class,
       Main.VersionCommand.class,
--- a/scale/src/main/java/gorseladder/scale/RealCell.java
+++ b/scale/src/main/java/gorseladder/scale/RealCell.java
@@ -7,6 +7,8 @@
 import gorseladder.testbed.platform.PlatformConfig;
 import gorseladder.testbed.platform.PlatformRunner;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
+import gorseladder.testbed.process.ChildProcess;
+import gorseladder.testbed.process.RunLine;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/CallClass.java
@@ -0,0 +1,22 @@
+package gorseladder.soak;
+
+/** The classes of calls in a soak, named as in its settings. */
+enum CallClass {
+  SAFE("pure"),
+  KEYED("token"),
+  UNSAFE("side_effect");
+
+  /** For how long runners drop repeats of a keyed call. */
+  static final long REPEAT_WINDOW = 600_000;
+
+  /** Its effect in the platform's settings. */
+  final String effect;
+
+  CallClass(String effect) {
+    this.effect = effect;
+  }
+
+  String word() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -0,0 +1,220 @@
+package gorseladder.soak;
+
+import gorseladder.runtime.Clock;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Passes connections on to a stand-in, and can hold up what passes, reset what is open, refuse what is new or let it come up
+ * late. Two threads a connection. Any thread.
+ */
+final class FaultProxy implements Closeable {
+  private static final int BUFFER = 16_384;
+  private static final int STACK = 128 << 10;
+  private static final int BACKLOG = 256;
+  private static final int BLOCKED_MILLIS = 60;
+
+  private final InetSocketAddress target;
+  private final int port;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final List<Evidence.Span> holds = new ArrayList<>();
+  private final List<Socket> blockers = new ArrayList<>();
+  private volatile ServerSocket server;
+  private volatile long holdUntil;
+  private volatile long accepted;
+  private volatile boolean closed;
+
+  /** A proxy on a free port of the loopback. */
+  FaultProxy(InetSocketAddress target) throws IOException {
+    this.target = target;
+    server = listen(0, BACKLOG);
+    port = server.getLocalPort();
+    accept(server);
+  }
+
+  private static ServerSocket listen(int port, int backlog) throws IOException {
+    ServerSocket listening = new ServerSocket();
+    listening.setReuseAddress(true);
+    listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+    return listening;
+  }
+
+  /** Where it listens. */
+  InetSocketAddress address() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  /** Connections accepted so far. */
+  long accepted() {
+    return accepted;
+  }
+
+  /** Connections open, both sides of each. */
+  int openSockets() {
+    return open.size();
+  }
+
+  static void start(String name, Runnable task) {
+    Thread thread = new Thread(null, task, name, STACK);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept(ServerSocket from) {
+    start("proxy-accept", () -> {
+      try {
+        while (true) {
+          Socket near = from.accept();
+          accepted++;
+          join(near);
+        }
+      } catch (IOException e) {
+        // Closed.
+      }
+    });
+  }
+
+  private void join(Socket near) {
+    Socket far = new Socket();
+    open.add(near);
+    open.add(far);
+    start("proxy-connect", () -> {
+      try {
+        far.connect(target);
+        near.setTcpNoDelay(true);
+        far.setTcpNoDelay(true);
+        start("proxy-back", () -> pass(far, near));
+        pass(near, far);
+      } catch (IOException e) {
+        reset(near);
+        reset(far);
+      }
+    });
+  }
+
+  private void pass(Socket from, Socket to) {
+    byte[] buffer = new byte[BUFFER];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        await();
+        out.write(buffer, 0, count);
+      }
+      to.shutdownOutput();
+    } catch (IOException e) {
+      reset(from);
+      reset(to);
+    }
+    if (from.isInputShutdown() || to.isClosed()) {
+      forget(from);
+    }
+  }
+
+  private void forget(Socket socket) {
+    open.remove(socket);
+  }
+
+  private void await() throws IOException {
+    try {
+      for (long left = holdUntil - Clock.micros(); left > 0; left = holdUntil - Clock.micros()) {
+        Thread.sleep(Math.max(1, left / 1_000));
+      }
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private void reset(Socket socket) {
+    open.remove(socket);
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It has ended.
+    }
+  }
+
+  /** Holds up all bytes for so long. */
+  void hold(long micros) {
+    long now = Clock.micros();
+    synchronized (holds) {
+      holds.add(new Evidence.Span(now, now + micros));
+    }
+    holdUntil = Math.max(holdUntil, now + micros);
+  }
+
+  /** By how much what passes now may have been held up; more than needed rather than less. */
+  long heldUp(long at) {
+    synchronized (holds) {
+      return holds.stream()
+          .filter(span -> at >= span.from() && at <= span.to() + BLOCKED_MILLIS * 1_000L)
+          .mapToLong(span -> span.to() - span.from())
+          .sum();
+    }
+  }
+
+  /** Resets every connection. */
+  void resetAll() {
+    List.copyOf(open).forEach(this::reset);
+  }
+
+  /** Refuses new connections. */
+  void refuse() throws IOException {
+    server.close();
+  }
+
+  /** Takes new connections again. */
+  void takeAgain() throws IOException {
+    if (!closed) {
+      server = listen(port, BACKLOG);
+      accept(server);
+    }
+  }
+
+  /** Has new connections come up late: the system leaves them without an answer until {@link #comeUp}. */
+  void comeUpLate() throws IOException {
+    server.close();
+    server = listen(port, 1);
+    synchronized (blockers) {
+      try {
+        while (true) {
+          Socket blocker = new Socket();
+          blockers.add(blocker);
+          blocker.connect(address(), BLOCKED_MILLIS);
+        }
+      } catch (SocketTimeoutException e) {
+        // Its queue is full.
+      }
+    }
+  }
+
+  /** Lets connections that wait come up. */
+  void comeUp() throws IOException {
+    synchronized (blockers) {
+      for (Socket blocker : blockers) {
+        blocker.close();
+      }
+      blockers.clear();
+    }
+    accept(server);
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    server.close();
+    resetAll();
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/Preload.java
@@ -0,0 +1,112 @@
+package gorseladder.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteOrder;
+import java.nio.LongBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The library that makes system calls of a process fail, steps its wall clock and spoils its files; built from {@code faults.c}
+ * by the machine's compiler. Any thread.
+ */
+public final class Preload {
+  private static final String SOURCE = "faults.c";
+
+  private final Path library;
+
+  private Preload(Path library) {
+    this.library = library;
+  }
+
+  /** Builds it into a folder; empty where the machine has no compiler that can. */
+  public static Optional<Preload> build(Path folder) throws IOException, InterruptedException {
+    Path source = folder.resolve(SOURCE);
+    try (InputStream text = Preload.class.getResourceAsStream(SOURCE)) {
+      Files.copy(text, source, StandardCopyOption.REPLACE_EXISTING);
+    }
+    Path library = folder.resolve("faults.so");
+    try {
+      Process compiler = new ProcessBuilder(
+              "cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
+          .redirectErrorStream(true)
+          .redirectOutput(folder.resolve("cc.log").toFile())
+          .start();
+      return compiler.waitFor() == 0 ? Optional.of(new Preload(library)) : Optional.empty();
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** What can be set for one process; the places are those of the library's control file. */
+  public enum Fault {
+    WALL_OFFSET_MS,
+    ACCEPT_RATE,
+    ACCEPT_ERRNO,
+    CONNECT_RATE,
+    CONNECT_ERRNO,
+    SOCKET_RATE,
+    SOCKET_ERRNO,
+    SHORT_RATE,
+    INTERRUPT_RATE,
+    BROKEN_RATE,
+    BROKEN_ERRNO,
+    DISK_WRITE_RATE,
+    DISK_SYNC_RATE,
+    DISK_REMOVE_RATE,
+    DISK_ERRNO,
+    SEED,
+    INJECTED
+  }
+
+  /** The control of one process. */
+  public static final class Control {
+    private final Path file;
+    private final LongBuffer values;
+
+    private Control(Path file) throws IOException {
+      this.file = file;
+      int bytes = Fault.values().length * Long.BYTES;
+      Files.write(file, new byte[bytes]);
+      try (FileChannel channel =
+          FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+        values = channel
+            .map(FileChannel.MapMode.READ_WRITE, 0, bytes)
+            .order(ByteOrder.nativeOrder())
+            .asLongBuffer();
+      }
+    }
+
+    /** Sets a rate in thousandths, an error number or a step in milliseconds; in force at once. */
+    public void set(Fault fault, long value) {
+      values.put(fault.ordinal(), value);
+    }
+
+    /** How many calls were made to fail so far. */
+    public long injected() {
+      return values.get(Fault.INJECTED.ordinal());
+    }
+  }
+
+  /** A control for one process, in a file of that name. */
+  public Control control(Path file) throws IOException {
+    return new Control(file);
+  }
+
+  /** The environment of a process that is to be under a control; {@code folder} holds files that may fail, or is null. */
+  public Map<String, String> environment(Control control, Path folder) {
+    return Map.of(
+        "LD_PRELOAD",
+        library.toString(),
+        "GORSELADDER_FAULTS",
+        control.file.toString(),
+        "GORSELADDER_FAULTS_FOLDER",
+        folder == null ? "/nowhere/" : folder.toString());
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/SoakConfig.java
@@ -0,0 +1,54 @@
+package gorseladder.soak;
+
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** The configuration of the dispatchers of a soak, as the platform lays it down. */
+final class SoakConfig {
+  /** Figures of the rules; the oracle holds the dispatchers to them. Times in microseconds. */
+  static final long DRAIN_GRACE = 500_000;
+
+  static final double COLD_FROM = 0.1;
+  static final long COLD_FOR = 8_000_000;
+  static final double TIP_MULTIPLE = 1.5;
+  static final long OVERLOAD_FOR = 1_500_000;
+  static final long LONGEST_DEADLINE = 1_600_000;
+
+  private static final String SETTINGS = """
+      {"ordinal":%d,"balancers":%d,"zone":"z","tickMs":2,
+       "familyInfo":{"keepAliveMs":9000,"ifCold":"load","marksCold":true,"notesPeersInHand":true,"placementCalls":true},
+       "limits":{"maxAttempts":4,"mayDuplicate":false,"cancelling":true,"retryAfter":true,"multiplex":16,
+        "connectTimeoutMs":1200,"connIdleMs":3000},
+       "rules":{"stopSendingWithinMs":%d,"coldFrom":%s,"coldMs":%d,"tipMultiple":%s,"overloadForMs":%d},
+       "tenants":[{"name":"t","share":1,"quotaPerS":1000}],
+       "profiles":[%s]}""";
+
+  private SoakConfig() {}
+
+  /** The text of a dispatcher's file. */
+  static String text(
+      int ordinal, int dispatchers, long seed, InetSocketAddress changeLog, List<String> known) {
+    String classes = Arrays.stream(CallClass.values())
+        .map(c -> "{\"name\":\"" + c.word() + "\",\"effect\":\"" + c.effect
+            + "\",\"group\":\"all\",\"goalTimeMs\":600,\"giveUpMs\":" + LONGEST_DEADLINE / 1_000
+            + ",\"repeatWindowMs\":" + CallClass.REPEAT_WINDOW / 1_000 + "}")
+        .collect(Collectors.joining(","));
+    return "{\"seed\":\"" + Long.toHexString(seed)
+        + "\",\"limits\":{\"memory_mb\":192,\"sockets\":512}"
+        + ",\"changelog\":\"127.0.0.1:" + changeLog.getPort()
+        + "\",\"known\":{\"seq\":" + known.size() + ",\"results\":[" + String.join(",", known)
+        + "]},\"settings\":"
+        + SETTINGS.formatted(
+            ordinal,
+            dispatchers,
+            DRAIN_GRACE / 1_000,
+            COLD_FROM,
+            COLD_FOR / 1_000,
+            TIP_MULTIPLE,
+            OVERLOAD_FOR / 1_000,
+            classes)
+        + "}";
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
@@ -0,0 +1,162 @@
+package gorseladder.soak;
+
+import gorseladder.runtime.Clock;
+import gorseladder.testbed.platform.FastCgiClient;
+import gorseladder.testbed.process.ChildProcess;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One dispatcher as a process, with its configuration, log, faults and clients. Its methods are called by one thread at a time. */
+final class SoakDispatcher implements AutoCloseable {
+  private static final long READY_MILLIS = 30_000;
+  private static final long END_MILLIS = 8_000;
+
+  private final int number;
+  private final String command;
+  private final Path root;
+  private final Path folder;
+  private final InetSocketAddress listen;
+  private final Evidence evidence;
+  private final Preload preload;
+  private final Preload.Control control;
+  private ChildProcess process;
+  private long startedAt;
+  private long readyAt;
+  private int starts;
+  private SoakClients clients;
+
+  /** A dispatcher that is not started yet; {@code preload} is null where the machine has no compiler. */
+  SoakDispatcher(
+      int number, String command, Path root, Path folder, Evidence evidence, Preload preload)
+      throws IOException {
+    this.number = number;
+    this.command = command;
+    this.root = root;
+    this.folder = Files.createDirectories(folder.resolve("n" + number));
+    this.evidence = evidence;
+    this.preload = preload;
+    this.control = preload == null ? null : preload.control(this.folder.resolve("faults"));
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      listen = (InetSocketAddress) free.getLocalSocketAddress();
+    }
+  }
+
+  int number() {
+    return number;
+  }
+
+  InetSocketAddress listen() {
+    return listen;
+  }
+
+  SoakClients clients() {
+    return clients;
+  }
+
+  void clients(SoakClients those) {
+    clients = those;
+  }
+
+  /** Its faults; null where there are none to be had. */
+  Preload.Control control() {
+    return control;
+  }
+
+  /** Replaces its configuration file. */
+  void configure(String text) throws IOException {
+    Path next = folder.resolve("next.json");
+    Files.writeString(next, text);
+    Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** Starts the process. */
+  void start() throws IOException {
+    Map<String, String> environment = new HashMap<>(Map.of(
+        "ROUTER_NAME",
+        "n" + number,
+        "ROUTER_LISTEN",
+        "127.0.0.1:" + listen.getPort(),
+        "ROUTER_CONFIG",
+        folder.resolve("config.json").toString()));
+    if (preload != null) {
+      environment.putAll(preload.environment(control, null));
+    }
+    startedAt = Clock.micros();
+    readyAt = 0;
+    process = new ChildProcess(
+        command, root, environment, folder.resolve("log" + starts++).toFile());
+  }
+
+  /** Waits until it is live. */
+  void awaitReady() throws InterruptedException {
+    long until = Clock.micros() + READY_MILLIS * 1_000;
+    while (Clock.micros() < until && process.isAlive()) {
+      if (FastCgiClient.isLive(listen, 1_000)) {
+        readyAt = Clock.micros();
+        return;
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  void signal(String name) throws IOException, InterruptedException {
+    process.signal(name);
+  }
+
+  /** Kills it at once. */
+  void kill() throws IOException, InterruptedException {
+    process.signal("KILL");
+    int code = process.await(END_MILLIS);
+    ended(0, code, true);
+  }
+
+  /**
+   * Stops it as a planned restart does: the signal comes, clients go on for a while and are then taken elsewhere.
+   *
+   * @param more how long new requests come after the signal, in microseconds
+   */
+  void stop(long more) throws IOException, InterruptedException {
+    long askedAt = Clock.micros();
+    process.signal("TERM");
+    Thread.sleep(more / 1_000);
+    clients.takeOut(true);
+    int code = process.await(END_MILLIS);
+    ended(askedAt, code, false);
+  }
+
+  private void ended(long askedAt, int code, boolean killed) {
+    evidence.life(
+        new Evidence.Life(number, startedAt, readyAt, askedAt, Clock.micros(), code, killed));
+  }
+
+  boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Its log files. */
+  List<Path> logs() throws IOException {
+    try (var all = Files.list(folder)) {
+      return all.filter(f -> f.getFileName().toString().startsWith("log"))
+          .sorted()
+          .toList();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (clients != null) {
+      clients.close();
+    }
+    if (process != null) {
+      process.close();
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -0,0 +1,192 @@
+package gorseladder.soak;
+
+import gorseladder.runtime.Clock;
+import gorseladder.testbed.process.RunLine;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** One play of a plan: starts everything, brings the troubles, stops everything, and has the oracle judge. */
+public final class SoakRun implements Closeable {
+  /** After the last request, time for the last answers. */
+  private static final long LAST_ANSWERS_MILLIS = 2_300;
+
+  private static final int RUNNER_THREADS = 4;
+
+  private final SoakPlan plan;
+  private final Path root;
+  private final Path folder;
+  private final String command;
+  private final Evidence evidence = new Evidence();
+  private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(RUNNER_THREADS);
+  private final List<SoakRunner> runners = new ArrayList<>();
+  private final List<SoakDispatcher> dispatchers = new ArrayList<>();
+  private final List<Finding> findings = new ArrayList<>();
+  private final Preload preload;
+  private ChangeLogs log;
+
+  /**
+   * What came of a play.
+   *
+   * @param injected system calls that were made to fail
+   */
+  public record Result(
+      SoakPlan plan,
+      List<Finding> findings,
+      int requests,
+      int served,
+      int attempts,
+      long injected) {}
+
+  /**
+   * A play that begins with {@link #play}.
+   *
+   * @param root where the deploy file is
+   * @param folder for logs and configurations
+   * @param command starts a dispatcher; null for the deploy file's own
+   */
+  public SoakRun(SoakPlan plan, Path root, Path folder, String command)
+      throws IOException, InterruptedException {
+    this.plan = plan;
+    this.root = root;
+    this.folder = Files.createDirectories(folder);
+    this.command = command == null ? RunLine.read(root) : command;
+    Optional<Preload> built = Preload.build(folder);
+    if (built.isEmpty()) {
+      System.err.println("no C compiler: system calls do not fail and clocks are not stepped");
+    }
+    this.preload = built.orElse(null);
+  }
+
+  /** Plays it to its end. */
+  public Result play() throws IOException, InterruptedException {
+    for (int i = 0; i < plan.runners(); i++) {
+      runners.add(new SoakRunner("r" + i, evidence, clock));
+    }
+    log = new ChangeLogs(runners);
+    for (int i = 0; i < plan.dispatchers(); i++) {
+      SoakDispatcher dispatcher = new SoakDispatcher(i, command, root, folder, evidence, preload);
+      dispatchers.add(dispatcher);
+      configure(dispatcher);
+      dispatcher.start();
+    }
+    for (SoakDispatcher dispatcher : dispatchers) {
+      dispatcher.awaitReady();
+      dispatcher.clients(new SoakClients(
+          dispatcher.number(),
+          dispatcher.listen(),
+          evidence,
+          plan.seed() * 1_000 + dispatcher.number(),
+          plan.callsPerSecond()));
+    }
+    dispatchers.forEach(dispatcher -> dispatcher.clients().begin());
+    new Troubles(this).bring(plan.events(), plan.length());
+    for (SoakDispatcher dispatcher : dispatchers) {
+      dispatcher.clients().stop();
+    }
+    Thread.sleep(LAST_ANSWERS_MILLIS);
+    stopAll();
+    readLogs();
+    return result();
+  }
+
+  private void stopAll() throws InterruptedException {
+    List<Thread> all = new ArrayList<>();
+    for (SoakDispatcher dispatcher : dispatchers) {
+      Thread stops = new Thread(() -> {
+        try {
+          dispatcher.stop(0);
+        } catch (IOException e) {
+          found(new Finding(SoakRule.END, Clock.micros(), dispatcher.number(), e.toString()));
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      stops.start();
+      all.add(stops);
+    }
+    for (Thread stops : all) {
+      stops.join();
+    }
+  }
+
+  private void readLogs() throws IOException {
+    for (SoakDispatcher dispatcher : dispatchers) {
+      for (Path file : dispatcher.logs()) {
+        Files.readAllLines(file).stream()
+            .filter(line -> line.contains(" ERROR ") || line.contains("Exception in thread"))
+            .limit(3)
+            .forEach(line -> found(new Finding(
+                SoakRule.LOG,
+                Clock.micros(),
+                dispatcher.number(),
+                file.getFileName() + ": " + line)));
+      }
+    }
+  }
+
+  private Result result() {
+    List<Finding> all = new ArrayList<>(Oracle.judge(evidence, log.told()));
+    synchronized (findings) {
+      all.addAll(findings);
+    }
+    int served = (int) evidence.requests().stream().filter(r -> r.status == 200).count();
+    long injected = preload == null
+        ? 0
+        : dispatchers.stream().mapToLong(d -> d.control().injected()).sum();
+    return new Result(
+        plan, all, evidence.requests().size(), served, evidence.attempts().size(), injected);
+  }
+
+  /** Lays down a dispatcher's configuration as things are now. */
+  void configure(SoakDispatcher dispatcher) throws IOException {
+    int number = dispatcher.number();
+    dispatcher.configure(SoakConfig.text(
+        number,
+        plan.dispatchers(),
+        plan.seed() * 31 + number,
+        log.proxy(number).address(),
+        log.known()));
+  }
+
+  void found(Finding finding) {
+    synchronized (findings) {
+      findings.add(finding);
+    }
+  }
+
+  Evidence evidence() {
+    return evidence;
+  }
+
+  ChangeLogs log() {
+    return log;
+  }
+
+  SoakRunner runner(int target) {
+    return runners.get(target % runners.size());
+  }
+
+  SoakDispatcher dispatcher(int target) {
+    return dispatchers.get(target % dispatchers.size());
+  }
+
+  /** Ends all that is left. */
+  @Override
+  public void close() throws IOException {
+    dispatchers.forEach(SoakDispatcher::close);
+    clock.shutdownNow();
+    for (SoakRunner runner : runners) {
+      runner.close();
+    }
+    if (log != null) {
+      log.close();
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/SoakRunner.java
@@ -0,0 +1,215 @@
+package gorseladder.soak;
+
+import gorseladder.runtime.Clock;
+import gorseladder.testbed.platform.PlatformRunner;
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A runner that speaks the platform's lines behind a {@link FaultProxy}: each request takes its time, answers come in any order,
+ * and what arrived, ended or was given up is written down. Any thread.
+ */
+final class SoakRunner implements Closeable {
+  /** Requests a second that a warm runner of this kind is taken to bear, for the budget of a cold one. */
+  static final double PER_SECOND = 30;
+
+  /** Time of a request, in milliseconds. */
+  private static final int WORK_MILLIS = 15;
+
+  private static final int WORK_SPREAD_MILLIS = 20;
+
+  private final Evidence evidence;
+  private final ScheduledExecutorService clock;
+  private final ServerSocket server;
+  private final FaultProxy proxy;
+  private volatile String uid;
+  private volatile long startedAt;
+  private volatile long hangsUntil;
+  private volatile long spoilsUntil;
+  private volatile long refusesUntil;
+
+  /** Listens; the runner is known under that id. */
+  SoakRunner(String uid, Evidence evidence, ScheduledExecutorService clock) throws IOException {
+    this.uid = uid;
+    this.evidence = evidence;
+    this.clock = clock;
+    server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+    proxy = new FaultProxy((InetSocketAddress) server.getLocalSocketAddress());
+    FaultProxy.start("runner-accept", this::accept);
+  }
+
+  String uid() {
+    return uid;
+  }
+
+  FaultProxy proxy() {
+    return proxy;
+  }
+
+  /** When its process started, 0 for long ago. */
+  long startedAt() {
+    return startedAt;
+  }
+
+  /** Starts anew, cold, under an id; its connections are reset. */
+  void restart(String as) {
+    uid = as;
+    startedAt = Clock.micros();
+    proxy.resetAll();
+  }
+
+  void hang(long micros) {
+    hangsUntil = Clock.micros() + micros;
+  }
+
+  void spoil(long micros) {
+    spoilsUntil = Clock.micros() + micros;
+  }
+
+  void refuse(long micros) {
+    refusesUntil = Clock.micros() + micros;
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        FaultProxy.start("runner", () -> serve(socket));
+      }
+    } catch (IOException e) {
+      // Closed.
+    }
+  }
+
+  private void serve(Socket socket) {
+    Map<String, Evidence.Arrived> here = new ConcurrentHashMap<>();
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      OutputStream out = socket.getOutputStream();
+      for (int first = in.read(); first >= 0; first = in.read()) {
+        long firstByteAt = Clock.micros();
+        String[] words = line(first, in).split(" ");
+        switch (words[0]) {
+          case "go" -> go(words, firstByteAt, in, out, here);
+          case "halt" -> ended(here.remove(words[1]), false);
+          case "stage" -> write(out, words[1] + " ok pods=1 0\r\n\r\n");
+          default -> write(out, words.length > 1 ? words[1] + " no - 0\r\n\r\n" : "");
+        }
+      }
+    } catch (IOException e) {
+      // Ended by either side.
+    } finally {
+      here.values().forEach(attempt -> ended(attempt, false));
+    }
+  }
+
+  private static String line(int first, InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int b = first; b != '\n'; b = in.read()) {
+      if (b < 0) {
+        throw new IOException("half a line");
+      }
+      line.append((char) b);
+    }
+    return line.toString().strip();
+  }
+
+  private static void write(OutputStream out, String text) throws IOException {
+    synchronized (out) {
+      out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+  }
+
+  private static void ended(Evidence.Arrived attempt, boolean neverRan) {
+    if (attempt != null && attempt.endedAt == 0) {
+      attempt.neverRan = neverRan;
+      attempt.endedAt = Clock.micros();
+    }
+  }
+
+  private void go(
+      String[] words,
+      long firstByteAt,
+      InputStream in,
+      OutputStream out,
+      Map<String, Evidence.Arrived> here)
+      throws IOException {
+    byte[] body = in.readNBytes(Integer.parseInt(words[3]));
+    in.readNBytes(2);
+    Map<String, String> fields = new HashMap<>();
+    for (String pair : words[2].split(",")) {
+      int equals = pair.indexOf('=');
+      fields.put(pair.substring(0, equals), pair.substring(equals + 1));
+    }
+    long now = Clock.micros();
+    Evidence.Arrived attempt = new Evidence.Arrived(
+        words[1],
+        this,
+        firstByteAt,
+        now,
+        Long.parseLong(fields.get("max")) * 1_000,
+        fields.get("key"),
+        proxy.heldUp(now));
+    evidence.arrived(attempt);
+    here.put(attempt.id, attempt);
+    if (now < hangsUntil) {
+      return;
+    }
+    if (now < refusesUntil) {
+      boolean refused = ThreadLocalRandom.current().nextBoolean();
+      here.remove(attempt.id);
+      ended(attempt, refused);
+      write(out, attempt.id + (refused ? " refused depth=3 0\r\n\r\n" : " error - 0\r\n\r\n"));
+      return;
+    }
+    String result =
+        PlatformRunner.result(attempt.id, new String(body, StandardCharsets.ISO_8859_1));
+    int takes = WORK_MILLIS + ThreadLocalRandom.current().nextInt(WORK_SPREAD_MILLIS);
+    clock.schedule(() -> answer(attempt, result, out, here), takes, TimeUnit.MILLISECONDS);
+  }
+
+  private void answer(
+      Evidence.Arrived attempt,
+      String result,
+      OutputStream out,
+      Map<String, Evidence.Arrived> here) {
+    if (here.remove(attempt.id) == null || Clock.micros() < hangsUntil) {
+      return;
+    }
+    ended(attempt, false);
+    String served = attempt.id + " ok remark=up " + result.length() + "\r\n" + result + "\r\n";
+    int spoilt = Clock.micros() < spoilsUntil ? ThreadLocalRandom.current().nextInt(8) : 8;
+    try {
+      switch (spoilt) {
+        case 0 -> write(out, "\u0007 noise\r\n");
+        case 1 -> write(out, served.substring(0, served.length() / 2) + "\r\n\r\n");
+        case 2 -> write(out, served + served);
+        case 3 -> write(out, "ffffffffffffffff ok - 1\r\nx\r\n" + served);
+        default -> write(out, served);
+      }
+    } catch (IOException e) {
+      // The connection has ended; the attempt may have run.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    proxy.close();
+    server.close();
+  }
+}
--- a/scale/src/main/java/gorseladder/scale/ChildProcess.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
@@ -1,4 +1,4 @@
-package gorseladder.scale;
+package gorseladder.testbed.process;
 
 import java.io.File;
 import java.io.IOException;
@@ -12,23 +12,24 @@
  * A process that ends when this one does, in whatever way: a shell holds a pipe to this process and ends its child when
  * the pipe closes. Any thread.
  */
-final class ChildProcess implements AutoCloseable {
+public final class ChildProcess implements AutoCloseable {
   /** The shell keeps the pipe as descriptor 3; the command runs without it. */
-  private static final String GUARD =
-      "exec 3<&0; %s 3<&- </dev/null & child=$!; echo $child; read line <&3; "
-          + "kill -9 $child 2>/dev/null; wait $child 2>/dev/null";
+  private static final String GUARD = "exec 3<&0; %s 3<&- </dev/null & child=$!; echo $child; "
+      + "{ read line <&3; kill -9 $child 2>/dev/null; } & reader=$!; "
+      + "wait $child 2>/dev/null; code=$?; kill $reader 2>/dev/null; echo $code";
 
   private static final long END_SECONDS = 10;
 
   private final Process shell;
   private final ProcessHandle child;
+  private int exitCode;
 
   /**
    * Starts a command of the shell.
    *
    * @throws IOException where the shell cannot be started or does not name its child
    */
-  ChildProcess(String command, Path directory, Map<String, String> environment, File log)
+  public ChildProcess(String command, Path directory, Map<String, String> environment, File log)
       throws IOException {
     ProcessBuilder builder = new ProcessBuilder("sh", "-c", GUARD.formatted("{ " + command + "; }"))
         .directory(directory.toFile())
@@ -45,19 +46,40 @@
         .orElseThrow(() -> new IOException("ended at once"));
   }
 
-  long pid() {
+  /** Its number. */
+  public long pid() {
     return child.pid();
   }
 
-  boolean isAlive() {
+  /** True until it has ended. */
+  public boolean isAlive() {
     return child.isAlive();
   }
 
   /** Processor time so far; empty where the process has ended. */
-  Optional<Duration> processorTime() {
+  public Optional<Duration> processorTime() {
     return child.info().totalCpuDuration();
   }
 
+  /**
+   * Sends it a signal by its short name, as {@code TERM}.
+   *
+   * @throws IOException where that cannot be done
+   */
+  public void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+  }
+
+  /** Waits for its end: its exit code (128 and more where a signal ended it), or -1 where it runs on after that time. */
+  public int await(long millis) throws IOException, InterruptedException {
+    if (!shell.waitFor(millis, TimeUnit.MILLISECONDS)) {
+      return -1;
+    }
+    String line = shell.inputReader().readLine();
+    exitCode = line == null ? exitCode : Integer.parseInt(line.strip());
+    return exitCode;
+  }
+
   /** Ends the process at once. */
   @Override
   public void close() {
--- a/scale/src/main/java/gorseladder/scale/RunLine.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
@@ -1,4 +1,4 @@
-package gorseladder.scale;
+package gorseladder.testbed.process;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 
 /** The command by which the deploy file starts a dispatcher. */
-final class RunLine {
+public final class RunLine {
   private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
   private static final Path JAR = Path.of("app/target/gorseladder.jar");
   private static final String JAR_COMMAND = "-jar " + JAR + " node";
@@ -21,7 +21,12 @@
    *
    * @throws IOException where there is no deploy file or no such line in it
    */
-  static String read(Path root) throws IOException {
+  public static String read(Path root) throws IOException {
+    return read(root, MAIN);
+  }
+
+  /** The same; a program that does not run from the jar starts {@code main}, a class and its arguments. */
+  public static String read(Path root, String main) throws IOException {
     Path file = root.resolve(DEPLOY_FILE);
     Matcher run = RUN.matcher(Files.readString(file));
     if (!run.find() || !run.group(1).contains(JAR_COMMAND)) {
@@ -32,6 +37,6 @@
         .toAbsolutePath()
         .normalize()
         .equals(root.resolve(JAR).toAbsolutePath().normalize());
-    return fromJar ? run.group(1) : run.group(1).replace(JAR_COMMAND, "-cp " + own + " " + MAIN);
+    return fromJar ? run.group(1) : run.group(1).replace(JAR_COMMAND, "-cp " + own + " " + main);
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -6,6 +6,7 @@
 
 import gorseladder.node.NodeMain;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
+import gorseladder.testbed.process.RunLine;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -19,8 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,7 +27,6 @@
 /** The dispatcher as {@code deploy/balancer.toml} starts it, but for the jar: signals and the end of the process. */
 class NodeProcessTest {
   private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
-  private static final String JAR = "-jar app/target/gorseladder.jar node";
 
   private final List<String> events = new ArrayList<>();
 
@@ -55,13 +53,7 @@
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       listen = (InetSocketAddress) free.getLocalSocketAddress();
     }
-    Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
-        .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
-    assertTrue(run.find() && run.group(1).contains(JAR), "the run line");
-    String command = run.group(1)
-        .replace(
-            JAR,
-            "-cp " + System.getProperty("java.class.path") + " " + NodeProcess.class.getName());
+    String command = RunLine.read(ROOT, NodeProcess.class.getName());
     ProcessBuilder builder = new ProcessBuilder("sh", "-c", first + command)
         .directory(ROOT.toFile())
         .redirectErrorStream(true)
--- a/scale/src/test/java/gorseladder/scale/ChildProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/process/ChildProcessTest.java
@@ -1,4 +1,4 @@
-package gorseladder.scale;
+package gorseladder.testbed.process;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
