Three failing tests of the ledger: a disk that fails for a while, a second attempt's record

Cause, none mended here: commit() sets broken for good at whatever fails, also where an expired file cannot be removed; the users' terms say "for a while". And recordLeaving says "stands already" (ticket 0) as soon as a first attempt has put the record, though it may not be written: a second attempt beside it leaves unrecorded, and a kill then makes a sender's retry run again.

Change: what the ledger does with files (write, sync, remove) goes by its Sink, so that tests can make each fail; no behaviour changes.

--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -143,6 +143,17 @@
     assertTrue(left < 3_000 && ends.get() == 3_000, left + " left");
   }
 
+  /** A second attempt beside the first, or after it: it may not leave before the record of the leaving stands either. */
+  @Test
+  void eachAttemptWaitsForTheRecordOfTheFirstLeaving() throws IOException {
+    TakenCall call = call("twice", false);
+    call.begin("v", 0, 0);
+    long first = call.recordLeaving(9);
+    call.begin("w", 0, 0);
+    assertTrue(first > 0);
+    assertEquals(first, call.recordLeaving(9));
+  }
+
   private static boolean leaves(TakenCall call, int attempt) {
     Call.LastLook look = new Call.LastLook(Long.MAX_VALUE, false, false, 0, false);
     return call.leave(attempt, look, 1).allowed();
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -26,10 +26,20 @@
   private static final int FORMAT = 3;
   private static final int MOST_FRAME = 1 << 30;
 
-  /** Writes bytes to a file; tests give one that fails. */
+  /** What is done with files; tests give one that fails. */
   interface Sink {
     void write(FileChannel to, ByteBuffer bytes) throws IOException;
 
+    /** Makes what was written last. */
+    default void force(FileChannel written) throws IOException {
+      written.force(false);
+    }
+
+    /** Removes a file. */
+    default void remove(Path file) throws IOException {
+      Files.deleteIfExists(file);
+    }
+
     /** Writes all of them. */
     Sink PLAIN = (to, bytes) -> {
       while (bytes.hasRemaining()) {
@@ -88,14 +98,14 @@
         .putInt(8, Digests.crc(frame.array(), FRAME_HEAD, length));
     sink.write(out, frame);
     if (sync) {
-      out.force(false);
+      sink.force(out);
     }
   }
 
   /** No further frame comes: what was written is made to last before a later file has any. */
   void seal() throws IOException {
     if (out != null) {
-      out.force(false);
+      sink.force(out);
       out.close();
       out = null;
     }
@@ -215,6 +225,6 @@
   /** Removes the file: all in it may be forgotten. */
   void drop() throws IOException {
     close();
-    Files.deleteIfExists(file);
+    sink.remove(file);
   }
 }
--- a/store/src/test/java/gorseladder/store/LedgerTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerTest.java
@@ -9,6 +9,8 @@
 
 import gorseladder.store.LedgerEntry.Stage;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,6 +24,8 @@
 import org.h2.mvstore.MVStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LedgerTest {
   @TempDir
@@ -355,4 +359,106 @@
     }
     ledger.close();
   }
+
+  /** A disk whose writes, syncs and removals fail while it is told so; a failing write leaves a half behind. */
+  private static final class Disk implements LedgerSegment.Sink {
+    private volatile boolean writesFail;
+    private volatile boolean syncsFail;
+    private volatile boolean removalsFail;
+
+    @Override
+    public void write(FileChannel to, ByteBuffer bytes) throws IOException {
+      if (writesFail) {
+        to.write(bytes.slice(0, bytes.remaining() / 2));
+        throw new IOException("No space left on device");
+      }
+      PLAIN.write(to, bytes);
+    }
+
+    @Override
+    public void force(FileChannel written) throws IOException {
+      if (syncsFail) {
+        throw new IOException("Input/output error");
+      }
+      written.force(false);
+    }
+
+    @Override
+    public void remove(Path file) throws IOException {
+      if (removalsFail) {
+        throw new IOException("Input/output error");
+      }
+      Files.deleteIfExists(file);
+    }
+  }
+
+  private static void awaitRoom(Ledger ledger) throws InterruptedException {
+    for (int i = 0; i < 300 && !ledger.hasRoom(); i++) {
+      Thread.sleep(10);
+    }
+    assertTrue(ledger.hasRoom(), "the disk has room again");
+  }
+
+  /** While writes or syncs fail nothing new is taken and no one is promised anything; then what was put is written after all. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aDiskThatFailsForAWhileLosesNothing(boolean writes) throws Exception {
+    Disk disk = new Disk();
+    try (Ledger ledger = Ledger.open(folder(), true, 100_000, 1_000, disk)) {
+      for (int i = 0; i < 20; i++) {
+        ledger.await(ledger.put("before" + i, entry(Stage.LEAVING, 1_000)));
+      }
+      disk.writesFail = writes;
+      disk.syncsFail = !writes;
+      long ticket = ledger.put("during", entry(Stage.LEAVING, 1_000));
+      assertThrows(LedgerException.class, () -> ledger.await(ticket));
+      assertFalse(ledger.hasRoom());
+      assertEquals(Stage.LEAVING, ledger.get("during").stage(), "it may be written yet");
+      LedgerEntry served =
+          entry(Stage.LEAVING, 1_000).ended(Stage.SERVED, true, "served", 200, new byte[] {7});
+      long end = ledger.put("before3", served);
+      assertThrows(LedgerException.class, () -> ledger.await(end));
+      Thread.sleep(300);
+      disk.writesFail = false;
+      disk.syncsFail = false;
+      awaitRoom(ledger);
+      ledger.await(end);
+      ledger.await(ledger.put("after", entry(Stage.ACCEPTED, 1_000)));
+      Path copy = dir.resolve("copy");
+      copy(folder(), copy);
+      for (Ledger read : List.of(ledger, open(copy))) {
+        assertEquals(Stage.LEAVING, read.get("during").stage());
+        assertEquals(Stage.SERVED, read.get("before3").stage());
+        assertEquals(Stage.ACCEPTED, read.get("after").stage());
+        assertEquals(Stage.LEAVING, read.get("before19").stage());
+        if (read != ledger) {
+          read.close();
+        }
+      }
+    }
+  }
+
+  /** A file that cannot be removed yet is of no consequence for what is written. */
+  @Test
+  void aFileThatCannotBeRemovedStopsNothing() throws Exception {
+    Disk disk = new Disk();
+    try (Ledger ledger = Ledger.open(folder(), false, 100_000, 1_000, disk)) {
+      for (int i = 0; i < 60; i++) {
+        ledger.await(ledger.put("k" + i, entry(Stage.LEAVING, 50)));
+      }
+      int files = segments(folder()).size();
+      disk.removalsFail = true;
+      ledger.forgetUntil(100);
+      ledger.await(ledger.put("a", entry(Stage.LEAVING, 1_000)));
+      ledger.await(ledger.put("b", entry(Stage.LEAVING, 1_000)));
+      assertTrue(ledger.hasRoom());
+      assertNull(ledger.get("k1"));
+      disk.removalsFail = false;
+      for (int i = 0; i < 300 && segments(folder()).size() >= files; i++) {
+        ledger.forgetUntil(101 + i);
+        Thread.sleep(10);
+      }
+      assertTrue(segments(folder()).size() < files, "they go later");
+    }
+  }
 }
