The ledger outlives a disk that fails for a while; its time is a span; attempts wait for one record

Cause. 1: commit() treated every failure as final, the removal of an expired file too. Class: a state that has no way back. 2: recordLeaving took a record that was put as one that is written (found by reading, not seen). Class: put and durable mixed up; crosses a second attempt, or one after a failed write, with a kill. 3: the ledger counted by the wall clock: after a step of an hour forward it forgot what it was to remember (an unsafe message delivered again would run twice), after one back a keyed message's window began anew. Class: differences of a clock that may be stepped, used as spans.

The frame that could not be written is written again at the same place every 50 ms, after the file was cut there; while it fails waits end with an exception, hasRoom is false (new calls are refused, LEDGER_UNAVAILABLE), and ends of calls in hand are kept up to 32 MB and written afterwards. A file that cannot be removed is tried again at the next commit. The edge logs when trouble begins and ends. Every attempt waits for the ticket of the one leaving record.

What an edge owes meanwhile: answers to what it took, and to new callers a refusal that says so; nothing leaves unrecorded.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -27,6 +27,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,6 +52,7 @@
   private final HttpServer server;
   private final CallLog log = new CallLog();
   private final AtomicBoolean closed = new AtomicBoolean();
+  private String ledgerTrouble;
 
   /**
    * Starts an edge by checked settings.
@@ -233,12 +235,25 @@
     watchdog.after(TIDY_EVERY, () -> {
       if (!closed.get()) {
         runners.tidy();
-        ledger.forgetUntil(Clock.wallMicros());
+        ledger.forgetUntil(ledger.clock().micros());
+        tellLedgerTrouble();
         tidyLater();
       }
     });
   }
 
+  private void tellLedgerTrouble() {
+    String trouble = ledger.trouble();
+    if (!Objects.equals(trouble, ledgerTrouble)) {
+      LOG.warn(
+          "the ledger {}",
+          trouble == null
+              ? "is written again"
+              : "cannot be written and is tried again: " + trouble);
+      ledgerTrouble = trouble;
+    }
+  }
+
   /** Where webhooks are taken. */
   public InetSocketAddress address() {
     return server.address();
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -9,6 +9,7 @@
 import gorseladder.runtime.Clock;
 import gorseladder.store.Digests;
 import gorseladder.store.Ledger;
+import gorseladder.store.LedgerClock;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
 import gorseladder.store.LedgerException;
@@ -32,7 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
   private static final int STRIPES = 256;
 
-  /** What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is wall time. */
+  /** What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is the ledger's time. */
   public record Delivery(
       String message,
       String request,
@@ -104,6 +105,11 @@
     stopping = true;
   }
 
+  /** The time by which messages are remembered. */
+  public LedgerClock clock() {
+    return ledger.clock();
+  }
+
   /** Calls in hand. */
   public int inHand() {
     return live.size();
@@ -132,12 +138,12 @@
         boolean requestOut = requestsOut.contains(d.request());
         TakenCall out = live.get(d.message());
         LedgerEntry known = out != null ? out.entry() : ledger.get(d.message());
-        long wall = Clock.wallMicros();
+        long now = ledger.clock().micros();
         Verdict verdict = Repeats.onDelivery(
             d.requestClass(),
             requestOut || ledger.seen(d.request()),
             known == null ? null : known(known, out != null, content),
-            wall,
+            now,
             d.patience());
         if (verdict.deed() != Repeats.Deed.RUN) {
           return turned(verdict, d, known, out);
@@ -151,9 +157,9 @@
         LedgerEntry entry = new LedgerEntry(
             Stage.ACCEPTED,
             known != null && known.mayHaveRun(),
-            wall,
+            now,
             known == null ? 0 : known.leftAt(),
-            known == null ? wall + keepMicros : known.keepUntil(),
+            known == null ? now + keepMicros : known.keepUntil(),
             content,
             "",
             0,
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -25,6 +25,7 @@
   private final String request;
 
   private final long requestKeepUntil;
+  private long leavingTicket;
   private long endTicket;
   private int waiters = 1;
 
@@ -64,15 +65,22 @@
   }
 
   /**
-   * Records that bytes of this call are about to leave for a runner; returns the ticket to wait for, 0 where the record
-   * stands already.
+   * Records that bytes of this call are about to leave for a runner; returns the ticket to wait for, 0 where the call has ended.
+   * Every attempt waits for the one record: that an earlier attempt put it does not say that it is written.
+   *
+   * @param now the ledger's time
    */
-  public synchronized long recordLeaving(long wallNow) throws LedgerException {
-    if (over() || entry.stage() == Stage.LEAVING) {
+  public synchronized long recordLeaving(long now) throws LedgerException {
+    if (over()) {
       return 0;
     }
-    entry = entry.at(Stage.LEAVING, true, entry.mayHaveRun() ? entry.leftAt() : wallNow);
-    return ledger.put(facts().message(), entry);
+    if (leavingTicket == 0) {
+      LedgerEntry leaving =
+          entry.at(Stage.LEAVING, true, entry.mayHaveRun() ? entry.leftAt() : now);
+      leavingTicket = ledger.put(facts().message(), leaving);
+      entry = leaving;
+    }
+    return leavingTicket;
   }
 
   @Override
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -326,7 +326,10 @@
       }
       // Remembered past the last moment at which the same time stamp could pass again, with the
       // tolerance as slack.
-      long keepRequest = (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000;
+      long keepRequest = intake
+          .clock()
+          .fromNow(
+              (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000, Clock.wallMicros());
       long patience = Math.min(requestClass.deadline(), patience(head));
       turn.give();
       Intake.Result result = intake.take(new Intake.Delivery(
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -209,7 +209,7 @@
       progress = Progress.CONNECTED;
       if (Repeats.recordBeforeSend(effect)) {
         try {
-          ledger.await(call.recordLeaving(Clock.wallMicros()));
+          ledger.await(call.recordLeaving(ledger.clock().micros()));
         } catch (LedgerException e) {
           LOG.error("an attempt was not sent: {}", e.getMessage());
           end(Ending.GATE_CLOSED);
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -28,9 +28,10 @@
  * tables in memory of where each record stands. Group commit: whoever needs durability puts its records, gets a ticket and waits
  * for it, and one thread writes whatever has gathered since its last write as one frame.
  *
- * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a power cut. A
- * failed write (a full disk) makes the ledger unavailable for good in this process, since what was put but not written cannot be
- * told apart from what was; waiting callers and all later ones get an exception.
+ * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a power cut.
+ * While writes or syncs fail (a full disk, an error of the device) nothing is promised: whoever waits gets an exception, and
+ * {@link #hasRoom} says that nothing new should be taken. What was put is kept, within a bound, and written again at the same
+ * place until that succeeds, so that the ends of calls in hand are not forgotten. A file that cannot be removed is tried again.
  *
  * <p>What has expired is not found any more; its bytes go when all of its segment has expired. Bounded by age and by number. Any
  * thread; atomicity over several calls is the caller's.
@@ -49,6 +50,10 @@
   private static final long COUNTED = 1_000_000;
   /** Bytes that gather before a write begins without being asked for. */
   private static final int MOST_GATHERED = 1 << 20;
+  /** Bytes that are kept while they cannot be written; past it nothing more can be put. */
+  private static final int MOST_UNWRITTEN = 32 << 20;
+  /** Between two tries of a write that failed. */
+  private static final long RETRY_NANOS = 50_000_000;
 
   private static final ThreadLocal<MessageDigest> SHA = ThreadLocal.withInitial(Digests::sha256);
 
@@ -61,6 +66,8 @@
   /** Tables are keyed by a digest with this in it, so that no sender can choose where its messages come to stand. */
   private final byte[] salt = new byte[16];
 
+  private final LedgerClock clock;
+
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition changed = lock.newCondition();
   private final Thread committer;
@@ -69,10 +76,11 @@
   private final List<LedgerSegment> segments = new ArrayList<>();
 
   private final TreeMap<Long, Integer> expiring = new TreeMap<>();
+  private final List<LedgerSegment> unremoved = new ArrayList<>();
   private Gathered pending = new Gathered();
-  private Gathered writing;
-  private LedgerSegment writingTo;
-  private int writingAt;
+  /** What is being written, or is to be written again; null where nothing is. */
+  private Frame writing;
+
   private int count;
   private long seenBoots;
   private long issued;
@@ -80,11 +88,23 @@
   private long commits;
   private boolean wanted;
   private boolean closing;
-  private volatile Throwable broken;
+  /** Why the last write failed; null where it did not. */
+  private volatile Throwable failure;
+
+  private boolean ended;
   private volatile long now;
 
   private record Digest(long first, long second) {}
 
+  /**
+   * What one commit writes.
+   *
+   * @param at where in the segment's file
+   * @param upTo the last ticket in it
+   * @param seals no further frame of the segment comes after it
+   */
+  private record Frame(Gathered bytes, LedgerSegment to, int at, long upTo, boolean seals) {}
+
   /** A frame that gathers what is put; its head is filled in when it is written. */
   private static final class Gathered extends ByteArrayOutputStream {
     Gathered() {
@@ -124,6 +144,7 @@
         throw new IOException("another process holds it");
       }
       load();
+      clock = LedgerClock.open(folder);
     } catch (OverlappingFileLockException e) {
       lockFile.close();
       throw new IOException("it is open already", e);
@@ -239,7 +260,18 @@
 
   /** True while records can be written and there is room for a further message. */
   public boolean hasRoom() {
-    return broken == null && size() < maxMessages;
+    return failure == null && size() < maxMessages;
+  }
+
+  /** Why nothing can be written at present; null where it can. */
+  public String trouble() {
+    Throwable why = failure;
+    return why == null ? null : String.valueOf(why.getMessage());
+  }
+
+  /** The time by which it remembers and forgets. */
+  public LedgerClock clock() {
+    return clock;
   }
 
   /**
@@ -310,7 +342,9 @@
     Digest request = digest('r', record.request());
     lock.lock();
     try {
-      requireWritable();
+      if (failure != null && pending.size() > MOST_UNWRITTEN) {
+        throw unwritable();
+      }
       LedgerSegment segment = active();
       int at = segment.end + pending.size();
       pending.writeBytes(bytes);
@@ -351,8 +385,8 @@
       if (segment == active() && at >= segment.end) {
         return pending.at(at - segment.end);
       }
-      if (segment == writingTo && at >= writingAt) {
-        return writing.at(at - writingAt);
+      if (writing != null && segment == writing.to() && at >= writing.at()) {
+        return writing.bytes().at(at - writing.at());
       }
       return segment.read(at);
     } catch (IOException | IllegalArgumentException e) {
@@ -372,11 +406,10 @@
     return new Digest(out.getLong(), out.getLong());
   }
 
-  private void requireWritable() throws LedgerException {
-    if (broken != null) {
-      throw new LedgerException(
-          "ledger " + folder + " cannot be written: " + broken.getMessage(), broken);
-    }
+  private LedgerException unwritable() {
+    Throwable why = failure;
+    String said = why == null ? "it is closed" : why.getMessage();
+    return new LedgerException("ledger " + folder + " cannot be written: " + said, why);
   }
 
   private void want() {
@@ -394,17 +427,23 @@
     }
   }
 
-  /** Waits until everything up to the ticket is written. */
+  /**
+   * Waits until everything up to the ticket is written.
+   *
+   * @throws LedgerException where it cannot be written at present; it may be later
+   */
   public void await(long ticket) throws LedgerException {
     lock.lock();
     try {
       if (written < ticket) {
         want();
       }
-      while (written < ticket && broken == null) {
+      while (written < ticket && failure == null && !ended) {
         changed.awaitUninterruptibly();
       }
-      requireWritable();
+      if (written < ticket) {
+        throw unwritable();
+      }
     } finally {
       lock.unlock();
     }
@@ -432,7 +471,7 @@
     while (goesOn) {
       lock.lock();
       try {
-        while (!wanted && !closing) {
+        while (!wanted && !closing && failure == null) {
           changed.awaitUninterruptibly();
         }
         wanted = false;
@@ -440,60 +479,86 @@
       } finally {
         lock.unlock();
       }
-      commit();
-      goesOn &= broken == null;
+      if (commit()) {
+        dropExpired();
+      } else {
+        pause();
+      }
+    }
+    lock.lock();
+    try {
+      ended = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
     }
   }
 
-  /** Writes what has gathered; a segment that is full by then gets no further frame. */
-  private void commit() {
-    Throwable failure = null;
-    int wrote = 0;
-    long upTo;
-    boolean full;
+  private void pause() {
     lock.lock();
     try {
-      upTo = issued;
-      writingTo = active();
-      writingAt = writingTo.end;
-      writing = pending;
-      if (!writing.isEmpty()) {
-        writingTo.end += writing.size();
-        pending = new Gathered();
-      }
-      full = full(writingTo);
-      if (full) {
-        begin(writingTo.number + 1);
+      long left = RETRY_NANOS;
+      while (left > 0 && !closing) {
+        left = changed.awaitNanos(left);
       }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Writes what has gathered, or what could not be written before; false where it fails, and then it is to be tried again. */
+  private boolean commit() {
+    Frame frame;
+    lock.lock();
+    try {
+      writing = writing == null ? gathered() : writing;
+      frame = writing;
     } finally {
       lock.unlock();
     }
+    Throwable failed = null;
     try {
-      if (writing != pending) {
-        writingTo.append(writing.frame(), sync);
-        wrote = 1;
+      if (!frame.bytes().isEmpty()) {
+        frame.to().append(frame.bytes().frame(), frame.at(), sync);
       }
-      if (full) {
-        writingTo.seal();
+      if (frame.seals()) {
+        frame.to().seal();
       }
-      dropExpired();
     } catch (IOException | RuntimeException | Error e) {
       // Whatever ends the writing ends the waiting too.
-      failure = e;
+      failed = e;
     }
     lock.lock();
     try {
-      broken = failure;
-      if (failure == null) {
-        commits += wrote;
-        written = Math.max(written, upTo);
+      failure = failed;
+      if (failed == null) {
+        commits += frame.bytes().isEmpty() ? 0 : 1;
+        written = Math.max(written, frame.upTo());
         writing = null;
-        writingTo = null;
       }
       changed.signalAll();
     } finally {
       lock.unlock();
     }
+    return failed == null;
+  }
+
+  /** What has gathered, as a frame; a segment that is full by then gets no further one. The lock is held. */
+  private Frame gathered() {
+    LedgerSegment to = active();
+    int at = to.end;
+    Gathered bytes = pending;
+    if (!bytes.isEmpty()) {
+      to.end += bytes.size();
+      pending = new Gathered();
+    }
+    boolean seals = full(to);
+    if (seals) {
+      begin(to.number + 1);
+    }
+    return new Frame(bytes, to, at, issued, seals);
   }
 
   private boolean full(LedgerSegment segment) {
@@ -506,24 +571,31 @@
   }
 
   /** Files and tables of which nothing is remembered any more; the last file stays, it will be written. */
-  private void dropExpired() throws IOException {
-    List<LedgerSegment> gone = new ArrayList<>();
+  private void dropExpired() {
     lock.lock();
     try {
-      for (LedgerSegment s : segments.subList(0, segments.size() - 1)) {
+      for (LedgerSegment s : List.copyOf(segments.subList(0, segments.size() - 1))) {
         if (s.requestsUntil <= now && s.requests.size() > 0) {
           s.requests = new DigestTable();
         }
         if (s.until() <= now) {
-          gone.add(s);
+          segments.remove(s);
+          unremoved.add(s);
         }
       }
-      segments.removeAll(gone);
     } finally {
       lock.unlock();
     }
-    for (LedgerSegment s : gone) {
-      s.drop();
+    unremoved.removeIf(Ledger::removed);
+  }
+
+  private static boolean removed(LedgerSegment segment) {
+    try {
+      segment.drop();
+      return true;
+    } catch (IOException e) {
+      // Of no consequence but for its bytes; tried again at the next commit.
+      return false;
     }
   }
 
@@ -562,7 +634,7 @@
       }
       lockFile.close();
     } catch (IOException e) {
-      broken = broken == null ? e : broken;
+      failure = failure == null ? e : failure;
     }
   }
 }
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -79,18 +79,33 @@
     return Math.max(messagesUntil, requestsUntil);
   }
 
-  /** Writes a frame at the end of the file, which is made at its first frame; the first bytes are kept free for its head. */
-  void append(ByteBuffer frame, boolean sync) throws IOException {
+  /**
+   * Writes a frame at a place of the file, which is made at its first frame; the first bytes are kept free for its head. What
+   * stands there and behind is of a write that failed: it was promised to nobody.
+   *
+   * @throws IOException where it was not written whole; it may then be written again at the same place
+   */
+  void append(ByteBuffer frame, int at, boolean sync) throws IOException {
+    try {
+      write(frame, at, sync);
+    } catch (IOException | RuntimeException e) {
+      letGo();
+      throw e;
+    }
+  }
+
+  private void write(ByteBuffer frame, int at, boolean sync) throws IOException {
     if (out == null) {
-      boolean fresh = !Files.exists(file) || Files.size(file) < HEAD;
       out = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
-      if (fresh) {
+      if (out.size() < HEAD) {
         ByteBuffer head = ByteBuffer.allocate(HEAD).putInt(MARK).putInt(FORMAT).putLong(number);
         head.putInt(Digests.crc(head.array(), 0, HEAD - 8)).putInt(0);
+        out.truncate(0);
         sink.write(out, head.flip());
       }
-      out.position(out.size());
+      out.truncate(at);
     }
+    out.position(at);
     int length = frame.limit() - FRAME_HEAD;
     frame
         .putInt(0, FRAME_MARK)
@@ -102,12 +117,27 @@
     }
   }
 
+  /** Closes the file for writing, whatever comes of that; a later frame opens it again. */
+  private void letGo() {
+    try {
+      if (out != null) {
+        out.close();
+      }
+    } catch (IOException e) {
+      // What was to be written is written again.
+    }
+    out = null;
+  }
+
   /** No further frame comes: what was written is made to last before a later file has any. */
   void seal() throws IOException {
-    if (out != null) {
+    if (out == null) {
+      return;
+    }
+    try {
       sink.force(out);
-      out.close();
-      out = null;
+    } finally {
+      letGo();
     }
   }
 
