A failing test: a history on a disk that was full for a while loses rows, or does not open again

Cause, not mended here: append() leaves what it wrote of a row that failed, and the next row stands behind it. At the next opening everything behind the half row is cut off from the last segment; in an earlier segment it counts as damage, and the edge does not start.

--- a/store/src/main/java/gorseladder/store/history/History.java
+++ b/store/src/main/java/gorseladder/store/history/History.java
@@ -62,8 +62,14 @@
    */
   public record Batch(long from, long next, List<HistoryRow> rows) {}
 
+  /** Writes bytes to a file; tests give one that fails. */
+  interface Sink {
+    void write(FileChannel to, ByteBuffer bytes) throws IOException;
+  }
+
   private final Path directory;
   private final Bounds bounds;
+  private final Sink sink;
   private final TreeMap<Long, Part> parts = new TreeMap<>();
   private String identity;
   private FileChannel channel;
@@ -73,14 +79,26 @@
   private long bytes;
   private long lastMinute;
 
-  private History(Path directory, Bounds bounds) {
+  private History(Path directory, Bounds bounds, Sink sink) {
     this.directory = directory;
     this.bounds = bounds;
+    this.sink = sink;
   }
 
   /** Opens a directory, cutting off a tail that was not written whole and dropping a compaction that was cut short. */
   public static History open(Path directory, Bounds bounds) throws IOException {
-    History history = new History(directory, bounds);
+    return open(directory, bounds, History::writeAll);
+  }
+
+  private static void writeAll(FileChannel to, ByteBuffer bytes) throws IOException {
+    while (bytes.hasRemaining()) {
+      to.write(bytes);
+    }
+  }
+
+  /** As above, with a way to write that tests choose. */
+  static History open(Path directory, Bounds bounds, Sink sink) throws IOException {
+    History history = new History(directory, bounds, sink);
     Files.createDirectories(directory);
     history.recover();
     return history;
@@ -151,7 +169,7 @@
         StandardOpenOption.CREATE,
         StandardOpenOption.WRITE,
         StandardOpenOption.TRUNCATE_EXISTING);
-    channel.write(ByteBuffer.wrap(Segment.head(first, 0)));
+    sink.write(channel, ByteBuffer.wrap(Segment.head(first, 0)));
     bytes = Segment.HEAD;
     lastMinute = 0;
     parts.remove(first);
@@ -162,9 +180,7 @@
     for (HistoryRow row : rows) {
       ByteBuffer record = ByteBuffer.wrap(Segment.record(row));
       bytes += record.remaining();
-      while (record.hasRemaining()) {
-        channel.write(record);
-      }
+      sink.write(channel, record);
       next++;
       lastMinute = Math.max(lastMinute, row.from() + row.minutes() - 1);
       if (bytes >= bounds.segmentBytes()) {
--- a/store/src/test/java/gorseladder/store/history/HistoryTest.java
+++ b/store/src/test/java/gorseladder/store/history/HistoryTest.java
@@ -169,4 +169,37 @@
         IllegalArgumentException.class,
         () -> new HistoryRow(-1, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
   }
+
+  /** A disk that is full for a while, within a segment and where a new one begins: what was appended before and after is there. */
+  @Test
+  void aDiskThatIsFullForAWhileSpoilsNoRow() throws IOException {
+    boolean[] full = new boolean[1];
+    History.Sink disk = (to, bytes) -> {
+      if (full[0]) {
+        to.write(bytes.slice(0, bytes.remaining() / 2));
+        throw new IOException("No space left on device");
+      }
+      while (bytes.hasRemaining()) {
+        to.write(bytes);
+      }
+    };
+    List<HistoryRow> kept = new ArrayList<>();
+    try (History history = History.open(dir, new History.Bounds(1_024, 60, 1 << 20), disk)) {
+      for (int minute = 0; minute < 300; minute++) {
+        HistoryRow row = new HistoryRow(minute, 1, "f" + minute, "c", "t", 1, 1, 0, 0, 0, 0, 0, 0);
+        full[0] = minute % 7 == 3;
+        try {
+          history.append(List.of(row));
+          kept.add(row);
+        } catch (IOException e) {
+          assertTrue(full[0], () -> "a disk with room: " + e);
+        }
+      }
+      assertEquals(kept, history.read(0, 1_000).rows());
+    }
+    try (History history = History.open(dir, new History.Bounds(1_024, 60, 1 << 20))) {
+      assertEquals(kept, history.read(0, 1_000).rows());
+      assertEquals(kept.size(), history.next());
+    }
+  }
 }
