A history outlives a disk that is full for a while: no row is lost that was appended

Class: a write that fails leaves a half behind, and nobody takes it away.

Change: what a failed write left is cut off before the next row; a segment that cannot be begun is begun by the next row, the one that was full is whole all the same.

--- a/store/src/main/java/gorseladder/store/history/History.java
+++ b/store/src/main/java/gorseladder/store/history/History.java
@@ -72,7 +72,12 @@
   private final Sink sink;
   private final TreeMap<Long, Part> parts = new TreeMap<>();
   private String identity;
+  /** The segment that is written; null where a new one could not be begun yet. */
   private FileChannel channel;
+
+  /** Bytes of a row that was not written whole may stand behind the last good one. */
+  private boolean torn;
+
   private Path file;
   private long first;
   private long next;
@@ -162,25 +167,38 @@
 
   /** Begins a new segment; the one before is whole and not written any more. */
   private void begin() throws IOException {
-    file = name(next);
-    first = next;
-    channel = FileChannel.open(
-        file,
+    Path fresh = name(next);
+    FileChannel opened = FileChannel.open(
+        fresh,
         StandardOpenOption.CREATE,
         StandardOpenOption.WRITE,
         StandardOpenOption.TRUNCATE_EXISTING);
-    sink.write(channel, ByteBuffer.wrap(Segment.head(first, 0)));
+    try {
+      sink.write(opened, ByteBuffer.wrap(Segment.head(next, 0)));
+    } catch (IOException e) {
+      opened.close();
+      throw e;
+    }
+    channel = opened;
+    file = fresh;
+    first = next;
+    torn = false;
     bytes = Segment.HEAD;
     lastMinute = 0;
     parts.remove(first);
   }
 
-  /** Appends rows; they survive a kill of the process, and a power cut once {@link #force()} returned. Returns the next number. */
+  /**
+   * Appends rows; they survive a kill of the process, and a power cut once {@link #force()} returned. Returns the next number.
+   *
+   * @throws IOException where a row cannot be written; those before it were, it and those behind it were not
+   */
   public synchronized long append(List<HistoryRow> rows) throws IOException {
     for (HistoryRow row : rows) {
       ByteBuffer record = ByteBuffer.wrap(Segment.record(row));
-      bytes += record.remaining();
-      sink.write(channel, record);
+      int length = record.remaining();
+      write(record);
+      bytes += length;
       next++;
       lastMinute = Math.max(lastMinute, row.from() + row.minutes() - 1);
       if (bytes >= bounds.segmentBytes()) {
@@ -190,16 +208,37 @@
     return next;
   }
 
-  private void roll() throws IOException {
-    channel.force(false);
-    channel.close();
+  /** Writes a record behind the last good one; what a write that failed left there goes first. */
+  private void write(ByteBuffer record) throws IOException {
+    if (channel == null) {
+      begin();
+    }
+    if (torn) {
+      channel.truncate(bytes);
+      channel.position(bytes);
+    }
+    torn = true;
+    sink.write(channel, record);
+    torn = false;
+  }
+
+  /** Ends a segment. Where the next one cannot be begun now, the next row tries again: this one is written in any case. */
+  private void roll() {
     parts.put(first, new Part(file, first, next - first, bytes, lastMinute, false));
-    begin();
+    try (FileChannel whole = channel) {
+      channel = null;
+      whole.force(false);
+      begin();
+    } catch (IOException e) {
+      // The row after this one tells, where it still fails.
+    }
   }
 
   /** Writes through to disk. */
   public synchronized void force() throws IOException {
-    channel.force(false);
+    if (channel != null) {
+      channel.force(false);
+    }
   }
 
   /** Names this history: a reader that remembers numbers of another one begins anew. */
@@ -218,7 +257,9 @@
     long begins = -1;
     long at = from;
     List<Part> all = new ArrayList<>(parts.values());
-    all.add(new Part(file, first, next - first, bytes, lastMinute, false));
+    if (channel != null) {
+      all.add(new Part(file, first, next - first, bytes, lastMinute, false));
+    }
     for (Part part : all) {
       if (part.end() <= from || rows.size() >= most) {
         continue;
@@ -244,7 +285,8 @@
         coarsen(part);
       }
     }
-    long total = bytes + parts.values().stream().mapToLong(Part::bytes).sum();
+    long total = (channel == null ? 0 : bytes)
+        + parts.values().stream().mapToLong(Part::bytes).sum();
     while (total > bounds.maxBytes() && !parts.isEmpty()) {
       Part oldest = parts.pollFirstEntry().getValue();
       Files.deleteIfExists(oldest.file());
@@ -287,12 +329,20 @@
 
   /** Bytes on disk. */
   public synchronized long bytes() {
-    return bytes + parts.values().stream().mapToLong(Part::bytes).sum();
+    return (channel == null ? 0 : bytes)
+        + parts.values().stream().mapToLong(Part::bytes).sum();
   }
 
   @Override
   public synchronized void close() throws IOException {
-    channel.force(false);
-    channel.close();
+    if (channel == null) {
+      return;
+    }
+    try (FileChannel last = channel) {
+      if (torn) {
+        last.truncate(bytes);
+      }
+      last.force(false);
+    }
   }
 }
