--- a/app/src/main/java/gorseladder/app/SoakCommand.java
+++ b/app/src/main/java/gorseladder/app/SoakCommand.java
@@ -1,14 +1,19 @@
 package gorseladder.app;
 
+import gorseladder.soak.EdgeSoak;
 import gorseladder.soak.Finding;
+import gorseladder.soak.PlantedFault;
+import gorseladder.soak.Preload;
 import gorseladder.soak.SoakPlan;
 import gorseladder.soak.SoakRun;
 import gorseladder.soak.Trouble;
+import gorseladder.testbed.process.RunLine;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -62,6 +67,24 @@
       description = "Where deploy/balancer.toml is (default: here).")
   private Path root;
 
+  @Option(
+      names = "--planted",
+      description = "Try the oracle instead: plant one fault after the other; each must be found.")
+  private boolean planted;
+
+  @Option(
+      names = "--edge",
+      description =
+          "Play days of an edge with a ledger instead: clock steps, a failing disk, kills.")
+  private boolean edge;
+
+  @Option(
+      names = "--cores",
+      paramLabel = "N",
+      defaultValue = "0",
+      description = "Let all dispatchers share the first N cores (default: all cores).")
+  private int cores;
+
   @Override
   public Integer call() throws IOException, InterruptedException {
     String[] range = seeds.split("-", 2);
@@ -74,13 +97,19 @@
       return Main.BAD_USAGE;
     }
     Path folder = logs == null ? Files.createTempDirectory("gorseladder-soak-") : logs;
+    if (edge) {
+      return edges(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]), folder);
+    }
+    if (planted) {
+      return tryOracle(Long.parseLong(range[0]), folder);
+    }
     int broken = 0;
     for (long seed = Long.parseLong(range[0]);
         seed <= Long.parseLong(range[range.length - 1]);
         seed++) {
       SoakPlan plan = SoakPlan.draw(seed, processes, seconds * 1_000_000L, troubles);
       try (SoakRun run = new SoakRun(
-          plan, root.toAbsolutePath().normalize(), folder.resolve("seed" + seed), null)) {
+          plan, root.toAbsolutePath().normalize(), folder.resolve("seed" + seed), command())) {
         broken += print(run.play()) ? 0 : 1;
       }
     }
@@ -88,11 +117,67 @@
     return broken == 0 ? Main.GOOD : Main.BROKEN;
   }
 
+  /** The run line, within so many cores; null for the run line as it is. */
+  private String command() throws IOException {
+    return cores == 0
+        ? null
+        : RunLine.read(root).replace("exec ", "exec taskset -c 0-" + (cores - 1) + " ");
+  }
+
+  private int edges(long first, long last, Path folder) throws IOException, InterruptedException {
+    Files.createDirectories(folder);
+    Optional<Preload> preload = Preload.build(folder);
+    if (preload.isEmpty()) {
+      System.err.println(
+          "gorseladder: no C compiler here, so no disk can fail: nothing was played");
+      return Main.CANNOT_START;
+    }
+    boolean good = true;
+    for (long seed = first; seed <= last; seed++) {
+      EdgeSoak soak =
+          new EdgeSoak(seed, seconds * 1_000_000L, folder.resolve("edge" + seed), preload.get());
+      EdgeSoak.Result result = soak.play();
+      good &= result.breaks().isEmpty();
+      System.out.printf(
+          Locale.ROOT,
+          "edge seed %d: %d troubles; %d messages, %d ended served, %d not; %d calls failed; %d breaks%n",
+          seed,
+          result.troubles().size(),
+          result.messages(),
+          result.served(),
+          result.refused(),
+          result.failed(),
+          result.breaks().size());
+      result.breaks().stream().limit(MOST_SHOWN).forEach(text -> System.out.println("  " + text));
+      if (!result.breaks().isEmpty()) {
+        result.troubles().forEach(text -> System.out.println("    " + text));
+      }
+    }
+    return good ? Main.GOOD : Main.BROKEN;
+  }
+
+  private int tryOracle(long seed, Path folder) throws IOException, InterruptedException {
+    boolean all = true;
+    for (PlantedFault fault : PlantedFault.values()) {
+      SoakRun.Result result = fault.play(seed, root.toAbsolutePath().normalize(), folder);
+      boolean found = fault.isFound(result);
+      all &= found;
+      System.out.printf(
+          Locale.ROOT,
+          "%-28s %-14s %s, %d findings%n",
+          fault.name().toLowerCase(Locale.ROOT),
+          fault.rule.name().toLowerCase(Locale.ROOT),
+          found ? "found" : "NOT FOUND",
+          result.findings().size());
+    }
+    return all ? Main.GOOD : Main.BROKEN;
+  }
+
   private static boolean print(SoakRun.Result result) {
     System.out.printf(
         Locale.ROOT,
         "seed %d: %d dispatchers, %d runners, %d troubles; %d requests, %d served, %d attempts, "
-            + "%d system calls failed; %d findings%n",
+            + "%d system calls failed; own stall %d ms; %d findings%n",
         result.plan().seed(),
         result.plan().dispatchers(),
         result.plan().runners(),
@@ -101,6 +186,7 @@
         result.served(),
         result.attempts(),
         result.injected(),
+        result.ownStall() / 1_000,
         result.findings().size());
     for (Finding finding : result.findings().stream().limit(MOST_SHOWN).toList()) {
       System.out.printf(
--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -17,6 +17,11 @@
 
   private NodeMain() {}
 
+  /** The dispatcher as a process, without the command line around it. */
+  public static void main(String[] args) throws InterruptedException {
+    System.exit(run());
+  }
+
   /** Runs until SIGTERM or SIGINT and returns the exit code; one line on standard error where it cannot start. */
   public static int run() throws InterruptedException {
     // Read by the logging's configuration: what the dispatcher says is seldom and worth
--- a/soak/src/main/java/gorseladder/soak/Evidence.java
+++ b/soak/src/main/java/gorseladder/soak/Evidence.java
@@ -95,6 +95,7 @@
     }
   }
 
+  private final OwnStalls ownStalls = new OwnStalls();
   private final Map<String, Asked> asked = new ConcurrentHashMap<>();
   private final Map<String, List<Arrived>> arrived = new HashMap<>();
   private final List<Life> lives = new ArrayList<>();
@@ -102,6 +103,11 @@
   private final Map<Integer, List<Span>> clientCuts = new HashMap<>();
   private final Map<Integer, List<Span>> pauses = new HashMap<>();
 
+  /** How late the soak's own threads may have been. */
+  OwnStalls ownStalls() {
+    return ownStalls;
+  }
+
   void asked(Asked request) {
     asked.put(request.id, request);
   }
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -96,7 +96,10 @@
       }
       long paused =
           evidence.pausedUntil(r.dispatcher, new Evidence.Span(r.sentAt, until + ANSWER_SLACK));
-      long latest = Math.max(until, paused) + ANSWER_SLACK + OWN_SLACK;
+      long latest = Math.max(until, paused)
+          + ANSWER_SLACK
+          + OWN_SLACK
+          + evidence.ownStalls().late(r.sentAt, r.answeredAt);
       if (r.answeredAt > latest && r.leftAt == 0 && !mayBeKilled(r)) {
         found(
             SoakRule.FINAL_ANSWER,
@@ -113,7 +116,9 @@
         || r.cutAt > 0 && evidence.cutByClientSide(r.dispatcher, r.cutAt)) {
       return;
     }
-    boolean crossed = r.cutAt > 0 && r.connectionInUse && r.cutAt - r.sentAt < CROSSING;
+    boolean crossed = r.cutAt > 0
+        && r.connectionInUse
+        && r.cutAt - r.sentAt < CROSSING + evidence.ownStalls().late(r.sentAt, r.cutAt);
     if (!crossed) {
       found(
           SoakRule.FINAL_ANSWER,
@@ -191,7 +196,11 @@
       if (before != null) {
         long ended = before.endedAt == 0 ? Long.MAX_VALUE : before.endedAt;
         // The first one's giving up may have been held up on its way.
-        long excused = SLACK + OWN_SLACK + before.runner.proxy().heldUp(attempt.at) + before.heldUp;
+        long excused = SLACK
+            + OWN_SLACK
+            + evidence.ownStalls().late(before.at, attempt.at)
+            + before.runner.proxy().heldUp(attempt.at)
+            + before.heldUp;
         if (ended > attempt.at + excused && before.runner.proxy().heldUp(before.endedAt) == 0) {
           found(
               SoakRule.EFFECT_ONCE,
@@ -215,7 +224,7 @@
     if (request == null || request.sentAt == 0) {
       return;
     }
-    long late = a.heldUp + OWN_SLACK;
+    long late = a.heldUp + OWN_SLACK + evidence.ownStalls().late(request.sentAt, a.at);
     if (request.leftAt > 0 && a.firstByteAt - late > request.leftAt + GONE_SLACK) {
       found(
           SoakRule.CLIENT_GONE,
--- /dev/null
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -0,0 +1,123 @@
+package gorseladder.soak;
+
+import gorseladder.testbed.process.PlantedClass;
+import gorseladder.testbed.process.RunLine;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * Faults by which the oracle itself is tried: each is a small change of one class of the dispatcher, and a soak with it must find
+ * the rule broken that it is named after.
+ */
+public enum PlantedFault {
+  ANSWERS_FORGOTTEN(
+      SoakRule.FINAL_ANSWER,
+      "node/src/main/java/gorseladder/node/front/FrontConnection.java",
+      "if (end.reason().kind == Reason.Kind.GONE) {",
+      "if (end.reason().kind == Reason.Kind.GONE || e.id % 20 == 7) {",
+      Trouble.HANG),
+  ANSWERS_TWICE(
+      SoakRule.FINAL_ANSWER,
+      "node/src/main/java/gorseladder/node/front/FrontConnection.java",
+      "put = outbox.put(bytes);",
+      "put = outbox.put(bytes) && outbox.put(bytes);",
+      Trouble.PIECES),
+  REPEATED_WHATEVER_HAPPENED(
+      SoakRule.EFFECT_ONCE,
+      "decisions/src/main/java/gorseladder/permits/Permits.java",
+      "if (effect == Effect.SAFE || !mayHaveRun) {",
+      "if (window >= Long.MIN_VALUE) {",
+      Trouble.RESET,
+      Trouble.REFUSE),
+  DRAINS_IGNORED(
+      SoakRule.DRAIN,
+      "platform/src/main/java/gorseladder/platform/PlatformList.java",
+      "case \"leaving\" -> Phase.DRAINING;",
+      "case \"leaving\" -> Phase.RUNNING;",
+      Trouble.DRAIN),
+  STARTS_IGNORED(
+      SoakRule.SLOW_START,
+      "platform/src/main/java/gorseladder/platform/PlatformList.java",
+      "(long) Fields.number(e, \"boot_ms\", 0)",
+      "0L",
+      Trouble.RESTART,
+      Trouble.DRAIN),
+  LEAVING_CLIENTS_IGNORED(
+      SoakRule.CLIENT_GONE,
+      "node/src/main/java/gorseladder/node/front/FastCgiFront.java",
+      "call.finish(FinalAnswer.silent(Reason.GONE), Clock.micros());\n    core.clientGone(call);",
+      "",
+      Trouble.LEAVE,
+      Trouble.REFUSE,
+      Trouble.LATE_CONNECT,
+      Trouble.RESET),
+  TOO_MUCH_TIME_PASSED(
+      SoakRule.DEADLINE,
+      "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
+      "timePassed = Math.max(1, (until - now) / 1000);",
+      "timePassed = Math.max(1, (until - now) / 1000) + 400;",
+      Trouble.PIECES),
+  NEVER_READY(
+      SoakRule.READY,
+      "node/src/main/java/gorseladder/node/NodeConfig.java",
+      "return Long.parseUnsignedLong(hex, 16);",
+      "throw new BadInput(\"planted\");",
+      Trouble.PIECES),
+  WRONG_EXIT_CODE(
+      SoakRule.END,
+      "node/src/main/java/gorseladder/node/NodeMain.java",
+      "return OK;",
+      "return 7;",
+      Trouble.STOP),
+  RELOAD_IGNORED(
+      SoakRule.FOLLOW,
+      "node/src/main/java/gorseladder/node/Reload.java",
+      "follower.accept(address);",
+      "",
+      Trouble.RELOAD),
+  SEEN_BY_ITSELF(
+      SoakRule.LOG,
+      "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
+      "timePassed = Math.max(1, (until - now) / 1000);",
+      "timePassed = Math.max(1, (until - now) / 1000) + 400;",
+      Trouble.PIECES);
+
+  private static final long SECONDS = 9;
+  private static final int DISPATCHERS = 8;
+
+  /** The rule that must be found broken. */
+  public final SoakRule rule;
+
+  private final String source;
+  private final String find;
+  private final String replace;
+  private final Set<Trouble> troubles;
+
+  PlantedFault(
+      SoakRule rule, String source, String find, String replace, Trouble first, Trouble... more) {
+    this.rule = rule;
+    this.source = source;
+    this.find = find;
+    this.replace = replace;
+    this.troubles = EnumSet.of(first, more);
+  }
+
+  /** Plays a short soak with the fault; what was found. */
+  public SoakRun.Result play(long seed, Path root, Path folder)
+      throws IOException, InterruptedException {
+    Path planted = Files.createDirectories(folder.resolve(name()));
+    Path classes = PlantedClass.compile(root.resolve(source), find, replace, planted);
+    SoakPlan plan = SoakPlan.draw(seed, DISPATCHERS, SECONDS * 1_000_000, troubles);
+    try (SoakRun run = new SoakRun(plan, root, planted, RunLine.read(root, classes))) {
+      return run.play();
+    }
+  }
+
+  /** True where the rule it is named after was found broken. */
+  public boolean isFound(SoakRun.Result result) {
+    return result.findings().stream().anyMatch(finding -> finding.rule() == rule);
+  }
+}
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -35,6 +35,7 @@
    * What came of a play.
    *
    * @param injected system calls that were made to fail
+   * @param ownStall the longest time for which the soak's own process stood still, in microseconds
    */
   public record Result(
       SoakPlan plan,
@@ -42,7 +43,8 @@
       int requests,
       int served,
       int attempts,
-      long injected) {}
+      long injected,
+      long ownStall) {}
 
   /**
    * A play that begins with {@link #play}.
@@ -121,6 +123,7 @@
       for (Path file : dispatcher.logs()) {
         Files.readAllLines(file).stream()
             .filter(line -> line.contains(" ERROR ") || line.contains("Exception in thread"))
+            .filter(line -> !excused(dispatcher.number(), line))
             .limit(3)
             .forEach(line -> found(new Finding(
                 SoakRule.LOG,
@@ -131,6 +134,12 @@
     }
   }
 
+  /** A dispatcher that stood still, by a trouble of the plan, answers late and counts it; no other rule is excused. */
+  private boolean excused(int dispatcher, String line) {
+    return line.contains("rule broken: final_answer")
+        && evidence.pausedUntil(dispatcher, new Evidence.Span(0, Long.MAX_VALUE)) > 0;
+  }
+
   private Result result() {
     List<Finding> all = new ArrayList<>(Oracle.judge(evidence, log.told()));
     synchronized (findings) {
@@ -141,7 +150,13 @@
         ? 0
         : dispatchers.stream().mapToLong(d -> d.control().injected()).sum();
     return new Result(
-        plan, all, evidence.requests().size(), served, evidence.attempts().size(), injected);
+        plan,
+        all,
+        evidence.requests().size(),
+        served,
+        evidence.attempts().size(),
+        injected,
+        evidence.ownStalls().longest());
   }
 
   /** Lays down a dispatcher's configuration as things are now. */
@@ -182,6 +197,7 @@
   public void close() throws IOException {
     dispatchers.forEach(SoakDispatcher::close);
     clock.shutdownNow();
+    evidence.ownStalls().close();
     for (SoakRunner runner : runners) {
       runner.close();
     }
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/World.java
@@ -38,6 +38,9 @@
   /** Microseconds that an idle copy stays, as the edges are told. */
   public static final long KEEP_ALIVE = 8_000_000;
 
+  /** Names a property with the class path of edge processes, where it is not this process's own. */
+  public static final String CLASS_PATH = "gorseladder.world.classpath";
+
   private static final long STARTS_WITHIN = 30_000;
 
   private final DayScript script;
@@ -85,7 +88,7 @@
           "-XX:+UseSerialGC",
           "-Xshare:auto",
           "-cp",
-          System.getProperty("java.class.path"),
+          System.getProperty(CLASS_PATH, System.getProperty("java.class.path")),
           EdgeMain.class.getName(),
           settings.toString()));
       process = new ProcessBuilder(command)
--- a/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
@@ -1,5 +1,6 @@
 package gorseladder.testbed.process;
 
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,7 +12,7 @@
   private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
   private static final Path JAR = Path.of("app/target/gorseladder.jar");
   private static final String JAR_COMMAND = "-jar " + JAR + " node";
-  private static final String MAIN = "gorseladder.app.Main node";
+  private static final String MAIN = "gorseladder.node.NodeMain";
   private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
 
   private RunLine() {}
@@ -22,21 +23,27 @@
    * @throws IOException where there is no deploy file or no such line in it
    */
   public static String read(Path root) throws IOException {
-    return read(root, MAIN);
+    String own = System.getProperty("java.class.path");
+    boolean fromJar = Path.of(own.split(File.pathSeparator)[0])
+        .toAbsolutePath()
+        .normalize()
+        .equals(root.resolve(JAR).toAbsolutePath().normalize());
+    return fromJar ? line(root) : line(root).replace(JAR_COMMAND, "-cp " + own + " " + MAIN);
   }
 
-  /** The same; a program that does not run from the jar starts {@code main}, a class and its arguments. */
-  public static String read(Path root, String main) throws IOException {
+  /** The same with classes put before the program's own. */
+  public static String read(Path root, Path classes) throws IOException {
+    String own = System.getProperty("java.class.path");
+    String path = classes + File.pathSeparator + own;
+    return line(root).replace(JAR_COMMAND, "-cp " + path + " " + MAIN);
+  }
+
+  private static String line(Path root) throws IOException {
     Path file = root.resolve(DEPLOY_FILE);
     Matcher run = RUN.matcher(Files.readString(file));
     if (!run.find() || !run.group(1).contains(JAR_COMMAND)) {
       throw new IOException(file + ": no run line with '" + JAR_COMMAND + "'");
     }
-    String own = System.getProperty("java.class.path");
-    boolean fromJar = Path.of(own.split(java.io.File.pathSeparator)[0])
-        .toAbsolutePath()
-        .normalize()
-        .equals(root.resolve(JAR).toAbsolutePath().normalize());
-    return fromJar ? run.group(1) : run.group(1).replace(JAR_COMMAND, "-cp " + own + " " + main);
+    return run.group(1);
   }
 }
