A moment without threads ends no thread that others need, and leaves no dead connection

Class: an Error that is over in a moment, treated as one that cannot happen.

Change: the core's loop, tasks of writers and timers, an outbox, a link's connection and the follower of the change log go on after a shortage of threads or memory, with a line. A writer that cannot be started is asked for again at the next look. A connection is a candidate only once its thread runs, and gives its descriptor back once. The soak's library fails pthread_create too (trouble THREADS).

--- a/app/src/main/java/gorseladder/app/SoakCommand.java
+++ b/app/src/main/java/gorseladder/app/SoakCommand.java
@@ -72,6 +72,13 @@
       description = "Try the oracle instead: plant one fault after the other; each must be found.")
   private boolean planted;
 
+  @Option(
+      names = "--faults",
+      split = ",",
+      paramLabel = "WORD",
+      description = "With --planted, only these: ${COMPLETION-CANDIDATES} (default: all).")
+  private Set<PlantedFault> faults = EnumSet.allOf(PlantedFault.class);
+
   @Option(
       names = "--edge",
       description =
@@ -158,7 +165,7 @@
 
   private int tryOracle(long seed, Path folder) throws IOException, InterruptedException {
     boolean all = true;
-    for (PlantedFault fault : PlantedFault.values()) {
+    for (PlantedFault fault : faults) {
       SoakRun.Result result = fault.play(seed, root.toAbsolutePath().normalize(), folder);
       boolean found = fault.isFound(result);
       all &= found;
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -211,18 +211,18 @@
     try {
       while (!stopped) {
         now = Clock.micros();
-        timers.advance(now, token -> tell(new TimerDue(token)));
-        look();
+        Threads.guarded("core", this::runTimers);
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
         Message<C> message = mailbox.take(0);
         if (message == null) {
-          hands.pausing();
+          Threads.guarded("core", hands::pausing);
           message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
         }
         if (message != null) {
           now = Clock.micros();
-          handle(message);
+          Message<C> one = message;
+          Threads.guarded("core", () -> handle(one));
         }
       }
     } catch (InterruptedException e) {
@@ -230,6 +230,11 @@
     }
   }
 
+  private void runTimers() {
+    timers.advance(now, token -> tell(new TimerDue(token)));
+    look();
+  }
+
   private void handle(Message<C> message) {
     if (message instanceof Arrived<C> m) {
       arrived(m.call());
@@ -309,7 +314,7 @@
   private void tell(Event event) {
     try {
       router.on(now, event, this::carryOut);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
       LOG.error("the router failed at {}", event.getClass().getSimpleName(), e);
     }
   }
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -104,7 +104,7 @@
           pace.asked(Clock.micros());
           read(s);
         }
-      } catch (IOException | RuntimeException e) {
+      } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
         if (!stopped) {
           LOG.debug("change log at {}: {}; the list stays", asked, e.toString());
         }
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -5,6 +5,7 @@
 import gorseladder.attempts.ConnectionChoice.Candidate;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.Threads;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -81,14 +82,16 @@
     try {
       LinkConnection opened = new LinkConnection(
           address, settings.connect(), settings.mostAnswer(), settings.writers(), this::closed);
-      connections.add(opened);
-      settings.threads().newThread(opened::run).start();
-      return opened;
-    } catch (IOException | OutOfMemoryError e) {
-      settings.descriptors().release();
+      if (Threads.mayStart(settings.threads().newThread(opened::run))) {
+        connections.add(opened);
+        return opened;
+      }
+      opened.discard();
+    } catch (IOException e) {
       settings.log().accept("no connection to " + uid + ": " + e);
-      return otherwise;
     }
+    settings.descriptors().release();
+    return otherwise;
   }
 
   private boolean closed(LinkConnection connection, boolean everOpen, String why) {
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -83,11 +83,20 @@
       read();
     } catch (BadAnswer e) {
       close(Ending.MALFORMED, e.getMessage());
-    } catch (IOException | RuntimeException e) {
+    } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
       close(Ending.BROKEN, e.toString());
     }
   }
 
+  /** Lets go of a connection that was never used: its thread could not be started. */
+  void discard() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // Nothing is left to release.
+    }
+  }
+
   private void read() throws IOException, BadAnswer {
     ByteBuffer buffer = ByteBuffer.allocate(READ);
     while (true) {
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -193,7 +193,7 @@
       } catch (IOException e) {
         fail(e);
         return;
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
         fail(new IOException("writing failed", e));
         return;
       }
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -33,15 +33,31 @@
     return thread;
   }
 
-  /** Runs a task of a thread that has others to run after it: an error of this one is logged and ends nothing else. */
-  static void guarded(String name, Runnable task) {
+  /**
+   * Runs a task of a thread that has others to run after it: an error of this one is logged and ends nothing else.
+   *
+   * <p>Guards against threads that end for what is over in a moment: the system has no thread to start or no memory, which Java
+   * tells as an Error. It could harm where such an error left state half changed; what the task was about then ends by its time.
+   */
+  public static void guarded(String name, Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
       LOG.error("a task of {} failed", name, e);
     }
   }
 
+  /** Starts a thread that the program can do without for a moment; false where the system has none. */
+  public static boolean mayStart(Thread thread) {
+    try {
+      thread.start();
+      return true;
+    } catch (OutOfMemoryError e) {
+      LOG.warn("no thread for {}: {}", thread.getName(), e.getMessage());
+      return false;
+    }
+  }
+
   /** A pool that grows up to a bound and keeps idle threads for half a minute; past the bound tasks are rejected. */
   public static ThreadPoolExecutor pool(String name, int most, int stackBytes) {
     return new ThreadPoolExecutor(
--- a/runtime/src/main/java/gorseladder/runtime/Writers.java
+++ b/runtime/src/main/java/gorseladder/runtime/Writers.java
@@ -76,7 +76,7 @@
       lock.unlock();
     }
     if (more) {
-      threads.newThread(this::run).start();
+      startOne();
     }
   }
 
@@ -98,7 +98,20 @@
       lock.unlock();
     }
     if (more) {
-      threads.newThread(this::run).start();
+      startOne();
+    }
+  }
+
+  /** One thread more, counted already. Where the system has none, those that run go on, and the next look asks again. */
+  private void startOne() {
+    if (Threads.mayStart(threads.newThread(this::run))) {
+      return;
+    }
+    lock.lock();
+    try {
+      started--;
+    } finally {
+      lock.unlock();
     }
   }
 
--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -51,9 +51,8 @@
       "call.finish(FinalAnswer.silent(Reason.GONE), Clock.micros());\n    core.clientGone(call);",
       "",
       Trouble.LEAVE,
-      Trouble.REFUSE,
-      Trouble.LATE_CONNECT,
-      Trouble.RESET),
+      Trouble.HANG,
+      Trouble.LATE_CONNECT),
   TOO_MUCH_TIME_PASSED(
       SoakRule.DEADLINE,
       "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
--- a/soak/src/main/java/gorseladder/soak/Preload.java
+++ b/soak/src/main/java/gorseladder/soak/Preload.java
@@ -61,6 +61,7 @@
     DISK_SYNC_RATE,
     DISK_REMOVE_RATE,
     DISK_ERRNO,
+    THREAD_RATE,
     SEED,
     INJECTED
   }
--- a/soak/src/main/java/gorseladder/soak/Trouble.java
+++ b/soak/src/main/java/gorseladder/soak/Trouble.java
@@ -34,6 +34,8 @@
   PIECES,
   /** A dispatcher's accept, socket and connect fail for a moment. */
   SYSTEM_CALLS,
+  /** A dispatcher gets no new threads for a moment. */
+  THREADS,
   /** A dispatcher's waits are interrupted, its reads and writes short, a few of its connections time out. */
   SHORT_IO,
   /** A dispatcher's wall clock is stepped, by seconds or by an hour, and perhaps back. */
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -84,6 +84,7 @@
         case LEAVE -> dispatcher.clients().leave(event.length());
         case PIECES -> dispatcher.clients().inPieces(event.length());
         case SYSTEM_CALLS -> systemCalls(dispatcher.control(), event);
+        case THREADS -> threads(dispatcher, event);
         case SHORT_IO -> shortIo(dispatcher, event);
         case CLOCK -> step(dispatcher.control(), event);
         default -> throw new IllegalStateException("no such trouble: " + event.trouble());
@@ -232,6 +233,21 @@
     control.set(Fault.SOCKET_RATE, 0);
   }
 
+  private void threads(SoakDispatcher dispatcher, Event event) throws InterruptedException {
+    Control control = dispatcher.control();
+    if (control == null) {
+      return;
+    }
+    long from = Clock.micros();
+    control.set(Fault.THREAD_RATE, 500);
+    Thread.sleep(event.length() / MILLI);
+    control.set(Fault.THREAD_RATE, 0);
+    // A connection that is accepted and finds no thread is closed by its dispatcher: nobody could
+    // read it.
+    run.evidence()
+        .clientCut(dispatcher.number(), new Evidence.Span(from, Clock.micros() + 50 * MILLI));
+  }
+
   private void shortIo(SoakDispatcher dispatcher, Event event) throws InterruptedException {
     Control control = dispatcher.control();
     if (control == null) {
--- a/soak/src/main/resources/gorseladder/soak/faults.c
+++ b/soak/src/main/resources/gorseladder/soak/faults.c
@@ -11,6 +11,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -39,6 +40,7 @@
   DISK_SYNC_RATE,
   DISK_REMOVE_RATE,
   DISK_ERRNO,
+  THREAD_RATE,
   SEED,
   INJECTED,
   SLOTS
@@ -199,6 +201,14 @@
   return real_write(fd, from, length);
 }
 
+/* ---- threads */
+
+int pthread_create(pthread_t *restrict thread, const pthread_attr_t *restrict how, void *(*run)(void *),
+                   void *restrict with) {
+  REAL(pthread_create);
+  return hit(THREAD_RATE) ? EAGAIN : real_pthread_create(thread, how, run, with);
+}
+
 /* ---- files below the folder */
 
 static int note_file(int fd, const char *path) {
