A request's time counts from when its bytes were read, or its connection was accepted

Cause: the time of arrival was taken after a request had been parsed. Where a process is new or short of a processor that is late, and the deadline passed on was over what the client had left.

Change: the moment of the read counts, for the first bytes on a connection that of its acceptance. Clients of all dispatchers may leave in one trouble of the soak, so that some do while their dispatcher stands still.

--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -51,6 +51,9 @@
   /** By how much a connection that never asked counts as idle for longer than one that did. */
   private static final long SILENT_FIRST = 600_000_000;
 
+  /** What is read within this time of its acceptance may have waited since then, in microseconds. */
+  private static final long SENT_WITH_IT = 100_000;
+
   private static final byte[] NOTHING = {};
 
   private enum State {
@@ -108,6 +111,10 @@
   private boolean closesAfterAnswers;
   /** Its thread has bytes that it has not looked at yet. */
   private boolean looking;
+  /** When bytes were read last, and how often; its thread's own. */
+  private long readAt;
+
+  private int reads;
   /** Why it ends; the first reason that is told before its end counts. */
   private volatile CloseReason closedBecause;
 
@@ -135,6 +142,8 @@
           closedBecause = CloseReason.CLIENT_CLOSED;
           break;
         }
+        readAt = Clock.micros();
+        reads++;
         look(true);
         buffer.limit(buffer.capacity());
         if (channel.socket().getInputStream().available() > 0) {
@@ -300,12 +309,17 @@
     }
   }
 
-  /** When a request may have come that was read just now, and from when on it is known whether its client is still there. */
+  /**
+   * When a request may have come whose last bytes were read just now, and from when on it is known whether its client is still
+   * there. What is read soon after its connection was accepted was sent with it: until then nobody could have read it.
+   */
   private Arrival arrival() {
-    long now = Clock.micros();
-    boolean accepted = now - connectedAt < StallWatch.SETTLE && waitedSince < connectedAt;
-    long came = Math.min(front.cameAt(now), accepted ? waitedSince : now);
-    return new Arrival(came, came < now ? now + StallWatch.SETTLE : 0);
+    long came = front.cameAt(readAt);
+    if (reads == 1 && readAt - connectedAt < SENT_WITH_IT) {
+      came = Math.min(came, waitedSince);
+    }
+    boolean late = readAt - came > StallWatch.SETTLE;
+    return new Arrival(came, late ? readAt + StallWatch.SETTLE : 0);
   }
 
   /** Names the call of a request; where the connection has ended by now its client has left. */
--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -51,8 +51,7 @@
       "call.finish(FinalAnswer.silent(Reason.GONE), Clock.micros());\n    core.clientGone(call);",
       "",
       Trouble.LEAVE,
-      Trouble.HANG,
-      Trouble.LATE_CONNECT),
+      Trouble.PAUSE),
   TOO_MUCH_TIME_PASSED(
       SoakRule.DEADLINE,
       "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -188,6 +188,10 @@
     return runners.get(target % runners.size());
   }
 
+  List<SoakDispatcher> dispatchers() {
+    return List.copyOf(dispatchers);
+  }
+
   SoakDispatcher dispatcher(int target) {
     return dispatchers.get(target % dispatchers.size());
   }
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -81,7 +81,7 @@
         case SPOIL -> runner.spoil(event.length());
         case REFUSE -> runner.refuse(event.length());
         case LOG_SILENT -> logSilent(dispatcher, event);
-        case LEAVE -> dispatcher.clients().leave(event.length());
+        case LEAVE -> leave(dispatcher, event);
         case PIECES -> dispatcher.clients().inPieces(event.length());
         case SYSTEM_CALLS -> systemCalls(dispatcher.control(), event);
         case THREADS -> threads(dispatcher, event);
@@ -160,6 +160,15 @@
     run.evidence().pause(dispatcher.number(), new Evidence.Span(from, Clock.micros()));
   }
 
+  /** Clients of one dispatcher leave, or of all: then some surely do while another trouble holds their dispatcher up. */
+  private void leave(SoakDispatcher dispatcher, Event event) {
+    if (event.draw() % 2 == 0) {
+      dispatcher.clients().leave(event.length());
+    } else {
+      run.dispatchers().forEach(each -> each.clients().leave(event.length()));
+    }
+  }
+
   // ---- runners
 
   private void drain(SoakRunner runner, Event event) throws IOException, InterruptedException {
