The soak knows its own lateness, reuses its threads, and lets a hanging runner keep what it has

Traced: a hundred threads of the soak stood in uninterruptible sleep, the machine showed 50 % of its time taken by others; three threads were made for each connection and ended with it.

--- a/soak/src/main/java/gorseladder/soak/FaultProxy.java
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 
 /**
  * Passes connections on to a stand-in, and can hold up what passes, reset what is open, refuse what is new or let it come up
@@ -23,6 +26,11 @@
   private static final int BUFFER = 16_384;
   private static final int STACK = 128 << 10;
   private static final int BACKLOG = 256;
+  private static final ExecutorService THREADS = Executors.newCachedThreadPool(task -> {
+    Thread thread = new Thread(null, task, "soak", STACK);
+    thread.setDaemon(true);
+    return thread;
+  });
   private static final int BLOCKED_MILLIS = 60;
 
   private final InetSocketAddress target;
@@ -65,10 +73,12 @@
     return open.size();
   }
 
+  /** Runs a task on a thread of the soak's own; threads are used again, since connections come and go by the hundred. */
   static void start(String name, Runnable task) {
-    Thread thread = new Thread(null, task, name, STACK);
-    thread.setDaemon(true);
-    thread.start();
+    THREADS.execute(() -> {
+      Thread.currentThread().setName(name);
+      task.run();
+    });
   }
 
   private void accept(ServerSocket from) {
@@ -186,7 +196,16 @@
   /** Has new connections come up late: the system leaves them without an answer until {@link #comeUp}. */
   void comeUpLate() throws IOException {
     server.close();
-    server = listen(port, 1);
+    for (int tries = 0; server.isClosed(); tries++) {
+      try {
+        server = listen(port, 1);
+      } catch (BindException e) {
+        // Another socket of the loopback was given the port for a moment.
+        if (tries > 50) {
+          throw e;
+        }
+      }
+    }
     synchronized (blockers) {
       try {
         while (true) {
--- a/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
+++ b/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
@@ -85,7 +85,9 @@
         "ROUTER_LISTEN",
         "127.0.0.1:" + listen.getPort(),
         "ROUTER_CONFIG",
-        folder.resolve("config.json").toString()));
+        folder.resolve("config.json").toString(),
+        "JAVA_TOOL_OPTIONS",
+        "-Dgorseladder.log.level=DEBUG"));
     if (preload != null) {
       environment.putAll(preload.environment(control, null));
     }
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -35,7 +35,8 @@
    * What came of a play.
    *
    * @param injected system calls that were made to fail
-   * @param ownStall the longest time for which the soak's own process stood still, in microseconds
+   * @param ownStall the longest time for which the soak's own threads were held up, in microseconds
+   * @param ownStalls all such times together
    */
   public record Result(
       SoakPlan plan,
@@ -44,7 +45,8 @@
       int served,
       int attempts,
       long injected,
-      long ownStall) {}
+      long ownStall,
+      long ownStalls) {}
 
   /**
    * A play that begins with {@link #play}.
@@ -156,7 +158,8 @@
         served,
         evidence.attempts().size(),
         injected,
-        evidence.ownStalls().longest());
+        evidence.ownStalls().longest(),
+        evidence.ownStalls().total());
   }
 
   /** Lays down a dispatcher's configuration as things are now. */
--- a/soak/src/main/java/gorseladder/soak/SoakRunner.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRunner.java
@@ -188,7 +188,8 @@
       String result,
       OutputStream out,
       Map<String, Evidence.Arrived> here) {
-    if (here.remove(attempt.id) == null || Clock.micros() < hangsUntil) {
+    // One that hangs keeps what it has, until that is given up.
+    if (Clock.micros() < hangsUntil || here.remove(attempt.id) == null) {
       return;
     }
     ended(attempt, false);
--- a/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
@@ -75,8 +75,12 @@
     if (!shell.waitFor(millis, TimeUnit.MILLISECONDS)) {
       return -1;
     }
-    String line = shell.inputReader().readLine();
-    exitCode = line == null ? exitCode : Integer.parseInt(line.strip());
+    // The child may have written to standard output too; the shell's own line is the last.
+    for (String line = shell.inputReader().readLine();
+        line != null;
+        line = shell.inputReader().readLine()) {
+      exitCode = line.matches("[0-9]{1,3}") ? Integer.parseInt(line) : exitCode;
+    }
     return exitCode;
   }
 
