A connection that finds no thread waits for one; what a first read finds at once may have waited

And the arrival of a first request was guessed by 100 ms; a thread that starts late would have passed too much time on.

Change: the accepting thread keeps such connections and asks again every 20 ms, at the stop for half a second. Bytes that the first read of a connection finds at once count as come when it was accepted. The second look at deadlines takes the time after the write.

--- a/decisions/src/main/java/gorseladder/rules/RuleWatch.java
+++ b/decisions/src/main/java/gorseladder/rules/RuleWatch.java
@@ -78,7 +78,7 @@
     if (attempt.callEndedAt() > 0 && attempt.at() - attempt.callEndedAt() > GONE_SLACK) {
       broken.add(Rule.CLIENT_GONE);
     }
-    if (attempt.timePassed() > attempt.deadlineAt() - attempt.begunAt() + DEADLINE_SLACK) {
+    if (attempt.timePassed() > attempt.deadlineAt() - attempt.at() + DEADLINE_SLACK) {
       broken.add(Rule.DEADLINE);
     }
     if (attempt.others().stream().anyMatch(other -> twice(attempt, other))) {
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -51,8 +51,8 @@
   /** By how much a connection that never asked counts as idle for longer than one that did. */
   private static final long SILENT_FIRST = 600_000_000;
 
-  /** What is read within this time of its acceptance may have waited since then, in microseconds. */
-  private static final long SENT_WITH_IT = 100_000;
+  /** A first read that takes less, in microseconds, found bytes that may have waited since the connection was accepted. */
+  private static final long AT_ONCE = 5_000;
 
   private static final byte[] NOTHING = {};
 
@@ -111,7 +111,9 @@
   private boolean closesAfterAnswers;
   /** Its thread has bytes that it has not looked at yet. */
   private boolean looking;
-  /** When bytes were read last, and how often; its thread's own. */
+  /** When its thread began to read, when it read bytes last, and how often; the thread's own. */
+  private long runsFrom;
+
   private long readAt;
 
   private int reads;
@@ -136,6 +138,7 @@
     ByteBuffer buffer = ByteBuffer.allocate(FIRST_READ);
     try {
       channel.socket().setTcpNoDelay(true);
+      runsFrom = Clock.micros();
       while (true) {
         buffer.clear().limit(PEEK);
         if (channel.read(buffer) < 0) {
@@ -311,11 +314,11 @@
 
   /**
    * When a request may have come whose last bytes were read just now, and from when on it is known whether its client is still
-   * there. What is read soon after its connection was accepted was sent with it: until then nobody could have read it.
+   * there. What the first read finds at once may have waited since its connection was accepted: nobody read it until then.
    */
   private Arrival arrival() {
     long came = front.cameAt(readAt);
-    if (reads == 1 && readAt - connectedAt < SENT_WITH_IT) {
+    if (reads == 1 && readAt - runsFrom < AT_ONCE) {
       came = Math.min(came, waitedSince);
     }
     boolean late = readAt - came > StallWatch.SETTLE;
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -8,6 +8,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadFactory;
@@ -19,6 +20,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
   private static final long MOST_JOIN_MILLIS = 2_000;
+  /** Before the system is asked again for what it did not have. */
+  private static final long PAUSE_MILLIS = 20;
+
+  private static final int LAST_TRIES = 25;
 
   /** What is done with connections. */
   public interface Handler {
@@ -44,6 +49,9 @@
   private final Handler handler;
   private final ThreadFactory threads;
   private final Set<SocketChannel> open = ConcurrentHashMap.newKeySet();
+  /** Connections accepted for which there was no thread yet; the accepting thread's own. */
+  private final ArrayDeque<SocketChannel> unstarted = new ArrayDeque<>();
+
   private final Thread acceptor;
   private volatile boolean stopped;
   /** Since when accepting fails; 0 while it does not. The accepting thread's own. */
@@ -93,13 +101,24 @@
     try (selector;
         server) {
       while (!stopped) {
-        selector.select();
+        selector.select(unstarted.isEmpty() ? 0 : PAUSE_MILLIS);
         selector.selectedKeys().clear();
+        startWaiting();
         acceptAll();
       }
       // What the system had accepted before the listener goes belongs to clients that may have
       // asked already.
       acceptAll();
+      for (int tries = 0; !unstarted.isEmpty() && tries < LAST_TRIES; tries++) {
+        pause();
+        startWaiting();
+      }
+      for (SocketChannel connection : unstarted) {
+        LOG.error("no thread for a connection before the end");
+        open.remove(connection);
+        handler.unserved(connection);
+        connection.close();
+      }
     } catch (IOException e) {
       LOG.error("accepting ended", e);
     }
@@ -130,22 +149,25 @@
     }
   }
 
-  /** The system may have no thread left; then this one connection is turned away and the others go on. */
-  private void start(SocketChannel connection) throws IOException {
-    try {
-      threads.newThread(() -> serve(connection)).start();
-    } catch (OutOfMemoryError e) {
-      LOG.error("no thread for a connection", e);
-      open.remove(connection);
-      handler.unserved(connection);
-      connection.close();
-      pause();
+  /**
+   * Starts the thread of a connection. Where the system has none for a moment the connection waits for one: on it a client may
+   * have asked already.
+   */
+  private void start(SocketChannel connection) {
+    if (!Threads.mayStart(threads.newThread(() -> serve(connection)))) {
+      unstarted.addLast(connection);
+    }
+  }
+
+  private void startWaiting() {
+    for (int left = unstarted.size(); left > 0; left--) {
+      start(unstarted.pollFirst());
     }
   }
 
   private void pause() {
     try {
-      Thread.sleep(20);
+      Thread.sleep(PAUSE_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/soak/src/main/java/gorseladder/soak/Evidence.java
+++ b/soak/src/main/java/gorseladder/soak/Evidence.java
@@ -95,6 +95,8 @@
     }
   }
 
+  private static final long JUST_BEFORE = 60_000;
+
   private final OwnStalls ownStalls = new OwnStalls();
   private final Map<String, Asked> asked = new ConcurrentHashMap<>();
   private final Map<String, List<Arrived>> arrived = new HashMap<>();
@@ -135,6 +137,14 @@
     pauses.computeIfAbsent(dispatcher, d -> new ArrayList<>()).add(span);
   }
 
+  /** The pause of a dispatcher that ended just before a moment; null where there was none. */
+  synchronized Span pauseBefore(int dispatcher, long at) {
+    return pauses.getOrDefault(dispatcher, List.of()).stream()
+        .filter(p -> p.from() < at && at <= p.to() + JUST_BEFORE)
+        .findFirst()
+        .orElse(null);
+  }
+
   /** When the last pause of a dispatcher ended that overlaps a span; 0 where none does. */
   synchronized long pausedUntil(int dispatcher, Span span) {
     return pauses.getOrDefault(dispatcher, List.of()).stream()
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -40,21 +40,31 @@
   private final Evidence evidence;
   private final List<Told> told;
   private final List<Finding> findings = new ArrayList<>();
+  private int heldInTheWrite;
 
   private Oracle(Evidence evidence, List<Told> told) {
     this.evidence = evidence;
     this.told = told;
   }
 
-  /** All that went against a rule, in the order of time. */
-  static List<Finding> judge(Evidence evidence, List<Told> told) {
+  /**
+   * What came of it.
+   *
+   * @param findings all that went against a rule, in the order of time
+   * @param heldInTheWrite attempts whose dispatcher was stopped between its last look and the write of the bytes: no program
+   *     can look later than that, so what came of it is counted and not judged
+   */
+  record Judgement(List<Finding> findings, int heldInTheWrite) {}
+
+  /** Judges. */
+  static Judgement judge(Evidence evidence, List<Told> told) {
     Oracle oracle = new Oracle(evidence, told);
     evidence.requests().forEach(oracle::request);
     evidence.attempts().forEach(oracle::attempt);
     oracle.slowStarts();
     evidence.lives().forEach(oracle::life);
     oracle.findings.sort(Comparator.comparingLong(Finding::at));
-    return oracle.findings;
+    return new Judgement(oracle.findings, oracle.heldInTheWrite);
   }
 
   private void found(SoakRule rule, long at, int dispatcher, String text, Object... values) {
@@ -224,6 +234,10 @@
     if (request == null || request.sentAt == 0) {
       return;
     }
+    if (heldInTheWrite(request, a)) {
+      heldInTheWrite++;
+      return;
+    }
     long late = a.heldUp + OWN_SLACK + evidence.ownStalls().late(request.sentAt, a.at);
     if (request.leftAt > 0 && a.firstByteAt - late > request.leftAt + GONE_SLACK) {
       found(
@@ -260,6 +274,19 @@
     }
   }
 
+  /**
+   * True where the attempt came as its dispatcher went on after a pause, with the time that its client had left as the pause
+   * began: it had passed the last look by then. One that was let out after the pause has another time on it.
+   */
+  private boolean heldInTheWrite(Asked request, Arrived a) {
+    Evidence.Span pause = evidence.pauseBefore(request.dispatcher, a.firstByteAt);
+    if (pause == null || request.sentAt >= pause.from()) {
+      return false;
+    }
+    long leftThen = request.sentAt + request.timeout - pause.from();
+    return Math.abs(a.max - leftThen) <= SLACK;
+  }
+
   /** True where the attempt came past the drain's grace and before another runner took the address. */
   private boolean drainedPast(Told drain, Arrived attempt, long late) {
     long counts = evidence.logTroubled(drain.at()) ? drain.at() + TOLD_LATE : drain.at();
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.regex.Pattern;
 
 /** One play of a plan: starts everything, brings the troubles, stops everything, and has the oracle judge. */
 public final class SoakRun implements Closeable {
@@ -18,6 +19,8 @@
   private static final long LAST_ANSWERS_MILLIS = 2_300;
 
   private static final int RUNNER_THREADS = 4;
+  private static final Pattern ERROR_LINE =
+      Pattern.compile("^[0-9:.]+ ERROR |^Exception in thread");
 
   private final SoakPlan plan;
   private final Path root;
@@ -37,6 +40,7 @@
    * @param injected system calls that were made to fail
    * @param ownStall the longest time for which the soak's own threads were held up, in microseconds
    * @param ownStalls all such times together
+   * @param heldInTheWrite attempts that left before their dispatcher was stopped and came after it went on: not judged
    */
   public record Result(
       SoakPlan plan,
@@ -46,7 +50,8 @@
       int attempts,
       long injected,
       long ownStall,
-      long ownStalls) {}
+      long ownStalls,
+      int heldInTheWrite) {}
 
   /**
    * A play that begins with {@link #play}.
@@ -124,7 +129,7 @@
     for (SoakDispatcher dispatcher : dispatchers) {
       for (Path file : dispatcher.logs()) {
         Files.readAllLines(file).stream()
-            .filter(line -> line.contains(" ERROR ") || line.contains("Exception in thread"))
+            .filter(line -> ERROR_LINE.matcher(line).find())
             .filter(line -> !excused(dispatcher.number(), line))
             .limit(3)
             .forEach(line -> found(new Finding(
@@ -143,7 +148,8 @@
   }
 
   private Result result() {
-    List<Finding> all = new ArrayList<>(Oracle.judge(evidence, log.told()));
+    Oracle.Judgement judged = Oracle.judge(evidence, log.told());
+    List<Finding> all = new ArrayList<>(judged.findings());
     synchronized (findings) {
       all.addAll(findings);
     }
@@ -159,7 +165,8 @@
         evidence.attempts().size(),
         injected,
         evidence.ownStalls().longest(),
-        evidence.ownStalls().total());
+        evidence.ownStalls().total(),
+        judged.heldInTheWrite());
   }
 
   /** Lays down a dispatcher's configuration as things are now. */
