--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -34,6 +34,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,7 @@
   private static final long SECOND = 1_000_000;
 
   private final AtomicInteger sent = new AtomicInteger();
+  private final AtomicLong arrivedAt = new AtomicLong();
   private final AtomicInteger pauses = new AtomicInteger();
   private Runnable atRead = () -> {};
   private Runnable atWrite = () -> {};
@@ -107,6 +109,7 @@
     front = new FastCgiFront(
         (params, body, at) -> {
           atRead.run();
+          arrivedAt.set(at);
           return reader.read(params, body, at);
         },
         core,
@@ -284,4 +287,22 @@
     }
     assertTrue(told.contains("Status: 503"), "the request that was read got no answer");
   }
+
+  /** What waited for its connection's thread has waited since the connection was accepted: its client's time counts from there. */
+  @Test
+  void whatWaitedToBeReadArrivedWhenItsConnectionWasAccepted() throws Exception {
+    long accepted = Clock.micros();
+    client
+        .getOutputStream()
+        .write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/none"), new byte[0]));
+    Thread.sleep(300);
+    readAll();
+    assertTrue(answer().contains("Status: 404"));
+    assertTrue(arrivedAt.get() <= accepted, "counted from when it was read");
+    client
+        .getOutputStream()
+        .write(RecordWriter.request(2, true, Map.of("SCRIPT_NAME", "/svc/none"), new byte[0]));
+    assertTrue(answer().contains("Status: 404"));
+    assertTrue(arrivedAt.get() > accepted + 290_000, "read as it came");
+  }
 }
--- a/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -23,12 +23,18 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The moments at which a request, its connection and its end can cross; a seam of the request holds each. */
 class RunnerRequestTest {
@@ -44,6 +50,7 @@
     Runnable atSize = () -> {};
     Runnable atLastLook = () -> {};
     int size = 10;
+    byte[] halt;
 
     Probe() {
       super(RunnerRequestTest.this.links, "r");
@@ -83,7 +90,7 @@
 
     @Override
     byte[] halt() {
-      return null;
+      return halt;
     }
 
     @Override
@@ -209,4 +216,42 @@
     assertTrue(carrier.carry(before));
     assertEquals(0, carrier.carrying());
   }
+
+  /** Until its halt is on the wire, or the connection has ended, what was given up is out: a second attempt would be one too many. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void theEndOfWhatLeftIsToldOnceItIsOnTheWire(boolean written) throws Exception {
+    ConcurrentLinkedQueue<Runnable> held = new ConcurrentLinkedQueue<>();
+    AtomicBoolean holds = new AtomicBoolean();
+    Executor writers = task -> {
+      if (holds.get()) {
+        held.add(task);
+      } else {
+        task.run();
+      }
+    };
+    LinkConnection carrier =
+        new LinkConnection(address(), 250_000, 1 << 20, writers, (c, open, why) -> false);
+    Thread runs = new Thread(carrier::run);
+    runs.setDaemon(true);
+    runs.start();
+    Probe request = new Probe();
+    request.halt = new byte[] {'h'};
+    request.on(carrier);
+    assertTrue(carrier.carry(request));
+    try (Socket runner = server.accept()) {
+      assertEquals(request.size, runner.getInputStream().readNBytes(request.size).length);
+      holds.set(true);
+      request.giveUp(Ending.CANCELLED);
+      assertEquals(List.of(), request.ends, "its halt waits to be written");
+      holds.set(false);
+      if (written) {
+        held.forEach(Runnable::run);
+        assertEquals('h', runner.getInputStream().read());
+      } else {
+        carrier.close(Ending.BROKEN, "test");
+      }
+      assertEquals(List.of(Outcome.CANCELLED), request.ends);
+    }
+  }
 }
