A new dispatcher goes through the steps of a call before it is live: first calls left late

The dispatchers' own second look counted the same ones. Cause: each step loads and links its classes when it is first met, on a fifth of a core; the line "leaves" was even formatted between the look and the write. Ruled out: pauses (the count of stalls is 0), the soak's own lateness (its longest 61 ms). Class: work in the gap between a check and what it checks.

Change: WarmUp goes through deciding, the last look, the lines to and from runners and answers, on values of its own, before the listener opens. The line about an attempt that left comes after its write, with the time in between.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -140,6 +140,7 @@
             core::peerMessage)
         : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
+    WarmUp.run(config.router());
     front.listen(config.listen(), STACK);
     tidyLater();
   }
--- a/node/src/main/java/gorseladder/node/runners/AttemptRequest.java
+++ b/node/src/main/java/gorseladder/node/runners/AttemptRequest.java
@@ -78,6 +78,7 @@
 
   @Override
   void written(long now) {
+    super.written(now);
     SendGate gate = links.gate();
     long drainToldAt;
     long restartToldAt;
--- a/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
@@ -78,7 +78,9 @@
   abstract byte[] bytes(long now);
 
   /** Its bytes were written; any thread. */
-  void written(long now) {}
+  void written(long now) {
+    LOG.debug("request={} worker={} left {} us ago", id(), worker, now - leftAt());
+  }
 
   /** What gives it up once it was written; null where nothing does. */
   abstract byte[] halt();
@@ -124,7 +126,6 @@
       }
     }
     if (verdict.allowed()) {
-      LOG.debug("request={} worker={} leaves", id(), worker);
       return bytes(now);
     }
     LOG.debug("request={} worker={} held back: {}", id(), worker, verdict.word());
