The listener stands whatever fails while it accepts, and a stop takes its backlog though accepting fails

Cause, by reading, not seen: an error in the accepting thread (no memory, a failing wait) closed the listener while the process went on; and where accepting failed at the very moment of a stop, what the system held was dropped with its requests.

Change: what fails is told and tried again every 20 ms; at the stop eight times.

--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -23,7 +23,7 @@
   /** Before the system is asked again for what it did not have. */
   private static final long PAUSE_MILLIS = 20;
 
-  private static final int LAST_TRIES = 25;
+  private static final int LAST_TRIES = 8;
 
   /** What is done with connections. */
   public interface Handler {
@@ -101,17 +101,19 @@
     try (selector;
         server) {
       while (!stopped) {
-        selector.select(unstarted.isEmpty() ? 0 : PAUSE_MILLIS);
-        selector.selectedKeys().clear();
+        await();
         startWaiting();
         acceptAll();
       }
       // What the system had accepted before the listener goes belongs to clients that may have
-      // asked already.
+      // asked already; also where accepting fails just now.
       acceptAll();
-      for (int tries = 0; !unstarted.isEmpty() && tries < LAST_TRIES; tries++) {
+      for (int tries = 0;
+          (failingSince > 0 || !unstarted.isEmpty()) && tries < LAST_TRIES;
+          tries++) {
         pause();
         startWaiting();
+        acceptAll();
       }
       for (SocketChannel connection : unstarted) {
         LOG.error("no thread for a connection before the end");
@@ -124,7 +126,18 @@
     }
   }
 
-  /** Accepts all that the system holds ready. */
+  /** Waits until there is something to accept. */
+  private void await() {
+    try {
+      selector.select(unstarted.isEmpty() ? 0 : PAUSE_MILLIS);
+      selector.selectedKeys().clear();
+    } catch (IOException | RuntimeException e) {
+      LOG.warn("waiting for connections failed: {}", e.toString());
+      pause();
+    }
+  }
+
+  /** Accepts all that the system holds ready. What fails here is over in a moment: the listener stands as long as the program. */
   private void acceptAll() {
     // All that waits now may have waited since accepting began to fail.
     long waitedSince = failingSince > 0 ? failingSince : Clock.micros();
@@ -140,7 +153,7 @@
         }
       }
       failingSince = 0;
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException | OutOfMemoryError e) {
       if (failingSince == 0) {
         LOG.warn("accept failed: {}", e.toString());
         failingSince = waitedSince;
