--- a/soak/src/main/java/gorseladder/soak/EdgeSoak.java
+++ b/soak/src/main/java/gorseladder/soak/EdgeSoak.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -32,7 +33,13 @@
   private static final int TRIES = 6;
   private static final double DELIVERED_AGAIN = 0.4;
   private static final long SLACK = 150_000;
+  private static final int DISK = 0;
+  private static final int STEP = 2;
   private static final int SENDERS = 200;
+  private static final int MOST_AGAIN = 60;
+  /** An edge forgets what it may forget once a second. */
+  private static final long FORGETS_WITHIN_MILLIS = 1_300;
+
   private static final long[] STEPS_MILLIS = {3_600_000, -3_600_000, 5_000, -5_000};
   private static final long NO_SPACE = 28;
   private static final long IO_ERROR = 5;
@@ -46,7 +53,9 @@
   private final Preload preload;
   private final AtomicInteger served = new AtomicInteger();
   private final AtomicInteger refused = new AtomicInteger();
+  private final ConcurrentLinkedQueue<Done> done = new ConcurrentLinkedQueue<>();
   private volatile long stepMillis;
+  private int steps;
   private Control control;
 
   /**
@@ -64,6 +73,9 @@
       long failed,
       List<String> breaks) {}
 
+  /** A message that was served and may not run again, with what was delivered. */
+  private record Done(String message, Kind kind, byte[] body) {}
+
   /** A soak of so many microseconds. */
   public EdgeSoak(long seed, long length, Path folder, Preload preload) throws IOException {
     this.random = new SplittableRandom(seed);
@@ -85,7 +97,7 @@
       Portal portal = world.portal();
       ExecutorService senders = Executors.newFixedThreadPool(SENDERS);
       long until = Clock.micros() + length;
-      Thread brings = new Thread(() -> bring(world, until, troubles), "edge-troubles");
+      Thread brings = new Thread(() -> bring(world, portal, until, troubles), "edge-troubles");
       brings.start();
       int messages = 0;
       while (Clock.micros() < until) {
@@ -97,6 +109,7 @@
       brings.join();
       senders.shutdown();
       boolean ended = senders.awaitTermination(30, TimeUnit.SECONDS);
+      deliverAgain(portal);
       List<String> breaks = new ArrayList<>(
           RuleChecker.check(world.tap(), world.rules(), World.REPEAT_WINDOW, SLACK).stream()
               .map(Object::toString)
@@ -119,6 +132,15 @@
     }
   }
 
+  /** After a step of the clock, and at the end: what was served is served again, from memory. */
+  private void deliverAgain(Portal portal) throws InterruptedException {
+    Thread.sleep(FORGETS_WITHIN_MILLIS);
+    done.stream()
+        .limit(MOST_AGAIN)
+        .forEach(d -> portal.attempt(
+            d.message(), 0, d.kind(), d.body(), stampOf(TRIES), d.kind().deadline()));
+  }
+
   private static List<Kind> kinds() {
     return Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW);
   }
@@ -133,6 +155,9 @@
         boolean good = last.statuses.contains(200);
         if (good && chance.nextDouble() > DELIVERED_AGAIN) {
           served.incrementAndGet();
+          if (kind.effect() == Effect.UNSAFE) {
+            done.add(new Done(message, kind, body));
+          }
           return;
         }
         boolean mayRepeat = good
@@ -158,16 +183,17 @@
 
   // ---- troubles
 
-  private void bring(World world, long until, List<String> troubles) {
+  private void bring(World world, Portal portal, long until, List<String> troubles) {
     try {
       Thread.sleep(1_000);
       while (Clock.micros() < until - 1_500_000) {
         long lasts = 200 + random.nextInt(1_200);
-        int which = random.nextInt(5);
+        // A disk that fails and a step come first, so that no play is without them.
+        int which = troubles.size() < 2 ? (troubles.isEmpty() ? DISK : STEP) : random.nextInt(5);
         troubles.add(which + " for " + lasts + " ms");
         switch (which) {
-          case 0, 1 -> disk(lasts, random.nextInt(4));
-          case 2 -> step();
+          case DISK, 1 -> disk(lasts, random.nextInt(4));
+          case STEP -> step(portal);
           case 3 -> kill(world, 0);
           default -> {
             // Killed while writes fail: a half frame is left behind, and the disk is good again at
@@ -205,9 +231,12 @@
     failing(0, 0, 0);
   }
 
-  private void step() {
-    stepMillis = stepMillis != 0 ? 0 : STEPS_MILLIS[random.nextInt(STEPS_MILLIS.length)];
+  /** The first step is an hour forward, past what the ledger keeps; later ones are drawn, or take the one before back. */
+  private void step(Portal portal) throws InterruptedException {
+    int drawn = random.nextInt(STEPS_MILLIS.length);
+    stepMillis = stepMillis != 0 ? 0 : STEPS_MILLIS[steps++ == 0 ? 0 : drawn];
     control.set(Fault.WALL_OFFSET_MS, stepMillis);
+    deliverAgain(portal);
   }
 
   private void kill(World world, int mends) throws IOException, InterruptedException {
