--- a/soak/src/main/java/gorseladder/soak/FaultProxy.java
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -41,6 +41,7 @@
   private volatile ServerSocket server;
   private volatile long holdUntil;
   private volatile long accepted;
+  private volatile long firstAnswerDelay;
   private volatile boolean closed;
 
   /** A proxy on a free port of the loopback. */
@@ -68,11 +69,6 @@
     return accepted;
   }
 
-  /** Connections open, both sides of each. */
-  int openSockets() {
-    return open.size();
-  }
-
   /** Runs a task on a thread of the soak's own; threads are used again, since connections come and go by the hundred. */
   static void start(String name, Runnable task) {
     THREADS.execute(() -> {
@@ -104,7 +100,7 @@
         far.connect(target);
         near.setTcpNoDelay(true);
         far.setTcpNoDelay(true);
-        start("proxy-back", () -> pass(far, near));
+        start("proxy-back", () -> passBack(far, near));
         pass(near, far);
       } catch (IOException e) {
         reset(near);
@@ -113,6 +109,16 @@
     });
   }
 
+  /** Passes answers on, the first one of a connection only after the delay set. */
+  private void passBack(Socket far, Socket near) {
+    try {
+      Thread.sleep(firstAnswerDelay / 1_000);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    pass(far, near);
+  }
+
   private void pass(Socket from, Socket to) {
     byte[] buffer = new byte[BUFFER];
     try {
@@ -156,6 +162,11 @@
     }
   }
 
+  /** Delays the first answer on each connection opened from now on, in microseconds. */
+  void delayFirstAnswer(long micros) {
+    firstAnswerDelay = micros;
+  }
+
   /** Holds up all bytes for so long. */
   void hold(long micros) {
     long now = Clock.micros();
--- a/soak/src/main/java/gorseladder/soak/Preload.java
+++ b/soak/src/main/java/gorseladder/soak/Preload.java
@@ -9,8 +9,10 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * The library that makes system calls of a process fail, steps its wall clock and spoils its files; built from {@code faults.c}
@@ -34,7 +36,15 @@
     Path library = folder.resolve("faults.so");
     try {
       Process compiler = new ProcessBuilder(
-              "cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
+              "cc",
+              "-shared",
+              "-fPIC",
+              "-O2",
+              "-DFAULT_SLOTS=" + slots(),
+              "-o",
+              library.toString(),
+              source.toString(),
+              "-ldl")
           .redirectErrorStream(true)
           .redirectOutput(folder.resolve("cc.log").toFile())
           .start();
@@ -44,6 +54,11 @@
     }
   }
 
+  /** The names of all faults in their order, as the library's source takes them. */
+  private static String slots() {
+    return Arrays.stream(Fault.values()).map(Fault::name).collect(Collectors.joining(","));
+  }
+
   /** What can be set for one process; the places are those of the library's control file. */
   public enum Fault {
     WALL_OFFSET_MS,
@@ -62,6 +77,8 @@
     DISK_REMOVE_RATE,
     DISK_ERRNO,
     THREAD_RATE,
+    OPEN_RATE,
+    OPEN_ERRNO,
     SEED,
     INJECTED
   }
--- a/soak/src/main/java/gorseladder/soak/SoakClients.java
+++ b/soak/src/main/java/gorseladder/soak/SoakClients.java
@@ -77,6 +77,14 @@
     takesNone = out;
   }
 
+  /** Lets go of idle connections, so that the next requests open new ones. */
+  void reconnect() {
+    synchronized (connections) {
+      connections.forEach(Connection::end);
+      connections.removeIf(Connection::over);
+    }
+  }
+
   private void run() {
     try {
       while (!stopped) {
--- a/soak/src/main/resources/gorseladder/soak/faults.c
+++ b/soak/src/main/resources/gorseladder/soak/faults.c
@@ -24,27 +24,8 @@
 #include <time.h>
 #include <unistd.h>
 
-enum slot {
-  WALL_OFFSET_MS,
-  ACCEPT_RATE,
-  ACCEPT_ERRNO,
-  CONNECT_RATE,
-  CONNECT_ERRNO,
-  SOCKET_RATE,
-  SOCKET_ERRNO,
-  SHORT_RATE,
-  INTERRUPT_RATE,
-  BROKEN_RATE,
-  BROKEN_ERRNO,
-  DISK_WRITE_RATE,
-  DISK_SYNC_RATE,
-  DISK_REMOVE_RATE,
-  DISK_ERRNO,
-  THREAD_RATE,
-  SEED,
-  INJECTED,
-  SLOTS
-};
+/* The list of slots is the one of Preload.Fault: the compiler is told it as FAULT_SLOTS, so that there is only one. */
+enum slot { FAULT_SLOTS, SLOTS };
 
 #define MOST_FILES 65536
 enum kind { UNKNOWN, SOCKET, FOLDER_FILE };
@@ -224,6 +205,7 @@
     mode_t mode = flags & O_CREAT ? va_arg(more, mode_t) : 0; \
     va_end(more); \
     if ((flags & O_CREAT) && below_folder(path) && hit(DISK_WRITE_RATE)) return fail(DISK_ERRNO); \
+    if (hit(OPEN_RATE)) return fail(OPEN_ERRNO); \
     return note_file(real_##name(path, flags, mode), path); \
   }
 
--- /dev/null
+++ b/soak/src/test/java/gorseladder/soak/NewsToldOnceTest.java
@@ -0,0 +1,88 @@
+package gorseladder.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.soak.Preload.Fault;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a dispatcher is told once, at a moment at which its system fails it or the other side is slow. */
+class NewsToldOnceTest {
+  private static final long SECOND = 1_000_000;
+  private static final int ALL = 1_000;
+  private static final long FAILING_MILLIS = 400;
+
+  @TempDir
+  Path dir;
+
+  private OneDispatcher dispatcher;
+
+  @BeforeEach
+  void start() throws Exception {
+    dispatcher = new OneDispatcher(dir);
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    dispatcher.close();
+  }
+
+  /** Incident-1: no thread can be started when SIGHUP comes, and the machine handles each signal on a new thread. */
+  @Test
+  void aNewConfigurationIsFollowedThoughItsSignalFindsNoThread() throws Exception {
+    dispatcher.set(Fault.THREAD_RATE, ALL);
+    dispatcher.moveChangeLog();
+    Thread.sleep(FAILING_MILLIS);
+    dispatcher.set(Fault.THREAD_RATE, 0);
+    assertEquals(List.of(), dispatcher.drainAfterTheMove(), dispatcher::said);
+  }
+
+  /** Errors: EMFILE, ENFILE, EIO. */
+  @ParameterizedTest
+  @ValueSource(ints = {24, 23, 5})
+  void aNewConfigurationIsFollowedThoughItCannotBeOpenedAtFirst(int error) throws Exception {
+    dispatcher.set(Fault.OPEN_ERRNO, error);
+    dispatcher.set(Fault.OPEN_RATE, ALL);
+    dispatcher.moveChangeLog();
+    Thread.sleep(FAILING_MILLIS);
+    dispatcher.set(Fault.OPEN_RATE, 0);
+    assertEquals(List.of(), dispatcher.drainAfterTheMove(), dispatcher::said);
+  }
+
+  /** A log that takes 2.6 s to its first line, at its old and its new address, is heard all the same. */
+  @Test
+  void aSlowChangeLogIsHeard() throws Exception {
+    dispatcher.log.proxy(0).delayFirstAnswer(2_600_000);
+    FaultProxy next = dispatcher.moveChangeLog();
+    next.delayFirstAnswer(2_600_000);
+    assertEquals(List.of(), dispatcher.drainAfterTheMove(), dispatcher::said);
+    assertTrue(next.accepted() <= 3, next.accepted() + " connections");
+  }
+
+  /** No thread can be started when SIGTERM comes. */
+  @Test
+  void aStopIsCarriedOutThoughItsSignalFindsNoThread() throws Exception {
+    dispatcher.set(Fault.THREAD_RATE, ALL);
+    FaultProxy.start("threads-again", () -> {
+      try {
+        Thread.sleep(FAILING_MILLIS);
+        dispatcher.set(Fault.THREAD_RATE, 0);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    dispatcher.process.stop(SECOND / 2);
+    assertEquals(
+        List.of(),
+        Oracle.judge(dispatcher.evidence, dispatcher.log.told()).findings(),
+        dispatcher::said);
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/gorseladder/soak/OneDispatcher.java
@@ -0,0 +1,102 @@
+package gorseladder.soak;
+
+import gorseladder.testbed.process.RunLine;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** One real dispatcher process between runners, clients and a change log; the test itself brings the faults. */
+final class OneDispatcher implements Closeable {
+  private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+  private static final double CALLS_PER_SECOND = 40;
+  private static final int RUNNERS = 4;
+  /** The platform counts news of a new configuration as told so long after the signal. */
+  private static final long TOLD_AFTER_SIGNAL_MILLIS = 4_000;
+
+  private static final long OLD_LOG_MILLIS = 1_500;
+
+  final Evidence evidence = new Evidence();
+  final List<SoakRunner> runners = new ArrayList<>();
+  final ChangeLogs log;
+  final SoakDispatcher process;
+  private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(4);
+  private final Path folder;
+
+  /** Starts everything; traffic runs when this returns. */
+  OneDispatcher(Path folder) throws IOException, InterruptedException {
+    this.folder = folder;
+    for (int i = 0; i < RUNNERS; i++) {
+      runners.add(new SoakRunner("r" + i, evidence, clock));
+    }
+    log = new ChangeLogs(runners);
+    Preload preload = Preload.build(folder).orElseThrow(() -> new IOException("no C compiler"));
+    process = new SoakDispatcher(0, RunLine.read(ROOT), ROOT, folder, evidence, preload);
+    configure();
+    process.start();
+    process.awaitReady();
+    process.clients(new SoakClients(0, process.listen(), evidence, 5, CALLS_PER_SECOND));
+    process.clients().begin();
+    Thread.sleep(1_000);
+  }
+
+  /** Lays down its configuration as things are now. */
+  void configure() throws IOException {
+    process.configure(SoakConfig.text(0, 1, 7, log.proxy(0).address(), log.known()));
+  }
+
+  void set(Preload.Fault fault, long value) {
+    process.control().set(fault, value);
+  }
+
+  /** Moves the change log to another address, which the dispatcher is told of by its configuration and one signal. */
+  FaultProxy moveChangeLog() throws IOException, InterruptedException {
+    FaultProxy old = log.replace(0);
+    configure();
+    process.signal("HUP");
+    old.refuse();
+    FaultProxy.start("old-log", () -> {
+      try {
+        Thread.sleep(OLD_LOG_MILLIS);
+        old.resetAll();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    return log.proxy(0);
+  }
+
+  /** Drains a runner once all that a signal told counts as told; what then went against the rule on drains. */
+  List<Finding> drainAfterTheMove() throws InterruptedException {
+    Thread.sleep(TOLD_AFTER_SIGNAL_MILLIS);
+    log.drains(runners.get(0));
+    Thread.sleep(1_500);
+    return Oracle.judge(evidence, log.told()).findings().stream()
+        .filter(finding -> finding.rule() == SoakRule.DRAIN)
+        .toList();
+  }
+
+  /** What it wrote to its log. */
+  String said() {
+    try {
+      return Files.readString(folder.resolve("n0").resolve("log0"));
+    } catch (IOException e) {
+      return e.toString();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    process.close();
+    clock.shutdownNow();
+    evidence.ownStalls().close();
+    for (SoakRunner runner : runners) {
+      runner.close();
+    }
+    log.close();
+  }
+}
--- a/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
@@ -13,8 +13,11 @@
  * the pipe closes. Any thread.
  */
 public final class ChildProcess implements AutoCloseable {
-  /** The shell keeps the pipe as descriptor 3; the command runs without it. */
-  private static final String GUARD = "exec 3<&0; %s 3<&- </dev/null & child=$!; echo $child; "
+  /**
+   * The shell keeps the pipe as descriptor 3; the command runs without it. Its standard output joins its standard error in the
+   * log: a Java machine that cannot start says so there, and a pipe that nobody reads would stop it once it is full.
+   */
+  private static final String GUARD = "exec 3<&0; %s 3<&- </dev/null >&2 & child=$!; echo $child; "
       + "{ read line <&3; kill -9 $child 2>/dev/null; } & reader=$!; "
       + "wait $child 2>/dev/null; code=$?; kill $reader 2>/dev/null; echo $code";
 
@@ -75,7 +78,6 @@
     if (!shell.waitFor(millis, TimeUnit.MILLISECONDS)) {
       return -1;
     }
-    // The child may have written to standard output too; the shell's own line is the last.
     for (String line = shell.inputReader().readLine();
         line != null;
         line = shell.inputReader().readLine()) {
