The change log's address is reconciled with the file; slow feeds and bad entries are heard

Cause: a signal is handled on a new thread and lost where there is none; a failed reading of the file was final; a feed was given up after 1.8 s before it could answer; one unreadable entry ended the reading of its event, for ever. Class: told once, failed once, lost. Logs: each end of a connection to the log with its reason, first word after silence, drains with event and address, silence over 4 s; all of it in the line at the stop.

--- /dev/null
+++ b/decisions/src/test/java/gorseladder/follow/FeedAttemptsTest.java
@@ -0,0 +1,75 @@
+package gorseladder.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FeedAttemptsTest {
+  private static final long SILENCE = FollowPace.SILENCE;
+
+  private final FeedAttempts attempts = new FeedAttempts(1);
+
+  /** A whole line that tells what is known, or more, is a sign of life; one that tells less is none. */
+  @Test
+  void aFeedIsSilentWhenNoLineTellsAnythingNew() {
+    long first = attempts.begin(1_000).number();
+    assertEquals(1_000 + SILENCE, attempts.nextAt(1_000));
+    assertEquals(List.of(), attempts.told(first, 7, 7, 500_000));
+    assertEquals(500_000 + SILENCE, attempts.nextAt(900_000));
+    attempts.told(first, 6, 7, 1_500_000);
+    assertEquals(500_000 + SILENCE, attempts.nextAt(1_500_000));
+    attempts.told(first, 8, 7, 1_600_000);
+    assertEquals(1_600_000 + SILENCE, attempts.nextAt(1_600_000));
+  }
+
+  /** Known from outside: an answer that comes after 2.6 s was never waited for. */
+  @Test
+  void aSlowFeedIsAskedBesideAndNotInsteadUntilOneTells() {
+    long first = attempts.begin(0).number();
+    long second = attempts.begin(attempts.nextAt(0)).number();
+    assertTrue(attempts.stands(first));
+    assertEquals(List.of(second), attempts.told(first, 7, 7, 2_600_000));
+    assertFalse(attempts.stands(second));
+  }
+
+  @Test
+  void roomIsMadeByTheOldestThatTellsNothing() {
+    long telling = attempts.begin(0).number();
+    long second = attempts.begin(SILENCE).number();
+    attempts.begin(2 * SILENCE);
+    attempts.moved();
+    attempts.told(telling, 7, 7, 3 * SILENCE - 1);
+    assertEquals(second, attempts.begin(3 * SILENCE).evicted());
+    assertTrue(attempts.stands(telling));
+  }
+
+  @Test
+  void aMoveAsksAtOnceAndKeepsTheOldFeedUntilTheNewOneTells() {
+    long old = attempts.begin(0).number();
+    attempts.told(old, 7, 7, 100);
+    attempts.moved();
+    assertTrue(attempts.nextAt(200) <= 200);
+    long next = attempts.begin(200).number();
+    attempts.told(old, 8, 7, 300);
+    assertTrue(attempts.stands(next));
+    assertEquals(List.of(old), attempts.told(next, 8, 8, 400));
+  }
+
+  @Test
+  void afterAnEndItPausesAndAfterManyVainOnesItIsMorePatient() {
+    long number = attempts.begin(0).number();
+    attempts.ended(number, false, 1_000);
+    long next = attempts.nextAt(1_000);
+    assertTrue(next > 1_000 && next < 400_000, "paused until " + next);
+    long now = next;
+    for (int i = 0; i <= FeedAttempts.PATIENT_AFTER; i++) {
+      attempts.begin(now);
+      now = attempts.nextAt(now);
+    }
+    attempts.begin(now);
+    assertEquals(now + 2 * SILENCE, attempts.nextAt(now));
+  }
+}
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,7 +31,7 @@
   private static final int STACK = 128 << 10;
   private static final int CORE_STACK = 512 << 10;
   private static final int MOST_WRITERS = 64;
-  private static final long TIDY_EVERY = 200_000;
+  private static final long CHECK_EVERY = 200_000;
   /** A pause of the process, in microseconds, that may have made answers late and is worth a line. */
   private static final long PAUSE = 150_000;
   /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
@@ -51,7 +52,7 @@
   private static final long ANSWER_BEFORE = 250_000;
   private static final long LOOK_AGAIN = 5_000;
   /** Seconds between two lines of what it holds; 0, as usual, for none. */
-  private static final long STORY_EVERY = Long.getLong("gorseladder.node.story", 0);
+  private static final long SUMMARY_EVERY = Long.getLong("gorseladder.node.summary", 0);
 
   private final NodeConfig config;
   private final Watchdog watchdog;
@@ -64,8 +65,9 @@
   private final FastCgiFront front;
   private final TierLink peers;
   private long longestLag;
-  private long storyAt;
+  private long summaryAt;
   private volatile boolean closed;
+  private volatile Supplier<String> tellsMore = () -> "none";
   /** News of the list told to the core; the thread's that follows the change log. */
   private long newsTold;
 
@@ -142,7 +144,7 @@
     changeLog.start(config.knownSeq(), config.known(), STACK);
     WarmUp.run(config.router());
     front.listen(config.listen(), STACK);
-    tidyLater();
+    checkLater();
   }
 
   private final class Hands implements Core.Hands<NodeCall> {
@@ -179,9 +181,9 @@
     }
   }
 
-  private void tidyLater() {
-    long due = Clock.micros() + TIDY_EVERY;
-    watchdog.after(TIDY_EVERY, () -> {
+  private void checkLater() {
+    long due = Clock.micros() + CHECK_EVERY;
+    watchdog.after(CHECK_EVERY, () -> {
       if (!closed) {
         long lag = Clock.micros() - due;
         longestLag = Math.max(longestLag, lag);
@@ -191,27 +193,28 @@
               config.name(),
               lag / 1000,
               core.longestWait(),
-              story());
+              summary());
         }
-        tellStory();
+        logSummary();
         writers.relieve();
-        links.tidy();
-        front.tidy();
-        tidyLater();
+        links.check();
+        front.check();
+        changeLog.noteSilence();
+        checkLater();
       }
     });
   }
 
   /** Where it was told to, says what it holds now and then, with its own pauses since the last time. */
-  private void tellStory() {
-    if (STORY_EVERY > 0 && Clock.micros() >= storyAt) {
-      storyAt = Clock.micros() + STORY_EVERY * 1_000_000;
+  private void logSummary() {
+    if (SUMMARY_EVERY > 0 && Clock.micros() >= summaryAt) {
+      summaryAt = Clock.micros() + SUMMARY_EVERY * 1_000_000;
       LOG.info(
           "{}; longest wait for the core {} us, longest pause {} us; {}",
           config.name(),
           core.longestWait(),
           longestLag,
-          story());
+          summary());
       longestLag = 0;
     }
   }
@@ -226,6 +229,21 @@
     changeLog.moveTo(address);
   }
 
+  /** Where the change log is followed. */
+  public InetSocketAddress changeLogAt() {
+    return changeLog.address();
+  }
+
+  /** True while the change log tells something. */
+  public boolean changeLogHeard() {
+    return changeLog.isHeard();
+  }
+
+  /** Has something more told in the line of {@link #summary}. */
+  public void tellWith(Supplier<String> more) {
+    tellsMore = more;
+  }
+
   /** True where no call is held and no attempt is out. */
   public boolean idle() {
     return front.held() == 0 && links.callsOut() == 0;
@@ -246,10 +264,11 @@
     return front.connections();
   }
 
-  /** What it holds and counted, for the log. */
-  public String story() {
-    return "front: " + front.story() + "; links: " + links.story() + "; pauses " + pauses.stalls()
-        + "; rules broken " + rules.counts();
+  /** What it holds, believes and counted, for the log. */
+  public String summary() {
+    return "front: " + front.summary() + "; links: " + links.summary() + "; change log: "
+        + changeLog.summary() + "; configuration: " + tellsMore.get() + "; pauses "
+        + pauses.stalls() + "; rules broken " + rules.counts();
   }
 
   /** How often a rule was broken as far as this dispatcher can see; empty where none was. */
@@ -263,7 +282,16 @@
    * come gets its final answer there and then. Returns when all connections have ended, or at that moment.
    */
   public void stop() throws InterruptedException {
-    long begun = Clock.micros();
+    stop(0);
+  }
+
+  /**
+   * The same where it was told to stop some time before.
+   *
+   * @param noticedWithin so long ago, at the most, in microseconds
+   */
+  public void stop(long noticedWithin) throws InterruptedException {
+    long begun = Clock.micros() - noticedWithin;
     long longest =
         config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
     long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
@@ -277,7 +305,7 @@
       }
       sleepUntil(Clock.micros() + LOOK_AGAIN);
     }
-    LOG.info("{} stops after {} ms; {}", config.name(), (Clock.micros() - begun) / 1000, story());
+    LOG.info("{} stops after {} ms; {}", config.name(), (Clock.micros() - begun) / 1000, summary());
     close();
   }
 
--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -42,6 +42,9 @@
   public record Links(
       long connect, long idle, int multiplex, boolean tellsNote, boolean tellsCrowd) {}
 
+  /** The variable that names the configuration file. */
+  static final String FILE_VARIABLE = "ROUTER_CONFIG";
+
   private static final long MEGABYTE = 1 << 20;
 
   /**
@@ -52,7 +55,7 @@
   public static NodeConfig read(Map<String, String> environment) {
     String name = variable(environment, "ROUTER_NAME");
     InetSocketAddress listen = address(variable(environment, "ROUTER_LISTEN"), "ROUTER_LISTEN");
-    Path file = Path.of(variable(environment, "ROUTER_CONFIG"));
+    Path file = Path.of(variable(environment, FILE_VARIABLE));
     Map<String, Object> all = object(file);
     try {
       return read(name, listen, all);
@@ -67,7 +70,7 @@
    * @throws BadInput where there is none
    */
   static InetSocketAddress changeLog(Map<String, String> environment) {
-    Path file = Path.of(variable(environment, "ROUTER_CONFIG"));
+    Path file = Path.of(variable(environment, FILE_VARIABLE));
     return address(Fields.text(object(file), "changelog"), file + ": changelog");
   }
 
--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -1,19 +1,24 @@
 package gorseladder.node;
 
 import gorseladder.platform.BadInput;
+import gorseladder.runtime.ProcessSignals;
 import java.io.IOException;
-import java.util.concurrent.CountDownLatch;
-import sun.misc.Signal;
+import java.nio.file.Path;
+import java.util.Map;
 
 /**
  * Runs one dispatcher of the platform until it is told to stop: SIGTERM stops it in order, SIGHUP has it read its
- * configuration again. Signals are handled from the first moment on, since the machine's own way would end the process.
+ * configuration again. Signals are noticed from the first moment on, since the machine's own way would end the process.
  */
 public final class NodeMain {
   /** Exit codes. */
   public static final int OK = 0;
 
   public static final int CANNOT_START = 3;
+  /** Between two looks for signals: so late a stop may begin. */
+  private static final long LOOK_MILLIS = 50;
+
+  private static final int STACK = 128 << 10;
 
   private NodeMain() {}
 
@@ -29,16 +34,25 @@
     if (System.getProperty("gorseladder.log.level") == null) {
       System.setProperty("gorseladder.log.level", "INFO");
     }
-    CountDownLatch stop = new CountDownLatch(1);
-    Reload reload = new Reload(() -> NodeConfig.changeLog(System.getenv()));
-    Signal.handle(new Signal("HUP"), signal -> reload.ask());
-    Signal.handle(new Signal("TERM"), signal -> stop.countDown());
-    Signal.handle(new Signal("INT"), signal -> stop.countDown());
-    try (Node node = new Node(NodeConfig.read(System.getenv()))) {
-      // Where it was replaced during the start, the file may have been read before that.
-      reload.appliesTo(node::changeLogAt);
-      stop.await();
-      node.stop();
+    ProcessSignals signals = ProcessSignals.notice();
+    Map<String, String> environment = System.getenv();
+    try (Node node = new Node(NodeConfig.read(environment));
+        // Where it was replaced during the start, the file may have been read before that.
+        Reconfiguration reconfiguration = new Reconfiguration(
+            Path.of(environment.get(NodeConfig.FILE_VARIABLE)),
+            () -> NodeConfig.changeLog(environment),
+            node.changeLogAt(),
+            node::changeLogAt,
+            node::changeLogHeard,
+            STACK)) {
+      node.tellWith(reconfiguration::summary);
+      while (!signals.stopAsked()) {
+        if (signals.reloadAsked()) {
+          reconfiguration.ask();
+        }
+        Thread.sleep(LOOK_MILLIS);
+      }
+      node.stop(LOOK_MILLIS * 1_000);
       return OK;
     } catch (BadInput | IOException e) {
       System.err.println("gorseladder: " + e.getMessage());
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -247,7 +247,7 @@
   }
 
   /** Looks at the time limits of connections; called now and then. */
-  public void tidy() {
+  public void check() {
     long now = Clock.micros();
     for (FrontConnection connection : connections.values()) {
       connection.check(now, SILENT, IDLE);
@@ -256,7 +256,7 @@
   }
 
   /** Calls held, connections, and what was counted, for the log. */
-  public String story() {
+  public String summary() {
     return connections.size() + " connections, " + held.size() + " calls held, " + counts;
   }
 
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -104,7 +104,7 @@
   }
 
   /** Closes what is idle too long or stuck; once the runner has gone, each connection as it falls free. */
-  void tidy(long now, long stuck) {
+  void check(long now, long stuck) {
     List<LinkConnection> all;
     boolean leaving;
     synchronized (this) {
@@ -133,7 +133,7 @@
     synchronized (this) {
       gone = true;
     }
-    tidy(Clock.micros(), Long.MAX_VALUE);
+    check(Clock.micros(), Long.MAX_VALUE);
   }
 
   /** True where nothing is left of a runner that has gone. */
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -259,10 +259,10 @@
   }
 
   /** Drops what belongs to runners that are gone and connections idle or stuck too long; called now and then. */
-  public void tidy() {
+  public void check() {
     long now = Clock.micros();
-    links.values().forEach(link -> link.tidy(now, STUCK));
-    leaving.forEach(link -> link.tidy(now, STUCK));
+    links.values().forEach(link -> link.check(now, STUCK));
+    leaving.forEach(link -> link.check(now, STUCK));
     synchronized (gate) {
       leaving.removeIf(Link::finished);
       Set<String> last = leaving.stream().map(Link::uid).collect(Collectors.toSet());
@@ -271,7 +271,7 @@
   }
 
   /** Connections, attempts out, and how connections ended, for the log. */
-  public String story() {
+  public String summary() {
     int standing = links.values().stream().mapToInt(Link::standing).sum();
     synchronized (gate) {
       return links.size() + " runners, " + standing + " connections, " + out.size()
--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -72,7 +72,7 @@
       Trouble.STOP),
   RELOAD_IGNORED(
       SoakRule.FOLLOW,
-      "node/src/main/java/gorseladder/node/Reload.java",
+      "node/src/main/java/gorseladder/node/Reconfiguration.java",
       "follower.accept(address);",
       "",
       Trouble.RELOAD),
