Signals are noted without a thread; connections reuse threads; a local lack blames no runner

Change: ProcessSignals notes a signal at the look-up of its handler on the machine's own thread (node, edge, planner); ThreadCache keeps threads of ended connections for new ones, 8 ready from the start, vain starts spaced; connections with bytes come first; a missing descriptor, address or thread is NO_RESOURCE, which the router does not count against a runner. RunnerRequestTest raced with the connection's own write (failed once, [CANCELLED] came after the look): it waits for that now, its assertions as before.

--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -29,6 +29,8 @@
   /** What ended an attempt. */
   public enum Ending {
     CONNECT_FAILED,
+    /** This machine lacks a descriptor, an address, memory or a thread for a connection: that says nothing of the worker. */
+    NO_RESOURCE,
     GATE_CLOSED,
     CALL_OVER,
     RESPONSE,
@@ -71,7 +73,7 @@
         case RESPONSE, MALFORMED ->
           throw new IllegalArgumentException("a response to an attempt that sent nothing");
         case CONNECT_FAILED, BROKEN, CONNECTION_LOST, TIMED_OUT -> Outcome.CONNECT_FAILED;
-        case GATE_CLOSED, CALL_OVER, CANCELLED -> Outcome.MOOT;
+        case NO_RESOURCE, GATE_CLOSED, CALL_OVER, CANCELLED -> Outcome.MOOT;
       };
     }
     return switch (ending) {
@@ -79,7 +81,7 @@
       case MALFORMED, CONNECTION_LOST -> Outcome.ERROR;
       case TIMED_OUT -> Outcome.TIMEOUT;
       case CANCELLED, CALL_OVER -> Outcome.CANCELLED;
-      case BROKEN, CONNECT_FAILED, GATE_CLOSED -> Outcome.RESET;
+      case BROKEN, CONNECT_FAILED, NO_RESOURCE, GATE_CLOSED -> Outcome.RESET;
     };
   }
 
--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -2,14 +2,13 @@
 
 import gorseladder.config.Address;
 import gorseladder.config.SettingsFile;
+import gorseladder.runtime.ProcessSignals;
 import gorseladder.wire.json.Json;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import sun.misc.Signal;
 
 /**
  * Runs one edge until it is told to stop. SIGTERM or SIGINT stops it in order: nothing new is taken and what was taken is
@@ -54,21 +53,13 @@
         "gorseladder.log.form", loaded.settings().getLog().getForm().name());
     System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
     try (Edge edge = new Edge(loaded.settings())) {
-      CountDownLatch stop = new CountDownLatch(1);
-      for (String name : new String[] {"TERM", "INT"}) {
-        Signal.handle(new Signal(name), signal -> {
-          if (stop.getCount() == 0) {
-            Runtime.getRuntime().halt(KILLED);
-          }
-          stop.countDown();
-        });
-      }
+      ProcessSignals signals = ProcessSignals.stops(() -> Runtime.getRuntime().halt(KILLED));
       Map<String, Object> ready = new LinkedHashMap<>();
       ready.put("ready", true);
       ready.put("edge", Address.print(edge.address()));
       out.println(Json.write(ready));
       out.flush();
-      stop.await();
+      signals.awaitStop();
       edge.stop();
       return OK;
     } catch (IOException e) {
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -15,6 +15,7 @@
 import gorseladder.node.runners.RunnerLinks;
 import gorseladder.rules.Rule;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.runtime.Writers;
 import java.io.IOException;
@@ -31,6 +32,9 @@
   private static final int STACK = 128 << 10;
   private static final int CORE_STACK = 512 << 10;
   private static final int MOST_WRITERS = 64;
+  /** Threads for connections, of clients and to runners, that stand ready from the start. */
+  private static final int READY_THREADS = 8;
+
   private static final long CHECK_EVERY = 200_000;
   /** A pause of the process, in microseconds, that may have made answers late and is worth a line. */
   private static final long PAUSE = 150_000;
@@ -58,6 +62,7 @@
   private final Watchdog watchdog;
   private final Writers writers;
   private final PauseClock pauses;
+  private final ThreadCache connectionThreads;
   private final RuleLog rules = new RuleLog();
   private final RunnerLinks links;
   private final Core<NodeCall> core;
@@ -81,6 +86,7 @@
     watchdog = new Watchdog("watchdog", STACK);
     writers = new Writers(MOST_WRITERS, STACK);
     pauses = new PauseClock(watchdog);
+    connectionThreads = new ThreadCache("connection", READY_THREADS, STACK);
     int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
     links = new RunnerLinks(
         config.links(),
@@ -92,7 +98,7 @@
         writers,
         config.sockets() - OWN_DESCRIPTORS - forClients,
         MOST_ANSWER,
-        STACK);
+        connectionThreads);
     core = new Core<>(
         config.router(), config.seed(), new Hands(), config.mostHeld(), false, null, CORE_STACK);
     links.reportTo(new RunnerLinks.Hearer() {
@@ -143,7 +149,7 @@
         : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
     WarmUp.run(config.router());
-    front.listen(config.listen(), STACK);
+    front.listen(config.listen(), STACK, connectionThreads);
     checkLater();
   }
 
@@ -268,7 +274,8 @@
   public String summary() {
     return "front: " + front.summary() + "; links: " + links.summary() + "; change log: "
         + changeLog.summary() + "; configuration: " + tellsMore.get() + "; pauses "
-        + pauses.stalls() + "; rules broken " + rules.counts();
+        + pauses.stalls() + "; vain starts of threads " + connectionThreads.vainStarts()
+        + "; rules broken " + rules.counts();
   }
 
   /** How often a rule was broken as far as this dispatcher can see; empty where none was. */
@@ -282,16 +289,7 @@
    * come gets its final answer there and then. Returns when all connections have ended, or at that moment.
    */
   public void stop() throws InterruptedException {
-    stop(0);
-  }
-
-  /**
-   * The same where it was told to stop some time before.
-   *
-   * @param noticedWithin so long ago, at the most, in microseconds
-   */
-  public void stop(long noticedWithin) throws InterruptedException {
-    long begun = Clock.micros() - noticedWithin;
+    long begun = Clock.micros();
     long longest =
         config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
     long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
@@ -329,5 +327,6 @@
     pauses.stop();
     watchdog.close();
     writers.close();
+    connectionThreads.close();
   }
 }
--- a/node/src/main/java/gorseladder/node/NodeMain.java
+++ b/node/src/main/java/gorseladder/node/NodeMain.java
@@ -15,9 +15,6 @@
   public static final int OK = 0;
 
   public static final int CANNOT_START = 3;
-  /** Between two looks for signals: so late a stop may begin. */
-  private static final long LOOK_MILLIS = 50;
-
   private static final int STACK = 128 << 10;
 
   private NodeMain() {}
@@ -34,7 +31,7 @@
     if (System.getProperty("gorseladder.log.level") == null) {
       System.setProperty("gorseladder.log.level", "INFO");
     }
-    ProcessSignals signals = ProcessSignals.notice();
+    ProcessSignals signals = ProcessSignals.stopsAndReloads();
     Map<String, String> environment = System.getenv();
     try (Node node = new Node(NodeConfig.read(environment));
         // Where it was replaced during the start, the file may have been read before that.
@@ -46,13 +43,10 @@
             node::changeLogHeard,
             STACK)) {
       node.tellWith(reconfiguration::summary);
-      while (!signals.stopAsked()) {
-        if (signals.reloadAsked()) {
-          reconfiguration.ask();
-        }
-        Thread.sleep(LOOK_MILLIS);
+      while (!signals.awaitStop()) {
+        reconfiguration.ask();
       }
-      node.stop(LOOK_MILLIS * 1_000);
+      node.stop();
       return OK;
     } catch (BadInput | IOException e) {
       System.err.println("gorseladder: " + e.getMessage());
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -12,6 +12,7 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.ThreadCache;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
@@ -39,6 +40,9 @@
   /** Clients close connections idle for 4 s; ours comes later, so that the two do not cross. */
   private static final long IDLE = 6_000_000;
 
+  /** A connection that was idle for so long may give its thread to one that waits for it. */
+  private static final long SPARED_AFTER = 100_000;
+
   private static final long STUCK = 2_000_000;
   /** Past its client's time by more than the platform's slack an answer is counted as late. */
   private static final long LATE = 50_000;
@@ -100,9 +104,9 @@
   }
 
   /** Listens; calls are taken from now on. */
-  public void listen(InetSocketAddress at, int stackBytes) throws IOException {
+  public void listen(InetSocketAddress at, int stackBytes, ThreadCache threads) throws IOException {
     live = true;
-    server = HttpServer.listen(at, "front", stackBytes, new Accepted());
+    server = HttpServer.listen(at, "front", stackBytes, threads, new Accepted());
   }
 
   /** Where it listens. */
@@ -132,17 +136,29 @@
 
     @Override
     public void unserved(SocketChannel channel) {
-      connections.get(channel).close();
+      FrontConnection connection = connections.get(channel);
+      if (connection != null) {
+        connection.close();
+      }
+    }
+
+    @Override
+    public void spareThread() {
+      count(closeIdlest(Clock.micros() - SPARED_AFTER) ? "closed for its thread" : "no thread");
     }
   }
 
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
   private boolean makeRoom() {
-    boolean made = connections.values().stream()
-        .filter(c -> c.idleSince() < Long.MAX_VALUE)
+    return closeIdlest(Long.MAX_VALUE - 1);
+  }
+
+  /** The same among those that are idle since that time at the latest. */
+  private boolean closeIdlest(long since) {
+    return connections.values().stream()
+        .filter(c -> c.idleSince() <= since)
         .sorted(Comparator.comparingLong(FrontConnection::idleSince))
         .anyMatch(FrontConnection::closeIfFree);
-    return made;
   }
 
   /** A connection has ended, with so many requests that have no answer. */
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -5,7 +5,6 @@
 import gorseladder.attempts.ConnectionChoice.Candidate;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
-import gorseladder.runtime.Threads;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -82,7 +81,7 @@
     try {
       LinkConnection opened = new LinkConnection(
           address, settings.connect(), settings.mostAnswer(), settings.writers(), this::closed);
-      if (Threads.mayStart(settings.threads().newThread(opened::run))) {
+      if (settings.threads().execute(opened::run)) {
         connections.add(opened);
         return opened;
       }
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -4,6 +4,7 @@
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.permits.Permits;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.LocalShortage;
 import gorseladder.runtime.Outbox;
 import gorseladder.wire.runner.AnswerParser;
 import gorseladder.wire.runner.AnswerParser.Answer;
@@ -72,7 +73,7 @@
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.socket().connect(address, connectMillis);
       } catch (IOException e) {
-        close(Ending.CONNECT_FAILED, e.toString());
+        close(LocalShortage.is(e) ? Ending.NO_RESOURCE : Ending.CONNECT_FAILED, e.toString());
         return;
       }
       synchronized (this) {
@@ -122,7 +123,7 @@
     closeIfDone();
   }
 
-  /** Takes an request; false where it cannot, and then this connection says nothing more of it. */
+  /** Takes a request; false where it cannot, and then this connection says nothing more of it. */
   boolean carry(RunnerRequest request) {
     synchronized (this) {
       if (closed || retired || out.putIfAbsent(request.id(), request) != null) {
@@ -163,7 +164,7 @@
     };
   }
 
-  /** Forgets an request that ended before anything of it was written. */
+  /** Forgets a request that ended before anything of it was written. */
   void drop(RunnerRequest request) {
     synchronized (this) {
       out.remove(request.id(), request);
@@ -244,11 +245,16 @@
     return open && !closed;
   }
 
-  /** RunnerRequests out. */
+  /** Requests out. */
   synchronized int carrying() {
     return out.size();
   }
 
+  /** True while something waits to be written or is being written. */
+  boolean hasUnwritten() {
+    return !outbox.idle();
+  }
+
   /** Microseconds for which it has carried nothing new. */
   long idle(long now) {
     return now - usedAt;
--- a/node/src/main/java/gorseladder/node/runners/LinkSettings.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkSettings.java
@@ -1,8 +1,8 @@
 package gorseladder.node.runners;
 
+import gorseladder.runtime.ThreadCache;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 
 /**
@@ -19,7 +19,7 @@
     int multiplex,
     int mostAnswer,
     Semaphore descriptors,
-    ThreadFactory threads,
+    ThreadCache threads,
     Executor writers,
     Closes closes,
     Consumer<String> log) {
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -15,7 +15,7 @@
 import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
-import gorseladder.runtime.Threads;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
@@ -72,6 +72,7 @@
    *
    * @param descriptors descriptors that all links together may hold
    * @param mostAnswer bytes of an answer's body at the most
+   * @param threads each connection has one
    */
   public RunnerLinks(
       NodeConfig.Links told,
@@ -83,7 +84,7 @@
       Executor writers,
       int descriptors,
       int mostAnswer,
-      int stackBytes) {
+      ThreadCache threads) {
     this.told = told;
     this.limits = limits;
     this.gate = gate;
@@ -96,7 +97,7 @@
         told.multiplex(),
         mostAnswer,
         new Semaphore(descriptors),
-        Threads.factory("runner", stackBytes),
+        threads,
         writers,
         this::closed,
         LOG::warn);
@@ -198,10 +199,15 @@
   private void start(RunnerRequest request, long time) {
     request.guard(watchdog.after(Math.max(0, time), () -> request.giveUp(Ending.TIMED_OUT)));
     if (!carry(request)) {
-      request.giveUp(Ending.CONNECT_FAILED);
+      request.giveUp(whyNotCarried(request.worker()));
     }
   }
 
+  /** Where the list has the runner it is this machine that lacks something for a connection. */
+  Ending whyNotCarried(String worker) {
+    return links.containsKey(worker) ? Ending.NO_RESOURCE : Ending.CONNECT_FAILED;
+  }
+
   /** Hands a request to a connection of its runner; false where none can be had. */
   boolean carry(RunnerRequest request) {
     Link link = links.get(request.worker());
--- a/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
@@ -152,7 +152,7 @@
     }
     links.after(StallWatch.SETTLE, () -> {
       if (!over() && !links.carry(this)) {
-        giveUp(Ending.CONNECT_FAILED);
+        giveUp(links.whyNotCarried(worker));
       }
     });
   }
--- a/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -17,6 +17,7 @@
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
 import gorseladder.permits.Verdict;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import java.io.IOException;
@@ -119,7 +120,7 @@
         Runnable::run,
         4,
         1 << 20,
-        128 << 10);
+        new ThreadCache("t", 0, 128 << 10));
   }
 
   @AfterEach
@@ -241,6 +242,10 @@
     assertTrue(carrier.carry(request));
     try (Socket runner = server.accept()) {
       assertEquals(request.size, runner.getInputStream().readNBytes(request.size).length);
+      // The connection's own thread may still be in the write that this came from, and would take the halt along.
+      while (carrier.hasUnwritten()) {
+        Thread.onSpinWait();
+      }
       holds.set(true);
       request.giveUp(Ending.CANCELLED);
       assertEquals(List.of(), request.ends, "its halt waits to be written");
--- a/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
+++ b/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
@@ -17,6 +17,7 @@
 import gorseladder.core.Core;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.ThreadCache;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -48,7 +49,7 @@
           10,
           1_000,
           descriptors,
-          task -> new Thread(task) {
+          new ThreadCache("t", 0, task -> new Thread(task) {
             @Override
             public void start() {
               if (starts.getAndIncrement() == 0) {
@@ -56,7 +57,7 @@
               }
               super.start();
             }
-          },
+          }),
           Runnable::run,
           (everOpen, why) -> {},
           line -> {});
--- a/planner/src/main/java/gorseladder/planner/PlannerMain.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerMain.java
@@ -2,14 +2,13 @@
 
 import gorseladder.config.Address;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.ProcessSignals;
 import gorseladder.wire.json.Json;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import sun.misc.Signal;
 
 /** Runs one planner until a signal ends it; edges go on without it. */
 public final class PlannerMain {
@@ -35,16 +34,13 @@
         "gorseladder.log.form", loaded.settings().getLog().getForm().name());
     System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
     try (PlannerServer server = new PlannerServer(loaded.settings(), Clock::wallMicros)) {
-      CountDownLatch stop = new CountDownLatch(1);
-      for (String name : new String[] {"TERM", "INT"}) {
-        Signal.handle(new Signal(name), signal -> stop.countDown());
-      }
+      ProcessSignals signals = ProcessSignals.stops(() -> {});
       Map<String, Object> ready = new LinkedHashMap<>();
       ready.put("ready", true);
       ready.put("planner", Address.print(server.address()));
       out.println(Json.write(ready));
       out.flush();
-      stop.await();
+      signals.awaitStop();
       return OK;
     } catch (IOException e) {
       err.println("gorseladder: " + e.getMessage());
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -11,11 +11,17 @@
 import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Accepts connections and gives each a thread of its own with a small stack. Any thread. */
+/**
+ * Accepts connections and gives each a thread of its own with a small stack. Where no thread can be had a connection waits for
+ * one; those on which something can be read come first, and the handler is asked to end one that can be spared for them.
+ *
+ * <p>Any thread.
+ */
 public final class HttpServer implements Closeable {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
@@ -23,7 +29,11 @@
   /** Before the system is asked again for what it did not have. */
   private static final long PAUSE_MILLIS = 20;
 
-  private static final int LAST_TRIES = 8;
+  /** After the end of accepting, so often what waits for a thread is looked at; with the pause about a second. */
+  private static final int LAST_TRIES = 50;
+
+  /** Threads that stand ready where no others are given. */
+  private static final int READY_THREADS = 4;
 
   /** What is done with connections. */
   public interface Handler {
@@ -42,33 +52,57 @@
 
     /** A connection that was admitted ends unserved: the system has no thread for it. */
     default void unserved(SocketChannel connection) {}
+
+    /**
+     * A connection on which something can be read waits for a thread: ends one that has a thread and can be spared. Must not
+     * block.
+     */
+    default void spareThread() {}
   }
 
   private final ServerSocketChannel server;
   private final Selector selector;
   private final Handler handler;
-  private final ThreadFactory threads;
+  private final ThreadCache threads;
+  private final boolean ownsThreads;
   private final Set<SocketChannel> open = ConcurrentHashMap.newKeySet();
   /** Connections accepted for which there was no thread yet; the accepting thread's own. */
   private final ArrayDeque<SocketChannel> unstarted = new ArrayDeque<>();
 
   private final Thread acceptor;
+  private final CountDownLatch addressFree = new CountDownLatch(1);
   private volatile boolean stopped;
+  /** Connections wait for a thread. */
+  private volatile boolean waiting;
   /** Since when accepting fails; 0 while it does not. The accepting thread's own. */
   private long failingSince;
 
   private HttpServer(
-      ServerSocketChannel server, Selector selector, String name, int stackBytes, Handler handler) {
+      ServerSocketChannel server,
+      Selector selector,
+      String name,
+      int stackBytes,
+      ThreadCache given,
+      Handler handler) {
     this.server = server;
     this.selector = selector;
     this.handler = handler;
-    this.threads = Threads.factory(name, stackBytes);
+    this.ownsThreads = given == null;
+    this.threads = given == null ? new ThreadCache(name, READY_THREADS, stackBytes) : given;
+    threads.whenFree(this::wakeIfWaiting);
     this.acceptor = Threads.start(name + "-accept", stackBytes, this::accept);
   }
 
-  /** Listens; the port may be 0. */
+  /** Listens, with threads of its own; the port may be 0. */
   public static HttpServer listen(
       InetSocketAddress at, String name, int stackBytes, Handler handler) throws IOException {
+    return listen(at, name, stackBytes, null, handler);
+  }
+
+  /** Listens, with threads that serve others too; null for threads of its own. The port may be 0. */
+  public static HttpServer listen(
+      InetSocketAddress at, String name, int stackBytes, ThreadCache threads, Handler handler)
+      throws IOException {
     ServerSocketChannel server = ServerSocketChannel.open();
     try {
       server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -76,7 +110,7 @@
       server.configureBlocking(false);
       Selector selector = Selector.open();
       server.register(selector, SelectionKey.OP_ACCEPT);
-      return new HttpServer(server, selector, name, stackBytes, handler);
+      return new HttpServer(server, selector, name, stackBytes, threads, handler);
     } catch (IOException e) {
       server.close();
       throw new IOException("cannot listen at " + at + ": " + e.getMessage(), e);
@@ -98,34 +132,57 @@
   }
 
   private void accept() {
-    try (selector;
-        server) {
-      while (!stopped) {
-        await();
-        startWaiting();
-        acceptAll();
-      }
-      // What the system had accepted before the listener goes belongs to clients that may have
-      // asked already; also where accepting fails just now.
-      acceptAll();
-      for (int tries = 0;
-          (failingSince > 0 || !unstarted.isEmpty()) && tries < LAST_TRIES;
-          tries++) {
-        pause();
-        startWaiting();
+    try {
+      try (selector;
+          server) {
+        while (!stopped) {
+          await();
+          startWaiting();
+          acceptAll();
+        }
+        // What the system had accepted before the listener goes belongs to clients that may have
+        // asked already; also where accepting fails just now.
         acceptAll();
+        for (int tries = 0; failingSince > 0 && tries < LAST_TRIES; tries++) {
+          pause();
+          acceptAll();
+        }
       }
-      for (SocketChannel connection : unstarted) {
-        LOG.error("no thread for a connection before the end");
-        open.remove(connection);
-        handler.unserved(connection);
-        connection.close();
-      }
+      addressFree.countDown();
+      serveLast();
     } catch (IOException e) {
       LOG.error("accepting ended", e);
+    } finally {
+      addressFree.countDown();
+    }
+  }
+
+  /** Nothing new comes: serves what waits for a thread and asked something, and ends the others. */
+  private void serveLast() throws IOException {
+    for (int tries = 0; !unstarted.isEmpty() && tries < LAST_TRIES; tries++) {
+      for (int left = unstarted.size(); left > 0; left--) {
+        SocketChannel connection = unstarted.pollFirst();
+        if (hasBytes(connection)) {
+          unstarted.addLast(connection);
+        } else {
+          endUnserved(connection);
+        }
+      }
+      startWaiting();
+      pause();
+    }
+    for (SocketChannel connection : unstarted) {
+      LOG.error("no thread for a connection before the end");
+      endUnserved(connection);
     }
   }
 
+  private void endUnserved(SocketChannel connection) throws IOException {
+    open.remove(connection);
+    handler.unserved(connection);
+    connection.close();
+  }
+
   /** Waits until there is something to accept. */
   private void await() {
     try {
@@ -163,18 +220,52 @@
   }
 
   /**
-   * Starts the thread of a connection. Where the system has none for a moment the connection waits for one: on it a client may
-   * have asked already.
+   * Gives a connection its thread. Where there is none for a moment the connection waits for one: on it a client may have asked
+   * already.
    */
   private void start(SocketChannel connection) {
-    if (!Threads.mayStart(threads.newThread(() -> serve(connection)))) {
+    if (!threads.execute(() -> serve(connection))) {
       unstarted.addLast(connection);
+      waiting = true;
     }
   }
 
+  /** Gives threads to connections that wait for one: those first on which something can be read. */
   private void startWaiting() {
+    unstarted.removeIf(connection -> !connection.isOpen() && open.remove(connection));
+    if (!unstarted.isEmpty()) {
+      startWaiting(true);
+      startWaiting(false);
+    }
+    waiting = !unstarted.isEmpty();
+  }
+
+  private void startWaiting(boolean withBytes) {
     for (int left = unstarted.size(); left > 0; left--) {
-      start(unstarted.pollFirst());
+      SocketChannel connection = unstarted.pollFirst();
+      boolean turn = !withBytes || hasBytes(connection);
+      if (!turn || !threads.execute(() -> serve(connection))) {
+        unstarted.addLast(connection);
+        if (turn && withBytes) {
+          handler.spareThread();
+        }
+      }
+    }
+  }
+
+  private static boolean hasBytes(SocketChannel connection) {
+    try {
+      return connection.socket().getInputStream().available() > 0;
+    } catch (IOException e) {
+      // It has ended; its thread would be told too.
+      return false;
+    }
+  }
+
+  /** A thread has become free: the accepting thread may give it to a connection that waits. */
+  private void wakeIfWaiting() {
+    if (waiting) {
+      selector.wakeup();
     }
   }
 
@@ -201,7 +292,9 @@
     stopped = true;
     selector.wakeup();
     try {
-      acceptor.join(MOST_JOIN_MILLIS);
+      if (!addressFree.await(MOST_JOIN_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOG.warn("accepting has not ended after {} ms", MOST_JOIN_MILLIS);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -218,5 +311,8 @@
         LOG.debug("closing a connection: {}", e.toString());
       }
     }
+    if (ownsThreads) {
+      threads.close();
+    }
   }
 }
--- a/runtime/src/main/java/gorseladder/runtime/ProcessSignals.java
+++ b/runtime/src/main/java/gorseladder/runtime/ProcessSignals.java
@@ -1,119 +1,121 @@
 package gorseladder.runtime;
 
-import java.io.IOException;
-import java.io.RandomAccessFile;
-import java.nio.charset.StandardCharsets;
+import java.lang.reflect.Field;
+import java.util.Hashtable;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
 /**
- * What this process was told by signals: to stop (SIGTERM, SIGINT), to read its configuration again (SIGHUP). It is asked now and
- * then and says what is so, instead of calling somebody at the moment at which a signal comes.
+ * What this process is told by signals: to stop (SIGTERM, SIGINT), to read its configuration again (SIGHUP).
  *
- * <p>The Java machine handles each signal on a new thread, and where it cannot start one the signal is lost. Guards against
- * that: a process that was started with these signals blocked ({@code env --block-signal}) and with {@code -Xrs}, so that the
- * machine leaves them alone, finds them pending in {@code /proc/self/status} (proc(5), "SigBlk", "SigPnd", "ShdPnd") for as
- * long as it lives, whatever failed when they came. A pending SIGHUP cannot be taken back, so only the first one shows; what
- * depends on later ones has to look for itself. Without that the machine's own way is used, with its weakness. It could harm
- * only where a process that blocks signals has no {@code /proc}; then the machine's own way is tried too.
+ * <p>The Java machine handles each signal on a new thread, and where it cannot start one the signal is lost ({@code Exception
+ * java.lang.OutOfMemoryError occurred dispatching signal}). Guards against that: the machine's own dispatching thread looks a
+ * signal's handler up in a table, and the table put in its place here notes the signal at that look-up, so that no thread is
+ * needed. That takes {@code Add-Opens: java.base/jdk.internal.misc}, which the jar's manifest has. Where it is missing, or the
+ * table is not as expected, the machine's way is used and a line says so. It could harm where a later machine looks handlers up
+ * at other times too; each look-up would then count as a signal.
  *
  * <p>Any thread.
  */
 public final class ProcessSignals {
   private static final Logger LOG = LoggerFactory.getLogger(ProcessSignals.class);
-  private static final String STATUS = "/proc/self/status";
-  private static final int MOST_STATUS = 8_192;
-  private static final int HEX = 16;
-  /** Signal numbers of Linux, as bits of a mask. */
-  private static final long HANGUP = 1L;
+  private static final String RELOAD = "HUP";
+  private static final String[] STOPS = {"TERM", "INT"};
+  /** How the machine names a signal in its table. */
+  private static final String PREFIX = "SIG";
 
-  private static final long INTERRUPT = 1L << 1;
-  private static final long TERMINATE = 1L << 14;
+  private final Runnable onSecondStop;
+  private final boolean reloads;
+  private boolean reloadAsked;
+  private boolean stopAsked;
 
-  /** Held open: while the process has no descriptor left it must still be read. Null where signals are handled. */
-  private final RandomAccessFile status;
-
-  private final byte[] buffer = new byte[MOST_STATUS];
-  private boolean hangupSeen;
-  private volatile boolean reloadAsked;
-  private volatile boolean stopAsked;
+  private ProcessSignals(Runnable onSecondStop, boolean reloads) {
+    this.onSecondStop = onSecondStop;
+    this.reloads = reloads;
+  }
 
-  private ProcessSignals(RandomAccessFile status) {
-    this.status = status;
+  /** Begins to notice signals to stop and to read the configuration again; one more signal to stop changes nothing. */
+  public static ProcessSignals stopsAndReloads() {
+    return notice(new ProcessSignals(() -> {}, true));
   }
 
-  /** Begins to notice signals. */
-  public static ProcessSignals notice() {
-    RandomAccessFile status = open();
-    ProcessSignals blocked = new ProcessSignals(status);
-    if (status != null && blocked.mask("SigBlk") >= 0) {
-      long all = HANGUP | INTERRUPT | TERMINATE;
-      if ((blocked.mask("SigBlk") & all) == all) {
-        return blocked;
-      }
-    }
-    ProcessSignals handled = new ProcessSignals(null);
-    handled.handle();
-    return handled;
+  /**
+   * Begins to notice signals to stop.
+   *
+   * @param onSecondStop run at each of them after the first one, on a thread of the machine; must not block
+   */
+  public static ProcessSignals stops(Runnable onSecondStop) {
+    return notice(new ProcessSignals(onSecondStop, false));
   }
 
-  private static RandomAccessFile open() {
+  private static ProcessSignals notice(ProcessSignals signals) {
+    if (signals.reloads) {
+      Signal.handle(new Signal(RELOAD), signals::noteReload);
+    }
+    for (String stop : STOPS) {
+      Signal.handle(new Signal(stop), signals::noteStop);
+    }
     try {
-      return new RandomAccessFile(STATUS, "r");
-    } catch (IOException e) {
-      return null;
+      signals.noteAtLookUp();
+    } catch (ReflectiveOperationException | RuntimeException e) {
+      LOG.warn("a signal is lost where no thread can be started for it: {}", e.getMessage());
     }
+    return signals;
   }
 
-  private void handle() {
-    try {
-      Signal.handle(new Signal("HUP"), signal -> reloadAsked = true);
-      Signal.handle(new Signal("TERM"), signal -> stopAsked = true);
-      Signal.handle(new Signal("INT"), signal -> stopAsked = true);
-    } catch (IllegalArgumentException e) {
-      LOG.warn("signals are neither blocked nor can they be handled: {}", e.getMessage());
-    }
+  private void noteAtLookUp() throws ReflectiveOperationException {
+    Field field = Class.forName("jdk.internal.misc.Signal").getDeclaredField("handlers");
+    field.setAccessible(true);
+    Map<?, ?> handlers = (Map<?, ?>) field.get(null);
+    field.set(null, new NotingTable(handlers));
   }
 
-  /** True once the process was told to stop. */
-  public synchronized boolean stopAsked() {
-    look();
-    return stopAsked;
+  /** The table of handlers; the signals of this class are noted when they are looked up, and have no handler beside that. */
+  private final class NotingTable extends Hashtable<Object, Object> {
+    private static final long serialVersionUID = 1L;
+
+    private NotingTable(Map<?, ?> handlers) {
+      super(handlers);
+    }
+
+    @Override
+    public synchronized Object get(Object signal) {
+      String name = String.valueOf(signal);
+      if (reloads && name.equals(PREFIX + RELOAD)) {
+        noteReload(null);
+        return null;
+      }
+      for (String stop : STOPS) {
+        if (name.equals(PREFIX + stop)) {
+          noteStop(null);
+          return null;
+        }
+      }
+      return super.get(signal);
+    }
   }
 
-  /** True once for signals to read the configuration again since the last call, as far as they show. */
-  public synchronized boolean reloadAsked() {
-    look();
-    boolean asked = reloadAsked;
-    reloadAsked = false;
-    return asked;
+  private synchronized void noteReload(Signal signal) {
+    reloadAsked = true;
+    notifyAll();
   }
 
-  private void look() {
-    if (status == null) {
-      return;
+  private synchronized void noteStop(Signal signal) {
+    if (stopAsked) {
+      onSecondStop.run();
     }
-    long pending = Math.max(0, mask("ShdPnd")) | Math.max(0, mask("SigPnd"));
-    stopAsked |= (pending & (TERMINATE | INTERRUPT)) != 0;
-    boolean hangup = (pending & HANGUP) != 0;
-    reloadAsked |= hangup && !hangupSeen;
-    hangupSeen |= hangup;
+    stopAsked = true;
+    notifyAll();
   }
 
-  /** A mask of the status, -1 where it cannot be read just now. */
-  private long mask(String name) {
-    try {
-      status.seek(0);
-      int length = status.read(buffer);
-      String text = new String(buffer, 0, Math.max(0, length), StandardCharsets.US_ASCII);
-      int at = text.indexOf(name + ":\t");
-      int end = text.indexOf('\n', at);
-      return at < 0 || end < 0
-          ? -1
-          : Long.parseUnsignedLong(text.substring(at + name.length() + 2, end), HEX);
-    } catch (IOException | NumberFormatException e) {
-      return -1;
+  /** Waits for a signal: true where the process is to stop, false where it is to read its configuration again. */
+  public synchronized boolean awaitStop() throws InterruptedException {
+    while (!stopAsked && !reloadAsked) {
+      wait();
     }
+    reloadAsked = false;
+    return stopAsked;
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
@@ -0,0 +1,188 @@
+package gorseladder.runtime;
+
+import java.util.ArrayDeque;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Threads for tasks that block for long, as reading a connection does: a task has a thread of its own, and a thread that is done
+ * is kept for the next one.
+ *
+ * <p>Guards against a system that has no new thread for a while: what ends then gives its thread to what begins, instead of
+ * taking it along. A few stand ready from the start, and none is let go while starting one fails. Vain starts are spaced out,
+ * since each costs the caller some milliseconds. It could harm by holding stacks of threads that a burst needed, for
+ * {@link #KEEP_SECONDS}.
+ *
+ * <p>Any thread.
+ */
+public final class ThreadCache implements AutoCloseable {
+  private static final long KEEP_SECONDS = 30;
+  private static final long KEEP = KEEP_SECONDS * 1_000_000;
+  /** Between two vain starts, in microseconds; doubles up to the bound. */
+  private static final long LEAST_PAUSE = 10_000;
+
+  private static final long MOST_PAUSE = 200_000;
+
+  private final String name;
+  private final ThreadFactory threads;
+  private final int least;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final ArrayDeque<Worker> idle = new ArrayDeque<>();
+  private volatile Runnable whenFree = () -> {};
+  private long failedAt = Long.MIN_VALUE / 2;
+  private long pause = LEAST_PAUSE;
+  private long vainStarts;
+  private boolean closed;
+
+  /** One thread; its fields are the lock's. */
+  private final class Worker {
+    private final Condition given = lock.newCondition();
+    private Runnable task;
+    private long idleUntil;
+
+    private void run() {
+      for (Runnable now = next(false); now != null; now = next(true)) {
+        Threads.guarded(name, now);
+      }
+    }
+
+    /** Waits for the next task; null where this thread is to end. */
+    private Runnable next(boolean again) {
+      lock.lock();
+      try {
+        if (task == null && !closed) {
+          idleUntil = Clock.micros() + KEEP;
+          idle.addLast(this);
+        }
+      } finally {
+        lock.unlock();
+      }
+      if (again) {
+        whenFree.run();
+      }
+      lock.lock();
+      try {
+        while (task == null && !closed && !letGo()) {
+          given.await(KEEP_SECONDS, TimeUnit.SECONDS);
+        }
+        idle.remove(this);
+        Runnable now = task;
+        task = null;
+        return now;
+      } catch (InterruptedException e) {
+        idle.remove(this);
+        return task;
+      } finally {
+        lock.unlock();
+      }
+    }
+
+    /** True where it was idle for long and is not needed; the lock is held. */
+    private boolean letGo() {
+      long now = Clock.micros();
+      if (now < idleUntil) {
+        return false;
+      }
+      idleUntil = now + KEEP;
+      return idle.size() > least && now - failedAt > KEEP;
+    }
+  }
+
+  /**
+   * Threads of that name.
+   *
+   * @param least so many stand ready from the start, as far as the system has them
+   */
+  public ThreadCache(String name, int least, int stackBytes) {
+    this(name, least, Threads.factory(name, stackBytes));
+  }
+
+  /** The same with threads of that factory. */
+  public ThreadCache(String name, int least, ThreadFactory threads) {
+    this.name = name;
+    this.least = least;
+    this.threads = threads;
+    for (int i = 0; i < least; i++) {
+      start(null);
+    }
+  }
+
+  /** Is run by a thread that has just become free, and must not block; names the one that has tasks waiting. */
+  public void whenFree(Runnable told) {
+    whenFree = told;
+  }
+
+  /** Has a thread run the task at once; false where none can be had at present, and then it is not taken. */
+  public boolean execute(Runnable task) {
+    lock.lock();
+    try {
+      Worker free = closed ? null : idle.pollLast();
+      if (free != null) {
+        free.task = task;
+        free.given.signal();
+        return true;
+      }
+      if (closed || Clock.micros() < failedAt + pause) {
+        return false;
+      }
+    } finally {
+      lock.unlock();
+    }
+    return start(task);
+  }
+
+  private boolean start(Runnable task) {
+    Worker worker = new Worker();
+    worker.task = task;
+    boolean started = Threads.mayStart(threads.newThread(worker::run));
+    lock.lock();
+    try {
+      if (started) {
+        pause = LEAST_PAUSE;
+      } else {
+        vainStarts++;
+        pause = failedAt + 2 * MOST_PAUSE < Clock.micros()
+            ? LEAST_PAUSE
+            : Math.min(MOST_PAUSE, 2 * pause);
+        failedAt = Clock.micros();
+      }
+    } finally {
+      lock.unlock();
+    }
+    return started;
+  }
+
+  /** Threads that wait for a task. */
+  public int idle() {
+    lock.lock();
+    try {
+      return idle.size();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Starts of threads that failed so far. */
+  public long vainStarts() {
+    lock.lock();
+    try {
+      return vainStarts;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Lets idle threads go; those that have a task end after it. */
+  @Override
+  public void close() {
+    lock.lock();
+    try {
+      closed = true;
+      idle.forEach(worker -> worker.given.signal());
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -12,6 +12,9 @@
 public final class Threads {
   private static final Logger LOG = LoggerFactory.getLogger(Threads.class);
 
+  /** Starts that failed, of all threads. */
+  private static final AtomicLong FAILED = new AtomicLong();
+
   private Threads() {}
 
   /** A factory of daemon threads named {@code name-0}, {@code name-1} and so on. */
@@ -47,13 +50,19 @@
     }
   }
 
-  /** Starts a thread that the program can do without for a moment; false where the system has none. */
+  /**
+   * Starts a thread that the program can do without for a moment; false where the system has none. Has a line for the first
+   * failure, and then for each power of two.
+   */
   public static boolean mayStart(Thread thread) {
     try {
       thread.start();
       return true;
     } catch (OutOfMemoryError e) {
-      LOG.warn("no thread for {}: {}", thread.getName(), e.getMessage());
+      long failed = FAILED.incrementAndGet();
+      if (Long.bitCount(failed) == 1) {
+        LOG.warn("no thread for {}, {} in all: {}", thread.getName(), failed, e.getMessage());
+      }
       return false;
     }
   }
--- a/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
@@ -12,6 +12,9 @@
   private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
   private static final Path JAR = Path.of("app/target/gorseladder.jar");
   private static final String JAR_COMMAND = "-jar " + JAR + " node";
+  /** What the jar's manifest opens ({@code Add-Opens}); a class path has no manifest. */
+  private static final String OPENS = "--add-opens java.base/jdk.internal.misc=ALL-UNNAMED ";
+
   private static final String MAIN = "gorseladder.node.NodeMain";
   private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
 
@@ -28,14 +31,16 @@
         .toAbsolutePath()
         .normalize()
         .equals(root.resolve(JAR).toAbsolutePath().normalize());
-    return fromJar ? line(root) : line(root).replace(JAR_COMMAND, "-cp " + own + " " + MAIN);
+    return fromJar
+        ? line(root)
+        : line(root).replace(JAR_COMMAND, OPENS + "-cp " + own + " " + MAIN);
   }
 
   /** The same with classes put before the program's own. */
   public static String read(Path root, Path classes) throws IOException {
     String own = System.getProperty("java.class.path");
     String path = classes + File.pathSeparator + own;
-    return line(root).replace(JAR_COMMAND, "-cp " + path + " " + MAIN);
+    return line(root).replace(JAR_COMMAND, OPENS + "-cp " + path + " " + MAIN);
   }
 
   private static String line(Path root) throws IOException {
