--- a/decisions/src/main/java/gorseladder/permits/Verdict.java
+++ b/decisions/src/main/java/gorseladder/permits/Verdict.java
@@ -32,8 +32,6 @@
   /** An answer is not written yet. */
   UNWRITTEN,
 
-  /** The process is about to end. */
-  STOPPING,
   /** As much is held as may be. */
   NO_ROOM;
 
--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -116,7 +116,8 @@
       }
       long now = Clock.wallMicros() / MINUTE;
       if (now != minute) {
-        write(minute);
+        long ended = minute;
+        Threads.guarded("history", () -> write(ended));
         minute = now;
       }
     }
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -121,7 +121,8 @@
         while (!stopped && query(c)) {
           pause = LEAST_PAUSE;
         }
-      } catch (IOException | BadMessage | IllegalArgumentException e) {
+      } catch (IOException | BadMessage | RuntimeException | OutOfMemoryError e) {
+        // Whatever fails is over in a moment, and nothing brings this thread back.
         if (!stopped) {
           LOG.warn(
               "worker list at {}: {}; the old list stays", Address.print(address), e.toString());
--- a/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
+++ b/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
@@ -87,7 +87,7 @@
         } else {
           dropped++;
         }
-      } catch (IOException e) {
+      } catch (IOException | RuntimeException | OutOfMemoryError e) {
         if (!socket.isClosed()) {
           LOG.debug("a datagram was lost: {}", e.toString());
         }
--- a/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -97,7 +97,8 @@
             LOG.info("the planner answers again");
           }
           failures = 0;
-        } catch (IOException | BadMessage | IllegalArgumentException e) {
+        } catch (IOException | BadMessage | RuntimeException | OutOfMemoryError e) {
+          // Whatever fails is over in a moment, and nothing brings this thread back.
           if (failures++ == 0 && !stopped) {
             LOG.warn(
                 "the planner at {} does not answer ({}); the plan in hand runs out, calls go on",
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -17,6 +17,7 @@
 import gorseladder.repeats.Repeats;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.LocalShortage;
 import gorseladder.runtime.Threads;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
@@ -130,7 +131,8 @@
     out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, exchange);
     try {
       threads.execute(exchange::run);
-    } catch (RejectedExecutionException e) {
+    } catch (RejectedExecutionException | OutOfMemoryError e) {
+      // The system's want of a thread comes as an Error; it says nothing of the worker.
       exchange.report(Outcome.MOOT, null, null);
     }
   }
@@ -152,7 +154,7 @@
     long began = Clock.micros();
     try {
       threads.execute(() -> hearer.loadEnded(order(worker, function, copies, news, began)));
-    } catch (RejectedExecutionException e) {
+    } catch (RejectedExecutionException | OutOfMemoryError e) {
       hearer.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
     }
   }
@@ -184,7 +186,7 @@
       } catch (SocketTimeoutException e) {
         end(Ending.TIMED_OUT);
       } catch (IOException e) {
-        end(Ending.BROKEN);
+        end(LocalShortage.is(e) ? Ending.NO_RESOURCE : Ending.BROKEN);
       } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
         LOG.error("an attempt at {} failed", worker, e);
         end(Ending.BROKEN);
