Soak: stops with clients to the earliest kill, signals in series, crowds, news amid faults

Change: 180 to 300 calls a second in a play with retries of refused ones; stops with the kill at its earliest and what it finds unanswered judged; SIGHUP in series, around SIGTERM and before ready; crowds that say nothing, send halves or storm; a crowded change log; each news amid each fault of the system; failing opens; a thread that could not be started excuses no cut connection any more. Troubles that the soak fails to bring are counted.

--- a/soak/src/main/java/gorseladder/soak/Evidence.java
+++ b/soak/src/main/java/gorseladder/soak/Evidence.java
@@ -101,7 +101,7 @@
   private final Map<String, Asked> asked = new ConcurrentHashMap<>();
   private final Map<String, List<Arrived>> arrived = new HashMap<>();
   private final List<Life> lives = new ArrayList<>();
-  private final List<Span> logTroubles = new ArrayList<>();
+  private final Map<Integer, List<Span>> logTroubles = new HashMap<>();
   private final Map<Integer, List<Span>> clientCuts = new HashMap<>();
   private final Map<Integer, List<Span>> pauses = new HashMap<>();
 
@@ -122,9 +122,9 @@
     lives.add(life);
   }
 
-  /** The change log tells late in this span. */
-  synchronized void logTrouble(Span span) {
-    logTroubles.add(span);
+  /** The change log tells one dispatcher late in this span. */
+  synchronized void logTrouble(int dispatcher, Span span) {
+    logTroubles.computeIfAbsent(dispatcher, d -> new ArrayList<>()).add(span);
   }
 
   /** Connections between clients and a dispatcher were cut by the soak in this span. */
@@ -175,7 +175,15 @@
   }
 
   synchronized boolean logTroubled(long at) {
-    return logTroubles.stream().anyMatch(span -> span.holds(at));
+    return logTroubles.values().stream().flatMap(List::stream).anyMatch(span -> span.holds(at));
+  }
+
+  /** When what the log told at that time counts as told to a dispatcher: the given time after a trouble of the log began. */
+  synchronized long toldAt(int dispatcher, long at, long within) {
+    return logTroubles.getOrDefault(dispatcher, List.of()).stream()
+        .filter(span -> span.holds(at))
+        .mapToLong(span -> span.from() + within)
+        .reduce(at, Math::max);
   }
 
   synchronized boolean cutByClientSide(int dispatcher, long at) {
--- a/soak/src/main/java/gorseladder/soak/FaultProxy.java
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -32,6 +32,10 @@
     return thread;
   });
   private static final int BLOCKED_MILLIS = 60;
+  /** Another socket of the loopback may be given a port that is free for a moment; it is tried again for about a second. */
+  private static final int MOST_BINDS = 100;
+
+  private static final int BIND_PAUSE_MILLIS = 10;
 
   private final InetSocketAddress target;
   private final int port;
@@ -77,6 +81,14 @@
     });
   }
 
+  private static void pause() throws IOException {
+    try {
+      Thread.sleep(BIND_PAUSE_MILLIS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
   private void accept(ServerSocket from) {
     start("proxy-accept", () -> {
       try {
@@ -198,9 +210,16 @@
 
   /** Takes new connections again. */
   void takeAgain() throws IOException {
-    if (!closed) {
-      server = listen(port, BACKLOG);
-      accept(server);
+    for (int tries = 0; !closed && server.isClosed(); tries++) {
+      try {
+        server = listen(port, BACKLOG);
+        accept(server);
+      } catch (BindException e) {
+        if (tries > MOST_BINDS) {
+          throw e;
+        }
+        pause();
+      }
     }
   }
 
@@ -212,9 +231,10 @@
         server = listen(port, 1);
       } catch (BindException e) {
         // Another socket of the loopback was given the port for a moment.
-        if (tries > 50) {
+        if (tries > MOST_BINDS) {
           throw e;
         }
+        pause();
       }
     }
     synchronized (blockers) {
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -29,11 +29,6 @@
   private static final long CROSSING = 50 * MILLI;
 
   private static final long READY = 30_000 * MILLI;
-  /** After SIGTERM: the longest deadline and this. */
-  private static final long END_MARGIN = 700 * MILLI;
-
-  private static final long LATE_REQUEST = 700 * MILLI;
-
   /** A start or drain of a runner, as the change log told it. */
   record Told(String uid, SoakRunner runner, long at, boolean drains, long startedAt) {}
 
@@ -143,16 +138,12 @@
     }
   }
 
-  /** True where its dispatcher was killed while it was open, or it came too late to a dispatcher that stopped. */
+  /** True where its dispatcher was killed by a trouble of the plan while it was open; the kill after a stop excuses nothing. */
   private boolean mayBeKilled(Asked r) {
     long until = r.sentAt + r.timeout + ANSWER_SLACK;
     return evidence.lives().stream()
-        .filter(life -> life.dispatcher() == r.dispatcher)
-        .anyMatch(life -> life.killed()
-            ? r.sentAt <= life.endedAt() + SLACK && life.endedAt() <= until
-            : life.endAskedAt() > 0
-                && r.sentAt > life.endAskedAt() + LATE_REQUEST
-                && r.sentAt <= life.endedAt() + SLACK);
+        .filter(life -> life.dispatcher() == r.dispatcher && life.killed())
+        .anyMatch(life -> r.sentAt <= life.endedAt() + SLACK && life.endedAt() <= until);
   }
 
   private void effects(Asked r) {
@@ -261,7 +252,9 @@
           left / MILLI);
     }
     for (Told news : told) {
-      if (news.drains() && news.runner() == a.runner && drainedPast(news, a, late)) {
+      if (news.drains()
+          && news.runner() == a.runner
+          && drainedPast(news, a, request.dispatcher, late)) {
         found(
             SoakRule.DRAIN,
             a.at,
@@ -288,8 +281,8 @@
   }
 
   /** True where the attempt came past the drain's grace and before another runner took the address. */
-  private boolean drainedPast(Told drain, Arrived attempt, long late) {
-    long counts = evidence.logTroubled(drain.at()) ? drain.at() + TOLD_LATE : drain.at();
+  private boolean drainedPast(Told drain, Arrived attempt, int dispatcher, long late) {
+    long counts = evidence.toldAt(dispatcher, drain.at(), TOLD_LATE);
     long next = told.stream()
         .filter(n -> !n.drains() && n.runner() == drain.runner() && n.at() > drain.at())
         .mapToLong(n -> n.startedAt() == 0 ? n.at() : Math.min(n.at(), n.startedAt()))
@@ -358,13 +351,21 @@
       return;
     }
     if (life.endAskedAt() == 0 || life.exitCode() != 0) {
-      found(SoakRule.END, life.endedAt(), life.dispatcher(), "ended with code %d", life.exitCode());
+      boolean overdue = life.exitCode() == SoakDispatcher.OVERDUE;
+      if (!overdue || !pausedWhileEnding(life)) {
+        found(
+            SoakRule.END,
+            life.endedAt(),
+            life.dispatcher(),
+            overdue ? "had not ended at the earliest kill" : "ended with code %d",
+            life.exitCode());
+      }
     } else if (life.endedAt()
             - Math.max(
                 life.endAskedAt(),
                 evidence.pausedUntil(
                     life.dispatcher(), new Evidence.Span(life.endAskedAt(), life.endedAt())))
-        > SoakConfig.LONGEST_DEADLINE + END_MARGIN + OWN_SLACK) {
+        > SoakConfig.LONGEST_DEADLINE + SoakConfig.KILL_MARGIN + OWN_SLACK) {
       found(
           SoakRule.END,
           life.endedAt(),
@@ -373,4 +374,11 @@
           (life.endedAt() - life.endAskedAt()) / MILLI);
     }
   }
+
+  /** True where the plan had the process stand still while it was to end. */
+  private boolean pausedWhileEnding(Life life) {
+    return evidence.pausedUntil(
+            life.dispatcher(), new Evidence.Span(life.endAskedAt(), life.endedAt()))
+        > 0;
+  }
 }
--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -76,6 +76,31 @@
       "follower.accept(address);",
       "",
       Trouble.RELOAD),
+  NEWS_LOST(
+      SoakRule.FOLLOW,
+      "node/src/main/java/gorseladder/node/Reconfiguration.java",
+      "if (changed || signalled || unheard || failures > 0 || now < settlesUntil) {",
+      "if (signalled) {",
+      Trouble.NEWS_AMID_FAULT),
+  SLOW_LOG_NOT_WAITED_FOR(
+      SoakRule.DRAIN,
+      "decisions/src/main/java/gorseladder/follow/FeedAttempts.java",
+      "if (attempts.size() >= MOST) {",
+      "if (!attempts.isEmpty()) {",
+      Trouble.LOG_SLOW,
+      Trouble.DRAIN),
+  CLIENT_BYTES_UNBOUNDED(
+      SoakRule.LOG,
+      "runtime/src/main/java/gorseladder/runtime/ByteBudget.java",
+      "if (used.addAndGet(bytes) <= most) {",
+      "if (used.addAndGet(bytes) > 0) {",
+      Trouble.CROWD),
+  STOP_LEAVES_CLIENTS_CONNECTED(
+      SoakRule.FINAL_ANSWER,
+      "node/src/main/java/gorseladder/node/front/FrontConnection.java",
+      "halfCloseIfFree(CloseReason.STOPPING);",
+      "closesAfterAnswers = false;",
+      Trouble.STOP),
   SEEN_BY_ITSELF(
       SoakRule.LOG,
       "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
--- a/soak/src/main/java/gorseladder/soak/SoakClients.java
+++ b/soak/src/main/java/gorseladder/soak/SoakClients.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * The clients of one dispatcher: a steady stream of requests over a few connections, some of which leave early, send in pieces or
@@ -30,6 +32,9 @@
   private static final long IDLE = 4_000_000;
 
   private static final double LEAVES = 0.25;
+  /** Part of the refused requests that are asked again. */
+  private static final double ASKS_AGAIN = 0.7;
+
   private static final int PIECES = 4;
   private static final int STDOUT = 6;
   private static final int END_REQUEST = 3;
@@ -40,9 +45,13 @@
   private final SplittableRandom random;
   private final double perSecond;
   private final List<Connection> connections = new ArrayList<>();
+  /** Requests to be asked again, which the sending thread does. */
+  private final AtomicInteger retries = new AtomicInteger();
+
   private volatile long leavesUntil;
   private volatile long piecesUntil;
   private volatile boolean takesNone;
+  private volatile boolean connectsNone;
   private volatile boolean stopped;
   private Thread thread;
   private int next;
@@ -75,6 +84,12 @@
   /** The front takes the dispatcher out, or in again: no new requests, also on open connections. */
   void takeOut(boolean out) {
     takesNone = out;
+    connectsNone = false;
+  }
+
+  /** The front knows that the dispatcher stops: no new connections, but requests go on on those that are open. */
+  void staysOnOpenConnections() {
+    connectsNone = true;
   }
 
   /** Lets go of idle connections, so that the next requests open new ones. */
@@ -93,6 +108,9 @@
         Thread.sleep((long) (gap * 1_000));
         if (!takesNone) {
           ask();
+          for (int again = retries.getAndSet(0); again > 0; again--) {
+            ask();
+          }
         }
       }
     } catch (InterruptedException e) {
@@ -100,6 +118,13 @@
     }
   }
 
+  /** A request that was refused is asked again, under an id of its own, by most clients once or twice. */
+  private void askAgain() {
+    if (ThreadLocalRandom.current().nextDouble() < ASKS_AGAIN) {
+      retries.incrementAndGet();
+    }
+  }
+
   private void ask() {
     CallClass callClass = CallClass.values()[random.nextInt(CallClass.values().length)];
     String id = "%08x%08x".formatted(dispatcher, ++next);
@@ -125,10 +150,13 @@
       connections.removeIf(Connection::over);
       List<Connection> free =
           connections.stream().filter(c -> c.open() < MOST_OPEN).toList();
-      if (connections.size() >= CONNECTIONS && !free.isEmpty()) {
+      if ((connections.size() >= CONNECTIONS || connectsNone) && !free.isEmpty()) {
         return free.get(random.nextInt(free.size()));
       }
     }
+    if (connectsNone) {
+      return null;
+    }
     try {
       Connection fresh = new Connection();
       synchronized (connections) {
@@ -306,6 +334,9 @@
         request.answer = split < 0 ? "" : text.substring(split + 4);
         request.status =
             split < 0 ? 0 : Integer.parseInt(text.substring("Status: ".length()).split("\r\n")[0]);
+        if (request.refused()) {
+          askAgain();
+        }
       }
     }
 
--- a/soak/src/main/java/gorseladder/soak/SoakConfig.java
+++ b/soak/src/main/java/gorseladder/soak/SoakConfig.java
@@ -15,6 +15,8 @@
   static final double TIP_MULTIPLE = 1.5;
   static final long OVERLOAD_FOR = 1_500_000;
   static final long LONGEST_DEADLINE = 1_600_000;
+  /** SIGKILL comes no sooner than the longest deadline and this after SIGTERM. */
+  static final long KILL_MARGIN = 700_000;
 
   private static final String SETTINGS = """
       {"ordinal":%d,"balancers":%d,"zone":"z","tickMs":2,
--- a/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
+++ b/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
@@ -18,6 +18,8 @@
 final class SoakDispatcher implements AutoCloseable {
   private static final long READY_MILLIS = 30_000;
   private static final long END_MILLIS = 8_000;
+  /** Stands for the exit code of a process that had not ended when the earliest kill came. */
+  static final int OVERDUE = -1;
 
   private final int number;
   private final String command;
@@ -29,7 +31,7 @@
   private final Preload.Control control;
   private ChildProcess process;
   private long startedAt;
-  private long readyAt;
+  private volatile long readyAt;
   private int starts;
   private SoakClients clients;
 
@@ -109,6 +111,11 @@
     }
   }
 
+  /** True once it was live after its last start. */
+  boolean isReady() {
+    return readyAt > 0;
+  }
+
   void signal(String name) throws IOException, InterruptedException {
     process.signal(name);
   }
@@ -118,20 +125,35 @@
     process.signal("KILL");
     int code = process.await(END_MILLIS);
     ended(0, code, true);
+    readyAt = 0;
   }
 
   /**
-   * Stops it as a planned restart does: the signal comes, clients go on for a while and are then taken elsewhere.
+   * Stops it as a planned restart does: the signal comes, clients open connections for a while, go on on open ones, and the kill
+   * comes as early as it may.
    *
-   * @param more how long new requests come after the signal, in microseconds
+   * @param connecting how long new connections come after the signal, in microseconds
    */
-  void stop(long more) throws IOException, InterruptedException {
+  void stop(long connecting) throws IOException, InterruptedException {
     long askedAt = Clock.micros();
     process.signal("TERM");
-    Thread.sleep(more / 1_000);
+    endAfter(askedAt, connecting);
+  }
+
+  /** The same after the signal was sent at that time. */
+  void endAfter(long askedAt, long connecting) throws IOException, InterruptedException {
+    Thread.sleep(connecting / 1_000);
+    clients.staysOnOpenConnections();
+    long killAt = askedAt + SoakConfig.LONGEST_DEADLINE + SoakConfig.KILL_MARGIN;
+    int code = process.await(Math.max(1, (killAt - Clock.micros()) / 1_000));
+    boolean overdue = code < 0;
+    if (overdue) {
+      process.signal("KILL");
+      process.await(END_MILLIS);
+    }
     clients.takeOut(true);
-    int code = process.await(END_MILLIS);
-    ended(askedAt, code, false);
+    ended(askedAt, overdue ? OVERDUE : code, false);
+    readyAt = 0;
   }
 
   private void ended(long askedAt, int code, boolean killed) {
--- a/soak/src/main/java/gorseladder/soak/SoakPlan.java
+++ b/soak/src/main/java/gorseladder/soak/SoakPlan.java
@@ -24,8 +24,10 @@
   private static final long SECOND = 1_000_000;
   private static final int LEAST_RUNNERS = 8;
   private static final int MORE_RUNNERS = 7;
-  private static final double LEAST_CALLS = 12;
-  private static final double MORE_CALLS = 14;
+  /** Calls a second at all dispatchers together: as many for few as for many of them. */
+  private static final double LEAST_CALLS = 180;
+
+  private static final double MORE_CALLS = 120;
   /** Traffic without trouble at first, so that the dispatchers know their runners, and at the end. */
   private static final long QUIET = 2 * SECOND;
 
@@ -57,7 +59,7 @@
   public static SoakPlan draw(long seed, int dispatchers, long length, Set<Trouble> troubles) {
     SplittableRandom random = new SplittableRandom(seed);
     int runners = LEAST_RUNNERS + random.nextInt(MORE_RUNNERS);
-    double calls = LEAST_CALLS + MORE_CALLS * random.nextDouble();
+    double calls = (LEAST_CALLS + MORE_CALLS * random.nextDouble()) / dispatchers;
     List<Trouble> may = new ArrayList<>(troubles);
     may.sort(Comparator.naturalOrder());
     List<Event> events = new ArrayList<>();
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -32,6 +32,7 @@
   private final List<SoakDispatcher> dispatchers = new ArrayList<>();
   private final List<Finding> findings = new ArrayList<>();
   private final Preload preload;
+  private final Troubles troubles = new Troubles(this);
   private ChangeLogs log;
 
   /**
@@ -41,6 +42,7 @@
    * @param ownStall the longest time for which the soak's own threads were held up, in microseconds
    * @param ownStalls all such times together
    * @param heldInTheWrite attempts that left before their dispatcher was stopped and came after it went on: not judged
+   * @param troublesFailed troubles that the soak itself could not bring
    */
   public record Result(
       SoakPlan plan,
@@ -51,7 +53,8 @@
       long injected,
       long ownStall,
       long ownStalls,
-      int heldInTheWrite) {}
+      int heldInTheWrite,
+      int troublesFailed) {}
 
   /**
    * A play that begins with {@link #play}.
@@ -95,7 +98,7 @@
           plan.callsPerSecond()));
     }
     dispatchers.forEach(dispatcher -> dispatcher.clients().begin());
-    new Troubles(this).bring(plan.events(), plan.length());
+    troubles.bring(plan.events(), plan.length());
     for (SoakDispatcher dispatcher : dispatchers) {
       dispatcher.clients().stop();
     }
@@ -166,7 +169,8 @@
         injected,
         evidence.ownStalls().longest(),
         evidence.ownStalls().total(),
-        judged.heldInTheWrite());
+        judged.heldInTheWrite(),
+        troubles.failed());
   }
 
   /** Lays down a dispatcher's configuration as things are now. */
--- a/soak/src/main/java/gorseladder/soak/Trouble.java
+++ b/soak/src/main/java/gorseladder/soak/Trouble.java
@@ -39,7 +39,17 @@
   /** A dispatcher's waits are interrupted, its reads and writes short, a few of its connections time out. */
   SHORT_IO,
   /** A dispatcher's wall clock is stepped, by seconds or by an hour, and perhaps back. */
-  CLOCK;
+  CLOCK,
+  /** SIGHUP upon SIGHUP at gaps of any length, each with another address of the change log. */
+  SIGNALS,
+  /** A crowd at one dispatcher: clients that say nothing, half requests, or a storm of connections. */
+  CROWD,
+  /** The change log is crowded: its connections come up late, or it answers late, by up to 2.6 s. */
+  LOG_SLOW,
+  /** A dispatcher is told something once, and at that moment its system fails it, for a while that ends. */
+  NEWS_AMID_FAULT,
+  /** The system of a dispatcher opens no file for a moment. */
+  FILES;
 
   /** The word on the command line and in reports. */
   public String word() {
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -9,16 +9,27 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Brings the troubles of a plan at their times, each on a thread of its own. */
 final class Troubles {
   private static final long MILLI = 1_000;
   private static final long MOST_PAUSE = 900 * MILLI;
   private static final long MOST_LATE = 900 * MILLI;
-  private static final long FOLLOWS_WITHIN_MILLIS = 4_000;
-  private static final long OLD_LOG_MILLIS = 1_500;
-  /** New requests still come for so long after a stop was asked for. */
-  private static final long STILL_ASKED = 500 * MILLI;
+  /** New connections still come for so long after a stop was asked for. */
+  private static final long LEAST_CONNECTING = 200 * MILLI;
+
+  private static final long MOST_CONNECTING = 400 * MILLI;
+  private static final long MOST_BETWEEN_SIGNALS_MILLIS = 30;
+  /** In its first second a process is sent no signal. */
+  private static final long NO_SIGNAL_MILLIS = 1_050;
+  /** How late a crowded change log answers, and for how long it does. */
+  private static final long LEAST_SLOW = 600 * MILLI;
+
+  private static final long MOST_SLOW = 2_600 * MILLI;
+  private static final long SLOW_FOR = 4_500 * MILLI;
+  private static final int ALL = 1_000;
+  private static final long[] OPEN_ERRORS = {24, 23, 5};
 
   private static final long[] ACCEPT_ERRORS = {103, 23, 24, 105};
   private static final long[] CONNECT_ERRORS = {99, 101, 111, 105};
@@ -28,11 +39,20 @@
   };
 
   private final SoakRun run;
+  private final NewsTroubles news;
   /** Processes and runners that a trouble holds at present: another one of the same sort passes them by. */
   private final Set<Object> busy = ConcurrentHashMap.newKeySet();
 
+  private final AtomicInteger failed = new AtomicInteger();
+
   Troubles(SoakRun run) {
     this.run = run;
+    this.news = new NewsTroubles(run);
+  }
+
+  /** Troubles that the soak itself failed to bring. */
+  int failed() {
+    return failed.get();
   }
 
   /** A step of a trouble. */
@@ -69,9 +89,16 @@
     SoakRunner runner = run.runner(event.target());
     try {
       switch (event.trouble()) {
-        case STOP -> holding(dispatcher, () -> stop(dispatcher));
-        case KILL -> holding(dispatcher, () -> kill(dispatcher));
-        case RELOAD -> holding(dispatcher, () -> reload(dispatcher, event));
+        case STOP -> holding(dispatcher, () -> stop(dispatcher, event));
+        case KILL -> holding(dispatcher, () -> kill(dispatcher, event));
+        case RELOAD -> holding(dispatcher, () -> news.signals(dispatcher, event, 3, 7));
+        case SIGNALS -> holding(dispatcher, () -> news.signals(dispatcher, event));
+        case NEWS_AMID_FAULT -> newsAmidFault(dispatcher, runner, event);
+        case CROWD ->
+          new Crowd(dispatcher.listen())
+              .come(Crowd.Kind.values()[(int) Math.floorMod(event.draw(), 3L)], event.length());
+        case LOG_SLOW -> logSlow(dispatcher, event);
+        case FILES -> files(dispatcher, event);
         case PAUSE -> holding(dispatcher, () -> pause(dispatcher, event));
         case DRAIN -> holding(runner, () -> drain(runner, event));
         case RESTART -> holding(runner, () -> restart(runner, event));
@@ -90,6 +117,7 @@
         default -> throw new IllegalStateException("no such trouble: " + event.trouble());
       }
     } catch (IOException e) {
+      failed.incrementAndGet();
       System.err.println("the soak's own: " + event + ": " + e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -108,46 +136,77 @@
 
   // ---- dispatchers
 
-  private void stop(SoakDispatcher dispatcher) throws IOException, InterruptedException {
-    dispatcher.stop(STILL_ASKED);
-    startAgain(dispatcher);
+  /** A planned restart; in some a new configuration comes just before the signal, or just after it. */
+  private void stop(SoakDispatcher dispatcher, Event event)
+      throws IOException, InterruptedException {
+    long connecting =
+        LEAST_CONNECTING + Math.floorMod(event.draw() >> 8, MOST_CONNECTING - LEAST_CONNECTING);
+    long series = Math.floorMod(event.draw(), 4L);
+    if (series == 1) {
+      news.move(dispatcher);
+      Thread.sleep(Math.floorMod(event.draw() >> 3, MOST_BETWEEN_SIGNALS_MILLIS));
+    }
+    long askedAt = Clock.micros();
+    dispatcher.signal("TERM");
+    if (series == 2) {
+      Thread.sleep(Math.floorMod(event.draw() >> 3, MOST_BETWEEN_SIGNALS_MILLIS));
+      news.move(dispatcher);
+    }
+    dispatcher.endAfter(askedAt, connecting);
+    startAgain(dispatcher, event);
   }
 
-  private void kill(SoakDispatcher dispatcher) throws IOException, InterruptedException {
+  private void kill(SoakDispatcher dispatcher, Event event)
+      throws IOException, InterruptedException {
     dispatcher.kill();
     dispatcher.clients().takeOut(true);
-    startAgain(dispatcher);
+    startAgain(dispatcher, event);
   }
 
-  private void startAgain(SoakDispatcher dispatcher) throws IOException, InterruptedException {
+  private void startAgain(SoakDispatcher dispatcher, Event event)
+      throws IOException, InterruptedException {
+    Control control = dispatcher.control();
+    if (control != null) {
+      // The Java machine cannot start without threads or files: nothing of the program runs by
+      // then.
+      control.set(Fault.THREAD_RATE, 0);
+      control.set(Fault.OPEN_RATE, 0);
+    }
     run.configure(dispatcher);
     dispatcher.start();
+    if (Math.floorMod(event.draw() >> 16, 2L) == 0) {
+      signalWhileStarting(dispatcher);
+    }
     dispatcher.awaitReady();
     dispatcher.clients().takeOut(false);
   }
 
-  private void reload(SoakDispatcher dispatcher, Event event)
+  /** A new configuration for a process that is not ready yet; none comes in its first second. */
+  private void signalWhileStarting(SoakDispatcher dispatcher) {
+    FaultProxy.start("signal-while-starting", () -> {
+      try {
+        Thread.sleep(NO_SIGNAL_MILLIS);
+        if (!dispatcher.isReady()) {
+          news.move(dispatcher);
+        }
+      } catch (IOException e) {
+        System.err.println("the soak's own: a signal while starting: " + e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+  }
+
+  private void newsAmidFault(SoakDispatcher dispatcher, SoakRunner runner, Event event)
       throws IOException, InterruptedException {
-    List<FaultProxy> old = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
-      old.add(run.log().replace(dispatcher.number()));
-      run.configure(dispatcher);
-      dispatcher.signal("HUP");
-      Thread.sleep(Math.floorMod(event.draw() >> i, 7));
-    }
-    long asked = Clock.micros();
-    for (FaultProxy proxy : old) {
-      proxy.refuse();
-    }
-    Thread.sleep(OLD_LOG_MILLIS);
-    old.forEach(FaultProxy::resetAll);
-    Thread.sleep(FOLLOWS_WITHIN_MILLIS - OLD_LOG_MILLIS);
-    if (run.log().proxy(dispatcher.number()).accepted() == 0) {
-      run.found(new Finding(
-          SoakRule.FOLLOW,
-          asked,
-          dispatcher.number(),
-          "did not ask at the last of three new addresses within 4 s"));
+    switch (NewsTroubles.news(event)) {
+      case RELOAD ->
+        holding(dispatcher, () -> news.amidFault(dispatcher, event, () -> news.reload(dispatcher)));
+      case STOP ->
+        holding(dispatcher, () -> news.amidFault(dispatcher, event, () -> stop(dispatcher, event)));
+      case DRAIN ->
+        holding(runner, () -> news.amidFault(dispatcher, event, () -> drain(runner, event)));
+      default -> news.amidFault(dispatcher, event, () -> reset(runner, event));
     }
   }
 
@@ -211,14 +270,30 @@
     FaultProxy proxy = run.log().proxy(dispatcher.number());
     long now = Clock.micros();
     if (event.draw() % 2 == 0) {
-      run.evidence().logTrouble(new Evidence.Span(now - MILLI, now + event.length()));
+      run.evidence()
+          .logTrouble(dispatcher.number(), new Evidence.Span(now - MILLI, now + event.length()));
       proxy.hold(event.length());
     } else {
-      run.evidence().logTrouble(new Evidence.Span(now - MILLI, now + 1_000 * MILLI));
+      run.evidence()
+          .logTrouble(dispatcher.number(), new Evidence.Span(now - MILLI, now + 1_000 * MILLI));
       proxy.resetAll();
     }
   }
 
+  /** The log answers each new connection late, or takes new connections late, for some seconds. */
+  private void logSlow(SoakDispatcher dispatcher, Event event)
+      throws IOException, InterruptedException {
+    FaultProxy proxy = run.log().proxy(dispatcher.number());
+    long now = Clock.micros();
+    run.evidence()
+        .logTrouble(
+            dispatcher.number(), new Evidence.Span(now - MILLI, now + SLOW_FOR + event.length()));
+    proxy.delayFirstAnswer(LEAST_SLOW + Math.floorMod(event.draw(), MOST_SLOW - LEAST_SLOW));
+    proxy.resetAll();
+    Thread.sleep((SLOW_FOR + event.length()) / MILLI);
+    proxy.delayFirstAnswer(0);
+  }
+
   // ---- system calls and clocks
 
   private static long oneOf(long[] all, long draw) {
@@ -242,19 +317,26 @@
     control.set(Fault.SOCKET_RATE, 0);
   }
 
-  private void threads(SoakDispatcher dispatcher, Event event) throws InterruptedException {
+  private static void threads(SoakDispatcher dispatcher, Event event) throws InterruptedException {
     Control control = dispatcher.control();
-    if (control == null) {
+    if (control == null || !dispatcher.isReady()) {
       return;
     }
-    long from = Clock.micros();
-    control.set(Fault.THREAD_RATE, 500);
+    control.set(Fault.THREAD_RATE, event.draw() % 2 == 0 ? ALL : ALL / 2);
     Thread.sleep(event.length() / MILLI);
     control.set(Fault.THREAD_RATE, 0);
-    // A connection that is accepted and finds no thread is closed by its dispatcher: nobody could
-    // read it.
-    run.evidence()
-        .clientCut(dispatcher.number(), new Evidence.Span(from, Clock.micros() + 50 * MILLI));
+  }
+
+  /** The system opens no file for a moment. */
+  private static void files(SoakDispatcher dispatcher, Event event) throws InterruptedException {
+    Control control = dispatcher.control();
+    if (control == null || !dispatcher.isReady()) {
+      return;
+    }
+    control.set(Fault.OPEN_ERRNO, oneOf(OPEN_ERRORS, event.draw()));
+    control.set(Fault.OPEN_RATE, ALL);
+    Thread.sleep(event.length() / MILLI);
+    control.set(Fault.OPEN_RATE, 0);
   }
 
   private void shortIo(SoakDispatcher dispatcher, Event event) throws InterruptedException {
