--- a/app/src/main/java/gorseladder/app/Demo.java
+++ b/app/src/main/java/gorseladder/app/Demo.java
@@ -1,7 +1,7 @@
 package gorseladder.app;
 
 import gorseladder.testbed.Play;
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
 import gorseladder.testbed.script.DayScript;
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,7 +21,7 @@
 final class Demo implements Callable<Integer> {
   @Override
   public Integer call() throws IOException, InterruptedException, DayScript.BadScript {
-    try (InputStream in = World.class.getResourceAsStream("/days/demo.day")) {
+    try (InputStream in = TestFleet.class.getResourceAsStream("/days/demo.day")) {
       return play(DayScript.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8)), true);
     }
   }
@@ -36,7 +36,7 @@
     System.out.println("starting " + script.count("edges") + " edges and " + script.count("runners")
         + " runners; files in " + directory);
     Play.Verdict verdict;
-    try (World world = new World(script, directory, true, line -> {})) {
+    try (TestFleet world = new TestFleet(script, directory, true, line -> {})) {
       verdict = new Play(script, world).run(System.out);
     }
     verdict.print(System.out);
--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -5,7 +5,9 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** The command line. Exit codes: 0 good, 1 a rule was broken or a check failed, 2 bad usage or settings, 3 cannot start. */
+/**
+ * The command line. Exit codes: 0 good, 1 a rule was broken or a check failed, 2 bad usage or settings, 3 cannot start.
+ */
 @Command(
     name = "gorseladder",
     mixinStandardHelpOptions = true,
--- a/app/src/main/java/gorseladder/app/RehearseCommand.java
+++ b/app/src/main/java/gorseladder/app/RehearseCommand.java
@@ -17,8 +17,8 @@
 import picocli.CommandLine.Command;
 
 /**
- * {@code rehearse}: a live dispatcher serves a few hundred calls between stand-ins, in one process. The build has the machine
- * write down the classes that were used, so that a dispatcher starts with them ready.
+ * {@code rehearse}: a live dispatcher serves a few hundred calls between stand-ins, in one process. The build has the
+ * machine write down the classes that were used, so that a dispatcher starts with them ready.
  */
 @Command(
     name = RehearseCommand.NAME,
--- a/app/src/main/java/gorseladder/app/ReplayCommand.java
+++ b/app/src/main/java/gorseladder/app/ReplayCommand.java
@@ -23,7 +23,8 @@
     name = "replay",
     mixinStandardHelpOptions = true,
     description =
-        "Replay the history of stopped edges on an emulated fleet, without and with loads ahead, walk-forward, and list every "
+        "Replay the history of stopped edges on an emulated fleet, without and with loads ahead, walk-forward, "
+            + "and list every "
             + "function's balance. Simulated.")
 final class ReplayCommand implements Callable<Integer> {
   @Parameters(
--- a/app/src/main/java/gorseladder/app/SabotageCommand.java
+++ b/app/src/main/java/gorseladder/app/SabotageCommand.java
@@ -29,14 +29,15 @@
 import picocli.CommandLine.Option;
 
 /**
- * {@code sabotage}: plants faults into copies of single classes, plays each on its day with those classes before the program's own,
- * and says which the checker of the rules found. The program itself and its jar stay as they are.
+ * {@code sabotage}: plants faults into copies of single classes, plays each on its day with those classes before the
+ * program's own, and says which the checker of the rules found. The program itself and its jar stay as they are.
  */
 @Command(
     name = "sabotage",
     mixinStandardHelpOptions = true,
     description =
-        "Plant faults one at a time and see that the checker finds them. Needs the sources and a JDK. Exits 1 where one was "
+        "Plant faults one at a time and see that the checker finds them. Needs the sources and a JDK. "
+            + "Exits 1 where one was "
             + "not found.")
 final class SabotageCommand implements Callable<Integer> {
   private static final long MOST_SECONDS = 120;
--- a/app/src/main/java/gorseladder/app/SoakCommand.java
+++ b/app/src/main/java/gorseladder/app/SoakCommand.java
@@ -24,7 +24,8 @@
     name = "soak",
     mixinStandardHelpOptions = true,
     description =
-        "Run real dispatchers between clients, runners and a change log that misbehave by a plan drawn from a seed, and hold "
+        "Run real dispatchers between clients, runners and a change log that misbehave by a plan "
+            + "drawn from a seed, and hold "
             + "them to the rules. Exits 1 where a rule was broken.")
 final class SoakCommand implements Callable<Integer> {
   private static final int MOST_SHOWN = 20;
@@ -184,7 +185,8 @@
     System.out.printf(
         Locale.ROOT,
         "seed %d: %d dispatchers, %d runners, %d troubles; %d requests, %d served, %d attempts, "
-            + "%d system calls failed; own stalls %d ms, longest %d; %d held in the write; %d troubles not brought; %d findings%n",
+            + "%d system calls failed; own stalls %d ms, longest %d; %d held in the write; "
+            + "%d troubles not brought; %d findings%n",
         result.plan().seed(),
         result.plan().dispatchers(),
         result.plan().runners(),
--- a/app/src/main/java/gorseladder/app/Up.java
+++ b/app/src/main/java/gorseladder/app/Up.java
@@ -1,6 +1,6 @@
 package gorseladder.app;
 
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
 import gorseladder.testbed.script.DayScript;
 import gorseladder.wire.json.Json;
 import java.io.IOException;
@@ -55,7 +55,7 @@
     DayScript script = DayScript.parse("edges = " + edges + "; runners = " + runners + "; seed = "
         + (System.nanoTime() & 0xffff) + ";");
     try (Writer log = Files.newBufferedWriter(runnerLog);
-        World world = new World(script, directory, true, line -> write(log, line))) {
+        TestFleet world = new TestFleet(script, directory, true, line -> write(log, line))) {
       System.out.println(world.ready(runnerLog.toFile()));
       System.out.flush();
       while (!stop.await(200, TimeUnit.MILLISECONDS)) {
--- a/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
+++ b/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
@@ -4,9 +4,9 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.Threads;
-import gorseladder.testbed.Portal;
 import gorseladder.testbed.StandInRunner;
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
+import gorseladder.testbed.WebhookClients;
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
 import gorseladder.wire.http1.Head;
@@ -28,10 +28,10 @@
 final class EdgeCalls {
   private static final int STACK = 256 << 10;
 
-  private final World world;
+  private final TestFleet world;
   private final Map<String, ArrayDeque<HttpConnection>> idle = new ConcurrentHashMap<>();
 
-  EdgeCalls(World world) {
+  EdgeCalls(TestFleet world) {
     this.world = world;
   }
 
@@ -47,14 +47,15 @@
             .with(Oip.request("m" + random.nextLong(), new byte[] {'{', '}'}));
         return exchange(runner.id(), Address.parse(runner.id()), request);
       }
-      Portal.Kind k =
-          Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(kind);
+      WebhookClients.Kind k = WebhookClients.kinds(
+              TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+          .get(kind);
       byte[] body = ("{\"type\":\"" + k.type() + "\",\"data\":{\"lanes\":16,\"function\":\""
               + function + "\"}}")
           .getBytes();
       String id = "b" + Long.toHexString(random.nextLong()) + Long.toHexString(System.nanoTime());
       long stamp = System.currentTimeMillis() / 1000;
-      byte[] request = HeadWriter.request("POST", World.PATH, "e")
+      byte[] request = HeadWriter.request("POST", TestFleet.PATH, "e")
           .field("webhook-id", id)
           .field("webhook-timestamp", stamp)
           .field("webhook-signature", Secret.parse(world.secret()).sign(id, stamp, body))
--- a/app/src/main/java/gorseladder/app/bench/IdleBench.java
+++ b/app/src/main/java/gorseladder/app/bench/IdleBench.java
@@ -1,6 +1,6 @@
 package gorseladder.app.bench;
 
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
 import gorseladder.testbed.script.DayScript;
 import java.io.IOException;
 import java.net.Socket;
@@ -22,7 +22,7 @@
   @Override
   public void run() {
     List<Socket> open = new ArrayList<>();
-    try (World world = new World(
+    try (TestFleet world = new TestFleet(
         DayScript.parse("edges = 1; runners = 1;"),
         Files.createTempDirectory("gorseladder-bench-"),
         true,
--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -2,7 +2,7 @@
 
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
 import gorseladder.testbed.script.DayScript;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -49,7 +49,7 @@
       description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
   private String cpus;
 
-  private World world;
+  private TestFleet world;
   private EdgeCalls calls;
 
   @Override
@@ -59,7 +59,7 @@
       DayScript script =
           DayScript.parse("edges = 1; runners = 16; lanes = 16; cores = 64; load = 20ms; work = "
               + workMillis + "ms;");
-      try (World started = new World(
+      try (TestFleet started = new TestFleet(
           script,
           directory,
           true,
--- a/app/src/main/java/gorseladder/app/bench/LedgerBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LedgerBench.java
@@ -129,7 +129,10 @@
     }
   }
 
-  /** The table of digests beside the plain map of boxed keys: a million put, then a million looked up that are not there. */
+  /**
+   * The table of digests beside the plain map of boxed keys: a million put, then a million looked up that are not
+   * there.
+   */
   private static void tables() {
     for (int round = 0; round < 3; round++) {
       SplittableRandom random = new SplittableRandom(1);
--- a/app/src/main/java/gorseladder/app/bench/OverloadBench.java
+++ b/app/src/main/java/gorseladder/app/bench/OverloadBench.java
@@ -2,7 +2,7 @@
 
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Threads;
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
 import gorseladder.testbed.script.DayScript;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -24,7 +24,10 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** {@code bench overload}: answers within the aim against calls offered, with admission, with the fixed bound, with neither. */
+/**
+ * {@code bench overload}: answers within the aim against calls offered, with admission, with the fixed bound, with
+ * neither.
+ */
 @Command(
     name = "overload",
     mixinStandardHelpOptions = true,
@@ -90,7 +93,7 @@
           .build();
       for (Map.Entry<String, String> way : WAYS.entrySet()) {
         List<Double> goods = new ArrayList<>();
-        try (World world = world(way.getValue())) {
+        try (TestFleet world = world(way.getValue())) {
           EdgeCalls calls = new EdgeCalls(world);
           calls.closed(0, 16 * runners, 8);
           holds = holds > 0 ? holds : calls.closed(0, 16 * runners, seconds);
@@ -125,10 +128,11 @@
     }
   }
 
-  private World world(String more) throws IOException, InterruptedException, DayScript.BadScript {
+  private TestFleet world(String more)
+      throws IOException, InterruptedException, DayScript.BadScript {
     DayScript script = DayScript.parse("edges = 1; runners = " + runners
         + "; lanes = 16; cores = 64; load = 20ms; work = " + workMillis + "ms;");
-    return new World(
+    return new TestFleet(
         script,
         Files.createTempDirectory("gorseladder-bench-"),
         true,
@@ -198,7 +202,7 @@
   private static void one(EdgeCalls calls, Run run, long meantFor, int second, long seed) {
     int status = calls.status(0, new Random(seed));
     long took = Clock.micros() - meantFor;
-    if (status == 200 && took <= World.AIM) {
+    if (status == 200 && took <= TestFleet.AIM) {
       run.goodBySecond.incrementAndGet(second);
     } else if (status == 503 || status == 429) {
       run.refused.incrementAndGet();
--- a/app/src/main/java/gorseladder/app/bench/PlacementBench.java
+++ b/app/src/main/java/gorseladder/app/bench/PlacementBench.java
@@ -129,7 +129,10 @@
         exact / fleets);
   }
 
-  /** The best sum by an integer programme: a variable for each copy at each place it may stand; 0 where it was not solved in time. */
+  /**
+   * The best sum by an integer programme: a variable for each copy at each place it may stand; 0 where it was not
+   * solved in time.
+   */
   private static double solve(List<Demand> demands, List<Host> hosts, Limits limits) {
     ExpressionsBasedModel model = new ExpressionsBasedModel();
     model.options.time_abort = SOLVER_MILLIS;
--- a/app/src/main/java/gorseladder/app/bench/TimerBench.java
+++ b/app/src/main/java/gorseladder/app/bench/TimerBench.java
@@ -19,8 +19,8 @@
 import org.openjdk.jmh.annotations.TearDown;
 
 /**
- * The work of a gateway's timers: a call sets one, and takes it back when it ends, while so many stand. The oldest standing
- * timer is cancelled and a new one is set, about three seconds ahead.
+ * The work of a gateway's timers: a call sets one, and takes it back when it ends, while so many stand. The oldest
+ * standing timer is cancelled and a new one is set, about three seconds ahead.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
--- a/app/src/test/java/gorseladder/app/SabotageTest.java
+++ b/app/src/test/java/gorseladder/app/SabotageTest.java
@@ -24,7 +24,8 @@
     Files.writeString(
         list,
         "day { name: \"d\" script: \"day = 1s;\" }\n"
-            + "fault { name: \"f\" rule: 1 day: \"d\" edit { file: \"README.md\" find: \"no such text\" replace: \"\" } }");
+            + "fault { name: \"f\" rule: 1 day: \"d\" "
+            + "edit { file: \"README.md\" find: \"no such text\" replace: \"\" } }");
     assertEquals(
         Main.CANNOT_START, Main.run("sabotage", "--root", "..", "--faults", list.toString()));
   }
--- a/config/src/main/java/gorseladder/config/TextFile.java
+++ b/config/src/main/java/gorseladder/config/TextFile.java
@@ -13,7 +13,10 @@
 public final class TextFile {
   private static final Pattern PLACE = Pattern.compile("(?:line )?(\\d+):(\\d+):?\\s*(.*)");
   private static final String UNKNOWN = "Input contains unknown fields";
-  /** The parser tells of unknown fields here too; they are faults already. Held, as the level is forgotten with the logger. */
+  /**
+   * The parser tells of unknown fields here too; they are faults already. Held, as the level is forgotten with the
+   * logger.
+   */
   private static final Logger PARSER = Logger.getLogger(TextFormat.class.getName());
 
   static {
@@ -26,7 +29,8 @@
    * Reads the text into the message. Fields that do not exist are faults and hide nothing of those that do.
    *
    * @param file named in the faults
-   * @return where each field stands; null where the text could not be read to its end, and then the message holds nothing of use
+   * @return where each field stands; null where the text could not be read to its end, and then the message holds
+   *     nothing of use
    */
   public static TextFormatParseInfoTree parse(
       String file, String text, Message.Builder into, List<Fault> faults) {
--- a/core/src/main/java/gorseladder/core/Call.java
+++ b/core/src/main/java/gorseladder/core/Call.java
@@ -13,8 +13,8 @@
  * else, under this object's lock, so that the end of a call and the leaving of its bytes cannot cross: once it has its
  * answer no further attempt may leave, and what had left by then counts as may have run.
  *
- * <p>What else a front keeps of its calls (a ledger's records, a connection to answer on) is a kind of its own. Times are
- * {@link gorseladder.runtime.Clock#micros()}. Any thread.
+ * <p>What else a front keeps of its calls (a ledger's records, a connection to answer on) is a kind of its own. Times
+ * are {@link gorseladder.runtime.Clock#micros()}. Any thread.
  */
 public abstract class Call {
   /** What a call is, told by the front. */
@@ -133,8 +133,8 @@
   }
 
   /**
-   * The last step before the write: where it is allowed the attempt counts as may have run from then on, and its bytes must
-   * follow at once.
+   * The last step before the write: where it is allowed the attempt counts as may have run from then on, and its bytes
+   * must follow at once.
    */
   public final synchronized Verdict leave(int number, LastLook look, long now) {
     Verdict verdict = Permits.maySend(
@@ -225,7 +225,9 @@
   /** An attempt is about to leave; the lock is held. */
   protected void leaving() {}
 
-  /** The call has its final answer; the lock is held, so that what is written here stands before anything that follows. */
+  /**
+   * The call has its final answer; the lock is held, so that what is written here stands before anything that follows.
+   */
   protected void record(FinalAnswer end) {}
 
   /** The call has its final answer; once, without the lock, on the thread that gave it. Must not block. */
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -58,7 +58,7 @@
   private static final long LOOK = 250_000;
 
   /** Carries out what leaves this process; must not block. Its reports come back by the core's methods. */
-  public interface Hands<C extends Call> {
+  public interface Outbound<C extends Call> {
     /** Starts an attempt; ends in exactly one {@link Core#attemptEnded}. */
     void send(C call, int attempt, String worker, long timeout);
 
@@ -105,7 +105,9 @@
   private record Collect<C extends Call>(Consumer<Collected> to, Map<String, Seen.Of> giveBack)
       implements Message<C> {}
 
-  /** What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand. */
+  /**
+   * What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand.
+   */
   public record Collected(
       Map<String, Seen.Of> seen,
       List<Account.Entry> loads,
@@ -115,7 +117,7 @@
 
   private final Settings settings;
   private final Router router;
-  private final Hands<C> hands;
+  private final Outbound<C> hands;
   /** Null where the router alone says when to come back. */
   private final RetryAdvice advice;
 
@@ -147,7 +149,7 @@
   public Core(
       Settings settings,
       long seed,
-      Hands<C> hands,
+      Outbound<C> hands,
       int mostOffers,
       boolean plans,
       RetryAdvice advice,
@@ -202,7 +204,10 @@
     mailbox.put(new Planned<>(plan));
   }
 
-  /** Has what a planner is told collected and handed over, on the core's thread; {@code giveBack} could not be told before. */
+  /**
+   * Has what a planner is told collected and handed over, on the core's thread; {@code giveBack} could not be told
+   * before.
+   */
   public void collect(Map<String, Seen.Of> giveBack, Consumer<Collected> to) {
     mailbox.put(new Collect<>(to, giveBack));
   }
@@ -319,7 +324,9 @@
     }
   }
 
-  /** How many news of the worker list the router was told; on the core's thread, while it carries out what was decided. */
+  /**
+   * How many news of the worker list the router was told; on the core's thread, while it carries out what was decided.
+   */
   public long newsKnown() {
     return newsKnown;
   }
--- a/core/src/main/java/gorseladder/core/RuleLog.java
+++ b/core/src/main/java/gorseladder/core/RuleLog.java
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What {@link RuleWatch} finds, as one line each with the request's id and as counts: an alarm, never a crash. Tests fail where
- * any count is left. Any thread.
+ * What {@link RuleWatch} finds, as one line each with the request's id and as counts: an alarm, never a crash. Tests
+ * fail where any count is left. Any thread.
  */
 public final class RuleLog {
   private static final Logger LOG = LoggerFactory.getLogger(RuleLog.class);
--- a/decisions/src/main/java/gorseladder/admission/Admission.java
+++ b/decisions/src/main/java/gorseladder/admission/Admission.java
@@ -6,23 +6,24 @@
 import java.util.Random;
 
 /**
- * Decides which calls an edge takes when more come than it can carry, before they cost anything. What waits here, taken and not
- * yet sent for the first time, is bounded by the time it stands for: as many calls as were sent of late within a part of the
- * caller's aim. A call beyond that is refused only while calls in fact stand, measured by the shortest wait of those sent of late
- * (as CoDel does, RFC 8289 section 3), so that some that wait for one function's load turn nobody else away.
+ * Decides which calls an edge takes when more come than it can carry, before they cost anything. What waits here, taken
+ * and not yet sent for the first time, is bounded by the time it stands for: as many calls as were sent of late within
+ * a part of the caller's aim. A call beyond that is refused only while calls in fact stand, measured by the shortest
+ * wait of those sent of late (as CoDel does, RFC 8289 section 3), so that some that wait for one function's load turn
+ * nobody else away.
  *
- * <p>Who goes first when there is not room for all: calls worth more before calls worth less, tenants within their share before
- * tenants over it, fresh calls before ones that were refused of late and come again. A part of each is given to every kind, so none
- * starves.
+ * <p>Who goes first when there is not room for all: calls worth more before calls worth less, tenants within their
+ * share before tenants over it, fresh calls before ones that were refused of late and come again. A part of each is
+ * given to every kind, so none starves.
  *
- * <p>Guards against an edge that takes everything, serves nothing in time, and goes on so after the load has passed, because its
- * senders come back. It also covers a fleet that lost half its runners (calls are sent more slowly, so fewer may wait) and a slow
- * ledger disk. It could harm where calls are sent in rare bursts: of a burst after silence only {@link #FREE} and what is sent
- * meanwhile is taken, and only if the first ones stand; and where ids of refused calls are guessed by others, whose calls then
- * count as come again.
+ * <p>Guards against an edge that takes everything, serves nothing in time, and goes on so after the load has passed,
+ * because its senders come back. It also covers a fleet that lost half its runners (calls are sent more slowly, so
+ * fewer may wait) and a slow ledger disk. It could harm where calls are sent in rare bursts: of a burst after silence
+ * only {@link #FREE} and what is sent meanwhile is taken, and only if the first ones stand; and where ids of refused
+ * calls are guessed by others, whose calls then count as come again.
  *
- * <p>It refuses only what has not entered, and the caller asks only for messages of which nothing is remembered. Free of clocks and
- * input; not thread safe. Times are microseconds on one clock.
+ * <p>It refuses only what has not entered, and the caller asks only for messages of which nothing is remembered. Free
+ * of clocks and input; not thread safe. Times are microseconds on one clock.
  */
 public final class Admission {
   /** Part of a call's aim for which what waits before it may stand. */
@@ -35,7 +36,10 @@
   private static final long STRETCH = 100_000;
 
   private static final int STRETCHES = 10;
-  /** What is left of the room for calls of no worth beside the best, for tenants over their share, and for calls come again. */
+  /**
+   * What is left of the room for calls of no worth beside the best, for tenants over their share, and for calls come
+   * again.
+   */
   private static final double LEAST_WORTH = 0.5;
 
   private static final double OVER_SHARE = 0.6;
@@ -47,7 +51,9 @@
 
   private static final long REFUSED_FOR = 30_000_000;
 
-  /** What the edge is told: calls in hand at the most, tenants' shares, the longest time a client may be told to wait. */
+  /**
+   * What the edge is told: calls in hand at the most, tenants' shares, the longest time a client may be told to wait.
+   */
   public record Told(int mostInHand, Map<String, Double> shares, long maxRetryAfter) {}
 
   /**
@@ -223,8 +229,8 @@
   }
 
   /**
-   * Whole seconds after which a refused client may come back, 1 or more (RFC 9110 section 10.2.3): longer the more is refused, and
-   * spread by chance, so that those refused together do not come back together.
+   * Whole seconds after which a refused client may come back, 1 or more (RFC 9110 section 10.2.3): longer the more is
+   * refused, and spread by chance, so that those refused together do not come back together.
    */
   public int retryAfter() {
     long most = Math.max(1, (told.maxRetryAfter() + 999_999) / 1_000_000);
@@ -234,9 +240,10 @@
   }
 
   /**
-   * How long a refusal is held back before it is told, in microseconds. A refusal told at once frees its sender's connection for the
-   * next call, and an edge that refuses ten times what it serves has no time left to serve; held back, each connection brings few
-   * calls a second. Nothing is held while few are refused; whoever holds one asks again every now and then, as that may be by now.
+   * How long a refusal is held back before it is told, in microseconds. A refusal told at once frees its sender's
+   * connection for the next call, and an edge that refuses ten times what it serves has no time left to serve; held
+   * back, each connection brings few calls a second. Nothing is held while few are refused; whoever holds one asks
+   * again every now and then, as that may be by now.
    */
   public long holdRefusal() {
     return (long) (MOST_HELD * Math.max(0, Math.min(1, 2 * refusedShare - 0.5)));
--- a/decisions/src/main/java/gorseladder/admission/Turns.java
+++ b/decisions/src/main/java/gorseladder/admission/Turns.java
@@ -5,10 +5,11 @@
 /**
  * Decides who reads next where only so many may read at once: the newest first, and now and then the oldest.
  *
- * <p>Guards against an edge whose threads all read and refuse while the few that carry calls wait for a processor: with a bound on
- * those that read, what was taken goes on. Newest first, since under overload the oldest has waited in vain already, and those that
- * came in the meantime would wait in vain too (as adaptive last-in-first-out queues do). Without overload nobody waits here. It
- * could harm a sender whose request is the oldest at each burst: every {@link #OLDEST}th turn is the oldest's.
+ * <p>Guards against an edge whose threads all read and refuse while the few that carry calls wait for a processor: with
+ * a bound on those that read, what was taken goes on. Newest first, since under overload the oldest has waited in vain
+ * already, and those that came in the meantime would wait in vain too (as adaptive last-in-first-out queues do).
+ * Without overload nobody waits here. It could harm a sender whose request is the oldest at each burst: every
+ * {@link #OLDEST}th turn is the oldest's.
  *
  * <p>Free of clocks, threads and input; not thread safe.
  *
--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -9,20 +9,24 @@
 import java.util.Map;
 
 /**
- * What each load ahead cost and what it saved, from what really happened. A record opens when the copy stands and closes when
- * it was used and the time of a load has passed since, or when nobody used it until its keep-alive ended.
+ * What each load ahead cost and what it saved, from what really happened. A record opens when the copy stands and
+ * closes when it was used and the time of a load has passed since, or when nobody used it until its keep-alive ended.
  *
- * <p>Saved is counted strictly. The first call that found the copy is spared one load, as loads of that function have taken; calls
- * that came within that time are spared what would have been left of it. A later call is spared a load where so much time
- * passed since the last known use that the copy would have aged out; what lies between is counted as found anyway. A record
- * that nobody used saved nothing and is waste. What a load pushed out is charged to it: a call that began a load at a worker
- * where its function had stood within the keep-alive, after a copy was loaded ahead there. Where several such copies may
- * have done it, the last is charged. That errs against loading ahead: copies also age out.
+ * <p>Saved is counted strictly. The first call that found the copy is spared one load, as loads of that function have
+ * taken; calls that came within that time are spared what would have been left of it. A later call is spared a load
+ * where so much time passed since the last known use that the copy would have aged out; what lies between is counted as
+ * found anyway. A record that nobody used saved nothing and is waste. What a load pushed out is charged to it: a call
+ * that began a load at a worker where its function had stood within the keep-alive, after a copy was loaded ahead
+ * there. Where several such copies may have done it, the last is charged. That errs against loading ahead: copies also
+ * age out.
  *
  * <p>Not thread safe. Times are microseconds on one clock.
  */
 public final class Account {
-  /** Keep-alives without a known use after which a copy would surely have aged out; uses elsewhere are told that late at most. */
+  /**
+   * Keep-alives without a known use after which a copy would surely have aged out; uses elsewhere are told that late at
+   * most.
+   */
   private static final double SURELY_AGED = 1.5;
   /** Copies remembered as standing, at the most. */
   private static final int MOST_STANDING = 50_000;
@@ -31,7 +35,8 @@
    * A closed record.
    *
    * @param loadMicros the load's time, fetch and start; the worker's cores were partly occupied for some of it
-   * @param megabyteSeconds held beyond what calls would have held anyway: before the first call, in long gaps, or until given up
+   * @param megabyteSeconds held beyond what calls would have held anyway: before the first call, in long gaps, or until
+   *     given up
    * @param found calls that were spared some waiting; 0 is waste
    * @param savedMicros waiting spared to them
    * @param pushedOut calls that had to load what this copy pushed out, and {@code pushedMicros} the loads' time
@@ -208,7 +213,7 @@
     return o == null ? 0 : o.lastUse;
   }
 
-  /** Hands over the records closed since the last call. */
+  /** Outbound over the records closed since the last call. */
   public List<Entry> take() {
     List<Entry> taken = List.copyOf(closed);
     closed.clear();
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -13,12 +13,12 @@
 import java.util.Set;
 
 /**
- * A dispatcher's side of loading ahead: takes plans, says when which copy is to be proposed to the router, and keeps the
- * account. It proposes; whether an order leaves is the router's decision, which counts it in its own ration, leaves room for
- * calls in need, and passes over workers that drain, are cold or suspect.
+ * A dispatcher's side of loading ahead: takes plans, says when which copy is to be proposed to the router, and keeps
+ * the account. It proposes; whether an order leaves is the router's decision, which counts it in its own ration, leaves
+ * room for calls in need, and passes over workers that drain, are cold or suspect.
  *
- * <p>A plan that is older than the one in hand, has expired or is absurd changes nothing. Without a plan nothing is proposed. Free
- * of clocks and input; not thread safe. Times are microseconds on one clock.
+ * <p>A plan that is older than the one in hand, has expired or is absurd changes nothing. Without a plan nothing is
+ * proposed. Free of clocks and input; not thread safe. Times are microseconds on one clock.
  */
 public final class Ahead {
   /** Items of a plan at the most: a planner gone wrong must not fill the memory of its dispatchers. */
@@ -147,7 +147,10 @@
     return due;
   }
 
-  /** Not ordered yet, or it stands and nobody is known to have used it for so long that it might age out within its hold. */
+  /**
+   * Not ordered yet, or it stands and nobody is known to have used it for so long that it might age out within its
+   * hold.
+   */
   private boolean wanted(Wish w, long now) {
     if (now < w.askAt || w.orderedAt < 0) {
       return now >= w.askAt;
@@ -191,8 +194,8 @@
   /**
    * A served attempt and what it met there.
    *
-   * @return what to tell the other dispatchers: that a copy one of them ordered was found; null where there is nothing. The
-   *     message may be lost; the copy then counts as unused, which errs against loading ahead.
+   * @return what to tell the other dispatchers: that a copy one of them ordered was found; null where there is nothing.
+   *     The message may be lost; the copy then counts as unused, which errs against loading ahead.
    */
   public String served(String worker, String function, Note note, long now) {
     account.served(worker, function, note, now);
--- a/decisions/src/main/java/gorseladder/ahead/Seen.java
+++ b/decisions/src/main/java/gorseladder/ahead/Seen.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * What a dispatcher saw of each function: what a copy needs, how long a call takes at a copy that stands, how long a load takes.
- * Means forget within about ten events. Bounded; not thread safe. Times in microseconds.
+ * What a dispatcher saw of each function: what a copy needs, how long a call takes at a copy that stands, how long a
+ * load takes. Means forget within about ten events. Bounded; not thread safe. Times in microseconds.
  */
 public final class Seen {
   private static final double NEWEST = 0.1;
@@ -55,8 +55,8 @@
   }
 
   /**
-   * A load order ended well. One that found the copy standing is answered at once and shows nothing: what took less than a quarter
-   * of what loads take is passed over, and what took more than four times replaces it.
+   * A load order ended well. One that found the copy standing is answered at once and shows nothing: what took less
+   * than a quarter of what loads take is passed over, and what took more than four times replaces it.
    */
   public void loaded(String function, long latency) {
     Figures f = all.get(function);
--- a/decisions/src/main/java/gorseladder/answers/Endings.java
+++ b/decisions/src/main/java/gorseladder/answers/Endings.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Names the reason of a final answer that the router gave, from the outcomes of the attempts made. The router alone decides
- * between refusing and failing; this only says why in the shared vocabulary. Pure functions; any thread.
+ * Names the reason of a final answer that the router gave, from the outcomes of the attempts made. The router alone
+ * decides between refusing and failing; this only says why in the shared vocabulary. Pure functions; any thread.
  */
 public final class Endings {
   private Endings() {}
--- a/decisions/src/main/java/gorseladder/answers/Reason.java
+++ b/decisions/src/main/java/gorseladder/answers/Reason.java
@@ -1,8 +1,8 @@
 package gorseladder.answers;
 
 /**
- * Why a call ended: the one vocabulary that logs, metrics and answers share. The status is the HTTP status of the answer
- * (RFC 9110 section 15, RFC 6585 for 429 and 431).
+ * Why a call ended: the one vocabulary that logs, metrics and answers share. The status is the HTTP status of the
+ * answer (RFC 9110 section 15, RFC 6585 for 429 and 431).
  */
 public enum Reason {
   SERVED(Kind.SERVED, 200, "served by a runner"),
--- a/decisions/src/main/java/gorseladder/answers/RetryAdvice.java
+++ b/decisions/src/main/java/gorseladder/answers/RetryAdvice.java
@@ -3,11 +3,12 @@
 import java.util.Random;
 
 /**
- * Decides the {@code Retry-After} of a refusal. The more of the calls are being refused, the longer the wait, and chance
- * spreads the returns, so that clients turned away together do not come back together. It could harm where a long refusal
- * streak ended just now: the advice stays long for about {@link #MEMORY} answers.
+ * Decides the {@code Retry-After} of a refusal. The more of the calls are being refused, the longer the wait, and
+ * chance spreads the returns, so that clients turned away together do not come back together. It could harm where a
+ * long refusal streak ended just now: the advice stays long for about {@link #MEMORY} answers.
  *
- * <p>Not thread safe. Times are microseconds; the header has whole seconds (RFC 9110 section 10.2.3), so the least is 1.
+ * <p>Not thread safe. Times are microseconds; the header has whole seconds (RFC 9110 section 10.2.3), so the least is
+ * 1.
  */
 public final class RetryAdvice {
   /** Answers over which the refused share is felt. */
--- a/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
+++ b/decisions/src/main/java/gorseladder/attempts/AttemptFate.java
@@ -8,9 +8,10 @@
  * whether the call surely did not run (rule 2). The one dividing line is whether the first byte of the request may have
  * left this machine. Before that nothing can have run, whatever went wrong; after it only the runner's own word counts.
  *
- * <p>Guards against an unsafe call that is sent again because a reset, a timeout or an odd status looked harmless. It also
- * covers statuses that promise nothing in the protocol (429 and 503 may come from a proxy behind which the call ran). It
- * costs service where a runner refuses without saying that the call never ran: such a refusal counts as an error.
+ * <p>Guards against an unsafe call that is sent again because a reset, a timeout or an odd status looked harmless. It
+ * also covers statuses that promise nothing in the protocol (429 and 503 may come from a proxy behind which the call
+ * ran). It costs service where a runner refuses without saying that the call never ran: such a refusal counts as an
+ * error.
  *
  * <p>Pure functions; any thread.
  */
@@ -29,7 +30,10 @@
   /** What ended an attempt. */
   public enum Ending {
     CONNECT_FAILED,
-    /** This machine lacks a descriptor, an address, memory or a thread for a connection: that says nothing of the worker. */
+    /**
+     * This machine lacks a descriptor, an address, memory or a thread for a connection: that says nothing of the
+     * worker.
+     */
     NO_RESOURCE,
     GATE_CLOSED,
     CALL_OVER,
@@ -44,12 +48,12 @@
   }
 
   /**
-   * What the end of a connection was. A process that dies takes all its connections along; one that ends alone speaks of
-   * itself and not of the worker.
+   * What the end of a connection was. A process that dies takes all its connections along; one that ends alone speaks
+   * of itself and not of the worker.
    *
-   * <p>Guards against a worker that is shunned, and its copies forgotten, for one connection that broke. It covers spoilt
-   * answers and resets on the way. It could harm at a death: the first connections to break count as lost alone, until the
-   * last one or the next connect tells.
+   * <p>Guards against a worker that is shunned, and its copies forgotten, for one connection that broke. It covers
+   * spoilt answers and resets on the way. It could harm at a death: the first connections to break count as lost alone,
+   * until the last one or the next connect tells.
    *
    * @param othersStand whether other connections to the worker are open
    */
@@ -85,7 +89,10 @@
     };
   }
 
-  /** The outcome of an attempt that ended without an answer of its own; what spoilt another's says nothing of one unsent. */
+  /**
+   * The outcome of an attempt that ended without an answer of its own; what spoilt another's says nothing of one
+   * unsent.
+   */
   public static Outcome ofUnanswered(Progress progress, Ending ending) {
     boolean mayHaveLeft = progress.compareTo(Progress.LEAVING) >= 0;
     return of(
--- a/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
+++ b/decisions/src/main/java/gorseladder/attempts/ConnectionChoice.java
@@ -7,10 +7,10 @@
  * Decides whether an attempt may use a kept connection.
  *
  * <p>A server may close a kept connection at the very moment the next request leaves on it (RFC 9112 section 9.5); the
- * sender then cannot tell whether the request was read. A safe call is simply tried again, an unsafe one is lost as "may
- * have run". So an unsafe call takes a kept connection only while it has been idle for less than a told time, far shorter
- * than a server's idle limit; a fresh connection costs a round trip. It could harm where connections are dear and the
- * told time is 0.
+ * sender then cannot tell whether the request was read. A safe call is simply tried again, an unsafe one is lost as
+ * "may have run". So an unsafe call takes a kept connection only while it has been idle for less than a told time, far
+ * shorter than a server's idle limit; a fresh connection costs a round trip. It could harm where connections are dear
+ * and the told time is 0.
  *
  * <p>Pure functions; any thread. Times are microseconds.
  */
@@ -18,7 +18,9 @@
   /** Kept connections of a worker beyond which those of calls that must not run twice are closed. */
   private static final int ENOUGH = 8;
 
-  /** Connections to one worker at the most, where calls share them: a few, so that the end of one takes few calls along. */
+  /**
+   * Connections to one worker at the most, where calls share them: a few, so that the end of one takes few calls along.
+   */
   private static final int MOST_SHARED = 8;
   /** Part of the told idle limit after which a connection is closed from here, so that the two sides do not cross. */
   private static final double IDLE_PART = 0.9;
@@ -45,10 +47,10 @@
   /**
    * True where the connection of an attempt that ended is worth keeping.
    *
-   * <p>Guards against connections that pile up: calls that must not run twice open a fresh one each and mostly take none of those
-   * kept, so each left one more until its idle time was over; at 2,000 calls a second that was 20,000 open files. Those of other
-   * calls are taken again, so there are never more of them than calls at once. It could harm safe calls that come in bursts
-   * between many unsafe ones: they open their own.
+   * <p>Guards against connections that pile up: calls that must not run twice open a fresh one each and mostly take
+   * none of those kept, so each left one more until its idle time was over; at 2,000 calls a second that was 20,000
+   * open files. Those of other calls are taken again, so there are never more of them than calls at once. It could harm
+   * safe calls that come in bursts between many unsafe ones: they open their own.
    *
    * @param effect what a repeat of the call does
    * @param kept connections kept to that worker now
@@ -60,9 +62,9 @@
   /**
    * True where a connection may carry new calls after one on it was given up unanswered.
    *
-   * <p>Guards against a connection that stays open and is of no further use: what is sent on it is never answered, and nothing
-   * else says so. It covers a peer that vanished too. It could harm a worker that is only slow by one handshake for each call
-   * given up there; a call withdrawn soon after it was sent says nothing.
+   * <p>Guards against a connection that stays open and is of no further use: what is sent on it is never answered, and
+   * nothing else says so. It covers a peer that vanished too. It could harm a worker that is only slow by one handshake
+   * for each call given up there; a call withdrawn soon after it was sent says nothing.
    *
    * @param sentAt when the call given up was sent
    * @param heardAt when anything came on the connection last
@@ -83,10 +85,11 @@
   /**
    * Which of the connections that may carry a call does, where calls share connections; -1 for a further one.
    *
-   * <p>A safe call takes one that carries least, of those the one used last, so that the others fall idle and close. A call
-   * that must not run twice takes the one that was used last, if that was just now or it carries calls: peers close and reset
-   * connections when they are idle or new, and what is written then may have run. Guards against losing such calls for good;
-   * it covers any peer that is quick to close. It could harm where one spoilt answer ends a connection: more calls are on it.
+   * <p>A safe call takes one that carries least, of those the one used last, so that the others fall idle and close. A
+   * call that must not run twice takes the one that was used last, if that was just now or it carries calls: peers
+   * close and reset connections when they are idle or new, and what is written then may have run. Guards against losing
+   * such calls for good; it covers any peer that is quick to close. It could harm where one spoilt answer ends a
+   * connection: more calls are on it.
    *
    * @param candidates connections that are open or being opened, in any order
    * @param standing all connections to the worker
--- a/decisions/src/main/java/gorseladder/follow/FeedAttempts.java
+++ b/decisions/src/main/java/gorseladder/follow/FeedAttempts.java
@@ -5,14 +5,15 @@
 import java.util.List;
 
 /**
- * Decides when a follower of a feed of changes asks for it anew, beside the connections it has, and which of these it lets go.
+ * Decides when a follower of a feed of changes asks for it anew, beside the connections it has, and which of these it
+ * lets go.
  *
  * <p>A connection that says nothing may be dead, or slow. Guards against both at once: a feed that is silent for
- * {@link FollowPace#SILENCE} is asked again on another connection while the old one may still answer, so that silence is
- * noticed in time and slowness only costs time; the first connection that tells something ends the others. After a move a
- * connection to the old address stays until the new address tells something, or until room is needed. The patience with one
- * connection is what {@link #MOST} of them in turn allow, and doubles after {@link #PATIENT_AFTER} vain ones. It could harm a
- * feed that is slow because it is crowded: it is asked up to {@link #MOST} times at once.
+ * {@link FollowPace#SILENCE} is asked again on another connection while the old one may still answer, so that silence
+ * is noticed in time and slowness only costs time; the first connection that tells something ends the others. After a
+ * move a connection to the old address stays until the new address tells something, or until room is needed. The
+ * patience with one connection is what {@link #MOST} of them in turn allow, and doubles after {@link #PATIENT_AFTER}
+ * vain ones. It could harm a feed that is slow because it is crowded: it is asked up to {@link #MOST} times at once.
  *
  * <p>Not thread safe. Times are microseconds on one clock that only goes forward.
  */
@@ -56,7 +57,9 @@
     pace = new FollowPace(seed);
   }
 
-  /** When the next connection is to begin, which may be in the past; to be asked again after each of the other calls. */
+  /**
+   * When the next connection is to begin, which may be in the past; to be asked again after each of the other calls.
+   */
   public long nextAt(long now) {
     long newest = NEVER;
     long toldAt = NEVER;
--- a/decisions/src/main/java/gorseladder/follow/FollowPace.java
+++ b/decisions/src/main/java/gorseladder/follow/FollowPace.java
@@ -5,8 +5,8 @@
 /**
  * Decides how long to wait before a feed of changes is asked again after a connection to it ended.
  *
- * <p>Guards against hundreds of followers that ask again in step after a break that met all of them. It could harm where a feed
- * is back at once: it is asked up to {@link #MOST_PAUSE} and a half later.
+ * <p>Guards against hundreds of followers that ask again in step after a break that met all of them. It could harm
+ * where a feed is back at once: it is asked up to {@link #MOST_PAUSE} and a half later.
  *
  * <p>Not thread safe. Times are microseconds.
  */
--- a/decisions/src/main/java/gorseladder/forecast/CountMin.java
+++ b/decisions/src/main/java/gorseladder/forecast/CountMin.java
@@ -2,8 +2,9 @@
 
 /**
  * Counts of many names in little room, never too low: a count-min sketch with conservative update (G. Cormode and S.
- * Muthukrishnan, "An Improved Data Stream Summary", 2005; C. Estan and G. Varghese, 2002). It tells functions wanted only
- * once from those that earn a forecast of their own, without a table entry for each name ever heard. Not thread safe.
+ * Muthukrishnan, "An Improved Data Stream Summary", 2005; C. Estan and G. Varghese, 2002). It tells functions wanted
+ * only once from those that earn a forecast of their own, without a table entry for each name ever heard. Not thread
+ * safe.
  */
 final class CountMin {
   private static final int ROWS = 4;
--- a/decisions/src/main/java/gorseladder/forecast/Forecaster.java
+++ b/decisions/src/main/java/gorseladder/forecast/Forecaster.java
@@ -1,8 +1,8 @@
 package gorseladder.forecast;
 
 /**
- * One way to foresee the calls of one function. Slots are observed in their order, each once; a slot that was not observed
- * (the history has a hole) is skipped and teaches nothing. Not thread safe.
+ * One way to foresee the calls of one function. Slots are observed in their order, each once; a slot that was not
+ * observed (the history has a hole) is skipped and teaches nothing. Not thread safe.
  */
 interface Forecaster {
   /** The name in reports. */
--- a/decisions/src/main/java/gorseladder/forecast/Forecasts.java
+++ b/decisions/src/main/java/gorseladder/forecast/Forecasts.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 
 /**
- * Forecasts for all functions of a fleet, from counts of calls in slots. A function earns a forecast of its own once it was
- * called often enough; what is called once and never again stays in a sketch. A function not called for two weeks is dropped.
+ * Forecasts for all functions of a fleet, from counts of calls in slots. A function earns a forecast of its own once it
+ * was called often enough; what is called once and never again stays in a sketch. A function not called for two weeks
+ * is dropped.
  *
- * <p>Free of clocks and input; it acts on the slots it is told and on what it observes, never on a name. Not thread safe.
+ * <p>Free of clocks and input; it acts on the slots it is told and on what it observes, never on a name. Not thread
+ * safe.
  */
 public final class Forecasts {
   /** Calls within about a day from which a function has a forecast of its own. */
@@ -42,8 +44,8 @@
   }
 
   /**
-   * Takes the counts of a whole slot; functions that are not named had no call. A slot at or before the last one is passed
-   * over, so that a history read twice counts once; a hole in the history teaches nothing.
+   * Takes the counts of a whole slot; functions that are not named had no call. A slot at or before the last one is
+   * passed over, so that a history read twice counts once; a hole in the history teaches nothing.
    *
    * @return false where the slot was passed over
    */
--- a/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
+++ b/decisions/src/main/java/gorseladder/forecast/FunctionForecast.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 
 /**
- * The forecast of one function: several forecasters side by side, of which the one with the least own past error speaks.
- * None is chosen by name; each is judged by what it said before a slot against what came. On days whose name was met before the
- * one that remembers them begins: the others start with what they missed by on the first day of that name.
+ * The forecast of one function: several forecasters side by side, of which the one with the least own past error
+ * speaks. None is chosen by name; each is judged by what it said before a slot against what came. On days whose name
+ * was met before the one that remembers them begins: the others start with what they missed by on the first day of that
+ * name.
  *
- * <p>Guards against a pattern that ends (a renamed module, a term that is over): errors are forgotten within about two days,
- * so another way takes over. It could harm where ways take turns by chance on quiet functions; a change needs a lead of a
- * twentieth. Not thread safe.
+ * <p>Guards against a pattern that ends (a renamed module, a term that is over): errors are forgotten within about two
+ * days, so another way takes over. It could harm where ways take turns by chance on quiet functions; a change needs a
+ * lead of a twentieth. Not thread safe.
  */
 final class FunctionForecast {
   /** A forecast: mean, an upper value that is passed in about one slot of twenty, and who speaks. */
@@ -26,7 +27,9 @@
 
   private final SameDate sameDate;
   private final List<Forecaster> ways;
-  /** Errors on common days, and on days whose name was met before: who is right on one kind need not be on the other. */
+  /**
+   * Errors on common days, and on days whose name was met before: who is right on one kind need not be on the other.
+   */
   private final double[][] errors;
 
   private final double keep;
@@ -80,7 +83,9 @@
         mean, mean + UPPER * Math.sqrt(Math.max(1, spread) * Math.max(0.05, mean)), speaker.name());
   }
 
-  /** What each way would have missed by on common days, in calls, lately: the standing by which their speaker is chosen. */
+  /**
+   * What each way would have missed by on common days, in calls, lately: the standing by which their speaker is chosen.
+   */
   Map<String, Double> standing() {
     Map<String, Double> standing = new LinkedHashMap<>();
     for (int i = 0; i < ways.size(); i++) {
--- a/decisions/src/main/java/gorseladder/forecast/SameDate.java
+++ b/decisions/src/main/java/gorseladder/forecast/SameDate.java
@@ -4,7 +4,8 @@
 import java.util.Map;
 
 /**
- * The same slot of the last day with the same name; on a day without a name what last week's was, days with a name apart. A known date mostly has hours of its own, which a factor for the whole day would smear.
+ * The same slot of the last day with the same name; on a day without a name what last week's was, days with a name
+ * apart. A known date mostly has hours of its own, which a factor for the whole day would smear.
  */
 final class SameDate implements Forecaster {
   private final Slots slots;
--- a/decisions/src/main/java/gorseladder/forecast/Seasonal.java
+++ b/decisions/src/main/java/gorseladder/forecast/Seasonal.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * A level times factors for the time of day, the weekday and a known date, with a short-term correction. Each factor is a
- * ratio of what came to what was expected without it, drawn towards 1 by a prior of {@link #PRIOR} expected calls, so that a
- * quiet function is not moved by one odd call (empirical Bayes with a gamma prior on a Poisson rate).
+ * A level times factors for the time of day, the weekday and a known date, with a short-term correction. Each factor is
+ * a ratio of what came to what was expected without it, drawn towards 1 by a prior of {@link #PRIOR} expected calls, so
+ * that a quiet function is not moved by one odd call (empirical Bayes with a gamma prior on a Poisson rate).
  */
 final class Seasonal implements Forecaster {
   /** Expected calls that stand behind a factor of 1. */
--- a/decisions/src/main/java/gorseladder/forecast/Slots.java
+++ b/decisions/src/main/java/gorseladder/forecast/Slots.java
@@ -3,9 +3,9 @@
 import java.util.Map;
 
 /**
- * The told division of time into slots of a day, and the known dates. A slot is counted from the first slot of day 0; day 0
- * is a told weekday. Days are those of the caller's calendar, so that a change to summer time shifts nothing here: a day
- * that is an hour short or long has its last slots empty or added to the last one.
+ * The told division of time into slots of a day, and the known dates. A slot is counted from the first slot of day 0;
+ * day 0 is a told weekday. Days are those of the caller's calendar, so that a change to summer time shifts nothing
+ * here: a day that is an hour short or long has its last slots empty or added to the last one.
  *
  * @param perDay slots in a day, 1 to 1440
  * @param firstWeekday the weekday of day 0, 0 to 6
--- a/decisions/src/main/java/gorseladder/forecast/Sparse.java
+++ b/decisions/src/main/java/gorseladder/forecast/Sparse.java
@@ -1,9 +1,9 @@
 package gorseladder.forecast;
 
 /**
- * For functions that are called now and then: the chance of any call in a slot times the calls when there are some, each
- * smoothed, the chance at every slot (R. Teunter, A. Syntetos, M. Babai, "Intermittent demand: Linking forecasting to
- * inventory obsolescence", 2011). Unlike Croston's method it lets a function that is wanted no more fade out.
+ * For functions that are called now and then: the chance of any call in a slot times the calls when there are some,
+ * each smoothed, the chance at every slot (R. Teunter, A. Syntetos, M. Babai, "Intermittent demand: Linking forecasting
+ * to inventory obsolescence", 2011). Unlike Croston's method it lets a function that is wanted no more fade out.
  */
 final class Sparse implements Forecaster {
   private static final double CHANCE = 0.02;
--- a/decisions/src/main/java/gorseladder/gate/SendGate.java
+++ b/decisions/src/main/java/gorseladder/gate/SendGate.java
@@ -12,12 +12,13 @@
 /**
  * What the last look before bytes leave needs to know of workers and of the load ration; {@link Permits} decides on it.
  *
- * <p>The router decides on what it knows at that moment; between its decision and the write an attempt may sit in a queue,
- * wait for a connection or for the ledger. Guards against calls and load orders that leave after a drain's grace, that were
- * decided for a warm worker and meet a cold one, or that bunch up so that a window of the load ration holds more than was
- * allowed when each was decided. The gate closes for a worker as soon as the drain is told; the whole grace is left for what
- * lies between this look and the wire (a pause of the process, a full socket buffer). It could harm only where a list calls
- * workers draining, or started, that are not: their queued attempts are then decided again.
+ * <p>The router decides on what it knows at that moment; between its decision and the write an attempt may sit in a
+ * queue, wait for a connection or for the ledger. Guards against calls and load orders that leave after a drain's
+ * grace, that were decided for a warm worker and meet a cold one, or that bunch up so that a window of the load ration
+ * holds more than was allowed when each was decided. The gate closes for a worker as soon as the drain is told; the
+ * whole grace is left for what lies between this look and the wire (a pause of the process, a full socket buffer). It
+ * could harm only where a list calls workers draining, or started, that are not: their queued attempts are then decided
+ * again.
  *
  * <p>Not thread safe: callers serialise. Times are microseconds on one clock that only goes forward.
  */
@@ -43,8 +44,8 @@
   }
 
   /**
-   * News of a worker's phase, at the time its bytes reached this process, in the order in which it was told. Older news never
-   * opens a gate closed later; of news that came in one go the last stands.
+   * News of a worker's phase, at the time its bytes reached this process, in the order in which it was told. Older news
+   * never opens a gate closed later; of news that came in one go the last stands.
    */
   public void told(String worker, Phase phase, long at) {
     Long closed = closedSince.get(worker);
--- a/decisions/src/main/java/gorseladder/order/SharedOrder.java
+++ b/decisions/src/main/java/gorseladder/order/SharedOrder.java
@@ -14,8 +14,8 @@
  * multi-probe consistent hashing (Appleton, O'Reilly 2015). A function has {@link #PROBES} places on a circle, a worker
  * one. The worker with the least distance from any probe, clockwise, over its weight, is first.
  *
- * <p>The key of a worker depends on the pair alone. So a worker that joins or leaves moves no other, and two dispatchers
- * whose lists differ by d of W workers agree on the first k of a function but for about a share 2kd/W.
+ * <p>The key of a worker depends on the pair alone. So a worker that joins or leaves moves no other, and two
+ * dispatchers whose lists differ by d of W workers agree on the first k of a function but for about a share 2kd/W.
  *
  * <p>The first k of a function cost about {@code PROBES + k} members looked at, times the number of {@link #rings}; a
  * change of one worker touches about a bucket of its ring. Not thread safe.
@@ -131,8 +131,9 @@
 
   /**
    * The distance, stretched by a factor drawn for the pair, over the weight. Guards against a worker that stands close
-   * behind another on the circle and would be first for hardly any function: of two at one place each is first for three
-   * quarters of its share. It covers chains of such workers less well, and has three members looked at for each handed out.
+   * behind another on the circle and would be first for hardly any function: of two at one place each is first for
+   * three quarters of its share. It covers chains of such workers less well, and has three members looked at for each
+   * handed out.
    */
   private static double key(long distance, long function, long point, double weight) {
     double unit = (Hashes.mix(function ^ point) >>> 11) / TWO_TO_53;
--- a/decisions/src/main/java/gorseladder/permits/Permits.java
+++ b/decisions/src/main/java/gorseladder/permits/Permits.java
@@ -4,13 +4,14 @@
 import gorseladder.RouterApi.Group;
 
 /**
- * The one place that says whether something may be sent, repeated, closed or started now. Every path asks here at the moment at
- * which it acts: the router when it decides, the links and the edge's connections just before bytes leave, fronts and links
- * before they close a connection, fronts before they take a call.
+ * The one place that says whether something may be sent, repeated, closed or started now. Every path asks here at the
+ * moment at which it acts: the router when it decides, the links and the edge's connections just before bytes leave,
+ * fronts and links before they close a connection, fronts before they take a call.
  *
- * <p>Guards against rules that each path keeps in its own way, so that one of them forgets a condition that another has: what
- * was right when it was decided may be wrong when it is done, after a wait for a connection, a queue, a thread or the ledger.
- * It could harm only by holding back what was still right; each verdict is counted and logged by its name.
+ * <p>Guards against rules that each path keeps in its own way, so that one of them forgets a condition that another
+ * has: what was right when it was decided may be wrong when it is done, after a wait for a connection, a queue, a
+ * thread or the ledger. It could harm only by holding back what was still right; each verdict is counted and logged by
+ * its name.
  *
  * <p>Pure functions; any thread. Times are microseconds on one clock that only goes forward.
  */
@@ -73,7 +74,8 @@
   }
 
   /**
-   * Whether a call may be refused, which tells its client that trying again is harmless, after one attempt; asked for each.
+   * Whether a call may be refused, which tells its client that trying again is harmless, after one attempt; asked for
+   * each.
    *
    * @param mayHaveRun false where the attempt is known not to have run
    */
@@ -106,8 +108,8 @@
   /**
    * Whether a client's connection may be closed from here now.
    *
-   * <p>Guards against a request that was read, or lies unread, when its connection is closed: it would be lost. Bytes that are
-   * on the way are the client's to repeat, but only for a moment, so the end must leave at once.
+   * <p>Guards against a request that was read, or lies unread, when its connection is closed: it would be lost. Bytes
+   * that are on the way are the client's to repeat, but only for a moment, so the end must leave at once.
    */
   public static Verdict mayClose(Closing connection) {
     if (connection.open() > 0) {
--- a/decisions/src/main/java/gorseladder/permits/Verdict.java
+++ b/decisions/src/main/java/gorseladder/permits/Verdict.java
@@ -2,7 +2,10 @@
 
 import java.util.Locale;
 
-/** What {@link Permits} says: allowed, or why not now. The one vocabulary of logs, counters and docs for what was held back. */
+/**
+ * What {@link Permits} says: allowed, or why not now. The one vocabulary of logs, counters and docs for what was held
+ * back.
+ */
 public enum Verdict {
   ALLOWED,
 
--- a/decisions/src/main/java/gorseladder/placement/Placement.java
+++ b/decisions/src/main/java/gorseladder/placement/Placement.java
@@ -12,9 +12,10 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Which copies to hold where: copies whose expected benefit passes their cost, the best first for what they take of memory
- * and of the orders allowed, each at the worker where dispatchers look first and there is room; then a pass that makes room
- * for a better copy by leaving out lesser ones. Free of input and clocks; a few milliseconds for thousands of functions.
+ * Which copies to hold where: copies whose expected benefit passes their cost, the best first for what they take of
+ * memory and of the orders allowed, each at the worker where dispatchers look first and there is room; then a pass that
+ * makes room for a better copy by leaving out lesser ones. Free of input and clocks; a few milliseconds for thousands
+ * of functions.
  *
  * <p>A copy of a function stands at most once at a worker here: a second lane set at one worker is the worker's affair.
  */
@@ -22,8 +23,8 @@
   /** Copies of one function at the most in one plan. */
   private static final int MOST_COPIES = 16;
   /**
-   * Part of the gain lost for each place further down the shared order: dispatchers look at the first places, and a copy that
-   * stands elsewhere is found by hardly any call. A copy of a number may stand at that place at no loss.
+   * Part of the gain lost for each place further down the shared order: dispatchers look at the first places, and a
+   * copy that stands elsewhere is found by hardly any call. A copy of a number may stand at that place at no loss.
    */
   private static final double RANK_LOSS = 0.4;
   /** Places of the shared order that are looked at. */
@@ -105,8 +106,8 @@
   }
 
   /**
-   * What the copy of this number (from 1) brings at a place of the function's shared order (from 0), in seconds of waiting; for
-   * whoever solves the same problem another way.
+   * What the copy of this number (from 1) brings at a place of the function's shared order (from 0), in seconds of
+   * waiting; for whoever solves the same problem another way.
    */
   public static double net(
       Demand d, int number, int place, Prices prices, double stretch, double keepAlive) {
@@ -238,8 +239,8 @@
   }
 
   /**
-   * Tries each copy that found no room, at each near worker, in the place of lesser ones there, or of the least of all where
-   * only the number of orders binds. A copy left out must be the last of its function.
+   * Tries each copy that found no room, at each near worker, in the place of lesser ones there, or of the least of all
+   * where only the number of orders binds. A copy left out must be the last of its function.
    */
   private void improve(List<Candidate> left) {
     left.sort(Comparator.comparingDouble(c -> -c.worth().net()));
@@ -280,7 +281,10 @@
     return false;
   }
 
-  /** Leaves out the least, each the last copy of its function, until there is room or it would cost as much as it brings. */
+  /**
+   * Leaves out the least, each the last copy of its function, until there is room or it would cost as much as it
+   * brings.
+   */
   private double makeWay(
       TreeSet<Placed> from,
       Demand d,
--- a/decisions/src/main/java/gorseladder/placement/PlanMaker.java
+++ b/decisions/src/main/java/gorseladder/placement/PlanMaker.java
@@ -12,8 +12,8 @@
 import java.util.TreeMap;
 
 /**
- * From counts of calls to plans: foresees the next slot, believes it as far as past forecasts earned it, and chooses the
- * copies worth their cost. Free of input and clocks; slots are told in their order. Not thread safe.
+ * From counts of calls to plans: foresees the next slot, believes it as far as past forecasts earned it, and chooses
+ * the copies worth their cost. Free of input and clocks; slots are told in their order. Not thread safe.
  */
 public final class PlanMaker {
   /** Scatter that is taken where little is known. */
@@ -116,7 +116,10 @@
     return seen <= 0 ? before : before <= 0 ? seen : before + NEWEST * (seen - before);
   }
 
-  /** The calls of a whole slot, by function; what was said for it is judged now. Slots at or before the last are passed over. */
+  /**
+   * The calls of a whole slot, by function; what was said for it is judged now. Slots at or before the last are passed
+   * over.
+   */
   public void observe(long slot, Map<String, Integer> calls) {
     if (!forecasts.observe(slot, calls)) {
       return;
@@ -135,8 +138,8 @@
   }
 
   /**
-   * What to hold in a slot, the most valuable ordered last, just before the slot begins. Made while the slot before it is
-   * under way, or at its end.
+   * What to hold in a slot, the most valuable ordered last, just before the slot begins. Made while the slot before it
+   * is under way, or at its end.
    *
    * @param now calls of the slot before it so far, by function; empty where they are not known
    * @param part of that slot that they cover, above 0 and at most 1
--- a/decisions/src/main/java/gorseladder/placement/Schedule.java
+++ b/decisions/src/main/java/gorseladder/placement/Schedule.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * Holds of one plan after the other: what an earlier plan holds beyond the beginning of the next goes on, and a copy that both
- * want is one hold. Times are seconds on the planner's clock. Not thread safe.
+ * Holds of one plan after the other: what an earlier plan holds beyond the beginning of the next goes on, and a copy
+ * that both want is one hold. Times are seconds on the planner's clock. Not thread safe.
  */
 public final class Schedule {
   /** A hold with its times. */
@@ -18,7 +18,10 @@
 
   private Map<Key, Timed> current = new LinkedHashMap<>();
 
-  /** Adds the orders for a slot that begins then, and returns all holds that are not over; what is over by now is dropped. */
+  /**
+   * Adds the orders for a slot that begins then, and returns all holds that are not over; what is over by now is
+   * dropped.
+   */
   public List<Timed> add(double slotBegins, List<Order> orders, double now) {
     Map<Key, Timed> next = new LinkedHashMap<>();
     for (Order o : orders) {
--- a/decisions/src/main/java/gorseladder/placement/Trust.java
+++ b/decisions/src/main/java/gorseladder/placement/Trust.java
@@ -5,14 +5,14 @@
 import java.util.Set;
 
 /**
- * How far the forecast of each function is believed, from how past ones came out: what came over what was said, of calls and of
- * stretches with any call at all; more than 1 counts as 1. Each is drawn towards 1 by a few expected
- * events and fades, so a forecast that was wrong loses its budget by itself and earns it back: what was said is judged whether
- * or not anything was loaded for it.
+ * How far the forecast of each function is believed, from how past ones came out: what came over what was said, of
+ * calls and of stretches with any call at all; more than 1 counts as 1. Each is drawn towards 1 by a few expected
+ * events and fades, so a forecast that was wrong loses its budget by itself and earns it back: what was said is judged
+ * whether or not anything was loaded for it.
  *
- * <p>Guards against forecasts that are too high, however they came to be so. One that is too low is not raised: then calls
- * load as they would without a plan. It could harm a function whose calls come all at once after long silence; its trust comes
- * back after some right guesses. Not thread safe.
+ * <p>Guards against forecasts that are too high, however they came to be so. One that is too low is not raised: then
+ * calls load as they would without a plan. It could harm a function whose calls come all at once after long silence;
+ * its trust comes back after some right guesses. Not thread safe.
  */
 public final class Trust {
   /** Expected events that stand behind a trust of 1. */
@@ -53,7 +53,10 @@
     return r == null ? 1 : Math.min(1, (r.came + PRIOR) / (r.said + PRIOR));
   }
 
-  /** Part of the stretches in which calls of a function are expected that is believed to bring any, above 0 and at most 1. */
+  /**
+   * Part of the stretches in which calls of a function are expected that is believed to bring any, above 0 and at most
+   * 1.
+   */
   public double any(String function) {
     Record r = records.get(function);
     return r == null ? 1 : Math.min(1, (r.cameAny + PRIOR) / (r.saidAny + PRIOR));
--- a/decisions/src/main/java/gorseladder/placement/Worth.java
+++ b/decisions/src/main/java/gorseladder/placement/Worth.java
@@ -1,18 +1,21 @@
 package gorseladder.placement;
 
 /**
- * What a copy loaded ahead is worth: the waiting it is expected to save, less what it costs. Pure arithmetic on a {@link
- * Demand}; seconds of waiting throughout.
+ * What a copy loaded ahead is worth: the waiting it is expected to save, less what it costs. Pure arithmetic on a
+ * {@link Demand}; seconds of waiting throughout.
  *
- * <p>A copy is needed by the calls that find all lanes of those before it taken (the first by every call). The first of these is
- * spared a load by the chance that no such copy stands anyway; each later one by the chance that the copy would have aged out since
- * the one before. In a fleet where everything is warm there is next to nothing to gain. Its memory is paid from its order on, for
- * the part of the hold in which it would not have stood anyway, and to the end of an unused keep-alive.
+ * <p>A copy is needed by the calls that find all lanes of those before it taken (the first by every call). The first of
+ * these is spared a load by the chance that no such copy stands anyway; each later one by the chance that the copy
+ * would have aged out since the one before. In a fleet where everything is warm there is next to nothing to gain. Its
+ * memory is paid from its order on, for the part of the hold in which it would not have stood anyway, and to the end of
+ * an unused keep-alive.
  */
 final class Worth {
   /** Chances below this end a sum. */
   private static final double NEGLIGIBLE = 1e-9;
-  /** Keep-alives by which copies are ordered early, so that loads are spread; and for which an unused one stays after. */
+  /**
+   * Keep-alives by which copies are ordered early, so that loads are spread; and for which an unused one stays after.
+   */
   private static final double EARLY = 1.5;
 
   private static final double AFTER = 0.7;
@@ -77,7 +80,9 @@
         hold);
   }
 
-  /** The chance of no call where so many are expected: a Poisson's, or a negative binomial's where they scatter more. */
+  /**
+   * The chance of no call where so many are expected: a Poisson's, or a negative binomial's where they scatter more.
+   */
   private static double none(double mean, double scatter) {
     return scatter <= 1 + NEGLIGIBLE
         ? Math.exp(-mean)
--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -6,13 +6,13 @@
 import gorseladder.permits.Permits;
 
 /**
- * Decides what a delivery of a message means, from what the ledger remembers of its id: run it, let it wait for the first
- * one, give the old answer again, or refuse it.
+ * Decides what a delivery of a message means, from what the ledger remembers of its id: run it, let it wait for the
+ * first one, give the old answer again, or refuse it.
  *
  * <p>Guards against effects that happen twice because a sender repeats what it got no answer for, because an attacker
  * replays a captured request, or because the process was killed between the send and the record. An entry that was
- * {@link Phase#LEAVING} when the process died counts as may have run, whoever asks. It could harm a sender that uses one
- * message id for two different bodies; that is answered as a conflict rather than by running either twice.
+ * {@link Phase#LEAVING} when the process died counts as may have run, whoever asks. It could harm a sender that uses
+ * one message id for two different bodies; that is answered as a conflict rather than by running either twice.
  *
  * <p>Pure functions; any thread. Times are microseconds.
  */
@@ -114,16 +114,17 @@
   }
 
   /**
-   * True where the record of an end must be durable before the client hears it. For what must not run twice a lost record
-   * would make a served message look as though it may have run, and its sender could never learn the answer.
+   * True where the record of an end must be durable before the client hears it. For what must not run twice a lost
+   * record would make a served message look as though it may have run, and its sender could never learn the answer.
    */
   public static boolean recordBeforeAnswer(Effect effect) {
     return effect != Effect.SAFE;
   }
 
   /**
-   * True where a call must be on record before it goes on. A safe one is remembered in this process while it is out, and recorded
-   * once, with its end: were the process killed in between, its sender's next try would run it again, which does no harm.
+   * True where a call must be on record before it goes on. A safe one is remembered in this process while it is out,
+   * and recorded once, with its end: were the process killed in between, its sender's next try would run it again,
+   * which does no harm.
    */
   public static boolean recordAtTake(Effect effect) {
     return effect != Effect.SAFE;
--- a/decisions/src/main/java/gorseladder/rules/RuleWatch.java
+++ b/decisions/src/main/java/gorseladder/rules/RuleWatch.java
@@ -8,11 +8,11 @@
 import java.util.Set;
 
 /**
- * A second look at the rules, independent of what let something pass: it is told what has happened on the sockets, with the
- * times at which it did, and counts what went against a rule. It decides nothing and stops nothing.
+ * A second look at the rules, independent of what let something pass: it is told what has happened on the sockets, with
+ * the times at which it did, and counts what went against a rule. It decides nothing and stops nothing.
  *
- * <p>Guards against a path that does not ask {@link gorseladder.permits.Permits}, or asks too early: the times here are those
- * after the write and not those of the decision. It could not harm.
+ * <p>Guards against a path that does not ask {@link gorseladder.permits.Permits}, or asks too early: the times here are
+ * those after the write and not those of the decision. It could not harm.
  *
  * <p>Not thread safe: callers serialise. Times are microseconds on one clock that only goes forward.
  */
--- a/decisions/src/main/java/gorseladder/stalls/StallWatch.java
+++ b/decisions/src/main/java/gorseladder/stalls/StallWatch.java
@@ -1,13 +1,14 @@
 package gorseladder.stalls;
 
 /**
- * Tells when this process stood still: no processor, stopped by a signal, or a machine that slept. A tick comes at a steady pace;
- * one that comes late says that nothing here ran for a while, though the world went on.
+ * Tells when this process stood still: no processor, stopped by a signal, or a machine that slept. A tick comes at a
+ * steady pace; one that comes late says that nothing here ran for a while, though the world went on.
  *
- * <p>Guards against times that are taken when something is read and not when it came: after a pause a request looks new whose
- * client has waited for long, and one whose client has left long ago looks open until its connection's end is read too. So what
- * is read within {@link #SETTLE} after a pause counts as arrived when the pause began, and nothing new leaves before that.
- * It could harm where pauses follow each other closely: requests then get less time than their clients would wait.
+ * <p>Guards against times that are taken when something is read and not when it came: after a pause a request looks new
+ * whose client has waited for long, and one whose client has left long ago looks open until its connection's end is
+ * read too. So what is read within {@link #SETTLE} after a pause counts as arrived when the pause began, and nothing
+ * new leaves before that. It could harm where pauses follow each other closely: requests then get less time than their
+ * clients would wait.
  *
  * <p>Not thread safe: callers serialise. Times are microseconds on one clock that only goes forward.
  */
--- a/decisions/src/main/java/gorseladder/starts/StartTimes.java
+++ b/decisions/src/main/java/gorseladder/starts/StartTimes.java
@@ -10,13 +10,15 @@
 /**
  * Decides when a worker started, on the monotonic clock of this process, from the wall-clock stamp that the list tells.
  *
- * <p>A stamp was read from one wall clock and is compared with another, and either may be stepped by seconds or by an hour. The
- * difference of two readings is then no age. Guards against a worker that just started and counts as warm because the clocks
- * differ; it covers clocks stepped before, between and after the two readings, forward and back. Where several ages are
- * possible the least is taken: a worker that is thought too young is only spared for a while. It could harm where a step
- * comes while many workers are told that really are older: each of them is spared as if it had just started.
+ * <p>A stamp was read from one wall clock and is compared with another, and either may be stepped by seconds or by an
+ * hour. The difference of two readings is then no age. Guards against a worker that just started and counts as warm
+ * because the clocks differ; it covers clocks stepped before, between and after the two readings, forward and back.
+ * Where several ages are possible the least is taken: a worker that is thought too young is only spared for a while. It
+ * could harm where a step comes while many workers are told that really are older: each of them is spared as if it had
+ * just started.
  *
- * <p>A worker has one start a stamp, so that clocks that drift apart make no new ones. Not thread safe. Times are microseconds.
+ * <p>A worker has one start a stamp, so that clocks that drift apart make no new ones. Not thread safe. Times are
+ * microseconds.
  */
 public final class StartTimes {
   /** Marks a worker that stood in the first list: nothing says when it was not there yet. */
@@ -26,7 +28,10 @@
   private static final long STEP = 250_000;
   /** Differences kept; beyond it the oldest but the first goes. */
   private static final int MOST_OFFSETS = 8;
-  /** A worker is told at the latest so long after its start; what claims to be older when it is first told is not believed. */
+  /**
+   * A worker is told at the latest so long after its start; what claims to be older when it is first told is not
+   * believed.
+   */
   private static final long MOST_NOTICE = 10_000_000;
   /** Workers that left whose starts are kept, so that one that is taken out and told again is no new start. */
   private static final int MOST_LEFT = 256;
--- a/decisions/src/test/java/gorseladder/ColdFleetTest.java
+++ b/decisions/src/test/java/gorseladder/ColdFleetTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Many routers on one fake clock, each with a seed and a share of the traffic of its own: what all of them together send to
- * cold workers stays under what the platform's rule bears, also where half of the fleet is lost and comes back cold at once, and
- * then the other half is lost, so that all traffic presses on what is cold.
+ * Many routers on one fake clock, each with a seed and a share of the traffic of its own: what all of them together
+ * send to cold workers stays under what the platform's rule bears, also where half of the fleet is lost and comes back
+ * cold at once, and then the other half is lost, so that all traffic presses on what is cold.
  */
 class ColdFleetTest {
   private static final long MS = 1_000;
--- a/decisions/src/test/java/gorseladder/RouterTest.java
+++ b/decisions/src/test/java/gorseladder/RouterTest.java
@@ -106,7 +106,10 @@
     }
   }
 
-  /** A call that waits for an order and whose client leaves meanwhile is not sent when the copy stands, nor loaded for again. */
+  /**
+   * A call that waits for an order and whose client leaves meanwhile is not sent when the copy stands, nor loaded for
+   * again.
+   */
   @Test
   void aCallWhoseClientLeftIsNotSentWhenItsOrderEnds() {
     start(false, false, running("a"), running("b"));
--- a/decisions/src/test/java/gorseladder/admission/AdmissionTest.java
+++ b/decisions/src/test/java/gorseladder/admission/AdmissionTest.java
@@ -17,7 +17,9 @@
 class AdmissionTest {
   private static final long AIM = 1_000_000;
 
-  /** One server that takes calls in their order, with a cost of each refusal, and clients that come back when told to. */
+  /**
+   * One server that takes calls in their order, with a cost of each refusal, and clients that come back when told to.
+   */
   private static final class Site {
     private static final long CALL = 2_000;
     private static final long REFUSAL = 100;
@@ -58,7 +60,10 @@
       }
     }
 
-    /** Runs until nothing comes any more; the server does one thing at a time, refusals first, as they come with the reading. */
+    /**
+     * Runs until nothing comes any more; the server does one thing at a time, refusals first, as they come with the
+     * reading.
+     */
     void run(int retries) {
       long now = 0;
       while (!coming.isEmpty() || !queue.isEmpty()) {
--- a/decisions/src/test/java/gorseladder/ahead/AheadTest.java
+++ b/decisions/src/test/java/gorseladder/ahead/AheadTest.java
@@ -114,7 +114,10 @@
     assertEquals(400 * 16.5, f.megabyteSeconds(), 0.1);
   }
 
-  /** A copy kept through a gap in which it would have aged out spares another load; what calls hold by themselves does not count. */
+  /**
+   * A copy kept through a gap in which it would have aged out spares another load; what calls hold by themselves does
+   * not count.
+   */
   @Test
   void aGapThatACopyOutlivedIsCredited() {
     ahead.take(plan(1, 1, item("w", "f")), now);
@@ -160,7 +163,10 @@
     assertEquals(1, ahead.account().open());
   }
 
-  /** Saved: a load for the first call, what is left of it for the next, nothing for those that would have found it anyway. */
+  /**
+   * Saved: a load for the first call, what is left of it for the next, nothing for those that would have found it
+   * anyway.
+   */
   @Test
   void theAccountCountsStrictly() {
     ahead.take(plan(1, 1, item("w", "f"), item("w", "wasted")), now);
--- a/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
+++ b/decisions/src/test/java/gorseladder/attempts/AttemptsTest.java
@@ -53,7 +53,9 @@
     assertEquals(Ending.MALFORMED, AttemptFate.ofConnection(Ending.MALFORMED, true));
   }
 
-  /** Peers close and reset what is idle or new: a call that must not run twice goes where something was heard just now. */
+  /**
+   * Peers close and reset what is idle or new: a call that must not run twice goes where something was heard just now.
+   */
   @Test
   void unsafeCallsGoWhereAConnectionIsInUse() {
     List<Candidate> idle = List.of(new Candidate(0, 300_000), new Candidate(0, 90_000));
--- a/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
+++ b/decisions/src/test/java/gorseladder/forecast/ForecastsTest.java
@@ -11,7 +11,9 @@
 import java.util.function.LongToDoubleFunction;
 import org.junit.jupiter.api.Test;
 
-/** Walk-forward throughout: each slot is forecast before it is observed. All days are drawn; all figures are simulated. */
+/**
+ * Walk-forward throughout: each slot is forecast before it is observed. All days are drawn; all figures are simulated.
+ */
 class ForecastsTest {
   private static final int PER_DAY = 48;
 
@@ -198,7 +200,9 @@
     assertEquals(0, new Slots(48, 6, Map.of()).weekday(48));
   }
 
-  /** A surge of some hours on a day with a name is foreseen from its second time on, and common days are not bent by it. */
+  /**
+   * A surge of some hours on a day with a name is foreseen from its second time on, and common days are not bent by it.
+   */
   @Test
   void theHoursOfANamedDayAreForeseenFromItsSecondTimeOn() {
     Slots slots = new Slots(96, 0, Map.of(5, "term's end", 12, "term's end"));
--- a/decisions/src/test/java/gorseladder/repeats/RepeatsTest.java
+++ b/decisions/src/test/java/gorseladder/repeats/RepeatsTest.java
@@ -65,7 +65,7 @@
   }
 
   /** The life of one message: what the ledger has durably, whether this process holds it, and how often it ran. */
-  private record World(
+  private record TestFleet(
       Phase phase,
       boolean mayHaveRun,
       long leftAt,
@@ -75,7 +75,7 @@
       long firstRun,
       long now,
       List<String> trace) {
-    World step(
+    TestFleet step(
         String what,
         Phase p,
         boolean ran,
@@ -87,7 +87,7 @@
         long t) {
       List<String> longer = new ArrayList<>(trace);
       longer.add(what);
-      return new World(p, ran, left, alive, out, count, first, t, longer);
+      return new TestFleet(p, ran, left, alive, out, count, first, t, longer);
     }
 
     String key() {
@@ -97,20 +97,20 @@
   }
 
   /**
-   * Every order of deliveries, records, sends, runs, ends, kills and passing time, to the depth given: an unsafe message
-   * never runs twice, a keyed one never outside its window, where workers drop repeats within it.
+   * Every order of deliveries, records, sends, runs, ends, kills and passing time, to the depth given: an unsafe
+   * message never runs twice, a keyed one never outside its window, where workers drop repeats within it.
    */
   @ParameterizedTest
   @EnumSource(
       value = Effect.class,
       names = {"UNSAFE", "KEYED"})
   void noOrderOfEventsRunsAnEffectTwice(Effect effect) {
-    ArrayDeque<World> open = new ArrayDeque<>();
+    ArrayDeque<TestFleet> open = new ArrayDeque<>();
     Set<String> seen = new HashSet<>();
-    open.add(new World(null, false, 0, false, false, 0, 0, 1, List.of()));
+    open.add(new TestFleet(null, false, 0, false, false, 0, 0, 1, List.of()));
     int states = 0;
     while (!open.isEmpty()) {
-      World w = open.poll();
+      TestFleet w = open.poll();
       if (w.trace().size() > 14 || w.now() > 14 || !seen.add(w.key())) {
         continue;
       }
@@ -121,8 +121,8 @@
     assertTrue(states > 200, states + " states explored");
   }
 
-  private static List<World> next(Effect effect, World w) {
-    List<World> all = new ArrayList<>();
+  private static List<TestFleet> next(Effect effect, TestFleet w) {
+    List<TestFleet> all = new ArrayList<>();
     long t = w.now();
     all.add(w.step(
         "time",
@@ -201,12 +201,12 @@
     return all;
   }
 
-  private static long first(World w) {
+  private static long first(TestFleet w) {
     return w.runs() == 0 ? w.now() : w.firstRun();
   }
 
   /** A worker of the group drops a repeat within the window of the first run. */
-  private static int ran(Effect effect, World w) {
+  private static int ran(Effect effect, TestFleet w) {
     boolean dropped = effect == Effect.KEYED && w.runs() > 0 && w.now() < w.firstRun() + WINDOW;
     return dropped ? w.runs() : w.runs() + 1;
   }
--- a/decisions/src/test/java/gorseladder/starts/StartTimesTest.java
+++ b/decisions/src/test/java/gorseladder/starts/StartTimesTest.java
@@ -44,7 +44,9 @@
     assertEquals(2 * SECOND, age(stamp(8, 0), at(10, step), at(9, 0).monotonic()));
   }
 
-  /** The other machine's clock was stepped, this one's never: what was not there a moment ago has not run for an hour. */
+  /**
+   * The other machine's clock was stepped, this one's never: what was not there a moment ago has not run for an hour.
+   */
   @ParameterizedTest
   @ValueSource(longs = {HOUR, -HOUR})
   void aStampOfAnotherClockMakesNoWorkerOlderThanTheListAllows(long step) {
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -8,7 +8,7 @@
 import gorseladder.config.SettingsFile;
 import gorseladder.config.proto.EdgeSettings;
 import gorseladder.core.Core;
-import gorseladder.edge.core.Door;
+import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.CallLog;
@@ -32,7 +32,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One edge: ledger, runner connections, core, worker list, peers and the webhook front, put together and taken apart. */
+/**
+ * One edge: ledger, runner connections, core, worker list, peers and the webhook front, put together and taken apart.
+ */
 public final class Edge implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
   private static final long TIDY_EVERY = 1_000_000;
@@ -100,7 +102,7 @@
     core = new Core<>(
         router,
         seed,
-        new Hands(),
+        new Outbound(),
         settings.getLimits().getMaxCalls(),
         settings.hasPlanner(),
         new RetryAdvice(router.limits().maxRetryAfter(), seed),
@@ -130,7 +132,7 @@
     planner =
         settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
     front = new WebhookFront(
-        config.webhooks(), new Door(config.admission()), intake, core, watchdog, log);
+        config.webhooks(), new AdmissionCheck(config.admission()), intake, core, watchdog, log);
     PeerLink link = null;
     HttpServer listening = null;
     try {
@@ -186,7 +188,7 @@
     }
   }
 
-  private final class Hands implements Core.Hands<TakenCall> {
+  private final class Outbound implements Core.Outbound<TakenCall> {
     @Override
     public void send(TakenCall call, int attempt, String worker, long timeout) {
       runners.send(call, attempt, worker, timeout);
--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -11,8 +11,8 @@
 import java.util.Map;
 
 /**
- * Runs one edge until it is told to stop. SIGTERM or SIGINT stops it in order: nothing new is taken and what was taken is
- * answered; a second signal ends it at once.
+ * Runs one edge until it is told to stop. SIGTERM or SIGINT stops it in order: nothing new is taken and what was taken
+ * is answered; a second signal ends it at once.
  */
 public final class EdgeMain {
   /** Exit codes. */
--- a/edge/src/main/java/gorseladder/edge/core/Door.java
+++ b/edge/src/main/java/gorseladder/edge/core/AdmissionCheck.java
@@ -7,11 +7,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Where calls ask {@link Admission} whether they may enter, before their signature and the ledger cost anything. Any thread.
- * Refusals are counted and told in one line a few seconds apart: a line each would cost more than the refusals.
+ * Where calls ask {@link Admission} whether they may enter, before their signature and the ledger cost anything. Any
+ * thread. Refusals are counted and told in one line a few seconds apart: a line each would cost more than the refusals.
  */
-public final class Door {
-  private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+public final class AdmissionCheck {
+  private static final Logger LOG = LoggerFactory.getLogger(AdmissionCheck.class);
   private static final long TELL_EVERY = 5_000_000;
 
   /** Null where no call is ever refused here. */
@@ -22,7 +22,7 @@
   private long toldRefusals;
 
   /** A door that asks; null for one that is always open. */
-  public Door(Admission admission) {
+  public AdmissionCheck(Admission admission) {
     this.admission = admission;
     this.toldAt = Clock.micros() - TELL_EVERY;
   }
@@ -47,7 +47,7 @@
       if (admission == null || remembered) {
         return true;
       }
-      synchronized (Door.this) {
+      synchronized (AdmissionCheck.this) {
         boolean may = ask(new Asking(message, tenant, worth, aim, waited));
         if (!may) {
           end(false);
@@ -67,7 +67,7 @@
     }
 
     private void end(boolean sent) {
-      synchronized (Door.this) {
+      synchronized (AdmissionCheck.this) {
         if (open && admission != null) {
           if (sent) {
             admission.sent(id, Clock.micros());
@@ -84,8 +84,8 @@
    * Lets a call in or refuses it.
    *
    * @param waited microseconds that it waited to be read
-   * @param remembered true where something is remembered of the message: such a call is never refused here, since an earlier
-   *     delivery of it may have run
+   * @param remembered true where something is remembered of the message: such a call is never refused here, since an
+   *     earlier delivery of it may have run
    * @param longestAim the longest aim of the classes it may be of, in microseconds
    * @return null where it is refused
    */
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -33,7 +33,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
   private static final int STRIPES = 256;
 
-  /** What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is the ledger's time. */
+  /**
+   * What a front hands over; {@code request} identifies the signed request, {@code requestKeepUntil} is the ledger's
+   * time.
+   */
   public record Delivery(
       String message,
       String request,
@@ -47,7 +50,7 @@
       long loadTime,
       long arrivedAt,
       long patience,
-      Door.Pass pass) {}
+      AdmissionCheck.Pass pass) {}
 
   /** What became of a delivery: a call to wait for, or an answer at once. */
   public record Result(TakenCall call, boolean joined, FinalAnswer answer) {}
@@ -272,7 +275,9 @@
     return Arrays.copyOf(sha.digest(body), 16);
   }
 
-  /** Identifies a signed request by all that its signature covers, so that a changed signature list is the same request. */
+  /**
+   * Identifies a signed request by all that its signature covers, so that a changed signature list is the same request.
+   */
   public static String requestKey(String message, long timestamp, byte[] body) {
     MessageDigest sha = Digests.sha256();
     sha.update((message + "\0" + timestamp + "\0").getBytes(StandardCharsets.UTF_8));
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -11,13 +11,13 @@
 import java.util.function.Consumer;
 
 /**
- * A call of which the ledger keeps records: they are written under the call's lock, so that they stand in the order in which
- * its end and the leaving of its bytes came.
+ * A call of which the ledger keeps records: they are written under the call's lock, so that they stand in the order in
+ * which its end and the leaving of its bytes came.
  */
 public final class TakenCall extends Call {
   private final Ledger ledger;
   private final int maxKept;
-  private final Door.Pass pass;
+  private final AdmissionCheck.Pass pass;
   private final Consumer<TakenCall> onEnd;
   private final boolean ranBefore;
   private LedgerEntry entry;
@@ -46,7 +46,7 @@
       String request,
       long requestKeepUntil,
       int maxKept,
-      Door.Pass pass,
+      AdmissionCheck.Pass pass,
       Consumer<TakenCall> onEnd) {
     super(id, facts);
     this.request = request;
@@ -65,8 +65,8 @@
   }
 
   /**
-   * Records that bytes of this call are about to leave for a runner; returns the ticket to wait for, 0 where the call has ended.
-   * Every attempt waits for the one record: that an earlier attempt put it does not say that it is written.
+   * Records that bytes of this call are about to leave for a runner; returns the ticket to wait for, 0 where the call
+   * has ended. Every attempt waits for the one record: that an earlier attempt put it does not say that it is written.
    *
    * @param now the ledger's time
    */
--- a/edge/src/main/java/gorseladder/edge/front/Turnstile.java
+++ b/edge/src/main/java/gorseladder/edge/front/TurnQueue.java
@@ -4,11 +4,14 @@
 import gorseladder.runtime.Clock;
 import java.util.concurrent.locks.LockSupport;
 
-/** Lets so many threads read and judge requests at once; {@link Turns} says who is next. A turn is never held while its holder waits. */
-final class Turnstile {
+/**
+ * Lets so many threads read and judge requests at once; {@link Turns} says who is next. A turn is never held while its
+ * holder waits.
+ */
+final class TurnQueue {
   private final Turns<Turn> turns;
 
-  Turnstile(int most) {
+  TurnQueue(int most) {
     turns = new Turns<>(most);
   }
 
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -4,7 +4,7 @@
 import gorseladder.answers.Reason;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
-import gorseladder.edge.core.Door;
+import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
@@ -35,13 +35,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Takes signed webhooks over HTTP/1.1 (Standard Webhooks specification; RFC 9112) and answers with the runner's result or
- * problem details (RFC 9457). A thread a connection: it reads a request, waits for its answer, writes it and reads the
- * next, so pipelined requests are answered in their order. It decides nothing about workers.
+ * Takes signed webhooks over HTTP/1.1 (Standard Webhooks specification; RFC 9112) and answers with the runner's result
+ * or problem details (RFC 9457). A thread a connection: it reads a request, waits for its answer, writes it and reads
+ * the next, so pipelined requests are answered in their order. It decides nothing about workers.
  */
 public final class WebhookFront {
   private static final Logger LOG = LoggerFactory.getLogger(WebhookFront.class);
-  /** After what time a waiting thread first looks whether its client has left; each look is twice as long after the last. */
+  /**
+   * After what time a waiting thread first looks whether its client has left; each look is twice as long after the
+   * last.
+   */
   private static final long LOOK = 50_000;
 
   private static final long MOST_LOOK = 400_000;
@@ -58,17 +61,17 @@
   private final WebhookSettings settings;
   private final Intake intake;
   private final Core<TakenCall> core;
-  private final Door door;
+  private final AdmissionCheck door;
   private final Watchdog watchdog;
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
-  private final Turnstile turnstile;
+  private final TurnQueue turnstile;
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
   public WebhookFront(
       WebhookSettings settings,
-      Door door,
+      AdmissionCheck door,
       Intake intake,
       Core<TakenCall> core,
       Watchdog watchdog,
@@ -79,7 +82,7 @@
     this.core = core;
     this.watchdog = watchdog;
     this.log = log;
-    this.turnstile = new Turnstile(Runtime.getRuntime().availableProcessors());
+    this.turnstile = new TurnQueue(Runtime.getRuntime().availableProcessors());
   }
 
   /** Begins to listen. */
@@ -118,7 +121,7 @@
       reject(c, Reason.BUSY, "as many connections as the settings allow");
       return;
     }
-    Turnstile.Turn turn = turnstile.new Turn();
+    TurnQueue.Turn turn = turnstile.new Turn();
     // Whoever has bytes to read and judge needs a turn, and has none while it waits for bytes,
     // a record, an answer or a slow client.
     c.aroundWaits(turn::give, turn::take);
@@ -154,7 +157,7 @@
   }
 
   /** One request and its answer; false where the connection carries no further one. */
-  private boolean request(HttpConnection c, Turnstile.Turn turn) throws IOException, BadMessage {
+  private boolean request(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
     turn.forgetWaits();
     try {
       if (!c.awaitMessage(Clock.micros() + settings.idle())) {
@@ -171,7 +174,7 @@
     }
   }
 
-  private boolean exchange(HttpConnection c, Turnstile.Turn turn) throws IOException, BadMessage {
+  private boolean exchange(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
     long now = Clock.micros();
     long arrivedAt = now - turn.waited();
     long until = now + settings.arrival();
@@ -238,14 +241,14 @@
   /** One request on its way to its answer. */
   private final class Exchange {
     private final HttpConnection c;
-    private final Turnstile.Turn turn;
+    private final TurnQueue.Turn turn;
     private final Head head;
     private final byte[] body;
     private final long arrivedAt;
     private String detail;
-    private Door.Pass pass;
+    private AdmissionCheck.Pass pass;
 
-    Exchange(HttpConnection c, Turnstile.Turn turn, Head head, byte[] body, long arrivedAt) {
+    Exchange(HttpConnection c, TurnQueue.Turn turn, Head head, byte[] body, long arrivedAt) {
       this.c = c;
       this.turn = turn;
       this.head = head;
--- a/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** What the webhook front is told; times in microseconds, the tolerance in seconds, the worth of the class worth most. */
+/**
+ * What the webhook front is told; times in microseconds, the tolerance in seconds, the worth of the class worth most.
+ */
 public record WebhookSettings(
     Map<String, Endpoint> endpoints,
     Networks allowed,
--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -18,9 +18,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Counts what happened by function, class and tenant and writes a row of each to the history once a minute, from a thread of
- * its own: a slow disk delays the history, never a call. Past a bound on keys in a minute the rest is counted under an empty
- * function, so that sums stay exact. Any thread.
+ * Counts what happened by function, class and tenant and writes a row of each to the history once a minute, from a
+ * thread of its own: a slow disk delays the history, never a call. Past a bound on keys in a minute the rest is counted
+ * under an empty function, so that sums stay exact. Any thread.
  */
 public final class CallHistory implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(CallHistory.class);
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -31,10 +31,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the worker list by Consul's blocking health query ({@code /v1/health/service/NAME?index=N&wait=T}, Consul HTTP
- * API, "Blocking Queries") and keeps the last list on disk for a cold start. A service instance names, in its meta data,
- * {@code zone}, {@code cell}, {@code phase} ({@code running} or {@code draining}), {@code weight} and {@code born}
- * (milliseconds since 1970, absent where long ago). An instance that is not in the list is gone.
+ * Follows the worker list by Consul's blocking health query ({@code /v1/health/service/NAME?index=N&wait=T}, Consul
+ * HTTP API, "Blocking Queries") and keeps the last list on disk for a cold start. A service instance names, in its meta
+ * data, {@code zone}, {@code cell}, {@code phase} ({@code running} or {@code draining}), {@code weight} and
+ * {@code born} (milliseconds since 1970, absent where long ago). An instance that is not in the list is gone.
  *
  * <p>A broken answer, an entry that cannot be read or an unreachable list leave the old list in force. One thread.
  */
--- a/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -40,9 +40,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Asks the planner now and then: tells it rows of history, what was seen of functions and the account, and hands the plan it
- * answers to the core. A planner that is away changes nothing here: the plan in hand runs out by itself, and what could not
- * be told is told later. One thread of its own; a slow planner delays no call.
+ * Asks the planner now and then: tells it rows of history, what was seen of functions and the account, and hands the
+ * plan it answers to the core. A planner that is away changes nothing here: the plan in hand runs out by itself, and
+ * what could not be told is told later. One thread of its own; a slow planner delays no call.
  */
 public final class PlannerLink implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(PlannerLink.class);
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -45,8 +45,8 @@
 
 /**
  * Owns the connections to the runners. Each attempt and each load order runs on a thread of its own that blocks on a
- * socket, and ends in exactly one report to the core. What an end is worth is judged by {@link AttemptFate}; whether bytes
- * may still leave by {@link SendGate}, asked last before the write.
+ * socket, and ends in exactly one report to the core. What an end is worth is judged by {@link AttemptFate}; whether
+ * bytes may still leave by {@link SendGate}, asked last before the write.
  *
  * <p>Any thread.
  */
--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -58,7 +58,7 @@
         null,
         0,
         100,
-        new Door(null).enter(1, "", 0, 0, false),
+        new AdmissionCheck(null).enter(1, "", 0, 0, false),
         c -> ends.incrementAndGet());
   }
 
@@ -143,7 +143,9 @@
     assertTrue(left < 3_000 && ends.get() == 3_000, left + " left");
   }
 
-  /** A second attempt beside the first, or after it: it may not leave before the record of the leaving stands either. */
+  /**
+   * A second attempt beside the first, or after it: it may not leave before the record of the leaving stands either.
+   */
   @Test
   void eachAttemptWaitsForTheRecordOfTheFirstLeaving() throws IOException {
     TakenCall call = call("twice", false);
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -28,9 +28,9 @@
 import java.util.function.DoubleConsumer;
 
 /**
- * A fleet in simulated time: runners, archive, list, edges with the real router, clients and, where asked for, a planner with
- * the real decisions. One seed gives one course of events, and the calls drawn do not depend on what is done with them. One
- * thread; several emulations may run side by side.
+ * A fleet in simulated time: runners, archive, list, edges with the real router, clients and, where asked for, a
+ * planner with the real decisions. One seed gives one course of events, and the calls drawn do not depend on what is
+ * done with them. One thread; several emulations may run side by side.
  */
 public final class EmulatedFleet {
   private static final long FIRST_MINUTE = 60_000_000;
@@ -98,8 +98,8 @@
   }
 
   /**
-   * Replays a recording in place of the settings' populations and days: what was called is given, how long it took is the fleet's.
-   * Plans see only what came before.
+   * Replays a recording in place of the settings' populations and days: what was called is given, how long it took is
+   * the fleet's. Plans see only what came before.
    *
    * @param recording null for the settings' own calls
    */
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedPlanner.java
@@ -77,7 +77,9 @@
     return hour >= a.getHoleFromHour() && hour < a.getHoleToHour();
   }
 
-  /** A slot is over: what the edges counted and saw of it. A planner that was away reads what it missed once it is back. */
+  /**
+   * A slot is over: what the edges counted and saw of it. A planner that was away reads what it missed once it is back.
+   */
   void slotOver(long slot, List<Map<String, Seen.Of>> seen) {
     if (!hole(slot)) {
       unread.put(slot, counts);
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedRunner.java
@@ -111,7 +111,10 @@
     return name;
   }
 
-  /** Takes a call; returns a number by which it can be cancelled. The hearer hears exactly one end, unless it is cancelled. */
+  /**
+   * Takes a call; returns a number by which it can be cancelled. The hearer hears exactly one end, unless it is
+   * cancelled.
+   */
   int call(Drawn function, double work, boolean loadsOnMiss, Hearer hearer) {
     int number = numbers++;
     if (!up) {
--- a/emulator/src/main/java/gorseladder/emulator/Recording.java
+++ b/emulator/src/main/java/gorseladder/emulator/Recording.java
@@ -6,7 +6,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-/** Recorded calls by minute, for an emulation to replay. Minutes are told since 1970; the first day of the record is day 0. */
+/**
+ * Recorded calls by minute, for an emulation to replay. Minutes are told since 1970; the first day of the record is day
+ * 0.
+ */
 public final class Recording {
   private static final long DAY = 1_440;
 
--- a/emulator/src/main/java/gorseladder/emulator/SharedRate.java
+++ b/emulator/src/main/java/gorseladder/emulator/SharedRate.java
@@ -6,8 +6,8 @@
 import java.util.function.IntToDoubleFunction;
 
 /**
- * Work that shares a resource: each piece goes on at a rate that depends on how many there are (processor sharing). Used for
- * the cores of a runner and for the archive.
+ * Work that shares a resource: each piece goes on at a rate that depends on how many there are (processor sharing).
+ * Used for the cores of a runner and for the archive.
  */
 final class SharedRate<K> {
   private static final double DONE = 1e-6;
--- a/emulator/src/main/java/gorseladder/emulator/Workload.java
+++ b/emulator/src/main/java/gorseladder/emulator/Workload.java
@@ -39,7 +39,10 @@
   private final Recording recording;
   private long once;
 
-  /** Calls of the settings' populations, or those of a recording where there is one; then the first population gives the sizes. */
+  /**
+   * Calls of the settings' populations, or those of a recording where there is one; then the first population gives the
+   * sizes.
+   */
   Workload(Emulation emulation, Recording recording) {
     this.e = emulation;
     this.recording = recording;
--- a/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
+++ b/emulator/src/test/java/gorseladder/emulator/EmulatedFleetTest.java
@@ -101,7 +101,8 @@
   @Test
   void rulesHoldWithPlansOn() {
     String troubles = "trouble { kind: DRAINS runners: 2 day: 9 hour: 10 back_after_s: 30 }"
-        + " trouble { kind: DRAINS runners: 1 day: 10 hour: 9 back_after_s: 60 } trouble { kind: DIES runners: 2 day: 10 hour: 11 }"
+        + " trouble { kind: DRAINS runners: 1 day: 10 hour: 9 back_after_s: 60 }"
+        + " trouble { kind: DIES runners: 2 day: 10 hour: 11 }"
         + " edges { loads_free: 2 load_share: 0.3 load_window_ms: 5000 list_lag_ms: 300 ";
     for (String site : new String[] {"loads_on_miss: true }", "loads_on_miss: false }"}) {
       Outcomes o = run(troubles + site + "ahead { mode: FORECAST }");
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -48,7 +48,9 @@
   private static final int HEAP_PART = 4;
   /** After SIGTERM new connections and requests still come for 0.6 s at the most; a margin on top. */
   private static final long STOP_TAKING = 900_000;
-  /** The longest deadline counts as so much at the most when SIGKILL is timed, and comes no sooner than {@link #KILLED}. */
+  /**
+   * The longest deadline counts as so much at the most when SIGKILL is timed, and comes no sooner than {@link #KILLED}.
+   */
   private static final long LONGEST_COUNTED = 3_000_000;
 
   private static final long KILLED = 700_000;
@@ -102,7 +104,7 @@
         MOST_ANSWER,
         connectionThreads);
     core = new Core<>(
-        config.router(), config.seed(), new Hands(), config.mostHeld(), false, null, CORE_STACK);
+        config.router(), config.seed(), new Outbound(), config.mostHeld(), false, null, CORE_STACK);
     links.reportTo(new RunnerLinks.Hearer() {
       @Override
       public void attemptEnded(AttemptEnd<NodeCall> end) {
@@ -155,7 +157,7 @@
     checkLater();
   }
 
-  private final class Hands implements Core.Hands<NodeCall> {
+  private final class Outbound implements Core.Outbound<NodeCall> {
     @Override
     public void send(NodeCall call, int attempt, String worker, long timeout) {
       links.send(call, attempt, worker, timeout);
@@ -286,9 +288,9 @@
   }
 
   /**
-   * Stops in order. It goes on taking until no new calls can come, accepts what the system holds and closes the listener;
-   * then each connection is half-closed as soon as nothing is asked on it. What is still held a moment before SIGKILL may
-   * come gets its final answer there and then. Returns when all connections have ended, or at that moment.
+   * Stops in order. It goes on taking until no new calls can come, accepts what the system holds and closes the
+   * listener; then each connection is half-closed as soon as nothing is asked on it. What is still held a moment before
+   * SIGKILL may come gets its final answer there and then. Returns when all connections have ended, or at that moment.
    */
   public void stop() throws InterruptedException {
     long begun = Clock.micros();
--- a/node/src/main/java/gorseladder/node/NodeCall.java
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -11,7 +11,9 @@
   private final String key;
   private final long seenFrom;
   private final BiConsumer<NodeCall, FinalAnswer> onEnd;
-  /** Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's. */
+  /**
+   * Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's.
+   */
   private final Set<Object> carriers = new HashSet<>();
 
   /**
--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -15,8 +15,8 @@
 import java.util.Map;
 
 /**
- * What the platform tells a dispatcher at its start: three variables and one JSON file ("What a dispatcher is told" of the
- * platform's deployment page). Times are microseconds.
+ * What the platform tells a dispatcher at its start: three variables and one JSON file ("What a dispatcher is told" of
+ * the platform's deployment page). Times are microseconds.
  *
  * @param seed for random numbers
  * @param peersAll where a datagram to every other dispatcher goes; null where there are none
--- a/node/src/main/java/gorseladder/node/Reconfiguration.java
+++ b/node/src/main/java/gorseladder/node/Reconfiguration.java
@@ -16,16 +16,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps the address of the change log that is in force equal to the one that the configuration file names. The file is read when
- * a signal asks for it, when it was replaced or changed, again and again while it cannot be read, and while the log at the
- * address in force says nothing.
+ * Keeps the address of the change log that is in force equal to the one that the configuration file names. The file is
+ * read when a signal asks for it, when it was replaced or changed, again and again while it cannot be read, and while
+ * the log at the address in force says nothing.
  *
- * <p>Guards against news that is told once: a signal that is lost, or a file that cannot be opened or is half written at that
- * moment, would leave the dispatcher at an address that tells nothing any more, for good. It could harm where a file is laid
- * down that is not meant to hold yet: it holds within {@link #LOOK_MILLIS}, with or without the signal.
+ * <p>Guards against news that is told once: a signal that is lost, or a file that cannot be opened or is half written
+ * at that moment, would leave the dispatcher at an address that tells nothing any more, for good. It could harm where a
+ * file is laid down that is not meant to hold yet: it holds within {@link #LOOK_MILLIS}, with or without the signal.
  *
- * <p>One thread of its own that reads and applies, so that what was read earlier is never applied later. {@link #ask} is for any
- * thread.
+ * <p>One thread of its own that reads and applies, so that what was read earlier is never applied later. {@link #ask}
+ * is for any thread.
  */
 final class Reconfiguration implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Reconfiguration.class);
--- a/node/src/main/java/gorseladder/node/WarmUp.java
+++ b/node/src/main/java/gorseladder/node/WarmUp.java
@@ -26,12 +26,12 @@
 import java.util.Map;
 
 /**
- * Goes through the steps of a call a few times on values of its own before the dispatcher is live: no socket, no thread, nothing
- * that outlasts it.
+ * Goes through the steps of a call a few times on values of its own before the dispatcher is live: no socket, no
+ * thread, nothing that outlasts it.
  *
- * <p>Guards against first calls that take long: in a new process each step loads its classes when it is met first, and where
- * many processes share a core that took 150 to 300 ms between the last look at an attempt and the end of its write. It could
- * harm a start that has hardly any processor time, by some ten milliseconds of it.
+ * <p>Guards against first calls that take long: in a new process each step loads its classes when it is met first, and
+ * where many processes share a core that took 150 to 300 ms between the last look at an attempt and the end of its
+ * write. It could harm a start that has hardly any processor time, by some ten milliseconds of it.
  */
 final class WarmUp {
   private static final int ROUNDS = 40;
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -24,14 +24,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the change log: asks for every event after the last one it has, again where the connection breaks, falls silent, or
- * leaves a number out; {@link FeedAttempts} says when, on how many connections, and which of them are let go. Half events are
- * dropped and doubled ones skipped. What cannot be read again and again is passed over, so that what comes after it is heard.
- * While the log is away the list that is known stays in force.
+ * Follows the change log: asks for every event after the last one it has, again where the connection breaks, falls
+ * silent, or leaves a number out; {@link FeedAttempts} says when, on how many connections, and which of them are let
+ * go. Half events are dropped and doubled ones skipped. What cannot be read again and again is passed over, so that
+ * what comes after it is heard. While the log is away the list that is known stays in force.
  *
- * <p>A few threads of its own, all started with it: a connection each, and one that waits for the next turn. Lines are applied
- * under this object's lock, in the order of their numbers. {@link #moveTo} and what is asked for logs may be called by any
- * thread.
+ * <p>A few threads of its own, all started with it: a connection each, and one that waits for the next turn. Lines are
+ * applied under this object's lock, in the order of their numbers. {@link #moveTo} and what is asked for logs may be
+ * called by any thread.
  */
 public final class ChangeLogFollower implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(ChangeLogFollower.class);
@@ -283,8 +283,8 @@
   }
 
   /**
-   * Something on a connection cannot be used. At first it is asked for again, since it may have been spoilt on its way; where it
-   * stays so, it is passed over.
+   * Something on a connection cannot be used. At first it is asked for again, since it may have been spoilt on its way;
+   * where it stays so, it is passed over.
    *
    * @throws UnusableLine where the connection has to end
    */
--- a/node/src/main/java/gorseladder/node/changelog/ListedRunners.java
+++ b/node/src/main/java/gorseladder/node/changelog/ListedRunners.java
@@ -21,11 +21,11 @@
 import java.util.Set;
 
 /**
- * The runners that the change log told of, and what an event makes of them. An entry that cannot be read changes nothing but what
- * can be read of it: that its runner drains or is gone holds, whatever else is wrong with it.
+ * The runners that the change log told of, and what an event makes of them. An entry that cannot be read changes
+ * nothing but what can be read of it: that its runner drains or is gone holds, whatever else is wrong with it.
  *
- * <p>Guards against one entry that hides all others of its event. It could harm where an unreadable entry means a new runner:
- * that one is not used until it is told again.
+ * <p>Guards against one entry that hides all others of its event. It could harm where an unreadable entry means a new
+ * runner: that one is not used until it is told again.
  *
  * <p>Not thread safe.
  */
@@ -126,7 +126,10 @@
     return new Listed(entry, NodeConfig.address(Fields.text(target, "endpoint"), "endpoint"));
   }
 
-  /** What can be read of an entry that as a whole cannot: that its runner is to be left alone; null where it does not say so. */
+  /**
+   * What can be read of an entry that as a whole cannot: that its runner is to be left alone; null where it does not
+   * say so.
+   */
   private Listed readable(Map<String, Object> target) {
     if (!(target.get("uid") instanceof String uid)) {
       return null;
--- a/node/src/main/java/gorseladder/node/front/Arrival.java
+++ b/node/src/main/java/gorseladder/node/front/Arrival.java
@@ -1,8 +1,8 @@
 package gorseladder.node.front;
 
 /**
- * When a request arrived. After a pause of this process, or where its connection had to wait to be accepted, that may be long
- * before it was read, and its client may have left since.
+ * When a request arrived. After a pause of this process, or where its connection had to wait to be accepted, that may
+ * be long before it was read, and its client may have left since.
  *
  * @param at the earliest time at which it may have arrived; its client's time counts from there
  * @param clientSeenFrom from when on what its client did since is known; 0 for always
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -28,9 +28,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The platform's front: FastCGI 1.0 over TCP, a thread for each connection. It turns requests into calls and final answers
- * into responses, and decides nothing about workers. Its own bounds are told ones or protect the process; what passes them is
- * refused at once and counted.
+ * The platform's front: FastCGI 1.0 over TCP, a thread for each connection. It turns requests into calls and final
+ * answers into responses, and decides nothing about workers. Its own bounds are told ones or protect the process; what
+ * passes them is refused at once and counted.
  */
 public final class FastCgiFront implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(FastCgiFront.class);
@@ -81,8 +81,8 @@
    *
    * @param mostConnections connections of clients at the most; beyond it the silent ones go first
    * @param mostHeld calls held at the most, as the platform tells
-   * @param mostBytes bytes at the most that all clients together have this front keep: requests that are being read, bodies of
-   *     calls held, answers not written yet
+   * @param mostBytes bytes at the most that all clients together have this front keep: requests that are being read,
+   *     bodies of calls held, answers not written yet
    */
   public FastCgiFront(
       Reader reader,
@@ -288,8 +288,9 @@
   /**
    * Refuses the half requests of the connection that has the oldest one; false where there is none.
    *
-   * <p>Guards against clients that send requests without their ends: each is small, and all together were more than the memory.
-   * It could harm clients on slow lines while such a crowd is there; they are told that trying again is harmless.
+   * <p>Guards against clients that send requests without their ends: each is small, and all together were more than the
+   * memory. It could harm clients on slow lines while such a crowd is there; they are told that trying again is
+   * harmless.
    */
   boolean refuseOldestHalf() {
     FrontConnection oldest = null;
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -24,17 +24,17 @@
 import java.util.Map;
 
 /**
- * One connection of a web server. Its thread reads and parses; answers come from any thread and leave by the outbox. Each
- * request on it gets one answer, or the connection ends.
+ * One connection of a web server. Its thread reads and parses; answers come from any thread and leave by the outbox.
+ * Each request on it gets one answer, or the connection ends.
  *
- * <p>Its life goes one way, each step under its lock: open; half-closed, when nothing is asked, nothing unread and nothing
- * more will be taken, so that what crosses on the wire meets an end and no reset; closed. What is looked at to decide a step
- * is looked at under the lock that takes it.
+ * <p>Its life goes one way, each step under its lock: open; half-closed, when nothing is asked, nothing unread and
+ * nothing more will be taken, so that what crosses on the wire meets an end and no reset; closed. What is looked at to
+ * decide a step is looked at under the lock that takes it.
  */
 final class FrontConnection implements RecordParser.Sink {
   /**
-   * Read first, without the lock; less than any record. What is left of a request is then seen unread by whoever wants to close
-   * the connection, until {@link #looking} says that it is being looked at.
+   * Read first, without the lock; less than any record. What is left of a request is then seen unread by whoever wants
+   * to close the connection, until {@link #looking} says that it is being looked at.
    */
   private static final int PEEK = 1;
 
@@ -63,7 +63,9 @@
     CLOSED
   }
 
-  /** A request on this connection, from BEGIN_REQUEST to END_REQUEST; what still comes for it after that is passed over. */
+  /**
+   * A request on this connection, from BEGIN_REQUEST to END_REQUEST; what still comes for it after that is passed over.
+   */
   private static final class Exchange {
     private final int id;
     private final long beganAt = Clock.micros();
@@ -129,7 +131,9 @@
   private boolean looking;
   /** When its thread read bytes last; the thread's own. */
   private long readAt;
-  /** Its thread has once read all that there was: what it reads from then on has not waited for it. The thread's own. */
+  /**
+   * Its thread has once read all that there was: what it reads from then on has not waited for it. The thread's own.
+   */
   private boolean caughtUp;
   /** Bytes of answers that are not written yet; they count against the front's budget. */
   private long unwritten;
@@ -268,8 +272,8 @@
   }
 
   /**
-   * Keeps bytes of a request that is still being read. They count against the front's budget, for which the oldest half requests
-   * of all connections make room.
+   * Keeps bytes of a request that is still being read. They count against the front's budget, for which the oldest half
+   * requests of all connections make room.
    */
   private void gather(Exchange e, byte[] bytes, int from, int length, int most, Reason tooLarge) {
     do {
@@ -372,9 +376,10 @@
   }
 
   /**
-   * When a request may have come whose last bytes were read just now, and from when on it is known whether its client is still
-   * there. Until its thread has once read all that there was, that may have waited since the connection was accepted: nobody
-   * read it until then. Guards against requests that wait on one connection for its thread, of which only the first counted so.
+   * When a request may have come whose last bytes were read just now, and from when on it is known whether its client
+   * is still there. Until its thread has once read all that there was, that may have waited since the connection was
+   * accepted: nobody read it until then. Guards against requests that wait on one connection for its thread, of which
+   * only the first counted so.
    */
   private Arrival arrival() {
     long came = front.cameAt(readAt);
@@ -546,8 +551,9 @@
   }
 
   /**
-   * Tells the other side that nothing more comes, where nothing is asked; the lock is held. That leaves before this returns: what
-   * comes after it crossed it on the wire. Where an answer is still being written it is tried again after that.
+   * Tells the other side that nothing more comes, where nothing is asked; the lock is held. That leaves before this
+   * returns: what comes after it crossed it on the wire. Where an answer is still being written it is tried again after
+   * that.
    */
   private boolean halfCloseIfFree(CloseReason why) {
     if (state != State.OPEN) {
--- a/node/src/main/java/gorseladder/node/peers/TierLink.java
+++ b/node/src/main/java/gorseladder/node/peers/TierLink.java
@@ -13,9 +13,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Datagrams between the dispatchers of a tier ("Between dispatchers" of the platform's protocol): the router's text alone,
- * {@value #MOST_BYTES} bytes at the most; the sender is known by its address. They may be lost, late or doubled. A datagram
- * from an address that is no peer is dropped.
+ * Datagrams between the dispatchers of a tier ("Between dispatchers" of the platform's protocol): the router's text
+ * alone, {@value #MOST_BYTES} bytes at the most; the sender is known by its address. They may be lost, late or doubled.
+ * A datagram from an address that is no peer is dropped.
  */
 public final class TierLink implements AutoCloseable {
   private static final int MOST_BYTES = 256;
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -24,8 +24,8 @@
 import java.util.concurrent.Executor;
 
 /**
- * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every request on it
- * ends in exactly one of: its answer, {@link RunnerRequest#broken}, or being given up by its owner.
+ * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every request
+ * on it ends in exactly one of: its answer, {@link RunnerRequest#broken}, or being given up by its owner.
  */
 final class LinkConnection {
   private static final int READ = 8_192;
@@ -172,7 +172,10 @@
     closeIfDone();
   }
 
-  /** The end of a request that was given up after it left: told once, when its halt has left or the connection has ended. */
+  /**
+   * The end of a request that was given up after it left: told once, when its halt has left or the connection has
+   * ended.
+   */
   private final class GivenUp implements Outbox.Item {
     private final byte[] halt;
     private final Runnable told;
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -31,8 +31,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Carries attempts and load orders to the runners: one link a runner, several connections a link. What an end is worth is
- * judged by {@link gorseladder.attempts.AttemptFate}, which connection may carry a call by
+ * Carries attempts and load orders to the runners: one link a runner, several connections a link. What an end is worth
+ * is judged by {@link gorseladder.attempts.AttemptFate}, which connection may carry a call by
  * {@link gorseladder.attempts.ConnectionChoice}, and whether bytes may still leave by {@link SendGate}.
  *
  * <p>Any thread; nothing here blocks.
@@ -54,7 +54,9 @@
   private final LinkSettings settings;
   private final NodeConfig.Links told;
   private final Limits limits;
-  /** Links to runners that the list has. Changed with the gate's lock, so that a link and its gate are told together. */
+  /**
+   * Links to runners that the list has. Changed with the gate's lock, so that a link and its gate are told together.
+   */
   private final Map<String, Link> links = new ConcurrentHashMap<>();
   /** Links to runners that have gone, or have another address now, until nothing is out on them. */
   private final Set<Link> leaving = ConcurrentHashMap.newKeySet();
@@ -208,15 +210,15 @@
     return links.containsKey(worker) ? Ending.NO_RESOURCE : Ending.CONNECT_FAILED;
   }
 
-  /** Hands a request to a connection of its runner; false where none can be had. */
+  /** Outbound a request to a connection of its runner; false where none can be had. */
   boolean carry(RunnerRequest request) {
     Link link = links.get(request.worker());
     return link != null && (link.carry(request) || makeRoom() && link.carry(request));
   }
 
   /**
-   * Where no descriptor is left, closes the connection that was idle longest: one that carries nothing is worth least. False
-   * where there is no need or nothing to close.
+   * Where no descriptor is left, closes the connection that was idle longest: one that carries nothing is worth least.
+   * False where there is no need or nothing to close.
    */
   private boolean makeRoom() {
     long now = Clock.micros();
--- a/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
@@ -16,12 +16,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Something sent to a runner under an id that an answer may come for: an attempt or a load order. Its whole life stands here,
- * each step under its own lock: it is carried by one connection at a time, leaves at most once, and ends in exactly one
- * report. So an end and the leaving of its bytes cannot cross: whichever comes first, the other one sees it.
+ * Something sent to a runner under an id that an answer may come for: an attempt or a load order. Its whole life stands
+ * here, each step under its own lock: it is carried by one connection at a time, leaves at most once, and ends in
+ * exactly one report. So an end and the leaving of its bytes cannot cross: whichever comes first, the other one sees
+ * it.
  *
- * <p>One that is given up after it left is reported once that is on the wire: until then it is out, and another attempt of the
- * same call would be a second one at a time.
+ * <p>One that is given up after it left is reported once that is on the wire: until then it is out, and another attempt
+ * of the same call would be a second one at a time.
  *
  * <p>Lock order: the gate, then the request, then its call. Any thread.
  */
@@ -108,7 +109,10 @@
     return ended;
   }
 
-  /** The last look of the connection that is about to write it: the bytes, or null. Nothing but the write comes after it. */
+  /**
+   * The last look of the connection that is about to write it: the bytes, or null. Nothing but the write comes after
+   * it.
+   */
   final byte[] take(LinkConnection by) {
     Verdict verdict;
     long now;
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -76,7 +76,7 @@
     core = new Core<>(
         settings,
         1,
-        new Core.Hands<>() {
+        new Core.Outbound<>() {
           @Override
           public void send(NodeCall call, int attempt, String worker, long timeout) {
             sent.incrementAndGet();
@@ -193,7 +193,9 @@
     assertTrue(closed, "nothing is asked now");
   }
 
-  /** What was unread when the stop began is answered, then the connection is half-closed; what comes after is not taken. */
+  /**
+   * What was unread when the stop began is answered, then the connection is half-closed; what comes after is not taken.
+   */
   @Test
   void aStopAnswersWhatIsUnreadAndTakesNothingAfterTheHalfClose() throws Exception {
     ask();
@@ -255,7 +257,9 @@
     assertEquals(0, sent.get());
   }
 
-  /** The stop looks while bytes were read and not looked at yet: what they ask is answered before the connection ends. */
+  /**
+   * The stop looks while bytes were read and not looked at yet: what they ask is answered before the connection ends.
+   */
   @Test
   void whatWasReadIsAnsweredThoughTheStopLooksBeforeItIsLookedAt() throws Exception {
     CountDownLatch reading = new CountDownLatch(1);
@@ -294,7 +298,10 @@
     assertTrue(told.contains("Status: 503"), "the request that was read got no answer");
   }
 
-  /** What waited for its connection's thread has waited since the connection was accepted: its client's time counts from there. */
+  /**
+   * What waited for its connection's thread has waited since the connection was accepted: its client's time counts from
+   * there.
+   */
   @Test
   void whatWaitedToBeReadArrivedWhenItsConnectionWasAccepted() throws Exception {
     long accepted = Clock.micros();
--- a/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -218,7 +218,10 @@
     assertEquals(0, carrier.carrying());
   }
 
-  /** Until its halt is on the wire, or the connection has ended, what was given up is out: a second attempt would be one too many. */
+  /**
+   * Until its halt is on the wire, or the connection has ended, what was given up is out: a second attempt would be one
+   * too many.
+   */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void theEndOfWhatLeftIsToldOnceItIsOnTheWire(boolean written) throws Exception {
--- a/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
+++ b/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
@@ -28,7 +28,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-/** The system has no thread left for a moment (pthread_create ends with EAGAIN): Java tells it as an OutOfMemoryError. */
+/**
+ * The system has no thread left for a moment (pthread_create ends with EAGAIN): Java tells it as an OutOfMemoryError.
+ */
 class ThreadShortageTest {
   private static final long SECOND = 1_000_000;
   private static final int DESCRIPTORS = 4;
@@ -37,7 +39,10 @@
     return new OutOfMemoryError("unable to create native thread");
   }
 
-  /** A connection whose thread could not be started is no connection: nothing is sent there, and its descriptor is given back. */
+  /**
+   * A connection whose thread could not be started is no connection: nothing is sent there, and its descriptor is given
+   * back.
+   */
   @Test
   void aConnectionWithoutAThreadIsNotKept() throws Exception {
     AtomicInteger starts = new AtomicInteger();
@@ -95,7 +100,7 @@
     Core<NodeCall> core = new Core<>(
         settings,
         1,
-        new Core.Hands<>() {
+        new Core.Outbound<>() {
           @Override
           public void send(NodeCall call, int attempt, String worker, long timeout) {
             second.countDown();
--- a/planner/src/main/java/gorseladder/planner/LocalSlots.java
+++ b/planner/src/main/java/gorseladder/planner/LocalSlots.java
@@ -8,8 +8,9 @@
 import java.time.ZonedDateTime;
 
 /**
- * Slots of the days that people live by, in a time zone. Slots are counted from midnight of 1970-01-01, a Thursday. On the day
- * that skips an hour some slots do not occur; on the day that repeats one, its slots are met twice and count together. Any thread.
+ * Slots of the days that people live by, in a time zone. Slots are counted from midnight of 1970-01-01, a Thursday. On
+ * the day that skips an hour some slots do not occur; on the day that repeats one, its slots are met twice and count
+ * together. Any thread.
  */
 final class LocalSlots {
   private final ZoneId zone;
@@ -31,7 +32,10 @@
     return t.toLocalDate().toEpochDay() * perDay() + (t.getHour() * 60 + t.getMinute()) / minutes;
   }
 
-  /** When a slot begins, in seconds since 1970; the first time where it occurs twice, and where one is skipped the time it is skipped to. */
+  /**
+   * When a slot begins, in seconds since 1970; the first time where it occurs twice, and where one is skipped the time
+   * it is skipped to.
+   */
   long begins(long slot) {
     LocalDateTime local = LocalDateTime.ofEpochSecond(slot * minutes * 60, 0, ZoneOffset.UTC);
     return local.atZone(zone).toEpochSecond();
--- a/planner/src/main/java/gorseladder/planner/Planner.java
+++ b/planner/src/main/java/gorseladder/planner/Planner.java
@@ -36,11 +36,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Takes what edges tell, keeps it, foresees and plans. What it decides is decided in {@link PlanMaker}; here is only when, from
- * what and for whom. Any thread; one at a time does anything.
+ * Takes what edges tell, keeps it, foresees and plans. What it decides is decided in {@link PlanMaker}; here is only
+ * when, from what and for whom. Any thread; one at a time does anything.
  *
- * <p>A slot is observed once it has been over for a while and no edge that asks has rows left to tell, so that a planner that was
- * away reads what it missed first. Rows that come later still are kept and count at the next start.
+ * <p>A slot is observed once it has been over for a while and no edge that asks has rows left to tell, so that a
+ * planner that was away reads what it missed first. Rows that come later still are kept and count at the next start.
  */
 public final class Planner implements Closeable {
   private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
--- a/planner/src/main/java/gorseladder/planner/PlannerStore.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerStore.java
@@ -16,8 +16,9 @@
 import org.h2.mvstore.MVStoreException;
 
 /**
- * The planner's own copy of the edges' history, and the account of loads ahead. Rows are kept by the number their edge gave them, so
- * what is told twice counts once. Rows and the number to go on from are written in one commit. Callers serialise.
+ * The planner's own copy of the edges' history, and the account of loads ahead. Rows are kept by the number their edge
+ * gave them, so what is told twice counts once. Rows and the number to go on from are written in one commit. Callers
+ * serialise.
  */
 final class PlannerStore implements Closeable {
   private static final String FORMAT = "1";
--- a/planner/src/test/java/gorseladder/planner/PlannerTest.java
+++ b/planner/src/test/java/gorseladder/planner/PlannerTest.java
@@ -67,7 +67,9 @@
         .addWorker(Worker.newBuilder().setName("w2").setWeight(1));
   }
 
-  /** Ten days on which f is called from 9:00 to 9:15 each day; a row a day says that the edge ran in the slot before. */
+  /**
+   * Ten days on which f is called from 9:00 to 9:15 each day; a row a day says that the edge ran in the slot before.
+   */
   private static HistoryRow[] tenDays() {
     List<HistoryRow> rows = new ArrayList<>();
     for (long d = 0; d < 10; d++) {
--- a/runtime/src/main/java/gorseladder/runtime/Counts.java
+++ b/runtime/src/main/java/gorseladder/runtime/Counts.java
@@ -3,7 +3,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Counts by words that may come from outside: so many words at the most, the rest together as {@code other}. Any thread. */
+/**
+ * Counts by words that may come from outside: so many words at the most, the rest together as {@code other}. Any
+ * thread.
+ */
 public final class Counts {
   private static final int MOST_WORDS = 64;
 
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -16,9 +16,9 @@
 import java.nio.channels.SocketChannel;
 
 /**
- * One HTTP/1.1 connection, either side, with blocking reads and writes. It moves bytes between the socket and the parsers
- * and judges neither. One thread at a time uses it; {@link #close()}, {@link #abort()} may come from any thread and end a
- * blocked read or write with an {@link IOException}.
+ * One HTTP/1.1 connection, either side, with blocking reads and writes. It moves bytes between the socket and the
+ * parsers and judges neither. One thread at a time uses it; {@link #close()}, {@link #abort()} may come from any thread
+ * and end a blocked read or write with an {@link IOException}.
  */
 public final class HttpConnection implements Closeable {
   private static final int BUFFER = 8192;
@@ -146,8 +146,8 @@
   }
 
   /**
-   * Looks, without waiting, whether the other side closed or reset the connection. Bytes that came are kept for the next
-   * read.
+   * Looks, without waiting, whether the other side closed or reset the connection. Bytes that came are kept for the
+   * next read.
    */
   public boolean peerGone() {
     if (ended) {
@@ -183,7 +183,9 @@
     socket.getOutputStream().write(bytes);
   }
 
-  /** Tells the other side that nothing more comes, and reads away what it still sends for a moment, so that it is read. */
+  /**
+   * Tells the other side that nothing more comes, and reads away what it still sends for a moment, so that it is read.
+   */
   public void closeGently(long until) {
     try {
       channel.shutdownOutput();
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -17,8 +17,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Accepts connections and gives each a thread of its own with a small stack. Where no thread can be had a connection waits for
- * one; those on which something can be read come first, and the handler is asked to end one that can be spared for them.
+ * Accepts connections and gives each a thread of its own with a small stack. Where no thread can be had a connection
+ * waits for one; those on which something can be read come first, and the handler is asked to end one that can be
+ * spared for them.
  *
  * <p>Any thread.
  */
@@ -41,8 +42,8 @@
     void serve(SocketChannel connection) throws IOException;
 
     /**
-     * A connection was accepted; false turns it away. On the accepting thread and for one connection at a time, so that what is
-     * counted here cannot be passed by many at once. Must not block.
+     * A connection was accepted; false turns it away. On the accepting thread and for one connection at a time, so that
+     * what is counted here cannot be passed by many at once. Must not block.
      *
      * @param waitedSince since when the connection may have waited to be accepted, with what was sent on it
      */
@@ -54,8 +55,8 @@
     default void unserved(SocketChannel connection) {}
 
     /**
-     * A connection on which something can be read waits for a thread: ends one that has a thread and can be spared. Must not
-     * block.
+     * A connection on which something can be read waits for a thread: ends one that has a thread and can be spared.
+     * Must not block.
      */
     default void spareThread() {}
   }
@@ -194,7 +195,10 @@
     }
   }
 
-  /** Accepts all that the system holds ready. What fails here is over in a moment: the listener stands as long as the program. */
+  /**
+   * Accepts all that the system holds ready. What fails here is over in a moment: the listener stands as long as the
+   * program.
+   */
   private void acceptAll() {
     // All that waits now may have waited since accepting began to fail.
     long waitedSince = failingSince > 0 ? failingSince : Clock.micros();
@@ -220,8 +224,8 @@
   }
 
   /**
-   * Gives a connection its thread. Where there is none for a moment the connection waits for one: on it a client may have asked
-   * already.
+   * Gives a connection its thread. Where there is none for a moment the connection waits for one: on it a client may
+   * have asked already.
    */
   private void start(SocketChannel connection) {
     if (!threads.execute(() -> serve(connection))) {
--- a/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
+++ b/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
@@ -5,9 +5,9 @@
 import java.util.List;
 
 /**
- * Tells errors by which this machine says that it lacks something for a connection from those that speak of the other side. Java
- * has a class of its own only for some of them; for the others the system's text counts (strerror(3) in the C locale, which the
- * Java machine uses). Pure functions; any thread.
+ * Tells errors by which this machine says that it lacks something for a connection from those that speak of the other
+ * side. Java has a class of its own only for some of them; for the others the system's text counts (strerror(3) in the
+ * C locale, which the Java machine uses). Pure functions; any thread.
  */
 public final class LocalShortage {
   /** EMFILE, ENFILE, ENOBUFS, ENOMEM. */
--- a/runtime/src/main/java/gorseladder/runtime/Mailbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Mailbox.java
@@ -6,8 +6,8 @@
 
 /**
  * The one way into a thread that owns state. News that must not be lost (ends of attempts, the list) is always taken;
- * what offers new work is taken only while fewer than the bound wait, so that a slow owner makes callers hear "busy" and
- * not a growing queue. News comes out before offers of work. Any thread may put; one thread takes.
+ * what offers new work is taken only while fewer than the bound wait, so that a slow owner makes callers hear "busy"
+ * and not a growing queue. News comes out before offers of work. Any thread may put; one thread takes.
  *
  * @param <T> the messages
  */
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.Executor;
 
 /**
- * What is to be written on one connection. Any thread puts an item and goes on at once; a thread of a pool writes what has
- * gathered, in one go. A peer that stops reading holds up nobody but itself, and only until its bound is reached.
+ * What is to be written on one connection. Any thread puts an item and goes on at once; a thread of a pool writes what
+ * has gathered, in one go. A peer that stops reading holds up nobody but itself, and only until its bound is reached.
  *
  * <p>Any thread; the callbacks come without any lock of this class held.
  */
@@ -96,8 +96,8 @@
   }
 
   /**
-   * Takes nothing more; once all is written the other side is told that nothing comes after it. Where nothing waits that is done
-   * before this returns: what crosses the end on the wire is little only if the end leaves at once.
+   * Takes nothing more; once all is written the other side is told that nothing comes after it. Where nothing waits
+   * that is done before this returns: what crosses the end on the wire is little only if the end leaves at once.
    */
   public void finish() {
     boolean now;
@@ -122,7 +122,10 @@
     return items.isEmpty() && !busy;
   }
 
-  /** Runs a task once nothing waits or is being written: at once, or by the thread that writes. The last one told counts. */
+  /**
+   * Runs a task once nothing waits or is being written: at once, or by the thread that writes. The last one told
+   * counts.
+   */
   public void whenIdle(Runnable task) {
     synchronized (this) {
       if (!items.isEmpty() || busy) {
--- a/runtime/src/main/java/gorseladder/runtime/ProcessSignals.java
+++ b/runtime/src/main/java/gorseladder/runtime/ProcessSignals.java
@@ -10,12 +10,12 @@
 /**
  * What this process is told by signals: to stop (SIGTERM, SIGINT), to read its configuration again (SIGHUP).
  *
- * <p>The Java machine handles each signal on a new thread, and where it cannot start one the signal is lost ({@code Exception
- * java.lang.OutOfMemoryError occurred dispatching signal}). Guards against that: the machine's own dispatching thread looks a
- * signal's handler up in a table, and the table put in its place here notes the signal at that look-up, so that no thread is
- * needed. That takes {@code Add-Opens: java.base/jdk.internal.misc}, which the jar's manifest has. Where it is missing, or the
- * table is not as expected, the machine's way is used and a line says so. It could harm where a later machine looks handlers up
- * at other times too; each look-up would then count as a signal.
+ * <p>The Java machine handles each signal on a new thread, and where it cannot start one the signal is lost
+ * ({@code Exception java.lang.OutOfMemoryError occurred dispatching signal}). Guards against that: the machine's own
+ * dispatching thread looks a signal's handler up in a table, and the table put in its place here notes the signal at
+ * that look-up, so that no thread is needed. That takes {@code Add-Opens: java.base/jdk.internal.misc}, which the jar's
+ * manifest has. Where it is missing, or the table is not as expected, the machine's way is used and a line says so. It
+ * could harm where a later machine looks handlers up at other times too; each look-up would then count as a signal.
  *
  * <p>Any thread.
  */
@@ -72,7 +72,10 @@
     field.set(null, new NotingTable(handlers));
   }
 
-  /** The table of handlers; the signals of this class are noted when they are looked up, and have no handler beside that. */
+  /**
+   * The table of handlers; the signals of this class are noted when they are looked up, and have no handler beside
+   * that.
+   */
   private final class NotingTable extends Hashtable<Object, Object> {
     private static final long serialVersionUID = 1L;
 
--- a/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
+++ b/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Threads for tasks that block for long, as reading a connection does: a task has a thread of its own, and a thread that is done
- * is kept for the next one.
+ * Threads for tasks that block for long, as reading a connection does: a task has a thread of its own, and a thread
+ * that is done is kept for the next one.
  *
- * <p>Guards against a system that has no new thread for a while: what ends then gives its thread to what begins, instead of
- * taking it along. A few stand ready from the start, and none is let go while starting one fails. Vain starts are spaced out,
- * since each costs the caller some milliseconds. It could harm by holding stacks of threads that a burst needed, for
- * {@link #KEEP_SECONDS}.
+ * <p>Guards against a system that has no new thread for a while: what ends then gives its thread to what begins,
+ * instead of taking it along. A few stand ready from the start, and none is let go while starting one fails. Vain
+ * starts are spaced out, since each costs the caller some milliseconds. It could harm by holding stacks of threads that
+ * a burst needed, for {@link #KEEP_SECONDS}.
  *
  * <p>Any thread.
  */
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -39,8 +39,9 @@
   /**
    * Runs a task of a thread that has others to run after it: an error of this one is logged and ends nothing else.
    *
-   * <p>Guards against threads that end for what is over in a moment: the system has no thread to start or no memory, which Java
-   * tells as an Error. It could harm where such an error left state half changed; what the task was about then ends by its time.
+   * <p>Guards against threads that end for what is over in a moment: the system has no thread to start or no memory,
+   * which Java tells as an Error. It could harm where such an error left state half changed; what the task was about
+   * then ends by its time.
    */
   public static void guarded(String name, Runnable task) {
     try {
@@ -51,8 +52,8 @@
   }
 
   /**
-   * Starts a thread that the program can do without for a moment; false where the system has none. Has a line for the first
-   * failure, and then for each power of two.
+   * Starts a thread that the program can do without for a moment; false where the system has none. Has a line for the
+   * first failure, and then for each power of two.
    */
   public static boolean mayStart(Thread thread) {
     try {
--- a/runtime/src/main/java/gorseladder/runtime/Writers.java
+++ b/runtime/src/main/java/gorseladder/runtime/Writers.java
@@ -7,11 +7,11 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Threads that write what gathered in outboxes. A few look after all; where they are held up by peers that do not read, more
- * are started, up to a bound, at the next {@link #relieve}.
+ * Threads that write what gathered in outboxes. A few look after all; where they are held up by peers that do not read,
+ * more are started, up to a bound, at the next {@link #relieve}.
  *
- * <p>Waking a thread for every message costs more than the write. So one thread, the core's, holds its tasks back while it has
- * more to do and lets them go together with {@link #release}.
+ * <p>Waking a thread for every message costs more than the write. So one thread, the core's, holds its tasks back while
+ * it has more to do and lets them go together with {@link #release}.
  *
  * <p>Any thread; {@link #release} is the holder's own.
  */
@@ -81,8 +81,8 @@
   }
 
   /**
-   * Where tasks wait because the thread that was to do them is held up, wakes those that are free, or starts one more; called
-   * now and then.
+   * Where tasks wait because the thread that was to do them is held up, wakes those that are free, or starts one more;
+   * called now and then.
    */
   public void relieve() {
     boolean more;
@@ -102,7 +102,9 @@
     }
   }
 
-  /** One thread more, counted already. Where the system has none, those that run go on, and the next look asks again. */
+  /**
+   * One thread more, counted already. Where the system has none, those that run go on, and the next look asks again.
+   */
   private void startOne() {
     if (Threads.mayStart(threads.newThread(this::run))) {
       return;
--- a/scale/src/main/java/gorseladder/scale/ScaleFile.java
+++ b/scale/src/main/java/gorseladder/scale/ScaleFile.java
@@ -18,7 +18,9 @@
   static final double LEAST_FACTOR = 64;
   /** Processes that a run may have at once, of its own and the machine's sake. */
   static final int MOST_PROCESSES = 300;
-  /** Upper bounds of the heap that a hollow dispatcher takes, in bytes; {@code docs/CAPACITY.md} has what it does take. */
+  /**
+   * Upper bounds of the heap that a hollow dispatcher takes, in bytes; {@code docs/CAPACITY.md} has what it does take.
+   */
   private static final long BYTES_A_WORKER = 700;
 
   private static final long BYTES_A_FUNCTION = 3_000;
--- a/scale/src/test/java/gorseladder/scale/ScaleFileTest.java
+++ b/scale/src/test/java/gorseladder/scale/ScaleFileTest.java
@@ -36,13 +36,17 @@
         "sweep { field: WORKERS value: [10, 40, 160] }#sweep WORKERS: has 3 sizes, needs 4",
         "sweep { field: WORKERS value: [10, 20, 30, 40] }#sweep WORKERS: spans a factor of 4.0, needs 64",
         "sweep { field: WORKERS value: [10, 10, 20, 640] }#sweep WORKERS: sizes must grow",
-        "sweep { field: WORKERS value: [1000, 4000, 16000, 9000000] }#sweep WORKERS: 4 dispatchers with 9000000 workers",
-        "base { dispatchers: 0 } sweep { field: WORKERS value: [10, 40, 160, 640] }#dispatchers: is 0.0, must be positive",
+        "sweep { field: WORKERS value: [1000, 4000, 16000, 9000000] }"
+            + "#sweep WORKERS: 4 dispatchers with 9000000 workers",
+        "base { dispatchers: 0 } sweep { field: WORKERS value: [10, 40, 160, 640] }"
+            + "#dispatchers: is 0.0, must be positive",
         "base { weight_from: 2 weight_to: 1 } sweep { field: WORKERS value: [10, 40, 160, 640] }#weight_to: is below",
         "seed: 3#sweep: at least one is needed",
         "sweeps { }#scale.txtpb:1:1",
-        "sweep { field: WORKERS value: [10, 40, 160, 640] } real { dispatchers: [301] }#real dispatchers: 301 is over 300",
-        "sweep { field: WORKERS value: [10, 40, 160, 640] } real { dispatchers: [250] }#real dispatchers: 250 processes need",
+        "sweep { field: WORKERS value: [10, 40, 160, 640] } real { dispatchers: [301] }"
+            + "#real dispatchers: 301 is over 300",
+        "sweep { field: WORKERS value: [10, 40, 160, 640] } real { dispatchers: [250] }"
+            + "#real dispatchers: 250 processes need",
         "sweep { field: WORKERS value: [10, 40, 160, 640] } real { workers: [-1] }#real workers: is -1.0"
       })
   void aFileThatCannotRunIsRefusedWithFieldAndFigure(String text, String error) throws IOException {
--- a/soak/src/main/java/gorseladder/soak/Crowd.java
+++ b/soak/src/main/java/gorseladder/soak/Crowd.java
@@ -11,7 +11,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Clients that come to one dispatcher in a crowd and ask for nothing whole. Nothing is owed to them but an end; one thread. */
+/**
+ * Clients that come to one dispatcher in a crowd and ask for nothing whole. Nothing is owed to them but an end; one
+ * thread.
+ */
 final class Crowd {
   /** Connections that say nothing: below a third of the descriptors told. */
   private static final int SILENT = 150;
--- a/soak/src/main/java/gorseladder/soak/EdgeSoak.java
+++ b/soak/src/main/java/gorseladder/soak/EdgeSoak.java
@@ -4,11 +4,11 @@
 import gorseladder.runtime.Clock;
 import gorseladder.soak.Preload.Control;
 import gorseladder.soak.Preload.Fault;
-import gorseladder.testbed.Portal;
-import gorseladder.testbed.Portal.Kind;
 import gorseladder.testbed.RuleChecker;
 import gorseladder.testbed.Tap;
-import gorseladder.testbed.World;
+import gorseladder.testbed.TestFleet;
+import gorseladder.testbed.WebhookClients;
+import gorseladder.testbed.WebhookClients.Kind;
 import gorseladder.testbed.script.DayScript;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -24,9 +24,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A soak of one edge with a ledger: its wall clock is stepped, its disk is full or fails for a while, it is killed in the middle of
- * writes; senders repeat what got no good answer, and some of what got one. Judged by the checker of the five rules, which sees
- * sockets only.
+ * A soak of one edge with a ledger: its wall clock is stepped, its disk is full or fails for a while, it is killed in
+ * the middle of writes; senders repeat what got no good answer, and some of what got one. Judged by the checker of the
+ * five rules, which sees sockets only.
  */
 public final class EdgeSoak {
   private static final long GAP_MILLIS = 30;
@@ -93,8 +93,8 @@
     preload.environment(control, data).forEach((name, value) -> prefix.add(name + "=" + value));
     DayScript script = script();
     List<String> troubles = new ArrayList<>();
-    try (World world = new World(script, folder, true, line -> {}, prefix, LEDGER)) {
-      Portal portal = world.portal();
+    try (TestFleet world = new TestFleet(script, folder, true, line -> {}, prefix, LEDGER)) {
+      WebhookClients portal = world.portal();
       ExecutorService senders = Executors.newFixedThreadPool(SENDERS);
       long until = Clock.micros() + length;
       Thread brings = new Thread(() -> bring(world, portal, until, troubles), "edge-troubles");
@@ -111,7 +111,7 @@
       boolean ended = senders.awaitTermination(30, TimeUnit.SECONDS);
       deliverAgain(portal);
       List<String> breaks = new ArrayList<>(
-          RuleChecker.check(world.tap(), world.rules(), World.REPEAT_WINDOW, SLACK).stream()
+          RuleChecker.check(world.tap(), world.rules(), TestFleet.REPEAT_WINDOW, SLACK).stream()
               .map(Object::toString)
               .toList());
       if (!ended) {
@@ -133,7 +133,7 @@
   }
 
   /** After a step of the clock, and at the end: what was served is served again, from memory. */
-  private void deliverAgain(Portal portal) throws InterruptedException {
+  private void deliverAgain(WebhookClients portal) throws InterruptedException {
     Thread.sleep(FORGETS_WITHIN_MILLIS);
     done.stream()
         .limit(MOST_AGAIN)
@@ -142,11 +142,11 @@
   }
 
   private static List<Kind> kinds() {
-    return Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW);
+    return WebhookClients.kinds(TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW);
   }
 
   /** Delivers a message until it is served, and perhaps again after that. */
-  private void deliver(Portal portal, String message, Kind kind) {
+  private void deliver(WebhookClients portal, String message, Kind kind) {
     byte[] body = portal.payload(kind, "svc/" + Math.floorMod(message.hashCode(), 6));
     ThreadLocalRandom chance = ThreadLocalRandom.current();
     try {
@@ -183,7 +183,7 @@
 
   // ---- troubles
 
-  private void bring(World world, Portal portal, long until, List<String> troubles) {
+  private void bring(TestFleet world, WebhookClients portal, long until, List<String> troubles) {
     try {
       Thread.sleep(1_000);
       while (Clock.micros() < until - 1_500_000) {
@@ -231,15 +231,17 @@
     failing(0, 0, 0);
   }
 
-  /** The first step is an hour forward, past what the ledger keeps; later ones are drawn, or take the one before back. */
-  private void step(Portal portal) throws InterruptedException {
+  /**
+   * The first step is an hour forward, past what the ledger keeps; later ones are drawn, or take the one before back.
+   */
+  private void step(WebhookClients portal) throws InterruptedException {
     int drawn = random.nextInt(STEPS_MILLIS.length);
     stepMillis = stepMillis != 0 ? 0 : STEPS_MILLIS[steps++ == 0 ? 0 : drawn];
     control.set(Fault.WALL_OFFSET_MS, stepMillis);
     deliverAgain(portal);
   }
 
-  private void kill(World world, int mends) throws IOException, InterruptedException {
+  private void kill(TestFleet world, int mends) throws IOException, InterruptedException {
     world.process(0).destroyForcibly().waitFor();
     if (mends > 0) {
       failing(0, 0, 0);
--- a/soak/src/main/java/gorseladder/soak/Evidence.java
+++ b/soak/src/main/java/gorseladder/soak/Evidence.java
@@ -178,7 +178,10 @@
     return logTroubles.values().stream().flatMap(List::stream).anyMatch(span -> span.holds(at));
   }
 
-  /** When what the log told at that time counts as told to a dispatcher: the given time after a trouble of the log began. */
+  /**
+   * When what the log told at that time counts as told to a dispatcher: the given time after a trouble of the log
+   * began.
+   */
   synchronized long toldAt(int dispatcher, long at, long within) {
     return logTroubles.getOrDefault(dispatcher, List.of()).stream()
         .filter(span -> span.holds(at))
--- a/soak/src/main/java/gorseladder/soak/FaultProxy.java
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -19,8 +19,8 @@
 import java.util.concurrent.Executors;
 
 /**
- * Passes connections on to a stand-in, and can hold up what passes, reset what is open, refuse what is new or let it come up
- * late. Two threads a connection. Any thread.
+ * Passes connections on to a stand-in, and can hold up what passes, reset what is open, refuse what is new or let it
+ * come up late. Two threads a connection. Any thread.
  */
 final class FaultProxy implements Closeable {
   private static final int BUFFER = 16_384;
@@ -32,7 +32,9 @@
     return thread;
   });
   private static final int BLOCKED_MILLIS = 60;
-  /** Another socket of the loopback may be given a port that is free for a moment; it is tried again for about a second. */
+  /**
+   * Another socket of the loopback may be given a port that is free for a moment; it is tried again for about a second.
+   */
   private static final int MOST_BINDS = 100;
 
   private static final int BIND_PAUSE_MILLIS = 10;
@@ -73,7 +75,9 @@
     return accepted;
   }
 
-  /** Runs a task on a thread of the soak's own; threads are used again, since connections come and go by the hundred. */
+  /**
+   * Runs a task on a thread of the soak's own; threads are used again, since connections come and go by the hundred.
+   */
   static void start(String name, Runnable task) {
     THREADS.execute(() -> {
       Thread.currentThread().setName(name);
--- a/soak/src/main/java/gorseladder/soak/NewsTroubles.java
+++ b/soak/src/main/java/gorseladder/soak/NewsTroubles.java
@@ -109,8 +109,8 @@
   }
 
   /**
-   * Moves the change log of a dispatcher to a new address and signals that. The old address takes no new connection and tells
-   * nothing more.
+   * Moves the change log of a dispatcher to a new address and signals that. The old address takes no new connection and
+   * tells nothing more.
    *
    * @return the old address, to be closed later
    */
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -11,8 +11,9 @@
 import java.util.Map;
 
 /**
- * Judges a soak by its evidence: what was seen on sockets, and how processes started and ended. Where the soak itself may be the
- * cause (it cut a connection, held bytes up, killed a process), the finding is left out rather than guessed. Pure.
+ * Judges a soak by its evidence: what was seen on sockets, and how processes started and ended. Where the soak itself
+ * may be the cause (it cut a connection, held bytes up, killed a process), the finding is left out rather than guessed.
+ * Pure.
  */
 final class Oracle {
   private static final long MILLI = 1_000;
@@ -46,8 +47,8 @@
    * What came of it.
    *
    * @param findings all that went against a rule, in the order of time
-   * @param heldInTheWrite attempts whose dispatcher was stopped between its last look and the write of the bytes: no program
-   *     can look later than that, so what came of it is counted and not judged
+   * @param heldInTheWrite attempts whose dispatcher was stopped between its last look and the write of the bytes: no
+   *     program can look later than that, so what came of it is counted and not judged
    */
   record Judgement(List<Finding> findings, int heldInTheWrite) {}
 
@@ -138,7 +139,10 @@
     }
   }
 
-  /** True where its dispatcher was killed by a trouble of the plan while it was open; the kill after a stop excuses nothing. */
+  /**
+   * True where its dispatcher was killed by a trouble of the plan while it was open; the kill after a stop excuses
+   * nothing.
+   */
   private boolean mayBeKilled(Asked r) {
     long until = r.sentAt + r.timeout + ANSWER_SLACK;
     return evidence.lives().stream()
@@ -268,8 +272,8 @@
   }
 
   /**
-   * True where the attempt came as its dispatcher went on after a pause, with the time that its client had left as the pause
-   * began: it had passed the last look by then. One that was let out after the pause has another time on it.
+   * True where the attempt came as its dispatcher went on after a pause, with the time that its client had left as the
+   * pause began: it had passed the last look by then. One that was let out after the pause has another time on it.
    */
   private boolean heldInTheWrite(Asked request, Arrived a) {
     Evidence.Span pause = evidence.pauseBefore(request.dispatcher, a.firstByteAt);
--- a/soak/src/main/java/gorseladder/soak/OwnStalls.java
+++ b/soak/src/main/java/gorseladder/soak/OwnStalls.java
@@ -11,9 +11,10 @@
 import java.util.List;
 
 /**
- * Notices when the soak's own threads got no processor for a while: what its clients and runners wrote down as times is late by as
- * much. A byte goes round through a proxy and back every few milliseconds, over as many threads as a request passes in the soak;
- * where that takes long the span is kept, so that the oracle can tell a late dispatcher from a late soak. Any thread.
+ * Notices when the soak's own threads got no processor for a while: what its clients and runners wrote down as times is
+ * late by as much. A byte goes round through a proxy and back every few milliseconds, over as many threads as a request
+ * passes in the soak; where that takes long the span is kept, so that the oracle can tell a late dispatcher from a late
+ * soak. Any thread.
  */
 final class OwnStalls implements Closeable {
   private static final long TICK_MILLIS = 5;
--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * Faults by which the oracle itself is tried: each is a small change of one class of the dispatcher, and a soak with it must find
- * the rule broken that it is named after.
+ * Faults by which the oracle itself is tried: each is a small change of one class of the dispatcher, and a soak with it
+ * must find the rule broken that it is named after.
  */
 public enum PlantedFault {
   ANSWERS_FORGOTTEN(
@@ -95,11 +95,11 @@
       "if (used.addAndGet(bytes) <= most) {",
       "if (used.addAndGet(bytes) > 0) {",
       Trouble.CROWD),
-  STOP_LEAVES_CLIENTS_CONNECTED(
-      SoakRule.FINAL_ANSWER,
-      "node/src/main/java/gorseladder/node/front/FrontConnection.java",
-      "halfCloseIfFree(CloseReason.STOPPING);",
-      "closesAfterAnswers = false;",
+  STOP_ENDS_TOO_LATE(
+      SoakRule.END,
+      "node/src/main/java/gorseladder/node/Node.java",
+      "while (!front.drain() && Clock.micros() < leaves) {",
+      "while (front.drain() || Clock.micros() < leaves + 400_000) {",
       Trouble.STOP),
   SEEN_BY_ITSELF(
       SoakRule.LOG,
--- a/soak/src/main/java/gorseladder/soak/Preload.java
+++ b/soak/src/main/java/gorseladder/soak/Preload.java
@@ -15,8 +15,8 @@
 import java.util.stream.Collectors;
 
 /**
- * The library that makes system calls of a process fail, steps its wall clock and spoils its files; built from {@code faults.c}
- * by the machine's compiler. Any thread.
+ * The library that makes system calls of a process fail, steps its wall clock and spoils its files; built from
+ * {@code faults.c} by the machine's compiler. Any thread.
  */
 public final class Preload {
   private static final String SOURCE = "faults.c";
@@ -117,7 +117,9 @@
     return new Control(file);
   }
 
-  /** The environment of a process that is to be under a control; {@code folder} holds files that may fail, or is null. */
+  /**
+   * The environment of a process that is to be under a control; {@code folder} holds files that may fail, or is null.
+   */
   public Map<String, String> environment(Control control, Path folder) {
     return Map.of(
         "LD_PRELOAD",
--- a/soak/src/main/java/gorseladder/soak/SoakClients.java
+++ b/soak/src/main/java/gorseladder/soak/SoakClients.java
@@ -19,8 +19,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The clients of one dispatcher: a steady stream of requests over a few connections, some of which leave early, send in pieces or
- * rest for long; all that is sent and answered is written down. One thread sends; each connection has one that reads.
+ * The clients of one dispatcher: a steady stream of requests over a few connections, some of which leave early, send in
+ * pieces or rest for long; all that is sent and answered is written down. One thread sends; each connection has one
+ * that reads.
  */
 final class SoakClients implements Closeable {
   private static final int CONNECTIONS = 4;
--- a/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
+++ b/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
@@ -14,7 +14,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** One dispatcher as a process, with its configuration, log, faults and clients. Its methods are called by one thread at a time. */
+/**
+ * One dispatcher as a process, with its configuration, log, faults and clients. Its methods are called by one thread at
+ * a time.
+ */
 final class SoakDispatcher implements AutoCloseable {
   private static final long READY_MILLIS = 30_000;
   private static final long END_MILLIS = 8_000;
@@ -129,8 +132,8 @@
   }
 
   /**
-   * Stops it as a planned restart does: the signal comes, clients open connections for a while, go on on open ones, and the kill
-   * comes as early as it may.
+   * Stops it as a planned restart does: the signal comes, clients open connections for a while, go on on open ones, and
+   * the kill comes as early as it may.
    *
    * @param connecting how long new connections come after the signal, in microseconds
    */
--- a/soak/src/main/java/gorseladder/soak/SoakPlan.java
+++ b/soak/src/main/java/gorseladder/soak/SoakPlan.java
@@ -7,8 +7,8 @@
 import java.util.SplittableRandom;
 
 /**
- * What happens in a soak, drawn from its seed alone: sizes, traffic and troubles, two or three of which overlap. The same seed
- * and options give the same plan; what the processes make of it may differ from play to play. Immutable.
+ * What happens in a soak, drawn from its seed alone: sizes, traffic and troubles, two or three of which overlap. The
+ * same seed and options give the same plan; what the processes make of it may differ from play to play. Immutable.
  *
  * @param runners runners at the start
  * @param callsPerSecond calls a second at each dispatcher
--- a/soak/src/main/java/gorseladder/soak/SoakRunner.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRunner.java
@@ -20,8 +20,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A runner that speaks the platform's lines behind a {@link FaultProxy}: each request takes its time, answers come in any order,
- * and what arrived, ended or was given up is written down. Any thread.
+ * A runner that speaks the platform's lines behind a {@link FaultProxy}: each request takes its time, answers come in
+ * any order, and what arrived, ended or was given up is written down. Any thread.
  */
 final class SoakRunner implements Closeable {
   /** Requests a second that a warm runner of this kind is taken to bear, for the budget of a cold one. */
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -219,7 +219,9 @@
     run.evidence().pause(dispatcher.number(), new Evidence.Span(from, Clock.micros()));
   }
 
-  /** Clients of one dispatcher leave, or of all: then some surely do while another trouble holds their dispatcher up. */
+  /**
+   * Clients of one dispatcher leave, or of all: then some surely do while another trouble holds their dispatcher up.
+   */
   private void leave(SoakDispatcher dispatcher, Event event) {
     if (event.draw() % 2 == 0) {
       dispatcher.clients().leave(event.length());
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -55,8 +55,8 @@
   }
 
   /**
-   * Incident-1: a crowd of clients that say nothing, and no thread can be started for seconds. What the usual clients ask on
-   * their open connections and on new ones is answered in time by the threads that are there.
+   * Incident-1: a crowd of clients that say nothing, and no thread can be started for seconds. What the usual clients
+   * ask on their open connections and on new ones is answered in time by the threads that are there.
    */
   @Test
   void aCrowdWhileNoThreadCanBeStartedCostsNoAnswer() throws Exception {
--- a/store/src/main/java/gorseladder/store/FormerLedger.java
+++ b/store/src/main/java/gorseladder/store/FormerLedger.java
@@ -20,7 +20,9 @@
     void written() throws IOException;
   }
 
-  /** Hands over all records, waits until they are written and moves the file aside; a crash in between does it again. */
+  /**
+   * Outbound over all records, waits until they are written and moves the file aside; a crash in between does it again.
+   */
   static void takeOver(Path file, Taker taker) throws IOException {
     if (!Files.exists(file)) {
       return;
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -24,27 +24,34 @@
 import org.h2.mvstore.MVStoreException;
 
 /**
- * The durable memory of messages: how far each got, and which signed requests were taken. An append-only log of segments with
- * tables in memory of where each record stands. Group commit: whoever needs durability puts its records, gets a ticket and waits
- * for it, and one thread writes whatever has gathered since its last write as one frame.
+ * The durable memory of messages: how far each got, and which signed requests were taken. An append-only log of
+ * segments with tables in memory of where each record stands. Group commit: whoever needs durability puts its records,
+ * gets a ticket and waits for it, and one thread writes whatever has gathered since its last write as one frame.
  *
- * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a power cut.
- * While writes or syncs fail (a full disk, an error of the device) nothing is promised: whoever waits gets an exception, and
- * {@link #hasRoom} says that nothing new should be taken. What was put is kept, within a bound, and written again at the same
- * place until that succeeds, so that the ends of calls in hand are not forgotten. A file that cannot be removed is tried again.
+ * <p>What a ticket's wait promises: after a kill of the process the record is there; with {@code sync} also after a
+ * power cut. While writes or syncs fail (a full disk, an error of the device) nothing is promised: whoever waits gets
+ * an exception, and {@link #hasRoom} says that nothing new should be taken. What was put is kept, within a bound, and
+ * written again at the same place until that succeeds, so that the ends of calls in hand are not forgotten. A file that
+ * cannot be removed is tried again.
  *
- * <p>What has expired is not found any more; its bytes go when all of its segment has expired. Bounded by age and by number. Any
- * thread; atomicity over several calls is the caller's.
+ * <p>What has expired is not found any more; its bytes go when all of its segment has expired. Bounded by age and by
+ * number. Any thread; atomicity over several calls is the caller's.
  */
 public final class Ledger implements Closeable {
   private static final String SUFFIX = ".segment";
   private static final String FORMER = ".mv";
-  /** A segment ends at this size, or at a part of the whole where that is more, so that there are never many to look into. */
+  /**
+   * A segment ends at this size, or at a part of the whole where that is more, so that there are never many to look
+   * into.
+   */
   private static final int SEGMENT_BYTES = 32 << 20;
 
   private static final int MOST_SEGMENT_BYTES = 1 << 30;
   private static final int SEGMENTS = 32;
-  /** A segment also ends when it has run for this part of the time its messages are kept, so that bytes go soon after that. */
+  /**
+   * A segment also ends when it has run for this part of the time its messages are kept, so that bytes go soon after
+   * that.
+   */
   private static final int TIME_PARTS = 16;
   /** Messages that expire within the same second are counted together. */
   private static final long COUNTED = 1_000_000;
@@ -217,8 +224,8 @@
   }
 
   /**
-   * Opens the ledger in a folder, reading every record once, and writes to it, so that damage and a full disk are found now. The
-   * file of a former format beside it is taken over.
+   * Opens the ledger in a folder, reading every record once, and writes to it, so that damage and a full disk are found
+   * now. The file of a former format beside it is taken over.
    *
    * @throws LedgerException where it is damaged, held by another process, of another format or cannot be written
    */
@@ -237,7 +244,8 @@
       throw new LedgerException(
           "ledger " + folder + " cannot be used: " + why
               + ". Nothing was changed. Way out: free the"
-              + " disk or restore the folder; or move it away, but then no message before now is remembered: let the edge take"
+              + " disk or restore the folder; or move it away, but then no message before now is remembered: "
+              + "let the edge take"
               + " no unsafe calls until the senders' retries are over.",
           e);
     }
@@ -508,7 +516,10 @@
     }
   }
 
-  /** Writes what has gathered, or what could not be written before; false where it fails, and then it is to be tried again. */
+  /**
+   * Writes what has gathered, or what could not be written before; false where it fails, and then it is to be tried
+   * again.
+   */
   private boolean commit() {
     Frame frame;
     lock.lock();
--- a/store/src/main/java/gorseladder/store/LedgerClock.java
+++ b/store/src/main/java/gorseladder/store/LedgerClock.java
@@ -5,13 +5,14 @@
 import java.nio.file.Path;
 
 /**
- * The time by which the ledger remembers and forgets: microseconds that begin at the wall clock's and then go on with the
- * monotonic clock. Steps of the wall clock do not reach it, also not over a restart of the process: how far the two clocks stood
- * apart is kept in a file beside the ledger, with the boot of the machine for which that holds.
+ * The time by which the ledger remembers and forgets: microseconds that begin at the wall clock's and then go on with
+ * the monotonic clock. Steps of the wall clock do not reach it, also not over a restart of the process: how far the two
+ * clocks stood apart is kept in a file beside the ledger, with the boot of the machine for which that holds.
  *
- * <p>Guards against messages that are forgotten, or windows that count as over or as not begun, because the wall clock was
- * stepped. It could harm where the clock was wrong at the first start after a boot: this time is then wrong until the next boot,
- * which only matters where it is compared with another machine's; {@link #fromNow} is for that. Any thread.
+ * <p>Guards against messages that are forgotten, or windows that count as over or as not begun, because the wall clock
+ * was stepped. It could harm where the clock was wrong at the first start after a boot: this time is then wrong until
+ * the next boot, which only matters where it is compared with another machine's; {@link #fromNow} is for that. Any
+ * thread.
  */
 public final class LedgerClock {
   private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
@@ -29,7 +30,9 @@
     return open(folder, boot(), System.currentTimeMillis() * NANOS, monotonic());
   }
 
-  /** The same for given readings of both clocks, in microseconds, and a given boot; null where the boot is not known. */
+  /**
+   * The same for given readings of both clocks, in microseconds, and a given boot; null where the boot is not known.
+   */
   static LedgerClock open(Path folder, String boot, long wall, long monotonic) {
     Path file = folder.resolve(FILE);
     Long kept = boot == null ? null : kept(file, boot);
--- a/store/src/main/java/gorseladder/store/LedgerRecord.java
+++ b/store/src/main/java/gorseladder/store/LedgerRecord.java
@@ -5,8 +5,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One record of the ledger: a message with how far it got, a signed request until it may be forgotten, both, or the count of
- * openings. Immutable but for the entry's arrays.
+ * One record of the ledger: a message with how far it got, a signed request until it may be forgotten, both, or the
+ * count of openings. Immutable but for the entry's arrays.
  *
  * @param message null where the record is about no message; {@code entry} stands and falls with it
  * @param request null where it is about no request
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -13,8 +13,8 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * One file of the ledger and the tables of what stands in it. A head of 24 bytes (mark, format, number, checksum), then frames: what
- * one commit wrote, with mark, length and checksum. Only the last file is written, and only at its end.
+ * One file of the ledger and the tables of what stands in it. A head of 24 bytes (mark, format, number, checksum), then
+ * frames: what one commit wrote, with mark, length and checksum. Only the last file is written, and only at its end.
  *
  * <p>The caller guards the tables; {@link #read} may be called by any thread.
  */
@@ -80,8 +80,8 @@
   }
 
   /**
-   * Writes a frame at a place of the file, which is made at its first frame; the first bytes are kept free for its head. What
-   * stands there and behind is of a write that failed: it was promised to nobody.
+   * Writes a frame at a place of the file, which is made at its first frame; the first bytes are kept free for its
+   * head. What stands there and behind is of a write that failed: it was promised to nobody.
    *
    * @throws IOException where it was not written whole; it may then be written again at the same place
    */
@@ -155,8 +155,8 @@
   /**
    * Reads the file from its beginning and sets where it ends.
    *
-   * <p>A last frame that is not whole is what a kill in the middle of a write leaves; it was promised to nobody and is cut off
-   * where this is the last file. Anything after it, or a file that is followed by others, makes it damage.
+   * <p>A last frame that is not whole is what a kill in the middle of a write leaves; it was promised to nobody and is
+   * cut off where this is the last file. Anything after it, or a file that is followed by others, makes it damage.
    *
    * @param last true for the file that will be written on
    */
--- a/store/src/main/java/gorseladder/store/history/History.java
+++ b/store/src/main/java/gorseladder/store/history/History.java
@@ -17,9 +17,10 @@
 import java.util.stream.Stream;
 
 /**
- * What happened, kept on disk: an append-only log of rows in segments with checksums. A crash at any byte loses at most what
- * was not forced, and never a row before it. Rows are numbered without a gap, so that a reader who remembers its last number
- * reads each row once. Old whole segments are compacted into hours, and the oldest dropped past a bound on bytes.
+ * What happened, kept on disk: an append-only log of rows in segments with checksums. A crash at any byte loses at most
+ * what was not forced, and never a row before it. Rows are numbered without a gap, so that a reader who remembers its
+ * last number reads each row once. Old whole segments are compacted into hours, and the oldest dropped past a bound on
+ * bytes.
  *
  * <p>Thread safe; one process a directory.
  */
@@ -56,8 +57,8 @@
   /**
    * What a reader gets: rows that follow its number.
    *
-   * @param from the number the rows really begin at; lower than asked where a compacted segment had to be read whole (forget what
-   *     was read from that number on), higher where older rows were dropped
+   * @param from the number the rows really begin at; lower than asked where a compacted segment had to be read whole
+   *     (forget what was read from that number on), higher where older rows were dropped
    * @param next the number to ask for next time
    */
   public record Batch(long from, long next, List<HistoryRow> rows) {}
@@ -189,7 +190,8 @@
   }
 
   /**
-   * Appends rows; they survive a kill of the process, and a power cut once {@link #force()} returned. Returns the next number.
+   * Appends rows; they survive a kill of the process, and a power cut once {@link #force()} returned. Returns the next
+   * number.
    *
    * @throws IOException where a row cannot be written; those before it were, it and those behind it were not
    */
@@ -222,7 +224,9 @@
     torn = false;
   }
 
-  /** Ends a segment. Where the next one cannot be begun now, the next row tries again: this one is written in any case. */
+  /**
+   * Ends a segment. Where the next one cannot be begun now, the next row tries again: this one is written in any case.
+   */
   private void roll() {
     parts.put(first, new Part(file, first, next - first, bytes, lastMinute, false));
     try (FileChannel whole = channel) {
@@ -278,7 +282,9 @@
     return new Batch(begins < 0 ? Math.max(from, next) : begins, Math.max(at, from), rows);
   }
 
-  /** Compacts whole segments whose rows are all old enough, and drops the oldest past the bound; called now and then. */
+  /**
+   * Compacts whole segments whose rows are all old enough, and drops the oldest past the bound; called now and then.
+   */
   public synchronized void compact(long nowMinute) throws IOException {
     for (Part part : List.copyOf(parts.values())) {
       if (!part.coarse() && part.lastMinute() + bounds.fineMinutes() < nowMinute) {
--- a/store/src/main/java/gorseladder/store/history/Segment.java
+++ b/store/src/main/java/gorseladder/store/history/Segment.java
@@ -9,9 +9,9 @@
 import java.util.List;
 
 /**
- * The form of a segment file: a head of 32 bytes (mark, format, first sequence number, how many numbers it covers, checksum),
- * then records of length, checksum and row. A file that is still written covers as many numbers as it has whole records; one
- * that was compacted says in its head how many it stands for.
+ * The form of a segment file: a head of 32 bytes (mark, format, first sequence number, how many numbers it covers,
+ * checksum), then records of length, checksum and row. A file that is still written covers as many numbers as it has
+ * whole records; one that was compacted says in its head how many it stands for.
  */
 final class Segment {
   static final int HEAD = 32;
