--- a/store/src/test/java/gorseladder/store/LedgerClockTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerClockTest.java
@@ -16,7 +16,9 @@
   @TempDir
   Path folder;
 
-  /** A restart with the wall clock an hour ahead, or back, changes nothing; after a boot of the machine it begins anew. */
+  /**
+   * A restart with the wall clock an hour ahead, or back, changes nothing; after a boot of the machine it begins anew.
+   */
   @Test
   void stepsOfTheWallClockDoNotReachItOverARestart() {
     assertEquals(WALL + 5, LedgerClock.open(folder, "boot-a", WALL, 100).at(105));
--- a/store/src/test/java/gorseladder/store/LedgerTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerTest.java
@@ -82,7 +82,10 @@
     }
   }
 
-  /** A copy of the folder at any moment after a wait is what a kill at that moment leaves; segments are small, so many are met. */
+  /**
+   * A copy of the folder at any moment after a wait is what a kill at that moment leaves; segments are small, so many
+   * are met.
+   */
   @Test
   void whatWasAwaitedIsInTheFilesAtOnce() throws IOException {
     Random random = new Random(3);
@@ -104,7 +107,9 @@
     }
   }
 
-  /** Cut off at any byte of the last file: each frame that is whole is there, none that is not, and it is written on. */
+  /**
+   * Cut off at any byte of the last file: each frame that is whole is there, none that is not, and it is written on.
+   */
   @Test
   void aKillAtAnyByteLosesAtMostTheLastFrame() throws IOException {
     List<Long> ends = new ArrayList<>();
@@ -156,7 +161,10 @@
     }
   }
 
-  /** Files go when all in them has expired, and what stands in later ones stays; the count of openings outlives its file. */
+  /**
+   * Files go when all in them has expired, and what stands in later ones stays; the count of openings outlives its
+   * file.
+   */
   @Test
   void expiredSegmentsGoWhole() throws IOException {
     long second = 1_000_000;
@@ -402,7 +410,10 @@
     assertTrue(ledger.hasRoom(), "the disk has room again");
   }
 
-  /** While writes or syncs fail nothing new is taken and no one is promised anything; then what was put is written after all. */
+  /**
+   * While writes or syncs fail nothing new is taken and no one is promised anything; then what was put is written after
+   * all.
+   */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void aDiskThatFailsForAWhileLosesNothing(boolean writes) throws Exception {
--- a/store/src/test/java/gorseladder/store/history/HistoryTest.java
+++ b/store/src/test/java/gorseladder/store/history/HistoryTest.java
@@ -170,7 +170,10 @@
         () -> new HistoryRow(-1, 1, "", "", "", 0, 0, 0, 0, 0, 0, 0, 0));
   }
 
-  /** A disk that is full for a while, within a segment and where a new one begins: what was appended before and after is there. */
+  /**
+   * A disk that is full for a while, within a segment and where a new one begins: what was appended before and after is
+   * there.
+   */
   @Test
   void aDiskThatIsFullForAWhileSpoilsNoRow() throws IOException {
     boolean[] full = new boolean[1];
--- a/structures/src/main/java/gorseladder/structures/DigestTable.java
+++ b/structures/src/main/java/gorseladder/structures/DigestTable.java
@@ -3,9 +3,10 @@
 import java.util.Arrays;
 
 /**
- * A table from 128-bit digests to numbers from 0 on, in flat arrays: 20 bytes a slot and no object an entry, where a map of boxed
- * keys takes several times that. Linear probing, at most five eighths full. Nothing is removed: a table is dropped whole. Digests
- * must be evenly spread, as those of a keyed hash are; a sender who could choose them could make a lookup long.
+ * A table from 128-bit digests to numbers from 0 on, in flat arrays: 20 bytes a slot and no object an entry, where a
+ * map of boxed keys takes several times that. Linear probing, at most five eighths full. Nothing is removed: a table is
+ * dropped whole. Digests must be evenly spread, as those of a keyed hash are; a sender who could choose them could make
+ * a lookup long.
  *
  * <p>Not thread safe.
  */
--- a/structures/src/main/java/gorseladder/structures/TimerWheel.java
+++ b/structures/src/main/java/gorseladder/structures/TimerWheel.java
@@ -5,13 +5,14 @@
 /**
  * A hierarchical timing wheel: many timers, most of which are cancelled before they are due.
  *
- * <p>Source: G. Varghese and T. Lauck, "Hashed and Hierarchical Timing Wheels" (SOSP 1987), scheme 7: levels of 64 slots,
- * each level's slot as wide as the whole level below. A bitmap for each level finds the next occupied slot without a
- * walk over empty ones. Scheduling and cancelling take constant time; a timer moves down at most once for each level.
+ * <p>Source: G. Varghese and T. Lauck, "Hashed and Hierarchical Timing Wheels" (SOSP 1987), scheme 7: levels of 64
+ * slots, each level's slot as wide as the whole level below. A bitmap for each level finds the next occupied slot
+ * without a walk over empty ones. Scheduling and cancelling take constant time; a timer moves down at most once for
+ * each level.
  *
- * <p>A timer never fires before its time and at most one tick after the first {@link #advance} at or past it. Timers due
- * in the same tick fire in the order in which their slot holds them, which is not promised. Not thread safe. Times are in
- * whatever unit the caller uses (the program: microseconds), not negative, and only go forward.
+ * <p>A timer never fires before its time and at most one tick after the first {@link #advance} at or past it. Timers
+ * due in the same tick fire in the order in which their slot holds them, which is not promised. Not thread safe. Times
+ * are in whatever unit the caller uses (the program: microseconds), not negative, and only go forward.
  *
  * @param <T> what a timer carries
  */
@@ -133,8 +134,8 @@
   }
 
   /**
-   * The time at which {@link #advance} next has something to do, {@link Long#MAX_VALUE} where nothing is scheduled. It may
-   * be earlier than the next timer, never later.
+   * The time at which {@link #advance} next has something to do, {@link Long#MAX_VALUE} where nothing is scheduled. It
+   * may be earlier than the next timer, never later.
    */
   public long nextDue() {
     if (due.after != due) {
--- a/testbed/src/main/java/gorseladder/testbed/LagMeter.java
+++ b/testbed/src/main/java/gorseladder/testbed/LagMeter.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 
 /**
- * Measures by how much this machine lets threads wait for a processor, as the oversleep of short sleeps, and when. A call passes
- * about ten threads on its way, so a checker that judges times must not blame an edge for what the machine added around that moment.
- * Any thread may ask.
+ * Measures by how much this machine lets threads wait for a processor, as the oversleep of short sleeps, and when. A
+ * call passes about ten threads on its way, so a checker that judges times must not blame an edge for what the machine
+ * added around that moment. Any thread may ask.
  */
 public final class LagMeter implements AutoCloseable {
   private static final long SLEEP_MILLIS = 2;
--- a/testbed/src/main/java/gorseladder/testbed/ListStandIn.java
+++ b/testbed/src/main/java/gorseladder/testbed/ListStandIn.java
@@ -21,8 +21,8 @@
 import java.util.Map;
 
 /**
- * A stand-in for a Consul agent: the blocking health query of one service. What it knows becomes visible late, and not at
- * all while it is behind. Any thread.
+ * A stand-in for a Consul agent: the blocking health query of one service. What it knows becomes visible late, and not
+ * at all while it is behind. Any thread.
  */
 public final class ListStandIn implements Closeable {
   private static final int STACK = 256 << 10;
--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -22,25 +22,28 @@
 public final class Play {
   private static final Logger LOG = LoggerFactory.getLogger(Play.class);
   private static final int STACK = 512 << 10;
-  /** What may pass between a socket and the tap on an idle machine; {@link LagMeter} adds for one that was busy at the moment. */
+  /**
+   * What may pass between a socket and the tap on an idle machine; {@link LagMeter} adds for one that was busy at the
+   * moment.
+   */
   public static final long SLACK = 40_000;
 
   private static final long ENDS_WITHIN = 30_000;
 
   private final DayScript script;
-  private final World world;
-  private final Portal portal;
+  private final TestFleet world;
+  private final WebhookClients portal;
   private final Random random;
   private final List<Thread> running = new ArrayList<>();
   private final List<Trouble> unplayed = java.util.Collections.synchronizedList(new ArrayList<>());
-  private final List<Portal.Kind> kinds =
-      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW);
+  private final List<WebhookClients.Kind> kinds =
+      WebhookClients.kinds(TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW);
   private volatile double burst = 1;
   private volatile double hot;
   private volatile double scan;
 
   /** A day about to be played. */
-  public Play(DayScript script, World world) {
+  public Play(DayScript script, TestFleet world) {
     this.script = script;
     this.world = world;
     this.portal = world.portal();
@@ -49,7 +52,7 @@
 
   /** The outcome of a day. */
   public record Verdict(
-      Portal.Totals totals,
+      WebhookClients.Totals totals,
       int attempts,
       int loads,
       List<Break> breaks,
@@ -85,7 +88,7 @@
           "served from intended time, p50/p99",
           totals.millis(50),
           totals.millis(99));
-      out.printf(Locale.ROOT, "%-34s %s%n", "reasons", Portal.print(totals.reasons));
+      out.printf(Locale.ROOT, "%-34s %s%n", "reasons", WebhookClients.print(totals.reasons));
       pressures.forEach(out::println);
       out.printf(Locale.ROOT, "%-34s %8d%n", "rules broken", breaks.size());
       breaks.stream().limit(10).forEach(b -> out.println("  " + b));
@@ -113,7 +116,7 @@
     lag.close();
     Tap tap = world.tap();
     RuleChecker.Report report = RuleChecker.report(
-        tap, world.rules(), World.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
+        tap, world.rules(), TestFleet.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
     List<Break> breaks = new ArrayList<>(report.breaks());
     if (!ended) {
       breaks.add(new Break(1, "calls were still open long after the day"));
@@ -143,7 +146,7 @@
       call(number++, (long) at);
       at += -Math.log(1 - random.nextDouble()) * 1e6 / (script.number("rate") * burst);
       if (progress != null && at > nextLine) {
-        Portal.Totals t = portal.totals();
+        WebhookClients.Totals t = portal.totals();
         progress.printf(
             Locale.ROOT,
             "%3d s  calls %5d  served %5d  refused %4d  failed %4d%n",
--- a/testbed/src/main/java/gorseladder/testbed/Ports.java
+++ b/testbed/src/main/java/gorseladder/testbed/Ports.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
- * Finds loopback ports for programs that die and come back at the same address. They lie below the range from which systems
- * take the ports of outgoing connections; else such a connection could hold the port when its owner returns.
+ * Finds loopback ports for programs that die and come back at the same address. They lie below the range from which
+ * systems take the ports of outgoing connections; else such a connection could hold the port when its owner returns.
  */
 final class Ports {
   private static final int FROM = 20_000;
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -21,7 +21,8 @@
 
 /**
  * Judges the five rules from a {@link Tap} alone, after the day. Pure; it knows the rules' figures and the classes'
- * repeat window, nothing of an edge. Slack stands for what the machine may have added at the very moment that is judged.
+ * repeat window, nothing of an edge. Slack stands for what the machine may have added at the very moment that is
+ * judged.
  */
 public final class RuleChecker {
   /** One break of a rule. */
@@ -36,10 +37,11 @@
    * How a rule was put under pressure.
    *
    * @param occasions what there was to judge; a rule without any was not tested by the day
-   * @param slackMillis what the machine may have added, that is how far past its bound something must be to be called a break; the 99th
-   *     percentile of all judgements
+   * @param slackMillis what the machine may have added, that is how far past its bound something must be to be called a
+   *     break; the 99th percentile of all judgements
    * @param notJudged what was past its bound by no more than that: neither kept nor broken
-   * @param closest how near the nearest came to breaking, in {@code unit}; below 0 it was past the bound; NaN or the largest value where nothing came near a bound
+   * @param closest how near the nearest came to breaking, in {@code unit}; below 0 it was past the bound; NaN or the
+   *     largest value where nothing came near a bound
    */
   public record Pressure(
       int rule,
--- a/testbed/src/main/java/gorseladder/testbed/StandInPlanner.java
+++ b/testbed/src/main/java/gorseladder/testbed/StandInPlanner.java
@@ -23,8 +23,9 @@
 import java.util.TreeSet;
 
 /**
- * A planner gone wrong: at each ask it wants every function held at every worker it ever heard of, also at those that drain, died or
- * just started, all at once and by every edge; now and then its plan is absurd, of an older epoch, or its answer is no answer.
+ * A planner gone wrong: at each ask it wants every function held at every worker it ever heard of, also at those that
+ * drain, died or just started, all at once and by every edge; now and then its plan is absurd, of an older epoch, or
+ * its answer is no answer.
  */
 public final class StandInPlanner implements Closeable {
   private static final long PATIENCE = 60_000_000;
--- a/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/StandInRunner.java
@@ -24,9 +24,9 @@
 import java.util.function.Consumer;
 
 /**
- * A stand-in runner that speaks the Open Inference Protocol v2 over HTTP/1.1 with the model repository extension. It holds
- * copies with lanes in bounded memory, loads them from the shared archive, starts cold, falls over when pushed, drops
- * repeats of keyed calls for a while, honours cancels or not, and can be made to misbehave. Any thread.
+ * A stand-in runner that speaks the Open Inference Protocol v2 over HTTP/1.1 with the model repository extension. It
+ * holds copies with lanes in bounded memory, loads them from the shared archive, starts cold, falls over when pushed,
+ * drops repeats of keyed calls for a while, honours cancels or not, and can be made to misbehave. Any thread.
  */
 public final class StandInRunner implements Closeable {
   private static final int STACK = 256 << 10;
--- a/testbed/src/main/java/gorseladder/testbed/Tap.java
+++ b/testbed/src/main/java/gorseladder/testbed/Tap.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * What passed on the sockets, seen at the clients, the runners and the list, never at an edge. Times are microseconds of
- * this process's clock. Any thread.
+ * What passed on the sockets, seen at the clients, the runners and the list, never at an edge. Times are microseconds
+ * of this process's clock. Any thread.
  */
 public final class Tap {
   /** One try of a client: a request on a socket and what came back. */
--- a/testbed/src/main/java/gorseladder/testbed/World.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -27,8 +27,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** Edges, stand-in runners, archive and list on loopback. Edges run in processes of their own, or in this one for tests. */
-public final class World implements Closeable {
+/**
+ * Edges, stand-in runners, archive and list on loopback. Edges run in processes of their own, or in this one for tests.
+ */
+public final class TestFleet implements Closeable {
   /** The path of every world's endpoint. */
   public static final String PATH = "/hooks/portal";
 
@@ -168,14 +170,14 @@
    * @param processes true for edges in processes of their own, which can be killed outright
    * @param runnerLog hears a line for each infer request that began at a runner
    */
-  public World(
+  public TestFleet(
       DayScript script, Path directory, boolean processes, Consumer<Map<String, Object>> runnerLog)
       throws IOException {
     this(script, directory, processes, runnerLog, List.of());
   }
 
   /** As above, with words before each edge's command, for example a pin to processors. */
-  public World(
+  public TestFleet(
       DayScript script,
       Path directory,
       boolean processes,
@@ -186,7 +188,7 @@
   }
 
   /** As above, with more settings for each edge, for example a planner. */
-  public World(
+  public TestFleet(
       DayScript script,
       Path directory,
       boolean processes,
@@ -317,7 +319,9 @@
         + moreSettings;
   }
 
-  /** Processor time that the process of an edge has used so far, in microseconds; 0 where it has no process of its own. */
+  /**
+   * Processor time that the process of an edge has used so far, in microseconds; 0 where it has no process of its own.
+   */
   public long edgeProcessorMicros(int number) {
     Process process = edges.get(number).process;
     return process == null
@@ -370,13 +374,13 @@
   }
 
   /** Clients for this world. */
-  public Portal portal() {
-    return new Portal(PATH, Secret.parse(secret), this::edge, tap);
+  public WebhookClients portal() {
+    return new WebhookClients(PATH, Secret.parse(secret), this::edge, tap);
   }
 
   /**
-   * Kills an edge outright and starts it again after so many milliseconds. One restart of an edge at a time: on a busy machine a day's
-   * next restart once killed the process that the one before it still waited for.
+   * Kills an edge outright and starts it again after so many milliseconds. One restart of an edge at a time: on a busy
+   * machine a day's next restart once killed the process that the one before it still waited for.
    */
   public void restartEdge(int number, long downMillis) throws IOException, InterruptedException {
     EdgeSlot slot = edges.get(number);
--- a/testbed/src/main/java/gorseladder/testbed/Portal.java
+++ b/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
@@ -33,7 +33,7 @@
  * Webhook clients: an open loop of signed calls at the times they were meant for, each on a thread of its own, with the
  * retries that its class allows. Latency counts from the intended time to the served answer. Any thread.
  */
-public final class Portal {
+public final class WebhookClients {
   private static final int STACK = 256 << 10;
   private static final long CONNECT_MILLIS = 1_000;
   /** After a final answer the connection is watched this long for a second one. */
@@ -80,7 +80,7 @@
   volatile boolean abusive;
 
   /** Clients that send to a path signed with a secret; {@code edges} gives the address of an edge's number. */
-  public Portal(String path, Secret secret, IntFunction<InetSocketAddress> edges, Tap tap) {
+  public WebhookClients(String path, Secret secret, IntFunction<InetSocketAddress> edges, Tap tap) {
     this.path = path;
     this.secret = secret;
     this.edges = edges;
--- a/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
@@ -14,8 +14,8 @@
 import java.util.Map;
 
 /**
- * One connection of a web server to a dispatcher. Answers are gathered by a thread of their own; each request number is used
- * once. Any thread.
+ * One connection of a web server to a dispatcher. Answers are gathered by a thread of their own; each request number is
+ * used once. Any thread.
  */
 public final class FastCgiClient implements Closeable {
   private static final int STDOUT = 6;
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformChangeLog.java
@@ -14,7 +14,8 @@
 import java.util.List;
 
 /**
- * A change log that can break off in the middle of an event, fall silent, write events twice or leave some out. Any thread.
+ * A change log that can break off in the middle of an event, fall silent, write events twice or leave some out. Any
+ * thread.
  */
 public final class PlatformChangeLog implements Closeable {
   private static final int BEAT_MILLIS = 200;
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -21,8 +21,8 @@
 import java.util.stream.Collectors;
 
 /**
- * A runner that speaks the platform's lines and does with each request what its script says. It writes down what arrived
- * whole, and when. Any thread.
+ * A runner that speaks the platform's lines and does with each request what its script says. It writes down what
+ * arrived whole, and when. Any thread.
  */
 public final class PlatformRunner implements Closeable {
   /** What is done with a request. */
--- a/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
@@ -14,8 +14,9 @@
  */
 public final class ChildProcess implements AutoCloseable {
   /**
-   * The shell keeps the pipe as descriptor 3; the command runs without it. Its standard output joins its standard error in the
-   * log: a Java machine that cannot start says so there, and a pipe that nobody reads would stop it once it is full.
+   * The shell keeps the pipe as descriptor 3; the command runs without it. Its standard output joins its standard error
+   * in the log: a Java machine that cannot start says so there, and a pipe that nobody reads would stop it once it is
+   * full.
    */
   private static final String GUARD = "exec 3<&0; %s 3<&- </dev/null >&2 & child=$!; echo $child; "
       + "{ read line <&3; kill -9 $child 2>/dev/null; } & reader=$!; "
@@ -73,7 +74,9 @@
     new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
   }
 
-  /** Waits for its end: its exit code (128 and more where a signal ended it), or -1 where it runs on after that time. */
+  /**
+   * Waits for its end: its exit code (128 and more where a signal ended it), or -1 where it runs on after that time.
+   */
   public int await(long millis) throws IOException, InterruptedException {
     if (!shell.waitFor(millis, TimeUnit.MILLISECONDS)) {
       return -1;
--- a/testbed/src/main/java/gorseladder/testbed/process/PlantedClass.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/PlantedClass.java
@@ -9,7 +9,10 @@
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
 
-/** Plants a fault: compiles one class of the program with a small change into a folder, to be put before the program's own. */
+/**
+ * Plants a fault: compiles one class of the program with a small change into a folder, to be put before the program's
+ * own.
+ */
 public final class PlantedClass {
   private PlantedClass() {}
 
--- a/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -17,7 +17,7 @@
 
   private Play.Verdict play(String script, boolean processes) throws Exception {
     DayScript day = DayScript.parse(script);
-    try (World world = new World(day, dir, processes, line -> {})) {
+    try (TestFleet world = new TestFleet(day, dir, processes, line -> {})) {
       Play.Verdict verdict = new Play(day, world).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
       return verdict;
@@ -35,7 +35,7 @@
         at 28s for 3s hang 1; at 30s for 3s neighbour 2 by 3; at 31s for 3s report_late 50%; at 32s for 2s hot_key 40%;
         """, false);
     assertTrue(verdict.totals().calls.get() > 9_000, "calls " + verdict.totals().calls);
-    Portal.Totals t = verdict.totals();
+    WebhookClients.Totals t = verdict.totals();
     assertEquals(
         t.calls.get(), t.served.get() + t.refused.get() + t.failed.get() + t.unreached.get());
   }
@@ -66,7 +66,7 @@
     List<String> functions =
         IntStream.range(0, 30).mapToObj(i -> "svc/plan-" + i).toList();
     try (StandInPlanner planner = new StandInPlanner(functions, 21);
-        World world = new World(
+        TestFleet world = new TestFleet(
             day,
             dir.resolve("planned"),
             false,
--- a/testbed/src/test/java/gorseladder/testbed/FrontTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/FrontTest.java
@@ -29,11 +29,11 @@
   @TempDir
   static Path dir;
 
-  private static World world;
+  private static TestFleet world;
 
   @BeforeAll
   static void start() throws Exception {
-    world = new World(
+    world = new TestFleet(
         DayScript.parse("edges = 1; runners = 2; work = 5ms; load = 10ms;"),
         dir,
         false,
@@ -49,7 +49,7 @@
     long now = System.currentTimeMillis() / 1000;
     String signature =
         Secret.parse(world.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
-    return "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: " + id
+    return "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: " + id
         + "\r\nwebhook-timestamp: " + now + "\r\nwebhook-signature: " + signature + "\r\n" + more;
   }
 
@@ -131,7 +131,8 @@
   })
   void unreadableRequestsAreAnsweredAndClosed(String headers, int status) throws IOException {
     String answer = talk(
-        "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\n" + headers + "\r\nhello" + call("never"),
+        "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\n" + headers + "\r\nhello"
+            + call("never"),
         true);
     assertEquals(List.of(status), statuses(answer), answer);
     assertTrue(answer.contains("application/problem+json") && answer.endsWith("<closed>"), answer);
@@ -139,9 +140,10 @@
 
   @Test
   void whatIsWrongIsNamedAndTheConnectionGoesOn() throws IOException {
-    String wrongPath = call("w1").replace(World.PATH + " ", "/none ");
-    String get = "GET " + World.PATH + " HTTP/1.1\r\nHost: e\r\n\r\n";
-    String unsigned = "POST " + World.PATH + " HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\n\r\n{}";
+    String wrongPath = call("w1").replace(TestFleet.PATH + " ", "/none ");
+    String get = "GET " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\n\r\n";
+    String unsigned =
+        "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\n\r\n{}";
     String tampered = call("w2").replace("hours.read", "hours.raed");
     String body = "{\"type\":\"no.such\",\"data\":{\"function\":\"f\"}}";
     String unknown = signed("w3", body, "Content-Length: " + body.length() + "\r\n\r\n") + body;
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -23,22 +23,25 @@
 
 /** The cases in which an effect could happen twice or an answer be lost, each caused on sockets. */
 class HardCasesTest {
-  private static final Portal.Kind SAFE =
-      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
-  private static final Portal.Kind KEYED =
-      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(1);
-  private static final Portal.Kind UNSAFE =
-      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
+  private static final WebhookClients.Kind SAFE = WebhookClients.kinds(
+          TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+      .get(0);
+  private static final WebhookClients.Kind KEYED = WebhookClients.kinds(
+          TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+      .get(1);
+  private static final WebhookClients.Kind UNSAFE = WebhookClients.kinds(
+          TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+      .get(2);
 
   @TempDir
   Path dir;
 
   private final LagMeter lag = new LagMeter();
-  private World world;
-  private Portal portal;
+  private TestFleet world;
+  private WebhookClients portal;
 
   private void world(String script) throws Exception {
-    world = new World(DayScript.parse(script + " edges = 1;"), dir, false, line -> {});
+    world = new TestFleet(DayScript.parse(script + " edges = 1;"), dir, false, line -> {});
     portal = world.portal();
   }
 
@@ -46,7 +49,10 @@
   void close() {
     if (world != null) {
       List<RuleChecker.Break> breaks = RuleChecker.report(
-              world.tap(), world.rules(), World.REPEAT_WINDOW, at -> Play.SLACK + lag.ofACallAt(at))
+              world.tap(),
+              world.rules(),
+              TestFleet.REPEAT_WINDOW,
+              at -> Play.SLACK + lag.ofACallAt(at))
           .breaks();
       lag.close();
       world.close();
@@ -54,12 +60,12 @@
     }
   }
 
-  private Tap.Try send(String id, Portal.Kind kind, long stampShift) {
+  private Tap.Try send(String id, WebhookClients.Kind kind, long stampShift) {
     long stamp = System.currentTimeMillis() / 1000 + stampShift;
     return portal.attempt(id, 0, kind, body(kind), stamp, kind.deadline());
   }
 
-  private static byte[] body(Portal.Kind kind) {
+  private static byte[] body(WebhookClients.Kind kind) {
     return ("{\"type\":\"" + kind.type() + "\",\"data\":{\"function\":\"svc/x\"}}")
         .getBytes(StandardCharsets.UTF_8);
   }
@@ -108,7 +114,9 @@
     assertEquals(1, runs("msg_reset"));
   }
 
-  /** A safe call is tried elsewhere when a kept connection closes under it; an issuance never takes a kept connection. */
+  /**
+   * A safe call is tried elsewhere when a kept connection closes under it; an issuance never takes a kept connection.
+   */
   @Test
   void aKeptConnectionThatClosesAsACallLeavesCostsNoIssuance() throws Exception {
     world("runners = 3;");
@@ -175,7 +183,7 @@
     assertEquals("served_again", attempt("msg_safe", SAFE, stamp + 1).reason);
   }
 
-  private Tap.Try attempt(String message, Portal.Kind kind, long stamp) {
+  private Tap.Try attempt(String message, WebhookClients.Kind kind, long stamp) {
     try {
       return portal.attempt(message, 0, kind, body(kind), stamp, kind.deadline());
     } catch (Exception e) {
@@ -183,34 +191,36 @@
     }
   }
 
-  /** What a kill leaves in the ledger, at each point: before the record of leaving, after it, after the answer's record. */
+  /**
+   * What a kill leaves in the ledger, at each point: before the record of leaving, after it, after the answer's record.
+   */
   @Test
   void eachPointOfAKillIsAnsweredSafelyByTheNextProcess() throws Exception {
     world("runners = 2;");
     world.stopEdge(0);
     long now = System.currentTimeMillis() * 1000;
     try (Ledger ledger = Ledger.open(dir.resolve("data-0").resolve("ledger"), false, 100)) {
-      for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
+      for (WebhookClients.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
         String name = kind.effect() == Effect.SAFE
             ? "safe"
             : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
         byte[] content = content(name, kind);
         LedgerEntry taken =
             new LedgerEntry(Stage.ACCEPTED, false, now, 0, now * 2, content, "", 0, null);
-        ledger.put(World.PATH + " msg_taken_" + name, taken);
-        ledger.put(World.PATH + " msg_left_" + name, taken.at(Stage.LEAVING, true, now));
+        ledger.put(TestFleet.PATH + " msg_taken_" + name, taken);
+        ledger.put(TestFleet.PATH + " msg_left_" + name, taken.at(Stage.LEAVING, true, now));
         ledger.put(
-            World.PATH + " msg_old_" + name,
-            taken.at(Stage.LEAVING, true, now - World.REPEAT_WINDOW));
+            TestFleet.PATH + " msg_old_" + name,
+            taken.at(Stage.LEAVING, true, now - TestFleet.REPEAT_WINDOW));
         ledger.put(
-            World.PATH + " msg_served_" + name,
+            TestFleet.PATH + " msg_served_" + name,
             taken
                 .at(Stage.LEAVING, true, now)
                 .ended(Stage.SERVED, true, "served", 200, "{}".getBytes()));
       }
     }
     world.restartEdge(0, 0);
-    for (Portal.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
+    for (WebhookClients.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
       String name = kind.effect() == Effect.SAFE
           ? "safe"
           : kind.effect() == Effect.KEYED ? "keyed" : "unsafe";
@@ -228,7 +238,7 @@
     assertEquals(0, arrivals("msg_left_unsafe"));
   }
 
-  private static byte[] content(String requestClass, Portal.Kind kind) throws Exception {
+  private static byte[] content(String requestClass, WebhookClients.Kind kind) throws Exception {
     MessageDigest sha = MessageDigest.getInstance("SHA-256");
     sha.update((requestClass + "\0svc/x\0").getBytes(StandardCharsets.UTF_8));
     return Arrays.copyOf(sha.digest(body(kind)), 16);
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -15,7 +15,7 @@
 import gorseladder.config.Address;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
-import gorseladder.edge.core.Door;
+import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.runners.RunnerSettings;
@@ -74,7 +74,7 @@
       Core<TakenCall> core = new Core<>(
           settings,
           1,
-          new Core.Hands<TakenCall>() {
+          new Core.Outbound<TakenCall>() {
             @Override
             public void send(TakenCall call, int attempt, String worker, long timeout) {
               first[0] = first[0] == null ? worker : first[0];
@@ -141,7 +141,7 @@
                 0,
                 Clock.micros(),
                 3_000_000,
-                new Door(null).enter(1, "", 0, 0, false)))
+                new AdmissionCheck(null).enter(1, "", 0, 0, false)))
             .call();
         Thread.sleep(300);
         gate.told(first[0], Phase.DRAINING, Clock.micros());
--- a/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
@@ -19,7 +19,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Planner, edges and stand-in runners on sockets. The planner's clock stands but for the test's steps, so a slow machine changes nothing. */
+/**
+ * Planner, edges and stand-in runners on sockets. The planner's clock stands but for the test's steps, so a slow
+ * machine changes nothing.
+ */
 class PlannerPathTest {
   private static final String FUNCTION = "svc/surge";
   private static final int DAYS = 10;
@@ -85,11 +88,12 @@
     history(0, minute);
     DayScript script = DayScript.parse("edges = 2; runners = 4; work = 5ms; load = 60ms;");
     String more = "planner { address: \"" + Address.print(at) + "\" ask_ms: 100 }\n";
-    try (World world = new World(script, dir, false, l -> {}, List.of(), more)) {
+    try (TestFleet world = new TestFleet(script, dir, false, l -> {}, List.of(), more)) {
       PlannerServer planner = planner(at);
-      Portal portal = world.portal();
-      Portal.Kind kind =
-          Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
+      WebhookClients portal = world.portal();
+      WebhookClients.Kind kind = WebhookClients.kinds(
+              TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+          .get(0);
       call(portal, kind, "first", 0);
       call(portal, kind, "second", 0);
       until(
@@ -97,7 +101,7 @@
       until("both edges", () -> planner.planner().state().get("edges").equals(List.of(0, 1)));
       // A copy that an edge believes warm is not ordered anew, and the plan may name the very
       // worker of the first two calls.
-      long agedOut = Clock.micros() + World.KEEP_ALIVE + 1_000_000;
+      long agedOut = Clock.micros() + TestFleet.KEEP_ALIVE + 1_000_000;
       until("the first copies aged out", () -> Clock.micros() > agedOut);
       int before = orders(world);
       wall.addAndGet(17_500_000);
@@ -124,15 +128,15 @@
     }
   }
 
-  private static int orders(World world) {
+  private static int orders(TestFleet world) {
     synchronized (world.tap()) {
       return (int)
           world.tap().orders.stream().filter(o -> o.function().equals(FUNCTION)).count();
     }
   }
 
-  private static void call(Portal portal, Portal.Kind kind, String message, int edge)
-      throws Exception {
+  private static void call(
+      WebhookClients portal, WebhookClients.Kind kind, String message, int edge) throws Exception {
     portal.attempt(
         message,
         edge,
--- a/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
@@ -18,17 +18,18 @@
 
 /** An edge as a process: signals, exit codes, networks. */
 class ProcessTest {
-  private static final Portal.Kind UNSAFE =
-      Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(2);
+  private static final WebhookClients.Kind UNSAFE = WebhookClients.kinds(
+          TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+      .get(2);
 
   @TempDir
   Path dir;
 
   @Test
   void theFirstSignalAnswersWhatWasTakenAndTheSecondEndsAtOnce() throws Exception {
-    try (World world = new World(
+    try (TestFleet world = new TestFleet(
         DayScript.parse("edges = 2; runners = 2; work = 600ms;"), dir, true, line -> {})) {
-      Portal portal = world.portal();
+      WebhookClients portal = world.portal();
       CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> portal.attempt(
           "msg_stop",
           0,
@@ -60,7 +61,7 @@
     }
   }
 
-  private static void awaitArrival(World world, int count) throws InterruptedException {
+  private static void awaitArrival(TestFleet world, int count) throws InterruptedException {
     for (int i = 0; i < 500; i++) {
       synchronized (world.tap()) {
         if (world.tap().arrivals.size() >= count) {
@@ -73,8 +74,8 @@
 
   @Test
   void aTakenAddressAndBadSettingsHaveTheirExitCodes() throws Exception {
-    try (World world =
-        new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
+    try (TestFleet world =
+        new TestFleet(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("second.txtpb");
       String good = Files.readString(world.settings(0));
       Files.writeString(file, good.replace("data-0", "data-second"));
@@ -90,8 +91,8 @@
 
   @Test
   void clientsFromOtherNetworksAreTurnedAway() throws Exception {
-    try (World world =
-        new World(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
+    try (TestFleet world =
+        new TestFleet(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("far.txtpb");
       Files.writeString(
           file,
--- a/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
@@ -142,7 +142,10 @@
     assertEquals("rule 4: no occasion, not tested", all.get(3).toString());
   }
 
-  /** Slack belongs to the moment: what the machine's stall may explain is neither kept nor broken, elsewhere the same is a break. */
+  /**
+   * Slack belongs to the moment: what the machine's stall may explain is neither kept nor broken, elsewhere the same is
+   * a break.
+   */
   @Test
   void whatAStallMayExplainIsNotJudged() {
     tap.told(new Tap.Told(0, "r1", Phase.DRAINING, 1_000));
--- a/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
@@ -19,11 +19,12 @@
   /** The history's sums are the edge's own counts, also after a restart in the middle. */
   @Test
   void theHistoryAddsUpToWhatWasTaken() throws Exception {
-    Portal.Kind kind =
-        Portal.kinds(World.AIM, World.DEADLINE, World.REPEAT_WINDOW).get(0);
-    try (World world = new World(
+    WebhookClients.Kind kind = WebhookClients.kinds(
+            TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+        .get(0);
+    try (TestFleet world = new TestFleet(
         DayScript.parse("edges = 1; runners = 2; work = 2ms; load = 5ms;"), dir, false, l -> {})) {
-      Portal portal = world.portal();
+      WebhookClients portal = world.portal();
       for (int i = 0; i < 30; i++) {
         portal.attempt(
             "msg_" + i,
@@ -58,7 +59,7 @@
   void aCalmDayServesEveryCall() throws Exception {
     DayScript script =
         DayScript.parse("day = 2s; edges = 2; runners = 4; functions = 4; rate = 60;");
-    try (World world = new World(script, dir, false, line -> {})) {
+    try (TestFleet world = new TestFleet(script, dir, false, line -> {})) {
       Play.Verdict verdict = new Play(script, world).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString());
       assertEquals(
--- a/testbed/src/test/java/gorseladder/testbed/platform/ChangeLogEntriesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/ChangeLogEntriesTest.java
@@ -9,7 +9,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Events of the change log of which a part cannot be read: what can be read holds, and what comes after it is heard. */
+/**
+ * Events of the change log of which a part cannot be read: what can be read holds, and what comes after it is heard.
+ */
 class ChangeLogEntriesTest extends DispatcherFixture {
   private static final String EVENT =
       "{\"seq\":3,\"fleet\":{\"rev\":3,\"all\":%s,\"targets\":[%s,%s]}}";
@@ -53,7 +55,10 @@
     assertEquals(Set.of("r1"), node.runners());
   }
 
-  /** An event that is no JSON each time it is told is passed over after some tries: a log that is stuck tells nothing else. */
+  /**
+   * An event that is no JSON each time it is told is passed over after some tries: a log that is stuck tells nothing
+   * else.
+   */
   @ParameterizedTest
   @ValueSource(
       strings = {
--- a/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/CrossingsTest.java
@@ -33,7 +33,9 @@
         body(number));
   }
 
-  /** A request in pieces whose last byte comes while the dispatcher stops is served, also one whose pieces are bytes. */
+  /**
+   * A request in pieces whose last byte comes while the dispatcher stops is served, also one whose pieces are bytes.
+   */
   @Test
   void whatIsHalfReadWhenTheStopBeginsIsServed() throws Exception {
     start(2, a -> Reaction.SERVE);
@@ -52,7 +54,9 @@
     assertTrue(client.awaitEnd(1_000));
   }
 
-  /** A connection on which an answer is awaited when the listener closes takes what else comes on it, until it is free. */
+  /**
+   * A connection on which an answer is awaited when the listener closes takes what else comes on it, until it is free.
+   */
   @Test
   void aConnectionInUseTakesRequestsUntilNothingIsAskedOnIt() throws Exception {
     start(1, a -> a.id().equals(id(1)) ? Reaction.SILENT : Reaction.SERVE);
@@ -104,7 +108,9 @@
     }
   }
 
-  /** A client that left, by a close or an abort, while its call waited for a connection: nothing of it reaches a runner. */
+  /**
+   * A client that left, by a close or an abort, while its call waited for a connection: nothing of it reaches a runner.
+   */
   @Test
   void nothingIsSentForAClientThatLeftWhileItsCallWaited() throws Exception {
     connect = 5 * SECOND;
@@ -175,7 +181,10 @@
     assertTrue(node.connections() <= share, node.connections() + " connections");
   }
 
-  /** With every descriptor for runners taken by idle connections, one of them gives its own to the runner that is needed. */
+  /**
+   * With every descriptor for runners taken by idle connections, one of them gives its own to the runner that is
+   * needed.
+   */
   @Test
   void idleConnectionsGiveTheirDescriptorsToOtherRunners() throws Exception {
     sockets = 56;
@@ -245,8 +254,8 @@
   }
 
   /**
-   * A keyed call whose first attempt may have run is decided again in its window, but the connection for that comes up after it:
-   * the call would run twice.
+   * A keyed call whose first attempt may have run is decided again in its window, but the connection for that comes up
+   * after it: the call would run twice.
    */
   @Test
   void aKeyedCallIsNotSentAgainPastItsWindow() throws Exception {
@@ -269,7 +278,10 @@
     assertEquals(List.of(), late.arrivals());
   }
 
-  /** Calls that wait for a connection to a runner are decided again where it starts anew meanwhile: all at once they push it over. */
+  /**
+   * Calls that wait for a connection to a runner are decided again where it starts anew meanwhile: all at once they
+   * push it over.
+   */
   @Test
   void whatWasDecidedBeforeARestartDoesNotMeetTheColdRunner() throws Exception {
     connect = 3 * SECOND;
--- a/testbed/src/test/java/gorseladder/testbed/platform/DispatcherFixture.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/DispatcherFixture.java
@@ -26,7 +26,10 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 
-/** What tests of a live dispatcher have in common: it stands between scripted clients, runners and a change log on loopback. */
+/**
+ * What tests of a live dispatcher have in common: it stands between scripted clients, runners and a change log on
+ * loopback.
+ */
 abstract class DispatcherFixture {
   static final long SECOND = 1_000_000;
   static final Rules RULES = new Rules(500_000, 0.2, 6 * SECOND, 2.5, 1_500_000, 0, 0, 0);
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodePathTest.java
@@ -260,7 +260,9 @@
     }
   }
 
-  /** A number whose request was answered before its body ended is free again, but not past the bound on open requests. */
+  /**
+   * A number whose request was answered before its body ended is free again, but not past the bound on open requests.
+   */
   @Test
   void aNumberUsedAgainCountsAsOpenToo() throws Exception {
     start(1, a -> Reaction.SILENT);
--- a/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/NodeProcessTest.java
@@ -116,7 +116,10 @@
     assertEquals(NodeMain.OK, process.exitValue(), this::said);
   }
 
-  /** Told to stop, twice, and to read its configuration anew in between, with discovery down and a call that nobody answers. */
+  /**
+   * Told to stop, twice, and to read its configuration anew in between, with discovery down and a call that nobody
+   * answers.
+   */
   @Test
   void aStopWithDiscoveryDownAnswersItsCallAndEndsInTime() throws Exception {
     start(Reaction.SILENT, "");
@@ -138,8 +141,8 @@
   }
 
   /**
-   * Three configurations within a moment, while the first of them is still being read: the last one holds. The first one is a
-   * pipe, so that the test decides when its reader goes on.
+   * Three configurations within a moment, while the first of them is still being read: the last one holds. The first
+   * one is a pipe, so that the test decides when its reader goes on.
    */
   @Test
   void theLastOfSeveralNewConfigurationsHolds() throws Exception {
--- a/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/PlantedNodeFaultsTest.java
@@ -13,8 +13,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Do the tests of crossings see? Each fault is a small change of one class of the dispatcher, compiled apart and put before the
- * program's own in a process of its own, which runs one test of {@link CrossingsTest}: that must fail, and without a fault pass.
+ * Do the tests of crossings see? Each fault is a small change of one class of the dispatcher, compiled apart and put
+ * before the program's own in a process of its own, which runs one test of {@link CrossingsTest}: that must fail, and
+ * without a fault pass.
  */
 class PlantedNodeFaultsTest {
   private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
@@ -55,7 +56,8 @@
             + "#whatIsHalfReadWhenTheStopBeginsIsServed",
         "connections counted late#front/FastCgiFront.java#connections.size() >= mostConnections && !makeRoom()#false"
             + "#idleClientsNeverTakeMoreThanTheirShareOfDescriptors",
-        "a link kept after its runner went#runners/RunnerLinks.java#before != null && before.address().equals(address)#before != null"
+        "a link kept after its runner went"
+            + "#runners/RunnerLinks.java#before != null && before.address().equals(address)#before != null"
             + "#aRunnerThatGoesAndComesBackIsReached",
         "held calls forgotten at the end#Node.java#core.giveUpAll();##aStopAnswersWhatIsHeldBeforeItMayBeKilled"
       })
--- a/wire/src/main/java/gorseladder/wire/changelog/LineParser.java
+++ b/wire/src/main/java/gorseladder/wire/changelog/LineParser.java
@@ -4,8 +4,8 @@
 import java.util.function.Consumer;
 
 /**
- * Splits bytes into lines that end in a line feed, in pieces of any size; a carriage return before it is dropped. Grows with
- * the line up to a bound. Not thread safe.
+ * Splits bytes into lines that end in a line feed, in pieces of any size; a carriage return before it is dropped. Grows
+ * with the line up to a bound. Not thread safe.
  */
 public final class LineParser {
   private static final int FIRST = 1_024;
--- a/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
@@ -3,9 +3,9 @@
 import java.util.Arrays;
 
 /**
- * Reads the records that a web server sends to a responder (FastCGI Specification 1.0, section 3.3 and section 8), in pieces
- * of any size. Streams are handed on as they come and never gathered here; the only bytes kept are a header and the content
- * of the short records, {@value #MOST_KEPT} bytes at the most.
+ * Reads the records that a web server sends to a responder (FastCGI Specification 1.0, section 3.3 and section 8), in
+ * pieces of any size. Streams are handed on as they come and never gathered here; the only bytes kept are a header and
+ * the content of the short records, {@value #MOST_KEPT} bytes at the most.
  *
  * <p>Not thread safe.
  */
--- a/wire/src/main/java/gorseladder/wire/fastcgi/RecordWriter.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/RecordWriter.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Writes the records of a responder, and those of a web server for tests and stand-ins (FastCGI Specification 1.0). Pure
- * functions; any thread. Request ids are 1 to 65535.
+ * Writes the records of a responder, and those of a web server for tests and stand-ins (FastCGI Specification 1.0).
+ * Pure functions; any thread. Request ids are 1 to 65535.
  */
 public final class RecordWriter {
   /** Protocol status of END_REQUEST (section 5.5). */
--- a/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
@@ -5,9 +5,10 @@
 import java.util.List;
 
 /**
- * Reads the content of one message as it arrives: of a told length, chunked, or up to the end of the connection (RFC 9112
- * sections 6 and 7). A message whose length two readers could see differently is malformed: both length fields, more than
- * one Content-Length (even alike), a sign or any other character in it. Not thread safe; one instance for one message.
+ * Reads the content of one message as it arrives: of a told length, chunked, or up to the end of the connection (RFC
+ * 9112 sections 6 and 7). A message whose length two readers could see differently is malformed: both length fields,
+ * more than one Content-Length (even alike), a sign or any other character in it. Not thread safe; one instance for one
+ * message.
  */
 public final class BodyParser {
   private enum State {
--- a/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
@@ -4,11 +4,12 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Reads the start line and header section of one HTTP/1 message, byte by byte, as they arrive (RFC 9112 sections 2 to 5).
+ * Reads the start line and header section of one HTTP/1 message, byte by byte, as they arrive (RFC 9112 sections 2 to
+ * 5).
  *
- * <p>Stricter than the RFC allows a recipient to be, wherever leniency lets two parsers see two different requests: a line
- * must end in CRLF (a bare LF or CR is malformed), folded lines and white space before a colon are malformed, and so are
- * control characters in a value. Not thread safe; one instance for one message.
+ * <p>Stricter than the RFC allows a recipient to be, wherever leniency lets two parsers see two different requests: a
+ * line must end in CRLF (a bare LF or CR is malformed), folded lines and white space before a colon are malformed, and
+ * so are control characters in a value. Not thread safe; one instance for one message.
  */
 public final class HeadParser {
   private static final boolean[] TOKEN = new boolean[128];
--- a/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
+++ b/wire/src/main/java/gorseladder/wire/oip/LoadReport.java
@@ -7,8 +7,8 @@
 /**
  * The load report in a response header, by the ORCA specification ({@code xds.data.orca.v3.OrcaLoadReport}) in its TEXT
  * form: {@code TEXT cpu_utilization=0.4, named_metrics.inflight=3}. Names are kept as sent, without the
- * {@code named_metrics.} prefix. Entries that cannot be read are passed over: a report is a hint, never a reason to lose
- * an answer. Pure functions; any thread.
+ * {@code named_metrics.} prefix. Entries that cannot be read are passed over: a report is a hint, never a reason to
+ * lose an answer. Pure functions; any thread.
  */
 public final class LoadReport {
   /** The header's name, in lower case. */
--- a/wire/src/main/java/gorseladder/wire/oip/Oip.java
+++ b/wire/src/main/java/gorseladder/wire/oip/Oip.java
@@ -15,7 +15,8 @@
  * model repository extension that a call and a load order need. A webhook payload travels as one BYTES tensor.
  *
  * <p>What the protocol has no place for stands in header fields, all stated by the runner:
- * {@link #RAN}, {@link #COPY}, {@link #CROWD}; the load report in {@link LoadReport#HEADER}. Pure functions; any thread.
+ * {@link #RAN}, {@link #COPY}, {@link #CROWD}; the load report in {@link LoadReport#HEADER}. Pure functions; any
+ * thread.
  */
 public final class Oip {
   /** {@code no} where the call surely did not run; anything else promises nothing. */
--- a/wire/src/main/java/gorseladder/wire/runner/Commands.java
+++ b/wire/src/main/java/gorseladder/wire/runner/Commands.java
@@ -3,8 +3,9 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Writes commands to a runner as lines of words (the platform's protocol, "Dispatchers to runners" and "Orders to load and
- * unload"). Pure functions; any thread. Ids, classes, functions and keys must be words without spaces, commas or line ends.
+ * Writes commands to a runner as lines of words (the platform's protocol, "Dispatchers to runners" and "Orders to load
+ * and unload"). Pure functions; any thread. Ids, classes, functions and keys must be words without spaces, commas or
+ * line ends.
  */
 public final class Commands {
   private Commands() {}
--- a/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The signed part of a webhook delivery and its check (Standard Webhooks specification, "Webhook headers" and "Verifying
- * signatures"). Immutable; any thread.
+ * The signed part of a webhook delivery and its check (Standard Webhooks specification, "Webhook headers" and
+ * "Verifying signatures"). Immutable; any thread.
  *
  * @param id the {@code webhook-id}, 1 to 256 visible ASCII characters without a full stop
  * @param timestamp the {@code webhook-timestamp}, seconds since 1970
--- a/wire/src/main/java/gorseladder/wire/webhook/Secret.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Secret.java
@@ -15,8 +15,8 @@
 
 /**
  * A key that signs or checks webhooks, by the Standard Webhooks specification, "Signature scheme": symmetric
- * {@code whsec_} keys give {@code v1} signatures (HMAC-SHA256); asymmetric keys give {@code v1a} (Ed25519, RFC 8032), with
- * {@code whsk_} for the 32-byte private seed and {@code whpk_} for the 32-byte public key, all in base64.
+ * {@code whsec_} keys give {@code v1} signatures (HMAC-SHA256); asymmetric keys give {@code v1a} (Ed25519, RFC 8032),
+ * with {@code whsk_} for the 32-byte private seed and {@code whpk_} for the 32-byte public key, all in base64.
  *
  * <p>Immutable; any thread. {@link #toString()} does not tell the key.
  */
