--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -33,6 +33,13 @@
   /** After the end of accepting, so often what waits for a thread is looked at; with the pause about a second. */
   private static final int LAST_TRIES = 50;
 
+  /**
+   * Of calls to accept that fail one after the other so many are made without a pause. Guards against a queue of
+   * connections that grows faster than one is accepted after each pause, where many calls fail: clients that waited
+   * behind a crowd were answered after their time. It costs a few vain calls.
+   */
+  private static final int TRIES_AT_ONCE = 10;
+
   /** Threads that stand ready where no others are given. */
   private static final int READY_THREADS = 4;
 
@@ -200,6 +207,16 @@
    * program.
    */
   private void acceptAll() {
+    for (int tries = 0; tries < TRIES_AT_ONCE; tries++) {
+      if (acceptUntilNone()) {
+        return;
+      }
+    }
+    pause();
+  }
+
+  /** Accepts until none waits; false where a call failed, and then more may wait. */
+  private boolean acceptUntilNone() {
     // All that waits now may have waited since accepting began to fail.
     long waitedSince = failingSince > 0 ? failingSince : Clock.micros();
     try {
@@ -214,12 +231,13 @@
         }
       }
       failingSince = 0;
+      return true;
     } catch (IOException | RuntimeException | OutOfMemoryError e) {
       if (failingSince == 0) {
         LOG.warn("accept failed: {}", e.toString());
         failingSince = waitedSince;
       }
-      pause();
+      return false;
     }
   }
 
--- a/soak/src/main/java/gorseladder/soak/Evidence.java
+++ b/soak/src/main/java/gorseladder/soak/Evidence.java
@@ -102,6 +102,7 @@
   private final Map<String, List<Arrived>> arrived = new HashMap<>();
   private final List<Life> lives = new ArrayList<>();
   private final Map<Integer, List<Span>> logTroubles = new HashMap<>();
+  private final Map<Integer, List<Span>> slowLogs = new HashMap<>();
   private final Map<Integer, List<Span>> clientCuts = new HashMap<>();
   private final Map<Integer, List<Span>> pauses = new HashMap<>();
 
@@ -178,14 +179,22 @@
     return logTroubles.values().stream().flatMap(List::stream).anyMatch(span -> span.holds(at));
   }
 
+  /** The change log answers each new connection of a dispatcher late in this span: whoever asks anew hears late. */
+  synchronized void slowLog(int dispatcher, Span span) {
+    logTrouble(dispatcher, span);
+    slowLogs.computeIfAbsent(dispatcher, d -> new ArrayList<>()).add(span);
+  }
+
   /**
    * When what the log told at that time counts as told to a dispatcher: the given time after a trouble of the log
    * began.
    */
   synchronized long toldAt(int dispatcher, long at, long within) {
+    boolean slow =
+        slowLogs.getOrDefault(dispatcher, List.of()).stream().anyMatch(span -> span.holds(at));
     return logTroubles.getOrDefault(dispatcher, List.of()).stream()
         .filter(span -> span.holds(at))
-        .mapToLong(span -> span.from() + within)
+        .mapToLong(span -> (slow ? at : span.from()) + within)
         .reduce(at, Math::max);
   }
 
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -288,7 +288,7 @@
     FaultProxy proxy = run.log().proxy(dispatcher.number());
     long now = Clock.micros();
     run.evidence()
-        .logTrouble(
+        .slowLog(
             dispatcher.number(), new Evidence.Span(now - MILLI, now + SLOW_FOR + event.length()));
     proxy.delayFirstAnswer(LEAST_SLOW + Math.floorMod(event.draw(), MOST_SLOW - LEAST_SLOW));
     proxy.resetAll();
