A start outlives a moment without sockets, threads or its file; writers stand ready

Cause: the same class at the start: a socket (ENFILE), thread or reading that failed once ended the process with code 3 or 1, and a writer was first started at the first answer. Change: tried again for about three seconds (threads ten); three writers from the start; a connection that is to close after its answers looks again once its bytes are looked at (a test of it raced and failed once, read timed out after 2 s: nothing looked again until the next check). The soak's dispatchers listen at addresses of their own: a proxy was given the port of one that was down (change-log-reader: NumberFormatException, clients' records). Tests end their traffic before they judge: one request of the last moment had no answer yet.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -15,6 +15,8 @@
 import gorseladder.node.runners.RunnerLinks;
 import gorseladder.rules.Rule;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.LocalShortage;
+import gorseladder.runtime.Retry;
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.runtime.Writers;
@@ -143,17 +145,22 @@
         && config.peerListen() != null
         && config.peersAll() != null;
     peers = mayTell
-        ? new TierLink(
-            config.peerListen(),
-            config.peers(),
-            config.peersAll(),
-            config.router().ordinal(),
-            STACK,
-            core::peerMessage)
+        ? Retry.whilePassing(
+            LocalShortage::is,
+            () -> new TierLink(
+                config.peerListen(),
+                config.peers(),
+                config.peersAll(),
+                config.router().ordinal(),
+                STACK,
+                core::peerMessage))
         : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
     WarmUp.run(config.router());
-    front.listen(config.listen(), STACK, connectionThreads);
+    Retry.whilePassing(LocalShortage::is, () -> {
+      front.listen(config.listen(), STACK, connectionThreads);
+      return front;
+    });
     checkLater();
   }
 
--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -4,11 +4,14 @@
 import gorseladder.platform.BadInput;
 import gorseladder.platform.Fields;
 import gorseladder.platform.PlatformSettings;
+import gorseladder.runtime.Retry;
 import gorseladder.wire.changelog.ChangeLine;
 import gorseladder.wire.json.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,7 +59,7 @@
     String name = variable(environment, "ROUTER_NAME");
     InetSocketAddress listen = address(variable(environment, "ROUTER_LISTEN"), "ROUTER_LISTEN");
     Path file = Path.of(variable(environment, FILE_VARIABLE));
-    Map<String, Object> all = object(file);
+    Map<String, Object> all = object(file, NodeConfig::readAtStart);
     try {
       return read(name, listen, all);
     } catch (IllegalArgumentException | BadInput e) {
@@ -71,7 +74,8 @@
    */
   static InetSocketAddress changeLog(Map<String, String> environment) {
     Path file = Path.of(variable(environment, FILE_VARIABLE));
-    return address(Fields.text(object(file), "changelog"), file + ": changelog");
+    return address(
+        Fields.text(object(file, Files::readAllBytes), "changelog"), file + ": changelog");
   }
 
   private static NodeConfig read(String name, InetSocketAddress listen, Map<String, Object> all) {
@@ -112,9 +116,23 @@
         (int) Fields.number(siteLimits, "mostHeld", 20_000));
   }
 
-  private static Map<String, Object> object(Path file) {
+  /** How a file is read. */
+  private interface Reading {
+    byte[] read(Path file) throws IOException;
+  }
+
+  /** A file that is there and cannot be read just now is tried again: without it there is no start. */
+  private static byte[] readAtStart(Path file) throws IOException {
+    return Retry.whilePassing(
+        failure ->
+            !(failure instanceof NoSuchFileException || failure instanceof AccessDeniedException)
+                && Files.isRegularFile(file),
+        () -> Files.readAllBytes(file));
+  }
+
+  private static Map<String, Object> object(Path file, Reading reading) {
     try {
-      if (Json.read(Files.readAllBytes(file)) instanceof Map<?, ?> map) {
+      if (Json.read(reading.read(file)) instanceof Map<?, ?> map) {
         @SuppressWarnings("unchecked")
         Map<String, Object> object = (Map<String, Object>) map;
         return object;
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -193,6 +193,9 @@
 
   private synchronized void look(boolean begins) {
     looking = begins;
+    if (!begins && closesAfterAnswers) {
+      halfCloseIfFree(CloseReason.LAST_ANSWERED);
+    }
   }
 
   // ---- records, on the connection's thread
--- a/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
+++ b/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
@@ -17,11 +17,14 @@
   private LocalShortage() {}
 
   /**
-   * True where a connect failed for want of a descriptor, an address (EADDRNOTAVAIL, which Java tells as a
+   * True where a connect, a listener or another socket failed for want of a descriptor, an address (EADDRNOTAVAIL, which Java tells as a
    * {@link BindException}), buffers or memory.
    */
   public static boolean is(IOException e) {
     String text = String.valueOf(e.getMessage());
+    if (e.getCause() instanceof IOException cause) {
+      return is(cause);
+    }
     return e instanceof BindException || TEXTS.stream().anyMatch(text::contains);
   }
 }
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -12,6 +12,8 @@
 public final class Threads {
   private static final Logger LOG = LoggerFactory.getLogger(Threads.class);
 
+  private static final int START_TRIES = 200;
+  private static final long START_PAUSE_MILLIS = 50;
   /** Starts that failed, of all threads. */
   private static final AtomicLong FAILED = new AtomicLong();
 
@@ -29,11 +31,29 @@
     };
   }
 
-  /** Starts one thread. */
+  /**
+   * Starts one thread that the program cannot do without: where the system has none it is tried again, for about ten
+   * seconds.
+   *
+   * @throws OutOfMemoryError where it has none by then
+   */
   public static Thread start(String name, int stackBytes, Runnable task) {
-    Thread thread = factory(name, stackBytes).newThread(task);
-    thread.start();
-    return thread;
+    ThreadFactory factory = factory(name, stackBytes);
+    for (int tries = 1; tries < START_TRIES; tries++) {
+      Thread thread = factory.newThread(task);
+      if (mayStart(thread)) {
+        return thread;
+      }
+      try {
+        Thread.sleep(START_PAUSE_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    Thread last = factory.newThread(task);
+    last.start();
+    return last;
   }
 
   /**
--- a/runtime/src/main/java/gorseladder/runtime/Writers.java
+++ b/runtime/src/main/java/gorseladder/runtime/Writers.java
@@ -38,6 +38,11 @@
   public Writers(int most, int stackBytes) {
     this.most = most;
     this.threads = Threads.factory("writer", stackBytes);
+    // From the start: at the first answer the system may have no thread.
+    for (int i = 0; i < Math.min(FEW, most); i++) {
+      started++;
+      startOne();
+    }
   }
 
   /** Lets go what the calling thread's tasks held back, and holds its later ones back until the next call. */
--- a/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
+++ b/soak/src/main/java/gorseladder/soak/SoakDispatcher.java
@@ -49,7 +49,9 @@
     this.evidence = evidence;
     this.preload = preload;
     this.control = preload == null ? null : preload.control(this.folder.resolve("faults"));
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+    // An address of its own: while it is down no other socket of the soak may be given its port.
+    InetAddress own = InetAddress.getByAddress(new byte[] {127, 0, 1, (byte) (number + 1)});
+    try (ServerSocket free = new ServerSocket(0, 1, own)) {
       listen = (InetSocketAddress) free.getLocalSocketAddress();
     }
   }
@@ -88,7 +90,7 @@
         "ROUTER_NAME",
         "n" + number,
         "ROUTER_LISTEN",
-        "127.0.0.1:" + listen.getPort(),
+        listen.getAddress().getHostAddress() + ":" + listen.getPort(),
         "ROUTER_CONFIG",
         folder.resolve("config.json").toString(),
         "JAVA_TOOL_OPTIONS",
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -50,10 +50,6 @@
     return socket;
   }
 
-  private List<Finding> judge() {
-    return Oracle.judge(dispatcher.evidence, dispatcher.log.told()).findings();
-  }
-
   /**
    * Incident-1: a crowd of clients that say nothing, and no thread can be started for seconds. What the usual clients
    * ask on their open connections and on new ones is answered in time by the threads that are there.
@@ -70,8 +66,7 @@
     }
     Thread.sleep(1_500);
     dispatcher.set(Fault.THREAD_RATE, 0);
-    Thread.sleep(1_500);
-    assertEquals(List.of(), judge(), dispatcher::said);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
 
   /** 190 connections, under a third of the descriptors told, each with 32 requests whose body lacks its end. */
@@ -87,7 +82,7 @@
     }
     Thread.sleep(1_500);
     dispatcher.process.stop(0);
-    assertEquals(List.of(), judge(), dispatcher::said);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
 
   private static void sendHalfRequests(Socket socket) throws IOException {
--- a/soak/src/test/java/gorseladder/soak/NewsToldOnceTest.java
+++ b/soak/src/test/java/gorseladder/soak/NewsToldOnceTest.java
@@ -80,9 +80,19 @@
       }
     });
     dispatcher.process.stop(SECOND / 2);
-    assertEquals(
-        List.of(),
-        Oracle.judge(dispatcher.evidence, dispatcher.log.told()).findings(),
-        dispatcher::said);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+  }
+
+  /** A process that finds no socket as it starts (ENFILE) begins to listen once there is one. */
+  @Test
+  void aStartOutlivesAMomentWithoutSockets() throws Exception {
+    dispatcher.process.stop(0);
+    dispatcher.set(Fault.SOCKET_ERRNO, 23);
+    dispatcher.set(Fault.SOCKET_RATE, ALL);
+    dispatcher.process.start();
+    Thread.sleep(1_800);
+    dispatcher.set(Fault.SOCKET_RATE, 0);
+    dispatcher.process.awaitReady();
+    assertTrue(dispatcher.process.isReady(), dispatcher::said);
   }
 }
--- a/soak/src/test/java/gorseladder/soak/OneDispatcher.java
+++ b/soak/src/test/java/gorseladder/soak/OneDispatcher.java
@@ -19,6 +19,8 @@
   private static final long TOLD_AFTER_SIGNAL_MILLIS = 4_000;
 
   private static final long OLD_LOG_MILLIS = 1_500;
+  /** The longest time of a request, what an answer may be late, and some. */
+  private static final long LAST_ANSWERS_MILLIS = 2_300;
 
   final Evidence evidence = new Evidence();
   final List<SoakRunner> runners = new ArrayList<>();
@@ -80,6 +82,13 @@
         .toList();
   }
 
+  /** Ends the traffic, waits for the last answers, and judges all that was seen. */
+  List<Finding> judge() throws InterruptedException {
+    process.clients().stop();
+    Thread.sleep(LAST_ANSWERS_MILLIS);
+    return Oracle.judge(evidence, log.told()).findings();
+  }
+
   /** What it wrote to its log. */
   String said() {
     try {
