--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -84,6 +84,8 @@
   private volatile boolean waiting;
   /** Since when accepting fails; 0 while it does not. The accepting thread's own. */
   private long failingSince;
+  /** Connections accepted so far; the accepting thread's own. */
+  private long accepted;
 
   private HttpServer(
       ServerSocketChannel server,
@@ -207,10 +209,12 @@
    * program.
    */
   private void acceptAll() {
-    for (int tries = 0; tries < TRIES_AT_ONCE; tries++) {
+    for (int failures = 0; failures < TRIES_AT_ONCE; failures++) {
+      long before = accepted;
       if (acceptUntilNone()) {
         return;
       }
+      failures = accepted > before ? 0 : failures;
     }
     pause();
   }
@@ -223,6 +227,7 @@
       for (SocketChannel connection = server.accept();
           connection != null;
           connection = server.accept()) {
+        accepted++;
         if (handler.admit(connection, waitedSince)) {
           open.add(connection);
           start(connection);
