--- a/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
+++ b/runtime/src/main/java/gorseladder/runtime/LocalShortage.java
@@ -17,8 +17,8 @@
   private LocalShortage() {}
 
   /**
-   * True where a connect, a listener or another socket failed for want of a descriptor, an address (EADDRNOTAVAIL, which Java tells as a
-   * {@link BindException}), buffers or memory.
+   * True where a connect, a listener or another socket failed for want of a descriptor, an address (EADDRNOTAVAIL,
+   * which Java tells as a {@link BindException}), buffers or memory.
    */
   public static boolean is(IOException e) {
     String text = String.valueOf(e.getMessage());
