--- a/soak/src/test/java/gorseladder/soak/NewsToldOnceTest.java
+++ b/soak/src/test/java/gorseladder/soak/NewsToldOnceTest.java
@@ -1,6 +1,7 @@
 package gorseladder.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorseladder.soak.Preload.Fault;
@@ -95,4 +96,24 @@
     dispatcher.process.awaitReady();
     assertTrue(dispatcher.process.isReady(), dispatcher::said);
   }
+
+  /**
+   * The first connect of a process that fails has the Java machine set up a class of its own, which reads a file. Where
+   * that cannot be opened just then the class is of no use for good, and each connect that fails later ends in an
+   * Error.
+   */
+  @Test
+  void aFirstFailedConnectWhileNoFileCanBeOpenedBreaksNothing() throws Exception {
+    dispatcher.set(Fault.OPEN_ERRNO, 24);
+    dispatcher.set(Fault.OPEN_RATE, ALL);
+    FaultProxy down = dispatcher.runners.get(1).proxy();
+    down.refuse();
+    down.resetAll();
+    Thread.sleep(FAILING_MILLIS);
+    dispatcher.set(Fault.OPEN_RATE, 0);
+    Thread.sleep(FAILING_MILLIS);
+    down.takeAgain();
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+    assertFalse(dispatcher.said().contains("Error: "), dispatcher::said);
+  }
 }
