An Error ends no thread that nothing brings back; failing connects are set up at the start

Change: WarmUp sets that class up before the listener opens; threads that nothing brings back outlive any Error (core, writers, listener, timers, follower, links, peers; edge's and planner's too); one before a connection is open is NO_RESOURCE. The soak's failing opens spare class files and jars: in service the classes lie in one open archive.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -319,7 +319,7 @@
   private void tell(Event event) {
     try {
       router.on(now, event, this::carryOut);
-    } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("the router failed at {}", event.getClass().getSimpleName(), e);
     }
   }
--- a/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
+++ b/edge/src/main/java/gorseladder/edge/list/ListWatcher.java
@@ -121,7 +121,7 @@
         while (!stopped && query(c)) {
           pause = LEAST_PAUSE;
         }
-      } catch (IOException | BadMessage | RuntimeException | OutOfMemoryError e) {
+      } catch (IOException | BadMessage | RuntimeException | Error e) {
         // Whatever fails is over in a moment, and nothing brings this thread back.
         if (!stopped) {
           LOG.warn(
--- a/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
+++ b/edge/src/main/java/gorseladder/edge/peers/PeerLink.java
@@ -87,7 +87,7 @@
         } else {
           dropped++;
         }
-      } catch (IOException | RuntimeException | OutOfMemoryError e) {
+      } catch (IOException | RuntimeException | Error e) {
         if (!socket.isClosed()) {
           LOG.debug("a datagram was lost: {}", e.toString());
         }
--- a/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
+++ b/edge/src/main/java/gorseladder/edge/plans/PlannerLink.java
@@ -97,7 +97,7 @@
             LOG.info("the planner answers again");
           }
           failures = 0;
-        } catch (IOException | BadMessage | RuntimeException | OutOfMemoryError e) {
+        } catch (IOException | BadMessage | RuntimeException | Error e) {
           // Whatever fails is over in a moment, and nothing brings this thread back.
           if (failures++ == 0 && !stopped) {
             LOG.warn(
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -187,7 +187,7 @@
         end(Ending.TIMED_OUT);
       } catch (IOException e) {
         end(LocalShortage.is(e) ? Ending.NO_RESOURCE : Ending.BROKEN);
-      } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
+      } catch (RuntimeException | Error e) {
         LOG.error("an attempt at {} failed", worker, e);
         end(Ending.BROKEN);
       }
--- a/node/src/main/java/gorseladder/node/WarmUp.java
+++ b/node/src/main/java/gorseladder/node/WarmUp.java
@@ -24,6 +24,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Goes through the steps of a call a few times on values of its own before the dispatcher is live: no socket, no
@@ -34,6 +36,15 @@
  * write. It could harm a start that has hardly any processor time, by some ten milliseconds of it.
  */
 final class WarmUp {
+  private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
+  /**
+   * Classes of the Java machine that are set up when something fails for the first time, and read a file for it. Guards
+   * against a file that cannot be opened just then: such a class is of no use for good, and each connect that fails
+   * later ends in an Error.
+   */
+  private static final List<String> SET_UP =
+      List.of("java.security.Security", "sun.net.util.SocketExceptions");
+
   private static final int ROUNDS = 40;
   private static final long SECOND = 1_000_000;
   private static final String WORKER = "warm-up";
@@ -42,6 +53,7 @@
 
   /** Goes through them; a step that fails is left out. */
   static void run(Settings settings) {
+    SET_UP.forEach(WarmUp::setUp);
     Router router = new Router(settings, 1);
     RequestClass requestClass = settings.classes().get(0);
     List<WorkerEntry> workers = List.of(new WorkerEntry(WORKER, "", 0, Phase.RUNNING, 1, 0));
@@ -53,6 +65,15 @@
     }
   }
 
+  /** Where the class cannot be had the machine has another way, and sets that up itself. */
+  private static void setUp(String name) {
+    try {
+      Class.forName(name);
+    } catch (ClassNotFoundException e) {
+      LOG.debug("no class {}", name);
+    }
+  }
+
   private static void decide(Router router, RequestClass requestClass, int round) {
     long now = round * SECOND;
     boolean[] sent = new boolean[1];
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -191,7 +191,7 @@
       socket.setTcpNoDelay(true);
       socket.getOutputStream().write(ChangeLine.since(last()));
       read(c);
-    } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
+    } catch (IOException | RuntimeException | Error e) {
       why = e instanceof UnusableLine ? e.getMessage() : e.toString();
     } finally {
       ended(c, why);
--- a/node/src/main/java/gorseladder/node/peers/TierLink.java
+++ b/node/src/main/java/gorseladder/node/peers/TierLink.java
@@ -75,7 +75,7 @@
         if (sender != null && sender != ordinal && packet.getLength() <= MOST_BYTES) {
           hearer.heard(sender, new String(buffer, 0, packet.getLength(), StandardCharsets.UTF_8));
         }
-      } catch (IOException | RuntimeException | OutOfMemoryError e) {
+      } catch (IOException | RuntimeException | Error e) {
         if (!socket.isClosed()) {
           LOG.debug("a datagram was lost: {}", e.toString());
         }
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -86,7 +86,7 @@
         return opened;
       }
       opened.discard();
-    } catch (IOException e) {
+    } catch (IOException | Error e) {
       settings.log().accept("no connection to " + uid + ": " + e);
     }
     settings.descriptors().release();
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -84,8 +84,11 @@
       read();
     } catch (BadAnswer e) {
       close(Ending.MALFORMED, e.getMessage());
-    } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
+    } catch (IOException | RuntimeException e) {
       close(Ending.BROKEN, e.toString());
+    } catch (Error e) {
+      // Of this process: before the connection is open it says nothing of the runner.
+      close(isOpen() ? Ending.BROKEN : Ending.NO_RESOURCE, e.toString());
     }
   }
 
--- a/planner/src/main/java/gorseladder/planner/PlannerServer.java
+++ b/planner/src/main/java/gorseladder/planner/PlannerServer.java
@@ -73,7 +73,7 @@
       while (!closed) {
         try {
           planner.tick();
-        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+        } catch (RuntimeException | Error e) {
           LOG.error("planning failed; the edges' plans run out", e);
         }
         Thread.sleep(TICK_MILLIS);
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -237,7 +237,7 @@
       }
       failingSince = 0;
       return true;
-    } catch (IOException | RuntimeException | OutOfMemoryError e) {
+    } catch (IOException | RuntimeException | Error e) {
       if (failingSince == 0) {
         LOG.warn("accept failed: {}", e.toString());
         failingSince = waitedSince;
--- a/runtime/src/main/java/gorseladder/runtime/Outbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Outbox.java
@@ -200,7 +200,7 @@
       } catch (IOException e) {
         fail(e);
         return;
-      } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+      } catch (RuntimeException | Error e) {
         fail(new IOException("writing failed", e));
         return;
       }
--- a/runtime/src/main/java/gorseladder/runtime/Threads.java
+++ b/runtime/src/main/java/gorseladder/runtime/Threads.java
@@ -60,13 +60,13 @@
    * Runs a task of a thread that has others to run after it: an error of this one is logged and ends nothing else.
    *
    * <p>Guards against threads that end for what is over in a moment: the system has no thread to start or no memory,
-   * which Java tells as an Error. It could harm where such an error left state half changed; what the task was about
-   * then ends by its time.
+   * which Java tells as an Error, or it could not set up a class of its own. It could harm where such an error left
+   * state half changed; what the task was about then ends by its time.
    */
   public static void guarded(String name, Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("a task of {} failed", name, e);
     }
   }
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -289,7 +289,9 @@
     long now = Clock.micros();
     run.evidence()
         .slowLog(
-            dispatcher.number(), new Evidence.Span(now - MILLI, now + SLOW_FOR + event.length()));
+            dispatcher.number(),
+            // What was asked just before its end is answered that much after it.
+            new Evidence.Span(now - MILLI, now + SLOW_FOR + event.length() + MOST_SLOW));
     proxy.delayFirstAnswer(LEAST_SLOW + Math.floorMod(event.draw(), MOST_SLOW - LEAST_SLOW));
     proxy.resetAll();
     Thread.sleep((SLOW_FOR + event.length()) / MILLI);
