--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -186,7 +186,10 @@
     FaultProxy.start("signal-while-starting", () -> {
       try {
         Thread.sleep(NO_SIGNAL_MILLIS);
-        if (!dispatcher.isReady()) {
+        // Before the program itself runs, which a busy machine may put off past that second, the
+        // Java machine would
+        // end at the signal; the platform sends none by then.
+        if (dispatcher.runs() && !dispatcher.isReady()) {
           news.move(dispatcher);
         }
       } catch (IOException e) {
