The soak counts what it held itself: late connects, the moment a pause takes to begin

Change: the proxy notes that span as held; the pause begins at the request at the earliest; the line of an attempt that is counted as held is not judged. No code of the dispatcher changes.

--- a/soak/src/main/java/gorseladder/soak/FaultProxy.java
+++ b/soak/src/main/java/gorseladder/soak/FaultProxy.java
@@ -48,6 +48,7 @@
   private volatile long holdUntil;
   private volatile long accepted;
   private volatile long firstAnswerDelay;
+  private volatile long lateSince;
   private volatile boolean closed;
 
   /** A proxy on a free port of the loopback. */
@@ -229,6 +230,7 @@
 
   /** Has new connections come up late: the system leaves them without an answer until {@link #comeUp}. */
   void comeUpLate() throws IOException {
+    lateSince = Clock.micros();
     server.close();
     for (int tries = 0; server.isClosed(); tries++) {
       try {
@@ -256,6 +258,11 @@
 
   /** Lets connections that wait come up. */
   void comeUp() throws IOException {
+    // The system may have let one connection up, and holds what is written on it until it is
+    // accepted here.
+    synchronized (holds) {
+      holds.add(new Evidence.Span(lateSince, Clock.micros()));
+    }
     synchronized (blockers) {
       for (Socket blocker : blockers) {
         blocker.close();
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Judges a soak by its evidence: what was seen on sockets, and how processes started and ended. Where the soak itself
@@ -36,7 +38,7 @@
   private final Evidence evidence;
   private final List<Told> told;
   private final List<Finding> findings = new ArrayList<>();
-  private int heldInTheWrite;
+  private final Set<String> heldInTheWrite = new HashSet<>();
 
   private Oracle(Evidence evidence, List<Told> told) {
     this.evidence = evidence;
@@ -47,10 +49,10 @@
    * What came of it.
    *
    * @param findings all that went against a rule, in the order of time
-   * @param heldInTheWrite attempts whose dispatcher was stopped between its last look and the write of the bytes: no
-   *     program can look later than that, so what came of it is counted and not judged
+   * @param heldInTheWrite ids of requests with attempts whose dispatcher was stopped between its last look and the
+   *     write of the bytes: no program can look later than that, so what came of it is counted and not judged
    */
-  record Judgement(List<Finding> findings, int heldInTheWrite) {}
+  record Judgement(List<Finding> findings, Set<String> heldInTheWrite) {}
 
   /** Judges. */
   static Judgement judge(Evidence evidence, List<Told> told) {
@@ -230,7 +232,7 @@
       return;
     }
     if (heldInTheWrite(request, a)) {
-      heldInTheWrite++;
+      heldInTheWrite.add(a.id);
       return;
     }
     long late = a.heldUp + OWN_SLACK + evidence.ownStalls().late(request.sentAt, a.at);
@@ -277,10 +279,12 @@
    */
   private boolean heldInTheWrite(Asked request, Arrived a) {
     Evidence.Span pause = evidence.pauseBefore(request.dispatcher, a.firstByteAt);
-    if (pause == null || request.sentAt >= pause.from()) {
+    if (pause == null) {
       return false;
     }
-    long leftThen = request.sentAt + request.timeout - pause.from();
+    // The signal takes effect some time after it was begun to be sent: the request may have come in
+    // between.
+    long leftThen = request.sentAt + request.timeout - Math.max(pause.from(), request.sentAt);
     return Math.abs(a.max - leftThen) <= SLACK;
   }
 
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.regex.Pattern;
@@ -150,11 +151,19 @@
         && evidence.pausedUntil(dispatcher, new Evidence.Span(0, Long.MAX_VALUE)) > 0;
   }
 
+  /** True for a dispatcher's own line about an attempt that was held in the write: it is counted, not judged. */
+  private static boolean toldOfOne(Finding finding, Set<String> ids) {
+    return finding.rule() == SoakRule.LOG
+        && ids.stream().anyMatch(id -> finding.text().contains("request=" + id + " "));
+  }
+
   private Result result() {
     Oracle.Judgement judged = Oracle.judge(evidence, log.told());
     List<Finding> all = new ArrayList<>(judged.findings());
     synchronized (findings) {
-      all.addAll(findings);
+      findings.stream()
+          .filter(finding -> !toldOfOne(finding, judged.heldInTheWrite()))
+          .forEach(all::add);
     }
     int served = (int) evidence.requests().stream().filter(r -> r.status == 200).count();
     long injected = preload == null
@@ -169,7 +178,7 @@
         injected,
         evidence.ownStalls().longest(),
         evidence.ownStalls().total(),
-        judged.heldInTheWrite(),
+        judged.heldInTheWrite().size(),
         troubles.failed());
   }
 
