--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -26,6 +26,8 @@
   private static final long ANSWER_SLACK = 500 * MILLI;
   private static final long GONE_SLACK = 100 * MILLI;
   private static final long DEADLINE_SLACK = 150 * MILLI;
+  /** From the begin of sending a signal to its effect, at the most. */
+  private static final long SIGNAL_TAKES = 200 * MILLI;
   /** What the change log has to tell counts as told so long after its trouble began. */
   private static final long TOLD_LATE = 4_000 * MILLI;
   /** A request that crosses the end of a connection within this time is the client's to repeat. */
@@ -279,7 +281,7 @@
    */
   private boolean heldInTheWrite(Asked request, Arrived a) {
     Evidence.Span pause = evidence.pauseBefore(request.dispatcher, a.firstByteAt);
-    if (pause == null) {
+    if (pause == null || request.sentAt >= pause.from() + SIGNAL_TAKES) {
       return false;
     }
     // The signal takes effect some time after it was begun to be sent: the request may have come in
