--- a/soak/src/main/java/gorseladder/soak/Crowd.java
+++ b/soak/src/main/java/gorseladder/soak/Crowd.java
@@ -86,7 +86,8 @@
     open.clear();
   }
 
-  private static void sendHalves(Socket socket) {
+  /** Sends as many requests as one connection may have open, each without the end of its body. */
+  static void sendHalves(Socket socket) {
     try {
       for (int number = 1; number <= HALVES_EACH; number++) {
         Map<String, String> params = FastCgiClient.params(
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -3,15 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import gorseladder.soak.Preload.Fault;
-import gorseladder.testbed.platform.FastCgiClient;
-import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,10 +15,7 @@
 
 /** Crowds of clients at one dispatcher, and what the usual clients see of it. */
 class CrowdTest {
-  private static final long SECOND = 1_000_000;
   private static final int ALL = 1_000;
-  private static final int HALF_REQUESTS_EACH = 32;
-  private static final int BODY_BYTES = 15_000;
 
   @TempDir
   Path dir;
@@ -73,30 +66,15 @@
   @Test
   void halfSentRequestsOfACrowdCostNoOtherClientItsAnswer() throws Exception {
     for (int i = 0; i < 190; i++) {
-      sendHalfRequests(join());
+      Crowd.sendHalves(join());
     }
     for (int i = 0; i < 40; i++) {
       crowd.remove(0).close();
-      sendHalfRequests(join());
+      Crowd.sendHalves(join());
       Thread.sleep(50);
     }
     Thread.sleep(1_500);
     dispatcher.process.stop(0);
     assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
-
-  private static void sendHalfRequests(Socket socket) throws IOException {
-    for (int number = 1; number <= HALF_REQUESTS_EACH; number++) {
-      Map<String, String> params = FastCgiClient.params(
-          CallClass.SAFE.word(), "%016x".formatted(number), "%016x".formatted(0xf000), 1_000);
-      byte[] whole = RecordWriter.request(number, true, params, new byte[BODY_BYTES]);
-      try {
-        // Without the last record, the empty one that ends the body.
-        socket.getOutputStream().write(Arrays.copyOf(whole, whole.length - 8));
-      } catch (IOException e) {
-        // Turned away, as it may be.
-        return;
-      }
-    }
-  }
 }
