A failing test: answers wait for a stalled ledger past their clients' time

Read for it, the edge has three waits for a write of the ledger without a bound (the taking, the leaving, the end) and one of up to 1 s for refusals held back. Change: a disk that stalls (StallingDisk, LedgerFiles), three tests, listed; the edge tells an answer that it hands over more than 100 ms too late with every step of it (RequestTimeline), and the rule checker tells when its client had connected and written.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -23,6 +23,7 @@
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
+import gorseladder.store.LedgerFiles;
 import gorseladder.store.history.History;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -62,6 +63,11 @@
    * @throws IOException where the ledger cannot be used or an address is taken; the text says which
    */
   public Edge(EdgeSettings settings) throws IOException {
+    this(settings, LedgerFiles.PLAIN);
+  }
+
+  /** As above, with a way to write the ledger that tests choose. */
+  public Edge(EdgeSettings settings, LedgerFiles ledgerFiles) throws IOException {
     this.settings = settings;
     EdgeConfig config = new EdgeConfig(settings);
     Path directory = Path.of(settings.getDataDirectory());
@@ -69,7 +75,8 @@
     ledger = Ledger.open(
         directory.resolve("ledger"),
         settings.getLedger().getSync(),
-        settings.getLedger().getMaxMessages());
+        settings.getLedger().getMaxMessages(),
+        ledgerFiles);
     try {
       history = new CallHistory(
           History.open(
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -14,6 +14,9 @@
 public final class CallLog {
   private static final Logger CALLS = LoggerFactory.getLogger("gorseladder.calls");
 
+  /** An answer handed over by more than this after its client's patience is told, in microseconds. */
+  private static final long LATE = 100_000;
+
   private final Map<Reason, LongAdder> counts = new EnumMap<>(Reason.class);
   private final LongAdder taken = new LongAdder();
 
@@ -56,6 +59,19 @@
         .log("not taken");
   }
 
+  /** The answer to a request was handed to the system; one that came too late is told with all its steps. */
+  void written(String message, Reason reason, RequestTimeline times) {
+    if (times.lateness() > LATE) {
+      CALLS
+          .atWarn()
+          .addKeyValue("id", message)
+          .addKeyValue("reason", reason.word())
+          .addKeyValue("late_ms", times.lateness() / 1000)
+          .addKeyValue("steps", times)
+          .log("answered too late");
+    }
+  }
+
   /** A request was refused in a way that is told elsewhere; it is counted here. */
   void counted(Reason reason) {
     counts.get(reason).increment();
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -7,6 +7,7 @@
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
+import gorseladder.edge.front.RequestTimeline.Step;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
 import gorseladder.edge.front.WebhookSettings.Route;
 import gorseladder.runtime.Clock;
@@ -191,7 +192,8 @@
       return false;
     }
     boolean keep = head.keepsConnection() && !stopping;
-    Exchange exchange = new Exchange(c, turn, head, body, arrivedAt);
+    RequestTimeline times = new RequestTimeline(arrivedAt, turn.waited());
+    Exchange exchange = new Exchange(c, turn, head, body, times);
     FinalAnswer answer;
     try {
       answer = exchange.answer();
@@ -213,6 +215,8 @@
         answer.reason().kind == Reason.Kind.SERVED
             ? served(answer, keep)
             : problem(answer, exchange.detail, keep));
+    times.mark(Step.WRITTEN);
+    log.written(exchange.message, answer.reason(), times);
     return keep;
   }
 
@@ -244,16 +248,17 @@
     private final TurnQueue.Turn turn;
     private final Head head;
     private final byte[] body;
-    private final long arrivedAt;
+    private final RequestTimeline times;
+    private String message = "";
     private String detail;
     private AdmissionCheck.Pass pass;
 
-    Exchange(HttpConnection c, TurnQueue.Turn turn, Head head, byte[] body, long arrivedAt) {
+    Exchange(HttpConnection c, TurnQueue.Turn turn, Head head, byte[] body, RequestTimeline times) {
       this.c = c;
       this.turn = turn;
       this.head = head;
       this.body = body;
-      this.arrivedAt = arrivedAt;
+      this.times = times;
     }
 
     private FinalAnswer no(Reason reason, String why) {
@@ -263,6 +268,7 @@
     }
 
     FinalAnswer answer() {
+      times.patience(patience(head));
       if (stopping) {
         return no(Reason.STOPPING, null);
       }
@@ -280,7 +286,8 @@
       } catch (IllegalArgumentException e) {
         return no(Reason.BAD_SIGNATURE, e.getMessage());
       }
-      String message = endpoint.path() + " " + delivery.id();
+      message = endpoint.path() + " " + delivery.id();
+      times.mark(Step.READ);
       // Before the signature is checked: whoever is refused here costs little, and nothing of
       // theirs is believed.
       pass = door.enter(
@@ -300,7 +307,7 @@
             check == Delivery.Check.STALE ? Reason.STALE_TIMESTAMP : Reason.BAD_SIGNATURE, null);
       }
       try {
-        return route(endpoint, message, delivery, Payload.parse(body));
+        return route(endpoint, delivery, Payload.parse(body));
       } catch (IllegalArgumentException e) {
         return no(Reason.BAD_PAYLOAD, e.getMessage());
       }
@@ -312,8 +319,7 @@
       return new FinalAnswer(Reason.OVERLOADED, null, door.retryAfter() * 1_000_000L);
     }
 
-    private FinalAnswer route(
-        Endpoint endpoint, String message, Delivery delivery, Payload payload) {
+    private FinalAnswer route(Endpoint endpoint, Delivery delivery, Payload payload) {
       Route route = endpoint.routes().get(payload.type());
       String function =
           payload.function() != null || route == null ? payload.function() : route.function();
@@ -333,8 +339,9 @@
           .clock()
           .fromNow(
               (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000, Clock.wallMicros());
-      long patience = Math.min(requestClass.deadline(), patience(head));
+      times.patience(Math.min(requestClass.deadline(), patience(head)));
       turn.give();
+      times.mark(Step.ADMITTED);
       Intake.Result result = intake.take(new Intake.Delivery(
           message,
           Intake.requestKey(message, delivery.timestamp(), body),
@@ -346,15 +353,16 @@
           payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
           payload.lanes() > 0 ? payload.lanes() : route.lanes(),
           payload.loadMillis() * 1000,
-          arrivedAt,
-          patience,
+          times.arrivedAt(),
+          times.patience(),
           pass));
+      times.mark(Step.TAKEN);
       if (result.call() == null) {
         detail = result.answer().reason().text;
-        log.answered(message, result.answer().reason(), Clock.micros() - arrivedAt);
+        log.answered(message, result.answer().reason(), Clock.micros() - times.arrivedAt());
         return result.answer();
       }
-      FinalAnswer answer = await(result.call(), result.joined(), arrivedAt + patience);
+      FinalAnswer answer = await(result.call(), result.joined());
       detail = answer.reason().text;
       return answer;
     }
@@ -363,7 +371,8 @@
       return message.hashCode() * SPREAD ^ delivery.id().hashCode();
     }
 
-    private FinalAnswer await(TakenCall call, boolean joined, long until) {
+    private FinalAnswer await(TakenCall call, boolean joined) {
+      long until = times.until();
       try {
         long look = LOOK;
         for (long now = Clock.micros();
@@ -371,7 +380,9 @@
             now = Clock.micros(), look = Math.min(2 * look, MOST_LOOK)) {
           FinalAnswer answer = call.await(Math.min(until, now + look));
           if (answer != null) {
+            times.mark(Step.ENDED);
             intake.awaitRecord(call);
+            times.mark(Step.RECORDED);
             boolean ownerLeft = answer.reason() == Reason.GONE;
             return ownerLeft ? new FinalAnswer(Reason.FAILED_OVERDUE, null, 0) : answer;
           }
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -68,7 +68,7 @@
   private final boolean sync;
   private final int maxMessages;
   private final int segmentBytes;
-  private final LedgerSegment.Sink sink;
+  private final LedgerFiles files;
   private final FileChannel lockFile;
   /** Tables are keyed by a digest with this in it, so that no sender can choose where its messages come to stand. */
   private final byte[] salt = new byte[16];
@@ -134,14 +134,13 @@
     }
   }
 
-  private Ledger(
-      Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink)
+  private Ledger(Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerFiles files)
       throws IOException {
     this.folder = folder;
     this.sync = sync;
     this.maxMessages = maxMessages;
     this.segmentBytes = segmentBytes;
-    this.sink = sink;
+    this.files = files;
     new SecureRandom().nextBytes(salt);
     Files.createDirectories(folder);
     lockFile = FileChannel.open(
@@ -193,17 +192,17 @@
   }
 
   private void load() throws IOException {
-    List<Path> files;
+    List<Path> segmentFiles;
     try (Stream<Path> all = Files.list(folder)) {
-      files = all.filter(f -> f.toString().endsWith(SUFFIX)).sorted().toList();
+      segmentFiles = all.filter(f -> f.toString().endsWith(SUFFIX)).sorted().toList();
     }
-    for (Path file : files) {
+    for (Path file : segmentFiles) {
       String name = file.getFileName().toString();
       LedgerSegment segment = new LedgerSegment(
-          file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), sink);
+          file, Long.parseLong(name.substring(0, name.length() - SUFFIX.length()), 16), files);
       segments.add(segment);
       segment.load(
-          file.equals(files.get(files.size() - 1)),
+          file.equals(segmentFiles.get(segmentFiles.size() - 1)),
           (at, record) -> index(
               segment, at, record, digest('m', record.message()), digest('r', record.request())));
     }
@@ -214,7 +213,7 @@
 
   private void begin(long number) {
     segments.add(
-        new LedgerSegment(folder.resolve(String.format("%016x%s", number, SUFFIX)), number, sink));
+        new LedgerSegment(folder.resolve(String.format("%016x%s", number, SUFFIX)), number, files));
     // Each segment knows the count of openings, as earlier ones go.
     pending.writeBytes(new LedgerRecord(null, null, null, 0, seenBoots).toBytes());
   }
@@ -230,15 +229,21 @@
    * @throws LedgerException where it is damaged, held by another process, of another format or cannot be written
    */
   public static Ledger open(Path folder, boolean sync, int maxMessages) throws LedgerException {
-    return open(folder, sync, maxMessages, SEGMENT_BYTES, LedgerSegment.Sink.PLAIN);
+    return open(folder, sync, maxMessages, LedgerFiles.PLAIN);
   }
 
-  /** As above, with the least size of a segment and a way to write that tests choose. */
+  /** As above, with a way to write that tests choose. */
+  public static Ledger open(Path folder, boolean sync, int maxMessages, LedgerFiles files)
+      throws LedgerException {
+    return open(folder, sync, maxMessages, SEGMENT_BYTES, files);
+  }
+
+  /** As above, with the least size of a segment. */
   static Ledger open(
-      Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerSegment.Sink sink)
+      Path folder, boolean sync, int maxMessages, int segmentBytes, LedgerFiles files)
       throws LedgerException {
     try {
-      return new Ledger(folder, sync, maxMessages, segmentBytes, sink);
+      return new Ledger(folder, sync, maxMessages, segmentBytes, files);
     } catch (MVStoreException | IllegalArgumentException | IllegalStateException | IOException e) {
       String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
       throw new LedgerException(
--- /dev/null
+++ b/store/src/main/java/gorseladder/store/LedgerFiles.java
@@ -0,0 +1,30 @@
+package gorseladder.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** What a ledger does with its files; tests give one that fails or stalls. Called on the ledger's own thread. */
+public interface LedgerFiles {
+  /** Files as the system has them. */
+  LedgerFiles PLAIN = (to, bytes) -> {
+    while (bytes.hasRemaining()) {
+      to.write(bytes);
+    }
+  };
+
+  /** Writes all of the bytes, or fails. */
+  void write(FileChannel to, ByteBuffer bytes) throws IOException;
+
+  /** Makes what was written last. */
+  default void force(FileChannel written) throws IOException {
+    written.force(false);
+  }
+
+  /** Removes a file. */
+  default void remove(Path file) throws IOException {
+    Files.deleteIfExists(file);
+  }
+}
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -26,28 +26,6 @@
   private static final int FORMAT = 3;
   private static final int MOST_FRAME = 1 << 30;
 
-  /** What is done with files; tests give one that fails. */
-  interface Sink {
-    void write(FileChannel to, ByteBuffer bytes) throws IOException;
-
-    /** Makes what was written last. */
-    default void force(FileChannel written) throws IOException {
-      written.force(false);
-    }
-
-    /** Removes a file. */
-    default void remove(Path file) throws IOException {
-      Files.deleteIfExists(file);
-    }
-
-    /** Writes all of them. */
-    Sink PLAIN = (to, bytes) -> {
-      while (bytes.hasRemaining()) {
-        to.write(bytes);
-      }
-    };
-  }
-
   /** Hears each record of a file and where it stands. */
   interface Reader {
     void record(int at, LedgerRecord record);
@@ -64,14 +42,14 @@
   /** Where the next frame will begin, with all that was put by now. */
   int end = HEAD;
 
-  private final Sink sink;
+  private final LedgerFiles files;
   private FileChannel out;
   private RandomAccessFile in;
 
-  LedgerSegment(Path file, long number, Sink sink) {
+  LedgerSegment(Path file, long number, LedgerFiles files) {
     this.file = file;
     this.number = number;
-    this.sink = sink;
+    this.files = files;
   }
 
   /** When all in it may be forgotten. */
@@ -101,7 +79,7 @@
         ByteBuffer head = ByteBuffer.allocate(HEAD).putInt(MARK).putInt(FORMAT).putLong(number);
         head.putInt(Digests.crc(head.array(), 0, HEAD - 8)).putInt(0);
         out.truncate(0);
-        sink.write(out, head.flip());
+        files.write(out, head.flip());
       }
       out.truncate(at);
     }
@@ -111,9 +89,9 @@
         .putInt(0, FRAME_MARK)
         .putInt(4, length)
         .putInt(8, Digests.crc(frame.array(), FRAME_HEAD, length));
-    sink.write(out, frame);
+    files.write(out, frame);
     if (sync) {
-      sink.force(out);
+      files.force(out);
     }
   }
 
@@ -135,7 +113,7 @@
       return;
     }
     try {
-      sink.force(out);
+      files.force(out);
     } finally {
       letGo();
     }
@@ -255,6 +233,6 @@
   /** Removes the file: all in it may be forgotten. */
   void drop() throws IOException {
     close();
-    sink.remove(file);
+    files.remove(file);
   }
 }
--- a/store/src/test/java/gorseladder/store/LedgerTest.java
+++ b/store/src/test/java/gorseladder/store/LedgerTest.java
@@ -89,7 +89,7 @@
   @Test
   void whatWasAwaitedIsInTheFilesAtOnce() throws IOException {
     Random random = new Random(3);
-    try (Ledger ledger = Ledger.open(folder(), false, 1000, 700, LedgerSegment.Sink.PLAIN)) {
+    try (Ledger ledger = Ledger.open(folder(), false, 1000, 700, LedgerFiles.PLAIN)) {
       for (int round = 0; round < 30; round++) {
         for (int i = 0; i < random.nextInt(20); i++) {
           ledger.put("x" + round + "-" + i, entry(Stage.ACCEPTED, 1000));
@@ -168,7 +168,7 @@
   @Test
   void expiredSegmentsGoWhole() throws IOException {
     long second = 1_000_000;
-    try (Ledger ledger = Ledger.open(folder(), false, 100_000, 2_000, LedgerSegment.Sink.PLAIN)) {
+    try (Ledger ledger = Ledger.open(folder(), false, 100_000, 2_000, LedgerFiles.PLAIN)) {
       for (int i = 0; i < 200; i++) {
         ledger.forgetUntil(i * second);
         ledger.await(ledger.put(
@@ -250,7 +250,7 @@
   /** Bytes turned over anywhere in the first of two files, or in the last before its last frame. */
   @Test
   void aDamagedFileIsRefusedWithAWayOutAndLeftAlone() throws IOException {
-    try (Ledger ledger = Ledger.open(folder(), false, 1000, 20_000, LedgerSegment.Sink.PLAIN)) {
+    try (Ledger ledger = Ledger.open(folder(), false, 1000, 20_000, LedgerFiles.PLAIN)) {
       for (int i = 0; i < 300; i++) {
         ledger.await(ledger.put("key" + i, entry(Stage.SERVED, 1000)));
       }
@@ -291,7 +291,7 @@
   @Test
   void aFullDiskEndsEveryWaitAndPromisesNothing() throws IOException {
     AtomicLong left = new AtomicLong(100_000);
-    LedgerSegment.Sink disk = (to, bytes) -> {
+    LedgerFiles disk = (to, bytes) -> {
       while (bytes.hasRemaining()) {
         if (left.decrementAndGet() < 0) {
           throw new IOException("No space left on device");
@@ -336,7 +336,7 @@
     Random random = new Random(8);
     Map<String, LedgerEntry> plain = new HashMap<>();
     long now = 0;
-    Ledger ledger = Ledger.open(folder(), false, 100_000, 3_000, LedgerSegment.Sink.PLAIN);
+    Ledger ledger = Ledger.open(folder(), false, 100_000, 3_000, LedgerFiles.PLAIN);
     for (int step = 0; step < 20_000; step++) {
       String name = "m" + random.nextInt(300);
       LedgerEntry old = plain.get(name);
@@ -364,7 +364,7 @@
       ledger.forgetUntil(now);
       if (random.nextInt(500) == 0) {
         ledger.close();
-        ledger = Ledger.open(folder(), false, 100_000, 3_000, LedgerSegment.Sink.PLAIN);
+        ledger = Ledger.open(folder(), false, 100_000, 3_000, LedgerFiles.PLAIN);
         ledger.forgetUntil(now);
       }
     }
@@ -372,7 +372,7 @@
   }
 
   /** A disk whose writes, syncs and removals fail while it is told so; a failing write leaves a half behind. */
-  private static final class Disk implements LedgerSegment.Sink {
+  private static final class Disk implements LedgerFiles {
     private volatile boolean writesFail;
     private volatile boolean syncsFail;
     private volatile boolean removalsFail;
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -170,6 +170,14 @@
             && d.to() >= t.sentAt);
   }
 
+  /** What a late try waited for, as far as its client saw it. */
+  private String steps(Try t) {
+    return t.reason + ", patience " + t.patience / 1000 + " ms, connected after "
+        + (t.connectedAt - t.sentAt) / 1000 + " ms, written after "
+        + (t.writtenAt - t.sentAt) / 1000 + " ms, machine's slack then "
+        + slackAt.applyAsLong(t.answeredAt) / 1000 + " ms";
+  }
+
   private static <T> Map<String, List<T>> group(List<T> all, Function<T, String> by) {
     return all.stream().collect(Collectors.groupingBy(by, HashMap::new, Collectors.toList()));
   }
@@ -196,7 +204,7 @@
         broke(
             1,
             t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000
-                + " ms too late");
+                + " ms too late: " + steps(t));
       }
     }
     Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
--- a/testbed/src/main/java/gorseladder/testbed/Tap.java
+++ b/testbed/src/main/java/gorseladder/testbed/Tap.java
@@ -22,6 +22,10 @@
 
     public boolean retryAfter;
     public long answeredAt;
+    /** When its connection stood and when its bytes were handed to the system; 0 where it did not come to that. */
+    public long connectedAt;
+
+    public long writtenAt;
     public boolean unreached;
     public boolean broken;
     public String reason = "";
--- a/testbed/src/main/java/gorseladder/testbed/TestFleet.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -52,6 +52,7 @@
   private final String moreSettings;
   private final Tap tap = new Tap();
   private final String secret;
+  private final StallingDisk disk = new StallingDisk();
   private final Archive archive;
   private final ListStandIn list;
   private final List<StandInRunner> runners = new ArrayList<>();
@@ -79,7 +80,7 @@
         if (!loaded.faults().isEmpty()) {
           throw new IOException(loaded.faults().toString());
         }
-        edge = new Edge(loaded.settings());
+        edge = new Edge(loaded.settings(), disk);
         return;
       }
       String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
@@ -349,6 +350,11 @@
     return list;
   }
 
+  /** Where edges in this process keep their ledgers. */
+  public StallingDisk disk() {
+    return disk;
+  }
+
   public Archive archive() {
     return archive;
   }
--- a/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
+++ b/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
@@ -194,6 +194,7 @@
     HttpConnection c = null;
     try {
       c = borrow(to);
+      t.connectedAt = Clock.micros();
       HeadWriter w = HeadWriter.request("POST", path, "edge")
           .field("Content-Type", "application/json")
           .field(Delivery.ID, message)
@@ -203,6 +204,7 @@
         w.field("Prefer", "wait=" + patience / 1_000_000);
       }
       c.write(w.with(body));
+      t.writtenAt = Clock.micros();
       answer(c, t, to);
     } catch (ConnectException e) {
       t.unreached = true;
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -33,6 +33,9 @@
           TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
       .get(2);
 
+  /** A disk that stops for longer than any client waits. */
+  private static final long STALL_MILLIS = 5_000;
+
   @TempDir
   Path dir;
 
@@ -280,6 +283,68 @@
     assertEquals(List.of(200), send("msg_again", SAFE, 0).statuses);
   }
 
+  /** An answer near the end of its client's time must not wait for a disk that has stopped just then. */
+  @Test
+  void anAnswerWaitsForItsRecordNoLongerThanItsClientWaits() throws Exception {
+    world("runners = 2; work = 1800ms;");
+    assertEquals(List.of(200), send("msg_loads", UNSAFE, 0).statuses);
+    CompletableFuture<Tap.Try> slow =
+        CompletableFuture.supplyAsync(() -> send("msg_slow", UNSAFE, 0));
+    awaitArrival("msg_slow");
+    world.disk().stallFor(STALL_MILLIS);
+    assertEquals(List.of(200), slow.get().statuses);
+    assertInTime(slow.get());
+  }
+
+  @Test
+  void aCallThatCannotBeOnRecordInTimeIsRefusedInTimeAndNeverSent() throws Exception {
+    world("runners = 2;");
+    assertEquals(List.of(200), send("msg_before", UNSAFE, 0).statuses);
+    world.disk().stallFor(STALL_MILLIS);
+    Tap.Try refused = send("msg_unrecorded", UNSAFE, 0);
+    assertEquals("ledger_unavailable", refused.reason);
+    assertInTime(refused);
+    Thread.sleep(STALL_MILLIS - UNSAFE.deadline() / 1000);
+    assertEquals(0, arrivals("msg_unrecorded"));
+    assertEquals("served", send("msg_unrecorded", UNSAFE, 1).reason);
+    assertEquals(1, arrivals("msg_unrecorded"));
+  }
+
+  /** An attempt that waits for its record ends with its call; it says nothing of its runner. */
+  @Test
+  void anAttemptThatCannotBeOnRecordInTimeLeavesNoRunnerSuspect() throws Exception {
+    world("runners = 1; work = 400ms;");
+    assertEquals(List.of(200), send("msg_before", UNSAFE, 0).statuses);
+    // The stall comes between the record of the taking and the one of the leaving: calls in a row
+    // find both.
+    List<CompletableFuture<Tap.Try>> tries = new java.util.ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      String id = "msg_row" + i;
+      tries.add(CompletableFuture.supplyAsync(() -> send(id, UNSAFE, 0)));
+      if (i == 6) {
+        world.disk().stallFor(STALL_MILLIS);
+      }
+    }
+    for (CompletableFuture<Tap.Try> t : tries) {
+      assertInTime(t.get());
+    }
+    Thread.sleep(STALL_MILLIS - UNSAFE.deadline() / 1000);
+    assertEquals("served", send("msg_after", SAFE, 0).reason);
+  }
+
+  private void awaitArrival(String id) throws InterruptedException {
+    while (arrivals(id) == 0) {
+      Thread.sleep(5);
+    }
+  }
+
+  private void assertInTime(Tap.Try t) {
+    long late = t.answeredAt - t.sentAt - t.patience;
+    assertTrue(
+        late <= Play.SLACK + lag.ofACallAt(t.answeredAt),
+        t.message + " " + t.reason + " came " + late / 1000 + " ms too late");
+  }
+
   @Test
   void runnersThatOnlyLoadByOrderAreServedWithinTheRation() throws Exception {
     world("runners = 4; on_miss = 0; list_late = 10ms;");
