No answer of the edge waits for a record longer than its client waits

Cause or need: a write of the ledger that takes seconds and then succeeds held the taking, the leaving and the end of calls; what was near the end of its client's patience was answered after it. Change: each of the three waits ends with the client's time (RecordWait): a call that is not on record by then is refused as ledger_unavailable and never sent, an attempt is not sent and says nothing of its runner, an end is told without its record. A refusal is held back no longer than its client waits. The edge tells a write that has not ended for a second.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -258,7 +258,7 @@
           "the ledger {}",
           trouble == null
               ? "is written again"
-              : "cannot be written and is tried again: " + trouble);
+              : "has trouble with its files, which are tried again: " + trouble);
       ledgerTrouble = trouble;
     }
   }
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -187,15 +187,11 @@
         }
       }
       hearer.taken(call);
-      if (ticket > 0) {
-        ledger.await(ticket);
+      if (ticket > 0 && !RecordWait.until(ledger, ticket, call.facts().deadlineAt())) {
+        return unrecorded(call, "a call was not on record in its client's time");
       }
     } catch (LedgerException e) {
-      LOG.error("{}", e.getMessage());
-      if (call != null) {
-        call.finish(FinalAnswer.of(Reason.LEDGER_UNAVAILABLE), Clock.micros());
-      }
-      return new Result(null, false, FinalAnswer.of(Reason.LEDGER_UNAVAILABLE));
+      return unrecorded(call, e.getMessage());
     }
     if (!core.offer(call)) {
       call.finish(FinalAnswer.of(Reason.BUSY), Clock.micros());
@@ -203,6 +199,16 @@
     return new Result(call, false, null);
   }
 
+  /** Turns a delivery away that is not on record; its call, null where there is none yet, was not offered to the core. */
+  private static Result unrecorded(TakenCall call, String why) {
+    LOG.error("{}", why);
+    FinalAnswer unavailable = FinalAnswer.of(Reason.LEDGER_UNAVAILABLE);
+    if (call != null) {
+      call.finish(unavailable, Clock.micros());
+    }
+    return new Result(null, false, unavailable);
+  }
+
   private TakenCall.Facts facts(Delivery d, long mostTime, boolean repeat) {
     return new TakenCall.Facts(
         d.message(),
@@ -254,14 +260,21 @@
     hearer.ended(call);
   }
 
-  /** Waits until the end of a call may be told: for some classes its record must be durable first. */
-  public void awaitRecord(TakenCall call) {
+  /**
+   * Waits until the end of a call may be told: for some classes its record must be durable first, where that is so in
+   * time.
+   *
+   * @param until when it must be told in any case, in microseconds
+   */
+  public void awaitRecord(TakenCall call, long until) {
     if (!Repeats.recordBeforeAnswer(call.facts().requestClass().effect())) {
       ledger.soon();
       return;
     }
     try {
-      ledger.await(call.endTicket());
+      if (!RecordWait.until(ledger, call.endTicket(), until)) {
+        LOG.warn("{} is answered before its end is on record", call.facts().message());
+      }
     } catch (LedgerException e) {
       // The answer is given all the same: it is true, and after a kill the message counts as
       // may have run.
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -49,6 +49,8 @@
   private static final long LOOK = 50_000;
 
   private static final long MOST_LOOK = 400_000;
+  /** What is kept of a client's patience for handing over its answer, in microseconds. */
+  private static final long LAST_WRITE = 5_000;
   /** How often a thread that holds a refusal back looks whether it still should. */
   private static final long HOLD_MILLIS = 100;
 
@@ -208,7 +210,7 @@
       return false;
     }
     if (answer.reason() == Reason.OVERLOADED) {
-      hold();
+      hold(times.until());
     }
     write(
         c,
@@ -220,10 +222,12 @@
     return keep;
   }
 
-  private void hold() {
+  /** Holds a refusal back for as long as admission says, but no longer than its client waits. */
+  private void hold(long until) {
     long since = Clock.micros();
+    long last = until - LAST_WRITE - HOLD_MILLIS * 1_000;
     try {
-      while (!stopping && Clock.micros() - since < door.holdRefusal()) {
+      while (!stopping && Clock.micros() < last && Clock.micros() - since < door.holdRefusal()) {
         Thread.sleep(HOLD_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -381,7 +385,7 @@
           FinalAnswer answer = call.await(Math.min(until, now + look));
           if (answer != null) {
             times.mark(Step.ENDED);
-            intake.awaitRecord(call);
+            intake.awaitRecord(call, until - LAST_WRITE);
             times.mark(Step.RECORDED);
             boolean ownerLeft = answer.reason() == Reason.GONE;
             return ownerLeft ? new FinalAnswer(Reason.FAILED_OVERDUE, null, 0) : answer;
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -11,6 +11,7 @@
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.core.Call;
 import gorseladder.core.Core.AttemptEnd;
+import gorseladder.edge.core.RecordWait;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
 import gorseladder.permits.Verdict;
@@ -211,7 +212,12 @@
       progress = Progress.CONNECTED;
       if (Repeats.recordBeforeSend(effect)) {
         try {
-          ledger.await(call.recordLeaving(ledger.clock().micros()));
+          long ticket = call.recordLeaving(ledger.clock().micros());
+          if (!RecordWait.until(ledger, ticket, until)) {
+            LOG.warn("an attempt was not sent: it was not on record in its time");
+            end(Ending.GATE_CLOSED);
+            return;
+          }
         } catch (LedgerException e) {
           LOG.error("an attempt was not sent: {}", e.getMessage());
           end(Ending.GATE_CLOSED);
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -59,6 +59,10 @@
   private static final int MOST_GATHERED = 1 << 20;
   /** Bytes that are kept while they cannot be written; past it nothing more can be put. */
   private static final int MOST_UNWRITTEN = 32 << 20;
+  /** A write that takes longer is told. */
+  private static final long SLOW_WRITE_NANOS = 1_000_000_000;
+  /** One step of a wait that has no bound of its own. */
+  private static final long LONG_WAIT_NANOS = 1_000_000_000;
   /** Between two tries of a write that failed. */
   private static final long RETRY_NANOS = 50_000_000;
 
@@ -98,6 +102,9 @@
   /** Why the last write failed; null where it did not. */
   private volatile Throwable failure;
 
+  /** When the write that goes on began, in nanoseconds of the system's clock; 0 where none does. */
+  private volatile long writingSince;
+
   private boolean ended;
   private volatile long now;
 
@@ -276,10 +283,15 @@
     return failure == null && size() < maxMessages;
   }
 
-  /** Why nothing can be written at present; null where it can. */
+  /** Why nothing can be written at present, or that a write takes long; null where all is well. */
   public String trouble() {
     Throwable why = failure;
-    return why == null ? null : String.valueOf(why.getMessage());
+    if (why != null) {
+      return String.valueOf(why.getMessage());
+    }
+    long since = writingSince;
+    boolean slow = since != 0 && System.nanoTime() - since > SLOW_WRITE_NANOS;
+    return slow ? "a write has not ended for a second or more" : null;
   }
 
   /** The time by which it remembers and forgets. */
@@ -446,19 +458,44 @@
    * @throws LedgerException where it cannot be written at present; it may be later
    */
   public void await(long ticket) throws LedgerException {
+    while (!await(ticket, LONG_WAIT_NANOS)) {
+      continue;
+    }
+  }
+
+  /**
+   * Waits so long at the most until everything up to the ticket is written; false where it was not by then, and nothing
+   * is promised.
+   *
+   * @throws LedgerException where it cannot be written at present; it may be later
+   */
+  public boolean await(long ticket, long nanos) throws LedgerException {
+    long end = System.nanoTime() + nanos;
+    boolean interrupted = false;
     lock.lock();
     try {
       if (written < ticket) {
         want();
       }
-      while (written < ticket && failure == null && !ended) {
-        changed.awaitUninterruptibly();
+      for (long left = nanos;
+          written < ticket && failure == null && !ended && left > 0;
+          left = end - System.nanoTime()) {
+        try {
+          changed.awaitNanos(left);
+        } catch (InterruptedException e) {
+          // What is waited for is a record that must not be doubted: the wait goes on.
+          interrupted = true;
+        }
       }
-      if (written < ticket) {
+      if (written < ticket && (failure != null || ended)) {
         throw unwritable();
       }
+      return written >= ticket;
     } finally {
       lock.unlock();
+      if (interrupted) {
+        Thread.currentThread().interrupt();
+      }
     }
   }
 
@@ -535,6 +572,7 @@
       lock.unlock();
     }
     Throwable failed = null;
+    writingSince = Math.max(1, System.nanoTime());
     try {
       if (!frame.bytes().isEmpty()) {
         frame.to().append(frame.bytes().frame(), frame.at(), sync);
@@ -545,6 +583,8 @@
     } catch (IOException | RuntimeException | Error e) {
       // Whatever ends the writing ends the waiting too.
       failed = e;
+    } finally {
+      writingSince = 0;
     }
     lock.lock();
     try {
