A stop ends 300 ms before the kill where no client is owed anything

Change: from 300 ms before the kill on it ends as soon as no call is held, no bytes are unread and no answer is unwritten; otherwise it goes on to 150 ms before, as it did. What is still held gets its final answer 400 ms before, as it did.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -56,10 +56,16 @@
   private static final long LONGEST_COUNTED = 3_000_000;
 
   private static final long KILLED = 700_000;
-  /** Before SIGKILL everything is closed, and some time before that what is still held gets its final answer. */
-  private static final long LEAVE_BEFORE = 150_000;
+  /** So long before SIGKILL what is still held gets its final answer. */
+  private static final long ANSWER_BEFORE_KILL = 400_000;
+  /**
+   * So long before SIGKILL it ends where clients are owed nothing and only have not closed. Guards against an end of
+   * the process that takes longer than usual, as on a busy machine.
+   */
+  private static final long LEAVE_BEFORE_KILL = 300_000;
+  /** So long before SIGKILL it ends in any case. */
+  private static final long LAST_BEFORE_KILL = 150_000;
 
-  private static final long ANSWER_BEFORE = 250_000;
   private static final long LOOK_AGAIN = 5_000;
   /** Seconds between two lines of what it holds; 0, as usual, for none. */
   private static final long SUMMARY_EVERY = Long.getLong("gorseladder.node.summary", 0);
@@ -297,21 +303,26 @@
   /**
    * Stops in order. It goes on taking until no new calls can come, accepts what the system holds and closes the
    * listener; then each connection is half-closed as soon as nothing is asked on it. What is still held a moment before
-   * SIGKILL may come gets its final answer there and then. Returns when all connections have ended, or at that moment.
+   * SIGKILL may come gets its final answer there and then. Returns when all connections have ended, or soon after that
+   * moment: at once where nothing is owed any more.
    */
   public void stop() throws InterruptedException {
     long begun = Clock.micros();
     long longest =
         config.router().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
-    long leaves = begun + Math.min(longest, LONGEST_COUNTED) + KILLED - LEAVE_BEFORE;
-    sleepUntil(Math.min(begun + STOP_TAKING, leaves - ANSWER_BEFORE));
+    long kill = begun + Math.min(longest, LONGEST_COUNTED) + KILLED;
+    long givesUp = kill - ANSWER_BEFORE_KILL;
+    sleepUntil(Math.min(begun + STOP_TAKING, givesUp));
     front.stopAccepting();
     boolean givenUp = false;
-    while (!front.drain() && Clock.micros() < leaves) {
-      if (!givenUp && Clock.micros() >= leaves - ANSWER_BEFORE) {
+    while (!front.drain() && Clock.micros() < kill - LAST_BEFORE_KILL) {
+      if (!givenUp && Clock.micros() >= givesUp) {
         givenUp = true;
         core.giveUpAll();
       }
+      if (Clock.micros() >= kill - LEAVE_BEFORE_KILL && !front.owes()) {
+        break;
+      }
       sleepUntil(Clock.micros() + LOOK_AGAIN);
     }
     LOG.info("{} stops after {} ms; {}", config.name(), (Clock.micros() - begun) / 1000, summary());
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -346,6 +346,11 @@
     return held.size();
   }
 
+  /** True where a client may still wait for something: a call held, bytes unread, an answer not written. */
+  public boolean owes() {
+    return !held.isEmpty() || connections.values().stream().anyMatch(FrontConnection::owes);
+  }
+
   /** Connections that are open. */
   public int connections() {
     return connections.size();
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -662,6 +662,13 @@
     halfCloseIfFree(CloseReason.STOPPING);
   }
 
+  /** True where a client may still wait for what it asked: a whole request, bytes unread, an answer not written. */
+  synchronized boolean owes() {
+    boolean asked = open.values().stream().anyMatch(e -> e.whole && !e.answered);
+    boolean mayBeAsked = state == State.OPEN && (looking || holdsUnread());
+    return state != State.CLOSED && (asked || mayBeAsked || !outbox.idle());
+  }
+
   /** Since when it has been idle; {@code Long.MAX_VALUE} where a request is open. One that never asked comes first. */
   synchronized long idleSince() {
     return state != State.OPEN
