A failing test: connections to runners keep the threads that clients wait for

Change: the reproduction: twelve runners that take 100 ms more, 60 silent clients, no new thread, clients that open new connections all the time. Traced in its log: one of eight connection threads served clients from 49.9 to 50.75 s, seven held connections to runners that were mostly idle; and each 50 ms a connection was closed "for its thread" that was a silent one waiting without a thread, which frees none.

--- a/soak/src/main/java/gorseladder/soak/SoakRunner.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRunner.java
@@ -41,6 +41,8 @@
   private volatile long hangsUntil;
   private volatile long spoilsUntil;
   private volatile long refusesUntil;
+  /** Time that a request takes beyond the usual, in milliseconds. */
+  private volatile int slowerBy;
 
   /** Listens; the runner is known under that id. */
   SoakRunner(String uid, Evidence evidence, ScheduledExecutorService clock) throws IOException {
@@ -84,6 +86,11 @@
     refusesUntil = Clock.micros() + micros;
   }
 
+  /** Each request takes so many milliseconds more from now on. */
+  void slowerBy(int millis) {
+    slowerBy = millis;
+  }
+
   private void accept() {
     try {
       while (true) {
@@ -179,7 +186,7 @@
     }
     String result =
         PlatformRunner.result(attempt.id, new String(body, StandardCharsets.ISO_8859_1));
-    int takes = WORK_MILLIS + ThreadLocalRandom.current().nextInt(WORK_SPREAD_MILLIS);
+    int takes = slowerBy + WORK_MILLIS + ThreadLocalRandom.current().nextInt(WORK_SPREAD_MILLIS);
     clock.schedule(() -> answer(attempt, result, out, here), takes, TimeUnit.MILLISECONDS);
   }
 
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -6,6 +6,7 @@
 import gorseladder.soak.Preload.Fault;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,6 +70,28 @@
     assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
 
+  /**
+   * Incident-1, plays 2 and 3: while no thread could be started the connections to runners took those of clients that
+   * left and kept them, until what clients asked waited for seconds with nobody to read it.
+   */
+  @Test
+  void idleConnectionsToRunnersGiveTheirThreadsToClientsThatAsk() throws Exception {
+    dispatcher.close();
+    dispatcher = new OneDispatcher(Files.createDirectory(dir.resolve("many")), 12);
+    dispatcher.set(Fault.THREAD_RATE, ALL);
+    dispatcher.runners.forEach(runner -> runner.slowerBy(100));
+    for (int i = 0; i < 80; i++) {
+      if (i < 60) {
+        join();
+      }
+      dispatcher.process.clients().reconnect();
+      Thread.sleep(50);
+    }
+    Thread.sleep(1_500);
+    dispatcher.set(Fault.THREAD_RATE, 0);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+  }
+
   /** 190 connections, under a third of the descriptors told, each with 32 requests whose body lacks its end. */
   @Test
   void halfSentRequestsOfACrowdCostNoOtherClientItsAnswer() throws Exception {
--- a/soak/src/test/java/gorseladder/soak/OneDispatcher.java
+++ b/soak/src/test/java/gorseladder/soak/OneDispatcher.java
@@ -31,8 +31,13 @@
 
   /** Starts everything; traffic runs when this returns. */
   OneDispatcher(Path folder) throws IOException, InterruptedException {
+    this(folder, RUNNERS);
+  }
+
+  /** The same with so many runners. */
+  OneDispatcher(Path folder, int count) throws IOException, InterruptedException {
     this.folder = folder;
-    for (int i = 0; i < RUNNERS; i++) {
+    for (int i = 0; i < count; i++) {
       runners.add(new SoakRunner("r" + i, evidence, clock));
     }
     log = new ChangeLogs(runners);
