Clients that asked get the threads of idle connections to runners, and of no waiting one

Cause or need: where no thread could be started, a client that had asked was to get the thread of another client's idle connection. The one named was often a silent one that itself waited without a thread, which frees none, and connections to runners, which multiply while threads are to be had and are mostly idle, were never asked. Change: ThreadSharing names, of all connections that hold a thread and on which nothing is out, first one of several to a runner, then the one idle longest (100 ms or more, 10 ms where the client has waited for 200 ms); a silent connection gets none of the last half of the threads that stand ready.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -164,7 +164,8 @@
     changeLog.start(config.knownSeq(), config.known(), STACK);
     WarmUp.run(config.router());
     Retry.whilePassing(LocalShortage::is, () -> {
-      front.listen(config.listen(), STACK, connectionThreads);
+      ThreadSharer sharer = new ThreadSharer(front::idle, links::idle);
+      front.listen(config.listen(), STACK, connectionThreads, sharer);
       return front;
     });
     checkLater();
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -7,6 +7,8 @@
 import gorseladder.core.PauseClock;
 import gorseladder.core.RuleLog;
 import gorseladder.node.NodeCall;
+import gorseladder.node.ThreadSharer;
+import gorseladder.node.ThreadSharer.Idle;
 import gorseladder.permits.Permits;
 import gorseladder.permits.Verdict;
 import gorseladder.runtime.ByteBudget;
@@ -14,10 +16,13 @@
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.ThreadCache;
+import gorseladder.threads.ThreadSharing.Holder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -41,9 +46,6 @@
   /** Clients close connections idle for 4 s; ours comes later, so that the two do not cross. */
   private static final long IDLE = 6_000_000;
 
-  /** A connection that was idle for so long may give its thread to one that waits for it. */
-  private static final long SPARED_AFTER = 100_000;
-
   private static final int MOST_CLOSED_AT_ONCE = 16;
   private static final long STUCK = 2_000_000;
   /** Past its client's time by more than the platform's slack an answer is counted as late. */
@@ -75,6 +77,7 @@
   private final Counts counts = new Counts();
   private volatile boolean live;
   private HttpServer server;
+  private ThreadSharer sharer;
 
   /**
    * A front that begins with {@link #listen}.
@@ -105,9 +108,15 @@
     this.hearer = hearer;
   }
 
-  /** Listens; calls are taken from now on. */
-  public void listen(InetSocketAddress at, int stackBytes, ThreadCache threads) throws IOException {
+  /**
+   * Listens; calls are taken from now on.
+   *
+   * @param shares ends a connection for a client that waits for a thread
+   */
+  public void listen(InetSocketAddress at, int stackBytes, ThreadCache threads, ThreadSharer shares)
+      throws IOException {
     live = true;
+    sharer = shares;
     server = HttpServer.listen(at, "front", stackBytes, threads, new Accepted());
   }
 
@@ -145,24 +154,31 @@
     }
 
     @Override
-    public void spareThread() {
-      count(closeIdlest(Clock.micros() - SPARED_AFTER) ? "closed for its thread" : "no thread");
+    public void spareThread(long waited) {
+      count(sharer.share(waited) ? "closed for its thread" : "no thread");
     }
   }
 
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
   private boolean makeRoom() {
-    return closeIdlest(Long.MAX_VALUE - 1);
-  }
-
-  /** The same among those that are idle since that time at the latest. */
-  private boolean closeIdlest(long since) {
     return connections.values().stream()
-        .filter(c -> c.idleSince() <= since)
+        .filter(c -> c.idleSince() < Long.MAX_VALUE)
         .sorted(Comparator.comparingLong(FrontConnection::idleSince))
         .anyMatch(FrontConnection::closeIfFree);
   }
 
+  /** Connections that hold a thread and on which nothing is asked. */
+  public List<Idle> idle(long now) {
+    List<Idle> idle = new ArrayList<>();
+    for (FrontConnection connection : connections.values()) {
+      long since = connection.idleSince();
+      if (connection.hasThread() && since < Long.MAX_VALUE) {
+        idle.add(new Idle(new Holder(now - since, false), connection::closeIfFree));
+      }
+    }
+    return idle;
+  }
+
   /** A connection has ended, with so many requests that have no answer. */
   void closed(SocketChannel channel, CloseReason why, int open) {
     connections.remove(channel);
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -123,6 +123,9 @@
   private long idleSince = connectedAt;
   private int requests;
   private int unanswered;
+  /** It is being read; until then it waits for a thread. */
+  private volatile boolean hasThread;
+
   private State state = State.OPEN;
   private long halfClosedAt;
   /** Closes once nothing is open; it goes on taking what comes before. */
@@ -155,6 +158,7 @@
 
   /** Reads until the connection ends; the whole life of its thread. */
   void run() throws IOException {
+    hasThread = true;
     ByteBuffer buffer = ByteBuffer.allocate(FIRST_READ);
     try {
       channel.socket().setTcpNoDelay(true);
@@ -676,6 +680,11 @@
         : unanswered > 0 ? Long.MAX_VALUE : requests == 0 ? connectedAt - SILENT_FIRST : idleSince;
   }
 
+  /** True once a thread reads it: closing it frees one. */
+  boolean hasThread() {
+    return hasThread;
+  }
+
   void closeIfStuck(long now, long most) {
     long since = outbox.writingSince();
     if (since > 0 && now - since > most) {
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -4,7 +4,9 @@
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.attempts.ConnectionChoice.Candidate;
 import gorseladder.node.NodeCall;
+import gorseladder.node.ThreadSharer.Idle;
 import gorseladder.runtime.Clock;
+import gorseladder.threads.ThreadSharing.Holder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -127,6 +129,18 @@
         .orElse(null);
   }
 
+  /** Connections on which nothing is out; any of several to one runner is to spare. */
+  synchronized List<Idle> idle(long now) {
+    boolean spare = connections.size() > 1;
+    List<Idle> idle = new ArrayList<>();
+    for (LinkConnection c : connections) {
+      if (c.isOpen() && c.carrying() == 0) {
+        idle.add(new Idle(new Holder(c.idle(now), spare), c::closeIfFree));
+      }
+    }
+    return idle;
+  }
+
   /** The runner has gone: nothing new is opened, and connections close after what is out on them. */
   void goes() {
     synchronized (this) {
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -12,6 +12,7 @@
 import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
+import gorseladder.node.ThreadSharer.Idle;
 import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
@@ -19,6 +20,7 @@
 import gorseladder.runtime.Watchdog;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -231,6 +233,11 @@
             .orElse(false);
   }
 
+  /** Connections on which nothing is out. */
+  public List<Idle> idle(long now) {
+    return links.values().stream().flatMap(link -> link.idle(now).stream()).toList();
+  }
+
   /** Stops an attempt; its end still comes. */
   public void cancel(NodeCall call, int number) {
     AttemptRequest attempt = out.getOrDefault(call, Map.of()).get(number);
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -64,8 +64,10 @@
     /**
      * A connection on which something can be read waits for a thread: ends one that has a thread and can be spared.
      * Must not block.
+     *
+     * @param waited for how long it has waited, in microseconds
      */
-    default void spareThread() {}
+    default void spareThread(long waited) {}
   }
 
   private final ServerSocketChannel server;
@@ -75,7 +77,7 @@
   private final boolean ownsThreads;
   private final Set<SocketChannel> open = ConcurrentHashMap.newKeySet();
   /** Connections accepted for which there was no thread yet; the accepting thread's own. */
-  private final ArrayDeque<SocketChannel> unstarted = new ArrayDeque<>();
+  private final ArrayDeque<Unstarted> unstarted = new ArrayDeque<>();
 
   private final Thread acceptor;
   private final CountDownLatch addressFree = new CountDownLatch(1);
@@ -87,6 +89,23 @@
   /** Connections accepted so far; the accepting thread's own. */
   private long accepted;
 
+  /** A connection without a thread, and since when something can be read on it; 0 where nothing can. */
+  private static final class Unstarted {
+    private final SocketChannel connection;
+    private long askedAt;
+
+    private Unstarted(SocketChannel connection) {
+      this.connection = connection;
+    }
+
+    private boolean hasAsked() {
+      if (askedAt == 0 && hasBytes(connection)) {
+        askedAt = Clock.micros();
+      }
+      return askedAt > 0;
+    }
+  }
+
   private HttpServer(
       ServerSocketChannel server,
       Selector selector,
@@ -171,19 +190,19 @@
   private void serveLast() throws IOException {
     for (int tries = 0; !unstarted.isEmpty() && tries < LAST_TRIES; tries++) {
       for (int left = unstarted.size(); left > 0; left--) {
-        SocketChannel connection = unstarted.pollFirst();
-        if (hasBytes(connection)) {
-          unstarted.addLast(connection);
+        Unstarted waits = unstarted.pollFirst();
+        if (waits.hasAsked()) {
+          unstarted.addLast(waits);
         } else {
-          endUnserved(connection);
+          endUnserved(waits.connection);
         }
       }
       startWaiting();
       pause();
     }
-    for (SocketChannel connection : unstarted) {
+    for (Unstarted waits : unstarted) {
       LOG.error("no thread for a connection before the end");
-      endUnserved(connection);
+      endUnserved(waits.connection);
     }
   }
 
@@ -251,15 +270,25 @@
    * have asked already.
    */
   private void start(SocketChannel connection) {
-    if (!threads.execute(() -> serve(connection))) {
-      unstarted.addLast(connection);
+    Unstarted starts = new Unstarted(connection);
+    if (!given(starts)) {
+      unstarted.addLast(starts);
       waiting = true;
     }
   }
 
+  /**
+   * Gives it a thread, where there is one for it. A silent connection gets none of the last: a crowd of them would take
+   * what clients that ask, and connections that carry their calls, need.
+   */
+  private boolean given(Unstarted starts) {
+    Runnable serving = () -> serve(starts.connection);
+    return starts.hasAsked() ? threads.execute(serving) : threads.executeIfSpare(serving);
+  }
+
   /** Gives threads to connections that wait for one: those first on which something can be read. */
   private void startWaiting() {
-    unstarted.removeIf(connection -> !connection.isOpen() && open.remove(connection));
+    unstarted.removeIf(waits -> !waits.connection.isOpen() && open.remove(waits.connection));
     if (!unstarted.isEmpty()) {
       startWaiting(true);
       startWaiting(false);
@@ -267,14 +296,14 @@
     waiting = !unstarted.isEmpty();
   }
 
-  private void startWaiting(boolean withBytes) {
+  private void startWaiting(boolean thatAsked) {
     for (int left = unstarted.size(); left > 0; left--) {
-      SocketChannel connection = unstarted.pollFirst();
-      boolean turn = !withBytes || hasBytes(connection);
-      if (!turn || !threads.execute(() -> serve(connection))) {
-        unstarted.addLast(connection);
-        if (turn && withBytes) {
-          handler.spareThread();
+      Unstarted waits = unstarted.pollFirst();
+      boolean turn = waits.hasAsked() || !thatAsked;
+      if (!turn || !given(waits)) {
+        unstarted.addLast(waits);
+        if (turn && thatAsked) {
+          handler.spareThread(Clock.micros() - waits.askedAt);
         }
       }
     }
--- a/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
+++ b/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
@@ -116,9 +116,21 @@
 
   /** Has a thread run the task at once; false where none can be had at present, and then it is not taken. */
   public boolean execute(Runnable task) {
+    return execute(task, 0);
+  }
+
+  /**
+   * The same for a task that nobody waits for yet: where no new thread can be had it leaves half of those that stand
+   * ready to tasks that are wanted now.
+   */
+  public boolean executeIfSpare(Runnable task) {
+    return execute(task, least / 2);
+  }
+
+  private boolean execute(Runnable task, int left) {
     lock.lock();
     try {
-      Worker free = closed ? null : idle.pollLast();
+      Worker free = closed || idle.size() <= left ? null : idle.pollLast();
       if (free != null) {
         free.task = task;
         free.given.signal();
