--- a/app/src/main/java/gorseladder/app/Demo.java
+++ b/app/src/main/java/gorseladder/app/Demo.java
@@ -36,8 +36,8 @@
     System.out.println("starting " + script.count("edges") + " edges and " + script.count("runners")
         + " runners; files in " + directory);
     Play.Verdict verdict;
-    try (TestFleet world = new TestFleet(script, directory, true, line -> {})) {
-      verdict = new Play(script, world).run(System.out);
+    try (TestFleet fleet = new TestFleet(script, directory, true, line -> {})) {
+      verdict = new Play(script, fleet).run(System.out);
     }
     verdict.print(System.out);
     if (all && !verdict.untested().isEmpty()) {
--- a/app/src/main/java/gorseladder/app/Up.java
+++ b/app/src/main/java/gorseladder/app/Up.java
@@ -15,7 +15,7 @@
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
 
-/** {@code up}: a world to try against, until it is stopped. */
+/** {@code up}: a fleet to try against, until it is stopped. */
 @Command(
     name = "up",
     mixinStandardHelpOptions = true,
@@ -55,11 +55,11 @@
     DayScript script = DayScript.parse("edges = " + edges + "; runners = " + runners + "; seed = "
         + (System.nanoTime() & 0xffff) + ";");
     try (Writer log = Files.newBufferedWriter(runnerLog);
-        TestFleet world = new TestFleet(script, directory, true, line -> write(log, line))) {
-      System.out.println(world.ready(runnerLog.toFile()));
+        TestFleet fleet = new TestFleet(script, directory, true, line -> write(log, line))) {
+      System.out.println(fleet.ready(runnerLog.toFile()));
       System.out.flush();
       while (!stop.await(200, TimeUnit.MILLISECONDS)) {
-        world.revive();
+        fleet.revive();
       }
     }
     return Main.GOOD;
--- a/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
+++ b/app/src/main/java/gorseladder/app/bench/EdgeCalls.java
@@ -24,15 +24,15 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Signed calls to the edge of a world, or the same work straight at a runner, over kept connections. Any thread. */
+/** Signed calls to the edge of a fleet, or the same work straight at a runner, over kept connections. Any thread. */
 final class EdgeCalls {
   private static final int STACK = 256 << 10;
 
-  private final TestFleet world;
+  private final TestFleet fleet;
   private final Map<String, ArrayDeque<HttpConnection>> idle = new ConcurrentHashMap<>();
 
-  EdgeCalls(TestFleet world) {
-    this.world = world;
+  EdgeCalls(TestFleet fleet) {
+    this.fleet = fleet;
   }
 
   /** Status of one call: kind 0 to 2 through the edge, -1 straight to a runner; 0 where there was no answer. */
@@ -41,7 +41,7 @@
     try {
       if (kind < 0) {
         StandInRunner runner =
-            world.runners().get(random.nextInt(world.runners().size()));
+            fleet.runners().get(random.nextInt(fleet.runners().size()));
         byte[] request = HeadWriter.request("POST", Oip.inferTarget(function), "r")
             .field(Oip.LANES, 16)
             .with(Oip.request("m" + random.nextLong(), new byte[] {'{', '}'}));
@@ -58,9 +58,9 @@
       byte[] request = HeadWriter.request("POST", TestFleet.PATH, "e")
           .field("webhook-id", id)
           .field("webhook-timestamp", stamp)
-          .field("webhook-signature", Secret.parse(world.secret()).sign(id, stamp, body))
+          .field("webhook-signature", Secret.parse(fleet.secret()).sign(id, stamp, body))
           .with(body);
-      return exchange("edge", world.edge(0), request);
+      return exchange("edge", fleet.edge(0), request);
     } catch (IOException | BadMessage e) {
       return 0;
     }
--- a/app/src/main/java/gorseladder/app/bench/IdleBench.java
+++ b/app/src/main/java/gorseladder/app/bench/IdleBench.java
@@ -22,17 +22,17 @@
   @Override
   public void run() {
     List<Socket> open = new ArrayList<>();
-    try (TestFleet world = new TestFleet(
+    try (TestFleet fleet = new TestFleet(
         DayScript.parse("edges = 1; runners = 1;"),
         Files.createTempDirectory("gorseladder-bench-"),
         true,
         line -> {})) {
-      long pid = world.process(0).pid();
+      long pid = fleet.process(0).pid();
       Thread.sleep(1_500);
       long[] before = status(pid);
       for (int count : new int[] {600, 1_200, MOST}) {
         while (open.size() < count) {
-          open.add(new Socket("127.0.0.1", world.edge(0).getPort()));
+          open.add(new Socket("127.0.0.1", fleet.edge(0).getPort()));
         }
         Thread.sleep(1_500);
         long[] after = status(pid);
--- a/app/src/main/java/gorseladder/app/bench/LatencyBench.java
+++ b/app/src/main/java/gorseladder/app/bench/LatencyBench.java
@@ -49,7 +49,7 @@
       description = "Pin the edge to these processors with taskset, for example 0 or 0-3.")
   private String cpus;
 
-  private TestFleet world;
+  private TestFleet fleet;
   private EdgeCalls calls;
 
   @Override
@@ -65,7 +65,7 @@
           true,
           line -> {},
           cpus == null ? List.of() : List.of("taskset", "-c", cpus))) {
-        world = started;
+        fleet = started;
         calls = new EdgeCalls(started);
         measure();
       }
@@ -78,7 +78,7 @@
     for (int kind = 0; kind < 3; kind += 2) {
       String name = kind == 0 ? "safe" : "unsafe";
       calls.closed(kind, 48, warmup);
-      long processor = world.edgeProcessorMicros(0);
+      long processor = fleet.edgeProcessorMicros(0);
       double holds = calls.closed(kind, 48, seconds);
       System.out.printf(
           Locale.ROOT,
@@ -86,7 +86,7 @@
           name,
           holds,
           workMillis,
-          (world.edgeProcessorMicros(0) - processor) / (holds * seconds));
+          (fleet.edgeProcessorMicros(0) - processor) / (holds * seconds));
       for (double part : new double[] {0.1, 0.5, 0.9}) {
         Histogram direct = new Histogram(60_000_000L, 3);
         Histogram edge = new Histogram(60_000_000L, 3);
--- a/app/src/main/java/gorseladder/app/bench/OverloadBench.java
+++ b/app/src/main/java/gorseladder/app/bench/OverloadBench.java
@@ -93,8 +93,8 @@
           .build();
       for (Map.Entry<String, String> way : WAYS.entrySet()) {
         List<Double> goods = new ArrayList<>();
-        try (TestFleet world = world(way.getValue())) {
-          EdgeCalls calls = new EdgeCalls(world);
+        try (TestFleet fleet = fleet(way.getValue())) {
+          EdgeCalls calls = new EdgeCalls(fleet);
           calls.closed(0, 16 * runners, 8);
           holds = holds > 0 ? holds : calls.closed(0, 16 * runners, seconds);
           for (double multiple : MULTIPLES) {
@@ -128,7 +128,7 @@
     }
   }
 
-  private TestFleet world(String more)
+  private TestFleet fleet(String more)
       throws IOException, InterruptedException, DayScript.BadScript {
     DayScript script = DayScript.parse("edges = 1; runners = " + runners
         + "; lanes = 16; cores = 64; load = 20ms; work = " + workMillis + "ms;");
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -117,7 +117,7 @@
 
   private final Settings settings;
   private final Router router;
-  private final Outbound<C> hands;
+  private final Outbound<C> outbound;
   /** Null where the router alone says when to come back. */
   private final RetryAdvice advice;
 
@@ -149,14 +149,14 @@
   public Core(
       Settings settings,
       long seed,
-      Outbound<C> hands,
+      Outbound<C> outbound,
       int mostOffers,
       boolean plans,
       RetryAdvice advice,
       int stackBytes) {
     this.settings = settings;
     this.router = new Router(settings, seed);
-    this.hands = hands;
+    this.outbound = outbound;
     this.ahead = plans ? new Ahead(settings.keepAlive()) : null;
     this.advice = advice;
     this.mailbox = new Mailbox<>(mostOffers);
@@ -221,7 +221,7 @@
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
         Message<C> message = mailbox.take(0);
         if (message == null) {
-          Threads.guarded("core", hands::pausing);
+          Threads.guarded("core", outbound::pausing);
           message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
         }
         if (message != null) {
@@ -272,7 +272,7 @@
 
   private void collect(Collect<C> m) {
     seen.giveBack(m.giveBack());
-    ahead.account().tidy(now);
+    ahead.account().closeOver(now);
     m.to()
         .accept(new Collected(
             seen.take(),
@@ -403,7 +403,7 @@
       seen.served(call.facts().function(), note, now - attempt.decidedAt());
       String found = ahead.served(attempt.worker(), call.facts().function(), note, now);
       if (found != null) {
-        hands.tellPeers(found);
+        outbound.tellPeers(found);
       }
     }
   }
@@ -430,7 +430,7 @@
       C call = calls.get(a.id());
       int number = call.begin(a.worker(), now, newsKnown);
       attemptsOut.merge(call, 1, Integer::sum);
-      hands.send(call, number, a.worker(), a.timeout());
+      outbound.send(call, number, a.worker(), a.timeout());
     } else if (action instanceof SetTimer a) {
       timers.schedule(now + a.in(), a.token());
     } else if (action instanceof Refuse a) {
@@ -442,16 +442,16 @@
       finish(call, Endings.failed(call.outcomes()), null, 0);
       release(call);
     } else if (action instanceof Cancel a) {
-      hands.cancel(calls.get(a.id()), a.attempt());
+      outbound.cancel(calls.get(a.id()), a.attempt());
     } else if (action instanceof Load a) {
       if (holding) {
         ahead.ordered(a.worker(), a.function(), now);
       }
-      hands.load(a.worker(), a.function(), a.copies());
+      outbound.load(a.worker(), a.function(), a.copies());
     } else if (action instanceof TellPeers a) {
-      hands.tellPeers(a.text());
+      outbound.tellPeers(a.text());
     } else if (action instanceof WatchList) {
-      hands.watchList();
+      outbound.watchList();
     } else if (action instanceof Log a) {
       LOG.info("{}", a.text());
     }
--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -179,7 +179,7 @@
   }
 
   /** Closes what is over by now. */
-  public void tidy(long now) {
+  public void closeOver(long now) {
     for (Iterator<Map.Entry<At, Open>> all = open.entrySet().iterator(); all.hasNext(); ) {
       Map.Entry<At, Open> e = all.next();
       Open o = e.getValue();
--- a/decisions/src/main/java/gorseladder/ahead/Ahead.java
+++ b/decisions/src/main/java/gorseladder/ahead/Ahead.java
@@ -127,7 +127,7 @@
 
   /** What is to be proposed to the router now. Call it a few times a second; it spreads a plan by itself. */
   public List<Hold> due(long now) {
-    account.tidy(now);
+    account.closeOver(now);
     List<Hold> due = new ArrayList<>();
     if (plan.until() <= now) {
       wishes.clear();
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -38,7 +38,7 @@
  */
 public final class Edge implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
-  private static final long TIDY_EVERY = 1_000_000;
+  private static final long CHECK_EVERY = 1_000_000;
   private static final int CORE_STACK = 1 << 20;
 
   private final EdgeSettings settings;
@@ -163,7 +163,7 @@
     if (planner != null) {
       planner.start();
     }
-    tidyLater();
+    checkLater();
     LOG.info(
         "edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}",
         settings.getOrdinal(),
@@ -240,13 +240,13 @@
     }
   }
 
-  private void tidyLater() {
-    watchdog.after(TIDY_EVERY, () -> {
+  private void checkLater() {
+    watchdog.after(CHECK_EVERY, () -> {
       if (!closed.get()) {
-        runners.tidy();
+        runners.check();
         ledger.forgetUntil(ledger.clock().micros());
         tellLedgerTrouble();
-        tidyLater();
+        checkLater();
       }
     });
   }
@@ -287,7 +287,7 @@
         settings.getOrdinal(),
         intake.inHand(),
         counts(),
-        runners.gateStory());
+        runners.gateSummary());
     close();
   }
 
--- a/edge/src/main/java/gorseladder/edge/core/AdmissionCheck.java
+++ b/edge/src/main/java/gorseladder/edge/core/AdmissionCheck.java
@@ -21,7 +21,7 @@
   private long toldAt;
   private long toldRefusals;
 
-  /** A door that asks; null for one that is always open. */
+  /** A check that asks; null for one that admits every call. */
   public AdmissionCheck(Admission admission) {
     this.admission = admission;
     this.toldAt = Clock.micros() - TELL_EVERY;
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -26,7 +26,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The door between the fronts and the core: looks a delivery up in the ledger, asks {@link Repeats} what it means, and
+ * Stands between the fronts and the core: looks a delivery up in the ledger, asks {@link Repeats} what it means, and
  * admits, joins or turns it away. Two deliveries of one message are judged one after the other. Any thread.
  */
 public final class Intake {
@@ -78,7 +78,7 @@
   private volatile boolean stopping;
 
   /**
-   * A door to the ledger and the core.
+   * An intake before the ledger and the core.
    *
    * @param maxCalls calls in hand at the most
    * @param keepMicros how long a message is remembered
@@ -199,7 +199,11 @@
     return new Result(call, false, null);
   }
 
-  /** Turns a delivery away that is not on record; its call, null where there is none yet, was not offered to the core. */
+  /**
+   * Turns a delivery away that is not on record.
+   *
+   * @param call was not offered to the core; null where there is none yet
+   */
   private static Result unrecorded(TakenCall call, String why) {
     LOG.error("{}", why);
     FinalAnswer unavailable = FinalAnswer.of(Reason.LEDGER_UNAVAILABLE);
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -64,28 +64,28 @@
   private final WebhookSettings settings;
   private final Intake intake;
   private final Core<TakenCall> core;
-  private final AdmissionCheck door;
+  private final AdmissionCheck admission;
   private final Watchdog watchdog;
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
-  private final TurnQueue turnstile;
+  private final TurnQueue turnQueue;
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
   public WebhookFront(
       WebhookSettings settings,
-      AdmissionCheck door,
+      AdmissionCheck admission,
       Intake intake,
       Core<TakenCall> core,
       Watchdog watchdog,
       CallLog log) {
     this.settings = settings;
-    this.door = door;
+    this.admission = admission;
     this.intake = intake;
     this.core = core;
     this.watchdog = watchdog;
     this.log = log;
-    this.turnstile = new TurnQueue(Runtime.getRuntime().availableProcessors());
+    this.turnQueue = new TurnQueue(Runtime.getRuntime().availableProcessors());
   }
 
   /** Begins to listen. */
@@ -124,7 +124,7 @@
       reject(c, Reason.BUSY, "as many connections as the settings allow");
       return;
     }
-    TurnQueue.Turn turn = turnstile.new Turn();
+    TurnQueue.Turn turn = turnQueue.new Turn();
     // Whoever has bytes to read and judge needs a turn, and has none while it waits for bytes,
     // a record, an answer or a slow client.
     c.aroundWaits(turn::give, turn::take);
@@ -227,7 +227,9 @@
     long since = Clock.micros();
     long last = until - LAST_WRITE - HOLD_MILLIS * 1_000;
     try {
-      while (!stopping && Clock.micros() < last && Clock.micros() - since < door.holdRefusal()) {
+      while (!stopping
+          && Clock.micros() < last
+          && Clock.micros() - since < admission.holdRefusal()) {
         Thread.sleep(HOLD_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -294,7 +296,7 @@
       times.mark(Step.READ);
       // Before the signature is checked: whoever is refused here costs little, and nothing of
       // theirs is believed.
-      pass = door.enter(
+      pass = admission.enter(
           key(message, delivery),
           endpoint.tenant(),
           endpoint.longestAim(),
@@ -320,7 +322,7 @@
     private FinalAnswer overloaded() {
       log.counted(Reason.OVERLOADED);
       detail = Reason.OVERLOADED.text;
-      return new FinalAnswer(Reason.OVERLOADED, null, door.retryAfter() * 1_000_000L);
+      return new FinalAnswer(Reason.OVERLOADED, null, admission.retryAfter() * 1_000_000L);
     }
 
     private FinalAnswer route(Endpoint endpoint, Delivery delivery, Payload payload) {
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -120,7 +120,7 @@
   }
 
   /** Calls and orders that were stopped at the last look, for the log. */
-  public String gateStory() {
+  public String gateSummary() {
     synchronized (gate) {
       return gate.refusedCalls() + " calls, " + gate.refusedOrders() + " orders";
     }
@@ -455,7 +455,7 @@
   }
 
   /** Drops what belongs to workers that are gone, and connections idle too long; called now and then. */
-  public void tidy() {
+  public void check() {
     long now = Clock.micros();
     idle.forEach((worker, kept) -> {
       synchronized (kept) {
--- a/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
+++ b/emulator/src/main/java/gorseladder/emulator/EmulatedFleet.java
@@ -248,7 +248,7 @@
   }
 
   private void settle(EmulatedEdge edge) {
-    edge.ahead().account().tidy(agenda.now());
+    edge.ahead().account().closeOver(agenda.now());
     for (Account.Entry entry : edge.ahead().account().take()) {
       if (entry.orderedAt() >= e.getTeachDays() * day) {
         outcomes.add(entry);
--- a/soak/src/main/java/gorseladder/soak/EdgeSoak.java
+++ b/soak/src/main/java/gorseladder/soak/EdgeSoak.java
@@ -93,31 +93,31 @@
     preload.environment(control, data).forEach((name, value) -> prefix.add(name + "=" + value));
     DayScript script = script();
     List<String> troubles = new ArrayList<>();
-    try (TestFleet world = new TestFleet(script, folder, true, line -> {}, prefix, LEDGER)) {
-      WebhookClients portal = world.portal();
+    try (TestFleet fleet = new TestFleet(script, folder, true, line -> {}, prefix, LEDGER)) {
+      WebhookClients clients = fleet.clients();
       ExecutorService senders = Executors.newFixedThreadPool(SENDERS);
       long until = Clock.micros() + length;
-      Thread brings = new Thread(() -> bring(world, portal, until, troubles), "edge-troubles");
+      Thread brings = new Thread(() -> bring(fleet, clients, until, troubles), "edge-troubles");
       brings.start();
       int messages = 0;
       while (Clock.micros() < until) {
         String message = "msg_" + seed + "_" + messages++;
         Kind kind = kinds().get(random.nextInt(kinds().size()));
-        senders.execute(() -> deliver(portal, message, kind));
+        senders.execute(() -> deliver(clients, message, kind));
         Thread.sleep(GAP_MILLIS);
       }
       brings.join();
       senders.shutdown();
       boolean ended = senders.awaitTermination(30, TimeUnit.SECONDS);
-      deliverAgain(portal);
+      deliverAgain(clients);
       List<String> breaks = new ArrayList<>(
-          RuleChecker.check(world.tap(), world.rules(), TestFleet.REPEAT_WINDOW, SLACK).stream()
+          RuleChecker.check(fleet.tap(), fleet.rules(), TestFleet.REPEAT_WINDOW, SLACK).stream()
               .map(Object::toString)
               .toList());
       if (!ended) {
         breaks.add("senders were still waiting 30 s after the end");
       }
-      world.stopEdge(0);
+      fleet.stopEdge(0);
       breaks.addAll(errors());
       return new Result(
           seed, troubles, messages, served.get(), refused.get(), control.injected(), breaks);
@@ -133,11 +133,11 @@
   }
 
   /** After a step of the clock, and at the end: what was served is served again, from memory. */
-  private void deliverAgain(WebhookClients portal) throws InterruptedException {
+  private void deliverAgain(WebhookClients clients) throws InterruptedException {
     Thread.sleep(FORGETS_WITHIN_MILLIS);
     done.stream()
         .limit(MOST_AGAIN)
-        .forEach(d -> portal.attempt(
+        .forEach(d -> clients.attempt(
             d.message(), 0, d.kind(), d.body(), stampOf(TRIES), d.kind().deadline()));
   }
 
@@ -146,12 +146,12 @@
   }
 
   /** Delivers a message until it is served, and perhaps again after that. */
-  private void deliver(WebhookClients portal, String message, Kind kind) {
-    byte[] body = portal.payload(kind, "svc/" + Math.floorMod(message.hashCode(), 6));
+  private void deliver(WebhookClients clients, String message, Kind kind) {
+    byte[] body = clients.payload(kind, "svc/" + Math.floorMod(message.hashCode(), 6));
     ThreadLocalRandom chance = ThreadLocalRandom.current();
     try {
       for (int i = 0; i < TRIES; i++) {
-        Tap.Try last = portal.attempt(message, 0, kind, body, stampOf(i), kind.deadline());
+        Tap.Try last = clients.attempt(message, 0, kind, body, stampOf(i), kind.deadline());
         boolean good = last.statuses.contains(200);
         if (good && chance.nextDouble() > DELIVERED_AGAIN) {
           served.incrementAndGet();
@@ -183,7 +183,7 @@
 
   // ---- troubles
 
-  private void bring(TestFleet world, WebhookClients portal, long until, List<String> troubles) {
+  private void bring(TestFleet fleet, WebhookClients clients, long until, List<String> troubles) {
     try {
       Thread.sleep(1_000);
       while (Clock.micros() < until - 1_500_000) {
@@ -193,14 +193,14 @@
         troubles.add(which + " for " + lasts + " ms");
         switch (which) {
           case DISK, 1 -> disk(lasts, random.nextInt(4));
-          case STEP -> step(portal);
-          case 3 -> kill(world, 0);
+          case STEP -> step(clients);
+          case 3 -> kill(fleet, 0);
           default -> {
             // Killed while writes fail: a half frame is left behind, and the disk is good again at
             // the start.
             failing(1_000, NO_SPACE, 0);
             Thread.sleep(lasts / 4);
-            kill(world, 1);
+            kill(fleet, 1);
           }
         }
         Thread.sleep(random.nextInt(900));
@@ -234,19 +234,19 @@
   /**
    * The first step is an hour forward, past what the ledger keeps; later ones are drawn, or take the one before back.
    */
-  private void step(WebhookClients portal) throws InterruptedException {
+  private void step(WebhookClients clients) throws InterruptedException {
     int drawn = random.nextInt(STEPS_MILLIS.length);
     stepMillis = stepMillis != 0 ? 0 : STEPS_MILLIS[steps++ == 0 ? 0 : drawn];
     control.set(Fault.WALL_OFFSET_MS, stepMillis);
-    deliverAgain(portal);
+    deliverAgain(clients);
   }
 
-  private void kill(TestFleet world, int mends) throws IOException, InterruptedException {
-    world.process(0).destroyForcibly().waitFor();
+  private void kill(TestFleet fleet, int mends) throws IOException, InterruptedException {
+    fleet.process(0).destroyForcibly().waitFor();
     if (mends > 0) {
       failing(0, 0, 0);
     }
-    world.restartEdge(0, 50);
+    fleet.restartEdge(0, 50);
   }
 
   private List<String> errors() throws IOException {
--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -18,7 +18,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Plays a day's script in a world and judges it. */
+/** Plays a day's script in a fleet and judges it. */
 public final class Play {
   private static final Logger LOG = LoggerFactory.getLogger(Play.class);
   private static final int STACK = 512 << 10;
@@ -31,8 +31,8 @@
   private static final long ENDS_WITHIN = 30_000;
 
   private final DayScript script;
-  private final TestFleet world;
-  private final WebhookClients portal;
+  private final TestFleet fleet;
+  private final WebhookClients clients;
   private final Random random;
   private final List<Thread> running = new ArrayList<>();
   private final List<Trouble> unplayed = java.util.Collections.synchronizedList(new ArrayList<>());
@@ -43,10 +43,10 @@
   private volatile double scan;
 
   /** A day about to be played. */
-  public Play(DayScript script, TestFleet world) {
+  public Play(DayScript script, TestFleet fleet) {
     this.script = script;
-    this.world = world;
-    this.portal = world.portal();
+    this.fleet = fleet;
+    this.clients = fleet.clients();
     this.random = new Random(script.count("seed"));
   }
 
@@ -112,21 +112,21 @@
     for (Thread t : running) {
       t.join(ENDS_WITHIN);
     }
-    boolean ended = portal.finish(ENDS_WITHIN);
+    boolean ended = clients.finish(ENDS_WITHIN);
     lag.close();
-    Tap tap = world.tap();
+    Tap tap = fleet.tap();
     RuleChecker.Report report = RuleChecker.report(
-        tap, world.rules(), TestFleet.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
+        tap, fleet.rules(), TestFleet.REPEAT_WINDOW, at -> SLACK + lag.ofACallAt(at));
     List<Break> breaks = new ArrayList<>(report.breaks());
     if (!ended) {
       breaks.add(new Break(1, "calls were still open long after the day"));
     }
-    int fallen = (int) world.runners().stream().filter(StandInRunner::fallen).count();
+    int fallen = (int) fleet.runners().stream().filter(StandInRunner::fallen).count();
     synchronized (tap) {
       return new Verdict(
-          portal.totals(),
+          clients.totals(),
           tap.arrivals.size(),
-          world.archive().fetched(),
+          fleet.archive().fetched(),
           breaks,
           fallen,
           List.copyOf(unplayed),
@@ -146,7 +146,7 @@
       call(number++, (long) at);
       at += -Math.log(1 - random.nextDouble()) * 1e6 / (script.number("rate") * burst);
       if (progress != null && at > nextLine) {
-        WebhookClients.Totals t = portal.totals();
+        WebhookClients.Totals t = clients.totals();
         progress.printf(
             Locale.ROOT,
             "%3d s  calls %5d  served %5d  refused %4d  failed %4d%n",
@@ -175,9 +175,9 @@
     } else if (odd < hot + scan) {
       function = "svc/once-" + number;
     }
-    portal.call(
+    clients.call(
         "msg_" + script.count("seed") + "_" + number,
-        random.nextInt(world.edges()),
+        random.nextInt(fleet.edges()),
         kinds.get(kind),
         function,
         Map.of(
@@ -195,7 +195,7 @@
     try {
       sleepUntil(start + t.at());
       LOG.info("trouble begins: {}", t);
-      world(t, start + t.at() + t.lasts());
+      bring(t, start + t.at() + t.lasts());
       LOG.info("trouble ends: {}", t.kind());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -210,13 +210,13 @@
   }
 
   private List<StandInRunner> victims(Trouble t) {
-    List<StandInRunner> all = new ArrayList<>(world.runners());
+    List<StandInRunner> all = new ArrayList<>(fleet.runners());
     java.util.Collections.shuffle(
         all, new Random(t.at() ^ t.kind().ordinal() ^ script.count("seed")));
     return all.subList(0, t.of(all.size()));
   }
 
-  private void world(Trouble t, long until) throws InterruptedException, IOException {
+  private void bring(Trouble t, long until) throws InterruptedException, IOException {
     switch (t.kind()) {
       case BURST -> {
         burst = t.factor();
@@ -224,9 +224,9 @@
         burst = 1;
       }
       case RETRY_ABUSE -> {
-        portal.abusive = true;
+        clients.abusive = true;
         sleepUntil(until);
-        portal.abusive = false;
+        clients.abusive = false;
       }
       case HOT_KEY -> {
         hot = t.share() ? t.amount() : 0.3;
@@ -239,18 +239,18 @@
         scan = 0;
       }
       case LIST_BEHIND -> {
-        world.list().behind(true);
+        fleet.list().behind(true);
         sleepUntil(until);
-        world.list().behind(false);
+        fleet.list().behind(false);
       }
       case ARCHIVE_SLOW -> {
-        world.archive().slower(t.factor());
+        fleet.archive().slower(t.factor());
         sleepUntil(until);
-        world.archive().slower(1);
+        fleet.archive().slower(1);
       }
       case RESTART_EDGES -> {
-        for (int i = 0; i < t.of(world.edges()); i++) {
-          world.restartEdge(i, 200);
+        for (int i = 0; i < t.of(fleet.edges()); i++) {
+          fleet.restartEdge(i, 200);
         }
       }
       default -> runners(t, until);
@@ -288,7 +288,7 @@
       case HANG, VANISH -> f.hang = true;
       case CRASH -> {
         r.crash();
-        world.list().set(r, Phase.GONE, false, false);
+        fleet.list().set(r, Phase.GONE, false, false);
       }
       case SLOW -> f.slower = t.factor();
       case FAST_ERRORS -> f.errors = true;
@@ -299,7 +299,7 @@
       case STALE -> f.stale = true;
       case DRAIN -> {
         f.draining = true;
-        world.list().set(r, Phase.DRAINING, false, true);
+        fleet.list().set(r, Phase.DRAINING, false, true);
       }
       default -> {}
     }
@@ -309,7 +309,7 @@
   private void drainedAndGone(List<StandInRunner> victims) throws InterruptedException {
     Thread.sleep(1_500);
     for (StandInRunner r : victims) {
-      world.list().set(r, Phase.GONE, false, true);
+      fleet.list().set(r, Phase.GONE, false, true);
     }
     Thread.sleep(500);
     victims.forEach(StandInRunner::crash);
@@ -322,7 +322,7 @@
         r.crash();
         f.slower = 1;
         r.restart();
-        world.list().set(r, Phase.RUNNING, true, true);
+        fleet.list().set(r, Phase.RUNNING, true, true);
       }
       default -> {}
     }
--- a/testbed/src/main/java/gorseladder/testbed/TestFleet.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -31,7 +31,7 @@
  * Edges, stand-in runners, archive and list on loopback. Edges run in processes of their own, or in this one for tests.
  */
 public final class TestFleet implements Closeable {
-  /** The path of every world's endpoint. */
+  /** The path of every fleet's endpoint. */
   public static final String PATH = "/hooks/portal";
 
   public static final long AIM = 1_000_000;
@@ -41,7 +41,7 @@
   public static final long KEEP_ALIVE = 8_000_000;
 
   /** Names a property with the class path of edge processes, where it is not this process's own. */
-  public static final String CLASS_PATH = "gorseladder.world.classpath";
+  public static final String CLASS_PATH = "gorseladder.fleet.classpath";
 
   private static final long STARTS_WITHIN = 30_000;
 
@@ -166,7 +166,7 @@
   }
 
   /**
-   * Builds a world by a script's settings and starts it.
+   * Builds a fleet by a script's settings and starts it.
    *
    * @param processes true for edges in processes of their own, which can be killed outright
    * @param runnerLog hears a line for each infer request that began at a runner
@@ -252,7 +252,7 @@
     return String.format(
             Locale.ROOT,
             """
-        # Written for this world; a complete example of an edge's settings.
+        # Written for this fleet; a complete example of an edge's settings.
         listen: "127.0.0.1:%d"
         ordinal: %d
         edges: %d
@@ -379,8 +379,8 @@
     return edges.get(number).settings;
   }
 
-  /** Clients for this world. */
-  public WebhookClients portal() {
+  /** Clients for this fleet. */
+  public WebhookClients clients() {
     return new WebhookClients(PATH, Secret.parse(secret), this::edge, tap);
   }
 
--- a/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
+++ b/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
@@ -75,7 +75,7 @@
   private final IntFunction<InetSocketAddress> edges;
   private final Tap tap;
   private final Totals totals = new Totals();
-  private final ThreadPoolExecutor threads = Threads.pool("portal", 8_000, STACK);
+  private final ThreadPoolExecutor threads = Threads.pool("clients", 8_000, STACK);
   private final Map<InetSocketAddress, ArrayDeque<HttpConnection>> idle = new LinkedHashMap<>();
   volatile boolean abusive;
 
@@ -276,7 +276,7 @@
         reasons.entrySet().stream().map(e -> e.getKey() + " " + e.getValue()).toList());
   }
 
-  /** The kinds of call that every world takes, by their event types. */
+  /** The kinds of call that every fleet takes, by their event types. */
   public static List<Kind> kinds(long aim, long deadline, long repeatWindow) {
     return List.of(
         new Kind("hours.read", Effect.SAFE, deadline, aim, 0),
--- a/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/BadDaysTest.java
@@ -17,8 +17,8 @@
 
   private Play.Verdict play(String script, boolean processes) throws Exception {
     DayScript day = DayScript.parse(script);
-    try (TestFleet world = new TestFleet(day, dir, processes, line -> {})) {
-      Play.Verdict verdict = new Play(day, world).run(null);
+    try (TestFleet fleet = new TestFleet(day, dir, processes, line -> {})) {
+      Play.Verdict verdict = new Play(day, fleet).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
       return verdict;
     }
@@ -66,19 +66,19 @@
     List<String> functions =
         IntStream.range(0, 30).mapToObj(i -> "svc/plan-" + i).toList();
     try (StandInPlanner planner = new StandInPlanner(functions, 21);
-        TestFleet world = new TestFleet(
+        TestFleet fleet = new TestFleet(
             day,
             dir.resolve("planned"),
             false,
             l -> {},
             List.of(),
             "planner { address: \"" + planner.address() + "\" ask_ms: 150 }\n")) {
-      Play.Verdict verdict = new Play(day, world).run(null);
+      Play.Verdict verdict = new Play(day, fleet).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString() + verdict.fallen());
       assertTrue(
           verdict.totals().served.get() > 0.9 * verdict.totals().calls.get(),
           verdict.totals().reasons.toString());
-      long planned = world.tap().orders.stream()
+      long planned = fleet.tap().orders.stream()
           .filter(o -> o.function().startsWith("svc/plan-"))
           .count();
       assertTrue(
--- a/testbed/src/test/java/gorseladder/testbed/FrontTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/FrontTest.java
@@ -29,11 +29,11 @@
   @TempDir
   static Path dir;
 
-  private static TestFleet world;
+  private static TestFleet fleet;
 
   @BeforeAll
   static void start() throws Exception {
-    world = new TestFleet(
+    fleet = new TestFleet(
         DayScript.parse("edges = 1; runners = 2; work = 5ms; load = 10ms;"),
         dir,
         false,
@@ -42,13 +42,13 @@
 
   @AfterAll
   static void stop() {
-    world.close();
+    fleet.close();
   }
 
   private static String signed(String id, String body, String more) {
     long now = System.currentTimeMillis() / 1000;
     String signature =
-        Secret.parse(world.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
+        Secret.parse(fleet.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
     return "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: " + id
         + "\r\nwebhook-timestamp: " + now + "\r\nwebhook-signature: " + signature + "\r\n" + more;
   }
@@ -60,7 +60,7 @@
 
   /** Sends bytes and reads until the edge closes or is silent for a while. */
   private static String talk(String request, boolean half) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
+    try (Socket socket = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
       socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
       socket.setSoTimeout(half ? 5_000 : 700);
       StringBuilder all = new StringBuilder();
@@ -105,7 +105,7 @@
     assertEquals(
         List.of(200),
         statuses(talk(signed("c1", body, "Transfer-Encoding: chunked\r\n\r\n") + chunks, false)));
-    try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
+    try (Socket socket = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
       String head = signed(
           "c2", body, "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n");
       socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
@@ -157,7 +157,7 @@
   @Test
   void aSlowSenderIsAnsweredAndClosedAndOthersAreServedMeanwhile() throws Exception {
     String request = call("slow");
-    try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
+    try (Socket socket = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
       socket.setSoTimeout(10_000);
       for (int i = 0; i < 5; i++) {
         socket
@@ -179,27 +179,27 @@
 
   @Test
   void aClientThatLeavesFreesItsCall() throws Exception {
-    long before = world.inside(0).counts().getOrDefault("gone", 0L);
-    world.runners().forEach(r -> r.faults().hang = true);
-    try (Socket socket = new Socket("127.0.0.1", world.edge(0).getPort())) {
+    long before = fleet.inside(0).counts().getOrDefault("gone", 0L);
+    fleet.runners().forEach(r -> r.faults().hang = true);
+    try (Socket socket = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
       socket.getOutputStream().write(call("gone").getBytes(StandardCharsets.UTF_8));
       Thread.sleep(100);
     }
-    for (int i = 0; i < 100 && world.inside(0).counts().getOrDefault("gone", 0L) == before; i++) {
+    for (int i = 0; i < 100 && fleet.inside(0).counts().getOrDefault("gone", 0L) == before; i++) {
       Thread.sleep(20);
     }
-    world.runners().forEach(r -> r.faults().hang = false);
-    assertEquals(before + 1, world.inside(0).counts().get("gone"));
+    fleet.runners().forEach(r -> r.faults().hang = false);
+    assertEquals(before + 1, fleet.inside(0).counts().get("gone"));
     assertEquals(List.of(200), statuses(talk(call("after"), false)));
   }
 
   @Test
   void preferWaitShortensTheClientsPatience() throws IOException {
-    world.runners().forEach(r -> r.faults().hang = true);
+    fleet.runners().forEach(r -> r.faults().hang = true);
     long began = System.nanoTime();
     String answer = talk(
         call("wait").replace("Host: e", "Host: e\r\nPrefer: wait=1\r\nConnection: close"), true);
-    world.runners().forEach(r -> r.faults().hang = false);
+    fleet.runners().forEach(r -> r.faults().hang = false);
     long millis = (System.nanoTime() - began) / 1_000_000;
     assertTrue(millis >= 900 && millis < 2_900, millis + " ms");
     assertEquals(List.of(503), statuses(answer), "a safe call may be refused");
@@ -209,7 +209,7 @@
   void theFirstFaultOfASettingsFileIsNotTheOnlyOneNamed() throws IOException {
     Path bad = dir.resolve("bad.txtpb");
     Files.writeString(
-        bad, Files.readString(world.settings(0)).replace("aim_ms: 1000", "aim_ms: 0"));
+        bad, Files.readString(fleet.settings(0)).replace("aim_ms: 1000", "aim_ms: 0"));
     assertEquals(3, gorseladder.edge.Edge.load(bad).faults().size());
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -40,32 +40,32 @@
   Path dir;
 
   private final LagMeter lag = new LagMeter();
-  private TestFleet world;
-  private WebhookClients portal;
+  private TestFleet fleet;
+  private WebhookClients clients;
 
-  private void world(String script) throws Exception {
-    world = new TestFleet(DayScript.parse(script + " edges = 1;"), dir, false, line -> {});
-    portal = world.portal();
+  private void fleet(String script) throws Exception {
+    fleet = new TestFleet(DayScript.parse(script + " edges = 1;"), dir, false, line -> {});
+    clients = fleet.clients();
   }
 
   @AfterEach
   void close() {
-    if (world != null) {
+    if (fleet != null) {
       List<RuleChecker.Break> breaks = RuleChecker.report(
-              world.tap(),
-              world.rules(),
+              fleet.tap(),
+              fleet.rules(),
               TestFleet.REPEAT_WINDOW,
               at -> Play.SLACK + lag.ofACallAt(at))
           .breaks();
       lag.close();
-      world.close();
+      fleet.close();
       assertEquals(List.of(), breaks);
     }
   }
 
   private Tap.Try send(String id, WebhookClients.Kind kind, long stampShift) {
     long stamp = System.currentTimeMillis() / 1000 + stampShift;
-    return portal.attempt(id, 0, kind, body(kind), stamp, kind.deadline());
+    return clients.attempt(id, 0, kind, body(kind), stamp, kind.deadline());
   }
 
   private static byte[] body(WebhookClients.Kind kind) {
@@ -74,16 +74,16 @@
   }
 
   private long runs(String id) {
-    synchronized (world.tap()) {
-      return world.tap().arrivals.stream()
+    synchronized (fleet.tap()) {
+      return fleet.tap().arrivals.stream()
           .filter(a -> a.message.endsWith(" " + id) && a.ran)
           .count();
     }
   }
 
   private long arrivals(String id) {
-    synchronized (world.tap()) {
-      return world.tap().arrivals.stream()
+    synchronized (fleet.tap()) {
+      return fleet.tap().arrivals.stream()
           .filter(a -> a.message.endsWith(" " + id))
           .count();
     }
@@ -91,12 +91,12 @@
 
   @Test
   void anIssuanceWhoseRunnerStopsAnsweringFailsAndNeverRunsTwice() throws Exception {
-    world("runners = 3;");
-    world.runners().forEach(r -> r.faults().hang = true);
+    fleet("runners = 3;");
+    fleet.runners().forEach(r -> r.faults().hang = true);
     Tap.Try first = send("msg_hang", UNSAFE, 0);
     assertEquals(List.of(504), first.statuses);
     assertFalse(first.retryAfter, "a failure promises nothing");
-    world.runners().forEach(r -> r.faults().hang = false);
+    fleet.runners().forEach(r -> r.faults().hang = false);
     Tap.Try second = send("msg_hang", UNSAFE, 1);
     assertTrue(
         second.statuses.equals(List.of(502)) && second.reason.equals("failed_unknown_effect"),
@@ -106,13 +106,13 @@
 
   @Test
   void anIssuanceResetInTheMiddleOfItsAnswerIsNotRepeated() throws Exception {
-    world("runners = 3;");
-    world.runners().forEach(r -> r.faults().reset = true);
+    fleet("runners = 3;");
+    fleet.runners().forEach(r -> r.faults().reset = true);
     Tap.Try first = send("msg_reset", UNSAFE, 0);
     assertEquals(List.of(502), first.statuses);
     assertEquals("failed_reset", first.reason);
     assertFalse(first.retryAfter);
-    world.runners().forEach(r -> r.faults().reset = false);
+    fleet.runners().forEach(r -> r.faults().reset = false);
     assertEquals(List.of(502), send("msg_reset", UNSAFE, 1).statuses);
     assertEquals(1, runs("msg_reset"));
   }
@@ -122,11 +122,11 @@
    */
   @Test
   void aKeptConnectionThatClosesAsACallLeavesCostsNoIssuance() throws Exception {
-    world("runners = 3;");
+    fleet("runners = 3;");
     for (int i = 0; i < 8; i++) {
       assertEquals(List.of(200), send("msg_warm" + i, SAFE, 0).statuses);
     }
-    world.runners().forEach(r -> r.faults().stale = true);
+    fleet.runners().forEach(r -> r.faults().stale = true);
     assertEquals(List.of(200), send("msg_issue", UNSAFE, 0).statuses);
     assertEquals(1, runs("msg_issue"));
     assertEquals(List.of(200), send("msg_read", SAFE, 0).statuses);
@@ -134,31 +134,31 @@
 
   @Test
   void replaysRepeatsAndConflicts() throws Exception {
-    world("runners = 2;");
+    fleet("runners = 2;");
     assertEquals(List.of(200), send("msg_a", UNSAFE, 0).statuses);
     long stamp = System.currentTimeMillis() / 1000 + 5;
     assertEquals(
         "served_again",
-        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).reason);
+        clients.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).reason);
     assertEquals(
         List.of(409),
-        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+        clients.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
     assertEquals(
         List.of(422),
-        portal.attempt("msg_a", 0, UNSAFE, body(SAFE), stamp + 1, UNSAFE.deadline()).statuses);
-    world.restartEdge(0, 0);
+        clients.attempt("msg_a", 0, UNSAFE, body(SAFE), stamp + 1, UNSAFE.deadline()).statuses);
+    fleet.restartEdge(0, 0);
     assertEquals(
         List.of(409),
-        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
+        clients.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp, UNSAFE.deadline()).statuses);
     assertEquals(
         "served_again",
-        portal.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp + 2, UNSAFE.deadline()).reason);
+        clients.attempt("msg_a", 0, UNSAFE, body(UNSAFE), stamp + 2, UNSAFE.deadline()).reason);
     assertEquals(1, runs("msg_a"));
   }
 
   @Test
   void aRetryWhileTheFirstIsOutJoinsIt() throws Exception {
-    world("runners = 2; work = 500ms;");
+    fleet("runners = 2; work = 500ms;");
     CompletableFuture<Tap.Try> first =
         CompletableFuture.supplyAsync(() -> send("msg_join", UNSAFE, 0));
     Thread.sleep(200);
@@ -171,7 +171,7 @@
   /** A safe call is on record with its end only; while it is out, this process knows its message and its signature. */
   @Test
   void aSafeCallThatIsOutIsJoinedAndItsSignatureIsNotTakenTwice() throws Exception {
-    world("runners = 2; work = 250ms;");
+    fleet("runners = 2; work = 250ms;");
     long stamp = System.currentTimeMillis() / 1000 + 5;
     CompletableFuture<Tap.Try> first =
         CompletableFuture.supplyAsync(() -> attempt("msg_safe", SAFE, stamp));
@@ -181,14 +181,14 @@
     assertEquals(List.of(200), first.get().statuses);
     assertEquals(1, arrivals("msg_safe"));
     assertEquals(List.of(409), attempt("msg_safe", SAFE, stamp).statuses);
-    world.restartEdge(0, 0);
+    fleet.restartEdge(0, 0);
     assertEquals(List.of(409), attempt("msg_safe", SAFE, stamp).statuses);
     assertEquals("served_again", attempt("msg_safe", SAFE, stamp + 1).reason);
   }
 
   private Tap.Try attempt(String message, WebhookClients.Kind kind, long stamp) {
     try {
-      return portal.attempt(message, 0, kind, body(kind), stamp, kind.deadline());
+      return clients.attempt(message, 0, kind, body(kind), stamp, kind.deadline());
     } catch (Exception e) {
       throw new IllegalStateException(e);
     }
@@ -199,8 +199,8 @@
    */
   @Test
   void eachPointOfAKillIsAnsweredSafelyByTheNextProcess() throws Exception {
-    world("runners = 2;");
-    world.stopEdge(0);
+    fleet("runners = 2;");
+    fleet.stopEdge(0);
     long now = System.currentTimeMillis() * 1000;
     try (Ledger ledger = Ledger.open(dir.resolve("data-0").resolve("ledger"), false, 100)) {
       for (WebhookClients.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
@@ -222,7 +222,7 @@
                 .ended(Stage.SERVED, true, "served", 200, "{}".getBytes()));
       }
     }
-    world.restartEdge(0, 0);
+    fleet.restartEdge(0, 0);
     for (WebhookClients.Kind kind : List.of(SAFE, KEYED, UNSAFE)) {
       String name = kind.effect() == Effect.SAFE
           ? "safe"
@@ -249,13 +249,13 @@
 
   @Test
   void twoStartsWithAnOldListStillServe() throws Exception {
-    world("runners = 6;");
+    fleet("runners = 6;");
     assertEquals(List.of(200), send("msg_first", SAFE, 0).statuses);
-    world.list().behind(true);
+    fleet.list().behind(true);
     for (int i = 0; i < 2; i++) {
-      world.runners().get(i).crash();
-      world.list().set(world.runners().get(i), Phase.GONE, false, true);
-      world.restartEdge(0, 0);
+      fleet.runners().get(i).crash();
+      fleet.list().set(fleet.runners().get(i), Phase.GONE, false, true);
+      fleet.restartEdge(0, 0);
       for (int j = 0; j < 10; j++) {
         assertEquals(
             List.of(200), send("msg_old_" + i + "_" + j, j % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
@@ -265,42 +265,42 @@
 
   @Test
   void aDamagedLedgerIsAClearRefusalToStart() throws Exception {
-    world("runners = 1;");
-    world.stopEdge(0);
+    fleet("runners = 1;");
+    fleet.stopEdge(0);
     Path folder = dir.resolve("data-0").resolve("ledger");
     Path file = folder.resolve("0000000000000001.segment");
     byte[] bytes = Files.readAllBytes(file);
     Files.write(file, new byte[bytes.length]);
     java.io.ByteArrayOutputStream err = new java.io.ByteArrayOutputStream();
     int code =
-        gorseladder.edge.EdgeMain.run(world.settings(0), System.out, new java.io.PrintStream(err));
+        gorseladder.edge.EdgeMain.run(fleet.settings(0), System.out, new java.io.PrintStream(err));
     assertEquals(gorseladder.edge.EdgeMain.CANNOT_START, code);
     assertTrue(
         err.toString().contains(folder.toString()) && err.toString().contains("Way out"),
         err.toString());
     Files.write(file, bytes);
-    world.restartEdge(0, 0);
+    fleet.restartEdge(0, 0);
     assertEquals(List.of(200), send("msg_again", SAFE, 0).statuses);
   }
 
   /** An answer near the end of its client's time must not wait for a disk that has stopped just then. */
   @Test
   void anAnswerWaitsForItsRecordNoLongerThanItsClientWaits() throws Exception {
-    world("runners = 2; work = 1800ms;");
+    fleet("runners = 2; work = 1800ms;");
     assertEquals(List.of(200), send("msg_loads", UNSAFE, 0).statuses);
     CompletableFuture<Tap.Try> slow =
         CompletableFuture.supplyAsync(() -> send("msg_slow", UNSAFE, 0));
     awaitArrival("msg_slow");
-    world.disk().stallFor(STALL_MILLIS);
+    fleet.disk().stallFor(STALL_MILLIS);
     assertEquals(List.of(200), slow.get().statuses);
     assertInTime(slow.get());
   }
 
   @Test
   void aCallThatCannotBeOnRecordInTimeIsRefusedInTimeAndNeverSent() throws Exception {
-    world("runners = 2;");
+    fleet("runners = 2;");
     assertEquals(List.of(200), send("msg_before", UNSAFE, 0).statuses);
-    world.disk().stallFor(STALL_MILLIS);
+    fleet.disk().stallFor(STALL_MILLIS);
     Tap.Try refused = send("msg_unrecorded", UNSAFE, 0);
     assertEquals("ledger_unavailable", refused.reason);
     assertInTime(refused);
@@ -313,7 +313,7 @@
   /** An attempt that waits for its record ends with its call; it says nothing of its runner. */
   @Test
   void anAttemptThatCannotBeOnRecordInTimeLeavesNoRunnerSuspect() throws Exception {
-    world("runners = 1; work = 400ms;");
+    fleet("runners = 1; work = 400ms;");
     assertEquals(List.of(200), send("msg_before", UNSAFE, 0).statuses);
     // The stall comes between the record of the taking and the one of the leaving: calls in a row
     // find both.
@@ -322,7 +322,7 @@
       String id = "msg_row" + i;
       tries.add(CompletableFuture.supplyAsync(() -> send(id, UNSAFE, 0)));
       if (i == 6) {
-        world.disk().stallFor(STALL_MILLIS);
+        fleet.disk().stallFor(STALL_MILLIS);
       }
     }
     for (CompletableFuture<Tap.Try> t : tries) {
@@ -347,12 +347,12 @@
 
   @Test
   void runnersThatOnlyLoadByOrderAreServedWithinTheRation() throws Exception {
-    world("runners = 4; on_miss = 0; list_late = 10ms;");
+    fleet("runners = 4; on_miss = 0; list_late = 10ms;");
     for (int i = 0; i < 10; i++) {
       assertEquals(List.of(200), send("msg_order" + i, i % 2 == 0 ? SAFE : UNSAFE, 0).statuses);
     }
-    synchronized (world.tap()) {
-      assertTrue(!world.tap().orders.isEmpty());
+    synchronized (fleet.tap()) {
+      assertTrue(!fleet.tap().orders.isEmpty());
     }
   }
 }
--- a/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/PlannerPathTest.java
@@ -88,14 +88,14 @@
     history(0, minute);
     DayScript script = DayScript.parse("edges = 2; runners = 4; work = 5ms; load = 60ms;");
     String more = "planner { address: \"" + Address.print(at) + "\" ask_ms: 100 }\n";
-    try (TestFleet world = new TestFleet(script, dir, false, l -> {}, List.of(), more)) {
+    try (TestFleet fleet = new TestFleet(script, dir, false, l -> {}, List.of(), more)) {
       PlannerServer planner = planner(at);
-      WebhookClients portal = world.portal();
+      WebhookClients clients = fleet.clients();
       WebhookClients.Kind kind = WebhookClients.kinds(
               TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
           .get(0);
-      call(portal, kind, "first", 0);
-      call(portal, kind, "second", 0);
+      call(clients, kind, "first", 0);
+      call(clients, kind, "second", 0);
       until(
           "the rows of the past", () -> (long) planner.planner().state().get("rows") >= DAYS * 61);
       until("both edges", () -> planner.planner().state().get("edges").equals(List.of(0, 1)));
@@ -103,19 +103,19 @@
       // worker of the first two calls.
       long agedOut = Clock.micros() + TestFleet.KEEP_ALIVE + 1_000_000;
       until("the first copies aged out", () -> Clock.micros() > agedOut);
-      int before = orders(world);
+      int before = orders(fleet);
       wall.addAndGet(17_500_000);
-      until("a load ahead", () -> orders(world) > before);
+      until("a load ahead", () -> orders(fleet) > before);
       wall.addAndGet(8_000_000);
-      call(portal, kind, "foreseen", 1);
+      call(clients, kind, "foreseen", 1);
       // Killed in the middle of a plan: edges serve on, with what they have.
       planner.close();
       for (int i = 0; i < 40; i++) {
-        call(portal, kind, "alone-" + i, i % 2);
+        call(clients, kind, "alone-" + i, i % 2);
       }
       assertEquals(
           43,
-          world.tap().tries.stream()
+          fleet.tap().tries.stream()
               .filter(t -> t.statuses.equals(List.of(200)))
               .count());
       long rows;
@@ -128,20 +128,20 @@
     }
   }
 
-  private static int orders(TestFleet world) {
-    synchronized (world.tap()) {
+  private static int orders(TestFleet fleet) {
+    synchronized (fleet.tap()) {
       return (int)
-          world.tap().orders.stream().filter(o -> o.function().equals(FUNCTION)).count();
+          fleet.tap().orders.stream().filter(o -> o.function().equals(FUNCTION)).count();
     }
   }
 
   private static void call(
-      WebhookClients portal, WebhookClients.Kind kind, String message, int edge) throws Exception {
-    portal.attempt(
+      WebhookClients clients, WebhookClients.Kind kind, String message, int edge) throws Exception {
+    clients.attempt(
         message,
         edge,
         kind,
-        portal.payload(kind, FUNCTION),
+        clients.payload(kind, FUNCTION),
         System.currentTimeMillis() / 1000,
         kind.deadline());
   }
--- a/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/ProcessTest.java
@@ -27,44 +27,44 @@
 
   @Test
   void theFirstSignalAnswersWhatWasTakenAndTheSecondEndsAtOnce() throws Exception {
-    try (TestFleet world = new TestFleet(
+    try (TestFleet fleet = new TestFleet(
         DayScript.parse("edges = 2; runners = 2; work = 600ms;"), dir, true, line -> {})) {
-      WebhookClients portal = world.portal();
-      CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> portal.attempt(
+      WebhookClients clients = fleet.clients();
+      CompletableFuture<Tap.Try> call = CompletableFuture.supplyAsync(() -> clients.attempt(
           "msg_stop",
           0,
           UNSAFE,
-          portal.payload(UNSAFE, "svc/a"),
+          clients.payload(UNSAFE, "svc/a"),
           System.currentTimeMillis() / 1000,
           UNSAFE.deadline()));
-      awaitArrival(world, 1);
-      world.process(0).toHandle().destroy();
+      awaitArrival(fleet, 1);
+      fleet.process(0).toHandle().destroy();
       assertEquals(List.of(200), call.get(10, TimeUnit.SECONDS).statuses);
-      assertTrue(world.process(0).waitFor(10, TimeUnit.SECONDS));
-      assertEquals(EdgeMain.OK, world.process(0).exitValue());
+      assertTrue(fleet.process(0).waitFor(10, TimeUnit.SECONDS));
+      assertEquals(EdgeMain.OK, fleet.process(0).exitValue());
 
-      world.runners().forEach(r -> r.faults().hang = true);
-      CompletableFuture.runAsync(() -> portal.attempt(
+      fleet.runners().forEach(r -> r.faults().hang = true);
+      CompletableFuture.runAsync(() -> clients.attempt(
           "msg_end",
           1,
           UNSAFE,
-          portal.payload(UNSAFE, "svc/a"),
+          clients.payload(UNSAFE, "svc/a"),
           System.currentTimeMillis() / 1000,
           UNSAFE.deadline()));
-      awaitArrival(world, 2);
-      world.process(1).toHandle().destroy();
+      awaitArrival(fleet, 2);
+      fleet.process(1).toHandle().destroy();
       Thread.sleep(300);
-      world.process(1).toHandle().destroy();
-      assertTrue(world.process(1).waitFor(1_500, TimeUnit.MILLISECONDS), "it waited for its call");
-      assertEquals(143, world.process(1).exitValue());
-      world.runners().forEach(r -> r.faults().hang = false);
+      fleet.process(1).toHandle().destroy();
+      assertTrue(fleet.process(1).waitFor(1_500, TimeUnit.MILLISECONDS), "it waited for its call");
+      assertEquals(143, fleet.process(1).exitValue());
+      fleet.runners().forEach(r -> r.faults().hang = false);
     }
   }
 
-  private static void awaitArrival(TestFleet world, int count) throws InterruptedException {
+  private static void awaitArrival(TestFleet fleet, int count) throws InterruptedException {
     for (int i = 0; i < 500; i++) {
-      synchronized (world.tap()) {
-        if (world.tap().arrivals.size() >= count) {
+      synchronized (fleet.tap()) {
+        if (fleet.tap().arrivals.size() >= count) {
           return;
         }
       }
@@ -74,10 +74,10 @@
 
   @Test
   void aTakenAddressAndBadSettingsHaveTheirExitCodes() throws Exception {
-    try (TestFleet world =
+    try (TestFleet fleet =
         new TestFleet(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("second.txtpb");
-      String good = Files.readString(world.settings(0));
+      String good = Files.readString(fleet.settings(0));
       Files.writeString(file, good.replace("data-0", "data-second"));
       java.io.ByteArrayOutputStream err = new java.io.ByteArrayOutputStream();
       assertEquals(
@@ -91,12 +91,12 @@
 
   @Test
   void clientsFromOtherNetworksAreTurnedAway() throws Exception {
-    try (TestFleet world =
+    try (TestFleet fleet =
         new TestFleet(DayScript.parse("edges = 1; runners = 1;"), dir, false, line -> {})) {
       Path file = dir.resolve("far.txtpb");
       Files.writeString(
           file,
-          Files.readString(world.settings(0))
+          Files.readString(fleet.settings(0))
               .replace("data-0", "data-far")
               .replace(
                   "allow_network: \"127.0.0.0/8\"",
--- a/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/WholePathTest.java
@@ -22,22 +22,22 @@
     WebhookClients.Kind kind = WebhookClients.kinds(
             TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
         .get(0);
-    try (TestFleet world = new TestFleet(
+    try (TestFleet fleet = new TestFleet(
         DayScript.parse("edges = 1; runners = 2; work = 2ms; load = 5ms;"), dir, false, l -> {})) {
-      WebhookClients portal = world.portal();
+      WebhookClients clients = fleet.clients();
       for (int i = 0; i < 30; i++) {
-        portal.attempt(
+        clients.attempt(
             "msg_" + i,
             0,
             kind,
-            portal.payload(kind, "svc/f" + i % 3),
+            clients.payload(kind, "svc/f" + i % 3),
             System.currentTimeMillis() / 1000,
             kind.deadline());
         if (i == 15) {
-          world.restartEdge(0, 0);
+          fleet.restartEdge(0, 0);
         }
       }
-      world.stopEdge(0);
+      fleet.stopEdge(0);
     }
     try (History history =
         History.open(dir.resolve("data-0").resolve("history"), History.Bounds.USUAL)) {
@@ -59,8 +59,8 @@
   void aCalmDayServesEveryCall() throws Exception {
     DayScript script =
         DayScript.parse("day = 2s; edges = 2; runners = 4; functions = 4; rate = 60;");
-    try (TestFleet world = new TestFleet(script, dir, false, line -> {})) {
-      Play.Verdict verdict = new Play(script, world).run(null);
+    try (TestFleet fleet = new TestFleet(script, dir, false, line -> {})) {
+      Play.Verdict verdict = new Play(script, fleet).run(null);
       assertTrue(verdict.good(), verdict.breaks().toString());
       assertEquals(
           verdict.totals().calls.get(),
