--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -22,8 +22,8 @@
   ANSWERS_TWICE(
       SoakRule.FINAL_ANSWER,
       "node/src/main/java/gorseladder/node/front/FrontConnection.java",
-      "put = outbox.put(bytes);",
-      "put = outbox.put(bytes) && outbox.put(bytes);",
+      "put = outbox.put(new AnswerBytes(bytes));",
+      "put = outbox.put(new AnswerBytes(bytes)) && outbox.put(new AnswerBytes(bytes));",
       Trouble.PIECES),
   REPEATED_WHATEVER_HAPPENED(
       SoakRule.EFFECT_ONCE,
@@ -98,9 +98,15 @@
   STOP_ENDS_TOO_LATE(
       SoakRule.END,
       "node/src/main/java/gorseladder/node/Node.java",
-      "while (!front.drain() && Clock.micros() < leaves) {",
-      "while (front.drain() || Clock.micros() < leaves + 400_000) {",
+      "long kill = begun + Math.min(longest, LONGEST_COUNTED) + KILLED;",
+      "long kill = begun + Math.min(longest, LONGEST_COUNTED) + KILLED + 700_000;",
       Trouble.STOP),
+  THREADS_NOT_SHARED(
+      SoakRule.FINAL_ANSWER,
+      "decisions/src/main/java/gorseladder/threads/ThreadSharing.java",
+      "boolean may = holder.spare() || holder.idle() >= least;",
+      "boolean may = false;",
+      Trouble.CROWD_WITHOUT_THREADS),
   SEEN_BY_ITSELF(
       SoakRule.LOG,
       "node/src/main/java/gorseladder/node/runners/AttemptRequest.java",
@@ -139,6 +145,11 @@
     }
   }
 
+  /** True where the line that it changes stands in its source. */
+  boolean canBePlanted(Path root) throws IOException {
+    return Files.readString(root.resolve(source)).contains(find);
+  }
+
   /** True where the rule it is named after was found broken. */
   public boolean isFound(SoakRun.Result result) {
     return result.findings().stream().anyMatch(finding -> finding.rule() == rule);
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -211,6 +211,10 @@
     return runners.get(target % runners.size());
   }
 
+  List<SoakRunner> runners() {
+    return List.copyOf(runners);
+  }
+
   List<SoakDispatcher> dispatchers() {
     return List.copyOf(dispatchers);
   }
--- a/soak/src/main/java/gorseladder/soak/Trouble.java
+++ b/soak/src/main/java/gorseladder/soak/Trouble.java
@@ -49,7 +49,12 @@
   /** A dispatcher is told something once, and at that moment its system fails it, for a while that ends. */
   NEWS_AMID_FAULT,
   /** The system of a dispatcher opens no file for a moment. */
-  FILES;
+  FILES,
+  /**
+   * A dispatcher gets no new threads for seconds, while a crowd of silent clients comes, runners are slow and usual
+   * clients open new connections all the time.
+   */
+  CROWD_WITHOUT_THREADS;
 
   /** The word on the command line and in reports. */
   public String word() {
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /** Brings the troubles of a plan at their times, each on a thread of its own. */
 final class Troubles {
@@ -38,6 +40,12 @@
   private static final long[] STEPS_MILLIS = {3_600_000, -3_600_000, 5_000, -5_000, 60_000, -60_000
   };
 
+  /** A crowd that comes while there are no threads stays so long and some, in microseconds. */
+  private static final long CROWD_STAYS = 1_500_000;
+
+  private static final int SLOWER_MILLIS = 100;
+  private static final long RECONNECT_NANOS = 50_000_000;
+
   private final SoakRun run;
   private final NewsTroubles news;
   /** Processes and runners that a trouble holds at present: another one of the same sort passes them by. */
@@ -97,6 +105,7 @@
         case CROWD ->
           new Crowd(dispatcher.listen())
               .come(Crowd.Kind.values()[(int) Math.floorMod(event.draw(), 3L)], event.length());
+        case CROWD_WITHOUT_THREADS -> crowdWithoutThreads(dispatcher, event);
         case LOG_SLOW -> logSlow(dispatcher, event);
         case FILES -> files(dispatcher, event);
         case PAUSE -> holding(dispatcher, () -> pause(dispatcher, event));
@@ -334,6 +343,32 @@
     control.set(Fault.THREAD_RATE, 0);
   }
 
+  /** Connections to runners multiply, as those are slow, and take the threads of clients that leave. */
+  private void crowdWithoutThreads(SoakDispatcher dispatcher, Event event)
+      throws InterruptedException {
+    Control control = dispatcher.control();
+    if (control == null || !dispatcher.isReady()) {
+      return;
+    }
+    long micros = CROWD_STAYS + event.length();
+    AtomicBoolean over = new AtomicBoolean();
+    FaultProxy.start("reconnects", () -> {
+      while (!over.get()) {
+        dispatcher.clients().reconnect();
+        LockSupport.parkNanos(RECONNECT_NANOS);
+      }
+    });
+    control.set(Fault.THREAD_RATE, ALL);
+    run.runners().forEach(runner -> runner.slowerBy(SLOWER_MILLIS));
+    try {
+      new Crowd(dispatcher.listen()).come(Crowd.Kind.SILENT, micros);
+    } finally {
+      over.set(true);
+      run.runners().forEach(runner -> runner.slowerBy(0));
+      control.set(Fault.THREAD_RATE, 0);
+    }
+  }
+
   /** The system opens no file for a moment. */
   private static void files(SoakDispatcher dispatcher, Event event) throws InterruptedException {
     Control control = dispatcher.control();
