A failing test: at an edge clients that rest keep the threads that others wait for

An idle connection holds its thread for a minute (idle_ms). Change: an edge can be given a machine whose threads run out (EdgeSystem, ScarceThreads); the test: 40 clients that asked once and stay, sixteen threads, no new one. What waited for a thread counts from when it may have come (HttpServer.Handler.serve). Soak: its own stalls are also looked for on new connections: of a late deadline in SoakTest (once in four, then once in one with its logs) the dispatcher had written the attempt in time, and its answer came 200 ms and more after that, where work takes 35.

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -21,9 +21,9 @@
 import gorseladder.gate.SendGate;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
-import gorseladder.store.LedgerFiles;
 import gorseladder.store.history.History;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -40,6 +40,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
   private static final long CHECK_EVERY = 1_000_000;
   private static final int CORE_STACK = 1 << 20;
+  /** Threads for connections of clients that stand ready from the start. */
+  private static final int READY_THREADS = 16;
 
   private final EdgeSettings settings;
   private final Watchdog watchdog;
@@ -53,6 +55,7 @@
   private final PlannerLink planner;
   private final WebhookFront front;
   private final HttpServer server;
+  private final ThreadCache clientThreads;
   private final CallLog log = new CallLog();
   private final AtomicBoolean closed = new AtomicBoolean();
   private String ledgerTrouble;
@@ -63,11 +66,11 @@
    * @throws IOException where the ledger cannot be used or an address is taken; the text says which
    */
   public Edge(EdgeSettings settings) throws IOException {
-    this(settings, LedgerFiles.PLAIN);
+    this(settings, EdgeSystem.usual(settings.getLimits().getStackBytes()));
   }
 
-  /** As above, with a way to write the ledger that tests choose. */
-  public Edge(EdgeSettings settings, LedgerFiles ledgerFiles) throws IOException {
+  /** As above, on a machine that tests choose. */
+  public Edge(EdgeSettings settings, EdgeSystem system) throws IOException {
     this.settings = settings;
     EdgeConfig config = new EdgeConfig(settings);
     Path directory = Path.of(settings.getDataDirectory());
@@ -76,7 +79,7 @@
         directory.resolve("ledger"),
         settings.getLedger().getSync(),
         settings.getLedger().getMaxMessages(),
-        ledgerFiles);
+        system.ledgerFiles());
     try {
       history = new CallHistory(
           History.open(
@@ -140,6 +143,7 @@
         settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
     front = new WebhookFront(
         config.webhooks(), new AdmissionCheck(config.admission()), intake, core, watchdog, log);
+    clientThreads = new ThreadCache("webhook", READY_THREADS, system.clientThreads());
     PeerLink link = null;
     HttpServer listening = null;
     try {
@@ -152,7 +156,7 @@
               core::peerMessage)
           : null;
       list.start();
-      listening = front.listen(Address.parse(settings.getListen()));
+      listening = front.listen(Address.parse(settings.getListen()), clientThreads);
     } finally {
       peers = link;
       server = listening;
@@ -300,6 +304,7 @@
     if (server != null) {
       server.close();
     }
+    clientThreads.close();
     if (peers != null) {
       peers.close();
     }
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/EdgeSystem.java
@@ -0,0 +1,18 @@
+package gorseladder.edge;
+
+import gorseladder.runtime.Threads;
+import gorseladder.store.LedgerFiles;
+import java.util.concurrent.ThreadFactory;
+
+/**
+ * What an edge has of its machine; tests give one that fails.
+ *
+ * @param ledgerFiles where the ledger is kept
+ * @param clientThreads makes the threads that serve connections of clients
+ */
+public record EdgeSystem(LedgerFiles ledgerFiles, ThreadFactory clientThreads) {
+  /** The machine as it is, with threads of that stack. */
+  public static EdgeSystem usual(int stackBytes) {
+    return new EdgeSystem(LedgerFiles.PLAIN, Threads.factory("webhook", stackBytes));
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -13,6 +13,7 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
@@ -69,6 +70,7 @@
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
   private final TurnQueue turnQueue;
+  private final IdleConnections idle = new IdleConnections();
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
@@ -88,20 +90,43 @@
     this.turnQueue = new TurnQueue(Runtime.getRuntime().availableProcessors());
   }
 
-  /** Begins to listen. */
-  public HttpServer listen(InetSocketAddress at) throws IOException {
-    HttpServer[] server = new HttpServer[1];
-    CountDownLatch ready = new CountDownLatch(1);
-    server[0] = HttpServer.listen(at, "webhook", settings.stackBytes(), channel -> {
+  /**
+   * Begins to listen.
+   *
+   * @param threads a connection has one of them
+   */
+  public HttpServer listen(InetSocketAddress at, ThreadCache threads) throws IOException {
+    Accepted accepted = new Accepted();
+    HttpServer server = HttpServer.listen(at, "webhook", settings.stackBytes(), threads, accepted);
+    accepted.serves(server);
+    return server;
+  }
+
+  /** Connections as the listener hands them over; each waits until the listener is known here. */
+  private final class Accepted implements HttpServer.Handler {
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private volatile HttpServer server;
+
+    void serves(HttpServer listening) {
+      server = listening;
+      ready.countDown();
+    }
+
+    @Override
+    public void serve(SocketChannel channel) throws IOException {
+      serve(channel, Clock.micros());
+    }
+
+    @Override
+    public void serve(SocketChannel channel, long earliest) throws IOException {
       try {
         ready.await();
       } catch (InterruptedException e) {
         return;
       }
-      serve(channel, server[0]);
-    });
-    ready.countDown();
-    return server[0];
+      WebhookFront.this.serve(channel, server, earliest);
+    }
+
   }
 
   /** Answers no further request on connections that are open; what was taken is still answered. */
@@ -114,8 +139,9 @@
     return inProgress.get();
   }
 
-  private void serve(SocketChannel channel, HttpServer server) throws IOException {
+  private void serve(SocketChannel channel, HttpServer server, long earliest) throws IOException {
     HttpConnection c = new HttpConnection(channel, settings.limits());
+    long cameAt = c.hasBytesToRead() ? earliest : Long.MAX_VALUE;
     if (!settings.allowed().contains(c.peer().getAddress())) {
       reject(c, Reason.FORBIDDEN_NETWORK, Reason.FORBIDDEN_NETWORK.text);
       return;
@@ -129,8 +155,8 @@
     // a record, an answer or a slow client.
     c.aroundWaits(turn::give, turn::take);
     try {
-      while (request(c, turn)) {
-        continue;
+      while (request(c, turn, cameAt)) {
+        cameAt = Long.MAX_VALUE;
       }
     } catch (BadMessage e) {
       turn.give();
@@ -159,27 +185,43 @@
     c.closeGently(Clock.micros() + LINGER);
   }
 
-  /** One request and its answer; false where the connection carries no further one. */
-  private boolean request(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
+  /**
+   * One request and its answer; false where the connection carries no further one.
+   *
+   * @param cameAt when it may have come at the earliest, where that was before it is read; else very late
+   */
+  private boolean request(HttpConnection c, TurnQueue.Turn turn, long cameAt)
+      throws IOException, BadMessage {
     turn.forgetWaits();
-    try {
-      if (!c.awaitMessage(Clock.micros() + settings.idle())) {
-        return false;
-      }
-    } catch (SocketTimeoutException e) {
+    if (!awaitRequest(c)) {
       return false;
     }
     inProgress.incrementAndGet();
     try {
-      return exchange(c, turn);
+      return exchange(c, turn, cameAt);
     } finally {
       inProgress.decrementAndGet();
     }
   }
 
-  private boolean exchange(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
+  /** Waits for the first byte of a request; false where none comes, or the connection was chosen to end. */
+  private boolean awaitRequest(HttpConnection c) throws IOException {
+    boolean came = false;
+    idle.waits(c);
+    try {
+      came = c.awaitMessage(Clock.micros() + settings.idle());
+    } catch (SocketTimeoutException e) {
+      LOG.debug("{} asked nothing for long", c.peer());
+    } finally {
+      came &= idle.resumes(c);
+    }
+    return came;
+  }
+
+  private boolean exchange(HttpConnection c, TurnQueue.Turn turn, long cameAt)
+      throws IOException, BadMessage {
     long now = Clock.micros();
-    long arrivedAt = now - turn.waited();
+    long arrivedAt = Math.min(cameAt, now - turn.waited());
     long until = now + settings.arrival();
     Head head;
     byte[] body;
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -178,6 +178,16 @@
     return from < to;
   }
 
+  /** True where the socket holds bytes that were not read yet; any thread. */
+  public boolean hasBytesToRead() {
+    try {
+      return socket.getInputStream().available() > 0;
+    } catch (IOException e) {
+      // It has ended; whoever reads it is told.
+      return false;
+    }
+  }
+
   /** Writes all of the bytes. */
   public void write(byte[] bytes) throws IOException {
     socket.getOutputStream().write(bytes);
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -48,6 +48,16 @@
     /** Serves one, on a thread of its own; it is closed when this returns. */
     void serve(SocketChannel connection) throws IOException;
 
+    /**
+     * The same.
+     *
+     * @param earliest the earliest time at which what can be read now may have come ({@link Clock#micros()}): the
+     *     connection may have waited to be accepted, or for its thread
+     */
+    default void serve(SocketChannel connection, long earliest) throws IOException {
+      serve(connection);
+    }
+
     /**
      * A connection was accepted; false turns it away. On the accepting thread and for one connection at a time, so that
      * what is counted here cannot be passed by many at once. Must not block.
@@ -89,20 +99,30 @@
   /** Connections accepted so far; the accepting thread's own. */
   private long accepted;
 
-  /** A connection without a thread, and since when something can be read on it; 0 where nothing can. */
+  /** A connection that has no thread yet. */
   private static final class Unstarted {
     private final SocketChannel connection;
-    private long askedAt;
+    private long lookedAt;
+    private boolean asked;
 
-    private Unstarted(SocketChannel connection) {
+    /** One on which nothing can have come before that time. */
+    private Unstarted(SocketChannel connection, long waitedSince) {
       this.connection = connection;
+      this.lookedAt = waitedSince;
     }
 
+    /** True once something can be read on it. */
     private boolean hasAsked() {
-      if (askedAt == 0 && hasBytes(connection)) {
-        askedAt = Clock.micros();
+      if (!asked) {
+        asked = hasBytes(connection);
+        lookedAt = asked ? lookedAt : Clock.micros();
       }
-      return askedAt > 0;
+      return asked;
+    }
+
+    /** The earliest time at which what can be read on it may have come: when it was last looked at in vain. */
+    private long earliest() {
+      return lookedAt;
     }
   }
 
@@ -249,7 +269,7 @@
         accepted++;
         if (handler.admit(connection, waitedSince)) {
           open.add(connection);
-          start(connection);
+          start(new Unstarted(connection, waitedSince));
         } else {
           connection.close();
         }
@@ -269,8 +289,7 @@
    * Gives a connection its thread. Where there is none for a moment the connection waits for one: on it a client may
    * have asked already.
    */
-  private void start(SocketChannel connection) {
-    Unstarted starts = new Unstarted(connection);
+  private void start(Unstarted starts) {
     if (!given(starts)) {
       unstarted.addLast(starts);
       waiting = true;
@@ -282,8 +301,10 @@
    * what clients that ask, and connections that carry their calls, need.
    */
   private boolean given(Unstarted starts) {
-    Runnable serving = () -> serve(starts.connection);
-    return starts.hasAsked() ? threads.execute(serving) : threads.executeIfSpare(serving);
+    boolean asked = starts.hasAsked();
+    long earliest = starts.earliest();
+    Runnable serving = () -> serve(starts.connection, earliest);
+    return asked ? threads.execute(serving) : threads.executeIfSpare(serving);
   }
 
   /** Gives threads to connections that wait for one: those first on which something can be read. */
@@ -303,7 +324,7 @@
       if (!turn || !given(waits)) {
         unstarted.addLast(waits);
         if (turn && thatAsked) {
-          handler.spareThread(Clock.micros() - waits.askedAt);
+          handler.spareThread(Clock.micros() - waits.earliest());
         }
       }
     }
@@ -333,9 +354,9 @@
     }
   }
 
-  private void serve(SocketChannel connection) {
+  private void serve(SocketChannel connection, long earliest) {
     try (connection) {
-      handler.serve(connection);
+      handler.serve(connection, earliest);
     } catch (IOException e) {
       LOG.debug("connection ended: {}", e.toString());
     } finally {
--- a/soak/src/main/java/gorseladder/soak/OwnStalls.java
+++ b/soak/src/main/java/gorseladder/soak/OwnStalls.java
@@ -13,8 +13,9 @@
 /**
  * Notices when the soak's own threads got no processor for a while: what its clients and runners wrote down as times is
  * late by as much. A byte goes round through a proxy and back every few milliseconds, over as many threads as a request
- * passes in the soak; where that takes long the span is kept, so that the oracle can tell a late dispatcher from a late
- * soak. Any thread.
+ * passes in the soak: one on a connection that stands, another on a new one each time, as a first request to a runner
+ * does. Where that takes long the span is kept, so that the oracle can tell a late dispatcher from a late soak. Any
+ * thread.
  */
 final class OwnStalls implements Closeable {
   private static final long TICK_MILLIS = 5;
@@ -22,82 +23,139 @@
   /** Threads that were held up together come back one after the other. */
   private static final long AFTER = 30_000;
 
-  private final List<Evidence.Span> spans = new ArrayList<>();
+  private final Probe standing = new Probe();
+  private final Probe connecting = new Probe();
   private volatile boolean stopped;
-  private long longest;
-  private long total;
+
+  /** The spans that one sort of round took too long for; any thread. */
+  private static final class Probe {
+    private final List<Evidence.Span> spans = new ArrayList<>();
+    private long longest;
+    private long total;
+
+    private synchronized void note(long from, long to) {
+      if (to - from > TICK_MILLIS * 1_000 + STALL) {
+        spans.add(new Evidence.Span(from, to));
+        longest = Math.max(longest, to - from);
+        total += to - from;
+      }
+    }
+
+    private synchronized long late(long from, long to) {
+      return spans.stream()
+          .filter(span -> span.from() <= to && span.to() + AFTER >= from)
+          .mapToLong(span -> span.to() - span.from())
+          .sum();
+    }
+
+    private synchronized long longest() {
+      return longest;
+    }
+
+    private synchronized long total() {
+      return total;
+    }
+  }
+
+  /** One way to look, until the soak ends. */
+  private interface Look {
+    void run() throws IOException, InterruptedException;
+  }
 
   /** Begins to look. */
   OwnStalls() {
-    Thread thread = new Thread(null, this::run, "own-stalls", 128 << 10);
+    start("own-stalls", this::onOneConnection);
+    start("own-stalls-connects", this::onNewConnections);
+  }
+
+  private static void start(String name, Look look) {
+    Runnable task = () -> {
+      try {
+        look.run();
+      } catch (IOException e) {
+        System.err.println("the soak's own: no look at its stalls: " + e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    };
+    Thread thread = new Thread(null, task, name, 128 << 10);
     thread.setDaemon(true);
     thread.start();
   }
 
-  private void run() {
-    try (ServerSocket echo = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
+  private void onOneConnection() throws IOException, InterruptedException {
+    try (ServerSocket echo = echoServer();
         FaultProxy proxy = new FaultProxy((InetSocketAddress) echo.getLocalSocketAddress());
         Socket near = new Socket()) {
-      FaultProxy.start("echo", () -> echo(echo));
       near.connect(proxy.address());
       near.setTcpNoDelay(true);
+      while (!stopped) {
+        round(standing, near, Clock.micros());
+      }
+    }
+  }
+
+  private void onNewConnections() throws IOException, InterruptedException {
+    try (ServerSocket echo = echoServer();
+        FaultProxy proxy = new FaultProxy((InetSocketAddress) echo.getLocalSocketAddress())) {
       while (!stopped) {
         long before = Clock.micros();
-        near.getOutputStream().write(1);
-        near.getInputStream().read();
-        Thread.sleep(TICK_MILLIS);
-        note(before, Clock.micros());
+        try (Socket near = new Socket()) {
+          near.connect(proxy.address());
+          near.setTcpNoDelay(true);
+          round(connecting, near, before);
+        }
       }
-    } catch (IOException e) {
-      System.err.println("the soak's own: no look at its stalls: " + e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
-  private static void echo(ServerSocket server) {
-    try (Socket far = server.accept()) {
+  private static void round(Probe probe, Socket near, long before)
+      throws IOException, InterruptedException {
+    near.getOutputStream().write(1);
+    near.getInputStream().read();
+    Thread.sleep(TICK_MILLIS);
+    probe.note(before, Clock.micros());
+  }
+
+  private static ServerSocket echoServer() throws IOException {
+    ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    FaultProxy.start("echo-accept", () -> {
+      try {
+        while (true) {
+          Socket far = server.accept();
+          FaultProxy.start("echo", () -> echo(far));
+        }
+      } catch (IOException e) {
+        // The soak has ended.
+      }
+    });
+    return server;
+  }
+
+  private static void echo(Socket far) {
+    try (far) {
       far.setTcpNoDelay(true);
       for (int b = far.getInputStream().read(); b >= 0; b = far.getInputStream().read()) {
         far.getOutputStream().write(b);
       }
     } catch (IOException e) {
-      // The soak has ended.
-    }
-  }
-
-  private void note(long from, long to) {
-    if (to - from > TICK_MILLIS * 1_000 + STALL) {
-      synchronized (spans) {
-        spans.add(new Evidence.Span(from, to));
-        longest = Math.max(longest, to - from);
-        total += to - from;
-      }
+      // The other side has gone.
     }
   }
 
   /** By how much times in a span may be late at the most. */
   long late(long from, long to) {
-    synchronized (spans) {
-      return spans.stream()
-          .filter(span -> span.from() <= to && span.to() + AFTER >= from)
-          .mapToLong(span -> span.to() - span.from())
-          .sum();
-    }
+    return Math.max(standing.late(from, to), connecting.late(from, to));
   }
 
   /** The longest stall so far, in microseconds. */
   long longest() {
-    synchronized (spans) {
-      return longest;
-    }
+    return Math.max(standing.longest(), connecting.longest());
   }
 
   /** All stalls together, in microseconds: with many of them a play says little. */
   long total() {
-    synchronized (spans) {
-      return total;
-    }
+    return Math.max(standing.total(), connecting.total());
   }
 
   @Override
--- a/testbed/src/main/java/gorseladder/testbed/TestFleet.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -5,6 +5,7 @@
 import gorseladder.config.SettingsFile;
 import gorseladder.edge.Edge;
 import gorseladder.edge.EdgeMain;
+import gorseladder.edge.EdgeSystem;
 import gorseladder.runtime.Clock;
 import gorseladder.testbed.script.DayScript;
 import gorseladder.wire.json.Json;
@@ -53,6 +54,7 @@
   private final Tap tap = new Tap();
   private final String secret;
   private final StallingDisk disk = new StallingDisk();
+  private final ScarceThreads clientThreads = new ScarceThreads();
   private final Archive archive;
   private final ListStandIn list;
   private final List<StandInRunner> runners = new ArrayList<>();
@@ -80,7 +82,7 @@
         if (!loaded.faults().isEmpty()) {
           throw new IOException(loaded.faults().toString());
         }
-        edge = new Edge(loaded.settings(), disk);
+        edge = new Edge(loaded.settings(), new EdgeSystem(disk, clientThreads));
         return;
       }
       String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
@@ -355,6 +357,11 @@
     return disk;
   }
 
+  /** Threads that serve connections of clients at edges in this process. */
+  public ScarceThreads clientThreads() {
+    return clientThreads;
+  }
+
   public Archive archive() {
     return archive;
   }
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -10,10 +10,12 @@
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
 import gorseladder.testbed.script.DayScript;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.MessageDigest;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -36,6 +38,9 @@
   /** A disk that stops for longer than any client waits. */
   private static final long STALL_MILLIS = 5_000;
 
+  private static final byte[] ASKS_FOR_NOTHING =
+      "GET /nowhere HTTP/1.1\r\nHost: edge\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
   @TempDir
   Path dir;
 
@@ -317,7 +322,7 @@
     assertEquals(List.of(200), send("msg_before", UNSAFE, 0).statuses);
     // The stall comes between the record of the taking and the one of the leaving: calls in a row
     // find both.
-    List<CompletableFuture<Tap.Try>> tries = new java.util.ArrayList<>();
+    List<CompletableFuture<Tap.Try>> tries = new ArrayList<>();
     for (int i = 0; i < 12; i++) {
       String id = "msg_row" + i;
       tries.add(CompletableFuture.supplyAsync(() -> send(id, UNSAFE, 0)));
@@ -332,6 +337,37 @@
     assertEquals("served", send("msg_after", SAFE, 0).reason);
   }
 
+  /** Incident-1 at an edge: clients that rest after a request hold every thread, and no new one can be started. */
+  @Test
+  void aCrowdOfRestingClientsWhileNoThreadCanBeStartedCostsNoAnswer() throws Exception {
+    fleet("runners = 2;");
+    assertEquals(List.of(200), send("msg_before", SAFE, 0).statuses);
+    List<Socket> crowd = new ArrayList<>();
+    fleet.clientThreads().none(true);
+    try {
+      for (int i = 0; i < 40; i++) {
+        Socket socket = new Socket();
+        socket.connect(fleet.edge(0), 1_000);
+        socket.getOutputStream().write(ASKS_FOR_NOTHING);
+        crowd.add(socket);
+      }
+      List<CompletableFuture<Tap.Try>> tries = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        String id = "msg_crowd" + i;
+        tries.add(CompletableFuture.supplyAsync(() -> send(id, SAFE, 0)));
+      }
+      for (CompletableFuture<Tap.Try> t : tries) {
+        assertEquals("served", t.get().reason);
+        assertInTime(t.get());
+      }
+    } finally {
+      fleet.clientThreads().none(false);
+      for (Socket socket : crowd) {
+        socket.close();
+      }
+    }
+  }
+
   private void awaitArrival(String id) throws InterruptedException {
     while (arrivals(id) == 0) {
       Thread.sleep(5);
