At an edge too an idle connection gives its thread to a client that waits for one

Cause or need: see the test; IdleConnections knows which connections hold a thread and wait for a request, ThreadSharing says which of them ends. It is taken out of the idle ones before it is closed, so that no request is begun on it.

--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -127,6 +127,10 @@
       WebhookFront.this.serve(channel, server, earliest);
     }
 
+    @Override
+    public void spareThread(long waited) {
+      idle.endOne(waited);
+    }
   }
 
   /** Answers no further request on connections that are open; what was taken is still answered. */
