IdleConnections asks the system only about the connection it picked

Cause or need: it asked about every idle connection for each client that waits, on the accepting thread.

--- a/edge/src/main/java/gorseladder/edge/front/IdleConnections.java
+++ b/edge/src/main/java/gorseladder/edge/front/IdleConnections.java
@@ -14,6 +14,9 @@
  * client that has asked; {@link ThreadSharing} says which. Any thread; nothing here blocks.
  */
 final class IdleConnections {
+  /** A request may have come on a connection since it was seen idle; so many others are then tried. */
+  private static final int TRIES = 4;
+
   private final Map<HttpConnection, Long> since = new ConcurrentHashMap<>();
 
   /** A connection begins to wait for a request. */
@@ -36,16 +39,28 @@
     List<HttpConnection> idle = new ArrayList<>();
     List<Holder> holders = new ArrayList<>();
     since.forEach((connection, at) -> {
-      if (!connection.hasBytesToRead()) {
-        idle.add(connection);
-        holders.add(new Holder(now - at, false));
-      }
+      idle.add(connection);
+      holders.add(new Holder(now - at, false));
     });
-    int picked = ThreadSharing.pick(holders, waited);
-    if (picked < 0 || since.remove(idle.get(picked)) == null) {
+    for (int tries = 0; tries < TRIES; tries++) {
+      int picked = ThreadSharing.pick(holders, waited);
+      if (picked < 0) {
+        return false;
+      }
+      if (end(idle.remove(picked))) {
+        return true;
+      }
+      holders.remove(picked);
+    }
+    return false;
+  }
+
+  /** Ends it unless a request has come on it. */
+  private boolean end(HttpConnection connection) {
+    if (connection.hasBytesToRead() || since.remove(connection) == null) {
       return false;
     }
-    idle.get(picked).close();
+    connection.close();
     return true;
   }
 }
