--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorseladder.runtime.Clock;
 import gorseladder.soak.Preload.Fault;
 import java.io.IOException;
 import java.net.Socket;
@@ -126,4 +127,25 @@
     assertTrue(left >= LEFT_MILLIS, "only " + left + " ms were left");
     assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
+
+  /**
+   * Soak seed 931: a crowd came while the process stood still, and new connections of usual clients behind it. They were
+   * accepted long after the process went on, and their requests counted as new then.
+   */
+  @Test
+  void whatCameBehindACrowdDuringAPauseCountsFromThePause() throws Exception {
+    for (int round = 0; round < 3; round++) {
+      long from = Clock.micros();
+      dispatcher.process.signal("STOP");
+      for (int i = 0; i < 500; i++) {
+        join().close();
+      }
+      dispatcher.process.clients().reconnect();
+      Thread.sleep(900);
+      dispatcher.process.signal("CONT");
+      dispatcher.evidence.pause(0, new Evidence.Span(from, Clock.micros()));
+      Thread.sleep(1_000);
+    }
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+  }
 }
