What a batch of accepts takes in counts from a pause before it, however long it takes

Cause or need: the earliest time of what is read first on a connection was the begin of the batch of accepts, and a pause counted only for what is read within 30 ms of its end. A batch behind a storm takes longer. Change: where the batch begins within that of a pause, all connections of the batch count from the begin of the pause.

--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -133,7 +133,10 @@
         count("no room for a connection");
         return false;
       }
-      connections.put(channel, new FrontConnection(FastCgiFront.this, channel, waitedSince));
+      // It may have come in a pause that ended just before accepting began, however long it then
+      // takes to come to this one.
+      long since = Math.min(waitedSince, pauses.cameAt(waitedSince));
+      connections.put(channel, new FrontConnection(FastCgiFront.this, channel, since));
       return true;
     }
 
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -129,8 +129,8 @@
   }
 
   /**
-   * Soak seed 931: a crowd came while the process stood still, and new connections of usual clients behind it. They were
-   * accepted long after the process went on, and their requests counted as new then.
+   * Soak seed 931: a crowd came while the process stood still, and new connections of usual clients behind it. They
+   * were accepted long after the process went on, and their requests counted as new then.
    */
   @Test
   void whatCameBehindACrowdDuringAPauseCountsFromThePause() throws Exception {
