Soak: an end at the kill is not judged where the machine stood still just then

Change: where the soak's own stalls in the half second before the kill are over 0.1 s the end is counted (ends not judged). A dispatcher says at debug level when it is closed, and closes once.

--- a/app/src/main/java/gorseladder/app/SoakCommand.java
+++ b/app/src/main/java/gorseladder/app/SoakCommand.java
@@ -186,7 +186,7 @@
         Locale.ROOT,
         "seed %d: %d dispatchers, %d runners, %d troubles; %d requests, %d served, %d attempts, "
             + "%d system calls failed; own stalls %d ms, longest %d; %d held in the write; "
-            + "%d troubles not brought; %d findings%n",
+            + "%d ends not judged; %d troubles not brought; %d findings%n",
         result.plan().seed(),
         result.plan().dispatchers(),
         result.plan().runners(),
@@ -198,6 +198,7 @@
         result.ownStalls() / 1_000,
         result.ownStall() / 1_000,
         result.heldInTheWrite(),
+        result.endsNotJudged(),
         result.troublesFailed(),
         result.findings().size());
     for (Finding finding : result.findings().stream().limit(MOST_SHOWN).toList()) {
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -339,6 +339,9 @@
 
   @Override
   public void close() {
+    if (closed) {
+      return;
+    }
     closed = true;
     front.close();
     if (peers != null) {
@@ -351,5 +354,6 @@
     watchdog.close();
     writers.close();
     connectionThreads.close();
+    LOG.debug("{} is closed", config.name());
   }
 }
--- a/soak/src/main/java/gorseladder/soak/Oracle.java
+++ b/soak/src/main/java/gorseladder/soak/Oracle.java
@@ -26,6 +26,10 @@
   private static final long ANSWER_SLACK = 500 * MILLI;
   private static final long GONE_SLACK = 100 * MILLI;
   private static final long DEADLINE_SLACK = 150 * MILLI;
+  /** The last steps of a stop come so long before the earliest kill. */
+  private static final long END_TAKES = 500 * MILLI;
+  /** Own stalls in that time past which a process cannot be said to have ended too late. */
+  private static final long NO_PROCESSOR = 100 * MILLI;
   /** From the begin of sending a signal to its effect, at the most. */
   private static final long SIGNAL_TAKES = 200 * MILLI;
   /** What the change log has to tell counts as told so long after its trouble began. */
@@ -41,6 +45,7 @@
   private final List<Told> told;
   private final List<Finding> findings = new ArrayList<>();
   private final Set<String> heldInTheWrite = new HashSet<>();
+  private int endsNotJudged;
 
   private Oracle(Evidence evidence, List<Told> told) {
     this.evidence = evidence;
@@ -53,8 +58,9 @@
    * @param findings all that went against a rule, in the order of time
    * @param heldInTheWrite ids of requests with attempts whose dispatcher was stopped between its last look and the
    *     write of the bytes: no program can look later than that, so what came of it is counted and not judged
+   * @param endsNotJudged processes that were there at the earliest kill while the machine stood still
    */
-  record Judgement(List<Finding> findings, Set<String> heldInTheWrite) {}
+  record Judgement(List<Finding> findings, Set<String> heldInTheWrite, int endsNotJudged) {}
 
   /** Judges. */
   static Judgement judge(Evidence evidence, List<Told> told) {
@@ -64,7 +70,7 @@
     oracle.slowStarts();
     evidence.lives().forEach(oracle::life);
     oracle.findings.sort(Comparator.comparingLong(Finding::at));
-    return new Judgement(oracle.findings, oracle.heldInTheWrite);
+    return new Judgement(oracle.findings, oracle.heldInTheWrite, oracle.endsNotJudged);
   }
 
   private void found(SoakRule rule, long at, int dispatcher, String text, Object... values) {
@@ -362,7 +368,9 @@
     }
     if (life.endAskedAt() == 0 || life.exitCode() != 0) {
       boolean overdue = life.exitCode() == SoakDispatcher.OVERDUE;
-      if (!overdue || !pausedWhileEnding(life)) {
+      if (overdue && machineStoodStill(life.endedAt())) {
+        endsNotJudged++;
+      } else if (!overdue || !pausedWhileEnding(life)) {
         found(
             SoakRule.END,
             life.endedAt(),
@@ -385,6 +393,11 @@
     }
   }
 
+  /** True where the soak itself got no processor for a while as the kill came: nor did, then, what was to end. */
+  private boolean machineStoodStill(long killedAt) {
+    return evidence.ownStalls().late(killedAt - END_TAKES, killedAt) > NO_PROCESSOR;
+  }
+
   /** True where the plan had the process stand still while it was to end. */
   private boolean pausedWhileEnding(Life life) {
     return evidence.pausedUntil(
--- a/soak/src/main/java/gorseladder/soak/SoakRun.java
+++ b/soak/src/main/java/gorseladder/soak/SoakRun.java
@@ -43,6 +43,7 @@
    * @param ownStall the longest time for which the soak's own threads were held up, in microseconds
    * @param ownStalls all such times together
    * @param heldInTheWrite attempts that left before their dispatcher was stopped and came after it went on: not judged
+   * @param endsNotJudged processes that were there at the earliest kill while the machine stood still
    * @param troublesFailed troubles that the soak itself could not bring
    */
   public record Result(
@@ -55,6 +56,7 @@
       long ownStall,
       long ownStalls,
       int heldInTheWrite,
+      int endsNotJudged,
       int troublesFailed) {}
 
   /**
@@ -179,6 +181,7 @@
         evidence.ownStalls().longest(),
         evidence.ownStalls().total(),
         judged.heldInTheWrite().size(),
+        judged.endsNotJudged(),
         troubles.failed());
   }
 
