--- a/soak/src/main/java/gorseladder/soak/PlantedFault.java
+++ b/soak/src/main/java/gorseladder/soak/PlantedFault.java
@@ -98,8 +98,8 @@
   STOP_ENDS_TOO_LATE(
       SoakRule.END,
       "node/src/main/java/gorseladder/node/Node.java",
-      "long kill = begun + Math.min(longest, LONGEST_COUNTED) + KILLED;",
-      "long kill = begun + Math.min(longest, LONGEST_COUNTED) + KILLED + 700_000;",
+      "LOG.info(\"{} stops after {} ms; {}\"",
+      "sleepUntil(kill + 400_000); LOG.info(\"{} stops after {} ms; {}\"",
       Trouble.STOP),
   THREADS_NOT_SHARED(
       SoakRule.FINAL_ANSWER,
