A crowd that asked once and stays: in the soak, and a test that needs shared threads

Change: clients that ask once and stay hold all threads (Crowd.Kind.RESTING); the test for it; half of the crowds without threads.

--- a/soak/src/main/java/gorseladder/soak/Crowd.java
+++ b/soak/src/main/java/gorseladder/soak/Crowd.java
@@ -22,16 +22,23 @@
   /** Connections with half requests, and how many on each: together more than a dispatcher's heap. */
   private static final int HALVES = 100;
 
+  /** Connections that asked once and stay. */
+  private static final int RESTING = 60;
+
   private static final int HALVES_EACH = 32;
   private static final int BODY_BYTES = 15_000;
   private static final int END_RECORD_BYTES = 8;
   private static final int CONNECT_MILLIS = 300;
 
+  private static final Map<String, String> LIVE = Map.of("SCRIPT_NAME", "/status/live");
+
   /** What a crowd does. */
   enum Kind {
     SILENT,
     HALF_REQUESTS,
-    STORM
+    STORM,
+    /** Each asks whether the dispatcher is live, and stays. */
+    RESTING
   }
 
   private final InetSocketAddress to;
@@ -50,6 +57,10 @@
         join(HALVES);
         open.forEach(Crowd::sendHalves);
       }
+      case RESTING -> {
+        join(RESTING);
+        open.forEach(Crowd::askOnce);
+      }
       case STORM -> {
         while (Clock.micros() < until) {
           join(10);
@@ -86,6 +97,15 @@
     open.clear();
   }
 
+  /** Asks whether the dispatcher is live, and leaves the connection open. */
+  static void askOnce(Socket socket) {
+    try {
+      socket.getOutputStream().write(RecordWriter.request(1, true, LIVE, new byte[0]));
+    } catch (IOException e) {
+      // Turned away, as it may be.
+    }
+  }
+
   /** Sends as many requests as one connection may have open, each without the end of its body. */
   static void sendHalves(Socket socket) {
     try {
--- a/soak/src/main/java/gorseladder/soak/Troubles.java
+++ b/soak/src/main/java/gorseladder/soak/Troubles.java
@@ -104,7 +104,7 @@
         case NEWS_AMID_FAULT -> newsAmidFault(dispatcher, runner, event);
         case CROWD ->
           new Crowd(dispatcher.listen())
-              .come(Crowd.Kind.values()[(int) Math.floorMod(event.draw(), 3L)], event.length());
+              .come(Crowd.Kind.values()[(int) Math.floorMod(event.draw(), 4L)], event.length());
         case CROWD_WITHOUT_THREADS -> crowdWithoutThreads(dispatcher, event);
         case LOG_SLOW -> logSlow(dispatcher, event);
         case FILES -> files(dispatcher, event);
@@ -361,7 +361,8 @@
     control.set(Fault.THREAD_RATE, ALL);
     run.runners().forEach(runner -> runner.slowerBy(SLOWER_MILLIS));
     try {
-      new Crowd(dispatcher.listen()).come(Crowd.Kind.SILENT, micros);
+      Crowd.Kind kind = event.draw() % 2 == 0 ? Crowd.Kind.SILENT : Crowd.Kind.RESTING;
+      new Crowd(dispatcher.listen()).come(kind, micros);
     } finally {
       over.set(true);
       run.runners().forEach(runner -> runner.slowerBy(0));
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -93,6 +93,20 @@
     assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
 
+  /** Clients that asked once and stay give their threads to those that ask. */
+  @Test
+  void clientsThatRestGiveTheirThreadsToClientsThatAsk() throws Exception {
+    dispatcher.set(Fault.THREAD_RATE, ALL);
+    for (int i = 0; i < 60; i++) {
+      Crowd.askOnce(join());
+      dispatcher.process.clients().reconnect();
+      Thread.sleep(50);
+    }
+    Thread.sleep(1_000);
+    dispatcher.set(Fault.THREAD_RATE, 0);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+  }
+
   /** 190 connections, under a third of the descriptors told, each with 32 requests whose body lacks its end. */
   @Test
   void halfSentRequestsOfACrowdCostNoOtherClientItsAnswer() throws Exception {
