Comments say "hands" again where a rename of the type had struck the verb

Cause or need: the rename of Hands to Outbound also changed four sentences, as "Outbound a request to a connection". Change: the four sentences; no code. Measured: compiles, formatter and Checkstyle clean.

--- a/decisions/src/main/java/gorseladder/ahead/Account.java
+++ b/decisions/src/main/java/gorseladder/ahead/Account.java
@@ -213,7 +213,7 @@
     return o == null ? 0 : o.lastUse;
   }
 
-  /** Outbound over the records closed since the last call. */
+  /** Hands over the records closed since the last call. */
   public List<Entry> take() {
     List<Entry> taken = List.copyOf(closed);
     closed.clear();
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -35,7 +35,7 @@
     return uid;
   }
 
-  /** Outbound a request to a connection; false where none can be had, and then nothing of it leaves. */
+  /** Hands a request to a connection; false where none can be had, and then nothing of it leaves. */
   boolean carry(RunnerRequest request) {
     NodeCall call = request.call();
     for (int tries = 0; tries < 3; tries++) {
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -212,7 +212,7 @@
     return links.containsKey(worker) ? Ending.NO_RESOURCE : Ending.CONNECT_FAILED;
   }
 
-  /** Outbound a request to a connection of its runner; false where none can be had. */
+  /** Hands a request to a connection of its runner; false where none can be had. */
   boolean carry(RunnerRequest request) {
     Link link = links.get(request.worker());
     return link != null && (link.carry(request) || makeRoom() && link.carry(request));
--- a/store/src/main/java/gorseladder/store/FormerLedger.java
+++ b/store/src/main/java/gorseladder/store/FormerLedger.java
@@ -21,7 +21,7 @@
   }
 
   /**
-   * Outbound over all records, waits until they are written and moves the file aside; a crash in between does it again.
+   * Hands over all records, waits until they are written and moves the file aside; a crash in between does it again.
    */
   static void takeOver(Path file, Taker taker) throws IOException {
     if (!Files.exists(file)) {
