Node and edge share the threads of idle connections by one piece of code

Cause or need: IdleConnections had the pick-and-try-again loop of ThreadSharer once more. Change: ThreadSharer is in core, and IdleConnections one of its sources. The edge reads the Prefer field of a request once, not twice. Behaviour is the same.

--- a/node/src/main/java/gorseladder/node/ThreadSharer.java
+++ b/core/src/main/java/gorseladder/core/ThreadSharer.java
@@ -1,4 +1,4 @@
-package gorseladder.node;
+package gorseladder.core;
 
 import gorseladder.runtime.Clock;
 import gorseladder.threads.ThreadSharing;
--- a/edge/src/main/java/gorseladder/edge/front/IdleConnections.java
+++ b/edge/src/main/java/gorseladder/edge/front/IdleConnections.java
@@ -1,8 +1,9 @@
 package gorseladder.edge.front;
 
+import gorseladder.core.ThreadSharer;
+import gorseladder.core.ThreadSharer.Idle;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
-import gorseladder.threads.ThreadSharing;
 import gorseladder.threads.ThreadSharing.Holder;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,12 +12,9 @@
 
 /**
  * Connections that hold a thread and wait for a request. Where no thread can be had one of them gives its own to a
- * client that has asked; {@link ThreadSharing} says which. Any thread; nothing here blocks.
+ * client that has asked; {@link ThreadSharer} says which. Any thread; nothing here blocks.
  */
-final class IdleConnections {
-  /** A request may have come on a connection since it was seen idle; so many others are then tried. */
-  private static final int TRIES = 4;
-
+final class IdleConnections implements ThreadSharer.Source {
   private final Map<HttpConnection, Long> since = new ConcurrentHashMap<>();
 
   /** A connection begins to wait for a request. */
@@ -29,30 +27,12 @@
     return since.remove(connection) != null;
   }
 
-  /**
-   * Ends one connection; false where none should.
-   *
-   * @param waited for how long the client has waited, in microseconds
-   */
-  boolean endOne(long waited) {
-    long now = Clock.micros();
-    List<HttpConnection> idle = new ArrayList<>();
-    List<Holder> holders = new ArrayList<>();
-    since.forEach((connection, at) -> {
-      idle.add(connection);
-      holders.add(new Holder(now - at, false));
-    });
-    for (int tries = 0; tries < TRIES; tries++) {
-      int picked = ThreadSharing.pick(holders, waited);
-      if (picked < 0) {
-        return false;
-      }
-      if (end(idle.remove(picked))) {
-        return true;
-      }
-      holders.remove(picked);
-    }
-    return false;
+  @Override
+  public List<Idle> idle(long now) {
+    List<Idle> idle = new ArrayList<>();
+    since.forEach(
+        (connection, at) -> idle.add(new Idle(new Holder(now - at, false), () -> end(connection))));
+    return idle;
   }
 
   /** Ends it unless a request has come on it. */
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -4,6 +4,7 @@
 import gorseladder.answers.Reason;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
+import gorseladder.core.ThreadSharer;
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
@@ -71,6 +72,7 @@
   private final AtomicInteger inProgress = new AtomicInteger();
   private final TurnQueue turnQueue;
   private final IdleConnections idle = new IdleConnections();
+  private final ThreadSharer sharer = new ThreadSharer(idle);
   private volatile boolean stopping;
 
   /** A front that hands calls to the intake. */
@@ -129,7 +131,7 @@
 
     @Override
     public void spareThread(long waited) {
-      idle.endOne(waited);
+      sharer.share(waited);
     }
   }
 
@@ -391,7 +393,7 @@
           .clock()
           .fromNow(
               (delivery.timestamp() + 2 * endpoint.tolerance()) * 1_000_000, Clock.wallMicros());
-      times.patience(Math.min(requestClass.deadline(), patience(head)));
+      times.patience(Math.min(requestClass.deadline(), times.patience()));
       turn.give();
       times.mark(Step.ADMITTED);
       Intake.Result result = intake.take(new Intake.Delivery(
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -7,6 +7,7 @@
 import gorseladder.core.Core.AttemptEnd;
 import gorseladder.core.PauseClock;
 import gorseladder.core.RuleLog;
+import gorseladder.core.ThreadSharer;
 import gorseladder.gate.SendGate;
 import gorseladder.node.changelog.ChangeLogFollower;
 import gorseladder.node.front.FastCgiFront;
