One look at unread bytes for server, connection and front; a task is taken once

Cause or need: three copies of the same look (HttpServer, HttpConnection, FrontConnection). ThreadCache took a task in two places, and the one after an interrupt left it to be run again; nothing interrupts these threads today. Change: UnreadBytes, called by all three; ThreadCache.Worker.take in both places.

--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -7,6 +7,7 @@
 import gorseladder.permits.Verdict;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
+import gorseladder.runtime.UnreadBytes;
 import gorseladder.stalls.StallWatch;
 import gorseladder.wire.fastcgi.BadRecord;
 import gorseladder.wire.fastcgi.NameValues;
@@ -164,7 +165,7 @@
       channel.socket().setTcpNoDelay(true);
       while (true) {
         buffer.clear().limit(PEEK);
-        caughtUp = caughtUp || !holdsUnread();
+        caughtUp = caughtUp || !UnreadBytes.on(channel);
         if (channel.read(buffer) < 0) {
           endsBecause(CloseReason.CLIENT_CLOSED);
           break;
@@ -545,16 +546,7 @@
   /** Whether it may be closed from here now; the lock is held. */
   private Verdict mayClose() {
     return Permits.mayClose(
-        new Permits.Closing(unanswered, looking || holdsUnread(), !outbox.idle()));
-  }
-
-  private boolean holdsUnread() {
-    try {
-      return channel.socket().getInputStream().available() > 0;
-    } catch (IOException e) {
-      // It has ended; its reader is told too.
-      return false;
-    }
+        new Permits.Closing(unanswered, looking || UnreadBytes.on(channel), !outbox.idle()));
   }
 
   /**
@@ -669,7 +661,7 @@
   /** True where a client may still wait for what it asked: a whole request, bytes unread, an answer not written. */
   synchronized boolean owes() {
     boolean asked = open.values().stream().anyMatch(e -> e.whole && !e.answered);
-    boolean mayBeAsked = state == State.OPEN && (looking || holdsUnread());
+    boolean mayBeAsked = state == State.OPEN && (looking || UnreadBytes.on(channel));
     return state != State.CLOSED && (asked || mayBeAsked || !outbox.idle());
   }
 
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -180,12 +180,7 @@
 
   /** True where the socket holds bytes that were not read yet; any thread. */
   public boolean hasBytesToRead() {
-    try {
-      return socket.getInputStream().available() > 0;
-    } catch (IOException e) {
-      // It has ended; whoever reads it is told.
-      return false;
-    }
+    return UnreadBytes.on(channel);
   }
 
   /** Writes all of the bytes. */
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -114,7 +114,7 @@
     /** True once something can be read on it. */
     private boolean hasAsked() {
       if (!asked) {
-        asked = hasBytes(connection);
+        asked = UnreadBytes.on(connection);
         lookedAt = asked ? lookedAt : Clock.micros();
       }
       return asked;
@@ -330,15 +330,6 @@
     }
   }
 
-  private static boolean hasBytes(SocketChannel connection) {
-    try {
-      return connection.socket().getInputStream().available() > 0;
-    } catch (IOException e) {
-      // It has ended; its thread would be told too.
-      return false;
-    }
-  }
-
   /** A thread has become free: the accepting thread may give it to a connection that waits. */
   private void wakeIfWaiting() {
     if (waiting) {
--- a/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
+++ b/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
@@ -67,18 +67,22 @@
         while (task == null && !closed && !letGo()) {
           given.await(KEEP_SECONDS, TimeUnit.SECONDS);
         }
-        idle.remove(this);
-        Runnable now = task;
-        task = null;
-        return now;
+        return take();
       } catch (InterruptedException e) {
-        idle.remove(this);
-        return task;
+        return take();
       } finally {
         lock.unlock();
       }
     }
 
+    /** Is idle no more; its task, once, null where it has none. The lock is held. */
+    private Runnable take() {
+      idle.remove(this);
+      Runnable now = task;
+      task = null;
+      return now;
+    }
+
     /** True where it was idle for long and is not needed; the lock is held. */
     private boolean letGo() {
       long now = Clock.micros();
