--- a/soak/src/main/java/gorseladder/soak/OwnStalls.java
+++ b/soak/src/main/java/gorseladder/soak/OwnStalls.java
@@ -69,7 +69,7 @@
   }
 
   private static void start(String name, Look look) {
-    Runnable task = () -> {
+    FaultProxy.start(name, () -> {
       try {
         look.run();
       } catch (IOException e) {
@@ -77,10 +77,7 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
-    };
-    Thread thread = new Thread(null, task, name, 128 << 10);
-    thread.setDaemon(true);
-    thread.start();
+    });
   }
 
   private void onOneConnection() throws IOException, InterruptedException {
