--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -8,6 +8,7 @@
 import gorseladder.config.SettingsFile;
 import gorseladder.config.proto.EdgeSettings;
 import gorseladder.core.Core;
+import gorseladder.core.RuleLog;
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
@@ -19,6 +20,7 @@
 import gorseladder.edge.plans.PlannerLink;
 import gorseladder.edge.runners.Runners;
 import gorseladder.gate.SendGate;
+import gorseladder.rules.Rule;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.ThreadCache;
@@ -28,6 +30,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
@@ -56,7 +59,8 @@
   private final WebhookFront front;
   private final HttpServer server;
   private final ThreadCache clientThreads;
-  private final CallLog log = new CallLog();
+  private final RuleLog rules = new RuleLog();
+  private final CallLog log = new CallLog(rules);
   private final AtomicBoolean closed = new AtomicBoolean();
   private String ledgerTrouble;
 
@@ -99,7 +103,8 @@
         ledger,
         new SendGate(config.rules(settings.getRules())),
         this::address,
-        watchdog);
+        watchdog,
+        rules);
     intake = new Intake(
         ledger,
         settings.getLimits().getMaxCalls(),
@@ -273,10 +278,15 @@
   }
 
   /** Counts since the start, by the words of the log. */
-  public java.util.Map<String, Long> counts() {
+  public Map<String, Long> counts() {
     return log.counts();
   }
 
+  /** How often a rule was broken as far as this edge can see; empty where none was. */
+  public Map<Rule, Long> rulesBroken() {
+    return rules.counts();
+  }
+
   /** Takes nothing new, answers what was taken, then closes; at the latest after the told time. */
   public void stop() throws InterruptedException {
     front.stop();
@@ -287,11 +297,12 @@
       Thread.sleep(5);
     }
     LOG.info(
-        "edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}",
+        "edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}; rules broken {}",
         settings.getOrdinal(),
         intake.inHand(),
         counts(),
-        runners.gateSummary());
+        runners.gateSummary(),
+        rules.counts());
     close();
   }
 
--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -26,19 +26,25 @@
 
   /** Runs the edge of the settings file named first; ends with the process that holds its standard input. */
   public static void main(String[] args) throws InterruptedException {
-    gorseladder.runtime.Threads.start("parent", 128 << 10, () -> {
-      try {
-        while (System.in.read() >= 0) {
-          continue;
-        }
-      } catch (IOException e) {
-        // As good as its end.
-      }
-      Runtime.getRuntime().halt(KILLED);
-    });
+    // Not by way of Threads: that class has a logger, and the settings decide how logging is set
+    // up.
+    Thread parent = new Thread(EdgeMain::endWithParent, "parent");
+    parent.setDaemon(true);
+    parent.start();
     System.exit(run(Path.of(args[0]), System.out, System.err));
   }
 
+  private static void endWithParent() {
+    try {
+      while (System.in.read() >= 0) {
+        continue;
+      }
+    } catch (IOException e) {
+      // As good as its end.
+    }
+    Runtime.getRuntime().halt(KILLED);
+  }
+
   /** Runs until a signal comes; one line of JSON on {@code out} says when it is ready and where. */
   public static int run(Path file, PrintStream out, PrintStream err) throws InterruptedException {
     // Not by way of Edge: its class has a logger, and the settings decide how logging is set
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -2,6 +2,7 @@
 
 import gorseladder.answers.Reason;
 import gorseladder.core.FinalAnswer;
+import gorseladder.core.RuleLog;
 import gorseladder.edge.core.TakenCall;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
@@ -15,12 +16,15 @@
   private static final Logger CALLS = LoggerFactory.getLogger("gorseladder.calls");
 
   /** An answer handed over by more than this after its client's patience is told, in microseconds. */
-  private static final long LATE = 100_000;
+  private static final long LATE = 50_000;
 
   private final Map<Reason, LongAdder> counts = new EnumMap<>(Reason.class);
   private final LongAdder taken = new LongAdder();
+  private final RuleLog rules;
 
-  public CallLog() {
+  /** A log that has {@code rules} look at each answer that was handed over. */
+  public CallLog(RuleLog rules) {
+    this.rules = rules;
     for (Reason reason : Reason.values()) {
       counts.put(reason, new LongAdder());
     }
@@ -61,6 +65,7 @@
 
   /** The answer to a request was handed to the system; one that came too late is told with all its steps. */
   void written(String message, Reason reason, RequestTimeline times) {
+    rules.answered(message, times.until() + times.lateness(), times.until());
     if (times.lateness() > LATE) {
       CALLS
           .atWarn()
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -11,11 +11,13 @@
 import gorseladder.attempts.ConnectionChoice;
 import gorseladder.core.Call;
 import gorseladder.core.Core.AttemptEnd;
+import gorseladder.core.RuleLog;
 import gorseladder.edge.core.RecordWait;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
 import gorseladder.permits.Verdict;
 import gorseladder.repeats.Repeats;
+import gorseladder.rules.RuleWatch.Written;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.LocalShortage;
@@ -62,6 +64,7 @@
   private final Function<String, InetSocketAddress> addresses;
   private final ThreadPoolExecutor threads;
   private final Watchdog watchdog;
+  private final RuleLog rules;
   private final Map<String, ArrayDeque<Kept>> idle = new ConcurrentHashMap<>();
   private final Map<TakenCall, Map<Integer, Exchange>> out = new ConcurrentHashMap<>();
   private volatile Hearer hearer;
@@ -81,13 +84,15 @@
       Ledger ledger,
       SendGate gate,
       Function<String, InetSocketAddress> addresses,
-      Watchdog watchdog) {
+      Watchdog watchdog,
+      RuleLog rules) {
     this.settings = settings;
     this.limits = new HttpLimits(16_384, 100, 65_536, settings.maxAnswerBytes());
     this.ledger = ledger;
     this.gate = gate;
     this.addresses = addresses;
     this.watchdog = watchdog;
+    this.rules = rules;
     this.threads = Threads.pool("attempt", settings.mostThreads(), settings.stackBytes());
   }
 
@@ -169,6 +174,10 @@
     private Progress progress = Progress.WAITING;
     private HttpConnection connection;
     private boolean cancelled;
+    /** The time that its runner is told, in microseconds, and when its bytes began to leave. */
+    private long timePassed;
+
+    private long leftAt;
 
     Exchange(TakenCall call, int number, String worker, long timeout) {
       this.call = call;
@@ -235,6 +244,7 @@
       } finally {
         guard.cancel();
       }
+      lookAgain(Clock.micros());
       Head head = connection.readResponse(until);
       progress = Progress.ANSWERING;
       byte[] body = connection.readBody(BodyParser.forResponse(head, limits), until);
@@ -253,6 +263,7 @@
             0,
             settings.mayDuplicate());
         verdict = call.leave(number, look, now);
+        leftAt = now;
       }
       if (!verdict.allowed()) {
         LOG.debug(
@@ -262,6 +273,32 @@
       return verdict.allowed();
     }
 
+    /** Has the rules looked at once more, now that its bytes were written. */
+    private void lookAgain(long writtenAt) {
+      long drainToldAt;
+      long restartToldAt;
+      synchronized (gate) {
+        drainToldAt = gate.drainToldAt(worker);
+        restartToldAt = gate.restartToldAt(worker);
+      }
+      TakenCall.Facts facts = call.facts();
+      Written written = new Written(
+          leftAt,
+          writtenAt,
+          drainToldAt,
+          gate.grace(),
+          restartToldAt,
+          call.attempt(number).decidedAt(),
+          call.endedAt(),
+          timePassed,
+          facts.deadlineAt(),
+          facts.requestClass().effect(),
+          facts.requestClass().repeatWindow(),
+          settings.mayDuplicate(),
+          call.others(number));
+      rules.written(facts.message(), written);
+    }
+
     private synchronized boolean isCancelled() {
       return cancelled;
     }
@@ -284,11 +321,13 @@
 
     private byte[] message() {
       TakenCall.Facts f = call.facts();
+      long millisLeft = Math.max(0, (until - Clock.micros()) / 1000);
+      timePassed = millisLeft * 1_000;
       HeadWriter w = HeadWriter.request("POST", Oip.inferTarget(f.function()), worker)
           .field("Content-Type", "application/json")
           .field("X-Request-Id", f.message().substring(f.message().indexOf(' ') + 1))
           .field(Oip.EDGE, settings.edge())
-          .field(Oip.PATIENCE, Math.max(0, (until - Clock.micros()) / 1000))
+          .field(Oip.PATIENCE, millisLeft)
           .field(Oip.FOOTPRINT, (long) f.memoryMb())
           .field(Oip.LANES, f.lanes());
       if (f.loadTime() > 0) {
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -15,6 +15,7 @@
 import gorseladder.config.Address;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
+import gorseladder.core.RuleLog;
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
@@ -52,7 +53,8 @@
             ledger,
             gate,
             Address::parse,
-            watchdog)) {
+            watchdog,
+            new RuleLog())) {
       String[] first = new String[1];
       RequestClass issue = new RequestClass(
           "issue", Effect.UNSAFE, Group.ALL, 0, 1_000_000, 3_000_000, 1, 0.2, false);
