An attempt without a thread for its connection waits for one instead of being refused

Cause: Link.open asks once, the attempt ends at once as 'no resource', the router meets the same at three more runners in the same millisecond; idle connections hold threads meanwhile and an attempt did not ask for one. Now it looks again every 10 ms for at most a third of its time left (decisions/threads/ConnectionWait), and has an idle connection end for its thread from the second look on; then the router decides anew, as before, so a call is never held for a runner that cannot be reached. At the edge the same: attempts have a ThreadCache with 16 threads ready and wait for one (HardCasesTest.anAttemptThatHasNoThreadWaitsForOne).

--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -43,7 +43,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
   private static final long CHECK_EVERY = 1_000_000;
   private static final int CORE_STACK = 1 << 20;
-  /** Threads for connections of clients that stand ready from the start. */
+  /** Threads for connections of clients, and as many for attempts, that stand ready from the start. */
   private static final int READY_THREADS = 16;
 
   private final EdgeSettings settings;
@@ -104,6 +104,7 @@
         new SendGate(config.rules(settings.getRules())),
         this::address,
         watchdog,
+        new ThreadCache("attempt", READY_THREADS, system.attemptThreads()),
         rules);
     intake = new Intake(
         ledger,
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -159,7 +159,6 @@
 
   RunnerSettings runners() {
     Runners r = s.getRunners();
-    int threads = s.getLimits().getMaxCalls() * (r.getDuplicates() ? 2 : 1) + 256;
     return new RunnerSettings(
         s.getOrdinal(),
         ms(r.getConnectMs()),
@@ -167,8 +166,6 @@
         ms(r.getConnectionIdleMs()),
         ms(r.getUnsafeConnectionIdleMs()),
         r.getMaxAnswerBytes(),
-        threads,
-        s.getLimits().getStackBytes(),
         r.getDuplicates());
   }
 
--- a/edge/src/main/java/gorseladder/edge/EdgeSystem.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeSystem.java
@@ -9,10 +9,15 @@
  *
  * @param ledgerFiles where the ledger is kept
  * @param clientThreads makes the threads that serve connections of clients
+ * @param attemptThreads makes the threads that carry attempts and orders to runners
  */
-public record EdgeSystem(LedgerFiles ledgerFiles, ThreadFactory clientThreads) {
+public record EdgeSystem(
+    LedgerFiles ledgerFiles, ThreadFactory clientThreads, ThreadFactory attemptThreads) {
   /** The machine as it is, with threads of that stack. */
   public static EdgeSystem usual(int stackBytes) {
-    return new EdgeSystem(LedgerFiles.PLAIN, Threads.factory("webhook", stackBytes));
+    return new EdgeSystem(
+        LedgerFiles.PLAIN,
+        Threads.factory("webhook", stackBytes),
+        Threads.factory("attempt", stackBytes));
   }
 }
--- a/edge/src/main/java/gorseladder/edge/runners/RunnerSettings.java
+++ b/edge/src/main/java/gorseladder/edge/runners/RunnerSettings.java
@@ -12,6 +12,4 @@
     long connectionIdle,
     long unsafeConnectionIdle,
     int maxAnswerBytes,
-    int mostThreads,
-    int stackBytes,
     boolean mayDuplicate) {}
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -21,10 +21,11 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.LocalShortage;
-import gorseladder.runtime.Threads;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerException;
+import gorseladder.threads.ConnectionWait;
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
 import gorseladder.wire.http1.Head;
@@ -40,8 +41,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadPoolExecutor;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -62,7 +61,7 @@
   private final Ledger ledger;
   private final SendGate gate;
   private final Function<String, InetSocketAddress> addresses;
-  private final ThreadPoolExecutor threads;
+  private final ThreadCache threads;
   private final Watchdog watchdog;
   private final RuleLog rules;
   private final Map<String, ArrayDeque<Kept>> idle = new ConcurrentHashMap<>();
@@ -78,13 +77,19 @@
 
   private record Kept(HttpConnection connection, long since) {}
 
-  /** Runner connections by these settings; {@code addresses} gives the socket address of a worker id. */
+  /**
+   * Runner connections by these settings.
+   *
+   * @param addresses gives the socket address of a worker id
+   * @param threads each attempt and each order has one while it is out; closed with this
+   */
   public Runners(
       RunnerSettings settings,
       Ledger ledger,
       SendGate gate,
       Function<String, InetSocketAddress> addresses,
       Watchdog watchdog,
+      ThreadCache threads,
       RuleLog rules) {
     this.settings = settings;
     this.limits = new HttpLimits(16_384, 100, 65_536, settings.maxAnswerBytes());
@@ -93,7 +98,7 @@
     this.addresses = addresses;
     this.watchdog = watchdog;
     this.rules = rules;
-    this.threads = Threads.pool("attempt", settings.mostThreads(), settings.stackBytes());
+    this.threads = threads;
   }
 
   /** Names who hears the ends; once, before anything is sent. */
@@ -135,12 +140,7 @@
   public void send(TakenCall call, int number, String worker, long timeout) {
     Exchange exchange = new Exchange(call, number, worker, timeout);
     out.computeIfAbsent(call, c -> new ConcurrentHashMap<>()).put(number, exchange);
-    try {
-      threads.execute(exchange::run);
-    } catch (RejectedExecutionException | OutOfMemoryError e) {
-      // The system's want of a thread comes as an Error; it says nothing of the worker.
-      exchange.report(Outcome.MOOT, null, null);
-    }
+    exchange.start();
   }
 
   /** Stops an attempt; its end still comes. */
@@ -158,9 +158,7 @@
    */
   public void load(String worker, String function, int copies, long news) {
     long began = Clock.micros();
-    try {
-      threads.execute(() -> hearer.loadEnded(order(worker, function, copies, news, began)));
-    } catch (RejectedExecutionException | OutOfMemoryError e) {
+    if (!threads.execute(() -> hearer.loadEnded(order(worker, function, copies, news, began)))) {
       hearer.loadEnded(new Loaded(worker, function, 0, Outcome.MOOT, 0));
     }
   }
@@ -170,6 +168,7 @@
     private final TakenCall call;
     private final int number;
     private final String worker;
+    private final long began = Clock.micros();
     private final long until;
     private Progress progress = Progress.WAITING;
     private HttpConnection connection;
@@ -184,7 +183,21 @@
       this.number = number;
       this.worker = worker;
       long deadline = call.facts().deadlineAt();
-      this.until = timeout > 0 ? Math.min(deadline, Clock.micros() + timeout) : deadline;
+      this.until = timeout > 0 ? Math.min(deadline, began + timeout) : deadline;
+    }
+
+    /** Gives it a thread; where the system has none it waits for one, for as long as {@link ConnectionWait} says. */
+    void start() {
+      if (threads.execute(this::run)) {
+        return;
+      }
+      long now = Clock.micros();
+      long look = isCancelled() ? -1 : ConnectionWait.nextLook(now - began, until - now);
+      if (look < 0) {
+        end(Ending.NO_RESOURCE);
+      } else {
+        watchdog.after(look, this::start);
+      }
     }
 
     void run() {
@@ -515,7 +528,7 @@
 
   @Override
   public void close() {
-    threads.shutdownNow();
+    threads.close();
     out.values().forEach(all -> all.values().forEach(Exchange::cancel));
     idle.values().forEach(kept -> {
       synchronized (kept) {
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -164,8 +164,9 @@
         : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
     WarmUp.run(config.router());
+    ThreadSharer sharer = new ThreadSharer(front::idle, links::idle);
+    links.shareThreadsBy(sharer);
     Retry.whilePassing(LocalShortage::is, () -> {
-      ThreadSharer sharer = new ThreadSharer(front::idle, links::idle);
       front.listen(config.listen(), STACK, connectionThreads, sharer);
       return front;
     });
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -9,6 +9,7 @@
 import gorseladder.core.Core.AttemptEnd;
 import gorseladder.core.PauseClock;
 import gorseladder.core.RuleLog;
+import gorseladder.core.ThreadSharer;
 import gorseladder.core.ThreadSharer.Idle;
 import gorseladder.gate.SendGate;
 import gorseladder.node.NodeCall;
@@ -18,6 +19,7 @@
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
+import gorseladder.threads.ConnectionWait;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
@@ -69,7 +71,9 @@
   private final Counts heldBack = new Counts();
   private final AtomicLong tags = new AtomicLong();
   private final Counts closes = new Counts();
+  private final AtomicLong waits = new AtomicLong();
   private volatile Hearer hearer;
+  private volatile ThreadSharer sharer = new ThreadSharer();
 
   /**
    * Links by what the platform told.
@@ -112,6 +116,11 @@
     hearer = hears;
   }
 
+  /** Names who ends an idle connection, so that its thread is free for a new one to a runner. */
+  public void shareThreadsBy(ThreadSharer shares) {
+    sharer = shares;
+  }
+
   SendGate gate() {
     return gate;
   }
@@ -201,17 +210,45 @@
   }
 
   private void start(RunnerRequest request, long time) {
-    request.guard(watchdog.after(Math.max(0, time), () -> request.giveUp(Ending.TIMED_OUT)));
-    if (!carry(request)) {
-      request.giveUp(whyNotCarried(request.worker()));
+    request.guard(
+        watchdog.after(Math.max(0, time), () -> request.giveUp(Ending.TIMED_OUT)),
+        Clock.micros() + time);
+    carryOrWait(request);
+  }
+
+  /** Hands a request to a connection of its runner; where this machine lacks something for one the request waits. */
+  void carryOrWait(RunnerRequest request) {
+    if (!request.over() && !carry(request)) {
+      waitToBeCarried(request, whyNotCarried(request.worker()));
     }
   }
 
   /** Where the list has the runner it is this machine that lacks something for a connection. */
-  Ending whyNotCarried(String worker) {
+  private Ending whyNotCarried(String worker) {
     return links.containsKey(worker) ? Ending.NO_RESOURCE : Ending.CONNECT_FAILED;
   }
 
+  /**
+   * Looks again a moment later, for as long as {@link ConnectionWait} says, and then gives the request up. At each
+   * later look in vain an idle connection is ended for the thread that it holds.
+   */
+  void waitToBeCarried(RunnerRequest request, Ending why) {
+    long now = Clock.micros();
+    long waited = now - request.began();
+    long look = why == Ending.NO_RESOURCE ? ConnectionWait.nextLook(waited, request.left(now)) : -1;
+    if (look < 0) {
+      request.giveUp(why);
+      return;
+    }
+    waits.incrementAndGet();
+    after(look, () -> {
+      if (!request.over() && !carry(request)) {
+        sharer.share(waited);
+        waitToBeCarried(request, whyNotCarried(request.worker()));
+      }
+    });
+  }
+
   /** Hands a request to a connection of its runner; false where none can be had. */
   boolean carry(RunnerRequest request) {
     Link link = links.get(request.worker());
@@ -291,7 +328,8 @@
     synchronized (gate) {
       return links.size() + " runners, " + standing + " connections, " + out.size()
           + " calls out, ended " + closes + ", stopped at the last look " + gate.refusedCalls()
-          + " calls " + gate.refusedOrders() + " orders, held back " + heldBack;
+          + " calls " + gate.refusedOrders() + " orders, held back " + heldBack
+          + ", looked again for a connection " + waits;
     }
   }
 
--- a/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerRequest.java
@@ -35,6 +35,9 @@
   private final String worker;
   private final long began = Clock.micros();
   private Watchdog.Timer timer;
+  /** When its time is over. */
+  private long until = Long.MAX_VALUE / 2;
+
   private LinkConnection connection;
   private Progress progress = Progress.CONNECTING;
   private long leftAt;
@@ -60,6 +63,11 @@
     return leftAt;
   }
 
+  /** How much time it has left. */
+  final synchronized long left(long now) {
+    return until - now;
+  }
+
   /** The id that its answer comes under. */
   abstract String id();
 
@@ -93,8 +101,9 @@
   abstract void report(Outcome outcome, Answer answer);
 
   /** Has it ended by its time at the latest. */
-  final synchronized void guard(Watchdog.Timer by) {
+  final synchronized void guard(Watchdog.Timer by, long at) {
     timer = by;
+    until = at;
     if (ended) {
       by.cancel();
     }
@@ -154,11 +163,7 @@
     if (call() != null) {
       call().release(by);
     }
-    links.after(StallWatch.SETTLE, () -> {
-      if (!over() && !links.carry(this)) {
-        giveUp(links.whyNotCarried(worker));
-      }
-    });
+    links.after(StallWatch.SETTLE, () -> links.carryOrWait(this));
   }
 
   /** The answer; on the connection's thread. */
@@ -191,7 +196,9 @@
         connection = null;
       }
     }
-    if (!moves || !links.carry(this)) {
+    if (moves && ending == Ending.NO_RESOURCE) {
+      links.waitToBeCarried(this, ending);
+    } else if (!moves || !links.carry(this)) {
       giveUp(ending);
     }
   }
--- a/soak/src/test/java/gorseladder/soak/CrowdTest.java
+++ b/soak/src/test/java/gorseladder/soak/CrowdTest.java
@@ -107,6 +107,36 @@
     assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
   }
 
+  /**
+   * While no thread can be started, calls whose runner has no connection were refused unsent within milliseconds (49 of
+   * 166 here), though connections that carried nothing held threads and gave them up a moment later.
+   */
+  @Test
+  void aCallWhoseRunnerHasNoConnectionWaitsForAThread() throws Exception {
+    dispatcher.close();
+    dispatcher = new OneDispatcher(Files.createDirectory(dir.resolve("many")), 12);
+    dispatcher.set(Fault.THREAD_RATE, ALL);
+    dispatcher.runners.forEach(runner -> runner.slowerBy(100));
+    long since = Clock.micros();
+    for (int i = 0; i < 80; i++) {
+      Crowd.askOnce(join());
+      if (i % 5 == 0) {
+        dispatcher.runners.forEach(runner -> runner.proxy().resetAll());
+      }
+      dispatcher.process.clients().reconnect();
+      Thread.sleep(50);
+    }
+    Thread.sleep(1_500);
+    dispatcher.set(Fault.THREAD_RATE, 0);
+    assertEquals(List.of(), dispatcher.judge(), dispatcher::said);
+    List<Evidence.Asked> asked =
+        dispatcher.evidence.requests().stream().filter(r -> r.sentAt > since).toList();
+    long refused = asked.stream()
+        .filter(r -> r.refused() && dispatcher.evidence.attempts(r.id).isEmpty())
+        .count();
+    assertEquals(0, refused, () -> "refused unsent, of " + asked.size());
+  }
+
   /** 190 connections, under a third of the descriptors told, each with 32 requests whose body lacks its end. */
   @Test
   void halfSentRequestsOfACrowdCostNoOtherClientItsAnswer() throws Exception {
--- a/testbed/src/main/java/gorseladder/testbed/ScarceThreads.java
+++ b/testbed/src/main/java/gorseladder/testbed/ScarceThreads.java
@@ -17,7 +17,7 @@
 
   @Override
   public Thread newThread(Runnable task) {
-    Thread thread = new Thread(null, task, "webhook-" + next.getAndIncrement(), STACK) {
+    Thread thread = new Thread(null, task, "scarce-" + next.getAndIncrement(), STACK) {
       @Override
       public synchronized void start() {
         if (none) {
--- a/testbed/src/main/java/gorseladder/testbed/TestFleet.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -55,6 +55,7 @@
   private final String secret;
   private final StallingDisk disk = new StallingDisk();
   private final ScarceThreads clientThreads = new ScarceThreads();
+  private final ScarceThreads attemptThreads = new ScarceThreads();
   private final Archive archive;
   private final ListStandIn list;
   private final List<StandInRunner> runners = new ArrayList<>();
@@ -82,7 +83,7 @@
         if (!loaded.faults().isEmpty()) {
           throw new IOException(loaded.faults().toString());
         }
-        edge = new Edge(loaded.settings(), new EdgeSystem(disk, clientThreads));
+        edge = new Edge(loaded.settings(), new EdgeSystem(disk, clientThreads, attemptThreads));
         return;
       }
       String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
@@ -362,6 +363,11 @@
     return clientThreads;
   }
 
+  /** Threads that carry attempts of edges in this process. */
+  public ScarceThreads attemptThreads() {
+    return attemptThreads;
+  }
+
   public Archive archive() {
     return archive;
   }
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -19,6 +19,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,6 +40,9 @@
   /** A disk that stops for longer than any client waits. */
   private static final long STALL_MILLIS = 5_000;
 
+  /** More than the threads that stand ready for attempts. */
+  private static final int CALLS_AT_ONCE = 40;
+
   private static final byte[] ASKS_FOR_NOTHING =
       "GET /nowhere HTTP/1.1\r\nHost: edge\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -368,6 +373,28 @@
     }
   }
 
+  /**
+   * Issue 38, at an edge: more calls than there are threads for attempts, and none can be started. Those without one
+   * were refused unsent at once; now they wait for the threads that attempts give back.
+   */
+  @Test
+  void anAttemptThatHasNoThreadWaitsForOne() throws Exception {
+    fleet("runners = 8; work = 150ms; cores = 8; lanes = 8;");
+    assertEquals(List.of(200), send("msg_before", SAFE, 0).statuses);
+    fleet.attemptThreads().none(true);
+    List<CompletableFuture<Tap.Try>> tries = new ArrayList<>();
+    ExecutorService callers = Executors.newFixedThreadPool(CALLS_AT_ONCE);
+    for (int i = 0; i < CALLS_AT_ONCE; i++) {
+      String id = "msg_scarce" + i;
+      tries.add(CompletableFuture.supplyAsync(() -> send(id, SAFE, 0), callers));
+    }
+    for (CompletableFuture<Tap.Try> t : tries) {
+      assertEquals("served", t.get().reason);
+    }
+    callers.shutdown();
+    fleet.attemptThreads().none(false);
+  }
+
   private void awaitArrival(String id) throws InterruptedException {
     while (arrivals(id) == 0) {
       Thread.sleep(5);
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -23,6 +23,7 @@
 import gorseladder.edge.runners.Runners;
 import gorseladder.gate.SendGate;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
 import java.nio.file.Path;
@@ -49,11 +50,12 @@
         Ledger ledger = Ledger.open(dir.resolve("ledger"), false, 100);
         Watchdog watchdog = new Watchdog("watchdog", 256 << 10);
         Runners runners = new Runners(
-            new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, 50, 256 << 10, false),
+            new RunnerSettings(0, 250_000, 1_000_000, 1_000_000, 0, 1 << 20, false),
             ledger,
             gate,
             Address::parse,
             watchdog,
+            new ThreadCache("attempt", 1, 256 << 10),
             new RuleLog())) {
       String[] first = new String[1];
       RequestClass issue = new RequestClass(
