The ledger reads its files without the lock that every call passes

One cause of three, by the steps of a late answer (ended +1988, recorded +2156, bound +1995) and by timed reads with the lock held (21 to 272 ms): the record of a repeat was read from its file under the ledger's lock, which every call, the writing thread and the core's thread pass. Now the lock guards the tables only; a repeat's record is read before it is judged, on a thread of its own and within its client's time (RecordLookup); the core and admission never read a file. Why it holds: nothing that can wait for the disk is done with that lock, and what was read is used only if no newer record of the message was put since. HardCasesTest.aRepeatWhoseRecord... forces it (reads stalled 5 s); in it a repeat whose record cannot be read was refused as harmless though it may have run: answered as failed now, unless it is safe.

--- a/decisions/src/main/java/gorseladder/repeats/Repeats.java
+++ b/decisions/src/main/java/gorseladder/repeats/Repeats.java
@@ -95,6 +95,14 @@
     };
   }
 
+  /**
+   * True where a delivery may be refused as harmless though something is on record of its message that cannot be read
+   * at present: an earlier one may have run.
+   */
+  public static boolean mayRefuseUnread(Effect effect) {
+    return effect == Effect.SAFE;
+  }
+
   /**
    * A message that may have run comes again. Safe calls run. A keyed one runs only where every worker drops repeats and
    * only if all its new attempts end within the window that the first one began; the router cannot know that earlier
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -46,6 +46,9 @@
   /** Threads for connections of clients, and as many for attempts, that stand ready from the start. */
   private static final int READY_THREADS = 16;
 
+  /** Threads that read from the ledger and stand ready from the start. */
+  private static final int READY_READERS = 2;
+
   private final EdgeSettings settings;
   private final Watchdog watchdog;
   private final Ledger ledger;
@@ -59,6 +62,7 @@
   private final WebhookFront front;
   private final HttpServer server;
   private final ThreadCache clientThreads;
+  private final ThreadCache readers;
   private final RuleLog rules = new RuleLog();
   private final CallLog log = new CallLog(rules);
   private final AtomicBoolean closed = new AtomicBoolean();
@@ -106,12 +110,14 @@
         watchdog,
         new ThreadCache("attempt", READY_THREADS, system.attemptThreads()),
         rules);
+    readers = new ThreadCache("ledger-read", READY_READERS, stack);
     intake = new Intake(
         ledger,
         settings.getLimits().getMaxCalls(),
         settings.getLedger().getKeepS() * 1_000_000,
         settings.getLedger().getMaxKeptAnswerBytes(),
         EdgeConfig.ms(settings.getLimits().getAnswerReserveMs()),
+        readers,
         new Hearer());
     RouterApi.Settings router = config.router();
     long seed = System.nanoTime() ^ settings.getOrdinal();
@@ -317,6 +323,7 @@
       server.close();
     }
     clientThreads.close();
+    readers.close();
     if (peers != null) {
       peers.close();
     }
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -7,6 +7,7 @@
 import gorseladder.repeats.Repeats;
 import gorseladder.repeats.Repeats.Verdict;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.ThreadCache;
 import gorseladder.store.Digests;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerClock;
@@ -63,6 +64,7 @@
   }
 
   private final Ledger ledger;
+  private final RecordLookup lookup;
   private final Semaphore room;
   private final long keepMicros;
   private final int maxKept;
@@ -84,10 +86,18 @@
    * @param keepMicros how long a message is remembered
    * @param maxKept the longest answer kept for repeats, in bytes
    * @param reserve part of a client's patience kept back for writing the answer, in microseconds
+   * @param readers threads that read from the ledger
    */
   public Intake(
-      Ledger ledger, int maxCalls, long keepMicros, int maxKept, long reserve, Hearer hearer) {
+      Ledger ledger,
+      int maxCalls,
+      long keepMicros,
+      int maxKept,
+      long reserve,
+      ThreadCache readers,
+      Hearer hearer) {
     this.ledger = ledger;
+    this.lookup = new RecordLookup(ledger, readers);
     this.room = new Semaphore(maxCalls);
     this.keepMicros = keepMicros;
     this.maxKept = maxKept;
@@ -118,13 +128,12 @@
     return live.size();
   }
 
-  /** True where anything is known of the message, so that turning it away unseen could be wrong. */
+  /**
+   * True where anything is known of the message, so that turning it away unseen could be wrong. Never waits for the
+   * disk.
+   */
   public boolean remembers(String message) {
-    try {
-      return live.containsKey(message) || ledger.get(message) != null;
-    } catch (LedgerException e) {
-      return true;
-    }
+    return live.containsKey(message) || ledger.knows(message);
   }
 
   /** Judges a delivery whose signature holds. */
@@ -132,6 +141,29 @@
     if (stopping) {
       return new Result(null, false, FinalAnswer.of(Reason.STOPPING));
     }
+    try {
+      Result result = null;
+      while (result == null) {
+        long until = d.arrivedAt() + d.patience() - reserve;
+        result = take(d, lookup.of(d.message(), d.request(), until));
+      }
+      return result;
+    } catch (LedgerException e) {
+      return unread(d, e.getMessage());
+    }
+  }
+
+  /** Turns a delivery away of whose message something is on record that cannot be read. */
+  private static Result unread(Delivery d, String why) {
+    if (Repeats.mayRefuseUnread(d.requestClass().effect())) {
+      return unrecorded(null, why);
+    }
+    LOG.error("{}", why);
+    return new Result(null, false, FinalAnswer.of(Reason.FAILED_UNKNOWN_EFFECT));
+  }
+
+  /** Judges a delivery by what was remembered of it; null where that is out of date by now. */
+  private Result take(Delivery d, RecordLookup.Remembered remembered) {
     TakenCall call = null;
     long ticket;
     try {
@@ -140,11 +172,14 @@
         // In this order: a call that ends in between has its record before it leaves.
         boolean requestOut = requestsOut.contains(d.request());
         TakenCall out = live.get(d.message());
-        LedgerEntry known = out != null ? out.entry() : ledger.get(d.message());
+        if (out == null && !lookup.isNewest(d.message(), remembered)) {
+          return null;
+        }
+        LedgerEntry known = out != null ? out.entry() : remembered.entry();
         long now = ledger.clock().micros();
         Verdict verdict = Repeats.onDelivery(
             d.requestClass(),
-            requestOut || ledger.seen(d.request()),
+            requestOut || lookup.requestSeen(d.request(), remembered),
             known == null ? null : known(known, out != null, content),
             now,
             d.patience());
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -27,6 +27,9 @@
   private final long requestKeepUntil;
   private long leavingTicket;
   private long endTicket;
+  /** The ledger's name of the record of the end; -1 where it could not be put. */
+  private long endRecord = -1;
+
   private int waiters = 1;
 
   /**
@@ -103,20 +106,12 @@
   /** A served answer that came after the call had ended otherwise: kept for the sender's next try. */
   @Override
   protected synchronized void servedLate(byte[] body) {
-    LedgerEntry present;
-    try {
-      present = ledger.get(facts().message());
-    } catch (LedgerException e) {
-      // The record of its end stands: the sender's next try runs it again or hears that it may
-      // have run.
-      return;
-    }
     FinalAnswer end = answer();
+    // On the core's thread: a look at the ledger's tables, not at its files.
     if (end != null
         && end.reason().kind != Reason.Kind.SERVED
-        && present != null
-        && present.takenAt() == entry.takenAt()
-        && present.stage() == Stage.CLOSED) {
+        && entry.stage() == Stage.CLOSED
+        && endRecord == ledger.newestRecord(facts().message())) {
       record(end, true, body, true);
       ledger.soon();
     }
@@ -133,10 +128,12 @@
         kept);
     try {
       endTicket = ledger.put(facts().message(), entry, request, requestKeepUntil);
+      endRecord = ledger.newestRecord(facts().message());
     } catch (LedgerException e) {
       // The record of its leaving stands: a repeat finds that it may have run, which is the
       // safe side.
       endTicket = 0;
+      endRecord = -1;
     }
   }
 
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -110,6 +110,13 @@
 
   private record Digest(long first, long second) {}
 
+  /**
+   * Where a record stands.
+   *
+   * @param inMemory the record, where it is not in its file yet; else null
+   */
+  private record Place(LedgerSegment segment, int at, LedgerRecord inMemory) {}
+
   /**
    * What one commit writes.
    *
@@ -300,11 +307,32 @@
   }
 
   /**
-   * What is known of a message, or null.
+   * What is known of a message, or null. May wait for the disk.
    *
    * @throws LedgerException where its record cannot be read
    */
   public LedgerEntry get(String message) throws LedgerException {
+    Place place = newest(message);
+    LedgerRecord record = place == null ? null : read(place);
+    boolean known = record != null && record.entry().keepUntil() > now;
+    return known ? record.entry() : null;
+  }
+
+  /** True where something is known of a message, or was until lately; never waits for the disk. */
+  public boolean knows(String message) {
+    return newest(message) != null;
+  }
+
+  /**
+   * Names the newest record of a message: the same number as long as no other one was put; -1 where there is none.
+   * Never waits for the disk.
+   */
+  public long newestRecord(String message) {
+    Place place = newest(message);
+    return place == null ? -1 : place.segment().number << Integer.SIZE | place.at();
+  }
+
+  private Place newest(String message) {
     Digest d = digest('m', message);
     lock.lock();
     try {
@@ -313,8 +341,7 @@
         LedgerSegment segment = it.previous();
         int at = segment.messages.get(d.first(), d.second());
         if (at >= 0) {
-          LedgerEntry entry = read(segment, at).entry();
-          return entry.keepUntil() > now ? entry : null;
+          return place(segment, at);
         }
       }
       return null;
@@ -324,21 +351,37 @@
   }
 
   /**
-   * True where this signed request was taken before.
+   * True where this signed request was taken before. May wait for the disk.
    *
    * @throws LedgerException where its record cannot be read
    */
   public boolean seen(String request) throws LedgerException {
+    for (Place place : ofRequest(request)) {
+      LedgerRecord record = read(place);
+      if (record != null && record.requestUntil() > now) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** True where a signed request stands in the tables, expired or not; never waits for the disk. */
+  public boolean knowsRequest(String request) {
+    return !ofRequest(request).isEmpty();
+  }
+
+  private List<Place> ofRequest(String request) {
     Digest d = digest('r', request);
+    List<Place> places = new ArrayList<>(1);
     lock.lock();
     try {
       for (LedgerSegment segment : segments) {
         int at = segment.requests.get(d.first(), d.second());
-        if (at >= 0 && read(segment, at).requestUntil() > now) {
-          return true;
+        if (at >= 0) {
+          places.add(place(segment, at));
         }
       }
-      return false;
+      return places;
     } finally {
       lock.unlock();
     }
@@ -404,21 +447,46 @@
     }
   }
 
-  /** A record that was put: it may be gathered, being written, or in its file. */
-  private LedgerRecord read(LedgerSegment segment, int at) throws LedgerException {
+  /** Where a record is that was put: it may be gathered, being written, or in its file. The lock is held. */
+  private Place place(LedgerSegment segment, int at) {
+    LedgerRecord inMemory = null;
+    if (segment == active() && at >= segment.end) {
+      inMemory = pending.at(at - segment.end);
+    } else if (writing != null && segment == writing.to() && at >= writing.at()) {
+      inMemory = writing.bytes().at(at - writing.at());
+    }
+    return new Place(segment, at, inMemory);
+  }
+
+  /**
+   * The record at a place; null where its segment was dropped meanwhile, with all in it expired. The lock is not held.
+   *
+   * <p>Guards against a disk that is slow to read: every call passes the lock, and the core's thread too, so one repeat
+   * whose record was read with it held stopped all others for as long.
+   */
+  private LedgerRecord read(Place place) throws LedgerException {
+    if (place.inMemory() != null) {
+      return place.inMemory();
+    }
     try {
-      if (segment == active() && at >= segment.end) {
-        return pending.at(at - segment.end);
-      }
-      if (writing != null && segment == writing.to() && at >= writing.at()) {
-        return writing.bytes().at(at - writing.at());
-      }
-      return segment.read(at);
+      return place.segment().read(place.at());
     } catch (IOException | IllegalArgumentException e) {
+      if (dropped(place.segment())) {
+        return null;
+      }
       throw new LedgerException("ledger " + folder + " cannot be read: " + e.getMessage(), e);
     }
   }
 
+  private boolean dropped(LedgerSegment segment) {
+    lock.lock();
+    try {
+      return !segments.contains(segment);
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Where a name stands in the tables; null for none. */
   private Digest digest(char kind, String name) {
     if (name == null) {
--- a/store/src/main/java/gorseladder/store/LedgerException.java
+++ b/store/src/main/java/gorseladder/store/LedgerException.java
@@ -6,7 +6,8 @@
 public final class LedgerException extends IOException {
   private static final long serialVersionUID = 1L;
 
-  LedgerException(String text, Throwable cause) {
+  /** What happened, and why. */
+  public LedgerException(String text, Throwable cause) {
     super(text, cause);
   }
 }
--- a/store/src/main/java/gorseladder/store/LedgerSegment.java
+++ b/store/src/main/java/gorseladder/store/LedgerSegment.java
@@ -124,10 +124,7 @@
     if (in == null) {
       in = new RandomAccessFile(file.toFile(), "r");
     }
-    in.seek(at);
-    byte[] bytes = new byte[in.readInt()];
-    in.readFully(bytes);
-    return LedgerRecord.of(bytes);
+    return LedgerRecord.of(files.read(in, at));
   }
 
   /**
--- a/testbed/src/main/java/gorseladder/testbed/StallingDisk.java
+++ b/testbed/src/main/java/gorseladder/testbed/StallingDisk.java
@@ -4,18 +4,25 @@
 import gorseladder.store.LedgerFiles;
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.io.RandomAccessFile;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 
-/** A disk on which writes take long while it is told so, and succeed then. Any thread. */
+/** A disk on which writes, or reads, take long while it is told so, and succeed then. Any thread. */
 public final class StallingDisk implements LedgerFiles {
   private long stalledUntil;
+  private long readsStalledUntil;
 
   /** Writes that begin or stand from now on end no earlier than after this time. */
   public synchronized void stallFor(long millis) {
     stalledUntil = Clock.micros() + millis * 1000;
   }
 
+  /** The same for reads. */
+  public synchronized void stallReadsFor(long millis) {
+    readsStalledUntil = Clock.micros() + millis * 1000;
+  }
+
   private synchronized void awaitStall() throws IOException {
     try {
       for (long left = stalledUntil - Clock.micros();
@@ -29,6 +36,21 @@
     }
   }
 
+  private synchronized long readsStalled() {
+    return readsStalledUntil - Clock.micros();
+  }
+
+  @Override
+  public byte[] read(RandomAccessFile from, int at) throws IOException {
+    try {
+      Thread.sleep(Math.max(0, readsStalled()) / 1_000);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException();
+    }
+    return PLAIN.read(from, at);
+  }
+
   @Override
   public void write(FileChannel to, ByteBuffer bytes) throws IOException {
     awaitStall();
--- a/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/HardCasesTest.java
@@ -320,6 +320,34 @@
     assertEquals(1, arrivals("msg_unrecorded"));
   }
 
+  /**
+   * Days beside a busy disk: a repeat has its record read from the ledger's file, and the disk takes long for it. All
+   * other calls, and the core's thread, waited for that read, since the lock that each of them passes was held
+   * meanwhile; answers came after their time. Shown by the times of reads with the lock held on such a day, up to 272
+   * ms, and by an answer whose record was waited for 161 ms past the bound of that wait.
+   */
+  @Test
+  void aRepeatWhoseRecordIsSlowToReadHoldsUpNoOtherCall() throws Exception {
+    fleet("runners = 2;");
+    assertEquals(List.of(200), send("msg_known", UNSAFE, 0).statuses);
+    assertEquals(List.of(200), send("msg_other", UNSAFE, 0).statuses);
+    fleet.disk().stallReadsFor(STALL_MILLIS);
+    CompletableFuture<Tap.Try> repeat =
+        CompletableFuture.supplyAsync(() -> send("msg_known", UNSAFE, 1));
+    Thread.sleep(200);
+    for (int i = 0; i < 3; i++) {
+      Tap.Try beside = send("msg_beside" + i, i == 0 ? SAFE : UNSAFE, 0);
+      assertEquals("served", beside.reason);
+      assertInTime(beside);
+    }
+    assertFalse(repeat.isDone(), "its record was not read from the file");
+    // Not refused as harmless: it is not known whether the first one ran.
+    assertEquals("failed_unknown_effect", repeat.get().reason);
+    assertInTime(repeat.get());
+    fleet.disk().stallReadsFor(0);
+    assertEquals("served_again", send("msg_known", UNSAFE, 2).reason);
+  }
+
   /** An attempt that waits for its record ends with its call; it says nothing of its runner. */
   @Test
   void anAttemptThatCannotBeOnRecordInTimeLeavesNoRunnerSuspect() throws Exception {
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -114,13 +114,20 @@
           core.loadEnded(loaded);
         }
       });
-      Intake intake = new Intake(ledger, 10, 60_000_000, 1000, 15_000, new Intake.Hearer() {
-        @Override
-        public void taken(TakenCall call) {}
+      Intake intake = new Intake(
+          ledger,
+          10,
+          60_000_000,
+          1000,
+          15_000,
+          new ThreadCache("read", 1, 256 << 10),
+          new Intake.Hearer() {
+            @Override
+            public void taken(TakenCall call) {}
 
-        @Override
-        public void ended(TakenCall call) {}
-      });
+            @Override
+            public void ended(TakenCall call) {}
+          });
       intake.admitTo(core);
       core.listNews(new Workers(
           ListKind.SAVED,
