--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -196,7 +196,7 @@
           1,
           t.statuses.isEmpty()
               ? Double.MAX_VALUE
-              : (t.sentAt + t.patience - t.answeredAt) / 1000.0);
+              : (t.countsFrom() + t.patience - t.answeredAt) / 1000.0);
       if (t.statuses.isEmpty()) {
         broke(
             1,
@@ -204,10 +204,10 @@
                 + (t.broken ? ", the connection broke" : ""));
       } else if (t.statuses.size() > 1) {
         broke(1, t.message + " got " + t.statuses.size() + " answers " + t.statuses);
-      } else if (past(1, t.answeredAt, t.sentAt + t.patience)) {
+      } else if (past(1, t.answeredAt, t.countsFrom() + t.patience)) {
         broke(
             1,
-            t.message + " was answered " + (t.answeredAt - t.sentAt - t.patience) / 1000
+            t.message + " was answered " + (t.answeredAt - t.countsFrom() - t.patience) / 1000
                 + " ms too late: " + steps(t));
       }
     }
--- a/testbed/src/main/java/gorseladder/testbed/Tap.java
+++ b/testbed/src/main/java/gorseladder/testbed/Tap.java
@@ -12,6 +12,9 @@
 public final class Tap {
   /** One try of a client: a request on a socket and what came back. */
   public static final class Try {
+    /** The system repeats the first packet of a connection after so long, where a listener's queue was full. */
+    private static final long FIRST_REPEAT = 1_000_000;
+
     public final String message;
     public final int edge;
     public final Effect effect;
@@ -37,6 +40,16 @@
       this.sentAt = sentAt;
       this.patience = patience;
     }
+
+    /**
+     * From when its time counts: a request's time counts from its last byte, and what its client takes until its
+     * connection stands is its own. A connect that takes as long as the system's first repeat may have met a full queue
+     * of the edge; then its time counts from the beginning.
+     */
+    long countsFrom() {
+      boolean ownTime = connectedAt > 0 && connectedAt - sentAt < FIRST_REPEAT;
+      return ownTime ? connectedAt : sentAt;
+    }
   }
 
   /** One infer request that arrived at a runner. */
--- a/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/RuleCheckerTest.java
@@ -67,6 +67,24 @@
     assertEquals(List.of(), rules(), "what a killed edge held is the client's to retry");
   }
 
+  /**
+   * Bad days beside busy processes: answers "141 to 260 ms too late", of which the client itself had taken 141 to 248
+   * until its connection stood; an edge that read the request 6 ms after that answered it in time from then on. A
+   * connect on loopback needs no thread of the edge, only room in its queue; where that is full it takes a second.
+   */
+  @Test
+  void aRequestsTimeCountsFromWhenItsConnectionStood() {
+    Tap.Try own = answered("a", Effect.SAFE, 0, 1_248, 200);
+    own.connectedAt = 250;
+    assertEquals(List.of(), rules());
+    own.answeredAt = 1_261;
+    assertEquals(List.of(1), rules(), "11 later than its time, the slack is 10");
+    tap.tries.clear();
+    Tap.Try queued = answered("b", Effect.SAFE, 0, 1_000_100, 200);
+    queued.connectedAt = 1_000_000;
+    assertEquals(List.of(1), rules(), "a full queue of the edge is the edge's");
+  }
+
   @Test
   void aSendAfterTheFinalAnswer() {
     answered("a", Effect.SAFE, 0, 100, 503);
