What lay unread while a connection's thread was busy counts from before, not from its reading

ArrivalTimes notes before each read how much lies unread and counts it from the look or read before; what is waited for counts from the end of the read as ever. FrontConnectionTest holds the thread 300 ms with one request: red before. Ruled out as the cause of what was seen: nothing; pauses below 75 ms are there (chains of up to 122 ms) and were traced to no finding.

--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -8,7 +8,6 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
 import gorseladder.runtime.UnreadBytes;
-import gorseladder.stalls.StallWatch;
 import gorseladder.wire.fastcgi.BadRecord;
 import gorseladder.wire.fastcgi.NameValues;
 import gorseladder.wire.fastcgi.RecordParser;
@@ -120,7 +119,6 @@
   private final RecordParser parser = new RecordParser();
   private final Map<Integer, Exchange> open = new HashMap<>();
   private final long connectedAt = Clock.micros();
-  private final long waitedSince;
   private long idleSince = connectedAt;
   private int requests;
   private int unanswered;
@@ -133,12 +131,8 @@
   private boolean closesAfterAnswers;
   /** Its thread has bytes that it has not looked at yet. */
   private boolean looking;
-  /** When its thread read bytes last; the thread's own. */
-  private long readAt;
-  /**
-   * Its thread has once read all that there was: what it reads from then on has not waited for it. The thread's own.
-   */
-  private boolean caughtUp;
+  /** The thread's own. */
+  private final ArrivalTimes arrivals;
   /** Bytes of answers that are not written yet; they count against the front's budget. */
   private long unwritten;
   /** Why it ends; the first reason that is told before its end counts. */
@@ -152,7 +146,7 @@
   FrontConnection(FastCgiFront front, SocketChannel channel, long waitedSince) {
     this.front = front;
     this.channel = channel;
-    this.waitedSince = waitedSince;
+    this.arrivals = new ArrivalTimes(front::cameAt, waitedSince);
     this.outbox = new Outbox(front.writers(), MOST_WAITING_BYTES, e -> close());
     outbox.open(channel);
   }
@@ -165,16 +159,17 @@
       channel.socket().setTcpNoDelay(true);
       while (true) {
         buffer.clear().limit(PEEK);
-        caughtUp = caughtUp || !UnreadBytes.on(channel);
-        if (channel.read(buffer) < 0) {
+        arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
+        int count = channel.read(buffer);
+        if (count < 0) {
           endsBecause(CloseReason.CLIENT_CLOSED);
           break;
         }
-        readAt = Clock.micros();
+        arrivals.afterRead(count, Clock.micros());
         look(true);
         buffer.limit(buffer.capacity());
         if (channel.socket().getInputStream().available() > 0) {
-          channel.read(buffer);
+          arrivals.readOn(channel.read(buffer));
         }
         parser.feed(buffer.array(), 0, buffer.position(), this);
         look(false);
@@ -375,7 +370,8 @@
       return;
     }
     try {
-      front.take(params, body, arrival(), (call, end) -> ended(e, end), call -> taken(e, call));
+      front.take(
+          params, body, arrivals.arrival(), (call, end) -> ended(e, end), call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
       front.count("unusable: " + bad.getMessage());
       answer(e, bad.reason());
@@ -383,21 +379,6 @@
     }
   }
 
-  /**
-   * When a request may have come whose last bytes were read just now, and from when on it is known whether its client
-   * is still there. Until its thread has once read all that there was, that may have waited since the connection was
-   * accepted: nobody read it until then. Guards against requests that wait on one connection for its thread, of which
-   * only the first counted so.
-   */
-  private Arrival arrival() {
-    long came = front.cameAt(readAt);
-    if (!caughtUp) {
-      came = Math.min(came, waitedSince);
-    }
-    boolean late = readAt - came > StallWatch.SETTLE;
-    return new Arrival(came, late ? readAt + StallWatch.SETTLE : 0);
-  }
-
   /** Names the call of a request; where the connection has ended by now its client has left. */
   private void taken(Exchange e, NodeCall call) {
     boolean left;
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -30,6 +30,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -170,6 +171,54 @@
     return new String(bytes, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
   }
 
+  /**
+   * Soak seed 973: a deadline was passed on with 224 ms too much. While a connection's thread was busy with one request
+   * (no processor, locks, a full budget) the next came on the same connection; it was read as soon as the thread came
+   * back and counted as new then. In plays with a crowd beside busy processes the log of each read showed bytes that
+   * had waited while the read before was 301, 214 and 189 ms ago, taken as come that moment.
+   */
+  @Test
+  void whatComesWhileTheThreadIsBusyCountsFromThen() throws Exception {
+    readAll();
+    CountDownLatch busy = new CountDownLatch(1);
+    CountDownLatch goesOn = new CountDownLatch(1);
+    atRead = () -> {
+      busy.countDown();
+      try {
+        goesOn.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    };
+    client.getOutputStream().write(request(1));
+    busy.await();
+    long sentAt = Clock.micros();
+    client.getOutputStream().write(request(2));
+    Thread.sleep(300);
+    atRead = () -> {};
+    arrivedAt.set(0);
+    goesOn.countDown();
+    long until = Clock.micros() + SECOND;
+    while (sent.get() < 2 && Clock.micros() < until) {
+      Thread.sleep(1);
+    }
+    assertEquals(2, sent.get());
+    assertTrue(
+        arrivedAt.get() <= sentAt,
+        () -> "counted " + (arrivedAt.get() - sentAt) + " us after it was sent");
+  }
+
+  private static byte[] request(int number) {
+    Map<String, String> params = new HashMap<>();
+    params.put("SCRIPT_NAME", "/svc/safe");
+    params.put("HTTP_X_REQUEST_ID", "%016x".formatted(number));
+    params.put("HTTP_X_TIMEOUT_MS", "1500");
+    params.put("HTTP_X_TENANT", "t");
+    params.put("HTTP_X_OBJECT", "%016x".formatted(0xf0));
+    params.put("HTTP_X_FACTS", "memory_mb:10;lanes:1;load_ms:20");
+    return RecordWriter.request(number, true, params, new byte[0]);
+  }
+
   @Test
   void aLookAtIdlenessSeesWhatTheSystemHoldsUnread() throws Exception {
     ask();
--- a/runtime/src/main/java/gorseladder/runtime/UnreadBytes.java
+++ b/runtime/src/main/java/gorseladder/runtime/UnreadBytes.java
@@ -9,11 +9,16 @@
 
   /** True where the system holds bytes that were not read yet; false on a connection that has ended. */
   public static boolean on(SocketChannel connection) {
+    return count(connection) > 0;
+  }
+
+  /** How many bytes the system holds that were not read yet; 0 on a connection that has ended. */
+  public static int count(SocketChannel connection) {
     try {
-      return connection.socket().getInputStream().available() > 0;
+      return connection.socket().getInputStream().available();
     } catch (IOException e) {
       // Whoever reads it is told of its end.
-      return false;
+      return 0;
     }
   }
 }
