Slow start goes by a starting runner's own answers, not by light calls of before

Runners that had just started were sent more than they bear: 57, 52, 63 calls in 1.5 s where the term allows 42 (N = 30 for a runner of 40 a second, plus 2 x root of N + 2). Cause: the floor of the cold budget, one call after the other at the usual time, learned on calls of a millisecond. Now nothing is saved by it while a call is out there, and it goes by the runner's last answer without a load where that took longer. Why it holds: the first heavy answer comes before the second such call leaves. The follower tells the start it believes, the core the budget (debug).

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -430,6 +430,7 @@
       C call = calls.get(a.id());
       int number = call.begin(a.worker(), now, newsKnown);
       attemptsOut.merge(call, 1, Integer::sum);
+      noteStart(call, a.worker());
       outbound.send(call, number, a.worker(), a.timeout());
     } else if (action instanceof SetTimer a) {
       timers.schedule(now + a.in(), a.token());
@@ -457,6 +458,18 @@
     }
   }
 
+  /** A line for a call that goes to a worker which is starting, with what its budget leaves after it. */
+  private void noteStart(C call, String worker) {
+    double left = LOG.isDebugEnabled() ? router.startBudget(worker) : Double.NaN;
+    if (!Double.isNaN(left)) {
+      LOG.debug(
+          "request={} worker={} which is starting, budget left {}",
+          call.facts().message(),
+          worker,
+          left);
+    }
+  }
+
   /** Ends the thread; what it held is answered by the fronts' own time limits. */
   @Override
   public void close() {
--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -239,6 +239,7 @@
     w.lastHeard = now;
     w.coldTokens = random.nextDouble();
     w.coldAt = now;
+    w.coldLatency = 0;
   }
 
   // ---- requests and their ends
@@ -377,6 +378,7 @@
     // covers groups and refusals too; it could harm where the proof comes late and the call has
     // time left.
     attempt.neverRan = event.outcome().neverRan && !attempt.overlapped;
+    noteColdAnswer(attempt.copy.worker, event);
     attempt.copy.worker.inFlight--;
     attempt.copy.inFlight--;
     call.function.inFlight--;
@@ -901,13 +903,18 @@
    * The cold budget, saved up in parts of a call and first drawn by chance, so that many dispatchers
    * together stay below what the rule lets a cold worker take. What a warm worker takes is learned from
    * calls served, which overload does not inflate, and is at least one call at a time for all together.
+   * That least goes by the usual time of a call, or by what the worker's last answer took where that was
+   * longer, and nothing is saved by it while a call is out there. Guards against heavy calls after light
+   * ones, and a worker that is slower than the others: its budget went by calls a tenth as long. It could
+   * harm where a cold worker's answers are long for another reason: it warms up with fewer calls.
    */
   private boolean coldRoom(Worker w) {
     double warmth = warmth(w);
     if (warmth >= 1) {
       return true;
     }
-    double least = 1e6 / meanUsual / settings.dispatchers();
+    double oneByOne = 1e6 / Math.max(meanUsual, w.coldLatency) / settings.dispatchers();
+    double least = w.inFlight > 0 ? 0 : oneByOne;
     double rate = Math.max(servedRate / Math.max(1, fleet.size()), least);
     double multiple = COLD_MARGIN * settings.rules().overloadMultiple();
     double most = Math.max(1, rate * multiple * warmth * settings.rules().overloadFor() / 1e6);
@@ -919,6 +926,27 @@
     return w.coldTokens >= 1;
   }
 
+  /** Settles the cold budget for the time in which a call was out, and learns what it took without a load. */
+  private void noteColdAnswer(Worker w, Answer event) {
+    if (warmth(w) >= 1) {
+      return;
+    }
+    coldRoom(w);
+    boolean loaded = event.note() == Note.WARM || event.note() == Note.NONE;
+    if (event.outcome() == Outcome.OK && loaded) {
+      w.coldLatency = event.latency();
+    }
+  }
+
+  /**
+   * Calls that a worker which is starting may get at once by what is saved up for it, for logs; NaN for one that is
+   * warm or not known.
+   */
+  public double startBudget(String worker) {
+    Worker w = workers.get(worker);
+    return w == null || warmth(w) >= 1 ? Double.NaN : w.coldTokens;
+  }
+
   /** The part of its capacity that a worker has at least, by its birth and the told ramp. */
   private double warmth(Worker w) {
     return warmthAt(w, now);
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -34,6 +34,9 @@
     long lastHeard;
     double coldTokens;
     long coldAt;
+    /** What its last answer took since it started; 0 where there was none. */
+    double coldLatency;
+
     /** The number of the last list that named it. */
     int listed;
     /** Its number in the {@link Fleet}; -1 where it is not in. */
--- a/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
+++ b/node/src/main/java/gorseladder/node/changelog/ChangeLogFollower.java
@@ -338,6 +338,9 @@
     for (Listed one : news.told()) {
       Phase phase = one.entry().phase();
       String uid = one.entry().worker();
+      if (phase == Phase.RUNNING && before.get(uid) == null && one.entry().born() > 0) {
+        noteStart(one, change.seq(), absentAt, at);
+      }
       if (phase != Phase.RUNNING && phase != before.get(uid) && lines++ < MOST_LINES) {
         LOG.info("runner {} is {}, told by event {} of {}", uid, phase, change.seq(), from.address);
       }
@@ -347,6 +350,15 @@
     }
   }
 
+  private static void noteStart(Listed runner, long seq, long absentAt, long at) {
+    LOG.info(
+        "runner {} counts as started {} ms ago, told by event {}; the list was without it {} ms ago",
+        runner.entry().worker(),
+        (at - runner.entry().born()) / 1_000,
+        seq,
+        (at - absentAt) / 1_000);
+  }
+
   private void tell(Change news, long at) {
     news.told().forEach(one -> hearer.runner(one.entry(), one.address(), at));
     hearer.list(news.workers());
--- a/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/PlatformRunner.java
@@ -55,6 +55,8 @@
   private final List<String> orders = new ArrayList<>();
   private final List<Socket> blockers = new ArrayList<>();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final Object work = new Object();
+  private volatile int workMillis;
   private int halts;
   private int connections;
 
@@ -98,6 +100,11 @@
     thread.start();
   }
 
+  /** Each request that is served takes so long from now on, one after the other; 0, as at first, for no time. */
+  public void works(int millis) {
+    workMillis = millis;
+  }
+
   /** Where it listens. */
   public InetSocketAddress address() {
     return (InetSocketAddress) server.getLocalSocketAddress();
@@ -187,7 +194,10 @@
     String result = result(id, arrival.body());
     String served = id + " ok remark=up " + result.length() + "\r\n" + result + "\r\n";
     switch (script.apply(arrival)) {
-      case SERVE -> write(out, served);
+      case SERVE -> {
+        work();
+        write(out, served);
+      }
       case REFUSE -> write(out, id + " refused depth=3 0\r\n\r\n");
       case MISS -> write(out, id + " nothing remark=crashed 0\r\n\r\n");
       case ERROR -> write(out, id + " error - 0\r\n\r\n");
@@ -207,6 +217,20 @@
     }
   }
 
+  private void work() throws IOException {
+    if (workMillis == 0) {
+      return;
+    }
+    synchronized (work) {
+      try {
+        Thread.sleep(workMillis);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted", e);
+      }
+    }
+  }
+
   /** What arrived whole so far. */
   public synchronized List<Arrival> arrivals() {
     return List.copyOf(arrivals);
