--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -3,6 +3,7 @@
 import gorseladder.RouterApi.*;
 import gorseladder.RouterState.*;
 import gorseladder.permits.Permits;
+import gorseladder.starts.ColdBudget;
 import java.util.*;
 import java.util.function.Consumer;
 
@@ -57,8 +58,6 @@
   private static final double OVERDUE = 2.5;
   /** Second tries for lateness as a share of requests taken, so that a slow fleet is not made slower. */
   private static final double SECOND_SHARE = 0.1;
-  /** Part of what the rule lets a cold worker take that is used; the rest is for chance and hot homes. */
-  private static final double COLD_MARGIN = 0.4;
   /** Seconds over which the own rate of served calls is measured. */
   private static final double RATE_SECONDS = 5.0;
   /** Parts of the shortest aim between two looks at what waits or is out. */
@@ -237,9 +236,7 @@
     w.suspicions = 0;
     w.pace = 1;
     w.lastHeard = now;
-    w.coldTokens = random.nextDouble();
-    w.coldAt = now;
-    w.coldLatency = 0;
+    w.cold.restart(random.nextDouble(), now);
   }
 
   // ---- requests and their ends
@@ -899,31 +896,11 @@
         .allMatch(before -> zone ? before.zone.equals(w.zone) : before.cell == w.cell);
   }
 
-  /**
-   * The cold budget, saved up in parts of a call and first drawn by chance, so that many dispatchers
-   * together stay below what the rule lets a cold worker take. What a warm worker takes is learned from
-   * calls served, which overload does not inflate, and is at least one call at a time for all together.
-   * That least goes by the usual time of a call, or by what the worker's last answer took where that was
-   * longer, and nothing is saved by it while a call is out there. Guards against heavy calls after light
-   * ones, and a worker that is slower than the others: its budget went by calls a tenth as long. It could
-   * harm where a cold worker's answers are long for another reason: it warms up with fewer calls.
-   */
+  /** Whether the budget of a worker that is starting has a call left. */
   private boolean coldRoom(Worker w) {
-    double warmth = warmth(w);
-    if (warmth >= 1) {
-      return true;
-    }
-    double oneByOne = 1e6 / Math.max(meanUsual, w.coldLatency) / settings.dispatchers();
-    double least = w.inFlight > 0 ? 0 : oneByOne;
-    double rate = Math.max(servedRate / Math.max(1, fleet.size()), least);
-    double multiple = COLD_MARGIN * settings.rules().overloadMultiple();
-    double most = Math.max(1, rate * multiple * warmth * settings.rules().overloadFor() / 1e6);
-    // Looked at seldom, so the warmth in between counts and not the one reached by now.
-    double meanWarmth = (warmth + warmthAt(w, w.coldAt)) / 2;
-    double saved = (now - w.coldAt) / 1e6 * rate * multiple * meanWarmth;
-    w.coldTokens = Math.min(most, w.coldTokens + saved);
-    w.coldAt = now;
-    return w.coldTokens >= 1;
+    double served = servedRate / Math.max(1, fleet.size());
+    ColdBudget.Pace pace = new ColdBudget.Pace(served, meanUsual, settings.dispatchers());
+    return w.cold.hasRoom(settings.rules(), w.born, w.inFlight, pace, now);
   }
 
   /** Settles the cold budget for the time in which a call was out, and learns what it took without a load. */
@@ -934,28 +911,19 @@
     coldRoom(w);
     boolean loaded = event.note() == Note.WARM || event.note() == Note.NONE;
     if (event.outcome() == Outcome.OK && loaded) {
-      w.coldLatency = event.latency();
+      w.cold.answered(event.latency());
     }
   }
 
-  /**
-   * Calls that a worker which is starting may get at once by what is saved up for it, for logs; NaN for one that is
-   * warm or not known.
-   */
+  /** What is saved up for a starting worker, in calls, for logs; NaN for one that is warm or unknown. */
   public double startBudget(String worker) {
     Worker w = workers.get(worker);
-    return w == null || warmth(w) >= 1 ? Double.NaN : w.coldTokens;
+    return w == null || warmth(w) >= 1 ? Double.NaN : w.cold.saved();
   }
 
   /** The part of its capacity that a worker has at least, by its birth and the told ramp. */
   private double warmth(Worker w) {
-    return warmthAt(w, now);
-  }
-
-  private double warmthAt(Worker w, long at) {
-    double from = settings.rules().coldFrom();
-    double age = Math.max(0, at - w.born) / Math.max(1.0, settings.rules().coldFor());
-    return w.born == 0 || age >= 1 ? 1 : from + (1 - from) * age;
+    return ColdBudget.warmth(settings.rules(), w.born, now);
   }
 
   private boolean warm(Copy copy) {
@@ -1026,7 +994,7 @@
       stands(copy, 1);
     }
     if (warmth(w) < 1) {
-      w.coldTokens--;
+      w.cold.spend();
     }
     out.accept(new Send(call.id, w.name(), 0));
   }
--- a/decisions/src/main/java/gorseladder/RouterState.java
+++ b/decisions/src/main/java/gorseladder/RouterState.java
@@ -4,6 +4,7 @@
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.order.Member;
 import gorseladder.order.SharedOrder;
+import gorseladder.starts.ColdBudget;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -32,11 +33,7 @@
     long trialAt;
     long toldSick;
     long lastHeard;
-    double coldTokens;
-    long coldAt;
-    /** What its last answer took since it started; 0 where there was none. */
-    double coldLatency;
-
+    final ColdBudget cold = new ColdBudget();
     /** The number of the last list that named it. */
     int listed;
     /** Its number in the {@link Fleet}; -1 where it is not in. */
