An answer is judged late by its write, and the line of a late one tells its steps

Now the answer is judged when its bytes are with the system, and "rule broken: final_answer" has when it was read, considered by the core, ended and written, from its arrival.

--- a/core/src/main/java/gorseladder/core/Call.java
+++ b/core/src/main/java/gorseladder/core/Call.java
@@ -95,6 +95,7 @@
   private final List<Attempt> attempts = new ArrayList<>(2);
   private FinalAnswer answer;
   private long endedAt;
+  private volatile long consideredAt;
 
   /** A call just taken; the id is the number the router knows it by. */
   protected Call(long id, Facts facts) {
@@ -241,6 +242,16 @@
     return answer;
   }
 
+  /** The core looks at it for the first time. */
+  final void considered(long now) {
+    consideredAt = now;
+  }
+
+  /** When the core first looked at it; 0 before. */
+  public final long consideredAt() {
+    return consideredAt;
+  }
+
   /** When it ended; 0 before. */
   public final synchronized long endedAt() {
     return endedAt;
--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -337,6 +337,7 @@
   }
 
   private void arrived(C call) {
+    call.considered(now);
     longestWait.accumulateAndGet(now - call.facts().takenAt(), Math::max);
     if (call.over()) {
       // Its client left before it was looked at: nothing is owed, and no attempt would be let
--- a/core/src/main/java/gorseladder/core/RuleLog.java
+++ b/core/src/main/java/gorseladder/core/RuleLog.java
@@ -25,15 +25,20 @@
     }
   }
 
-  /** A call taken got its final answer, or was found to have left. */
-  public void answered(String request, long at, long deadlineAt) {
+  /**
+   * The final answer of a call was handed to the system.
+   *
+   * @param steps when it passed each step on its way; told where it came too late
+   */
+  public void answered(String request, long at, long deadlineAt, Object steps) {
     synchronized (watch) {
       if (watch.answeredTooLate(at, deadlineAt)) {
         LOG.error(
-            "rule broken: {} request={} answered {} ms after its time",
+            "rule broken: {} request={} answered {} ms after its time: {}",
             Rule.FINAL_ANSWER.word(),
             request,
-            (at - deadlineAt) / 1_000);
+            (at - deadlineAt) / 1_000,
+            steps);
       }
     }
   }
--- a/edge/src/main/java/gorseladder/edge/front/CallLog.java
+++ b/edge/src/main/java/gorseladder/edge/front/CallLog.java
@@ -65,7 +65,7 @@
 
   /** The answer to a request was handed to the system; one that came too late is told with all its steps. */
   void written(String message, Reason reason, RequestTimeline times) {
-    rules.answered(message, times.until() + times.lateness(), times.until());
+    rules.answered(message, times.until() + times.lateness(), times.until(), times);
     if (times.lateness() > LATE) {
       CALLS
           .atWarn()
--- a/node/src/main/java/gorseladder/node/NodeCall.java
+++ b/node/src/main/java/gorseladder/node/NodeCall.java
@@ -2,6 +2,7 @@
 
 import gorseladder.core.Call;
 import gorseladder.core.FinalAnswer;
+import gorseladder.runtime.Clock;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -10,6 +11,7 @@
 public final class NodeCall extends Call {
   private final String key;
   private final long seenFrom;
+  private final long readAt = Clock.micros();
   private final BiConsumer<NodeCall, FinalAnswer> onEnd;
   /**
    * Connections that carried its id: an id goes at most once over one, so that no late answer is taken for another's.
@@ -41,6 +43,11 @@
     return seenFrom;
   }
 
+  /** When it was read whole. */
+  public long readAt() {
+    return readAt;
+  }
+
   @Override
   protected void answered(FinalAnswer end) {
     onEnd.accept(this, end);
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -256,13 +256,6 @@
   private void ended(NodeCall call, FinalAnswer end) {
     Facts facts = call.facts();
     count(end.reason().word());
-    long now = Clock.micros();
-    if (now > facts.deadlineAt() + LATE) {
-      count("answered late");
-    }
-    if (end.reason().kind != Reason.Kind.GONE) {
-      rules.answered(facts.message(), now, facts.deadlineAt());
-    }
     if (LOG.isDebugEnabled()) {
       LOG.debug(
           "request={} ended: {} attempts={}",
@@ -272,6 +265,17 @@
     }
   }
 
+  /** The final answer of a call was handed to the system. */
+  void written(NodeCall call, long at) {
+    Facts facts = call.facts();
+    if (at > facts.deadlineAt() + LATE) {
+      count("answered late");
+    }
+    AnswerTimeline steps =
+        new AnswerTimeline(facts.takenAt(), call.readAt(), call.consideredAt(), call.endedAt(), at);
+    rules.answered(facts.message(), at, facts.deadlineAt(), steps);
+  }
+
   /** The client of a call left. */
   void gone(NodeCall call) {
     call.finish(FinalAnswer.silent(Reason.GONE), Clock.micros());
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -371,7 +371,11 @@
     }
     try {
       front.take(
-          params, body, arrivals.arrival(), (call, end) -> ended(e, end), call -> taken(e, call));
+          params,
+          body,
+          arrivals.arrival(),
+          (call, end) -> ended(e, call, end),
+          call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
       front.count("unusable: " + bad.getMessage());
       answer(e, bad.reason());
@@ -419,7 +423,7 @@
 
   // ---- answers, on any thread
 
-  private void ended(Exchange e, FinalAnswer end) {
+  private void ended(Exchange e, NodeCall call, FinalAnswer end) {
     if (end.reason().kind == Reason.Kind.GONE) {
       return;
     }
@@ -430,7 +434,7 @@
       fields.put("Retry-After-Ms", Long.toString((end.retryAfter() + 999) / 1000));
     }
     byte[] body = end.body() == null ? NOTHING : end.body();
-    answer(e, RecordWriter.response(e.id, end.reason().status, fields, body));
+    answer(e, RecordWriter.response(e.id, end.reason().status, fields, body), call);
     forget(e);
   }
 
@@ -447,6 +451,11 @@
   }
 
   private void answer(Exchange e, byte[] bytes) {
+    answer(e, bytes, null);
+  }
+
+  /** Answers it once, as the end of that call; null where it was none. */
+  private void answer(Exchange e, byte[] bytes, NodeCall call) {
     boolean put;
     synchronized (this) {
       if (state == State.CLOSED || e.answered) {
@@ -459,7 +468,7 @@
       idleSince = Clock.micros();
       // Put while the lock is held: seen from outside nothing is open only once the last answer
       // is on its way.
-      put = outbox.put(new AnswerBytes(bytes));
+      put = outbox.put(new AnswerBytes(bytes, call));
       if (put && closesAfterAnswers) {
         halfCloseIfFree(CloseReason.LAST_ANSWERED);
       }
@@ -472,10 +481,13 @@
   /** An answer that waits to be written; until then it counts against the front's budget. */
   private final class AnswerBytes implements Outbox.Item {
     private final byte[] bytes;
+    /** Null where it answers no call. */
+    private final NodeCall call;
 
     /** The connection's lock is held. */
-    private AnswerBytes(byte[] bytes) {
+    private AnswerBytes(byte[] bytes, NodeCall call) {
       this.bytes = bytes;
+      this.call = call;
       unwritten += bytes.length;
       front.take(bytes.length);
     }
@@ -498,6 +510,9 @@
           front.giveBack(bytes.length);
         }
       }
+      if (call != null) {
+        front.written(call, at);
+      }
     }
   }
 
