What the core has written leaves within 5 ms though the core is never idle

Cause: the core's thread holds its writes back until it has nothing more to do, or 16 connections wait. Under more work than it has processor for it always has more to do, and a few clients' connections never make 16. The core now has gathered writes flushed at the latest 5 ms after the last time. A core that is idle in between, as at the usual part, does nothing new. The edge writes its answers on their own threads and holds nothing back.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -56,6 +56,8 @@
   private static final long IDLE_NANOS = 1_000_000_000L;
   /** Between two looks at a plan. */
   private static final long LOOK = 250_000;
+  /** So long at the most, in microseconds, {@link Outbound} gathers while there is always more to be done. */
+  private static final long MOST_GATHERING = 5_000;
 
   /** Carries out what leaves this process; must not block. Its reports come back by the core's methods. */
   public interface Outbound<C extends Call> {
@@ -76,6 +78,9 @@
 
     /** Nothing more is to be done at present: what was gathered may go. */
     default void pausing() {}
+
+    /** More is to be done, but what was gathered must go now. */
+    default void flush() {}
   }
 
   /** How an attempt ended, as the runner side saw it. */
@@ -137,6 +142,7 @@
   private final AtomicLong longestWait = new AtomicLong();
   private volatile boolean stopped;
   private long now;
+  private long flushedAt;
   private long newsKnown;
 
   /**
@@ -217,12 +223,14 @@
       while (!stopped) {
         now = Clock.micros();
         Threads.guarded("core", this::runTimers);
+        flushIfDue();
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
         Message<C> message = mailbox.take(0);
         if (message == null) {
           Threads.guarded("core", outbound::pausing);
           message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
+          flushedAt = Clock.micros();
         }
         if (message != null) {
           now = Clock.micros();
@@ -235,6 +243,17 @@
     }
   }
 
+  /**
+   * Guards against answers and attempts that are gathered for as long as this thread is never idle: with too little
+   * processor that was more than a second. It could harm by a wake-up for each few messages under such a load.
+   */
+  private void flushIfDue() {
+    if (now - flushedAt > MOST_GATHERING) {
+      flushedAt = now;
+      Threads.guarded("core", outbound::flush);
+    }
+  }
+
   private void runTimers() {
     timers.advance(now, token -> tell(new TimerDue(token)));
     look();
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -201,6 +201,11 @@
       writers.release();
     }
 
+    @Override
+    public void flush() {
+      writers.release();
+    }
+
     @Override
     public void watchList() {
       // The change log is followed from the start on and never given up.
