The last look at an edge's attempt and its first bytes are one step with the call's end

Forced now: the thread that writes is held up between the last look and the write while the call ends. RunnersTest before: "its bytes had not left when it ended, and left after that"; the edge's own second look said so too (client_gone, deadline). Cause: Call.leave and Call.finish exclude each other, but the write came after the lock was given back. A thread that loses its processor there writes after the answer, however late. Now the look and the first bytes that the system takes without waiting are written under the call's lock, so an end comes before both or after both; what the socket does not take at once is written outside it, as before.

--- a/core/src/main/java/gorseladder/core/Call.java
+++ b/core/src/main/java/gorseladder/core/Call.java
@@ -5,6 +5,7 @@
 import gorseladder.permits.Permits;
 import gorseladder.permits.Verdict;
 import gorseladder.rules.RuleWatch.Other;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -155,6 +156,22 @@
     return verdict;
   }
 
+  /** The last look at an attempt and the write of its first bytes, which must not block. */
+  public interface Departure {
+    /** Looks, and writes where the look allows it; true where it did. */
+    boolean go() throws IOException;
+  }
+
+  /**
+   * Runs a departure as one step: the call ends before both the look and the write, or after both.
+   *
+   * <p>Guards against bytes that reach a worker after the final answer, where the thread that writes them loses the
+   * processor between the two. It could harm by holding up the end of the call for as long.
+   */
+  public final synchronized boolean departs(Departure departure) throws IOException {
+    return departure.go();
+  }
+
   private Verdict afterEarlier(int number, boolean mayDuplicate, long now) {
     for (Attempt earlier : attempts) {
       if (earlier == attempts.get(number)) {
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -177,6 +177,10 @@
     private long timePassed;
 
     private long leftAt;
+    /** Bytes of the request that are written, and what ends a write that is stuck. */
+    private int written;
+
+    private Watchdog.Timer guard;
 
     Exchange(TakenCall call, int number, String worker, long timeout) {
       this.call = call;
@@ -247,16 +251,9 @@
         }
       }
       byte[] message = message();
-      if (!mayLeave()) {
+      if (!write(message)) {
         return;
       }
-      progress = Progress.LEAVING;
-      Watchdog.Timer guard = watchdog.after(Math.max(0, until - Clock.micros()), connection::abort);
-      try {
-        connection.write(message);
-      } finally {
-        guard.cancel();
-      }
       lookAgain(Clock.micros());
       Head head = connection.readResponse(until);
       progress = Progress.ANSWERING;
@@ -264,6 +261,32 @@
       answered(head, body);
     }
 
+    /** Writes the request where the last look allows it; false where it does not. */
+    private boolean write(byte[] message) throws IOException {
+      try {
+        if (!call.departs(() -> leave(message))) {
+          return false;
+        }
+        connection.writeFrom(message, written);
+      } finally {
+        if (guard != null) {
+          guard.cancel();
+        }
+      }
+      return true;
+    }
+
+    /** The last look and the first bytes; the call's lock is held. */
+    private boolean leave(byte[] message) throws IOException {
+      if (!mayLeave()) {
+        return false;
+      }
+      progress = Progress.LEAVING;
+      guard = watchdog.after(Math.max(0, until - Clock.micros()), connection::abort);
+      written = connection.writeAtOnce(message);
+      return true;
+    }
+
     /** The last look; nothing but the write itself comes after it. */
     private boolean mayLeave() {
       Verdict verdict;
--- /dev/null
+++ b/edge/src/test/java/gorseladder/edge/runners/RunnersTest.java
@@ -0,0 +1,120 @@
+package gorseladder.edge.runners;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.RouterApi.Effect;
+import gorseladder.RouterApi.Group;
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.RouterApi.Rules;
+import gorseladder.answers.Reason;
+import gorseladder.core.Core.AttemptEnd;
+import gorseladder.core.FinalAnswer;
+import gorseladder.core.RuleLog;
+import gorseladder.edge.core.AdmissionCheck;
+import gorseladder.edge.core.TakenCall;
+import gorseladder.gate.SendGate;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.ThreadCache;
+import gorseladder.runtime.Watchdog;
+import gorseladder.store.Ledger;
+import gorseladder.store.LedgerEntry;
+import gorseladder.store.LedgerEntry.Stage;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RunnersTest {
+  private static final int STACK = 256 << 10;
+  private static final long SECOND = 1_000_000;
+  private static final Rules RULES = new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0);
+  private static final RequestClass SAFE =
+      new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 5 * SECOND, 1, 0.2, false);
+
+  @TempDir
+  Path dir;
+
+  private final CountDownLatch looked = new CountDownLatch(1);
+  private final CountDownLatch ended = new CountDownLatch(1);
+
+  /** Holds an attempt up between its last look and its write until its call has ended, or for a moment. */
+  private final class SlowWatchdog extends Watchdog {
+    private SlowWatchdog() {
+      super("watchdog", STACK);
+    }
+
+    @Override
+    public Timer after(long micros, Runnable task) {
+      looked.countDown();
+      try {
+        ended.await(300, TimeUnit.MILLISECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return super.after(micros, task);
+    }
+  }
+
+  /** Guards against an attempt that reaches a runner after its call's final answer was given. */
+  @Test
+  void noAttemptLeavesAfterItsCallHasEnded() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        Ledger ledger = Ledger.open(dir.resolve("ledger"), false, 100);
+        Watchdog watchdog = new SlowWatchdog();
+        Runners runners = runners(ledger, watchdog, server)) {
+      TakenCall call = call(ledger);
+      runners.send(call, call.begin("runner", Clock.micros(), 0), "runner", 0);
+      try (Socket runner = server.accept()) {
+        assertTrue(looked.await(5, TimeUnit.SECONDS));
+        call.finish(new FinalAnswer(Reason.FAILED_TIMEOUT, null, 0), Clock.micros());
+        int arrived = runner.getInputStream().available();
+        ended.countDown();
+        assertTrue(arrived > 0, "its bytes had not left when it ended, and left after that");
+      }
+    }
+  }
+
+  private static Runners runners(Ledger ledger, Watchdog watchdog, ServerSocket server) {
+    Runners runners = new Runners(
+        new RunnerSettings(0, SECOND, SECOND, SECOND, 0, 1 << 20, false),
+        ledger,
+        new SendGate(RULES),
+        worker -> (InetSocketAddress) server.getLocalSocketAddress(),
+        watchdog,
+        new ThreadCache("attempt", 1, STACK),
+        new RuleLog());
+    runners.reportTo(new Runners.Hearer() {
+      @Override
+      public void attemptEnded(AttemptEnd<TakenCall> end) {}
+
+      @Override
+      public void loadEnded(Loaded loaded) {}
+    });
+    return runners;
+  }
+
+  private static TakenCall call(Ledger ledger) throws IOException {
+    LedgerEntry entry =
+        new LedgerEntry(Stage.ACCEPTED, false, 5, 0, 1L << 60, new byte[16], "", 0, null);
+    ledger.put("endpoint message", entry);
+    long now = Clock.micros();
+    return new TakenCall(
+        1,
+        new TakenCall.Facts(
+            "endpoint message", SAFE, "", "f", new byte[2], 1, 1, 0, false, now, now + 5 * SECOND),
+        ledger,
+        entry,
+        null,
+        0,
+        100,
+        new AdmissionCheck(null).enter(1, "", 0, 0, false),
+        taken -> {});
+  }
+}
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -185,7 +185,22 @@
 
   /** Writes all of the bytes. */
   public void write(byte[] bytes) throws IOException {
-    socket.getOutputStream().write(bytes);
+    writeFrom(bytes, 0);
+  }
+
+  /** Writes the bytes from that one on. */
+  public void writeFrom(byte[] bytes, int first) throws IOException {
+    socket.getOutputStream().write(bytes, first, bytes.length - first);
+  }
+
+  /** Writes as many of the bytes as the system takes at once, without waiting; returns how many. */
+  public int writeAtOnce(byte[] bytes) throws IOException {
+    channel.configureBlocking(false);
+    try {
+      return channel.write(ByteBuffer.wrap(bytes));
+    } finally {
+      channel.configureBlocking(true);
+    }
   }
 
   /**
--- a/runtime/src/main/java/gorseladder/runtime/Watchdog.java
+++ b/runtime/src/main/java/gorseladder/runtime/Watchdog.java
@@ -9,7 +9,7 @@
  * Runs short tasks at a time, from one thread: mostly closing sockets on which a blocking write has no timeout of its
  * own. Nearly all timers are cancelled, which the wheel makes cheap. Tasks must not block. Any thread.
  */
-public final class Watchdog implements AutoCloseable {
+public class Watchdog implements AutoCloseable {
   private static final long TICK = 1_000;
 
   private final ReentrantLock lock = new ReentrantLock();
