A request pipelined at an edge counts from when it came, not from the answer before it

Callers with a connection that carries requests one behind the other got answers late: each request's time began when the one before it was answered. Cause: WebhookFront took the arrival from when it began to read, and only bytes found on a new connection, a pause or a wait for a turn set that back. Bytes already read behind a request, or unread while its thread waited, counted as new. ArrivalTimes, which knows this for the dispatcher, moves to runtime and tells both: HttpConnection asks it at each read and keeps when the first byte that is not used yet may have come. Its test of the dispatcher asks Arrival.of(times) for what times.arrival() told; its cases are as they were.

--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -12,6 +12,7 @@
 import gorseladder.edge.front.RequestTimeline.Step;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
 import gorseladder.edge.front.WebhookSettings.Route;
+import gorseladder.runtime.ArrivalTimes;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.HttpServer;
@@ -152,7 +153,7 @@
 
   private void serve(SocketChannel channel, HttpServer server, long earliest) throws IOException {
     HttpConnection c = new HttpConnection(channel, settings.limits());
-    long cameAt = c.hasBytesToRead() ? earliest : Long.MAX_VALUE;
+    c.arrivals(new ArrivalTimes(pauses::cameAt, earliest));
     if (!settings.allowed().contains(c.peer().getAddress())) {
       reject(c, Reason.FORBIDDEN_NETWORK, Reason.FORBIDDEN_NETWORK.text);
       return;
@@ -166,8 +167,9 @@
     // a record, an answer or a slow client.
     c.aroundWaits(turn::give, turn::take);
     try {
-      while (request(c, turn, cameAt)) {
-        cameAt = Long.MAX_VALUE;
+      boolean more = true;
+      while (more) {
+        more = request(c, turn);
       }
     } catch (BadMessage e) {
       turn.give();
@@ -196,20 +198,15 @@
     c.closeGently(Clock.micros() + LINGER);
   }
 
-  /**
-   * One request and its answer; false where the connection carries no further one.
-   *
-   * @param cameAt when it may have come at the earliest, where that was before it is read; else very late
-   */
-  private boolean request(HttpConnection c, TurnQueue.Turn turn, long cameAt)
-      throws IOException, BadMessage {
+  /** One request and its answer; false where the connection carries no further one. */
+  private boolean request(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
     turn.forgetWaits();
     if (!awaitRequest(c)) {
       return false;
     }
     inProgress.incrementAndGet();
     try {
-      return exchange(c, turn, cameAt);
+      return exchange(c, turn);
     } finally {
       inProgress.decrementAndGet();
     }
@@ -229,12 +226,11 @@
     return came;
   }
 
-  private boolean exchange(HttpConnection c, TurnQueue.Turn turn, long cameAt)
-      throws IOException, BadMessage {
-    long now = Clock.micros();
-    // What came in a pause of this process is read after it, but its client has waited since.
-    long arrivedAt = Math.min(cameAt, pauses.cameAt(now - turn.waited()));
-    long until = now + settings.arrival();
+  private boolean exchange(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
+    // Its client has waited since it came: behind another one, in a pause of this process, for a
+    // turn.
+    long arrivedAt = c.cameAt();
+    long until = Clock.micros() + settings.arrival();
     Head head;
     byte[] body;
     try {
--- a/node/src/main/java/gorseladder/node/front/Arrival.java
+++ b/node/src/main/java/gorseladder/node/front/Arrival.java
@@ -1,5 +1,8 @@
 package gorseladder.node.front;
 
+import gorseladder.runtime.ArrivalTimes;
+import gorseladder.stalls.StallWatch;
+
 /**
  * When a request arrived. After a pause of this process, or where its connection had to wait to be accepted, that may
  * be long before it was read, and its client may have left since.
@@ -7,4 +10,12 @@
  * @param at the earliest time at which it may have arrived; its client's time counts from there
  * @param clientSeenFrom from when on what its client did since is known; 0 for always
  */
-record Arrival(long at, long clientSeenFrom) {}
+record Arrival(long at, long clientSeenFrom) {
+  /** The arrival of a request whose last bytes were read just now. */
+  static Arrival of(ArrivalTimes times) {
+    long came = times.came();
+    long readAt = times.readAt();
+    boolean late = readAt - came > StallWatch.SETTLE;
+    return new Arrival(came, late ? readAt + StallWatch.SETTLE : 0);
+  }
+}
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -5,6 +5,7 @@
 import gorseladder.node.NodeCall;
 import gorseladder.permits.Permits;
 import gorseladder.permits.Verdict;
+import gorseladder.runtime.ArrivalTimes;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
 import gorseladder.runtime.UnreadBytes;
@@ -373,7 +374,7 @@
       front.take(
           params,
           body,
-          arrivals.arrival(),
+          Arrival.of(arrivals),
           (call, end) -> ended(e, call, end),
           call -> taken(e, call));
     } catch (RequestReader.Unusable bad) {
--- a/node/src/test/java/gorseladder/node/front/ArrivalTimesTest.java
+++ b/node/src/test/java/gorseladder/node/front/ArrivalTimesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gorseladder.runtime.ArrivalTimes;
 import gorseladder.stalls.StallWatch;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +14,7 @@
   private long read(int unread, long looked, int count, long ended) {
     times.beforeRead(unread, looked);
     times.afterRead(count, ended);
-    return times.arrival().at();
+    return Arrival.of(times).at();
   }
 
   @Test
@@ -33,7 +34,7 @@
     assertEquals(first, read(0, ACCEPTED + 10, 100, first));
     long busyUntil = first + 301_000;
     assertEquals(first, read(100, busyUntil, 100, busyUntil + 5));
-    assertEquals(busyUntil + 5 + StallWatch.SETTLE, times.arrival().clientSeenFrom());
+    assertEquals(busyUntil + 5 + StallWatch.SETTLE, Arrival.of(times).clientSeenFrom());
   }
 
   @Test
@@ -52,6 +53,6 @@
     ArrivalTimes paused = new ArrivalTimes(now -> now - 200_000, ACCEPTED);
     paused.beforeRead(0, ACCEPTED);
     paused.afterRead(100, ACCEPTED + 900_000);
-    assertEquals(ACCEPTED + 700_000, paused.arrival().at());
+    assertEquals(ACCEPTED + 700_000, Arrival.of(paused).at());
   }
 }
--- a/node/src/main/java/gorseladder/node/front/ArrivalTimes.java
+++ b/runtime/src/main/java/gorseladder/runtime/ArrivalTimes.java
@@ -1,6 +1,5 @@
-package gorseladder.node.front;
+package gorseladder.runtime;
 
-import gorseladder.stalls.StallWatch;
 import java.util.function.LongUnaryOperator;
 
 /**
@@ -15,7 +14,7 @@
  *
  * <p>Not thread safe: the connection's thread. Times are microseconds.
  */
-final class ArrivalTimes {
+public final class ArrivalTimes {
   private final LongUnaryOperator cameAt;
   /** The earliest time for bytes that are read now. */
   private long earliest;
@@ -34,14 +33,14 @@
    * @param cameAt the earliest time at which something may have come that a read returned just then
    * @param waitedSince since when its bytes may have lain unread
    */
-  ArrivalTimes(LongUnaryOperator cameAt, long waitedSince) {
+  public ArrivalTimes(LongUnaryOperator cameAt, long waitedSince) {
     this.cameAt = cameAt;
     this.markedAt = waitedSince;
     this.earliest = waitedSince;
   }
 
   /** A read is about to begin; so many bytes are found unread. */
-  void beforeRead(int unread, long now) {
+  public void beforeRead(int unread, long now) {
     unreadBefore = unread > 0;
     if (unreadBefore && bytesRead >= markedUpTo) {
       earliest = markedAt;
@@ -51,7 +50,7 @@
   }
 
   /** The read has ended with so many bytes. */
-  void afterRead(int count, long now) {
+  public void afterRead(int count, long now) {
     readAt = now;
     bytesRead += count;
     if (!unreadBefore) {
@@ -62,20 +61,20 @@
   }
 
   /** More was read at once, without a wait. */
-  void readOn(int count) {
+  public void readOn(int count) {
     bytesRead += Math.max(0, count);
     if (!unreadBefore) {
       markedUpTo = bytesRead;
     }
   }
 
-  /**
-   * When a request may have come whose last bytes were read just now, and from when on it is known whether its client
-   * is still there.
-   */
-  Arrival arrival() {
-    long came = Math.min(earliest, cameAt.applyAsLong(readAt));
-    boolean late = readAt - came > StallWatch.SETTLE;
-    return new Arrival(came, late ? readAt + StallWatch.SETTLE : 0);
+  /** The earliest time at which what was read last may have come. */
+  public long came() {
+    return Math.min(earliest, cameAt.applyAsLong(readAt));
+  }
+
+  /** When the last read ended. */
+  public long readAt() {
+    return readAt;
   }
 }
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -31,6 +31,10 @@
   private int to;
   private boolean ended;
   private long readBytes;
+  private ArrivalTimes arrivals = new ArrivalTimes(now -> now, Clock.micros());
+  /** When the first byte of the buffer may have come at the earliest. */
+  private long cameAt;
+
   private Runnable beforeWait = () -> {};
   private Runnable afterWait = () -> {};
 
@@ -66,6 +70,16 @@
     afterWait = after;
   }
 
+  /** Has this tell when bytes came, from the first read on. */
+  public void arrivals(ArrivalTimes times) {
+    arrivals = times;
+  }
+
+  /** The earliest time at which the first byte that is not used yet may have come; {@link Clock#micros()}. */
+  public long cameAt() {
+    return cameAt;
+  }
+
   /** Bytes read from the socket so far. */
   public long readBytes() {
     return readBytes;
@@ -134,10 +148,13 @@
     beforeWait.run();
     int count;
     try {
+      arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
       count = socket.getInputStream().read(buffer, 0, buffer.length);
+      arrivals.afterRead(Math.max(0, count), Clock.micros());
     } finally {
       afterWait.run();
     }
+    cameAt = arrivals.came();
     from = 0;
     to = Math.max(0, count);
     readBytes += to;
@@ -159,7 +176,10 @@
     try {
       channel.configureBlocking(false);
       try {
+        arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
         int count = channel.read(ByteBuffer.wrap(buffer));
+        arrivals.afterRead(Math.max(0, count), Clock.micros());
+        cameAt = arrivals.came();
         from = 0;
         to = Math.max(0, count);
         readBytes += to;
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/EdgeConnectionTest.java
@@ -0,0 +1,71 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.runtime.Clock;
+import gorseladder.testbed.script.DayScript;
+import gorseladder.wire.webhook.Secret;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One connection of a client to an edge, with a plain socket; all runners hang. Times are microseconds. */
+class EdgeConnectionTest {
+  private static final long SECOND = 1_000_000;
+
+  @TempDir
+  Path dir;
+
+  private final LagMeter lag = new LagMeter();
+  private TestFleet fleet;
+
+  @BeforeEach
+  void start() throws Exception {
+    fleet = new TestFleet(DayScript.parse("runners = 3; edges = 1;"), dir, false, line -> {});
+    fleet.runners().forEach(runner -> runner.faults().hang = true);
+  }
+
+  @AfterEach
+  void stop() {
+    lag.close();
+    fleet.close();
+  }
+
+  /** Guards against a request's time that begins only once the request before it on the connection is answered. */
+  @Test
+  void aPipelinedRequestsTimeBeginsWhenItComes() throws Exception {
+    try (Socket client = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
+      long sentAt = Clock.micros();
+      client.getOutputStream().write(signed("msg_first", "Prefer: wait=1\r\n"));
+      client.getOutputStream().write(signed("msg_behind", "Prefer: wait=2\r\n"));
+      StringBuilder answers = new StringBuilder();
+      byte[] buffer = new byte[4_096];
+      while (answers.toString().split("HTTP/1.1 5").length < 3) {
+        int count = client.getInputStream().read(buffer);
+        assertTrue(count > 0, answers::toString);
+        answers.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+      }
+      long late = Clock.micros() - sentAt - 2 * SECOND;
+      assertTrue(late < Play.SLACK + lag.ofACallAt(Clock.micros()), late / 1_000 + " ms late");
+    }
+  }
+
+  /** A signed request with those further fields. */
+  private byte[] signed(String id, String fields) {
+    String body = "{\"type\":\"hours.read\",\"data\":{\"function\":\"svc/x\"}}";
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    long stamp = System.currentTimeMillis() / 1_000;
+    String signature = Secret.parse(fleet.secret()).sign(id, stamp, bytes);
+    String head = "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: edge\r\n"
+        + "webhook-id: " + id + "\r\n"
+        + "webhook-timestamp: " + stamp + "\r\n"
+        + "webhook-signature: " + signature + "\r\n"
+        + fields
+        + "Content-Length: " + bytes.length + "\r\n\r\n";
+    return (head + body).getBytes(StandardCharsets.UTF_8);
+  }
+}
