An edge looks every 50 ms whether a waiting client has left, also behind pipelined bytes

The term: no attempt begins more than 0.1 s after its client has closed. An edge looked 50 ms after the call's beginning and then at twice the time after each look, up to 400 ms; a client that had pipelined a request was never seen to leave. EdgeConnectionTest before, all runners hanging, the client closes at 400 ms and the attempt's runner dies 200 ms later: the next attempt "began 204 ms after its client left", with a pipelined request 202 ms. Now the looks keep 50 ms, and a look reads on behind bytes that are kept, as far as the buffer holds them. What it costs: one wake-up and about five system calls each 50 ms for each call that waits.

--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -47,12 +47,11 @@
 public final class WebhookFront {
   private static final Logger LOG = LoggerFactory.getLogger(WebhookFront.class);
   /**
-   * After what time a waiting thread first looks whether its client has left; each look is twice as long after the
-   * last.
+   * How often a waiting thread looks whether its client has left, in microseconds: no attempt may begin 0.1 s after
+   * that.
    */
   private static final long LOOK = 50_000;
 
-  private static final long MOST_LOOK = 400_000;
   /** What is kept of a client's patience for handing over its answer, in microseconds. */
   private static final long LAST_WRITE = 5_000;
   /** How often a thread that holds a refusal back looks whether it still should. */
@@ -430,11 +429,8 @@
     private FinalAnswer await(TakenCall call, boolean joined) {
       long until = times.until();
       try {
-        long look = LOOK;
-        for (long now = Clock.micros();
-            now < until;
-            now = Clock.micros(), look = Math.min(2 * look, MOST_LOOK)) {
-          FinalAnswer answer = call.await(Math.min(until, now + look));
+        for (long now = Clock.micros(); now < until; now = Clock.micros()) {
+          FinalAnswer answer = call.await(Math.min(until, now + LOOK));
           if (answer != null) {
             times.mark(Step.ENDED);
             intake.awaitRecord(call, until - LAST_WRITE);
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -14,6 +14,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Arrays;
 
 /**
  * One HTTP/1.1 connection, either side, with blocking reads and writes. It moves bytes between the socket and the
@@ -164,25 +165,27 @@
 
   /**
    * Looks, without waiting, whether the other side closed or reset the connection. Bytes that came are kept for the
-   * next read.
+   * next read; where they fill the buffer its end cannot be seen behind them.
    */
   public boolean peerGone() {
     if (ended) {
       return true;
     }
-    if (from < to) {
+    boolean keepsBytes = from < to;
+    if (keepsBytes && !makeRoom()) {
       return false;
     }
+    int used = keepsBytes ? to : 0;
     try {
       channel.configureBlocking(false);
       try {
         arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
-        int count = channel.read(ByteBuffer.wrap(buffer));
+        int count = channel.read(ByteBuffer.wrap(buffer, used, buffer.length - used));
         arrivals.afterRead(Math.max(0, count), Clock.micros());
-        cameAt = arrivals.came();
+        cameAt = keepsBytes ? cameAt : arrivals.came();
         from = 0;
-        to = Math.max(0, count);
-        readBytes += to;
+        to = used + Math.max(0, count);
+        readBytes += Math.max(0, count);
         ended = count < 0;
       } finally {
         channel.configureBlocking(true);
@@ -193,6 +196,17 @@
     return ended;
   }
 
+  /** Moves unused bytes to the beginning of the buffer; false where they fill it. */
+  private boolean makeRoom() {
+    if (from == 0 && to == buffer.length && buffer.length < BUFFER) {
+      buffer = Arrays.copyOf(buffer, BUFFER);
+    }
+    System.arraycopy(buffer, from, buffer, 0, to - from);
+    to -= from;
+    from = 0;
+    return to < buffer.length;
+  }
+
   /** True where bytes wait that no message asked for. */
   public boolean hasUnreadBytes() {
     return from < to;
--- a/testbed/src/test/java/gorseladder/testbed/EdgeConnectionTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/EdgeConnectionTest.java
@@ -12,9 +12,14 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** One connection of a client to an edge, with a plain socket; all runners hang. Times are microseconds. */
 class EdgeConnectionTest {
+  /** So long after its client left an attempt may begin, with the slack on every limit. */
+  private static final long GONE_SLACK = 150_000;
+
   private static final long SECOND = 1_000_000;
 
   @TempDir
@@ -35,6 +40,42 @@
     fleet.close();
   }
 
+  /** Guards against a further attempt that begins after its client has left, as an edge looked for that too seldom. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void noAttemptBeginsMuchAfterItsClientLeft(boolean pipelines) throws Exception {
+    long leftAt;
+    try (Socket client = new Socket("127.0.0.1", fleet.edge(0).getPort())) {
+      client.getOutputStream().write(signed("msg_leaves", ""));
+      if (pipelines) {
+        client.getOutputStream().write(signed("msg_behind", ""));
+      }
+      Thread.sleep(400);
+      client.setSoLinger(true, 0);
+      leftAt = Clock.micros();
+    }
+    Thread.sleep(200);
+    String last = lastRunner();
+    fleet.runners().stream()
+        .filter(runner -> runner.id().equals(last))
+        .forEach(StandInRunner::crash);
+    Thread.sleep(600);
+    synchronized (fleet.tap()) {
+      fleet
+          .tap()
+          .arrivals
+          .forEach(attempt -> assertTrue(
+              attempt.at <= leftAt + GONE_SLACK + lag.ofACallAt(attempt.at),
+              () -> "began " + (attempt.at - leftAt) / 1_000 + " ms after its client left"));
+    }
+  }
+
+  private String lastRunner() {
+    synchronized (fleet.tap()) {
+      return fleet.tap().arrivals.get(fleet.tap().arrivals.size() - 1).runner;
+    }
+  }
+
   /** Guards against a request's time that begins only once the request before it on the connection is answered. */
   @Test
   void aPipelinedRequestsTimeBeginsWhenItComes() throws Exception {
