Bytes of unfinished answers count against one bound with those of clients

Runners could have a dispatcher keep 1 MiB for each connection, and no sum bounded that: with half of its descriptors for runners more than its heap. Now a body grows as it comes, each growth is taken from the budget that bounds what clients have the front keep, and past it the oldest half requests are refused, then the connection to a runner that has most kept ends. It could harm a large answer that is whole soon: it is broken off, and what was out there may have run. RunnerRequestTest: four answers of 400,000 of 900,000 bytes on four connections against 1 MiB; new with the bound, so without a run before. The edge's half requests are still bounded for each connection only.

--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -135,6 +135,8 @@
         pauses,
         rules,
         call -> links.taken(Clock.micros()));
+    front.roomAlsoBy(links::endLargestAnswer);
+    links.keepWithin(front.budget(), front::makeRoom);
     changeLog =
         new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
           @Override
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,6 +70,7 @@
   private final int mostConnections;
   private final int mostHeld;
   private final ByteBudget budget;
+  private volatile BooleanSupplier otherRoom = () -> false;
   private final PauseClock pauses;
   private final RuleLog rules;
   private final Map<SocketChannel, FrontConnection> connections = new ConcurrentHashMap<>();
@@ -129,7 +131,7 @@
   private final class Accepted implements HttpServer.Handler {
     @Override
     public boolean admit(SocketChannel channel, long waitedSince) {
-      if (connections.size() >= mostConnections && !makeRoom()) {
+      if (connections.size() >= mostConnections && !closeIdlest()) {
         count("no room for a connection");
         return false;
       }
@@ -163,7 +165,7 @@
   }
 
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
-  private boolean makeRoom() {
+  private boolean closeIdlest() {
     return connections.values().stream()
         .filter(c -> c.idleSince() < Long.MAX_VALUE)
         .sorted(Comparator.comparingLong(FrontConnection::idleSince))
@@ -292,13 +294,28 @@
   /** The same; where there is no room the oldest half requests make some. */
   boolean reserve(int bytes) {
     while (!tryReserve(bytes)) {
-      if (!refuseOldestHalf()) {
+      if (!makeRoom()) {
         return false;
       }
     }
     return true;
   }
 
+  /** What all clients have it keep; to be shared with whoever keeps bytes for runners. */
+  public ByteBudget budget() {
+    return budget;
+  }
+
+  /** Names who makes room for bytes of clients where no half request does. */
+  public void roomAlsoBy(BooleanSupplier other) {
+    otherRoom = other;
+  }
+
+  /** Past the bound of bytes, lets go of what is worth least; false where there is nothing. */
+  public boolean makeRoom() {
+    return refuseOldestHalf() || otherRoom.getAsBoolean();
+  }
+
   /** Takes bytes of an answer, which is owed whether there is room or not; {@link #check} makes room later. */
   void take(int bytes) {
     budget.take(bytes);
@@ -334,7 +351,7 @@
   /** Past the bound by answers that nobody reads, closes the connection that has most of them. */
   private void makeRoomForAnswers() {
     for (int tries = 0; budget.used() > budget.most() && tries < MOST_CLOSED_AT_ONCE; tries++) {
-      if (!refuseOldestHalf()) {
+      if (!makeRoom()) {
         connections.values().stream()
             .max(Comparator.comparingLong(FrontConnection::unwritten))
             .filter(FrontConnection::closeUnread)
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -294,7 +294,7 @@
           return;
         }
       }
-    } while (front.refuseOldestHalf());
+    } while (front.makeRoom());
     reject(e, e.has + length > most ? tooLarge : Reason.BUSY);
   }
 
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -82,7 +82,12 @@
     }
     try {
       LinkConnection opened = new LinkConnection(
-          address, settings.connect(), settings.mostAnswer(), settings.writers(), this::closed);
+          address,
+          settings.connect(),
+          settings.mostAnswer(),
+          settings.writers(),
+          settings.answerBytes().get(),
+          this::closed);
       if (settings.threads().execute(opened::run)) {
         connections.add(opened);
         return opened;
@@ -129,6 +134,11 @@
         .orElse(null);
   }
 
+  /** The connection that has most bytes of unfinished answers kept; null where there is none. */
+  synchronized LinkConnection keepsMost() {
+    return LinkConnection.keepsMost(connections.stream());
+  }
+
   /** Connections on which nothing is out; any of several to one runner is to spare. */
   synchronized List<Idle> idle(long now) {
     boolean spare = connections.size() > 1;
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -3,6 +3,7 @@
 import gorseladder.attempts.AttemptFate;
 import gorseladder.attempts.AttemptFate.Ending;
 import gorseladder.permits.Permits;
+import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.LocalShortage;
 import gorseladder.runtime.Outbox;
@@ -16,12 +17,14 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.stream.Stream;
 
 /**
  * One connection to a runner: a thread that opens it and then reads it, an outbox, and what is out on it. Every request
@@ -42,6 +45,7 @@
   private final InetSocketAddress address;
   private final int connectMillis;
   private final AnswerParser parser;
+  private final AnswerBytes answerBytes;
   private final Outbox outbox;
   private final Owner owner;
   private final Map<String, RunnerRequest> out = new HashMap<>();
@@ -58,9 +62,27 @@
   LinkConnection(
       InetSocketAddress address, long connect, int mostAnswer, Executor writers, Owner owner)
       throws IOException {
+    this(
+        address,
+        connect,
+        mostAnswer,
+        writers,
+        new AnswerBytes(new ByteBudget(Long.MAX_VALUE), () -> false),
+        owner);
+  }
+
+  LinkConnection(
+      InetSocketAddress address,
+      long connect,
+      int mostAnswer,
+      Executor writers,
+      AnswerBytes answerBytes,
+      Owner owner)
+      throws IOException {
+    this.answerBytes = answerBytes;
     this.address = address;
     this.connectMillis = (int) Math.max(1, connect / 1000);
-    this.parser = new AnswerParser(mostAnswer);
+    this.parser = new AnswerParser(mostAnswer, answerBytes);
     this.owner = owner;
     this.channel = SocketChannel.open();
     this.outbox = new Outbox(writers, MOST_WAITING_BYTES, e -> close(Ending.BROKEN, e.toString()));
@@ -270,6 +292,16 @@
     return heardAt;
   }
 
+  /** Bytes of unfinished answers that it has this process keep. */
+  int answerBytes() {
+    return answerBytes.kept();
+  }
+
+  /** The one of these that has most bytes of unfinished answers kept; null where there is none. */
+  static LinkConnection keepsMost(Stream<LinkConnection> connections) {
+    return connections.max(Comparator.comparingInt(LinkConnection::answerBytes)).orElse(null);
+  }
+
   /** Closes it where nothing is out on it; false where something is. */
   boolean closeIfFree() {
     synchronized (this) {
@@ -323,6 +355,7 @@
       ends = new ArrayList<>(givingUp);
     }
     outbox.close();
+    answerBytes.end();
     try {
       channel.close();
     } catch (IOException e) {
--- a/node/src/main/java/gorseladder/node/runners/LinkSettings.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkSettings.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * What every link is told. Times are microseconds.
@@ -11,6 +12,7 @@
  * @param idle how long a connection may carry nothing, at most
  * @param multiplex calls on one connection at the most
  * @param mostAnswer bytes of an answer's body at the most
+ * @param answerBytes counts what a new connection has this process keep
  * @param descriptors descriptors left for all links together
  */
 record LinkSettings(
@@ -22,6 +24,7 @@
     ThreadCache threads,
     Executor writers,
     Closes closes,
+    Supplier<AnswerBytes> answerBytes,
     Consumer<String> log) {
 
   /** Counts how connections ended. */
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -15,6 +15,7 @@
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
 import gorseladder.permits.Verdict;
+import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.ThreadCache;
@@ -30,7 +31,9 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -74,6 +77,8 @@
   private final AtomicLong waits = new AtomicLong();
   private volatile Hearer hearer;
   private volatile ThreadSharer sharer = new ThreadSharer();
+  private volatile ByteBudget answerBudget = new ByteBudget(Long.MAX_VALUE);
+  private volatile BooleanSupplier makeRoom = this::endLargestAnswer;
 
   /**
    * Links by what the platform told.
@@ -108,6 +113,7 @@
         threads,
         writers,
         this::closed,
+        () -> new AnswerBytes(answerBudget, makeRoom),
         LOG::warn);
   }
 
@@ -121,6 +127,34 @@
     sharer = shares;
   }
 
+  /**
+   * Bounds the bytes of unfinished answers that runners have this process keep.
+   *
+   * @param budget shared with whoever keeps bytes for clients
+   * @param makesRoom asked past the bound; false where it could make no room
+   */
+  public void keepWithin(ByteBudget budget, BooleanSupplier makesRoom) {
+    answerBudget = budget;
+    makeRoom = makesRoom;
+  }
+
+  /**
+   * Ends the connection that has most bytes of unfinished answers kept; false where none has any.
+   *
+   * <p>It could harm an answer that is large and whole soon: what was out on its connection may have run.
+   */
+  public boolean endLargestAnswer() {
+    LinkConnection largest =
+        LinkConnection.keepsMost(Stream.concat(links.values().stream(), leaving.stream())
+            .map(Link::keepsMost)
+            .filter(Objects::nonNull));
+    if (largest == null || largest.answerBytes() == 0) {
+      return false;
+    }
+    largest.close(Ending.BROKEN, "no room for its answer");
+    return true;
+  }
+
   SendGate gate() {
     return gate;
   }
--- a/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -17,7 +17,9 @@
 import gorseladder.node.NodeCall;
 import gorseladder.node.NodeConfig;
 import gorseladder.permits.Verdict;
+import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.ThreadCache;
+import gorseladder.runtime.Threads;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import java.io.IOException;
@@ -25,9 +27,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -263,4 +268,59 @@
       assertEquals(List.of(Outcome.CANCELLED), request.ends);
     }
   }
+
+  /** Guards against answers without an end whose sum over all connections has no bound. */
+  @Test
+  void unfinishedAnswersOfAllConnectionsShareOneBound() throws Exception {
+    server.setSoTimeout(5_000);
+    ByteBudget budget = new ByteBudget(1 << 20);
+    List<LinkConnection> connections = new CopyOnWriteArrayList<>();
+    List<Socket> runners = new ArrayList<>();
+    byte[] half = new byte[400_000];
+    for (int number = 0; number < 4; number++) {
+      LinkConnection connection = new LinkConnection(
+          address(),
+          250_000,
+          1 << 20,
+          Runnable::run,
+          new AnswerBytes(budget, () -> endsLargest(connections)),
+          (c, open, why) -> false);
+      connections.add(connection);
+      Threads.start("link", 128 << 10, connection::run);
+      Socket runner = server.accept();
+      runners.add(runner);
+      runner.getOutputStream().write("%016x ok - 900000\r\n".formatted(number).getBytes());
+      runner.getOutputStream().write(half);
+    }
+    int ended = 0;
+    for (Socket runner : runners) {
+      ended += endsWithin(runner, 500) ? 1 : 0;
+      assertTrue(budget.used() <= budget.most(), budget.used() + " bytes");
+    }
+    assertTrue(ended >= 1, "all of them are kept");
+    assertTrue(budget.used() > 0, "the others are kept");
+    for (Socket runner : runners) {
+      runner.close();
+    }
+  }
+
+  private static boolean endsLargest(List<LinkConnection> connections) {
+    LinkConnection largest = LinkConnection.keepsMost(connections.stream());
+    largest.close(Ending.BROKEN, "no room");
+    return largest.answerBytes() == 0;
+  }
+
+  private static boolean endsWithin(Socket runner, int millis) throws IOException {
+    runner.setSoTimeout(millis);
+    try {
+      while (runner.getInputStream().read() >= 0) {
+        // What was asked on it.
+      }
+      return true;
+    } catch (SocketTimeoutException e) {
+      return false;
+    } catch (SocketException e) {
+      return true;
+    }
+  }
 }
--- a/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
+++ b/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
@@ -16,6 +16,7 @@
 import gorseladder.core.Call.Facts;
 import gorseladder.core.Core;
 import gorseladder.node.NodeCall;
+import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.ThreadCache;
 import java.net.InetAddress;
@@ -65,6 +66,7 @@
           }),
           Runnable::run,
           (everOpen, why) -> {},
+          () -> new AnswerBytes(new ByteBudget(1 << 20), () -> false),
           line -> {});
       Link link = new Link("r", (InetSocketAddress) server.getLocalSocketAddress(), settings);
       LoadOrder order = new LoadOrder(null, "l1", "r", "f", 1, 0);
--- a/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
+++ b/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
@@ -1,6 +1,7 @@
 package gorseladder.wire.runner;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -8,30 +9,65 @@
 
 /**
  * Reads the answers of a runner ({@code ID WORD FIELDS LENGTH}, CR LF, that many bytes, CR LF) in pieces of any size. A
- * line that is too long and a length past the bound are refused before anything is kept of them.
+ * line that is too long and a length past the bound are refused before anything is kept of them; of a body only what has
+ * come is kept.
  *
  * <p>Source: the platform's protocol, "Dispatchers to runners". Not thread safe.
  */
 public final class AnswerParser {
   private static final int MOST_LINE = 1_024;
   private static final int MOST_DIGITS = 9;
+  /** What the first bytes of a body are given room for. */
+  private static final int LEAST_BODY = 1_024;
+
+  private static final byte[] NOTHING = {};
   private static final Set<String> WORDS =
       Set.of("ok", "nothing", "refused", "error", "stale", "yes", "no");
 
+  /** Says whether bytes of bodies may be kept, and hears when they are handed on. */
+  public interface Room {
+    /** Takes so many bytes; false where there is no room for them. */
+    boolean take(int bytes);
+
+    /** Gives back bytes that were taken. */
+    void giveBack(int bytes);
+  }
+
+  private static final Room ENDLESS = new Room() {
+    @Override
+    public boolean take(int bytes) {
+      return true;
+    }
+
+    @Override
+    public void giveBack(int bytes) {}
+  };
+
+  /** The line of an answer whose body is still coming. */
+  private record Head(String id, String word, Map<String, String> fields, int length) {}
+
   /** One answer; {@code id} is the request's id or the order's tag. */
   public record Answer(String id, String word, Map<String, String> fields, byte[] body) {}
 
   private final int mostBody;
+  private final Room room;
   private final byte[] line = new byte[MOST_LINE];
   private int lineHas;
-  private Answer head;
+  private Head head;
+  private byte[] body = NOTHING;
   private int bodyHas;
   /** Of the CR LF behind a body. */
   private int closing;
 
   /** A parser that takes bodies of so many bytes at the most. */
   public AnswerParser(int mostBody) {
+    this(mostBody, ENDLESS);
+  }
+
+  /** The same, where there is room for them. */
+  public AnswerParser(int mostBody, Room room) {
     this.mostBody = mostBody;
+    this.room = room;
   }
 
   /** True between answers. */
@@ -57,14 +93,16 @@
         if (b == '\n') {
           head = head();
           lineHas = 0;
+          body = NOTHING;
           bodyHas = 0;
           closing = 0;
         } else if (b != '\r' && (b < ' ' || b > '~')) {
           throw new BadAnswer("a byte " + (b & 0xff) + " in a line");
         }
-      } else if (bodyHas < head.body().length) {
-        int part = Math.min(head.body().length - bodyHas, end - at);
-        System.arraycopy(bytes, at, head.body(), bodyHas, part);
+      } else if (bodyHas < head.length()) {
+        int part = Math.min(head.length() - bodyHas, end - at);
+        growTo(bodyHas + part);
+        System.arraycopy(bytes, at, body, bodyHas, part);
         bodyHas += part;
         at += part;
       } else {
@@ -72,15 +110,29 @@
           throw new BadAnswer("a body is not followed by CR LF");
         }
         if (++closing == 2) {
-          Answer whole = head;
+          Answer whole = new Answer(head.id(), head.word(), head.fields(), body);
+          room.giveBack(body.length);
           head = null;
+          body = NOTHING;
           sink.accept(whole);
         }
       }
     }
   }
 
-  private Answer head() throws BadAnswer {
+  /** Has room for so many bytes of the body, which is never larger than told. */
+  private void growTo(int wanted) throws BadAnswer {
+    if (wanted <= body.length) {
+      return;
+    }
+    int size = Math.min(head.length(), Math.max(wanted, Math.max(LEAST_BODY, 2 * body.length)));
+    if (!room.take(size - body.length)) {
+      throw new BadAnswer("no room for a body of " + head.length() + " bytes");
+    }
+    body = Arrays.copyOf(body, size);
+  }
+
+  private Head head() throws BadAnswer {
     if (lineHas < 2 || line[lineHas - 2] != '\r') {
       throw new BadAnswer("a line does not end in CR LF");
     }
@@ -90,7 +142,7 @@
       throw new BadAnswer("a line that is no answer");
     }
     int length = length(words[3]);
-    return new Answer(words[0], words[1], fields(words[2]), new byte[length]);
+    return new Head(words[0], words[1], fields(words[2]), length);
   }
 
   private int length(String word) throws BadAnswer {
--- a/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
+++ b/wire/src/test/java/gorseladder/wire/RunnerLinesTest.java
@@ -6,12 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
 import gorseladder.wire.changelog.ChangeLine;
 import gorseladder.wire.changelog.LineParser;
 import gorseladder.wire.runner.AnswerParser;
 import gorseladder.wire.runner.AnswerParser.Answer;
 import gorseladder.wire.runner.BadAnswer;
 import gorseladder.wire.runner.Commands;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -143,4 +145,17 @@
     assertThrows(
         IllegalArgumentException.class, () -> parser.feed(new byte[11], 0, 11, line -> {}));
   }
+
+  /** Guards against memory that is given to bytes which an answer only announces. */
+  @Test
+  void aBodyThatIsOnlyAnnouncedTakesNoMemory() throws BadAnswer {
+    AnswerParser parser = new AnswerParser(1 << 20);
+    byte[] line =
+        "0123456789abcdef ok - 1000000\r\nfirst bytes".getBytes(StandardCharsets.US_ASCII);
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    long before = threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+    parser.feed(line, 0, line.length, answer -> {});
+    long allocated = threads.getThreadAllocatedBytes(Thread.currentThread().getId()) - before;
+    assertTrue(allocated < 100_000, allocated + " bytes");
+  }
 }
