--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -909,8 +909,8 @@
       return;
     }
     coldRoom(w);
-    boolean loaded = event.note() == Note.WARM || event.note() == Note.NONE;
-    if (event.outcome() == Outcome.OK && loaded) {
+    boolean withoutLoad = event.note() == Note.WARM || event.note() == Note.NONE;
+    if (event.outcome() == Outcome.OK && withoutLoad) {
       w.cold.answered(event.latency());
     }
   }
