--- a/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
+++ b/wire/src/main/java/gorseladder/wire/runner/AnswerParser.java
@@ -9,8 +9,8 @@
 
 /**
  * Reads the answers of a runner ({@code ID WORD FIELDS LENGTH}, CR LF, that many bytes, CR LF) in pieces of any size. A
- * line that is too long and a length past the bound are refused before anything is kept of them; of a body only what has
- * come is kept.
+ * line that is too long and a length past the bound are refused before anything is kept of them; of a body only what
+ * has come is kept.
  *
  * <p>Source: the platform's protocol, "Dispatchers to runners". Not thread safe.
  */
