--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -136,7 +136,7 @@
         rules,
         call -> links.taken(Clock.micros()));
     front.roomAlsoBy(links::endLargestAnswer);
-    links.keepWithin(front.budget(), front::makeRoom);
+    links.keepWithin(front.budget(), front::makeRoomForBytes);
     changeLog =
         new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
           @Override
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -131,7 +131,7 @@
   private final class Accepted implements HttpServer.Handler {
     @Override
     public boolean admit(SocketChannel channel, long waitedSince) {
-      if (connections.size() >= mostConnections && !closeIdlest()) {
+      if (connections.size() >= mostConnections && !makeRoom()) {
         count("no room for a connection");
         return false;
       }
@@ -165,7 +165,7 @@
   }
 
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
-  private boolean closeIdlest() {
+  private boolean makeRoom() {
     return connections.values().stream()
         .filter(c -> c.idleSince() < Long.MAX_VALUE)
         .sorted(Comparator.comparingLong(FrontConnection::idleSince))
@@ -294,7 +294,7 @@
   /** The same; where there is no room the oldest half requests make some. */
   boolean reserve(int bytes) {
     while (!tryReserve(bytes)) {
-      if (!makeRoom()) {
+      if (!makeRoomForBytes()) {
         return false;
       }
     }
@@ -312,7 +312,7 @@
   }
 
   /** Past the bound of bytes, lets go of what is worth least; false where there is nothing. */
-  public boolean makeRoom() {
+  public boolean makeRoomForBytes() {
     return refuseOldestHalf() || otherRoom.getAsBoolean();
   }
 
@@ -351,7 +351,7 @@
   /** Past the bound by answers that nobody reads, closes the connection that has most of them. */
   private void makeRoomForAnswers() {
     for (int tries = 0; budget.used() > budget.most() && tries < MOST_CLOSED_AT_ONCE; tries++) {
-      if (!makeRoom()) {
+      if (!makeRoomForBytes()) {
         connections.values().stream()
             .max(Comparator.comparingLong(FrontConnection::unwritten))
             .filter(FrontConnection::closeUnread)
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -294,7 +294,7 @@
           return;
         }
       }
-    } while (front.makeRoom());
+    } while (front.makeRoomForBytes());
     reject(e, e.has + length > most ? tooLarge : Reason.BUSY);
   }
 
