Dispatcher's path: no comparator or record whose code is made at run time

A line of a broken rule would have it make the toString of a record of 13 members.

The record has its own equals and hashCode, the two of the line their own toString with the same text, and comparators are plain lambdas with the same order.

--- a/decisions/src/main/java/gorseladder/Router.java
+++ b/decisions/src/main/java/gorseladder/Router.java
@@ -696,7 +696,7 @@
    */
   private void serveWaiting() {
     List<Function> order = new ArrayList<>(waiting);
-    order.sort(Comparator.comparingDouble(f -> -value(f.queue.peekLast())));
+    order.sort((a, b) -> Double.compare(value(b.queue.peekLast()), value(a.queue.peekLast())));
     int tries = MOST_TRIES;
     for (Function f : order) {
       tries = serve(f, tries);
--- a/decisions/src/main/java/gorseladder/follow/FeedAttempts.java
+++ b/decisions/src/main/java/gorseladder/follow/FeedAttempts.java
@@ -1,7 +1,6 @@
 package gorseladder.follow;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -81,7 +80,9 @@
     Attempt evicted = null;
     if (attempts.size() >= MOST) {
       evicted = attempts.stream()
-          .min(Comparator.comparing((Attempt a) -> a.tells(now)).thenComparingLong(a -> a.begunAt))
+          .min((a, b) -> a.tells(now) == b.tells(now)
+              ? Long.compare(a.begunAt, b.begunAt)
+              : Boolean.compare(a.tells(now), b.tells(now)))
           .orElseThrow();
       attempts.remove(evicted);
     }
--- a/decisions/src/main/java/gorseladder/rules/RuleWatch.java
+++ b/decisions/src/main/java/gorseladder/rules/RuleWatch.java
@@ -35,7 +35,12 @@
    * @param endedAt when it ended, or was given up on the wire; 0 while it is out
    * @param neverRan true where the worker proved that it did not run
    */
-  public record Other(long leftAt, long endedAt, boolean neverRan) {}
+  public record Other(long leftAt, long endedAt, boolean neverRan) {
+    @Override
+    public String toString() {
+      return "Other[leftAt=" + leftAt + ", endedAt=" + endedAt + ", neverRan=" + neverRan + "]";
+    }
+  }
 
   /**
    * An attempt whose bytes have left.
@@ -62,7 +67,19 @@
       Effect effect,
       long window,
       boolean mayDuplicate,
-      List<Other> others) {}
+      List<Other> others) {
+    /** The same text as a record's own, whose code the Java machine would make at the first line that names it. */
+    @Override
+    public String toString() {
+      return "Written[begunAt=" + begunAt + ", at=" + at + ", drainToldAt=" + drainToldAt
+          + ", drainGrace=" + drainGrace
+          + ", restartToldAt=" + restartToldAt + ", decidedAt=" + decidedAt + ", callEndedAt="
+          + callEndedAt
+          + ", timePassed=" + timePassed + ", deadlineAt=" + deadlineAt + ", effect=" + effect
+          + ", window=" + window
+          + ", mayDuplicate=" + mayDuplicate + ", others=" + others + "]";
+    }
+  }
 
   /** The rules that an attempt went against; each is counted. */
   public Set<Rule> written(Written attempt) {
--- a/node/src/main/java/gorseladder/node/Reconfiguration.java
+++ b/node/src/main/java/gorseladder/node/Reconfiguration.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -38,8 +39,24 @@
   /** A line for the first failure, and then for each so many. */
   private static final int LINE_EVERY = 50;
 
-  /** What tells one state of the file from the next. */
-  private record State(Object key, long modifiedNanos, long size) {}
+  /**
+   * What tells one state of the file from the next. Compared by its own code: that of a record is made at run time, at
+   * the first comparison.
+   */
+  private record State(Object key, long modifiedNanos, long size) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof State s
+          && Objects.equals(key, s.key)
+          && modifiedNanos == s.modifiedNanos
+          && size == s.size;
+    }
+
+    @Override
+    public int hashCode() {
+      return Long.hashCode(modifiedNanos);
+    }
+  }
 
   private final Path file;
   private final Supplier<InetSocketAddress> reader;
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -21,7 +21,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -168,7 +167,7 @@
   private boolean makeRoom() {
     return connections.values().stream()
         .filter(c -> c.idleSince() < Long.MAX_VALUE)
-        .sorted(Comparator.comparingLong(FrontConnection::idleSince))
+        .sorted((a, b) -> Long.compare(a.idleSince(), b.idleSince()))
         .anyMatch(FrontConnection::closeIfFree);
   }
 
@@ -353,7 +352,7 @@
     for (int tries = 0; budget.used() > budget.most() && tries < MOST_CLOSED_AT_ONCE; tries++) {
       if (!makeRoomForBytes()) {
         connections.values().stream()
-            .max(Comparator.comparingLong(FrontConnection::unwritten))
+            .max((a, b) -> Long.compare(a.unwritten(), b.unwritten()))
             .filter(FrontConnection::closeUnread)
             .ifPresent(connection -> count("closed for its unread answers"));
       }
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 /** The connections to one runner, by its id: a new runner at an old address is another link. Any thread. */
@@ -130,7 +129,7 @@
     long now = Clock.micros();
     return connections.stream()
         .filter(c -> c.carrying() == 0)
-        .max(Comparator.comparingLong(c -> c.idle(now)))
+        .max((a, b) -> Long.compare(a.idle(now), b.idle(now)))
         .orElse(null);
   }
 
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -17,7 +17,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -299,7 +298,9 @@
 
   /** The one of these that has most bytes of unfinished answers kept; null where there is none. */
   static LinkConnection keepsMost(Stream<LinkConnection> connections) {
-    return connections.max(Comparator.comparingInt(LinkConnection::answerBytes)).orElse(null);
+    return connections
+        .max((a, b) -> Integer.compare(a.answerBytes(), b.answerBytes()))
+        .orElse(null);
   }
 
   /** Closes it where nothing is out on it; false where something is. */
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -22,7 +22,6 @@
 import gorseladder.runtime.Watchdog;
 import gorseladder.threads.ConnectionWait;
 import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -299,7 +298,7 @@
         && links.values().stream()
             .map(Link::idlest)
             .filter(Objects::nonNull)
-            .max(Comparator.comparingLong(c -> c.idle(now)))
+            .max((a, b) -> Long.compare(a.idle(now), b.idle(now)))
             .map(LinkConnection::closeIfFree)
             .orElse(false);
   }
