Class archive: a dispatcher's whole path is in it, and its rehearsal is the real process

Callers got no final answer in time from dispatchers with a tenth of a core whose core thread stood still where a path ran for the first time: Refuse, Fail, Cancel, TellPeers, Load, Endings, lambdas of the router, the line of a pause, the end of a stop came from outside the class archive. Its rehearsal ran a dispatcher inside the command's own process and only ever served, and an archive on top of the machine's own (-XX:ArchiveClassesAtExit) takes the lambdas alone that the run came by.

Now `rehearse ARCHIVE` starts a dispatcher as the deploy file does and takes it through a DispatcherDay: calls served, refused, failed, second attempts, clients that leave, unusable requests, peers, changes of the list, a pause, a reconfiguration, a stop with a call held. The machine writes down the classes (-XX:DumpLoadedClassList); ClassList adds every class of the program that they refer to and every lambda of those, read from the class files, with the invokers that linking them takes, and -Xshare:dump makes one whole archive of it, which takes lambdas by name.

ChildProcess sends signals by the shell's own kill: the build's machine may have no such program.

--- a/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/ChildProcess.java
@@ -71,7 +71,8 @@
    * @throws IOException where that cannot be done
    */
   public void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    // The shell's own command: not every machine has it as a program.
+    new ProcessBuilder("sh", "-c", "kill -" + name + " " + pid()).start().waitFor();
   }
 
   /**
--- a/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
@@ -36,6 +36,15 @@
         : line(root).replace(JAR_COMMAND, OPENS + "-cp " + own + " " + MAIN);
   }
 
+  /**
+   * Reads it as it stands, for a dispatcher from the jar.
+   *
+   * @throws IOException where there is no deploy file or no such line in it
+   */
+  public static String ofJar(Path root) throws IOException {
+    return line(root);
+  }
+
   /** The same with classes put before the program's own. */
   public static String read(Path root, Path classes) throws IOException {
     String own = System.getProperty("java.class.path");
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/rehearsal/CallBatch.java
@@ -0,0 +1,68 @@
+package gorseladder.testbed.rehearsal;
+
+import gorseladder.testbed.platform.FastCgiClient;
+import gorseladder.wire.fastcgi.RecordWriter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Calls sent one after the other over as many connections as they need, whose answers are awaited together. */
+final class CallBatch implements AutoCloseable {
+  /** Below the bound of the platform, so that none is turned away for it. */
+  private static final int A_CONNECTION = 16;
+
+  private final InetSocketAddress dispatcher;
+  private final List<FastCgiClient> connections = new ArrayList<>();
+  private int sent;
+
+  CallBatch(InetSocketAddress dispatcher) {
+    this.dispatcher = dispatcher;
+  }
+
+  /** The connection for the next call. */
+  private FastCgiClient next() throws IOException {
+    if (sent % A_CONNECTION == 0) {
+      connections.add(new FastCgiClient(dispatcher));
+    }
+    return connections.get(connections.size() - 1);
+  }
+
+  private int number(int call) {
+    return call % A_CONNECTION + 1;
+  }
+
+  void send(Map<String, String> params) throws IOException {
+    sendBody(params, new byte[100]);
+  }
+
+  void sendBody(Map<String, String> params, byte[] body) throws IOException {
+    next().send(number(sent), params, body);
+    sent++;
+  }
+
+  void sendAndAbort(Map<String, String> params) throws IOException {
+    FastCgiClient connection = next();
+    connection.send(number(sent), params, new byte[100]);
+    connection.write(RecordWriter.abort(number(sent)));
+    sent++;
+  }
+
+  /** How many have no answer after so long for each at the most. */
+  int unanswered(long millis) throws InterruptedException {
+    int missing = 0;
+    for (int call = 0; call < sent; call++) {
+      FastCgiClient connection = connections.get(call / A_CONNECTION);
+      missing += connection.await(number(call), millis) == null ? 1 : 0;
+    }
+    return missing;
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (FastCgiClient connection : connections) {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/gorseladder/testbed/rehearsal/UnusableRequests.java
@@ -0,0 +1,70 @@
+package gorseladder.testbed.rehearsal;
+
+import gorseladder.wire.fastcgi.RecordWriter;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Requests that a dispatcher cannot use, made of one that it could. */
+final class UnusableRequests {
+  /** Requests that may be open on one connection. */
+  static final int MOST_OPEN = 32;
+  /** Over the bound on bodies. */
+  static final byte[] LARGE_BODY = new byte[20_000];
+
+  private static final int HEADER = 8;
+  private static final int ROLE_AT = HEADER + 1;
+  private static final byte GET_VALUES = 9;
+  private static final byte UNKNOWN = 77;
+
+  private UnusableRequests() {}
+
+  /** Parameters with one of them wrong. */
+  static List<Map<String, String>> of(Map<String, String> params) {
+    List<Map<String, String>> all = new ArrayList<>();
+    for (String name : params.keySet()) {
+      all.add(with(params, name, "no/such"));
+    }
+    all.add(with(params, "HTTP_X_FACTS", "lanes:1.5;memory_mb:1"));
+    all.add(with(params, "HTTP_X_FACTS", "lanes:1;lanes:1"));
+    all.add(with(params, "HTTP_X_TIMEOUT_MS", "99999999"));
+    all.add(with(params, "HTTP_X_RETRY", "7"));
+    all.add(with(params, "HTTP_IDEMPOTENCY_KEY", "a b"));
+    all.add(with(params, "CONTENT_LENGTH", "99"));
+    all.add(with(params, "HTTP_X_LONG", "x".repeat(30_000)));
+    return all;
+  }
+
+  private static Map<String, String> with(Map<String, String> params, String name, String value) {
+    Map<String, String> other = new HashMap<>(params);
+    other.put(name, value);
+    return other;
+  }
+
+  /** What a connection of its own begins with, as bytes. */
+  static List<byte[]> bytes(Map<String, String> params) {
+    byte[] request = RecordWriter.request(1, true, params, new byte[1]);
+    byte[] role = request.clone();
+    role[ROLE_AT] = 3;
+    return List.of(
+        role,
+        management(GET_VALUES, RecordWriter.values(Map.of("FCGI_MAX_CONNS", "", "OTHER", ""))),
+        management(UNKNOWN, RecordWriter.unknownType(1)),
+        "GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+  }
+
+  /** A management record of that type with the content of another one. */
+  private static byte[] management(byte type, byte[] record) {
+    byte[] changed = record.clone();
+    changed[1] = type;
+    return changed;
+  }
+
+  /** The first part of a request. */
+  static byte[] half(Map<String, String> params) {
+    byte[] request = RecordWriter.request(1, true, params, new byte[1]);
+    return Arrays.copyOf(request, request.length / 2);
+  }
+}
