Front: room for a connection is made by one look at how idle each is

Clients lost every call on a connection that was accepted and then neither served nor closed. Past the bound on connections the front closes the one that was idle longest. It sorted them by a time that answers change meanwhile; the sort then failed ("Comparison method violates its general contract"), the error passed through accepting, and the connection in hand was forgotten with its thread, its answers and its end.

The time of each connection is now read once, and those are sorted.

--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -163,12 +163,20 @@
     }
   }
 
+  /** A connection, and since when it was idle as it was looked at. */
+  private record Candidate(FrontConnection connection, long idleSince) {}
+
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
   private boolean makeRoom() {
-    return connections.values().stream()
-        .filter(c -> c.idleSince() < Long.MAX_VALUE)
-        .sorted((a, b) -> Long.compare(a.idleSince(), b.idleSince()))
-        .anyMatch(FrontConnection::closeIfFree);
+    List<Candidate> candidates = new ArrayList<>();
+    for (FrontConnection connection : connections.values()) {
+      // Read once: it changes with each answer, and what changes while it is sorted makes the sort
+      // fail.
+      candidates.add(new Candidate(connection, connection.idleSince()));
+    }
+    candidates.removeIf(candidate -> candidate.idleSince() == Long.MAX_VALUE);
+    candidates.sort((a, b) -> Long.compare(a.idleSince(), b.idleSince()));
+    return candidates.stream().anyMatch(candidate -> candidate.connection().closeIfFree());
   }
 
   /** Connections that hold a thread and on which nothing is asked. */
