Class archive: the classes inside the collections that the program names are in it too

Views, nodes and iterators of collections are met by chance everywhere, so those inside a class of java.util or java.util.concurrent that the program refers to are listed with it.

--- a/app/src/main/java/gorseladder/app/archive/ClassList.java
+++ b/app/src/main/java/gorseladder/app/archive/ClassList.java
@@ -31,14 +31,10 @@
   private static final String LOGGED = "ch/qos/logback/classic/spi/";
   /** Of the Java machine, whole: a run meets few of its steps. */
   private static final String STREAMS = "java/util/stream/";
+  /** Of the Java machine, those that the program names, with the classes inside them: iterators, views, nodes. */
+  private static final List<String> COLLECTIONS = List.of("java/util/", "java/util/concurrent/");
   /** Classes of the Java machine that a run meets by chance: where threads contend, or a connection ends oddly. */
   private static final List<String> BY_CHANCE = List.of(
-      "java/util/HashMap$TreeNode",
-      "java/util/concurrent/ConcurrentHashMap$CounterCell",
-      "java/util/concurrent/ConcurrentHashMap$ForwardingNode",
-      "java/util/concurrent/ConcurrentHashMap$ReservationNode",
-      "java/util/concurrent/ConcurrentHashMap$TreeBin",
-      "java/util/concurrent/ConcurrentHashMap$TreeNode",
       "java/util/concurrent/ThreadLocalRandom",
       "java/util/concurrent/atomic/Striped64",
       "java/util/concurrent/atomic/Striped64$1",
@@ -64,6 +60,7 @@
 
   private final List<String> lines;
   private final List<String> lambdas = new ArrayList<>();
+  private final Set<String> referred = new HashSet<>();
 
   private ClassList(List<String> used) {
     lines = new ArrayList<>(used);
@@ -110,20 +107,37 @@
 
   private void addMachine() throws IOException {
     Path base = FileSystems.getFileSystem(URI.create("jrt:/")).getPath("modules/java.base");
-    try (Stream<Path> files = Files.list(base.resolve(STREAMS))) {
-      for (Path file : files.filter(f -> f.toString().endsWith(SUFFIX)).toList()) {
-        try (InputStream in = Files.newInputStream(file)) {
-          add(STREAMS + file.getFileName(), in);
+    for (String name : classesIn(base, STREAMS)) {
+      try (InputStream in = Files.newInputStream(base.resolve(name + SUFFIX))) {
+        add(name + SUFFIX, in);
+      }
+    }
+    for (String collections : COLLECTIONS) {
+      for (String name : classesIn(base, collections)) {
+        if (referred.contains(name.split("\\$")[0])) {
+          lines.add(name);
         }
       }
     }
     lines.addAll(BY_CHANCE);
   }
 
+  /** The names of the classes of a package of the Java machine. */
+  private static List<String> classesIn(Path base, String packageName) throws IOException {
+    try (Stream<Path> files = Files.list(base.resolve(packageName))) {
+      return files
+          .map(file -> file.getFileName().toString())
+          .filter(file -> file.endsWith(SUFFIX))
+          .map(file -> packageName + file.substring(0, file.length() - SUFFIX.length()))
+          .toList();
+    }
+  }
+
   private ClassFile add(String name, InputStream in) throws IOException {
     ClassFile file = ClassFile.read(in);
     lines.add(name.substring(0, name.length() - SUFFIX.length()));
     lambdas.addAll(file.lambdas());
+    referred.addAll(file.references());
     return file;
   }
 
