--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -21,7 +21,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -164,12 +163,20 @@
     }
   }
 
+  /** A connection, and since when it was idle as it was looked at. */
+  private record Candidate(FrontConnection connection, long idleSince) {}
+
   /** Closes the connection that was idle longest, those that never asked first; false where every one is in use. */
   private boolean makeRoom() {
-    return connections.values().stream()
-        .filter(c -> c.idleSince() < Long.MAX_VALUE)
-        .sorted(Comparator.comparingLong(FrontConnection::idleSince))
-        .anyMatch(FrontConnection::closeIfFree);
+    List<Candidate> candidates = new ArrayList<>();
+    for (FrontConnection connection : connections.values()) {
+      // Read once: it changes with each answer, and what changes while it is sorted makes the sort
+      // fail.
+      candidates.add(new Candidate(connection, connection.idleSince()));
+    }
+    candidates.removeIf(candidate -> candidate.idleSince() == Long.MAX_VALUE);
+    candidates.sort((a, b) -> Long.compare(a.idleSince(), b.idleSince()));
+    return candidates.stream().anyMatch(candidate -> candidate.connection().closeIfFree());
   }
 
   /** Connections that hold a thread and on which nothing is asked. */
@@ -353,7 +360,7 @@
     for (int tries = 0; budget.used() > budget.most() && tries < MOST_CLOSED_AT_ONCE; tries++) {
       if (!makeRoomForBytes()) {
         connections.values().stream()
-            .max(Comparator.comparingLong(FrontConnection::unwritten))
+            .max((a, b) -> Long.compare(a.unwritten(), b.unwritten()))
             .filter(FrontConnection::closeUnread)
             .ifPresent(connection -> count("closed for its unread answers"));
       }
