Logging: set up without a file, without a pattern and without notes

A dispatcher needs about half a second of processor before it serves, which at a tenth of a core is five seconds in which nobody is served by it.

The largest part of it that is the program's own was logback: it read logback.xml (its XML reader, 60 rules, reflection), set a pattern layout up (68 lambdas, 40 converters), and noted its own steps down in concatenations of text that the Java machine makes code for at run time (28 classes). A trial with -Xlog:class+load shows these classes one after the other.

LogProvider, which the command line chooses, goes past logback's search for settings.

--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -1,6 +1,7 @@
 package gorseladder.app;
 
 import gorseladder.app.bench.BenchCommand;
+import gorseladder.app.log.LogProvider;
 import gorseladder.node.NodeMain;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -54,6 +55,7 @@
 
   /** Runs a command and exits with its code. */
   public static void main(String[] args) throws InterruptedException {
+    LogProvider.choose();
     // The dispatcher starts on a part of a core, in little memory: the command line's library
     // stays out of its way.
     System.exit(args.length == 1 && args[0].equals(NodeCommand.NAME) ? NodeMain.run() : run(args));
