Node: addresses are looked at without regular expressions

Each address of the configuration, 100 peers and 120 runners, was matched against two patterns that were compiled each time: 440 patterns before the first call, in code that nothing else of a dispatcher needs.

The form is checked by hand.

--- a/node/src/main/java/gorseladder/node/NodeConfig.java
+++ b/node/src/main/java/gorseladder/node/NodeConfig.java
@@ -49,6 +49,16 @@
   static final String FILE_VARIABLE = "ROUTER_CONFIG";
 
   private static final long MEGABYTE = 1 << 20;
+  private static final int MOST_PORT = 65_535;
+  private static final int MOST_PORT_DIGITS = 5;
+  private static final int LEAST_IPV4 = 7;
+  private static final int MOST_IPV4 = 15;
+  /** With the brackets. */
+  private static final int LEAST_IPV6 = 4;
+
+  private static final int MOST_IPV6 = 47;
+  private static final String DIGITS = "0123456789";
+  private static final String HEX_DIGITS = DIGITS + "abcdefABCDEF";
 
   /**
    * Reads the configuration.
@@ -167,13 +177,46 @@
 
   /** A numeric address and port. Not the settings' reader of addresses: its library would be loaded at each start. */
   public static InetSocketAddress address(String text, String where) {
-    int colon = text.lastIndexOf(':');
-    String host = colon < 0 ? "" : text.substring(0, colon);
-    if (!host.matches("[0-9.]{7,15}|\\[[0-9a-fA-F:.]{2,45}\\]")
-        || !text.substring(colon + 1).matches("[0-9]{1,5}")
-        || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
+    if (!isAddress(text)) {
       throw new BadInput("'" + where + "' is no address and port: " + text);
     }
-    return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /** True for a numeric host, a colon and a port. */
+  static boolean isAddress(String text) {
+    int colon = text.lastIndexOf(':');
+    return colon >= 0
+        && isNumericHost(text.substring(0, colon))
+        && isPort(text.substring(colon + 1));
+  }
+
+  private static boolean isPort(String text) {
+    return !text.isEmpty()
+        && text.length() <= MOST_PORT_DIGITS
+        && consistsOf(DIGITS, text)
+        && Integer.parseInt(text) <= MOST_PORT;
+  }
+
+  /** Digits and points, or digits, points and colons in brackets: what is never looked up by name. */
+  private static boolean isNumericHost(String host) {
+    int length = host.length();
+    if (host.startsWith("[") && host.endsWith("]")) {
+      return length >= LEAST_IPV6
+          && length <= MOST_IPV6
+          && consistsOf(HEX_DIGITS + ".:", host.substring(1, length - 1));
+    }
+    return length >= LEAST_IPV4 && length <= MOST_IPV4 && consistsOf(DIGITS + ".", host);
+  }
+
+  private static boolean consistsOf(String characters, String text) {
+    for (int i = 0; i < text.length(); i++) {
+      if (characters.indexOf(text.charAt(i)) < 0) {
+        return false;
+      }
+    }
+    return true;
   }
 }
