Timer wheel tells when the next timer is due, not the next border of a slot

What callers need: a dispatcher with little processor spends it on calls. Its watchdog woke 60 times a second, a quarter of it for nothing.

Cause: nextDue gave the beginning of the next occupied slot. A timer 25 ms ahead often stands behind a border of 64 ms, in a slot of the second level; one of 200 ms always does. The thread then woke at the border, moved the timer one level down and slept again.

Change: each slot keeps a tick before which none of its timers is due, and nextDue gives that one. Timers that were passed are still moved level by level, by the advance that fires them. Where a timer was cancelled the time may be earlier than the next one, as before.

--- a/structures/src/main/java/gorseladder/structures/TimerWheel.java
+++ b/structures/src/main/java/gorseladder/structures/TimerWheel.java
@@ -25,6 +25,9 @@
   private final long tick;
   private final Node<T>[][] slots;
   private final long[] occupied = new long[LEVELS];
+  /** For each occupied slot a tick before which none of its timers is due; not raised when one is cancelled. */
+  private final long[][] earliest = new long[LEVELS][SLOTS];
+
   private final Node<T> due = Node.head();
   private long elapsed;
   private int size;
@@ -120,7 +123,11 @@
     node.level = Math.min(LEVELS - 1, (63 - Long.numberOfLeadingZeros(differs)) / BITS);
     node.slot = (int) (node.when >>> (BITS * node.level)) & (SLOTS - 1);
     node.addBefore(slots[node.level][node.slot]);
-    occupied[node.level] |= 1L << node.slot;
+    long bit = 1L << node.slot;
+    boolean first = (occupied[node.level] & bit) == 0;
+    earliest[node.level][node.slot] =
+        first ? node.when : Math.min(earliest[node.level][node.slot], node.when);
+    occupied[node.level] |= bit;
   }
 
   private void unlink(Node<T> node) {
@@ -134,35 +141,49 @@
   }
 
   /**
-   * The time at which {@link #advance} next has something to do, {@link Long#MAX_VALUE} where nothing is scheduled. It
-   * may be earlier than the next timer, never later.
+   * The time at which the next timer is due, {@link Long#MAX_VALUE} where nothing is scheduled; earlier only where a
+   * timer that stood before it in its slot was cancelled, never later. Timers need not be moved down before that:
+   * {@link #advance} catches up.
    */
   public long nextDue() {
     if (due.after != due) {
       return elapsed * tick;
     }
-    long next = nextTick();
-    return next == Long.MAX_VALUE ? next : next * tick;
+    int level = lowestOccupied();
+    if (level == LEVELS) {
+      return Long.MAX_VALUE;
+    }
+    int slot = (presentSlot(level) + slotsAhead(level)) & (SLOTS - 1);
+    return Math.max(earliest[level][slot], elapsed) * tick;
   }
 
+  /** The tick at which the next occupied slot begins; lower levels always come first. */
   private long nextTick() {
-    for (int level = 0; level < LEVELS; level++) {
-      if (occupied[level] != 0) {
-        return slotTick(level);
-      }
+    int level = lowestOccupied();
+    if (level == LEVELS) {
+      return Long.MAX_VALUE;
     }
-    return Long.MAX_VALUE;
-  }
-
-  /** The tick at which the level's next occupied slot begins; lower levels always come first. */
-  private long slotTick(int level) {
     int shift = BITS * level;
-    int present = (int) (elapsed >>> shift) & (SLOTS - 1);
-    int ahead = Long.numberOfTrailingZeros(Long.rotateRight(occupied[level], present));
-    long start = ((elapsed >>> shift) + ahead) << shift;
+    long start = ((elapsed >>> shift) + slotsAhead(level)) << shift;
     return Math.max(start, elapsed);
   }
 
+  private int lowestOccupied() {
+    int level = 0;
+    while (level < LEVELS && occupied[level] == 0) {
+      level++;
+    }
+    return level;
+  }
+
+  private int presentSlot(int level) {
+    return (int) (elapsed >>> (BITS * level)) & (SLOTS - 1);
+  }
+
+  private int slotsAhead(int level) {
+    return Long.numberOfTrailingZeros(Long.rotateRight(occupied[level], presentSlot(level)));
+  }
+
   /** Fires all timers due by {@code now}; the sink may schedule and cancel. Returns how many fired. */
   public int advance(long now, Consumer<? super T> sink) {
     long target = Math.max(elapsed, now / tick);
@@ -179,7 +200,7 @@
   /** Moves what stands in the slots that begin at the present tick to where it belongs now. */
   private void open() {
     for (int level = 0; level < LEVELS; level++) {
-      int slot = (int) (elapsed >>> (BITS * level)) & (SLOTS - 1);
+      int slot = presentSlot(level);
       if ((occupied[level] >>> slot & 1) == 0) {
         continue;
       }
--- a/structures/src/test/java/gorseladder/structures/TimerWheelTest.java
+++ b/structures/src/test/java/gorseladder/structures/TimerWheelTest.java
@@ -79,6 +79,23 @@
     }
   }
 
+  /** A thread that sleeps until {@code nextDue} wakes for timers only, not for the borders of slots on the way. */
+  @Test
+  void nothingIsToDoBeforeTheNextTimer() {
+    Random random = new Random(6);
+    for (int round = 0; round < 200; round++) {
+      long now = random.nextInt(1 << 30);
+      TimerWheel<Integer> wheel = new TimerWheel<>(10, now);
+      for (int i = 0; i < 20; i++) {
+        wheel.schedule(now + (long) (random.nextDouble() * (1L << random.nextInt(40))), i);
+      }
+      for (long next = wheel.nextDue(); next != Long.MAX_VALUE; next = wheel.nextDue()) {
+        assertTrue(wheel.advance(next, id -> {}) > 0, "woke for nothing");
+      }
+      assertEquals(0, wheel.size());
+    }
+  }
+
   @Test
   void aSinkMayScheduleAndWhatItSchedulesForThePastWaitsForTheNextCall() {
     TimerWheel<Integer> wheel = new TimerWheel<>(1, 0);
