Watchdog sleeps by a park instead of a condition of its lock

Cause: a timed wait on a condition makes a node, gives the lock up and takes it again through its queue, in code that a young dispatcher still interprets.

Change: the thread notes under the lock until when it sleeps, and parks after it; who sets an earlier timer unparks it. An unpark that comes before the park is kept by the system, so none is lost. One turn fires and sleeps, not two.

RuntimeTest green, unchanged.

--- a/runtime/src/main/java/gorseladder/runtime/Watchdog.java
+++ b/runtime/src/main/java/gorseladder/runtime/Watchdog.java
@@ -2,7 +2,7 @@
 
 import gorseladder.structures.TimerWheel;
 import java.util.ArrayDeque;
-import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -11,12 +11,15 @@
  */
 public class Watchdog implements AutoCloseable {
   private static final long TICK = 1_000;
+  /** The longest sleep, in microseconds. */
+  private static final long LONGEST_SLEEP = 1_000_000;
 
   private final ReentrantLock lock = new ReentrantLock();
-  private final Condition changed = lock.newCondition();
   private final TimerWheel<Runnable> wheel = new TimerWheel<>(TICK, Clock.micros());
   private final Thread thread;
-  private long sleepsUntil = Long.MAX_VALUE;
+  /** When the thread wakes by itself; 0 while it is awake. */
+  private long sleepsUntil;
+
   private boolean closed;
   /** The thread's own. */
   private boolean ended;
@@ -52,7 +55,8 @@
       long at = Clock.micros() + micros;
       Timer timer = new Timer(wheel.schedule(at, task));
       if (at < sleepsUntil) {
-        changed.signal();
+        sleepsUntil = 0;
+        LockSupport.unpark(thread);
       }
       return timer;
     } finally {
@@ -72,16 +76,9 @@
   private void turn(ArrayDeque<Runnable> due) {
     lock.lock();
     try {
+      sleepsUntil = 0;
       ended = closed;
       wheel.advance(Clock.micros(), due::addLast);
-      if (due.isEmpty() && !closed) {
-        sleepsUntil = wheel.nextDue();
-        long wait = Math.min(sleepsUntil - Clock.micros(), 1_000_000);
-        changed.awaitNanos(Math.max(wait, 0) * 1000 + 1);
-        sleepsUntil = 0;
-      }
-    } catch (InterruptedException e) {
-      ended = true;
     } finally {
       lock.unlock();
     }
@@ -89,6 +86,26 @@
       Runnable task = due.pollFirst();
       Threads.guarded("watchdog", task);
     }
+    sleep();
+  }
+
+  /** Sleeps until the next timer is due, or one is set that is due before. */
+  private void sleep() {
+    long wait;
+    lock.lock();
+    try {
+      long now = Clock.micros();
+      sleepsUntil = Math.min(wheel.nextDue(), now + LONGEST_SLEEP);
+      wait = closed ? 0 : sleepsUntil - now;
+    } finally {
+      lock.unlock();
+    }
+    // Not a condition of the lock: its queue costs as much again as the wake-up itself. An unpark
+    // that comes before the park is not lost.
+    if (wait > 0) {
+      LockSupport.parkNanos(this, wait * 1_000 + 1);
+    }
+    ended |= Thread.interrupted();
   }
 
   @Override
@@ -96,7 +113,6 @@
     lock.lock();
     try {
       closed = true;
-      changed.signal();
     } finally {
       lock.unlock();
     }
