Look at runners' connections: no copy, no lock and no forgetting where nothing is due

What callers need: a dispatcher with little processor spends it on calls. Five times a second it looks whether a connection to a runner is stuck or idle too long.

Cause: each look copied the list of every runner's connections, took the lock of every connection to count what is out, and asked for every runner that the gate knows whether it may be forgotten, though mostly nothing had changed.

Change: a connection is taken up only where it is idle too long, its write is stuck or its runner has gone, told by two fields that need no lock. The gate is asked to forget only after news of a runner, or while one is leaving.

Tests unchanged; no test counts these steps.

--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -111,13 +111,13 @@
 
   /** Closes what is idle too long or stuck; once the runner has gone, each connection as it falls free. */
   void check(long now, long stuck) {
-    List<LinkConnection> all;
+    List<LinkConnection> due;
     boolean leaving;
     synchronized (this) {
-      all = new ArrayList<>(connections);
+      due = mayHaveToClose(now, stuck);
       leaving = gone;
     }
-    for (LinkConnection c : all) {
+    for (LinkConnection c : due) {
       c.closeIfStuck(now, stuck);
       if (leaving || c.carrying() == 0 && c.idle(now) >= settings.idle()) {
         c.retire();
@@ -125,6 +125,18 @@
     }
   }
 
+  /** Mostly none, which takes no lock of a connection and no copy: this is asked for each runner again and again. */
+  private List<LinkConnection> mayHaveToClose(long now, long stuck) {
+    List<LinkConnection> found = List.of();
+    for (LinkConnection c : connections) {
+      if (gone || c.idle(now) >= settings.idle() || c.isStuck(now, stuck)) {
+        found = found.isEmpty() ? new ArrayList<>() : found;
+        found.add(c);
+      }
+    }
+    return found;
+  }
+
   /** A connection on which nothing is out, the one used longest ago; null where there is none. */
   synchronized LinkConnection idlest() {
     long now = Clock.micros();
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -332,10 +332,15 @@
     }
   }
 
+  /** True where a write has been under way for more microseconds than that. */
+  boolean isStuck(long now, long most) {
+    long since = outbox.writingSince();
+    return since > 0 && now - since > most;
+  }
+
   /** Closes it where a write has been stuck for so long. */
   void closeIfStuck(long now, long most) {
-    long since = outbox.writingSince();
-    if (since > 0 && now - since > most) {
+    if (isStuck(now, most)) {
       close(Ending.BROKEN, "the runner does not read");
     }
   }
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -68,6 +68,9 @@
   /** Links to runners that have gone, or have another address now, until nothing is out on them. */
   private final Set<Link> leaving = ConcurrentHashMap.newKeySet();
 
+  /** True where a runner was told of since the last look, or one is leaving; the gate's lock. */
+  private boolean mayForget;
+
   private final Map<NodeCall, Map<Integer, AttemptRequest>> out = new ConcurrentHashMap<>();
   private final PauseClock pauses;
   private final RuleLog rules;
@@ -203,6 +206,7 @@
     Link before;
     synchronized (gate) {
       gate.told(uid, phase, at);
+      mayForget = true;
       if (phase != Phase.GONE) {
         gate.started(uid, entry.born(), news, at);
       }
@@ -350,7 +354,11 @@
     links.values().forEach(link -> link.check(now, STUCK));
     leaving.forEach(link -> link.check(now, STUCK));
     synchronized (gate) {
+      if (!mayForget) {
+        return;
+      }
       leaving.removeIf(Link::finished);
+      mayForget = !leaving.isEmpty();
       Set<String> last = leaving.stream().map(Link::uid).collect(Collectors.toSet());
       gate.forgetUnless(uid -> links.containsKey(uid) || last.contains(uid));
     }
