A thread that waits no longer takes a processor while another one wakes it

What callers saw: a dispatcher whose core's thread ran for 152 ms of processor in 0.2 s while nobody else of its process ran, and which stood still for 1.7 s; its calls got no answer in time.

Cause: a timed wait on a Condition of the Java machine (17) whose time is over while another thread is in signal(), between clearing the waiter's state and putting it into the queue of the lock, does not park. It asks again and again until the other thread has gone on. Where one thread of a process runs at a time, the one that asks keeps the other from going on. Mailbox.take (the core), Watchdog (its thread) and ThreadCache waited like that; the first two run out all the time, since a timer is nearly always due.

The change: WakeUp, a sleep of one thread by LockSupport, announced under the lock that guards what is waited for, and woken after it was changed. Mailbox, Watchdog and ThreadCache use it in place of a Condition.

Why it works: the sleeper waits for the lock or is parked, and never for the thread that wakes it. Nobody but the sleeper takes its announcement back, so a thread that stands still on its way to unpark keeps no other one from waking it.

--- a/runtime/src/main/java/gorseladder/runtime/Mailbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Mailbox.java
@@ -1,7 +1,6 @@
 package gorseladder.runtime;
 
 import java.util.ArrayDeque;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -13,7 +12,7 @@
  */
 public final class Mailbox<T> {
   private final ReentrantLock lock = new ReentrantLock();
-  private final Condition filled = lock.newCondition();
+  private final WakeUp filled = new WakeUp();
   private final ArrayDeque<T> news = new ArrayDeque<>();
   private final ArrayDeque<T> offers = new ArrayDeque<>();
   private final int mostOffers;
@@ -28,10 +27,10 @@
     lock.lock();
     try {
       news.addLast(message);
-      filled.signal();
     } finally {
       lock.unlock();
     }
+    filled.wake();
   }
 
   /** Offers work; false where the mailbox holds as much as it may. */
@@ -42,27 +41,28 @@
         return false;
       }
       offers.addLast(message);
-      filled.signal();
-      return true;
     } finally {
       lock.unlock();
     }
+    filled.wake();
+    return true;
   }
 
-  /** The next message, or null once so many nanoseconds have passed without one. */
+  /** The next message, or null once so many nanoseconds have passed without one; does not wait for 0. */
   public T take(long nanos) throws InterruptedException {
-    lock.lockInterruptibly();
-    try {
-      long left = nanos;
-      while (news.isEmpty() && offers.isEmpty()) {
-        if (left <= 0) {
-          return null;
+    long until = nanos > 0 ? System.nanoTime() + nanos : 0;
+    for (long left = nanos; ; left = until - System.nanoTime()) {
+      lock.lockInterruptibly();
+      try {
+        T next = news.isEmpty() ? offers.pollFirst() : news.pollFirst();
+        if (next != null || left <= 0) {
+          return next;
         }
-        left = filled.awaitNanos(left);
+        filled.announce();
+      } finally {
+        lock.unlock();
       }
-      return news.isEmpty() ? offers.pollFirst() : news.pollFirst();
-    } finally {
-      lock.unlock();
+      filled.sleep(left);
     }
   }
 
--- a/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
+++ b/runtime/src/main/java/gorseladder/runtime/ThreadCache.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -38,7 +36,7 @@
 
   /** One thread; its fields are the lock's. */
   private final class Worker {
-    private final Condition given = lock.newCondition();
+    private final WakeUp given = new WakeUp();
     private Runnable task;
     private long idleUntil;
 
@@ -62,16 +60,17 @@
       if (again) {
         whenFree.run();
       }
-      lock.lock();
-      try {
-        while (task == null && !closed && !letGo()) {
-          given.await(KEEP_SECONDS, TimeUnit.SECONDS);
+      while (true) {
+        lock.lock();
+        try {
+          if (task != null || closed || letGo() || Thread.interrupted()) {
+            return take();
+          }
+          given.announce();
+        } finally {
+          lock.unlock();
         }
-        return take();
-      } catch (InterruptedException e) {
-        return take();
-      } finally {
-        lock.unlock();
+        given.sleep(KEEP * 1_000);
       }
     }
 
@@ -132,21 +131,23 @@
   }
 
   private boolean execute(Runnable task, int left) {
+    Worker free;
     lock.lock();
     try {
-      Worker free = closed || idle.size() <= left ? null : idle.pollLast();
+      free = closed || idle.size() <= left ? null : idle.pollLast();
       if (free != null) {
         free.task = task;
-        free.given.signal();
-        return true;
-      }
-      if (closed || Clock.micros() < failedAt + pause) {
+      } else if (closed || Clock.micros() < failedAt + pause) {
         return false;
       }
     } finally {
       lock.unlock();
     }
-    return start(task);
+    if (free == null) {
+      return start(task);
+    }
+    free.given.wake();
+    return true;
   }
 
   private boolean start(Runnable task) {
@@ -196,7 +197,7 @@
     lock.lock();
     try {
       closed = true;
-      idle.forEach(worker -> worker.given.signal());
+      idle.forEach(worker -> worker.given.wake());
     } finally {
       lock.unlock();
     }
--- a/runtime/src/main/java/gorseladder/runtime/Watchdog.java
+++ b/runtime/src/main/java/gorseladder/runtime/Watchdog.java
@@ -2,7 +2,6 @@
 
 import gorseladder.structures.TimerWheel;
 import java.util.ArrayDeque;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -13,7 +12,7 @@
   private static final long TICK = 1_000;
 
   private final ReentrantLock lock = new ReentrantLock();
-  private final Condition changed = lock.newCondition();
+  private final WakeUp changed = new WakeUp();
   private final TimerWheel<Runnable> wheel = new TimerWheel<>(TICK, Clock.micros());
   private final Thread thread;
   private long sleepsUntil = Long.MAX_VALUE;
@@ -47,17 +46,20 @@
 
   /** Runs the task once after so many microseconds. */
   public Timer after(long micros, Runnable task) {
+    Timer timer;
+    boolean sooner;
     lock.lock();
     try {
       long at = Clock.micros() + micros;
-      Timer timer = new Timer(wheel.schedule(at, task));
-      if (at < sleepsUntil) {
-        changed.signal();
-      }
-      return timer;
+      timer = new Timer(wheel.schedule(at, task));
+      sooner = at < sleepsUntil;
     } finally {
       lock.unlock();
     }
+    if (sooner) {
+      changed.wake();
+    }
+    return timer;
   }
 
   private void run() {
@@ -70,6 +72,7 @@
   }
 
   private void turn(ArrayDeque<Runnable> due) {
+    long sleep = 0;
     lock.lock();
     try {
       ended = closed;
@@ -77,14 +80,16 @@
       if (due.isEmpty() && !closed) {
         sleepsUntil = wheel.nextDue();
         long wait = Math.min(sleepsUntil - Clock.micros(), 1_000_000);
-        changed.awaitNanos(Math.max(wait, 0) * 1000 + 1);
-        sleepsUntil = 0;
+        sleep = Math.max(wait, 0) * 1000 + 1;
+        changed.announce();
       }
-    } catch (InterruptedException e) {
-      ended = true;
     } finally {
       lock.unlock();
     }
+    if (sleep > 0) {
+      changed.sleep(sleep);
+      ended = Thread.interrupted();
+    }
     while (!ended && !due.isEmpty()) {
       Runnable task = due.pollFirst();
       Threads.guarded("watchdog", task);
@@ -96,7 +101,6 @@
     lock.lock();
     try {
       closed = true;
-      changed.signal();
     } finally {
       lock.unlock();
     }
