--- a/runtime/src/main/java/gorseladder/runtime/Watchdog.java
+++ b/runtime/src/main/java/gorseladder/runtime/Watchdog.java
@@ -2,7 +2,6 @@
 
 import gorseladder.structures.TimerWheel;
 import java.util.ArrayDeque;
-import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -15,6 +14,7 @@
   private static final long LONGEST_SLEEP = 1_000_000;
 
   private final ReentrantLock lock = new ReentrantLock();
+  private final WakeUp changed = new WakeUp();
   private final TimerWheel<Runnable> wheel = new TimerWheel<>(TICK, Clock.micros());
   private final Thread thread;
   /** When the thread wakes by itself; 0 while it is awake. */
@@ -50,18 +50,20 @@
 
   /** Runs the task once after so many microseconds. */
   public Timer after(long micros, Runnable task) {
+    Timer timer;
+    boolean sooner;
     lock.lock();
     try {
       long at = Clock.micros() + micros;
-      Timer timer = new Timer(wheel.schedule(at, task));
-      if (at < sleepsUntil) {
-        sleepsUntil = 0;
-        LockSupport.unpark(thread);
-      }
-      return timer;
+      timer = new Timer(wheel.schedule(at, task));
+      sooner = at < sleepsUntil;
     } finally {
       lock.unlock();
     }
+    if (sooner) {
+      changed.wake();
+    }
+    return timer;
   }
 
   private void run() {
@@ -97,13 +99,14 @@
       long now = Clock.micros();
       sleepsUntil = Math.min(wheel.nextDue(), now + LONGEST_SLEEP);
       wait = closed ? 0 : sleepsUntil - now;
+      if (wait > 0) {
+        changed.announce();
+      }
     } finally {
       lock.unlock();
     }
-    // Not a condition of the lock: its queue costs as much again as the wake-up itself. An unpark
-    // that comes before the park is not lost.
     if (wait > 0) {
-      LockSupport.parkNanos(this, wait * 1_000 + 1);
+      changed.sleep(wait * 1_000 + 1);
     }
     ended |= Thread.interrupted();
   }
