A call is refused at once where others have waited for the core for long

What callers saw: requests without any final answer from dispatchers that had less processor than their calls needed, many with no attempt made.

Change: a call is not queued behind one that has waited for more than a quarter of the time that the new call has left; it is refused as busy, which is harmless, since nothing of it has left. Permits.mayQueue decides, Verdict.BEHIND names it. It holds at the node and at the edge, which share the core. A core that keeps up never has such a wait.

Evidence: CoreTest holds the core's thread for 0.3 s: before, a call with 1 s left was queued ("expected: <false> but was: <true>", one run); it is refused now, and one with 20 s left is still taken.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -34,6 +34,7 @@
 import gorseladder.answers.Endings;
 import gorseladder.answers.Reason;
 import gorseladder.answers.RetryAdvice;
+import gorseladder.permits.Permits;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Mailbox;
 import gorseladder.runtime.Threads;
@@ -95,7 +96,12 @@
 
   private sealed interface Message<C extends Call> {}
 
-  private record Arrived<C extends Call>(C call) implements Message<C> {}
+  private record Arrived<C extends Call>(C call, long offeredAt) implements Message<C> {
+    /** Whether a call with so much time left may wait behind this one. */
+    private boolean mayBeFollowed(long timeLeft, long now) {
+      return Permits.mayQueue(now - offeredAt, timeLeft).allowed();
+    }
+  }
 
   private record Ended<C extends Call>(AttemptEnd<C> end) implements Message<C> {}
 
@@ -170,9 +176,13 @@
     this.thread = Threads.start("core", stackBytes, this::run);
   }
 
-  /** Offers a call; false where too many wait already, and then it is not taken. */
+  /** Offers a call; false where too many wait already or for too long, and then it is not taken. */
   public boolean offer(C call) {
-    return mailbox.offer(new Arrived<>(call));
+    long now = Clock.micros();
+    long timeLeft = call.facts().deadlineAt() - now;
+    return mailbox.offer(
+        new Arrived<>(call, now),
+        oldest -> !(oldest instanceof Arrived<C> first) || first.mayBeFollowed(timeLeft, now));
   }
 
   /** An attempt ended; exactly once for each. */
--- a/core/src/test/java/gorseladder/core/CoreTest.java
+++ b/core/src/test/java/gorseladder/core/CoreTest.java
@@ -1,5 +1,6 @@
 package gorseladder.core;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorseladder.RouterApi.Effect;
@@ -8,6 +9,7 @@
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.RouterApi.Rules;
 import gorseladder.RouterApi.Settings;
+import gorseladder.runtime.Clock;
 import gorseladder.runtime.Writers;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +20,8 @@
 class CoreTest {
   private static final long SECOND = 1_000_000;
   private static final int STACK = 512 << 10;
+  private static final RequestClass SAFE =
+      new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 2 * SECOND, 1, 0.2, false);
 
   private final Writers writers = new Writers(1, STACK);
   private volatile boolean stopped;
@@ -74,9 +78,45 @@
     }
   }
 
+  /**
+   * Guards against calls that are queued at a core that has no processor for those before them: their answers came too
+   * late, where a refusal at once is harmless.
+   */
+  @Test
+  void aCallIsNotQueuedBehindOthersThatHaveWaitedForLongOfItsTime() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    try (writers;
+        Core<Call> core = new Core<>(settings(), 1, new Released(), 100, true, null, STACK)) {
+      core.collect(Map.of(), first -> await(held));
+      assertTrue(core.offer(call(1, 20 * SECOND)), "nothing waits before it");
+      assertTrue(core.offer(call(2, 20 * SECOND)), "nothing has waited for long");
+      Thread.sleep(300);
+      assertFalse(core.offer(call(3, SECOND)), "0.3 s of one second have gone");
+      assertTrue(core.offer(call(4, 20 * SECOND)), "0.3 s of twenty seconds have gone");
+    } finally {
+      held.countDown();
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Call call(long id, long time) {
+    long now = Clock.micros();
+    Call.Facts facts =
+        new Call.Facts("m" + id, SAFE, "", "f", new byte[0], 1, 1, 0, false, now, now + time);
+    return new Call(id, facts) {
+      @Override
+      protected void answered(FinalAnswer end) {}
+    };
+  }
+
   private static Settings settings() {
-    RequestClass safe =
-        new RequestClass("safe", Effect.SAFE, Group.ALL, 0, SECOND, 2 * SECOND, 1, 0.2, false);
     return new Settings(
         0,
         1,
@@ -89,7 +129,7 @@
         0.05,
         new Limits(4, false, true, false, false, true, true, SECOND, SECOND),
         new Rules(500_000, 0.2, SECOND, 2, SECOND, 0, 0, 0),
-        List.of(safe),
+        List.of(SAFE),
         List.of());
   }
 }
--- a/decisions/src/main/java/gorseladder/permits/Permits.java
+++ b/decisions/src/main/java/gorseladder/permits/Permits.java
@@ -16,6 +16,9 @@
  * <p>Pure functions; any thread. Times are microseconds on one clock that only goes forward.
  */
 public final class Permits {
+  /** Part of a call's time that calls before it may have waited. */
+  private static final long QUEUE_PART = 4;
+
   private Permits() {}
 
   /**
@@ -135,4 +138,18 @@
   public static Verdict mayTake(int held, int mostHeld, long bodyBytes, long mostBodyBytes) {
     return held > mostHeld || bodyBytes > mostBodyBytes ? Verdict.NO_ROOM : Verdict.ALLOWED;
   }
+
+  /**
+   * Whether a call may wait for its decision behind others.
+   *
+   * <p>Guards against a process that has less processor than its calls need: each one that is queued makes the answers of
+   * all others later, until none is in time. Refused at once it costs little, and trying again is harmless. It could harm
+   * just after a pause, where what waits is decided within a moment.
+   *
+   * @param longestWait how long the oldest of those that wait has waited
+   * @param timeLeft how long the call's client waits from now on
+   */
+  public static Verdict mayQueue(long longestWait, long timeLeft) {
+    return longestWait * QUEUE_PART > timeLeft ? Verdict.BEHIND : Verdict.ALLOWED;
+  }
 }
--- a/decisions/src/main/java/gorseladder/permits/Verdict.java
+++ b/decisions/src/main/java/gorseladder/permits/Verdict.java
@@ -36,7 +36,9 @@
   UNWRITTEN,
 
   /** As much is held as may be. */
-  NO_ROOM;
+  NO_ROOM,
+  /** Calls wait for so long already that this one would have too little time left after them. */
+  BEHIND;
 
   /** True where it may be done. */
   public boolean allowed() {
--- a/runtime/src/main/java/gorseladder/runtime/Mailbox.java
+++ b/runtime/src/main/java/gorseladder/runtime/Mailbox.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
 
 /**
  * The one way into a thread that owns state. News that must not be lost (ends of attempts, the list) is always taken;
@@ -35,9 +36,19 @@
 
   /** Offers work; false where the mailbox holds as much as it may. */
   public boolean offer(T message) {
+    return offer(message, oldest -> true);
+  }
+
+  /**
+   * Offers work; false where the mailbox holds as much as it may, or the work may not wait behind what is there.
+   *
+   * @param mayFollow asked, with the lock held, about the offer that has waited for longest; not where none waits
+   */
+  public boolean offer(T message, Predicate<? super T> mayFollow) {
     lock.lock();
     try {
-      if (offers.size() >= mostOffers) {
+      boolean full = offers.size() >= mostOffers;
+      if (full || !offers.isEmpty() && !mayFollow.test(offers.peekFirst())) {
         return false;
       }
       offers.addLast(message);
