Warm-up sends calls of every kind through the real path before a dispatcher is live

What callers saw: at a tenth of a core requests got no final answer in time, most of them in the first seconds of a dispatcher's service, at a start and after a restart.

Cause: code that was never run is loaded, linked, interpreted and compiled at the first calls. The old warm-up took 40 calls through the router and the codecs alone, below every threshold of the compiler and past most paths: no front, no core, no links, no writer, no refusal, no second attempt, no timer.

Change: CallPath puts front, core, runner links and writers together, for the dispatcher and for a second, short-lived one on connections in memory (InMemoryChannel). 300 calls go through that one: served, loaded, refused, missed, failed, unanswered, aborted, unusable, while workers of the told list drain, go and come back; then the steps of a stop. It lasts 2 s at the most; nothing of it leaves the process or is counted. A line tells that the dispatcher is live.

The changed lines of RunnerRequestTest and ThreadShortageTest are for a new parameter only.

--- a/core/src/main/java/gorseladder/core/RuleLog.java
+++ b/core/src/main/java/gorseladder/core/RuleLog.java
@@ -12,15 +12,24 @@
  * fail where any count is left. Any thread.
  */
 public final class RuleLog {
-  private static final Logger LOG = LoggerFactory.getLogger(RuleLog.class);
-
+  private final Logger log;
   private final RuleWatch watch = new RuleWatch();
 
+  /** Writes its lines to the program's log. */
+  public RuleLog() {
+    this(LoggerFactory.getLogger(RuleLog.class));
+  }
+
+  /** Writes its lines to that log. */
+  public RuleLog(Logger log) {
+    this.log = log;
+  }
+
   /** The bytes of an attempt have left. */
   public void written(String request, Written attempt) {
     synchronized (watch) {
       for (Rule rule : watch.written(attempt)) {
-        LOG.error("rule broken: {} request={} {}", rule.word(), request, attempt);
+        log.error("rule broken: {} request={} {}", rule.word(), request, attempt);
       }
     }
   }
@@ -33,7 +42,7 @@
   public void answered(String request, long at, long deadlineAt, Object steps) {
     synchronized (watch) {
       if (watch.answeredTooLate(at, deadlineAt)) {
-        LOG.error(
+        log.error(
             "rule broken: {} request={} answered {} ms after its time: {}",
             Rule.FINAL_ANSWER.word(),
             request,
@@ -48,7 +57,7 @@
     synchronized (watch) {
       watch.closedWithRequests(open);
     }
-    LOG.error(
+    log.error(
         "rule broken: {} a connection with {} requests was closed: {}",
         Rule.FINAL_ANSWER.word(),
         open,
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -1,17 +1,13 @@
 package gorseladder.node;
 
-import gorseladder.RouterApi.Loaded;
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
 import gorseladder.core.Core;
-import gorseladder.core.Core.AttemptEnd;
 import gorseladder.core.PauseClock;
 import gorseladder.core.RuleLog;
 import gorseladder.core.ThreadSharer;
-import gorseladder.gate.SendGate;
 import gorseladder.node.changelog.ChangeLogFollower;
 import gorseladder.node.front.FastCgiFront;
-import gorseladder.node.front.RequestReader;
 import gorseladder.node.peers.TierLink;
 import gorseladder.node.runners.RunnerLinks;
 import gorseladder.rules.Rule;
@@ -33,22 +29,12 @@
 public final class Node implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final int STACK = 128 << 10;
-  private static final int CORE_STACK = 512 << 10;
-  private static final int MOST_WRITERS = 64;
   /** Threads for connections, of clients and to runners, that stand ready from the start. */
   private static final int READY_THREADS = 16;
 
   private static final long CHECK_EVERY = 200_000;
   /** A pause of the process, in microseconds, that may have made answers late and is worth a line. */
   private static final long PAUSE = 150_000;
-  /** Descriptors for the program itself: its files, listener, change log, peers, and what the machine opens. */
-  private static final int OWN_DESCRIPTORS = 48;
-
-  private static final int MOST_ANSWER = 1 << 20;
-  /** Part of the memory told, and of the heap, that clients may have the front keep. */
-  private static final int MEMORY_PART = 8;
-
-  private static final int HEAP_PART = 4;
   /** After SIGTERM new connections and requests still come for 0.6 s at the most; a margin on top. */
   private static final long STOP_TAKING = 900_000;
   /**
@@ -73,6 +59,7 @@
 
   private final NodeConfig config;
   private final Watchdog watchdog;
+  private final CallPath path;
   private final Writers writers;
   private final PauseClock pauses;
   private final ThreadCache connectionThreads;
@@ -88,6 +75,8 @@
   private volatile Supplier<String> tellsMore = () -> "none";
   /** News of the list told to the core; the thread's that follows the change log. */
   private long newsTold;
+  /** The list as it was known at the start. */
+  private volatile Workers startList;
 
   /**
    * Starts a dispatcher; it is live when this returns.
@@ -97,46 +86,13 @@
   public Node(NodeConfig config) throws IOException {
     this.config = config;
     watchdog = new Watchdog("watchdog", STACK);
-    writers = new Writers(MOST_WRITERS, STACK);
     pauses = new PauseClock(watchdog);
     connectionThreads = new ThreadCache("connection", READY_THREADS, STACK);
-    int forClients = (config.sockets() - OWN_DESCRIPTORS) / 2;
-    links = new RunnerLinks(
-        config.links(),
-        config.router().limits(),
-        new SendGate(config.router().rules()),
-        pauses,
-        rules,
-        watchdog,
-        writers,
-        config.sockets() - OWN_DESCRIPTORS - forClients,
-        MOST_ANSWER,
-        connectionThreads);
-    core = new Core<>(
-        config.router(), config.seed(), new Outbound(), config.mostHeld(), false, null, CORE_STACK);
-    links.reportTo(new RunnerLinks.Hearer() {
-      @Override
-      public void attemptEnded(AttemptEnd<NodeCall> end) {
-        core.attemptEnded(end);
-      }
-
-      @Override
-      public void loadEnded(Loaded loaded) {
-        core.loadEnded(loaded);
-      }
-    });
-    front = new FastCgiFront(
-        new RequestReader(config.router())::read,
-        core,
-        writers,
-        forClients,
-        config.mostHeld(),
-        Math.min(config.memoryBytes() / MEMORY_PART, Runtime.getRuntime().maxMemory() / HEAP_PART),
-        pauses,
-        rules,
-        call -> links.taken(Clock.micros()));
-    front.roomAlsoBy(links::endLargestAnswer);
-    links.keepWithin(front.budget(), front::makeRoomForBytes);
+    path = new CallPath(config, watchdog, pauses, rules, connectionThreads, this::tellPeers);
+    writers = path.writers();
+    links = path.links();
+    core = path.core();
+    front = path.front();
     changeLog =
         new ChangeLogFollower(config.changeLog(), config.seed(), new ChangeLogFollower.Hearer() {
           @Override
@@ -147,6 +103,7 @@
           @Override
           public void list(Workers workers) {
             newsTold++;
+            startList = newsTold == 1 ? workers : startList;
             core.listNews(workers);
           }
         });
@@ -165,52 +122,20 @@
                 core::peerMessage))
         : null;
     changeLog.start(config.knownSeq(), config.known(), STACK);
-    WarmUp.run(config.router());
+    int warmedUpBy = WarmUp.run(config, startList, watchdog, pauses, connectionThreads);
     ThreadSharer sharer = new ThreadSharer(front::idle, links::idle);
     links.shareThreadsBy(sharer);
     Retry.whilePassing(LocalShortage::is, () -> {
       front.listen(config.listen(), STACK, connectionThreads, sharer);
       return front;
     });
+    LOG.info("{} is live after {} calls of warm-up; {}", config.name(), warmedUpBy, summary());
     checkLater();
   }
 
-  private final class Outbound implements Core.Outbound<NodeCall> {
-    @Override
-    public void send(NodeCall call, int attempt, String worker, long timeout) {
-      links.send(call, attempt, worker, timeout);
-    }
-
-    @Override
-    public void cancel(NodeCall call, int attempt) {
-      links.cancel(call, attempt);
-    }
-
-    @Override
-    public void load(String worker, String function, int copies) {
-      links.load(worker, function, copies, core.newsKnown());
-    }
-
-    @Override
-    public void tellPeers(String text) {
-      if (peers != null) {
-        peers.tell(text);
-      }
-    }
-
-    @Override
-    public void pausing() {
-      writers.release();
-    }
-
-    @Override
-    public void flush() {
-      writers.release();
-    }
-
-    @Override
-    public void watchList() {
-      // The change log is followed from the start on and never given up.
+  private void tellPeers(String text) {
+    if (peers != null) {
+      peers.tell(text);
     }
   }
 
@@ -353,16 +278,13 @@
       return;
     }
     closed = true;
-    front.close();
+    path.close();
     if (peers != null) {
       peers.close();
     }
     changeLog.close();
-    core.close();
-    links.close();
     pauses.stop();
     watchdog.close();
-    writers.close();
     connectionThreads.close();
     LOG.debug("{} is closed", config.name());
   }
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/RouterWarmUp.java
@@ -0,0 +1,128 @@
+package gorseladder.node;
+
+import gorseladder.Router;
+import gorseladder.RouterApi.Action;
+import gorseladder.RouterApi.Answer;
+import gorseladder.RouterApi.ClientGone;
+import gorseladder.RouterApi.ListKind;
+import gorseladder.RouterApi.Load;
+import gorseladder.RouterApi.Loaded;
+import gorseladder.RouterApi.Note;
+import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Request;
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.RouterApi.Send;
+import gorseladder.RouterApi.SetTimer;
+import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.TimeUp;
+import gorseladder.RouterApi.TimerDue;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.Workers;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Has a router of its own decide calls on a clock of its own, among all workers that are told: answers of every outcome,
+ * timers that look at what waits, clients that leave and calls whose time is over. Not thread safe.
+ */
+final class RouterWarmUp {
+  private static final int FUNCTIONS = 8;
+  private static final int LANES = 2;
+  /** Between two calls, in microseconds of its clock. */
+  private static final long STEP = 100_000;
+
+  private static final long LATENCY = 20_000;
+  private static final Outcome[] OUTCOMES = Outcome.values();
+  private static final Note[] NOTES = Note.values();
+
+  private final Router router;
+  private final Settings settings;
+  private final ArrayDeque<Send> sent = new ArrayDeque<>();
+  private final ArrayDeque<Load> loads = new ArrayDeque<>();
+  private final ArrayDeque<SetTimer> timers = new ArrayDeque<>();
+  private long now;
+
+  RouterWarmUp(Settings settings, List<WorkerEntry> workers) {
+    this.settings = settings;
+    router = new Router(settings, 1);
+    router.on(now, new Workers(ListKind.SAVED, workers), this::note);
+  }
+
+  private void note(Action action) {
+    if (action instanceof Send send) {
+      sent.addLast(send);
+    } else if (action instanceof Load load) {
+      loads.addLast(load);
+    } else if (action instanceof SetTimer timer) {
+      timers.addLast(timer);
+    }
+  }
+
+  /** Plays the call of that number, from 1, to its end. */
+  void play(int number) {
+    now += STEP;
+    List<RequestClass> classes = settings.classes();
+    RequestClass requestClass = classes.get(number % classes.size());
+    router.on(
+        now,
+        new Request(
+            number,
+            requestClass.name(),
+            "",
+            "f" + number % FUNCTIONS,
+            requestClass.deadline(),
+            0,
+            1,
+            LANES,
+            STEP,
+            false),
+        this::note);
+    now += LATENCY;
+    runTimers();
+    endLoads();
+    answerAll(number);
+    router.on(now, number % 2 == 0 ? new ClientGone(number) : new TimeUp(number), this::note);
+    sent.clear();
+  }
+
+  /** Runs those that are set now; a timer that sets itself again waits for the next call. */
+  private void runTimers() {
+    for (int left = timers.size(); left > 0; left--) {
+      router.on(now, new TimerDue(timers.removeFirst().token()), this::note);
+    }
+  }
+
+  private void endLoads() {
+    while (!loads.isEmpty()) {
+      Load load = loads.removeFirst();
+      router.on(
+          now,
+          new Loaded(load.worker(), load.function(), load.copies(), Outcome.OK, LATENCY),
+          this::note);
+    }
+  }
+
+  /** Ends each attempt, most of them well; what is sent again meets the next outcome. */
+  private void answerAll(int number) {
+    for (int attempt = 0; !sent.isEmpty(); attempt++) {
+      Send send = sent.removeFirst();
+      int turn = number + attempt;
+      boolean well = turn % 2 == 0;
+      Outcome outcome = well ? Outcome.OK : OUTCOMES[turn / 2 % OUTCOMES.length];
+      router.on(
+          now,
+          new Answer(
+              send.id(),
+              attempt,
+              send.worker(),
+              outcome,
+              well,
+              LATENCY,
+              NOTES[turn % NOTES.length],
+              turn % LANES,
+              Map.of()),
+          this::note);
+    }
+  }
+}
--- a/node/src/main/java/gorseladder/node/WarmUp.java
+++ b/node/src/main/java/gorseladder/node/WarmUp.java
@@ -1,41 +1,34 @@
 package gorseladder.node;
 
-import gorseladder.Router;
-import gorseladder.RouterApi.Action;
-import gorseladder.RouterApi.Answer;
 import gorseladder.RouterApi.ListKind;
-import gorseladder.RouterApi.Note;
-import gorseladder.RouterApi.Outcome;
 import gorseladder.RouterApi.Phase;
-import gorseladder.RouterApi.Request;
-import gorseladder.RouterApi.RequestClass;
-import gorseladder.RouterApi.Send;
-import gorseladder.RouterApi.Settings;
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.Workers;
-import gorseladder.core.Call.Facts;
-import gorseladder.core.Call.LastLook;
+import gorseladder.core.PauseClock;
 import gorseladder.core.RuleLog;
-import gorseladder.rules.RuleWatch.Written;
-import gorseladder.wire.fastcgi.RecordWriter;
-import gorseladder.wire.runner.AnswerParser;
-import gorseladder.wire.runner.BadAnswer;
-import gorseladder.wire.runner.Commands;
-import java.nio.charset.StandardCharsets;
+import gorseladder.runtime.Clock;
+import gorseladder.runtime.InMemoryChannel;
+import gorseladder.runtime.ThreadCache;
+import gorseladder.runtime.Threads;
+import gorseladder.runtime.Watchdog;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.helpers.NOPLogger;
 
 /**
- * Goes through the steps of a call a few times on values of its own before the dispatcher is live: no socket, no
- * thread, nothing that outlasts it.
+ * Sends calls of every kind through a path of its own before the dispatcher is live: front, core, router and runner
+ * links as they are, with the list that is told, on connections in memory. Nothing of it leaves the process, is counted
+ * or outlasts it.
  *
- * <p>Guards against first calls that take long: in a new process each step loads its classes when it is met first, and
- * where many processes share a core that took 150 to 300 ms between the last look at an attempt and the end of its
- * write. It could harm a start that has hardly any processor time, by some ten milliseconds of it.
+ * <p>Guards against first calls that take long: code that was never run has to be loaded, linked, interpreted and
+ * compiled, which at a tenth of a core kept the core's thread busy for seconds. It could harm a start that has hardly
+ * any processor time, by {@link #MOST} at the most.
  */
-final class WarmUp {
+final class WarmUp implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
   /**
    * Classes of the Java machine that are set up when something fails for the first time, and read a file for it. Guards
@@ -45,23 +38,45 @@
   private static final List<String> SET_UP =
       List.of("java.security.Security", "sun.net.util.SocketExceptions");
 
-  private static final int ROUNDS = 40;
-  private static final long SECOND = 1_000_000;
-  private static final String WORKER = "warm-up";
+  /** Calls in all; the Java machine compiles what was called 200 times. */
+  static final int CALLS = 300;
+  /** Workers at the most: each has connections, and each connection a thread. */
+  private static final int WORKERS = 8;
+  /** Calls that are open at a time. */
+  private static final int GROUP = 6;
+  /** How long it may last in all, in microseconds; a restarted dispatcher has 6 s to be live. */
+  private static final long MOST = 2_000_000;
 
-  private WarmUp() {}
+  private final NodeConfig config;
+  private final CallPath path;
+  private final WarmUpClient client = new WarmUpClient();
+  private final InMemoryChannel channel = new InMemoryChannel(client);
+  private final ThreadCache threads;
+  private final long until = Clock.micros() + MOST;
+  private int answered;
 
-  /** Goes through them; a step that fails is left out. */
-  static void run(Settings settings) {
+  private WarmUp(NodeConfig config, Watchdog watchdog, PauseClock pauses, ThreadCache threads) {
+    this.config = config;
+    this.threads = threads;
+    RuleLog silent = new RuleLog(NOPLogger.NOP_LOGGER);
+    path = new CallPath(config, watchdog, pauses, silent, threads, text -> {});
+    WarmUpRunner runner = new WarmUpRunner();
+    path.links().connectBy(() -> new InMemoryChannel(runner));
+  }
+
+  /**
+   * Runs it; a step that fails ends it.
+   *
+   * @param list the workers as they are known at the start
+   * @return how many calls were answered
+   */
+  static int run(
+      NodeConfig config, Workers list, Watchdog watchdog, PauseClock pauses, ThreadCache threads) {
     SET_UP.forEach(WarmUp::setUp);
-    Router router = new Router(settings, 1);
-    RequestClass requestClass = settings.classes().get(0);
-    List<WorkerEntry> workers = List.of(new WorkerEntry(WORKER, "", 0, Phase.RUNNING, 1, 0));
-    router.on(1, new Workers(ListKind.SAVED, workers), action -> {});
-    RuleLog rules = new RuleLog();
-    for (int round = 1; round <= ROUNDS; round++) {
-      decide(router, requestClass, round);
-      translate(requestClass, round, rules);
+    try (WarmUp warmUp = new WarmUp(config, watchdog, pauses, threads)) {
+      Threads.guarded("warm-up", () -> warmUp.decide(list));
+      Threads.guarded("warm-up", () -> warmUp.play(list));
+      return warmUp.answered;
     }
   }
 
@@ -74,53 +89,85 @@
     }
   }
 
-  private static void decide(Router router, RequestClass requestClass, int round) {
-    long now = round * SECOND;
-    boolean[] sent = new boolean[1];
-    Request request = new Request(
-        round, requestClass.name(), "", "f", requestClass.deadline(), 0, 1, 4, 0, false);
-    router.on(now, request, (Action action) -> sent[0] |= action instanceof Send);
-    if (sent[0]) {
-      Answer answer =
-          new Answer(round, 0, WORKER, Outcome.OK, true, SECOND / 100, Note.NONE, 0, Map.of());
-      router.on(now + SECOND / 100, answer, action -> {});
+  /** Calls that are decided among all workers. */
+  private void decide(Workers list) {
+    RouterWarmUp router = new RouterWarmUp(config.router(), list.entries());
+    for (int number = 1; number <= CALLS && Clock.micros() < until; number++) {
+      router.play(number);
+    }
+  }
+
+  private void serve() {
+    try {
+      path.front().serve(channel);
+    } catch (IOException e) {
+      // It was closed, as it is at the end.
+    }
+  }
+
+  private void play(Workers list) {
+    if (!threads.execute(this::serve)) {
+      return;
+    }
+    List<WorkerEntry> workers = list.entries().isEmpty()
+        ? List.of(new WorkerEntry("w", config.router().zone(), 0, Phase.RUNNING, 1, 0))
+        : list.entries().stream().limit(WORKERS).toList();
+    tell(ListKind.SAVED, workers.stream().map(w -> entry(w, Phase.RUNNING, 0)).toList());
+    while (answered < CALLS && playGroup()) {
+      answered += GROUP;
+      changeList(workers, answered / GROUP);
     }
+    stop();
   }
 
-  private static void translate(RequestClass requestClass, int round, RuleLog rules) {
-    long now = round * SECOND;
-    String id = "%016x".formatted(round);
-    Facts facts = new Facts(
-        id, requestClass, "", "f", new byte[1], 1, 1, 0, false, now, now + requestClass.deadline());
-    NodeCall call = new NodeCall(round, facts, null, 0, (ended, answer) -> {});
-    int attempt = call.begin(WORKER, now, 1);
-    LastLook look = new LastLook(facts.deadlineAt(), false, false, 0, false);
-    if (call.leave(attempt, look, now).allowed()) {
-      Commands.go(id, requestClass.name(), "f", 1, null, facts.body());
-      rules.written(
-          id,
-          new Written(
-              now,
-              now,
-              0,
-              0,
-              0,
-              now,
-              call.endedAt(),
-              1,
-              facts.deadlineAt(),
-              requestClass.effect(),
-              requestClass.repeatWindow(),
-              false,
-              call.others(attempt)));
+  /** Sends some calls at once; false where their answers have not come by the end. */
+  private boolean playGroup() {
+    for (int i = 1; i <= GROUP; i++) {
+      channel.deliver(WarmUpCall.records(answered + i, config.router()));
     }
-    call.ended(attempt, Outcome.OK, now);
-    byte[] line = (id + " ok remark=up,depth=1 1\r\nx\r\n").getBytes(StandardCharsets.US_ASCII);
     try {
-      new AnswerParser(line.length).feed(line, 0, line.length, answer -> {});
-    } catch (BadAnswer e) {
-      // Only its classes were wanted.
+      return client.await(answered + GROUP, until);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
     }
-    RecordWriter.response(1, 200, Map.of("Content-Type", "application/octet-stream"), line);
+  }
+
+  /** One worker after the other drains, goes and comes back; others tell that it is sick. */
+  private void changeList(List<WorkerEntry> workers, int turn) {
+    if (workers.size() > 1) {
+      Phase[] phases = Phase.values();
+      WorkerEntry worker = workers.get(turn / phases.length % workers.size());
+      tell(
+          ListKind.DELTA,
+          List.of(entry(worker, phases[(turn + 1) % phases.length], worker.born())));
+      path.core().peerMessage(0, "sick " + worker.worker());
+    }
+  }
+
+  private static WorkerEntry entry(WorkerEntry told, Phase phase, long born) {
+    return new WorkerEntry(told.worker(), told.zone(), told.cell(), phase, told.weight(), born);
+  }
+
+  private void tell(ListKind kind, List<WorkerEntry> entries) {
+    InetSocketAddress nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    for (WorkerEntry entry : entries) {
+      path.links().told(entry, nowhere, 1, Clock.micros());
+    }
+    path.core().listNews(new Workers(kind, entries));
+  }
+
+  /** The steps of an orderly stop, as far as they need no listener. */
+  private void stop() {
+    path.links().check();
+    path.front().check();
+    path.front().owes();
+    path.core().giveUpAll();
+    path.front().drain();
+  }
+
+  @Override
+  public void close() {
+    path.close();
   }
 }
--- /dev/null
+++ b/node/src/main/java/gorseladder/node/WarmUpCall.java
@@ -0,0 +1,72 @@
+package gorseladder.node;
+
+import gorseladder.RouterApi.RequestClass;
+import gorseladder.RouterApi.Settings;
+import gorseladder.wire.fastcgi.RecordWriter;
+import java.io.ByteArrayOutputStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The requests of a warm-up by their numbers, from 1: what each asks for and what becomes of it. Pure; any thread. */
+final class WarmUpCall {
+  /** What becomes of a request. */
+  enum Kind {
+    SERVED,
+    LOADED,
+    REFUSED,
+    MISSED,
+    LOAD_FAILED,
+    FAILED,
+    STALE,
+    UNANSWERED,
+    ABORTED,
+    UNUSABLE
+  }
+
+  /** Every so manieth request is one of the rare kinds, in their order. */
+  private static final int RARE_EVERY = 4;
+
+  private static final int FUNCTIONS = 8;
+  private static final int BODY_BYTES = 200;
+  /** How long a client waits that gets no answer, in milliseconds. */
+  private static final int SHORT_MILLIS = 20;
+
+  private WarmUpCall() {}
+
+  static Kind kind(long number) {
+    Kind[] kinds = Kind.values();
+    return number % RARE_EVERY != 0
+        ? Kind.SERVED
+        : kinds[(int) (number / RARE_EVERY % kinds.length)];
+  }
+
+  /** The records of a request, and those that take it back where its kind is so. */
+  static byte[] records(long number, Settings settings) {
+    RequestClass requestClass =
+        settings.classes().get((int) (number % settings.classes().size()));
+    Kind kind = kind(number);
+    long millis =
+        kind == Kind.UNANSWERED ? SHORT_MILLIS : Math.max(1, requestClass.deadline() / 1_000);
+    Map<String, String> params = new LinkedHashMap<>();
+    params.put("SCRIPT_NAME", kind == Kind.UNUSABLE ? "/" : "/svc/" + requestClass.name());
+    params.put("HTTP_X_REQUEST_ID", hex(number));
+    params.put("HTTP_X_TIMEOUT_MS", Long.toString(millis));
+    params.put("HTTP_X_OBJECT", hex(number % FUNCTIONS));
+    params.put("HTTP_X_FACTS", "memory_mb:10;lanes:2;load_ms:100");
+    if (!settings.tenants().isEmpty()) {
+      params.put("HTTP_X_TENANT", settings.tenants().get(0).name());
+    }
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    int id = (int) (number % 0xffff) + 1;
+    out.writeBytes(RecordWriter.request(id, true, params, new byte[BODY_BYTES]));
+    if (kind == Kind.ABORTED) {
+      out.writeBytes(RecordWriter.abort(id));
+    }
+    return out.toByteArray();
+  }
+
+  private static String hex(long number) {
+    String digits = Long.toHexString(number);
+    return "0".repeat(16 - digits.length()) + digits;
+  }
+}
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -136,8 +136,7 @@
       }
       // It may have come in a pause that ended just before accepting began, however long it then
       // takes to come to this one.
-      long since = Math.min(waitedSince, pauses.cameAt(waitedSince));
-      connections.put(channel, new FrontConnection(FastCgiFront.this, channel, since));
+      add(channel, Math.min(waitedSince, pauses.cameAt(waitedSince)));
       return true;
     }
 
@@ -163,6 +162,16 @@
     }
   }
 
+  private FrontConnection add(SocketChannel channel, long since) {
+    FrontConnection connection = new FrontConnection(this, channel, since);
+    connections.put(channel, connection);
+    return connection;
+  }
+
+  /** Serves a connection that came by no listener until its end, on the calling thread. */
+  public void serve(SocketChannel channel) throws IOException {
+    add(channel, Clock.micros()).run();
+  }
   /** A connection, and since when it was idle as it was looked at. */
   private record Candidate(FrontConnection connection, long idleSince) {}
 
--- a/node/src/main/java/gorseladder/node/runners/Link.java
+++ b/node/src/main/java/gorseladder/node/runners/Link.java
@@ -86,7 +86,8 @@
           settings.mostAnswer(),
           settings.writers(),
           settings.answerBytes().get(),
-          this::closed);
+          this::closed,
+          settings.channels());
       if (settings.threads().execute(opened::run)) {
         connections.add(opened);
         return opened;
--- a/node/src/main/java/gorseladder/node/runners/LinkConnection.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkConnection.java
@@ -67,7 +67,8 @@
         mostAnswer,
         writers,
         new AnswerBytes(new ByteBudget(Long.MAX_VALUE), () -> false),
-        owner);
+        owner,
+        SocketChannel::open);
   }
 
   LinkConnection(
@@ -76,14 +77,15 @@
       int mostAnswer,
       Executor writers,
       AnswerBytes answerBytes,
-      Owner owner)
+      Owner owner,
+      ChannelSource channels)
       throws IOException {
     this.answerBytes = answerBytes;
     this.address = address;
     this.connectMillis = (int) Math.max(1, connect / 1000);
     this.parser = new AnswerParser(mostAnswer, answerBytes);
     this.owner = owner;
-    this.channel = SocketChannel.open();
+    this.channel = channels.open();
     this.outbox = new Outbox(writers, MOST_WAITING_BYTES, e -> close(Ending.BROKEN, e.toString()));
   }
 
--- a/node/src/main/java/gorseladder/node/runners/LinkSettings.java
+++ b/node/src/main/java/gorseladder/node/runners/LinkSettings.java
@@ -14,6 +14,7 @@
  * @param mostAnswer bytes of an answer's body at the most
  * @param answerBytes counts what a new connection has this process keep
  * @param descriptors descriptors left for all links together
+ * @param channels makes what a connection is opened on
  */
 record LinkSettings(
     long connect,
@@ -21,6 +22,7 @@
     int multiplex,
     int mostAnswer,
     Semaphore descriptors,
+    ChannelSource channels,
     ThreadCache threads,
     Executor writers,
     Closes closes,
--- a/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
+++ b/node/src/main/java/gorseladder/node/runners/RunnerLinks.java
@@ -22,6 +22,7 @@
 import gorseladder.runtime.Watchdog;
 import gorseladder.threads.ConnectionWait;
 import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -81,6 +82,7 @@
   private volatile ThreadSharer sharer = new ThreadSharer();
   private volatile ByteBudget answerBudget = new ByteBudget(Long.MAX_VALUE);
   private volatile BooleanSupplier makeRoom = this::endLargestAnswer;
+  private volatile ChannelSource channels = SocketChannel::open;
 
   /**
    * Links by what the platform told.
@@ -112,6 +114,7 @@
         told.multiplex(),
         mostAnswer,
         new Semaphore(descriptors),
+        () -> channels.open(),
         threads,
         writers,
         this::closed,
@@ -124,6 +127,11 @@
     hearer = hears;
   }
 
+  /** Names what connections are opened on; before anything is sent. */
+  public void connectBy(ChannelSource source) {
+    channels = source;
+  }
+
   /** Names who ends an idle connection, so that its thread is free for a new one to a runner. */
   public void shareThreadsBy(ThreadSharer shares) {
     sharer = shares;
--- a/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
+++ b/node/src/test/java/gorseladder/node/runners/RunnerRequestTest.java
@@ -29,6 +29,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -284,7 +285,8 @@
           1 << 20,
           Runnable::run,
           new AnswerBytes(budget, () -> endsLargest(connections)),
-          (c, open, why) -> false);
+          (c, open, why) -> false,
+          SocketChannel::open);
       connections.add(connection);
       Threads.start("link", 128 << 10, connection::run);
       Socket runner = server.accept();
--- a/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
+++ b/node/src/test/java/gorseladder/node/runners/ThreadShortageTest.java
@@ -22,6 +22,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
@@ -55,6 +56,7 @@
           10,
           1_000,
           descriptors,
+          SocketChannel::open,
           new ThreadCache("t", 0, task -> new Thread(task) {
             @Override
             public void start() {
--- a/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
+++ b/wire/src/main/java/gorseladder/wire/fastcgi/RecordParser.java
@@ -19,7 +19,7 @@
   static final int VERSION = 1;
   static final int BEGIN_REQUEST = 1;
   static final int ABORT_REQUEST = 2;
-  static final int END_REQUEST = 3;
+  public static final int END_REQUEST = 3;
   static final int PARAMS = 4;
   static final int STDIN = 5;
   static final int STDOUT = 6;
