Tests start dispatchers from the class path without the archive that fits the jar alone

With an archive that is not there, or does not fit, the Java machine does not use its own either: a dispatcher of a test then started with no archive at all, unlike one of the deploy file. The option is left out where there is no jar.

--- a/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
+++ b/testbed/src/main/java/gorseladder/testbed/process/RunLine.java
@@ -12,6 +12,9 @@
   private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
   private static final Path JAR = Path.of("app/target/gorseladder.jar");
   private static final String JAR_COMMAND = "-jar " + JAR + " node";
+  /** The archive fits the jar alone; with one that does not fit the machine's own is not used either. */
+  private static final String ARCHIVE = "-XX:SharedArchiveFile=app/target/node.jsa ";
+
   /** What the jar's manifest opens ({@code Add-Opens}); a class path has no manifest. */
   private static final String OPENS = "--add-opens java.base/jdk.internal.misc=ALL-UNNAMED ";
 
@@ -31,9 +34,7 @@
         .toAbsolutePath()
         .normalize()
         .equals(root.resolve(JAR).toAbsolutePath().normalize());
-    return fromJar
-        ? line(root)
-        : line(root).replace(JAR_COMMAND, OPENS + "-cp " + own + " " + MAIN);
+    return fromJar ? line(root) : onClassPath(root, own);
   }
 
   /**
@@ -48,8 +49,11 @@
   /** The same with classes put before the program's own. */
   public static String read(Path root, Path classes) throws IOException {
     String own = System.getProperty("java.class.path");
-    String path = classes + File.pathSeparator + own;
-    return line(root).replace(JAR_COMMAND, OPENS + "-cp " + path + " " + MAIN);
+    return onClassPath(root, classes + File.pathSeparator + own);
+  }
+
+  private static String onClassPath(Path root, String path) throws IOException {
+    return line(root).replace(ARCHIVE, "").replace(JAR_COMMAND, OPENS + "-cp " + path + " " + MAIN);
   }
 
   private static String line(Path root) throws IOException {
