Rehearsal: not by way of the command line's library

The archive of classes that a dispatcher starts with also held the classes of the command line's library and of every command, which no dispatcher uses: the rehearsal was started through them.

The main class starts it directly, as it does a dispatcher; an error is told in the same words and with the same exit code.

--- a/app/src/main/java/gorseladder/app/Main.java
+++ b/app/src/main/java/gorseladder/app/Main.java
@@ -3,6 +3,7 @@
 import gorseladder.app.bench.BenchCommand;
 import gorseladder.app.log.LogProvider;
 import gorseladder.node.NodeMain;
+import java.io.PrintWriter;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -56,9 +57,32 @@
   /** Runs a command and exits with its code. */
   public static void main(String[] args) throws InterruptedException {
     LogProvider.choose();
-    // The dispatcher starts on a part of a core, in little memory: the command line's library
-    // stays out of its way.
-    System.exit(args.length == 1 && args[0].equals(NodeCommand.NAME) ? NodeMain.run() : run(args));
+    System.exit(args.length == 1 ? runAlone(args[0]) : run(args));
+  }
+
+  /**
+   * Runs a command given without options. A dispatcher starts on a part of a core, in little memory: the command line's
+   * library stays out of its way, and out of the archive of classes that its rehearsal writes.
+   */
+  private static int runAlone(String command) throws InterruptedException {
+    return switch (command) {
+      case NodeCommand.NAME -> NodeMain.run();
+      case RehearseCommand.NAME -> rehearse();
+      default -> run(command);
+    };
+  }
+
+  private static int rehearse() {
+    try {
+      return new RehearseCommand().call();
+    } catch (Exception e) {
+      return failed(e, new PrintWriter(System.err, true));
+    }
+  }
+
+  private static int failed(Exception e, PrintWriter err) {
+    err.println("gorseladder: " + (e.getMessage() == null ? e : e.getMessage()));
+    return CANNOT_START;
   }
 
   /** Runs a command and returns its code. A first word that is no command is bad usage, whatever stands behind it. */
@@ -71,10 +95,7 @@
           .println("gorseladder: there is no command '" + args[0] + "'; --help lists them");
       return BAD_USAGE;
     }
-    line.setExecutionExceptionHandler((e, command, parsed) -> {
-      command.getErr().println("gorseladder: " + (e.getMessage() == null ? e : e.getMessage()));
-      return CANNOT_START;
-    });
+    line.setExecutionExceptionHandler((e, command, parsed) -> failed(e, command.getErr()));
     return line.execute(args);
   }
 
