--- a/decisions/src/main/java/gorseladder/permits/Permits.java
+++ b/decisions/src/main/java/gorseladder/permits/Permits.java
@@ -142,9 +142,9 @@
   /**
    * Whether a call may wait for its decision behind others.
    *
-   * <p>Guards against a process that has less processor than its calls need: each one that is queued makes the answers of
-   * all others later, until none is in time. Refused at once it costs little, and trying again is harmless. It could harm
-   * just after a pause, where what waits is decided within a moment.
+   * <p>Guards against a process that has less processor than its calls need: each one that is queued makes the answers
+   * of all others later, until none is in time. Refused at once it costs little, and trying again is harmless. It could
+   * harm just after a pause, where what waits is decided within a moment.
    *
    * @param longestWait how long the oldest of those that wait has waited
    * @param timeLeft how long the call's client waits from now on
--- a/node/src/main/java/gorseladder/node/RouterWarmUp.java
+++ b/node/src/main/java/gorseladder/node/RouterWarmUp.java
@@ -23,8 +23,8 @@
 import java.util.Map;
 
 /**
- * Has a router of its own decide calls on a clock of its own, among all workers that are told: answers of every outcome,
- * timers that look at what waits, clients that leave and calls whose time is over. Not thread safe.
+ * Has a router of its own decide calls on a clock of its own, among all workers that are told: answers of every
+ * outcome, timers that look at what waits, clients that leave and calls whose time is over. Not thread safe.
  */
 final class RouterWarmUp {
   private static final int FUNCTIONS = 8;
