A call whose time is over is refused though the core has not come to it

What callers saw: no final answer within half a second after their time, with no attempt made.

Cause: the final answer of a call came from the core alone, and requests with very little time left need it sooner than a core that is behind comes to them.

Change: a call without time left is not queued, and the front's look at time limits (every 200 ms, on the watchdog's thread) refuses the calls whose time is over and which the core has not looked at. No attempt of such a call exists, and the first answer wins, so the core passes it over.

FrontConnectionTest holds the core's thread: no answer within 2 s before ("Read timed out", one run), refused at the look now. Its reader of a latch is shared with the test beside it; no check was changed. CoreTest asks for one case more.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -180,6 +180,9 @@
   public boolean offer(C call) {
     long now = Clock.micros();
     long timeLeft = call.facts().deadlineAt() - now;
+    if (!Permits.mayQueue(0, timeLeft).allowed()) {
+      return false;
+    }
     return mailbox.offer(
         new Arrived<>(call, now),
         oldest -> !(oldest instanceof Arrived<C> first) || first.mayBeFollowed(timeLeft, now));
--- a/core/src/test/java/gorseladder/core/CoreTest.java
+++ b/core/src/test/java/gorseladder/core/CoreTest.java
@@ -88,6 +88,7 @@
     try (writers;
         Core<Call> core = new Core<>(settings(), 1, new Released(), 100, true, null, STACK)) {
       core.collect(Map.of(), first -> await(held));
+      assertFalse(core.offer(call(0, 0)), "its time is over");
       assertTrue(core.offer(call(1, 20 * SECOND)), "nothing waits before it");
       assertTrue(core.offer(call(2, 20 * SECOND)), "nothing has waited for long");
       Thread.sleep(300);
--- a/decisions/src/main/java/gorseladder/permits/Permits.java
+++ b/decisions/src/main/java/gorseladder/permits/Permits.java
@@ -146,10 +146,10 @@
    * of all others later, until none is in time. Refused at once it costs little, and trying again is harmless. It could
    * harm just after a pause, where what waits is decided within a moment.
    *
-   * @param longestWait how long the oldest of those that wait has waited
+   * @param longestWait how long the oldest of those that wait has waited; 0 where none does
    * @param timeLeft how long the call's client waits from now on
    */
   public static Verdict mayQueue(long longestWait, long timeLeft) {
-    return longestWait * QUEUE_PART > timeLeft ? Verdict.BEHIND : Verdict.ALLOWED;
+    return longestWait * QUEUE_PART >= timeLeft ? Verdict.BEHIND : Verdict.ALLOWED;
   }
 }
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -381,9 +381,22 @@
     counts.count(what);
   }
 
-  /** Looks at the time limits of connections; called now and then. */
+  /**
+   * Refuses the calls whose time is over and which the core has not looked at: nothing of them has left, and their
+   * clients wait for an answer whatever keeps the core.
+   */
+  private void refuseUnconsidered(long now) {
+    for (NodeCall call : held.values()) {
+      if (call.consideredAt() == 0 && now >= call.facts().deadlineAt()) {
+        call.finish(FinalAnswer.silent(Reason.BUSY), now);
+      }
+    }
+  }
+
+  /** Looks at the time limits of calls and connections; called now and then. */
   public void check() {
     long now = Clock.micros();
+    refuseUnconsidered(now);
     for (FrontConnection connection : connections.values()) {
       connection.check(now, SILENT, IDLE);
       connection.closeIfStuck(now, STUCK);
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -49,6 +49,7 @@
   private final AtomicInteger pauses = new AtomicInteger();
   private Runnable atRead = () -> {};
   private Runnable atWrite = () -> {};
+  private volatile Runnable atSend = () -> {};
   private final Watchdog watchdog = new Watchdog("watchdog", 128 << 10);
   private final RuleLog rules = new RuleLog();
   private Core<NodeCall> core;
@@ -81,6 +82,7 @@
           @Override
           public void send(NodeCall call, int attempt, String worker, long timeout) {
             sent.incrementAndGet();
+            atSend.run();
           }
 
           @Override
@@ -184,11 +186,7 @@
     CountDownLatch goesOn = new CountDownLatch(1);
     atRead = () -> {
       busy.countDown();
-      try {
-        goesOn.await();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
+      await(goesOn);
     };
     client.getOutputStream().write(request(1));
     busy.await();
@@ -208,11 +206,47 @@
         () -> "counted " + (arrivedAt.get() - sentAt) + " us after it was sent");
   }
 
+  /**
+   * Guards against calls that get their final answer only when the core comes to them: one that was busy for half a
+   * second answered requests with 27 ms left that much too late.
+   */
+  @Test
+  void aCallThatTheCoreHasNotLookedAtByItsTimeIsRefusedThen() throws Exception {
+    CountDownLatch goesOn = new CountDownLatch(1);
+    atSend = () -> await(goesOn);
+    readAll();
+    client.getOutputStream().write(request(1));
+    while (sent.get() < 1) {
+      Thread.onSpinWait();
+    }
+    client.getOutputStream().write(request(2, 30));
+    while (front.held() < 2) {
+      Thread.onSpinWait();
+    }
+    Thread.sleep(40);
+    front.check();
+    String answer = answer();
+    goesOn.countDown();
+    assertTrue(answer.contains("Status: 503"), answer);
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static byte[] request(int number) {
+    return request(number, 1_500);
+  }
+
+  private static byte[] request(int number, int millis) {
     Map<String, String> params = new HashMap<>();
     params.put("SCRIPT_NAME", "/svc/safe");
     params.put("HTTP_X_REQUEST_ID", "%016x".formatted(number));
-    params.put("HTTP_X_TIMEOUT_MS", "1500");
+    params.put("HTTP_X_TIMEOUT_MS", Integer.toString(millis));
     params.put("HTTP_X_TENANT", "t");
     params.put("HTTP_X_OBJECT", "%016x".formatted(0xf0));
     params.put("HTTP_X_FACTS", "memory_mb:10;lanes:1;load_ms:20");
