--- a/node/src/main/java/gorseladder/node/WarmUp.java
+++ b/node/src/main/java/gorseladder/node/WarmUp.java
@@ -45,7 +45,7 @@
   /** Calls that are open at a time. */
   private static final int GROUP = 6;
   /** How long it may last in all, in microseconds; a restarted dispatcher has 6 s to be live. */
-  private static final long MOST = 2_000_000;
+  private static final long MOST = 3_000_000;
 
   private final NodeConfig config;
   private final CallPath path;
@@ -74,8 +74,8 @@
       NodeConfig config, Workers list, Watchdog watchdog, PauseClock pauses, ThreadCache threads) {
     SET_UP.forEach(WarmUp::setUp);
     try (WarmUp warmUp = new WarmUp(config, watchdog, pauses, threads)) {
-      Threads.guarded("warm-up", () -> warmUp.decide(list));
       Threads.guarded("warm-up", () -> warmUp.play(list));
+      Threads.guarded("warm-up", () -> warmUp.decide(list));
       return warmUp.answered;
     }
   }
