The core makes no object for the way to each step of its work

Need: at a tenth of a core each object and each call site on the core's thread counts, in a new process most of all.

Cause: each message made a lambda for its guard, each event one for the router's actions, and each look at the timers one more.

Change: these are made once with the core; the message at hand is a field of the core's thread. The guard is the same, and so is the order of all steps.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -159,6 +159,17 @@
   private final AtomicLong longestWait = new AtomicLong();
   private volatile boolean stopped;
   private long now;
+  /** The steps of the thread, made once and not for each message. */
+  private final Runnable runTimers = this::runTimers;
+
+  private final Runnable handle = this::handle;
+  private final Runnable pausing;
+  private final Runnable flush;
+  private final Consumer<String> timerDue = token -> tell(new TimerDue(token));
+  private final Consumer<Action> carryOut = this::carryOut;
+  /** The message that {@link #handle()} takes. */
+  private Message<C> handled;
+
   /** The call that the router is told at present; null where it is told something else. */
   private Held<C> arriving;
 
@@ -183,6 +194,8 @@
     this.settings = settings;
     this.router = new Router(settings, seed);
     this.outbound = outbound;
+    this.pausing = outbound::pausing;
+    this.flush = outbound::flush;
     this.ahead = plans ? new Ahead(settings.keepAlive()) : null;
     this.advice = advice;
     this.mailbox = new Mailbox<>(mostOffers);
@@ -246,20 +259,20 @@
     try {
       while (!stopped) {
         now = Clock.micros();
-        Threads.guarded("core", this::runTimers);
+        Threads.guarded("core", runTimers);
         flushIfDue();
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
         Message<C> message = mailbox.take(0);
         if (message == null) {
-          Threads.guarded("core", outbound::pausing);
+          Threads.guarded("core", pausing);
           message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
           flushedAt = Clock.micros();
         }
         if (message != null) {
           now = Clock.micros();
-          Message<C> one = message;
-          Threads.guarded("core", () -> handle(one));
+          handled = message;
+          Threads.guarded("core", handle);
         }
       }
     } catch (InterruptedException e) {
@@ -274,16 +287,18 @@
   private void flushIfDue() {
     if (now - flushedAt > MOST_GATHERING) {
       flushedAt = now;
-      Threads.guarded("core", outbound::flush);
+      Threads.guarded("core", flush);
     }
   }
 
   private void runTimers() {
-    timers.advance(now, token -> tell(new TimerDue(token)));
+    timers.advance(now, timerDue);
     look();
   }
 
-  private void handle(Message<C> message) {
+  private void handle() {
+    Message<C> message = handled;
+    handled = null;
     if (message instanceof Arrived<C> m) {
       arrived(m.call());
     } else if (message instanceof Ended<C> m) {
@@ -362,7 +377,7 @@
   /** An error of the router must not end the thread: the other calls go on, and the log says where it was. */
   private void tell(Event event) {
     try {
-      router.on(now, event, this::carryOut);
+      router.on(now, event, carryOut);
     } catch (RuntimeException | Error e) {
       LOG.error("the router failed at {}", event.getClass().getSimpleName(), e);
     }
