--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -116,6 +116,18 @@
   private record Collect<C extends Call>(Consumer<Collected> to, Map<String, Seen.Of> giveBack)
       implements Message<C> {}
 
+  /** A call that is not forgotten yet. */
+  private static final class Held<C extends Call> {
+    private final C call;
+    private int attemptsOut;
+    /** Null before the router has asked for it. */
+    private TimerWheel.Node<String> deadline;
+
+    private Held(C call) {
+      this.call = call;
+    }
+  }
+
   /**
    * What a planner is told: what was seen of functions, closed records of loads ahead, the workers, the plan in hand.
    */
@@ -134,8 +146,7 @@
 
   private final Mailbox<Message<C>> mailbox;
   private final TimerWheel<String> timers;
-  private final Map<Long, C> calls = new HashMap<>();
-  private final Map<C, Integer> attemptsOut = new HashMap<>();
+  private final Map<Long, Held<C>> calls = new HashMap<>();
   private final Thread thread;
   /** Null where no planner is set: then nothing here differs from an edge without loads ahead. */
   private final Ahead ahead;
@@ -148,6 +159,20 @@
   private final AtomicLong longestWait = new AtomicLong();
   private volatile boolean stopped;
   private long now;
+  /** The steps of the thread, made once and not for each message. */
+  private final Runnable runTimers = this::runTimers;
+
+  private final Runnable handle = this::handle;
+  private final Runnable pausing;
+  private final Runnable flush;
+  private final Consumer<String> timerDue = token -> tell(new TimerDue(token));
+  private final Consumer<Action> carryOut = this::carryOut;
+  /** The message that {@link #handle()} takes. */
+  private Message<C> handled;
+
+  /** The call that the router is told at present; null where it is told something else. */
+  private Held<C> arriving;
+
   private long flushedAt;
   private long newsKnown;
 
@@ -169,6 +194,8 @@
     this.settings = settings;
     this.router = new Router(settings, seed);
     this.outbound = outbound;
+    this.pausing = outbound::pausing;
+    this.flush = outbound::flush;
     this.ahead = plans ? new Ahead(settings.keepAlive()) : null;
     this.advice = advice;
     this.mailbox = new Mailbox<>(mostOffers);
@@ -235,20 +262,20 @@
     try {
       while (!stopped) {
         now = Clock.micros();
-        Threads.guarded("core", this::runTimers);
+        Threads.guarded("core", runTimers);
         flushIfDue();
         long next = Math.min(timers.nextDue(), lookAt);
         long wait = Math.min((next - now) * 1000, IDLE_NANOS);
         Message<C> message = mailbox.take(0);
         if (message == null) {
-          Threads.guarded("core", outbound::pausing);
+          Threads.guarded("core", pausing);
           message = mailbox.take(next == Long.MAX_VALUE ? IDLE_NANOS : Math.max(0, wait));
           flushedAt = Clock.micros();
         }
         if (message != null) {
           now = Clock.micros();
-          Message<C> one = message;
-          Threads.guarded("core", () -> handle(one));
+          handled = message;
+          Threads.guarded("core", handle);
         }
       }
     } catch (InterruptedException e) {
@@ -263,16 +290,18 @@
   private void flushIfDue() {
     if (now - flushedAt > MOST_GATHERING) {
       flushedAt = now;
-      Threads.guarded("core", outbound::flush);
+      Threads.guarded("core", flush);
     }
   }
 
   private void runTimers() {
-    timers.advance(now, token -> tell(new TimerDue(token)));
+    timers.advance(now, timerDue);
     look();
   }
 
-  private void handle(Message<C> message) {
+  private void handle() {
+    Message<C> message = handled;
+    handled = null;
     if (message instanceof Arrived<C> m) {
       arrived(m.call());
     } else if (message instanceof Ended<C> m) {
@@ -287,6 +316,7 @@
     } else if (message instanceof GiveUp<C>) {
       givingUp = true;
       calls.values().stream()
+          .map(held -> held.call)
           .filter(call -> !call.over())
           .map(Call::id)
           .toList()
@@ -350,7 +380,7 @@
   /** An error of the router must not end the thread: the other calls go on, and the log says where it was. */
   private void tell(Event event) {
     try {
-      router.on(now, event, this::carryOut);
+      router.on(now, event, carryOut);
     } catch (RuntimeException | Error e) {
       LOG.error("the router failed at {}", event.getClass().getSimpleName(), e);
     }
@@ -381,7 +411,8 @@
       return;
     }
     Call.Facts f = call.facts();
-    calls.put(call.id(), call);
+    arriving = new Held<>(call);
+    calls.put(call.id(), arriving);
     if (ahead != null) {
       seen.taken(f.function(), f.memoryMb(), f.lanes());
     }
@@ -396,6 +427,7 @@
         f.lanes(),
         f.loadTime(),
         f.repeat()));
+    arriving = null;
   }
 
   private void ended(AttemptEnd<C> end) {
@@ -417,7 +449,10 @@
       call.servedLate(end.body());
       noteServed(call, attempt, end.note());
     }
-    attemptsOut.merge(call, -1, (a, b) -> a + b == 0 ? null : a + b);
+    Held<C> held = calls.get(call.id());
+    if (held != null) {
+      held.attemptsOut--;
+    }
     tell(new Answer(
         call.id(),
         end.attempt(),
@@ -451,32 +486,46 @@
     call.finish(new FinalAnswer(reason, body, wait), now);
   }
 
-  /** Forgets a call that is over and has no attempt out. */
+  /**
+   * Forgets a call that is over and has no attempt out. The router has ended it by then, or does so at the news that
+   * its client left, so that its deadline would change nothing.
+   */
   private void release(C call) {
-    if (call.over() && !attemptsOut.containsKey(call)) {
+    if (!call.over()) {
+      return;
+    }
+    Held<C> held = calls.get(call.id());
+    if (held != null && held.attemptsOut == 0) {
       calls.remove(call.id());
+      if (held.deadline != null) {
+        timers.cancel(held.deadline);
+      }
     }
   }
 
   private void carryOut(Action action) {
     if (action instanceof Send a) {
-      C call = calls.get(a.id());
+      Held<C> held = calls.get(a.id());
+      C call = held.call;
       int number = call.begin(a.worker(), now, newsKnown);
-      attemptsOut.merge(call, 1, Integer::sum);
+      held.attemptsOut++;
       noteStart(call, a.worker());
       outbound.send(call, number, a.worker(), a.timeout());
     } else if (action instanceof SetTimer a) {
-      timers.schedule(now + a.in(), a.token());
+      TimerWheel.Node<String> timer = timers.schedule(now + a.in(), a.token());
+      if (arriving != null && a.isDeadline()) {
+        arriving.deadline = timer;
+      }
     } else if (action instanceof Refuse a) {
-      C call = calls.get(a.id());
+      C call = calls.get(a.id()).call;
       finish(call, Endings.refused(call.outcomes()), null, a.retryAfter());
       release(call);
     } else if (action instanceof Fail a) {
-      C call = calls.get(a.id());
+      C call = calls.get(a.id()).call;
       finish(call, Endings.failed(call.outcomes()), null, 0);
       release(call);
     } else if (action instanceof Cancel a) {
-      outbound.cancel(calls.get(a.id()), a.attempt());
+      outbound.cancel(calls.get(a.id()).call, a.attempt());
     } else if (action instanceof Load a) {
       if (holding) {
         ahead.ordered(a.worker(), a.function(), now);
