In-memory channel: an interrupted reader and a close no longer wait for each other

An interrupted reader closed the channel with the lock of its bytes held. Closing takes the channel's own lock first and that of the bytes after it, so a reader and a thread that closes could each hold the lock that the other one waits for. No thread of the warm-up is interrupted while it reads at present; the first one that is would never have ended.

The reader now lets go of the lock before it closes, and says that it was interrupted.

--- a/runtime/src/main/java/gorseladder/runtime/InMemoryChannel.java
+++ b/runtime/src/main/java/gorseladder/runtime/InMemoryChannel.java
@@ -7,6 +7,7 @@
 import java.net.SocketOption;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousCloseException;
+import java.nio.channels.ClosedByInterruptException;
 import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayDeque;
@@ -51,14 +52,20 @@
 
   @Override
   public int read(ByteBuffer into) throws IOException {
+    try {
+      return awaitBytes(into);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      // Without the lock: who closes takes this class's lock after the channel's own.
+      close();
+      throw new ClosedByInterruptException();
+    }
+  }
+
+  private int awaitBytes(ByteBuffer into) throws InterruptedException, AsynchronousCloseException {
     synchronized (lock) {
       while (unread == 0 && !closed) {
-        try {
-          lock.wait();
-        } catch (InterruptedException e) {
-          Thread.currentThread().interrupt();
-          close();
-        }
+        lock.wait();
       }
       if (closed) {
         throw new AsynchronousCloseException();
