Class archive: it takes its place whole or not at all

The Java machine ends at its start, by SIGBUS, where the named archive is only the first part of one (one trial: the first 9 MB of 24 MB, exit code 134); a dispatcher's run line then starts nothing.

It is now written beside that place and moved there at its end, and one from before goes first.

--- a/app/src/main/java/gorseladder/app/archive/ArchiveMaker.java
+++ b/app/src/main/java/gorseladder/app/archive/ArchiveMaker.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -38,11 +39,13 @@
   }
 
   /**
-   * Makes it, also where the day did not go as expected: it then lacks what was not met.
+   * Makes it, also where the day did not go as expected: it then lacks what was not met. It takes its place whole or
+   * not at all, and one from before goes first: the Java machine ends at the start where the file is a part of one.
    *
    * @return what went otherwise than expected; empty where the archive is there and nothing did
    */
   public List<String> make(Path archive) throws IOException, InterruptedException {
+    Files.deleteIfExists(archive);
     Path used = directory.resolve("used.classlist");
     List<String> troubles = new ArrayList<>(rehearse(used));
     if (!Files.exists(used)) {
@@ -75,15 +78,27 @@
   }
 
   private List<String> dump(Path list, Path archive) throws IOException, InterruptedException {
+    Path unfinished = archive.resolveSibling(archive.getFileName() + ".part");
+    try {
+      return dump(list, unfinished, archive);
+    } finally {
+      Files.deleteIfExists(unfinished);
+    }
+  }
+
+  private List<String> dump(Path list, Path unfinished, Path archive)
+      throws IOException, InterruptedException {
     String command = "exec java -XX:+UseSerialGC -Xmx128m -XX:ErrorFile="
         + directory.resolve("error.log") + " -Xshare:dump -XX:SharedClassListFile=" + list + " "
-        + ARCHIVE_OPTION + archive.toAbsolutePath() + " -cp " + JAR;
+        + ARCHIVE_OPTION + unfinished.toAbsolutePath() + " -cp " + JAR;
     Path log = directory.resolve("dump.log");
     try (ChildProcess dumping = new ChildProcess(command, root, Map.of(), log.toFile())) {
       int code = dumping.await(DUMP_MILLIS);
-      return code == 0 && Files.exists(archive)
-          ? List.of()
-          : List.of("the dump ended with " + code + ": " + Files.readString(log));
+      if (code != 0 || !Files.exists(unfinished)) {
+        return List.of("the dump ended with " + code + ": " + Files.readString(log));
+      }
+      Files.move(unfinished, archive, StandardCopyOption.ATOMIC_MOVE);
+      return List.of();
     }
   }
 }
--- /dev/null
+++ b/app/src/test/java/gorseladder/app/archive/ArchiveMakerTest.java
@@ -0,0 +1,32 @@
+package gorseladder.app.archive;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ArchiveMakerTest {
+  @TempDir
+  Path root;
+
+  /** Guards against an archive of an earlier build, or a part of one, that dispatchers are started with. */
+  @Test
+  void whereNoneCanBeMadeNoneIsLeft() throws Exception {
+    Files.createDirectory(root.resolve("deploy"));
+    Files.writeString(
+        root.resolve("deploy/balancer.toml"),
+        "run = \"sleep 1; exit 3; -jar app/target/gorseladder.jar node\"\n");
+    Path archive = Files.writeString(root.resolve("node.jsa"), "a part of one");
+    Path directory = Files.createDirectory(root.resolve("making"));
+    List<String> troubles = new ArchiveMaker(root, directory).make(archive);
+    assertFalse(troubles.isEmpty());
+    try (Stream<Path> left = Files.list(root)) {
+      assertEquals(0, left.filter(file -> file.toString().contains("node.jsa")).count());
+    }
+  }
+}
