RuntimeTest counts a connection as served before the byte that says so

All twenty clients had read their byte, which the lines before assert; the serving thread wrote it and counted after that, so a thread that lost its processor between the two was missing from the count.

The count comes first now. What is asked stays: every client reads its byte, and 20 were served.

--- a/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/RuntimeTest.java
@@ -148,8 +148,8 @@
 
           @Override
           public void serve(SocketChannel connection) throws IOException {
-            connection.write(ByteBuffer.wrap(new byte[] {7}));
             served.incrementAndGet();
+            connection.write(ByteBuffer.wrap(new byte[] {7}));
           }
         });
     List<Socket> clients = new ArrayList<>();
