--- a/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
+++ b/testbed/src/main/java/gorseladder/testbed/platform/FastCgiClient.java
@@ -22,8 +22,12 @@
   private static final int END_REQUEST = 3;
   private static final String LIVE = "/status/live";
 
-  /** A whole answer; {@code status} is 0 where it had no response, {@code protocol} the protocol status. */
-  public record Answer(int status, Map<String, String> fields, byte[] body, int protocol) {
+  /**
+   * A whole answer; {@code status} is 0 where it had no response, {@code protocol} the protocol status.
+   *
+   * @param at when its end was read, {@link System#nanoTime()}
+   */
+  public record Answer(int status, Map<String, String> fields, byte[] body, int protocol, long at) {
     /** True where it says that trying again is harmless. */
     public boolean refused() {
       return status == 429 || status == 503 || protocol == 2;
@@ -114,10 +118,11 @@
   }
 
   private static Answer answer(byte[] bytes, int protocol) {
+    long at = System.nanoTime();
     String text = new String(bytes, StandardCharsets.ISO_8859_1);
     int split = text.indexOf("\r\n\r\n");
     if (split < 0) {
-      return new Answer(0, Map.of(), bytes, protocol);
+      return new Answer(0, Map.of(), bytes, protocol, at);
     }
     Map<String, String> fields = new HashMap<>();
     for (String line : text.substring(0, split).split("\r\n")) {
@@ -129,7 +134,8 @@
         Integer.parseInt(fields.get("Status")),
         fields,
         Arrays.copyOfRange(bytes, split + 4, bytes.length),
-        protocol);
+        protocol,
+        at);
   }
 
   /** Waits for the answer to a request; null where none came by then or the connection ended. */
