Edge: all requests together take their memory from one bound

Callers waited up to 2.8 s, and threads of connections ended with OutOfMemoryError, where clients without a key left requests half sent: 2,000 connections of 1 MiB were allowed in a heap of 512 MB.

Cause: a bound for each connection, none for all.

Requests take memory from a ByteBudget before they keep it: a quarter of the heap or limits.max_message_bytes. A body grows as it comes. Past the bound the oldest request that is not whole lets go of its memory and is answered 503 with Retry-After; a whole one never does. Works since every byte that a client can have the front keep is taken first, and what is given up is let go of under the lock under which it is kept.

--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -313,8 +313,14 @@
     var type = Limits.getDescriptor();
     for (FieldDescriptor f : type.getFields()) {
       long value = ((Number) l.getField(f)).longValue();
-      at.require(value > 0, type, f.getName(), "must be more than 0");
+      boolean mayBeZero = f.getNumber() == Limits.MAX_MESSAGE_BYTES_FIELD_NUMBER;
+      at.require(value > 0 || mayBeZero && value == 0, type, f.getName(), "must be more than 0");
     }
+    at.require(
+        l.getMaxMessageBytes() == 0 || l.getMaxMessageBytes() >= l.getMaxBodyBytes(),
+        type,
+        "max_message_bytes",
+        "must be 0, or max_body_bytes or more");
     at.require(l.getStackBytes() >= 65_536, type, "stack_bytes", "must be 65536 or more");
     at.require(
         l.getMaxBodyBytes() <= 64L << 20, type, "max_body_bytes", "must be 67108864 or less");
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -14,6 +14,7 @@
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.CallLog;
+import gorseladder.edge.front.UnfinishedRequests;
 import gorseladder.edge.front.WebhookFront;
 import gorseladder.edge.history.CallHistory;
 import gorseladder.edge.list.ListWatcher;
@@ -22,6 +23,7 @@
 import gorseladder.edge.runners.Runners;
 import gorseladder.gate.SendGate;
 import gorseladder.rules.Rule;
+import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.ThreadCache;
@@ -61,6 +63,7 @@
   private final ListWatcher list;
   private final PeerLink peers;
   private final PlannerLink planner;
+  private final ByteBudget messageBytes;
   private final WebhookFront front;
   private final HttpServer server;
   private final ThreadCache clientThreads;
@@ -83,6 +86,8 @@
   public Edge(EdgeSettings settings, EdgeSystem system) throws IOException {
     this.settings = settings;
     EdgeConfig config = new EdgeConfig(settings);
+    messageBytes = new ByteBudget(config.messageBytes());
+    UnfinishedRequests unfinished = new UnfinishedRequests(messageBytes);
     Path directory = Path.of(settings.getDataDirectory());
     int stack = settings.getLimits().getStackBytes();
     ledger = Ledger.open(
@@ -158,6 +163,7 @@
         settings.hasPlanner() ? new PlannerLink(settings, ledger.boots(), core, history) : null;
     front = new WebhookFront(
         config.webhooks(),
+        unfinished,
         new AdmissionCheck(config.admission()),
         intake,
         core,
@@ -190,9 +196,10 @@
     }
     checkLater();
     LOG.info(
-        "edge {} takes webhooks at {}; its ledger remembers {} messages, boot {}",
+        "edge {} takes webhooks at {}, up to {} bytes of messages; its ledger remembers {} messages, boot {}",
         settings.getOrdinal(),
         Address.print(address()),
+        messageBytes.most(),
         ledger.size(),
         ledger.boots());
   }
@@ -293,6 +300,11 @@
     return server.address();
   }
 
+  /** Bytes that requests and answers take at present. */
+  public long messageBytes() {
+    return messageBytes.used();
+  }
+
   /** Counts since the start, by the words of the log. */
   public Map<String, Long> counts() {
     return log.counts();
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -24,6 +24,9 @@
   /** The resolution of the router's timers. */
   private static final long TICK = 2_000;
 
+  /** The part of the heap that messages may take where the settings name no bound. */
+  private static final int MESSAGES_PART_OF_HEAP = 4;
+
   private final EdgeSettings s;
 
   EdgeConfig(EdgeSettings settings) {
@@ -137,6 +140,12 @@
             .orElse(1));
   }
 
+  /** Bytes that all requests and answers may take together. */
+  long messageBytes() {
+    long told = s.getLimits().getMaxMessageBytes();
+    return told > 0 ? told : Runtime.getRuntime().maxMemory() / MESSAGES_PART_OF_HEAP;
+  }
+
   Admission admission() {
     Limits l = s.getLimits();
     Map<String, Double> shares = new HashMap<>();
--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/front/UnfinishedRequests.java
@@ -0,0 +1,49 @@
+package gorseladder.edge.front;
+
+import gorseladder.runtime.ByteBudget;
+import gorseladder.runtime.MessageBytes;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Requests that are not whole yet, in the order in which their first bytes were read. Past the bound on the memory of
+ * messages the oldest makes room; a request that is whole never does.
+ *
+ * <p>Guards against clients that leave requests half sent: what all of them keep is bounded, and what a client that
+ * sends its request in one go needs is there. It could harm a slow honest client, which is told to come again. Any
+ * thread.
+ */
+public final class UnfinishedRequests {
+  private final ByteBudget budget;
+  private final Set<MessageBytes> oldestFirst = new LinkedHashSet<>();
+
+  /** Requests that take their memory from that budget. */
+  public UnfinishedRequests(ByteBudget budget) {
+    this.budget = budget;
+  }
+
+  /** A request begins. */
+  synchronized MessageBytes begin() {
+    MessageBytes request = new MessageBytes(budget, this::makeRoom);
+    oldestFirst.add(request);
+    return request;
+  }
+
+  /** It is whole, or ends; false where it had to make room before. */
+  synchronized boolean finish(MessageBytes request) {
+    return oldestFirst.remove(request);
+  }
+
+  /** Gives up the oldest; false where there is none. */
+  public synchronized boolean makeRoom() {
+    Iterator<MessageBytes> oldest = oldestFirst.iterator();
+    if (!oldest.hasNext()) {
+      return false;
+    }
+    MessageBytes request = oldest.next();
+    oldest.remove();
+    request.end();
+    return true;
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -16,6 +16,8 @@
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.HttpServer;
+import gorseladder.runtime.MessageBytes;
+import gorseladder.runtime.NoRoomException;
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.http1.BadMessage;
@@ -61,6 +63,7 @@
   private static final long LINGER = 300_000;
   private static final byte[] CONTINUE =
       "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final String NO_MEMORY = "as much memory as there is for messages is held";
   private static final Pattern WAIT =
       Pattern.compile("(?:^|[,;\\s])wait=\"?([0-9]{1,6})\"?(?:$|[,;\\s])");
 
@@ -74,12 +77,18 @@
   private final AtomicInteger inProgress = new AtomicInteger();
   private final TurnQueue turnQueue;
   private final IdleConnections idle = new IdleConnections();
+  private final UnfinishedRequests unfinished;
   private final ThreadSharer sharer = new ThreadSharer(idle);
   private volatile boolean stopping;
 
-  /** A front that hands calls to the intake. */
+  /**
+   * A front that hands calls to the intake.
+   *
+   * @param unfinished bounds the memory of requests
+   */
   public WebhookFront(
       WebhookSettings settings,
+      UnfinishedRequests unfinished,
       AdmissionCheck admission,
       Intake intake,
       Core<TakenCall> core,
@@ -87,6 +96,7 @@
       PauseClock pauses,
       CallLog log) {
     this.settings = settings;
+    this.unfinished = unfinished;
     this.admission = admission;
     this.intake = intake;
     this.core = core;
@@ -204,9 +214,12 @@
       return false;
     }
     inProgress.incrementAndGet();
+    MessageBytes memory = unfinished.begin();
     try {
-      return exchange(c, turn);
+      return exchange(c, turn, memory);
     } finally {
+      unfinished.finish(memory);
+      memory.end();
       inProgress.decrementAndGet();
     }
   }
@@ -225,7 +238,8 @@
     return came;
   }
 
-  private boolean exchange(HttpConnection c, TurnQueue.Turn turn) throws IOException, BadMessage {
+  private boolean exchange(HttpConnection c, TurnQueue.Turn turn, MessageBytes memory)
+      throws IOException, BadMessage {
     // Its client has waited since it came: behind another one, in a pause of this process, for a
     // turn.
     long arrivedAt = c.cameAt();
@@ -233,14 +247,23 @@
     Head head;
     byte[] body;
     try {
+      c.takeMemoryFrom(memory);
+      memory.take(HttpConnection.BUFFER);
       head = c.readRequest(until);
       BodyParser parser = BodyParser.forRequest(head, settings.limits());
       expectation(c, head, parser);
       body = c.readBody(parser, until);
+      if (!unfinished.finish(memory)) {
+        memory.requireOpen();
+      }
     } catch (SocketTimeoutException e) {
       turn.give();
       reject(c, Reason.SLOW_SENDER, Reason.SLOW_SENDER.text);
       return false;
+    } catch (NoRoomException e) {
+      turn.give();
+      reject(c, Reason.BUSY, NO_MEMORY);
+      return false;
     }
     boolean keep = head.keepsConnection() && !stopping;
     RequestTimeline times = new RequestTimeline(arrivedAt, turn.waited());
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -22,7 +22,11 @@
  * and end a blocked read or write with an {@link IOException}.
  */
 public final class HttpConnection implements Closeable {
-  private static final int BUFFER = 8192;
+  /** Bytes that are read at a time, which a connection in use holds. */
+  public static final int BUFFER = 8192;
+
+  /** Bytes of memory for each byte of a header section: its line, and its fields as text. */
+  private static final int HEAD_COST = 3;
 
   private final SocketChannel channel;
   private final Socket socket;
@@ -36,6 +40,9 @@
   /** When the first byte of the buffer may have come at the earliest. */
   private long cameAt;
 
+  /** Where what is read now takes its memory. */
+  private MessageBytes memory = MessageBytes.unbounded();
+
   private Runnable beforeWait = () -> {};
   private Runnable afterWait = () -> {};
 
@@ -71,6 +78,11 @@
     afterWait = after;
   }
 
+  /** Has messages that are read from now on take their memory there; without this it has no bound. */
+  public void takeMemoryFrom(MessageBytes message) {
+    memory = message;
+  }
+
   /** Has this tell when bytes came, from the first read on. */
   public void arrivals(ArrivalTimes times) {
     arrivals = times;
@@ -111,17 +123,31 @@
   }
 
   private Head readHead(HeadParser parser, long until) throws IOException, BadMessage {
+    memory.discardBy(parser::discard);
     while (!parser.done()) {
       if (from == to && !fill(until)) {
         throw new EOFException("the connection ended inside a header section");
       }
-      from += parser.feed(buffer, from, to - from);
+      feed(parser);
     }
+    memory.discardBy(() -> {});
     return parser.head();
   }
 
+  private void feed(HeadParser parser) throws NoRoomException, BadMessage {
+    long most = (long) HEAD_COST * (to - from);
+    memory.take(most);
+    synchronized (memory) {
+      memory.requireOpen();
+      int used = parser.feed(buffer, from, to - from);
+      from += used;
+      memory.giveBack(most - (long) HEAD_COST * used);
+    }
+  }
+
   /** Reads the content that the parser expects. */
   public byte[] readBody(BodyParser parser, long until) throws IOException, BadMessage {
+    memory.discardBy(parser::discard);
     while (!parser.done()) {
       if (from == to && !fill(until)) {
         if (parser.ended()) {
@@ -129,9 +155,38 @@
         }
         throw new EOFException("the connection ended inside the content");
       }
+      feed(parser);
+    }
+    return content(parser);
+  }
+
+  /** While the content grows its old and its new memory both stand. */
+  private void feed(BodyParser parser) throws NoRoomException, BadMessage {
+    int before = parser.held();
+    int after = parser.heldAfter(to - from);
+    boolean grows = after > before;
+    if (grows) {
+      memory.take(after);
+    }
+    synchronized (memory) {
+      memory.requireOpen();
       from += parser.feed(buffer, from, to - from);
+      if (grows) {
+        memory.giveBack(before);
+      }
+    }
+  }
+
+  private byte[] content(BodyParser parser) throws NoRoomException {
+    if (!parser.contentIsExact()) {
+      memory.take(parser.size());
+      memory.giveBack(parser.held());
+    }
+    synchronized (memory) {
+      memory.requireOpen();
+      memory.discardBy(() -> {});
+      return parser.content();
     }
-    return parser.content();
   }
 
   private boolean fill(long until) throws IOException {
--- /dev/null
+++ b/runtime/src/main/java/gorseladder/runtime/MessageBytes.java
@@ -0,0 +1,97 @@
+package gorseladder.runtime;
+
+import java.util.function.BooleanSupplier;
+
+/**
+ * The memory of one message, taken from the budget that all messages share. What is taken is given back exactly once:
+ * piece by piece, or all that is left by {@link #end}, however the message ends.
+ *
+ * <p>Guards against connections that are each within their bound and together past the memory of the process. Any
+ * thread; whoever keeps bytes for the message changes them under this object's lock, so that {@link #end} can let go of
+ * them from another thread.
+ */
+public final class MessageBytes {
+  private static final Runnable NOTHING = () -> {};
+
+  private final ByteBudget budget;
+  private final BooleanSupplier makeRoom;
+  private long taken;
+  private boolean ended;
+  private Runnable discard = NOTHING;
+
+  /**
+   * Nothing is taken yet.
+   *
+   * @param makeRoom is asked past the bound, without a lock of this object; false where it could make none
+   */
+  public MessageBytes(ByteBudget budget, BooleanSupplier makeRoom) {
+    this.budget = budget;
+    this.makeRoom = makeRoom;
+  }
+
+  /** Memory without a bound, for peers that the operator runs. */
+  public static MessageBytes unbounded() {
+    return new MessageBytes(new ByteBudget(Long.MAX_VALUE), () -> false);
+  }
+
+  /**
+   * Takes bytes, before they are kept.
+   *
+   * @throws NoRoomException where there is no room for them and none could be made, or this has ended
+   */
+  public void take(long bytes) throws NoRoomException {
+    while (!tryTake(bytes)) {
+      if (!makeRoom.getAsBoolean()) {
+        throw new NoRoomException("no room for " + bytes + " bytes more of a message");
+      }
+    }
+  }
+
+  private synchronized boolean tryTake(long bytes) throws NoRoomException {
+    requireOpen();
+    boolean room = budget.tryTake(bytes);
+    taken += room ? bytes : 0;
+    return room;
+  }
+
+  /** Gives back bytes that were taken and are kept no more. */
+  public synchronized void giveBack(long bytes) {
+    if (!ended) {
+      taken -= bytes;
+      budget.giveBack(bytes);
+    }
+  }
+
+  /** Gives back all but so many bytes. */
+  public synchronized void keepOnly(long bytes) {
+    giveBack(taken - bytes);
+  }
+
+  /** Names how what is kept at present is let go of. */
+  public synchronized void discardBy(Runnable lettingGo) {
+    discard = lettingGo;
+  }
+
+  /** Throws where this has ended. */
+  public synchronized void requireOpen() throws NoRoomException {
+    if (ended) {
+      throw new NoRoomException("a message had to make room for others");
+    }
+  }
+
+  /** Bytes taken at present. */
+  public synchronized long taken() {
+    return taken;
+  }
+
+  /** Lets go of what is kept, gives back all that is left, and takes nothing more. */
+  public synchronized void end() {
+    if (!ended) {
+      discard.run();
+      discard = NOTHING;
+      budget.giveBack(taken);
+      taken = 0;
+      ended = true;
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/EdgeMemoryTest.java
@@ -0,0 +1,152 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.testbed.script.DayScript;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against clients and runners who have an edge keep more than its memory: an edge as a process with a small
+ * heap, several times that in requests that are never whole, and calls beside them.
+ */
+class EdgeMemoryTest {
+  private static final WebhookClients.Kind SAFE = WebhookClients.kinds(
+          TestFleet.AIM, TestFleet.DEADLINE, TestFleet.REPEAT_WINDOW)
+      .get(0);
+
+  private static final List<String> SMALL_HEAP = List.of("env", "_JAVA_OPTIONS=-Xmx96m");
+  private static final int BODY_BYTES = 1 << 20;
+  /** More than four times the heap. */
+  private static final int HALF_REQUESTS = 400;
+
+  /** Nearly as many as the edge holds connections. */
+  private static final int SLOW_REQUESTS = 1_900;
+
+  private static final int SLOW_BEFORE_MILLIS = 1_500;
+  private static final int SENDERS = 16;
+  private static final int CALLS = 40;
+  private static final int PAUSE_MILLIS = 50;
+  private static final long STOP_SECONDS = 15;
+
+  @TempDir
+  Path dir;
+
+  private final Collection<Socket> halves = new ConcurrentLinkedQueue<>();
+  private final ExecutorService senders = Executors.newFixedThreadPool(SENDERS);
+  private TestFleet fleet;
+
+  private void start() throws Exception {
+    fleet = new TestFleet(
+        DayScript.parse("edges = 1; runners = 4; work = 5ms; load = 10ms;"),
+        dir,
+        true,
+        line -> {},
+        SMALL_HEAP);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    senders.shutdownNow();
+    for (Socket socket : halves) {
+      socket.close();
+    }
+    fleet.close();
+  }
+
+  @Test
+  void requestsThatAreNeverWholeDisturbNoCalls() throws Exception {
+    start();
+    assertEquals(List.of(), faults(calls("before", 5)));
+    List<Future<?>> sending = new ArrayList<>();
+    for (int i = 0; i < HALF_REQUESTS; i++) {
+      sending.add(senders.submit(this::sendAllButTheLastByte));
+    }
+    List<Tap.Try> beside = calls("beside", CALLS);
+    for (Future<?> half : sending) {
+      half.get();
+    }
+    beside.addAll(calls("after", CALLS));
+    assertEquals(List.of(), faults(beside));
+    assertNoThreadRanOutOfMemory();
+  }
+
+  @Test
+  void requestsThatComeByteByByteDisturbNoCalls() throws Exception {
+    start();
+    assertEquals(List.of(), faults(calls("before", 5)));
+    try (SlowClients slow = new SlowClients(fleet.edge(0), SLOW_REQUESTS, BODY_BYTES)) {
+      Thread.sleep(SLOW_BEFORE_MILLIS);
+      assertEquals(List.of(), faults(calls("beside", CALLS)));
+      assertTrue(slow.sent() > 2 * SLOW_REQUESTS, "they sent too little to matter");
+    }
+    assertEquals(List.of(), faults(calls("after", 5)));
+    assertNoThreadRanOutOfMemory();
+  }
+
+  /** One request without its last byte; a client that is refused meanwhile stops. */
+  private void sendAllButTheLastByte() {
+    try {
+      Socket socket = new Socket(InetAddress.getLoopbackAddress(), fleet.edge(0).getPort());
+      halves.add(socket);
+      String head = "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\nwebhook-id: half\r\n"
+          + "webhook-timestamp: 1\r\nwebhook-signature: v1,AAAA\r\nContent-Length: " + BODY_BYTES
+          + "\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(new byte[BODY_BYTES - 1]);
+    } catch (IOException e) {
+      // Refused, which is the edge's right.
+    }
+  }
+
+  private List<Tap.Try> calls(String name, int count) throws InterruptedException {
+    List<Tap.Try> calls = new ArrayList<>();
+    WebhookClients clients = fleet.clients();
+    for (int i = 0; i < count; i++) {
+      calls.add(clients.attempt(
+          "msg_" + name + i,
+          0,
+          SAFE,
+          clients.payload(SAFE, "svc/" + i % 4),
+          System.currentTimeMillis() / 1000,
+          SAFE.deadline()));
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    return calls;
+  }
+
+  /** Calls that were not served in their time. */
+  private static List<String> faults(List<Tap.Try> calls) {
+    return calls.stream()
+        .filter(call ->
+            !call.statuses.equals(List.of(200)) || call.answeredAt - call.sentAt > SAFE.deadline())
+        .map(call -> call.message + " " + call.statuses + " " + call.reason + " after "
+            + (call.answeredAt - call.sentAt) / 1_000 + " ms")
+        .toList();
+  }
+
+  private void assertNoThreadRanOutOfMemory() throws Exception {
+    fleet.process(0).toHandle().destroy();
+    assertTrue(fleet.process(0).waitFor(STOP_SECONDS, java.util.concurrent.TimeUnit.SECONDS));
+    for (String file : List.of("edge-0.err", "edge-0.log")) {
+      String said = Files.readString(dir.resolve(file));
+      assertFalse(said.contains("OutOfMemoryError"), () -> said);
+    }
+  }
+}
--- /dev/null
+++ b/testbed/src/test/java/gorseladder/testbed/MessageMemoryTest.java
@@ -0,0 +1,191 @@
+package gorseladder.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorseladder.testbed.script.DayScript;
+import gorseladder.wire.webhook.Secret;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The memory of messages is given back on each way out, once, and what is past its bound is told so. */
+class MessageMemoryTest {
+  private static final int REQUESTS = 10_000;
+  private static final int CLIENTS = 16;
+  private static final int LONG_BODY = 200_000;
+  private static final long GIVEN_BACK_MILLIS = 5_000;
+  private static final long SEED = 50;
+
+  @TempDir
+  Path dir;
+
+  private TestFleet fleet;
+
+  /** How a request ends. */
+  private enum End {
+    SERVED,
+    BAD_SIGNATURE,
+    UNKNOWN_PATH,
+    BAD_CHUNK,
+    TOO_LARGE,
+    RESET_IN_THE_HEAD,
+    RESET_IN_THE_BODY,
+    CLOSED_IN_THE_BODY,
+    LEFT_BEFORE_ITS_ANSWER
+  }
+
+  private void start(String moreSettings) throws Exception {
+    fleet = new TestFleet(
+        DayScript.parse("edges = 1; runners = 2; work = 1ms; load = 5ms;"),
+        dir,
+        false,
+        line -> {},
+        List.of(),
+        moreSettings);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fleet.close();
+  }
+
+  /** With room for all, and with so little that requests make room for others all the time. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "limits { max_message_bytes: 1048576 }"})
+  void allIsGivenBackAfterTenThousandMixedEnds(String settings) throws Exception {
+    start(settings);
+    ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+    List<Future<?>> done = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      int client = i;
+      done.add(clients.submit(() -> send(client)));
+    }
+    for (Future<?> each : done) {
+      each.get();
+    }
+    clients.shutdown();
+    assertGivenBack();
+  }
+
+  private void send(int client) {
+    Random random = new Random(SEED + client);
+    for (int i = 0; i < REQUESTS / CLIENTS; i++) {
+      End end = End.values()[random.nextInt(End.values().length)];
+      try {
+        send(end, "m" + client + "-" + i);
+      } catch (IOException e) {
+        // Turned away in the middle, which is an end too.
+      }
+    }
+  }
+
+  private void send(End end, String id) throws IOException {
+    try (Socket socket = connect()) {
+      switch (end) {
+        case SERVED -> exchange(socket, call(id));
+        case BAD_SIGNATURE ->
+          exchange(socket, head("webhook-id: x\r\n", LONG_BODY) + "x".repeat(LONG_BODY));
+        case UNKNOWN_PATH ->
+          exchange(socket, "POST /nowhere HTTP/1.1\r\nHost: e\r\nContent-Length: 3\r\n\r\nabc");
+        case BAD_CHUNK ->
+          exchange(
+              socket,
+              "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+                  + "\r\n1000\r\n" + "x".repeat(0x1000) + "\r\nnot a size\r\n");
+        case TOO_LARGE -> exchange(socket, head("", 1 << 30) + "x");
+        case RESET_IN_THE_HEAD ->
+          reset(socket, "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: " + "x".repeat(3_000));
+        case RESET_IN_THE_BODY -> reset(socket, head("", LONG_BODY) + "x".repeat(LONG_BODY / 2));
+        case CLOSED_IN_THE_BODY -> write(socket, head("", LONG_BODY) + "x".repeat(1_000));
+        case LEFT_BEFORE_ITS_ANSWER -> write(socket, call(id));
+      }
+    }
+  }
+
+  /** Past the bound the oldest request that is not whole goes, with an answer; one that is whole is served. */
+  @Test
+  void theOldestUnfinishedRequestMakesRoomAndIsToldSo() throws Exception {
+    start("limits { max_message_bytes: 1048576 }");
+    try (Socket oldest = connect();
+        Socket next = connect();
+        Socket whole = connect()) {
+      write(oldest, head("", 1_000_000) + "x".repeat(LONG_BODY));
+      awaitKept(LONG_BODY);
+      write(next, head("", 1_000_000) + "x".repeat(4 * LONG_BODY));
+      String served = exchange(whole, call("whole"));
+      assertTrue(served.startsWith("HTTP/1.1 200"), served);
+      String refused = exchange(oldest, "x");
+      assertTrue(refused.startsWith("HTTP/1.1 503") && refused.contains("Retry-After"), refused);
+    }
+    assertGivenBack();
+  }
+
+  private void awaitKept(long bytes) throws InterruptedException {
+    long until = System.nanoTime() + GIVEN_BACK_MILLIS * 1_000_000;
+    while (fleet.inside(0).messageBytes() < bytes && System.nanoTime() < until) {
+      Thread.sleep(5);
+    }
+  }
+
+  private void assertGivenBack() throws InterruptedException {
+    long until = System.nanoTime() + GIVEN_BACK_MILLIS * 1_000_000;
+    while (fleet.inside(0).messageBytes() != 0 && System.nanoTime() < until) {
+      Thread.sleep(5);
+    }
+    assertEquals(0, fleet.inside(0).messageBytes(), "bytes kept after all ended");
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), fleet.edge(0).getPort());
+    socket.setSoTimeout(10_000);
+    return socket;
+  }
+
+  private static void write(Socket socket, String bytes) throws IOException {
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static void reset(Socket socket, String bytes) throws IOException {
+    write(socket, bytes);
+    socket.setSoLinger(true, 0);
+  }
+
+  /** Sends bytes and reads what comes first. */
+  private static String exchange(Socket socket, String bytes) throws IOException {
+    write(socket, bytes);
+    byte[] answer = new byte[4_096];
+    int count = socket.getInputStream().read(answer);
+    return new String(answer, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
+  }
+
+  private static String head(String fields, int length) {
+    return "POST " + TestFleet.PATH + " HTTP/1.1\r\nHost: e\r\n" + fields + "Content-Length: "
+        + length + "\r\n\r\n";
+  }
+
+  private String call(String id) {
+    String body = "{\"type\":\"hours.read\",\"data\":{\"function\":\"svc/a\"}}";
+    long now = System.currentTimeMillis() / 1000;
+    String signature =
+        Secret.parse(fleet.secret()).sign(id, now, body.getBytes(StandardCharsets.UTF_8));
+    return head(
+            "webhook-id: " + id + "\r\nwebhook-timestamp: " + now + "\r\nwebhook-signature: "
+                + signature + "\r\n",
+            body.length())
+        + body;
+  }
+}
--- a/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/BodyParser.java
@@ -1,13 +1,14 @@
 package gorseladder.wire.http1;
 
 import gorseladder.wire.http1.BadMessage.Fault;
-import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.List;
 
 /**
  * Reads the content of one message as it arrives: of a told length, chunked, or up to the end of the connection (RFC
  * 9112 sections 6 and 7). A message whose length two readers could see differently is malformed: both length fields,
- * more than one Content-Length (even alike), a sign or any other character in it. Not thread safe; one instance for one
+ * more than one Content-Length (even alike), a sign or any other character in it. Memory grows with what has come, not
+ * with what is announced; {@link #heldAfter} tells how much before it is fed. Not thread safe; one instance for one
  * message.
  */
 public final class BodyParser {
@@ -26,9 +27,12 @@
   }
 
   private static final int MOST_EXTENSION = 256;
+  private static final int LEAST_HELD = 512;
+  private static final byte[] NOTHING = {};
 
   private final HttpLimits limits;
-  private final ByteArrayOutputStream content = new ByteArrayOutputStream(512);
+  private byte[] content = NOTHING;
+  private int size;
   private State state;
   private long left;
   private int digits;
@@ -107,9 +111,41 @@
     return done();
   }
 
-  /** The content so far. */
+  /** The content so far; not a copy where {@link #contentIsExact} holds. */
   public byte[] content() {
-    return content.toByteArray();
+    return contentIsExact() ? content : Arrays.copyOf(content, size);
+  }
+
+  /** Bytes of the content so far. */
+  public int size() {
+    return size;
+  }
+
+  /** True where the content fills what is held for it, so that it can be handed over as it is. */
+  public boolean contentIsExact() {
+    return size == content.length;
+  }
+
+  /** Bytes of memory held for the content. */
+  public int held() {
+    return content.length;
+  }
+
+  /** Bytes of memory held for the content at the most once so many bytes more were fed. */
+  public int heldAfter(int more) {
+    long wanted = size + (state == State.FIXED ? Math.min(more, left) : more);
+    if (state == State.DONE || wanted <= content.length) {
+      return content.length;
+    }
+    long most = state == State.FIXED ? size + left : limits.maxBody();
+    long grown = Math.max(LEAST_HELD, Math.max(wanted, 2L * content.length));
+    return (int) Math.max(content.length, Math.min(most, grown));
+  }
+
+  /** Lets go of the content; nothing may be fed after that. */
+  public void discard() {
+    content = NOTHING;
+    size = 0;
   }
 
   /**
@@ -118,6 +154,7 @@
    * @throws BadMessage where they break the framing or the content passes the limit
    */
   public int feed(byte[] bytes, int from, int count) throws BadMessage {
+    hold(heldAfter(count));
     int used = 0;
     while (used < count && state != State.DONE) {
       if (state == State.FIXED || state == State.DATA || state == State.UNTIL_CLOSE) {
@@ -128,7 +165,8 @@
           take = (int) Math.min(take, left);
           left -= take;
         }
-        content.write(bytes, from + used, take);
+        System.arraycopy(bytes, from + used, content, size, take);
+        size += take;
         used += take;
         if (left == 0 && state != State.UNTIL_CLOSE) {
           state = state == State.FIXED ? State.DONE : State.DATA_CR;
@@ -141,8 +179,14 @@
     return used;
   }
 
+  private void hold(int bytes) {
+    if (bytes > content.length) {
+      content = Arrays.copyOf(content, bytes);
+    }
+  }
+
   private void requireRoom(long more) throws BadMessage {
-    if (content.size() + more > limits.maxBody()) {
+    if (size + more > limits.maxBody()) {
       throw new BadMessage(Fault.TOO_LARGE, "content over " + limits.maxBody() + " bytes");
     }
   }
--- a/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
+++ b/wire/src/main/java/gorseladder/wire/http1/HeadParser.java
@@ -23,7 +23,7 @@
 
   private final HttpLimits limits;
   private final boolean request;
-  private final Head head = new Head();
+  private Head head = new Head();
   private byte[] line = new byte[256];
   private int length;
   private boolean sawCr;
@@ -60,6 +60,12 @@
     return head;
   }
 
+  /** Lets go of what came so far; nothing may be fed after that. */
+  public void discard() {
+    head = new Head();
+    line = new byte[0];
+  }
+
   /**
    * Takes bytes; returns how many it used, which is fewer than given only once the head is done.
    *
--- a/wire/src/main/java/gorseladder/wire/http1/HeadWriter.java
+++ b/wire/src/main/java/gorseladder/wire/http1/HeadWriter.java
@@ -1,7 +1,7 @@
 package gorseladder.wire.http1;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Builds one message with content of known length, as bytes for a single write. Not thread safe.
@@ -36,12 +36,17 @@
 
   /** The whole message with its Content-Length. */
   public byte[] with(byte[] content) {
+    byte[] begin = before(content);
+    byte[] message = Arrays.copyOf(begin, begin.length + content.length);
+    System.arraycopy(content, 0, message, begin.length, content.length);
+    return message;
+  }
+
+  /** The head of a message with that content, which follows it in a write of its own and needs no copy. */
+  public byte[] before(byte[] content) {
     field("Content-Length", content.length);
     head.append("\r\n");
-    ByteArrayOutputStream out = new ByteArrayOutputStream(head.length() + content.length);
-    out.writeBytes(head.toString().getBytes(StandardCharsets.ISO_8859_1));
-    out.writeBytes(content);
-    return out.toByteArray();
+    return head.toString().getBytes(StandardCharsets.ISO_8859_1);
   }
 
   private static String safe(String text) {
