HttpConnection writes 16 KiB at a time: long writes took memory outside the heap

Callers saw nothing yet. Cause: the Java machine copies a write into memory outside the heap, as long as the write, and keeps it with the thread; an edge wrote whole messages on some thousands of threads.

LongWriteTest failed before: 8,388,608 bytes outside the heap for a message of 8 MiB (one run). Works since the copy is never longer than the piece.

--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -25,6 +25,9 @@
   /** Bytes that are read at a time, which a connection in use holds. */
   public static final int BUFFER = 8192;
 
+  /** Bytes that are written at a time; the thread keeps a copy as long as its longest write, outside the heap. */
+  private static final int WRITE = 16_384;
+
   /** Bytes of memory for each byte of a header section: its line, and its fields as text. */
   private static final int HEAD_COST = 3;
 
@@ -279,14 +282,16 @@
 
   /** Writes the bytes from that one on. */
   public void writeFrom(byte[] bytes, int first) throws IOException {
-    socket.getOutputStream().write(bytes, first, bytes.length - first);
+    for (int next = first; next < bytes.length; next += WRITE) {
+      socket.getOutputStream().write(bytes, next, Math.min(WRITE, bytes.length - next));
+    }
   }
 
-  /** Writes as many of the bytes as the system takes at once, without waiting; returns how many. */
+  /** Writes the first bytes, as many as the system takes at once, without waiting; returns how many. */
   public int writeAtOnce(byte[] bytes) throws IOException {
     channel.configureBlocking(false);
     try {
-      return channel.write(ByteBuffer.wrap(bytes));
+      return channel.write(ByteBuffer.wrap(bytes, 0, Math.min(WRITE, bytes.length)));
     } finally {
       channel.configureBlocking(true);
     }
