Edge: answers to clients are written by AnswerWriter

WebhookFront did three jobs: reading requests, judging them and writing answers. The last has a class of its own now; behaviour stands. Problem details and results share one way out, so that a long body of either kind needs no copy.

--- /dev/null
+++ b/edge/src/main/java/gorseladder/edge/front/AnswerWriter.java
@@ -0,0 +1,105 @@
+package gorseladder.edge.front;
+
+import gorseladder.answers.Reason;
+import gorseladder.core.FinalAnswer;
+import gorseladder.runtime.HttpConnection;
+import gorseladder.runtime.Watchdog;
+import gorseladder.wire.http1.HeadWriter;
+import gorseladder.wire.json.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes final answers to clients: the runner's result, or problem details (RFC 9457). A client that does not take its
+ * answer in time loses its connection. Any thread; one at a time for a connection.
+ */
+final class AnswerWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(AnswerWriter.class);
+  private static final byte[] NOTHING = {};
+
+  private final Watchdog watchdog;
+  private final long mostTime;
+
+  /** Answers that their clients have to take within so many microseconds. */
+  AnswerWriter(Watchdog watchdog, long mostTime) {
+    this.watchdog = watchdog;
+    this.mostTime = mostTime;
+  }
+
+  /**
+   * Writes an answer.
+   *
+   * @param detail says more than the reason's own text, in problem details; may be null
+   * @param keep the connection carries further requests
+   */
+  void write(HttpConnection connection, FinalAnswer answer, String detail, boolean keep)
+      throws IOException {
+    boolean served = answer.reason().kind == Reason.Kind.SERVED;
+    byte[] body = served ? result(answer) : problem(answer, detail);
+    HeadWriter head = served ? servedHead(answer) : problemHead(answer);
+    if (!keep) {
+      head.field("Connection", "close");
+    }
+    // A long body follows its head in a write of its own, which needs no copy of it.
+    if (body.length <= HttpConnection.BUFFER) {
+      write(connection, head.with(body));
+    } else {
+      write(connection, head.before(body), body);
+    }
+  }
+
+  private static byte[] result(FinalAnswer answer) {
+    return answer.body() == null ? NOTHING : answer.body();
+  }
+
+  private static HeadWriter servedHead(FinalAnswer answer) {
+    return HeadWriter.response(200)
+        .field("Content-Type", "application/json")
+        .field("gorseladder-reason", answer.reason().word());
+  }
+
+  private static byte[] problem(FinalAnswer answer, String detail) {
+    Reason reason = answer.reason();
+    Map<String, Object> content = new LinkedHashMap<>();
+    content.put("type", "about:blank");
+    content.put("title", reason.text);
+    content.put("status", reason.status);
+    content.put("reason", reason.word());
+    if (detail != null && !detail.equals(reason.text)) {
+      content.put("detail", detail);
+    }
+    return Json.write(content).getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static HeadWriter problemHead(FinalAnswer answer) {
+    Reason reason = answer.reason();
+    HeadWriter head = HeadWriter.response(reason.status)
+        .field("Content-Type", "application/problem+json")
+        .field("gorseladder-reason", reason.word());
+    if (answer.retryAfter() > 0) {
+      head.field("Retry-After", answer.retryAfterSeconds());
+    }
+    if (reason == Reason.WRONG_METHOD) {
+      head.field("Allow", "POST");
+    }
+    return head;
+  }
+
+  private void write(HttpConnection connection, byte[]... parts) throws IOException {
+    Watchdog.Timer guard = watchdog.after(mostTime, () -> {
+      LOG.info("{} did not take its answer in time", connection.peer());
+      connection.abort();
+    });
+    try {
+      for (byte[] part : parts) {
+        connection.write(part);
+      }
+    } finally {
+      guard.cancel();
+    }
+  }
+}
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -23,8 +23,6 @@
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
 import gorseladder.wire.http1.Head;
-import gorseladder.wire.http1.HeadWriter;
-import gorseladder.wire.json.Json;
 import gorseladder.wire.webhook.Delivery;
 import gorseladder.wire.webhook.Payload;
 import java.io.IOException;
@@ -32,8 +30,6 @@
 import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -71,7 +67,7 @@
   private final Intake intake;
   private final Core<TakenCall> core;
   private final AdmissionCheck admission;
-  private final Watchdog watchdog;
+  private final AnswerWriter answers;
   private final PauseClock pauses;
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
@@ -100,7 +96,7 @@
     this.admission = admission;
     this.intake = intake;
     this.core = core;
-    this.watchdog = watchdog;
+    this.answers = new AnswerWriter(watchdog, settings.answerWrite());
     this.pauses = pauses;
     this.log = log;
     this.turnQueue = new TurnQueue(Runtime.getRuntime().availableProcessors());
@@ -203,7 +199,7 @@
   private void reject(HttpConnection c, Reason reason, String detail) throws IOException {
     c.aroundWaits(() -> {}, () -> {});
     log.rejected(c.peer(), reason, detail);
-    write(c, problem(FinalAnswer.of(reason), detail, false));
+    answers.write(c, FinalAnswer.of(reason), detail, false);
     c.closeGently(Clock.micros() + LINGER);
   }
 
@@ -340,11 +336,7 @@
       if (answer.reason() == Reason.OVERLOADED) {
         hold(times.until());
       }
-      if (answer.reason().kind == Reason.Kind.SERVED) {
-        writeServed(c, answer, keep);
-      } else {
-        write(c, problem(answer, detail, keep));
-      }
+      answers.write(c, answer, detail, keep);
       times.mark(Step.WRITTEN);
       log.written(message, answer.reason(), times);
       return keep;
@@ -509,59 +501,4 @@
     }
     return Long.MAX_VALUE / 4;
   }
-
-  /** A long result follows its head in a write of its own, which needs no copy of it. */
-  private void writeServed(HttpConnection c, FinalAnswer answer, boolean keep) throws IOException {
-    byte[] body = answer.body() == null ? new byte[0] : answer.body();
-    HeadWriter head = close(
-        HeadWriter.response(200)
-            .field("Content-Type", "application/json")
-            .field("gorseladder-reason", answer.reason().word()),
-        keep);
-    if (body.length <= HttpConnection.BUFFER) {
-      write(c, head.with(body));
-    } else {
-      write(c, head.before(body), body);
-    }
-  }
-
-  private static byte[] problem(FinalAnswer answer, String detail, boolean keep) {
-    Reason reason = answer.reason();
-    Map<String, Object> content = new LinkedHashMap<>();
-    content.put("type", "about:blank");
-    content.put("title", reason.text);
-    content.put("status", reason.status);
-    content.put("reason", reason.word());
-    if (detail != null && !detail.equals(reason.text)) {
-      content.put("detail", detail);
-    }
-    HeadWriter w = HeadWriter.response(reason.status)
-        .field("Content-Type", "application/problem+json")
-        .field("gorseladder-reason", reason.word());
-    if (answer.retryAfter() > 0) {
-      w.field("Retry-After", answer.retryAfterSeconds());
-    }
-    if (reason == Reason.WRONG_METHOD) {
-      w.field("Allow", "POST");
-    }
-    return close(w, keep).with(Json.write(content).getBytes(StandardCharsets.UTF_8));
-  }
-
-  private static HeadWriter close(HeadWriter w, boolean keep) {
-    return keep ? w : w.field("Connection", "close");
-  }
-
-  private void write(HttpConnection c, byte[]... parts) throws IOException {
-    Watchdog.Timer guard = watchdog.after(settings.answerWrite(), () -> {
-      LOG.info("{} did not take its answer in time", c.peer());
-      c.abort();
-    });
-    try {
-      for (byte[] part : parts) {
-        c.write(part);
-      }
-    } finally {
-      guard.cancel();
-    }
-  }
 }
