LittleProcessorTest: three patterns where the fault came most often

With one pattern a case the code before failed in two runs of three: 21 and 143 requests lost at 5 ms of each 100, then none. 5 ms, started so, is played with three seeds now; checks and bounds stand.

--- a/testbed/src/test/java/gorseladder/testbed/platform/LittleProcessorTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/LittleProcessorTest.java
@@ -87,16 +87,18 @@
 
   @ParameterizedTest
   @CsvSource({
-    "20, false",
-    "10, false",
-    "7, false",
-    "5, false",
-    "20, true",
-    "10, true",
-    "7, true",
-    "5, true"
+    "20, false, 1",
+    "10, false, 1",
+    "7, false, 1",
+    "5, false, 1",
+    "5, false, 2",
+    "5, false, 3",
+    "20, true, 1",
+    "10, true, 1",
+    "7, true, 1",
+    "5, true, 1"
   })
-  void eachRequestGetsItsAnswerInTime(int runMillis, boolean warm, TestReporter reporter)
+  void eachRequestGetsItsAnswerInTime(int runMillis, boolean warm, long seed, TestReporter reporter)
       throws Exception {
     prepare();
     launch();
@@ -104,7 +106,7 @@
       awaitLive();
       warmUp();
     }
-    pattern = new ProcessorPattern(process, runMillis, runMillis);
+    pattern = new ProcessorPattern(process, runMillis, seed);
     awaitLive();
     connect();
     calls("first calls", BURSTS);
