Edge: the head of a request to a runner counts in its memory too

keepOnly could take bytes past the bound where a message was longer than what was taken for its making, as with small payloads. A request takes the size of a buffer beside its payload now, and keepOnly gives back alone.

--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -58,7 +58,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Runners.class);
   private static final byte[] NOTHING = {};
 
-  /** Bytes of memory that making a request takes for each byte of its payload. */
+  /** Bytes of memory that making a request takes for each byte of its payload, beside its head. */
   private static final int REQUEST_COST = 5;
 
   private final RunnerSettings settings;
@@ -280,8 +280,7 @@
 
     /** Writes the request where the last look allows it; false where it does not. */
     private boolean writeRequest() throws IOException {
-      long making = (long) REQUEST_COST * call.facts().body().length;
-      memory.take(making);
+      memory.take(HttpConnection.BUFFER + (long) REQUEST_COST * call.facts().body().length);
       byte[] message = message();
       memory.keepOnly(message.length);
       boolean left = write(message);
--- a/runtime/src/main/java/gorseladder/runtime/MessageBytes.java
+++ b/runtime/src/main/java/gorseladder/runtime/MessageBytes.java
@@ -70,9 +70,9 @@
     }
   }
 
-  /** Gives back all but so many bytes. */
+  /** Gives back all but so many bytes; nothing where fewer are taken. */
   public synchronized void keepOnly(long bytes) {
-    giveBack(taken - bytes);
+    giveBack(Math.max(0, taken - bytes));
   }
 
   /** Names how what is kept at present is let go of. */
