Edge: an attempt that is held back is reported without its call's lock

Callers got no answer to any call until the edge was started again: 441 threads waited for the history's lock for good.

Cause: the last look runs under the call's lock, and an attempt that was held back was reported there; who hears of it takes the history's lock. The end of a call told the history, which took the call's lock with its own held. A client that leaves just then makes both wait for each other.

Evidence: the threads of that process, one with each lock. The report comes after the lock is given back now, and the history reads the answer before it takes its own, so neither lock is waited for with the other held.

--- a/edge/src/main/java/gorseladder/edge/history/CallHistory.java
+++ b/edge/src/main/java/gorseladder/edge/history/CallHistory.java
@@ -75,12 +75,15 @@
   }
 
   /** A call got its final answer. */
-  public synchronized void ended(TakenCall call) {
-    Counts c = of(call);
+  public void ended(TakenCall call) {
+    // Takes the call's lock, which nobody may wait for with the history's.
     Reason.Kind kind = call.answer().reason().kind;
-    c.calls++;
-    c.refused += kind == Reason.Kind.REFUSED || kind == Reason.Kind.REJECTED ? 1 : 0;
-    c.failed += kind == Reason.Kind.FAILED ? 1 : 0;
+    synchronized (this) {
+      Counts c = of(call);
+      c.calls++;
+      c.refused += kind == Reason.Kind.REFUSED || kind == Reason.Kind.REJECTED ? 1 : 0;
+      c.failed += kind == Reason.Kind.FAILED ? 1 : 0;
+    }
   }
 
   /** An attempt ended; a served one says what it met. */
--- a/edge/src/main/java/gorseladder/edge/runners/Runners.java
+++ b/edge/src/main/java/gorseladder/edge/runners/Runners.java
@@ -187,6 +187,7 @@
     private long timePassed;
 
     private long leftAt;
+    private Verdict lastLook;
     /** Bytes of the request that are written, and what ends a write that is stuck. */
     private int written;
 
@@ -291,6 +292,8 @@
     private boolean write(byte[] message) throws IOException {
       try {
         if (!call.departs(() -> leave(message))) {
+          // Without the call's lock: who hears of it has locks of its own.
+          end(AttemptFate.ofHeldBack(lastLook));
           return false;
         }
         connection.writeFrom(message, written);
@@ -302,9 +305,10 @@
       return true;
     }
 
-    /** The last look and the first bytes; the call's lock is held. */
+    /** The last look and the first bytes; the call's lock is held, so that nobody may be told of it here. */
     private boolean leave(byte[] message) throws IOException {
-      if (!mayLeave()) {
+      lastLook = look();
+      if (!lastLook.allowed()) {
         return false;
       }
       progress = Progress.LEAVING;
@@ -314,7 +318,7 @@
     }
 
     /** The last look; nothing but the write itself comes after it. */
-    private boolean mayLeave() {
+    private Verdict look() {
       Verdict verdict;
       synchronized (gate) {
         long now = Clock.micros();
@@ -330,9 +334,8 @@
       if (!verdict.allowed()) {
         LOG.debug(
             "request={} worker={} held back: {}", call.facts().message(), worker, verdict.word());
-        end(AttemptFate.ofHeldBack(verdict));
       }
-      return verdict.allowed();
+      return verdict;
     }
 
     /** Has the rules looked at once more, now that its bytes were written. */
--- a/edge/src/test/java/gorseladder/edge/runners/RunnersTest.java
+++ b/edge/src/test/java/gorseladder/edge/runners/RunnersTest.java
@@ -1,5 +1,6 @@
 package gorseladder.edge.runners;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorseladder.RouterApi.Effect;
@@ -27,6 +28,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -82,6 +84,33 @@
     }
   }
 
+  /**
+   * Guards against threads that wait for each other: who hears of an attempt has locks of its own, and the end of a
+   * call takes the call's.
+   */
+  @Test
+  void anAttemptThatIsHeldBackIsReportedWithoutTheCallsLock() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        Ledger ledger = Ledger.open(dir.resolve("ledger"), false, 100);
+        Watchdog watchdog = new Watchdog("watchdog", STACK);
+        Runners runners = runners(ledger, watchdog, server)) {
+      CompletableFuture<Boolean> locked = new CompletableFuture<>();
+      TakenCall call = call(ledger);
+      runners.reportTo(new Runners.Hearer() {
+        @Override
+        public void attemptEnded(AttemptEnd<TakenCall> end) {
+          locked.complete(Thread.holdsLock(call));
+        }
+
+        @Override
+        public void loadEnded(Loaded loaded) {}
+      });
+      call.finish(new FinalAnswer(Reason.GONE, null, 0), Clock.micros());
+      runners.send(call, call.begin("runner", Clock.micros(), 0), "runner", 0);
+      assertFalse(locked.get(5, TimeUnit.SECONDS), "the call's lock is held");
+    }
+  }
+
   private static Runners runners(Ledger ledger, Watchdog watchdog, ServerSocket server) {
     Runners runners = new Runners(
         new RunnerSettings(0, SECOND, SECOND, SECOND, 0, 1 << 20, false),
