Two lines of comments shortened to what the check allows

The first run of the whole check on ended with "Line is longer than 120 characters" in MessageBytes; UnfinishedAnswers had one too. No code changed. The formatter does not break these lines, and checkstyle had not been run on them.

--- a/edge/src/main/java/gorseladder/edge/runners/UnfinishedAnswers.java
+++ b/edge/src/main/java/gorseladder/edge/runners/UnfinishedAnswers.java
@@ -11,8 +11,8 @@
 
 /**
  * Answers of runners that are not whole yet. They take their memory from the budget of all messages, and at most a part
- * of it, so that requests always find room. Past the bound of all, requests that are not whole make room; past the part,
- * or where there are none, the unfinished answer that keeps most does, and its attempt is given up.
+ * of it, so that requests always find room. Past the bound of all, requests that are not whole make room; past the
+ * part, or where there are none, the unfinished answer that keeps most does, and its attempt is given up.
  *
  * <p>Guards against runners whose answers do not end. It could harm a long answer that would have been whole soon. Any
  * thread.
--- a/runtime/src/main/java/gorseladder/runtime/MessageBytes.java
+++ b/runtime/src/main/java/gorseladder/runtime/MessageBytes.java
@@ -24,7 +24,7 @@
    * Nothing is taken yet.
    *
    * @param budgets each byte counts in all of them
-   * @param makeRoom is asked past a bound, with the bytes that are wanted and without a lock of this object; false where
+   * @param makeRoom is asked past a bound, with the bytes that are wanted and without a lock of this object; false if
    *     it could make none
    */
   public MessageBytes(List<ByteBudget> budgets, LongPredicate makeRoom) {
