--- a/review/standins/Sender.java
+++ b/review/standins/Sender.java
@@ -39,13 +39,18 @@
     return request("/hooks/office", id, type, function, System.currentTimeMillis() / 1000);
   }
 
-  /** Writes a request, on the open connection if there is one. */
-  void send(byte[] request) throws IOException {
+  /** Opens the connection if there is none. */
+  void connect() throws IOException {
     if (socket == null) {
       socket = new Socket();
       socket.connect(new InetSocketAddress("127.0.0.1", port), 2000);
       socket.setTcpNoDelay(true);
     }
+  }
+
+  /** Writes a request, on the open connection if there is one. */
+  void send(byte[] request) throws IOException {
+    connect();
     socket.getOutputStream().write(request);
   }
 
