--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -1,5 +1,8 @@
 package review;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -10,6 +13,8 @@
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   Record record;
   Path folder;
+  /** By how many milliseconds this process itself was late at most, see {@link #watchOwnLag}. */
+  volatile double ownLag;
 
   /** Plays the case; returns true if the rule held. */
   abstract boolean play() throws Exception;
@@ -25,8 +30,8 @@
         code = held ? 0 : 1;
       } finally {
         Files.copy(
-            played.folder.resolve("edge.log"),
-            Path.of(args[0]).resolveSibling("edge.log"),
+            played.folder.resolve("program.log"),
+            Path.of(args[0]).resolveSibling("program.log"),
             java.nio.file.StandardCopyOption.REPLACE_EXISTING);
         played.deleteFolder();
       }
@@ -43,6 +48,21 @@
     }
   }
 
+  /** Measures by how much this process is late: a short sleep, and a byte's way to a new thread and back. */
+  void watchOwnLag() throws Exception {
+    ServerSocket echo = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+    Threads.start(() -> Threads.serve(echo, s -> s.getOutputStream().write(s.getInputStream().read())));
+    while (true) {
+      double before = record.now();
+      try (Socket s = new Socket("127.0.0.1", echo.getLocalPort())) {
+        s.getOutputStream().write(1);
+        s.getInputStream().read();
+      }
+      Thread.sleep(5);
+      ownLag = Math.max(ownLag, record.now() - before - 5);
+    }
+  }
+
   void deleteFolder() {
     try (Stream<Path> all = Files.walk(folder)) {
       all.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
--- a/review/standins/Edge.java
+++ b/review/standins/Edge.java
@@ -29,7 +29,7 @@
     Files.writeString(file, settings);
     Process process = new ProcessBuilder(
             "java", "-Xmx1g", "-XX:+UseSerialGC", "-jar", "app/target/gorseladder.jar", "edge", file.toString())
-        .redirectError(new File(folder.toFile(), "edge.log"))
+        .redirectError(new File(folder.toFile(), "program.log"))
         .start();
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     String line = new BufferedReader(new InputStreamReader(process.getInputStream())).readLine();
--- a/review/standins/Withdrawn.java
+++ b/review/standins/Withdrawn.java
@@ -22,7 +22,6 @@
   private final Map<String, Double> closedAt = new ConcurrentHashMap<>();
   private final AtomicInteger begun = new AtomicInteger();
   private final AtomicInteger late = new AtomicInteger();
-  private volatile double ownLag;
   private volatile double worst;
 
   public static void main(String[] args) {
@@ -98,20 +97,4 @@
     Threads.sleep(WORK_MILLIS);
     out.write(answer);
   }
-
-  /** By how much this process itself is late: what a short sleep takes too long, and a byte's way to a new thread. */
-  private void watchOwnLag() throws Exception {
-    java.net.ServerSocket echo =
-        new java.net.ServerSocket(0, 64, java.net.InetAddress.getByName("127.0.0.1"));
-    Threads.start(() -> Threads.serve(echo, s -> s.getOutputStream().write(s.getInputStream().read())));
-    while (true) {
-      double before = record.now();
-      try (java.net.Socket s = new java.net.Socket("127.0.0.1", echo.getLocalPort())) {
-        s.getOutputStream().write(1);
-        s.getInputStream().read();
-      }
-      Thread.sleep(5);
-      ownLag = Math.max(ownLag, record.now() - before - 5);
-    }
-  }
 }
