Edge: a stop gives calls that are out their final answer before it ends

Cause: Edge.stop waited until nothing was in progress or stop_ms was over and then closed everything. The live dispatcher gives what is left its final answer at a moment before its end (Core.refuseAll); the edge never did.

Change: StopSequence (pure) decides when a stop waits, gives the last answers and exits; GracefulStop carries it out for both programs with the moments passed in. Waits that the core knows nothing of (records before accepting, look-ups, records of ends) end too (StopLimits); what is owed is asked of the connections, unread bytes included. Pipelined requests are answered before their connection ends. Loads of a plan end with the last answers. In a dispatcher that stood still past its times the answers get their time for writing. It works since every wait of a client now ends before the exit.

--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -254,7 +254,10 @@
     mailbox.put(new ClientLeft<>(call));
   }
 
-  /** Answers all waiting calls, and all later ones, at once, since the process is about to exit. */
+  /**
+   * Answers all waiting calls, and all later ones, at once, since the process is about to exit. No attempt and no load of
+   * a plan begins afterwards.
+   */
   public void refuseAll() {
     mailbox.put(new RefuseAll<>());
   }
@@ -343,6 +346,7 @@
       process(m.event());
     } else if (message instanceof RefuseAll<C>) {
       refusingAll = true;
+      planCheckAt = Long.MAX_VALUE;
       calls.values().stream()
           .map(active -> active.call)
           .filter(call -> !call.isFinished())
@@ -351,7 +355,7 @@
           .forEach(id -> process(new AnswerDue(id)));
     } else if (message instanceof Planned<C> m) {
       PlanExecutor.Verdict verdict = planExecutor.offer(m.plan(), now);
-      planCheckAt = planExecutor.hasPendingHolds() ? now : Long.MAX_VALUE;
+      planCheckAt = planExecutor.hasPendingHolds() && !refusingAll ? now : Long.MAX_VALUE;
       if (verdict != PlanExecutor.Verdict.TAKEN && verdict != PlanExecutor.Verdict.OLDER) {
         LOG.warn("plan {}/{} is passed over: {}", m.plan().epoch(), m.plan().version(), verdict);
       }
--- a/core/src/test/java/gorseladder/core/CoreTest.java
+++ b/core/src/test/java/gorseladder/core/CoreTest.java
@@ -9,10 +9,15 @@
 import gorseladder.RouterApi.Effect;
 import gorseladder.RouterApi.Group;
 import gorseladder.RouterApi.Limits;
+import gorseladder.RouterApi.ListKind;
 import gorseladder.RouterApi.Outcome;
+import gorseladder.RouterApi.Phase;
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.RouterApi.Rules;
 import gorseladder.RouterApi.Settings;
+import gorseladder.RouterApi.WorkerEntry;
+import gorseladder.RouterApi.WorkerListUpdate;
+import gorseladder.ahead.Plan;
 import gorseladder.answers.Reason;
 import gorseladder.core.Core.AttemptEnd;
 import gorseladder.runtime.Clock;
@@ -24,6 +29,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CoreTest {
   private static final long SECOND_MICROS = 1_000_000;
@@ -169,6 +176,38 @@
     }
   }
 
+  /** Guards against loads of a plan that are ordered after the process has given its last answers. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void noLoadOfAPlanBeginsAfterTheLastAnswers(boolean stopping) throws Exception {
+    AtomicInteger loads = new AtomicInteger();
+    ReleasingOutbound counting = new ReleasingOutbound() {
+      @Override
+      public void load(String worker, String function, int copies) {
+        loads.incrementAndGet();
+      }
+    };
+    try (writers;
+        Core<Call> core = new Core<>(settings(), 1, counting, 100, true, null, STACK_BYTES)) {
+      core.workerListChanged(new WorkerListUpdate(
+          ListKind.SAVED, List.of(new WorkerEntry("r", "z", 0, Phase.RUNNING, 1, 0))));
+      core.takePlan(plan(1));
+      if (stopping) {
+        core.refuseAll();
+        core.takePlan(plan(2));
+      }
+      Thread.sleep(SECOND_MICROS / 1_000);
+      assertEquals(stopping ? 0 : 1, loads.get());
+    }
+  }
+
+  private static Plan plan(long version) {
+    long now = Clock.micros();
+    Plan.Item item = new Plan.Item(
+        "r", "f", 1, 1, now + SECOND_MICROS / 4, now + 60 * SECOND_MICROS, 0, 100, true);
+    return new Plan(1, version, now + 60 * SECOND_MICROS, List.of(item));
+  }
+
   private static void leave(Core<Call> core, Call call) {
     call.finish(FinalAnswer.withoutRetryAdvice(Reason.GONE), Clock.micros());
     core.clientGone(call);
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -8,6 +8,7 @@
 import gorseladder.config.SettingsFile;
 import gorseladder.config.proto.EdgeSettings;
 import gorseladder.core.Core;
+import gorseladder.core.GracefulStop;
 import gorseladder.core.RuleLog;
 import gorseladder.core.StallDetector;
 import gorseladder.edge.core.AdmissionCheck;
@@ -29,6 +30,7 @@
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
+import gorseladder.stops.StopSequence;
 import gorseladder.store.Ledger;
 import gorseladder.store.history.History;
 import java.io.IOException;
@@ -325,15 +327,18 @@
     return ruleLog.counts();
   }
 
-  /** Stops accepting calls, answers the accepted ones and closes, at the latest after {@code stop_ms}. */
+  /**
+   * Stops accepting calls, answers the accepted ones and closes, at the latest after {@code stop_ms}. Calls that are
+   * still in progress shortly before that get their final answer then, while there is time to write it. If the process
+   * stood still past that moment, the answers get the same time to be written.
+   */
   public void stop() throws InterruptedException {
+    long duration = EdgeConfig.toMicros(settings.getLimits().getStopMs());
+    StopSequence sequence = new StopSequence(StopSequence.Moments.within(Clock.micros(), duration));
     front.stop();
     intake.stop();
     server.stopAccepting();
-    long deadline = Clock.micros() + EdgeConfig.toMicros(settings.getLimits().getStopMs());
-    while (intake.callsInProgress() + front.inProgress() > 0 && Clock.micros() < deadline) {
-      Thread.sleep(5);
-    }
+    GracefulStop.run(sequence, new CallsInProgress());
     LOG.info(
         "edge {} stops with {} calls unanswered; counts {}; stopped at the last look: {}; rules broken {}",
         settings.getOrdinal(),
@@ -344,6 +349,24 @@
     close();
   }
 
+  private final class CallsInProgress implements GracefulStop.Stoppable {
+    @Override
+    public boolean drain() {
+      return intake.callsInProgress() + front.inProgress() == 0 && !server.hasUnreadBytes();
+    }
+
+    @Override
+    public boolean owesAnswers() {
+      return front.owesAnswers() || server.hasUnreadBytes();
+    }
+
+    @Override
+    public void refuseHeldCalls(long recordBy) {
+      intake.endWaits(recordBy);
+      core.refuseAll();
+    }
+  }
+
   /** Closes at once; calls in progress get no answer. */
   @Override
   public void close() {
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -83,6 +83,7 @@
   private final Object[] stripeLocks = new Object[LOCK_STRIPES];
   private final AtomicLong lastId = new AtomicLong();
   private volatile Core<TakenCall> core;
+  private final StopLimits stopLimits = new StopLimits();
   private volatile boolean stopping;
 
   /**
@@ -103,7 +104,7 @@
       ThreadCache ledgerReaders,
       Listener listener) {
     this.ledger = ledger;
-    this.lookup = new RecordLookup(ledger, ledgerReaders);
+    this.lookup = new RecordLookup(ledger, ledgerReaders, stopLimits);
     this.freeCalls = new Semaphore(maxCalls);
     this.keepMicros = keepMicros;
     this.maxStoredAnswerBytes = maxStoredAnswerBytes;
@@ -124,6 +125,21 @@
     stopping = true;
   }
 
+  /**
+   * Ends all waits for records, since the process is about to exit: at once for calls that the core does not have yet,
+   * which get an answer without it, and at the given time for calls with a final answer.
+   *
+   * @param recordBy on {@link Clock#micros()}
+   */
+  public void endWaits(long recordBy) {
+    stopLimits.set(Clock.micros(), recordBy);
+  }
+
+  /** Returns when a client must get its answer in any case since the process exits; far in the future before. */
+  public long answerBy() {
+    return stopLimits.answerBy();
+  }
+
   /** Returns the clock that the ledger uses for expiry. */
   public LedgerClock clock() {
     return ledger.clock();
@@ -232,7 +248,10 @@
         }
       }
       listener.callAccepted(call);
-      if (ticket > 0 && !RecordWait.awaitUntil(ledger, ticket, call.facts().deadlineAt())) {
+      long deadline = call.facts().deadlineAt();
+      if (ticket > 0
+          && !RecordWait.awaitUntil(
+              ledger, ticket, () -> Math.min(deadline, stopLimits.acceptBy()))) {
         return recordUnavailable(call, "the record of a call was not written before its deadline");
       }
     } catch (LedgerException e) {
@@ -326,7 +345,8 @@
       return;
     }
     try {
-      if (!RecordWait.awaitUntil(ledger, call.endTicket(), deadline)) {
+      if (!RecordWait.awaitUntil(
+          ledger, call.endTicket(), () -> Math.min(deadline, stopLimits.answerBy()))) {
         LOG.warn(
             "{} is answered before the record of its end is written",
             call.facts().message());
--- a/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
+++ b/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
@@ -21,6 +21,9 @@
  * <p>Thread safe.
  */
 final class RecordLookup {
+  /** How often a waiting thread checks whether the process exits. */
+  private static final long STEP_MICROS = 50_000;
+
   /**
    * The result of a lookup.
    *
@@ -34,15 +37,18 @@
 
   private final Ledger ledger;
   private final ThreadCache threads;
+  private final StopLimits stopLimits;
 
   /**
    * Creates a lookup.
    *
    * @param threads run the reads that may need the disk
+   * @param stopLimits end a lookup if the process exits
    */
-  RecordLookup(Ledger ledger, ThreadCache threads) {
+  RecordLookup(Ledger ledger, ThreadCache threads, StopLimits stopLimits) {
     this.ledger = ledger;
     this.threads = threads;
+    this.stopLimits = stopLimits;
   }
 
   /**
@@ -75,12 +81,20 @@
     return stored.requestSeen() || !stored.requestIndexed() && ledger.isRequestIndexed(request);
   }
 
-  private static StoredRecord awaitTask(FutureTask<StoredRecord> task, long deadline)
+  private StoredRecord awaitTask(FutureTask<StoredRecord> task, long deadline)
       throws LedgerException {
     try {
-      return task.get(Math.max(0, deadline - Clock.micros()), TimeUnit.MICROSECONDS);
-    } catch (TimeoutException e) {
-      throw new LedgerException("a record was not read before its client's timeout", e);
+      while (true) {
+        long now = Clock.micros();
+        long until = Math.min(deadline, stopLimits.acceptBy());
+        try {
+          return task.get(Math.max(0, Math.min(until - now, STEP_MICROS)), TimeUnit.MICROSECONDS);
+        } catch (TimeoutException e) {
+          if (until <= now + STEP_MICROS) {
+            throw new LedgerException("a record was not read before its client's timeout", e);
+          }
+        }
+      }
     } catch (ExecutionException e) {
       throw e.getCause() instanceof LedgerException failed
           ? failed
--- a/edge/src/main/java/gorseladder/edge/core/RecordWait.java
+++ b/edge/src/main/java/gorseladder/edge/core/RecordWait.java
@@ -3,6 +3,7 @@
 import gorseladder.runtime.Clock;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerException;
+import java.util.function.LongSupplier;
 
 /**
  * Waits until a record of a call is written, at most until a deadline.
@@ -14,6 +15,9 @@
  * <p>Thread safe.
  */
 public final class RecordWait {
+  /** How often a deadline that may move is looked at. */
+  private static final long STEP_MICROS = 50_000;
+
   private RecordWait() {}
 
   /**
@@ -27,4 +31,19 @@
       throws LedgerException {
     return ledger.await(ticket, Math.max(0, deadline - Clock.micros()) * 1_000);
   }
+
+  /** Like {@link #awaitUntil(Ledger, long, long)}, with a deadline that may move to an earlier time during the wait. */
+  static boolean awaitUntil(Ledger ledger, long ticket, LongSupplier deadline)
+      throws LedgerException {
+    while (true) {
+      long now = Clock.micros();
+      long until = deadline.getAsLong();
+      if (awaitUntil(ledger, ticket, Math.min(until, now + STEP_MICROS))) {
+        return true;
+      }
+      if (until <= now + STEP_MICROS) {
+        return false;
+      }
+    }
+  }
 }
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -30,6 +30,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -70,6 +72,7 @@
   private final CallLog log;
   private final AtomicInteger inProgress = new AtomicInteger();
   private final TurnQueue turnQueue;
+  private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
   private final IdleConnections idleConnections = new IdleConnections();
   private final UnfinishedRequests unfinishedRequests;
   private final ThreadReclaimer threadReclaimer = new ThreadReclaimer(idleConnections);
@@ -154,8 +157,25 @@
     return inProgress.get();
   }
 
+  /**
+   * Returns true if a client may still wait for an answer: a thread has bytes that it has not answered, or writes an
+   * answer. Threads that wait for bytes owe nothing, also in the middle of a request.
+   */
+  public boolean owesAnswers() {
+    return connections.stream().anyMatch(connection -> !connection.isWaitingForBytes());
+  }
+
   private void serve(SocketChannel channel, HttpServer server, long earliest) throws IOException {
-    HttpConnection c = new HttpConnection(channel, settings.limits());
+    HttpConnection connection = new HttpConnection(channel, settings.limits());
+    connections.add(connection);
+    try {
+      serve(connection, server, earliest);
+    } finally {
+      connections.remove(connection);
+    }
+  }
+
+  private void serve(HttpConnection c, HttpServer server, long earliest) throws IOException {
     c.arrivals(new ArrivalTimes(stallDetector::earliestArrival, earliest));
     if (!settings.allowedNetworks().contains(c.peer().getAddress())) {
       reject(c, Reason.FORBIDDEN_NETWORK, Reason.FORBIDDEN_NETWORK.text);
@@ -259,11 +279,10 @@
       reject(c, Reason.BUSY, NO_MEMORY_DETAIL);
       return false;
     }
-    boolean keep = head.keepsConnection() && !stopping;
     RequestTimeline times = new RequestTimeline(arrivedAt, turn.waited());
     Exchange exchange = new Exchange(c, turn, head, body, times);
     try {
-      return exchange.run(keep);
+      return exchange.run(head.keepsConnection());
     } finally {
       exchange.end();
     }
@@ -316,8 +335,12 @@
       this.times = times;
     }
 
-    /** Determines the answer and writes it; returns false if the connection carries no further request. */
-    boolean run(boolean keep) throws IOException {
+    /**
+     * Determines the answer and writes it; returns false if the connection carries no further request.
+     *
+     * @param mayKeep the client allows further requests; while the process stops, only those that have arrived are read
+     */
+    boolean run(boolean mayKeep) throws IOException {
       FinalAnswer answer;
       try {
         answer = answer();
@@ -334,6 +357,7 @@
       if (answer.reason() == Reason.OVERLOADED) {
         delayRefusal(times.deadline());
       }
+      boolean keep = mayKeep && (!stopping || c.hasBufferedBytes() || c.hasBytesToRead());
       answers.write(c, answer, detail, keep);
       times.mark(Step.WRITTEN);
       log.answerWritten(message, answer.reason(), times);
@@ -462,11 +486,16 @@
       return message.hashCode() * HASH_MULTIPLIER ^ delivery.id().hashCode();
     }
 
+    /** When the client stops waiting, or the process exits. */
+    private long answerBy() {
+      return Math.min(times.deadline(), intake.answerBy());
+    }
+
     private FinalAnswer await(boolean joined) {
       long deadline = times.deadline();
       try {
-        for (long now = Clock.micros(); now < deadline; now = Clock.micros()) {
-          FinalAnswer answer = call.await(Math.min(deadline, now + CLIENT_CHECK_MICROS));
+        for (long now = Clock.micros(); now < answerBy(); now = Clock.micros()) {
+          FinalAnswer answer = call.await(Math.min(answerBy(), now + CLIENT_CHECK_MICROS));
           if (answer != null) {
             times.mark(Step.ENDED);
             intake.awaitRecord(call, deadline - WRITE_RESERVE_MICROS);
--- a/node/src/main/java/gorseladder/node/Node.java
+++ b/node/src/main/java/gorseladder/node/Node.java
@@ -3,6 +3,7 @@
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.WorkerListUpdate;
 import gorseladder.core.Core;
+import gorseladder.core.GracefulStop;
 import gorseladder.core.RuleLog;
 import gorseladder.core.StallDetector;
 import gorseladder.core.ThreadReclaimer;
@@ -17,6 +18,7 @@
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.runtime.Writers;
+import gorseladder.stops.StopSequence;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -53,7 +55,6 @@
   /** Time before SIGKILL at which the process exits even if clients wait; their answers would be too late. */
   private static final long LATEST_EXIT_BEFORE_KILL_MICROS = 50_000;
 
-  private static final long DRAIN_POLL_MICROS = 5_000;
   /** Seconds between two summaries in the log; 0, the default, for none. */
   private static final long SUMMARY_INTERVAL_SECONDS = Long.getLong("gorseladder.node.summary", 0);
 
@@ -254,24 +255,30 @@
     long refuseAt = killAt - ANSWER_BEFORE_KILL_MICROS;
     sleepUntil(Math.min(start + ACCEPT_AFTER_STOP_MICROS, refuseAt));
     front.stopAccepting();
-    boolean refused = false;
-    while (!front.drain()) {
-      // Checked first: after a stall of the process all of these times may have passed, and the
-      // calls that are held must still be answered.
-      if (!refused && Clock.micros() >= refuseAt) {
-        refused = true;
-        core.refuseAll();
-      } else if (Clock.micros()
-          >= killAt
-              - (front.owesAnswers() ? LATEST_EXIT_BEFORE_KILL_MICROS : EXIT_BEFORE_KILL_MICROS)) {
-        break;
-      }
-      sleepUntil(Clock.micros() + DRAIN_POLL_MICROS);
-    }
+    StopSequence.Moments moments = new StopSequence.Moments(
+        refuseAt, killAt - EXIT_BEFORE_KILL_MICROS, killAt - LATEST_EXIT_BEFORE_KILL_MICROS);
+    GracefulStop.run(new StopSequence(moments), new HeldCalls());
     LOG.info("{} stops after {} ms; {}", config.name(), (Clock.micros() - start) / 1000, summary());
     close();
   }
 
+  private final class HeldCalls implements GracefulStop.Stoppable {
+    @Override
+    public boolean drain() {
+      return front.drain();
+    }
+
+    @Override
+    public boolean owesAnswers() {
+      return front.owesAnswers();
+    }
+
+    @Override
+    public void refuseHeldCalls(long recordBy) {
+      core.refuseAll();
+    }
+  }
+
   private static void sleepUntil(long time) throws InterruptedException {
     long remaining = time - Clock.micros();
     if (remaining > 0) {
--- a/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpConnection.java
@@ -40,6 +40,7 @@
   private int from;
   private int to;
   private boolean ended;
+  private volatile boolean waitingForBytes;
   private long readBytes;
   private ArrivalTimes arrivals = new ArrivalTimes(now -> now, Clock.micros());
   /** The earliest time at which the first byte of the buffer may have arrived. */
@@ -208,12 +209,14 @@
       buffer = new byte[BUFFER_BYTES];
     }
     beforeWait.run();
+    waitingForBytes = true;
     int count;
     try {
       arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
       count = socket.getInputStream().read(buffer, 0, buffer.length);
       arrivals.afterRead(Math.max(0, count), Clock.micros());
     } finally {
+      waitingForBytes = false;
       afterWait.run();
     }
     earliestArrival = arrivals.earliestArrival();
@@ -273,6 +276,11 @@
     return from < to;
   }
 
+  /** Whether its thread waits for bytes of the peer; thread safe. */
+  public boolean isWaitingForBytes() {
+    return waitingForBytes;
+  }
+
   /** Whether the socket holds unread bytes; thread safe. */
   public boolean hasBytesToRead() {
     return UnreadBytes.on(channel);
--- a/runtime/src/main/java/gorseladder/runtime/HttpServer.java
+++ b/runtime/src/main/java/gorseladder/runtime/HttpServer.java
@@ -181,6 +181,11 @@
     return open.size();
   }
 
+  /** Whether bytes on an open connection, with or without a thread, wait to be read. */
+  public boolean hasUnreadBytes() {
+    return open.stream().anyMatch(UnreadBytes::on);
+  }
+
   private void accept() {
     try {
       try (selector;
