Edge: a repeat during a stop joins its call instead of being refused

Cause: WebhookFront and Intake answered STOPPING before they looked at the record of the message.

Change: an edge that stops refuses only what would be a new call: at once if it knows nothing of the message, otherwise after the decision on its record. A repeat joins its call, gets the kept answer, or is told that it may have run. It works since the decision (Repeats) now comes before the refusal on every path.

--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -120,7 +120,10 @@
     core = target;
   }
 
-  /** Refuses new deliveries from now on; calls in progress continue. */
+  /**
+   * Accepts no new calls from now on. Calls in progress continue, and a repeat of one joins it: a refusal would tell its
+   * sender that the message did not run.
+   */
   public void stop() {
     stopping = true;
   }
@@ -160,9 +163,6 @@
 
   /** Handles a delivery whose signature is valid. */
   public Result handle(Delivery d) {
-    if (stopping) {
-      return new Result(null, false, FinalAnswer.of(Reason.STOPPING));
-    }
     try {
       Result result = null;
       while (result == null) {
@@ -212,6 +212,9 @@
         if (decision.action() != Repeats.Action.RUN) {
           return answerDuplicate(decision, d, known, inProgress);
         }
+        if (stopping) {
+          return new Result(null, false, FinalAnswer.of(Reason.STOPPING));
+        }
         if (!ledger.hasRoom()) {
           return new Result(null, false, FinalAnswer.of(Reason.LEDGER_UNAVAILABLE));
         }
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -379,9 +379,6 @@
 
     FinalAnswer answer() {
       times.clientTimeout(clientTimeout(head));
-      if (stopping) {
-        return reject(Reason.STOPPING, null);
-      }
       Endpoint endpoint = settings.endpoints().get(head.path());
       if (endpoint == null) {
         return reject(Reason.UNKNOWN_PATH, null);
@@ -398,6 +395,9 @@
       }
       message = endpoint.path() + " " + delivery.id();
       times.mark(Step.READ);
+      if (stopping && !intake.remembers(message)) {
+        return reject(Reason.STOPPING, null);
+      }
       // Admission comes before the signature check, so that a refusal is cheap. Nothing in the
       // request is trusted yet.
       pass = admission.enter(
--- a/testbed/src/test/java/gorseladder/testbed/EdgeStopTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/EdgeStopTest.java
@@ -236,6 +236,48 @@
     assertEquals("failed_timeout", out.get().reason);
   }
 
+  /**
+   * Guards against a repeat that is refused, which says that its message did not run, while the message runs. Only what
+   * would be a new call is refused by an edge that stops.
+   */
+  @Test
+  void aRepeatDuringAStopJoinsItsCallOrGetsTheKeptAnswer() throws Exception {
+    start("runners = 2; work = 1500ms;", 10 * STOP_MILLIS, false);
+    CompletableFuture<Tap.Try> done = send("msg_done", UNSAFE, 0);
+    // These keep connections open, since an edge that stops accepts no new ones.
+    CompletableFuture<Tap.Try> beside = send("msg_beside", UNSAFE, 0);
+    CompletableFuture<Tap.Try> another = send("msg_another", UNSAFE, 0);
+    assertEquals("served", done.get().reason);
+    assertEquals("served", beside.get().reason);
+    assertEquals("served", another.get().reason);
+    CompletableFuture<Tap.Try> out = send("msg_out", UNSAFE, 0);
+    awaitArrival("msg_out");
+    stop();
+    Thread.sleep(100);
+    CompletableFuture<Tap.Try> repeat = send("msg_out", UNSAFE, 1);
+    assertEquals("served_again", send("msg_done", UNSAFE, 1).get().reason);
+    assertEquals("served", repeat.get().reason);
+    assertEquals("served", out.get().reason);
+    assertEquals(1, arrivals("msg_out"));
+  }
+
+  @Test
+  void aNewMessageDuringAStopIsRefused() throws Exception {
+    start("runners = 2;", 10 * STOP_MILLIS, false);
+    assertEquals("served", send("msg_before", SAFE, 0).get().reason);
+    hang();
+    try (Socket client = new Socket("127.0.0.1", fleet.edgeAddress(0).getPort())) {
+      client.getOutputStream().write(signed("msg_out"));
+      awaitArrival("msg_out");
+      stop();
+      Thread.sleep(100);
+      Tap.Try refused = send("msg_new", SAFE, 0).get();
+      assertEquals("stopping", refused.reason);
+      assertTrue(refused.retryAfter);
+      assertEquals(0, arrivals("msg_new"));
+    }
+  }
+
   /** Requests behind a call on its connection were taken too: they are answered before the connection ends. */
   @Test
   void pipelinedRequestsBehindACallThatIsOutAreAnswered() throws Exception {
