Live dispatcher: turns to read for its connections, half requests kept in order

Cause: every thread of a connection took part at once. With the memory full each record that needed room walked all connections, lock by lock, for the oldest half request; and nothing bounded how many threads read and parse, so that a usual request waited for a processor behind all others with its time running.

Change: ReadTurns (pure): one reader a processor and one more; connections with at most one request begun and not ended first, one turn in four for the others. TurnQueue, now in runtime and shared with the edge, carries it out; a turn held for 0.1 s is passed on, and a request that waits for its turn counts from before. EvictionOrder (pure, edge too) keeps half requests by their first byte: no walk. The state of a request left FrontConnection (FrontRequest). The summary tells waits, the longest, turns passed on and evictions. It works since a whole request waits behind two reads at most of clients that leave theirs unfinished, however many there are.

--- a/edge/src/main/java/gorseladder/edge/front/UnfinishedRequests.java
+++ b/edge/src/main/java/gorseladder/edge/front/UnfinishedRequests.java
@@ -1,24 +1,19 @@
 package gorseladder.edge.front;
 
+import gorseladder.admission.EvictionOrder;
 import gorseladder.runtime.ByteBudget;
 import gorseladder.runtime.MessageMemory;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
- * Bounds the memory of requests that are still being received, ordered by their first byte. If the message memory is
- * full, the oldest one is evicted; a complete request never is.
- *
- * <p>This guards against clients that leave requests half sent: the memory that they hold is bounded, and a client that
- * sends its request in one go finds memory. The cost: a slow honest client may be told to try again.
+ * Bounds the memory of requests that are still being received. If the message memory is full, {@link EvictionOrder}
+ * decides which of them is evicted.
  *
  * <p>Thread safe.
  */
 public final class UnfinishedRequests {
   private final ByteBudget budget;
-  private final Set<MessageMemory> oldestFirst = new LinkedHashSet<>();
+  private final EvictionOrder<MessageMemory> order = new EvictionOrder<>();
 
   /** Creates the bound on requests that use this budget. */
   public UnfinishedRequests(ByteBudget budget) {
@@ -28,23 +23,22 @@
   /** Returns the memory account of a request whose first byte has arrived. */
   synchronized MessageMemory begin() {
     MessageMemory request = new MessageMemory(List.of(budget), this::makeRoom);
-    oldestFirst.add(request);
+    order.add(request);
     return request;
   }
 
   /** Unregisters a request that is complete or ends; returns false if it was evicted before. */
   synchronized boolean finish(MessageMemory request) {
-    return oldestFirst.remove(request);
+    return order.remove(request);
   }
 
   /** Evicts the oldest request, whatever its size; returns false if there is none. */
   public synchronized boolean makeRoom(long bytes) {
-    Iterator<MessageMemory> oldest = oldestFirst.iterator();
-    if (!oldest.hasNext()) {
+    MessageMemory request = order.next();
+    if (request == null) {
       return false;
     }
-    MessageMemory request = oldest.next();
-    oldest.remove();
+    order.remove(request);
     request.end();
     return true;
   }
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -1,6 +1,8 @@
 package gorseladder.edge.front;
 
 import gorseladder.RouterApi.RequestClass;
+import gorseladder.admission.ReadTurns;
+import gorseladder.admission.Turns;
 import gorseladder.answers.Reason;
 import gorseladder.core.Core;
 import gorseladder.core.FinalAnswer;
@@ -19,6 +21,7 @@
 import gorseladder.runtime.MessageMemory;
 import gorseladder.runtime.NoRoomException;
 import gorseladder.runtime.ThreadCache;
+import gorseladder.runtime.TurnQueue;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.http1.BadMessage;
 import gorseladder.wire.http1.BodyParser;
@@ -100,7 +103,8 @@
     this.answers = new AnswerWriter(watchdog, settings.answerWriteTimeout());
     this.stallDetector = stallDetector;
     this.log = log;
-    this.turnQueue = new TurnQueue(Runtime.getRuntime().availableProcessors());
+    Turns<TurnQueue.Turn> turns = new Turns<>(Runtime.getRuntime().availableProcessors());
+    this.turnQueue = new TurnQueue(turns::tryStart, turns::finish, ReadTurns.MAX_HELD_MICROS);
   }
 
   /**
@@ -185,7 +189,7 @@
       reject(c, Reason.BUSY, "as many connections as the settings allow");
       return;
     }
-    TurnQueue.Turn turn = turnQueue.new Turn();
+    TurnQueue.Turn turn = turnQueue.newTurn();
     // A thread needs a turn to read and check bytes; it has none while it waits for bytes, a
     // record, an answer or a slow client.
     c.aroundWaits(turn::release, turn::acquire);
--- a/node/src/main/java/gorseladder/node/front/FastCgiFront.java
+++ b/node/src/main/java/gorseladder/node/front/FastCgiFront.java
@@ -1,5 +1,6 @@
 package gorseladder.node.front;
 
+import gorseladder.admission.ReadTurns;
 import gorseladder.answers.Reason;
 import gorseladder.core.Call.Facts;
 import gorseladder.core.Core;
@@ -16,6 +17,7 @@
 import gorseladder.runtime.Counts;
 import gorseladder.runtime.HttpServer;
 import gorseladder.runtime.ThreadCache;
+import gorseladder.runtime.TurnQueue;
 import gorseladder.threads.ThreadSharing.Holder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -76,6 +78,8 @@
   private final StallDetector stallDetector;
   private final RuleLog rules;
   private final Map<SocketChannel, FrontConnection> connections = new ConcurrentHashMap<>();
+  private final PartialRequests partialRequests = new PartialRequests();
+  private final TurnQueue readTurns;
   private final Map<String, NodeCall> heldCalls = new ConcurrentHashMap<>();
   private final AtomicLong callIds = new AtomicLong();
   private final Counts counts = new Counts();
@@ -110,6 +114,10 @@
     this.stallDetector = stallDetector;
     this.rules = rules;
     this.callListener = callListener;
+    ReadTurns<TurnQueue.Turn> turns =
+        new ReadTurns<>(ReadTurns.limitFor(Runtime.getRuntime().availableProcessors()));
+    this.readTurns = new TurnQueue(
+        turn -> turns.tryStart(turn, turn.isYielding()), turns::finish, ReadTurns.MAX_HELD_MICROS);
   }
 
   /**
@@ -168,7 +176,12 @@
     }
   }
 
-  private FrontConnection addConnection(SocketChannel channel, long since) {
+  /**
+   * Adds a connection; its thread is to run it.
+   *
+   * @param since since when data on it may have waited
+   */
+  FrontConnection addConnection(SocketChannel channel, long since) {
     FrontConnection connection = new FrontConnection(this, channel, since);
     connections.put(channel, connection);
     return connection;
@@ -309,6 +322,15 @@
     core.clientGone(call);
   }
 
+  /** The turns of the threads that read and parse what clients sent. */
+  TurnQueue readTurns() {
+    return readTurns;
+  }
+
+  PartialRequests partialRequests() {
+    return partialRequests;
+  }
+
   // ---- memory used for clients
 
   /** Takes bytes from the budget if the limit allows it. */
@@ -341,7 +363,7 @@
    * freed.
    */
   public boolean reclaimMemory() {
-    return refuseOldestPartialRequests() || memoryReclaimer.getAsBoolean();
+    return partialRequests.evict() || memoryReclaimer.getAsBoolean();
   }
 
   /** Takes bytes for an answer, which is kept even beyond the limit; {@link #checkTimeouts} reclaims memory later. */
@@ -353,29 +375,6 @@
     budget.giveBack(bytes);
   }
 
-  /**
-   * Refuses the partial requests of the connection that has the oldest one; returns false if there is none.
-   *
-   * <p>Prevents clients that never complete their requests from exhausting the memory: each request is small, but all
-   * together were larger than the memory. While there are many such clients, requests of clients on slow lines may be
-   * refused too; the answer tells them that a retry is harmless.
-   */
-  boolean refuseOldestPartialRequests() {
-    FrontConnection oldest = null;
-    long since = Long.MAX_VALUE;
-    for (FrontConnection connection : connections.values()) {
-      long at = connection.oldestPartialSince();
-      if (at < since) {
-        since = at;
-        oldest = connection;
-      }
-    }
-    if (oldest != null) {
-      oldest.refusePartialRequests();
-    }
-    return oldest != null;
-  }
-
   /**
    * While the budget is exceeded, frees memory; if nothing else can be freed, closes the connection with the most
    * unwritten bytes.
@@ -422,7 +421,8 @@
   /** Numbers of calls held, connections and counted events, for the log. */
   public String summary() {
     return connections.size() + " connections, " + heldCalls.size() + " calls held, "
-        + budget.used() + " bytes kept, " + counts;
+        + budget.used() + " bytes kept, " + partialRequests.evictions()
+        + " evictions, " + readTurns.summary() + ", " + counts;
   }
 
   /** Number of calls without a final answer. */
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -1,5 +1,6 @@
 package gorseladder.node.front;
 
+import gorseladder.admission.ReadTurns;
 import gorseladder.answers.Reason;
 import gorseladder.core.FinalAnswer;
 import gorseladder.node.NodeCall;
@@ -8,6 +9,7 @@
 import gorseladder.runtime.ArrivalTimes;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.Outbox;
+import gorseladder.runtime.TurnQueue;
 import gorseladder.runtime.UnreadBytes;
 import gorseladder.wire.fastcgi.BadRecord;
 import gorseladder.wire.fastcgi.NameValues;
@@ -18,7 +20,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,8 +36,9 @@
  */
 final class FrontConnection implements RecordParser.Sink {
   /**
-   * Bytes of the first read, which is made without the lock; fewer than any record has. The rest of a request therefore
-   * remains visible as unread bytes to whoever wants to close the connection, until {@link #parsing} is set.
+   * Bytes of a read that waits for the client, which is made without the lock; fewer than any record has. The rest of a
+   * request therefore remains visible as unread bytes to whoever wants to close the connection, until {@link #parsing} is
+   * set.
    */
   private static final int PEEK_BYTES = 1;
 
@@ -56,8 +58,6 @@
   private static final long NEVER_USED_IDLE_BONUS_MICROS = 600_000_000;
 
   private static final byte[] EMPTY = {};
-  /** Minimum size of the buffer of a request, once it has bytes. */
-  private static final int MIN_BUFFER_BYTES = 256;
   /** Approximate memory of a request beside its bytes, taken from the budget until its last record has arrived. */
   private static final int REQUEST_OVERHEAD_BYTES = 192;
 
@@ -67,63 +67,17 @@
     CLOSED
   }
 
-  /** A request on this connection, from BEGIN_REQUEST to END_REQUEST; records that still arrive for it are ignored. */
-  private static final class Exchange {
-    private final int id;
-    private final long startedAt = Clock.micros();
-    private byte[] buffer = EMPTY;
-    private int used;
-    private Map<String, String> params;
-    /** Whether its last byte has arrived; until then it is a partial request. */
-    private boolean complete;
-
-    private NodeCall call;
-    private boolean answered;
-    /** Bytes taken from the budget of the front for the buffer; guarded by the lock of the connection. */
-    private int reservedBytes;
-
-    private Exchange(int id) {
-      this.id = id;
-    }
-
-    /** By how many bytes the buffer must grow to hold this many more, within the limit. */
-    private int growthFor(int length, int limit) {
-      int wanted = used + length;
-      return wanted <= buffer.length
-          ? 0
-          : Math.min(limit, Math.max(MIN_BUFFER_BYTES, Math.max(wanted, 2 * used))) - buffer.length;
-    }
-
-    /** Drops the buffer and the parameters; returns the bytes to give back to the budget. */
-    private int release() {
-      int bytes = reservedBytes;
-      reservedBytes = 0;
-      buffer = EMPTY;
-      used = 0;
-      params = null;
-      return bytes;
-    }
-
-    /** Appends bytes; the growth of the buffer is already taken from the budget. */
-    private void append(byte[] bytes, int from, int length, int growth) {
-      if (growth > 0) {
-        buffer = Arrays.copyOf(buffer, buffer.length + growth);
-        reservedBytes += growth;
-      }
-      System.arraycopy(bytes, from, buffer, used, length);
-      used += length;
-    }
-  }
-
   private final FastCgiFront front;
   private final SocketChannel channel;
   private final Outbox outbox;
   private final RecordParser parser = new RecordParser();
-  private final Map<Integer, Exchange> exchanges = new HashMap<>();
+  private final Map<Integer, FrontRequest> requests = new HashMap<>();
   private final long connectedAt = Clock.micros();
   private long idleSince = connectedAt;
   private int answeredRequests;
   private int unansweredRequests;
+  /** Requests whose last byte has not arrived, answered or not. */
+  private int unfinishedRequests;
   /** Whether a thread reads this connection; until then it waits for one. */
   private volatile boolean hasThread;
 
@@ -157,24 +111,19 @@
   void run() throws IOException {
     hasThread = true;
     ByteBuffer buffer = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+    TurnQueue.Turn turn = front.readTurns().newTurn();
     try {
       channel.socket().setTcpNoDelay(true);
-      while (true) {
-        buffer.clear().limit(PEEK_BYTES);
-        arrivals.beforeRead(UnreadBytes.count(channel), Clock.micros());
-        int count = channel.read(buffer);
-        if (count < 0) {
-          setCloseReason(CloseReason.CLIENT_CLOSED);
-          break;
-        }
-        arrivals.afterRead(count, Clock.micros());
-        setParsing(true);
-        buffer.limit(buffer.capacity());
-        if (channel.socket().getInputStream().available() > 0) {
-          arrivals.readMore(channel.read(buffer));
+      while (awaitBytes(buffer)) {
+        turn.setYielding(beginParsing());
+        turn.acquire();
+        try {
+          read(buffer);
+          parser.feed(buffer.array(), 0, buffer.position(), this);
+        } finally {
+          turn.release();
         }
-        parser.feed(buffer.array(), 0, buffer.position(), this);
-        setParsing(false);
+        endParsing();
         if (buffer.position() == INITIAL_BUFFER_BYTES
             && buffer.capacity() == INITIAL_BUFFER_BYTES) {
           buffer = ByteBuffer.allocate(BUFFER_BYTES);
@@ -190,13 +139,48 @@
     }
   }
 
+  /**
+   * Waits until bytes can be read, without a turn. Bytes that are unread already stay in the socket.
+   *
+   * @param buffer receives the first bytes of a client that was waited for
+   * @return false if the connection has ended
+   */
+  private boolean awaitBytes(ByteBuffer buffer) throws IOException {
+    buffer.clear().limit(PEEK_BYTES);
+    int unread = UnreadBytes.count(channel);
+    arrivals.beforeRead(unread, Clock.micros());
+    if (unread > 0) {
+      return true;
+    }
+    int count = channel.read(buffer);
+    if (count < 0) {
+      setCloseReason(CloseReason.CLIENT_CLOSED);
+      return false;
+    }
+    arrivals.afterRead(count, Clock.micros());
+    return true;
+  }
+
+  /** Reads what has arrived, without waiting; its turn may have come long after the bytes. */
+  private void read(ByteBuffer buffer) throws IOException {
+    buffer.limit(buffer.capacity());
+    int count = UnreadBytes.on(channel) ? channel.read(buffer) : 0;
+    arrivals.readMore(count, Clock.micros());
+  }
+
   private synchronized void setCloseReason(CloseReason reason) {
     closeReason = closeReason == null ? reason : closeReason;
   }
 
-  private synchronized void setParsing(boolean value) {
-    parsing = value;
-    if (!value && closesAfterAnswers) {
+  /** Notes that there are bytes to parse; returns whether this connection lets others go first. */
+  private synchronized boolean beginParsing() {
+    parsing = true;
+    return ReadTurns.yields(unfinishedRequests);
+  }
+
+  private synchronized void endParsing() {
+    parsing = false;
+    if (closesAfterAnswers) {
       halfCloseIfIdle(CloseReason.LAST_ANSWERED);
     }
   }
@@ -207,7 +191,7 @@
   public void begin(int id, int role, boolean keepsConnection) {
     boolean inUse;
     boolean tooManyOpen;
-    Exchange exchange = new Exchange(id);
+    FrontRequest request = new FrontRequest(this, id);
     if (tooManyRequestIds()) {
       close(CloseReason.ENDLESS_REQUESTS);
       return;
@@ -219,19 +203,23 @@
       return;
     }
     synchronized (this) {
-      if (state != State.OPEN || exchanges.containsKey(id)) {
+      if (state != State.OPEN || requests.containsKey(id)) {
         front.giveBack(REQUEST_OVERHEAD_BYTES);
       }
       if (state != State.OPEN) {
         // It was in transit when the output was shut down; its client repeats it elsewhere.
         return;
       }
-      Exchange previous = exchanges.get(id);
+      FrontRequest previous = requests.get(id);
       inUse = previous != null && !previous.answered;
       tooManyOpen = !inUse && unansweredRequests >= MAX_OPEN_REQUESTS;
       if (!inUse) {
-        exchanges.put(id, exchange);
+        requests.put(id, request);
+        // A request that was answered early may never end; its id can be used again all the same.
+        unfinishedRequests -= previous != null && !previous.complete ? 1 : 0;
+        front.partialRequests().add(request);
         unansweredRequests++;
+        unfinishedRequests++;
         closesAfterAnswers |= !keepsConnection;
       }
     }
@@ -241,7 +229,7 @@
     } else if (tooManyOpen || role != RESPONDER_ROLE) {
       front.count(tooManyOpen ? "over 32 open" : "unknown role");
       answer(
-          exchange,
+          request,
           RecordWriter.endRequest(id, tooManyOpen ? Status.OVERLOADED : Status.UNKNOWN_ROLE, 0));
     }
   }
@@ -251,16 +239,16 @@
    * never ends them is disconnected.
    */
   private synchronized boolean tooManyRequestIds() {
-    return exchanges.size() >= MAX_REQUEST_IDS;
+    return requests.size() >= MAX_REQUEST_IDS;
   }
 
-  private synchronized Exchange get(int id) {
-    return exchanges.get(id);
+  private synchronized FrontRequest get(int id) {
+    return requests.get(id);
   }
 
   @Override
   public void abort(int id) {
-    Exchange e = get(id);
+    FrontRequest e = get(id);
     if (e == null || e.answered) {
       return;
     }
@@ -275,7 +263,7 @@
 
   @Override
   public void params(int id, byte[] bytes, int from, int length) {
-    Exchange e = get(id);
+    FrontRequest e = get(id);
     if (e != null && !e.answered && e.params == null) {
       bufferBytes(e, bytes, from, length, MAX_PARAMS_BYTES, Reason.HEADERS_TOO_LARGE);
     }
@@ -286,7 +274,7 @@
    * partial requests of all connections are refused.
    */
   private void bufferBytes(
-      Exchange e, byte[] bytes, int from, int length, int limit, Reason tooLarge) {
+      FrontRequest e, byte[] bytes, int from, int length, int limit, Reason tooLarge) {
     do {
       synchronized (this) {
         if (e.answered) {
@@ -307,7 +295,7 @@
 
   @Override
   public void paramsEnd(int id) {
-    Exchange e = get(id);
+    FrontRequest e = get(id);
     if (e == null) {
       return;
     }
@@ -316,10 +304,7 @@
         if (e.answered || e.params != null) {
           return;
         }
-        // The reservation is kept: the parsed values take about as much memory.
-        e.params = NameValues.read(e.buffer, e.used, MAX_PARAMS);
-        e.buffer = EMPTY;
-        e.used = 0;
+        e.setParams(NameValues.read(e.buffer, e.used, MAX_PARAMS));
       }
     } catch (BadRecord bad) {
       reject(e, Reason.BAD_MESSAGE);
@@ -328,7 +313,7 @@
 
   @Override
   public void stdin(int id, byte[] bytes, int from, int length) {
-    Exchange e = get(id);
+    FrontRequest e = get(id);
     if (e == null || e.answered) {
       return;
     }
@@ -341,7 +326,7 @@
 
   @Override
   public void stdinEnd(int id) {
-    Exchange e = get(id);
+    FrontRequest e = get(id);
     if (e == null) {
       return;
     }
@@ -365,9 +350,10 @@
         return;
       }
       e.complete = true;
+      unfinishedRequests--;
+      front.partialRequests().remove(e);
       params = e.params;
-      body = e.used == e.buffer.length ? e.buffer : Arrays.copyOf(e.buffer, e.used);
-      e.buffer = EMPTY;
+      body = e.takeBody();
     }
     if (FastCgiFront.LIVENESS_PATH.equals(params.get("SCRIPT_NAME"))) {
       answer(
@@ -392,7 +378,7 @@
   }
 
   /** Sets the call of a request. If the connection has ended meanwhile, its client has left. */
-  private void callAccepted(Exchange e, NodeCall call) {
+  private void callAccepted(FrontRequest e, NodeCall call) {
     boolean clientLeft;
     synchronized (this) {
       e.call = call;
@@ -431,7 +417,7 @@
 
   // ---- answers, on any thread
 
-  private void callEnded(Exchange e, NodeCall call, FinalAnswer end) {
+  private void callEnded(FrontRequest e, NodeCall call, FinalAnswer end) {
     if (end.reason().kind == Reason.Kind.GONE) {
       return;
     }
@@ -447,28 +433,29 @@
   }
 
   /** Answers a request that cannot be used; the rest of the request is read and ignored. */
-  private void reject(Exchange e, Reason reason) {
+  private void reject(FrontRequest e, Reason reason) {
     front.count("unusable: " + reason.word());
     answer(e, reason);
   }
 
-  private void answer(Exchange e, Reason reason) {
+  private void answer(FrontRequest e, Reason reason) {
     answer(
         e, RecordWriter.response(e.id, reason.status, Map.of("Content-Type", "text/plain"), EMPTY));
   }
 
-  private void answer(Exchange e, byte[] bytes) {
+  private void answer(FrontRequest e, byte[] bytes) {
     answer(e, bytes, null);
   }
 
   /** Answers a request once, as the result of a call or, if {@code call} is null, without one. */
-  private void answer(Exchange e, byte[] bytes, NodeCall call) {
+  private void answer(FrontRequest e, byte[] bytes, NodeCall call) {
     boolean put;
     synchronized (this) {
       if (state == State.CLOSED || e.answered) {
         return;
       }
       e.answered = true;
+      front.partialRequests().remove(e);
       front.giveBack(e.release());
       answeredRequests++;
       unansweredRequests--;
@@ -540,8 +527,9 @@
   }
 
   /** Removes an answered request for which no more records can arrive. */
-  private synchronized void remove(Exchange e) {
-    if (exchanges.remove(e.id, e)) {
+  private synchronized void remove(FrontRequest e) {
+    if (requests.remove(e.id, e)) {
+      unfinishedRequests -= e.complete ? 0 : 1;
       front.giveBack(REQUEST_OVERHEAD_BYTES);
     }
   }
@@ -584,30 +572,23 @@
   }
 
   /** The oldest partial request, or null; the lock is held. */
-  private Exchange oldestPartial() {
-    Exchange oldest = null;
-    for (Exchange e : exchanges.values()) {
-      if (!e.answered && !e.complete && (oldest == null || e.startedAt < oldest.startedAt)) {
+  private FrontRequest oldestPartial() {
+    FrontRequest oldest = null;
+    for (FrontRequest e : requests.values()) {
+      if (e.isPartial() && (oldest == null || e.startedAt < oldest.startedAt)) {
         oldest = e;
       }
     }
     return oldest;
   }
 
-  /** When its oldest partial request began; {@code Long.MAX_VALUE} if there is none. */
-  synchronized long oldestPartialSince() {
-    Exchange oldest = oldestPartial();
-    return oldest == null ? Long.MAX_VALUE : oldest.startedAt;
-  }
-
   /** Refuses all partial requests to free their memory; records that still arrive for them are ignored. */
   void refusePartialRequests() {
-    List<Exchange> partials;
+    List<FrontRequest> partials;
     synchronized (this) {
-      partials =
-          exchanges.values().stream().filter(e -> !e.answered && !e.complete).toList();
+      partials = requests.values().stream().filter(FrontRequest::isPartial).toList();
     }
-    for (Exchange partial : partials) {
+    for (FrontRequest partial : partials) {
       front.count("half a request refused for room");
       answer(partial, Reason.BUSY);
     }
@@ -622,7 +603,7 @@
   void checkTimeouts(long now, long silentTimeout, long idleTimeout) {
     boolean mustClose;
     synchronized (this) {
-      Exchange partial = oldestPartial();
+      FrontRequest partial = oldestPartial();
       if (partial != null && now - partial.startedAt > silentTimeout) {
         front.count("half a request");
         answer(partial, Reason.SLOW_SENDER);
@@ -673,7 +654,7 @@
    */
   synchronized boolean owesAnswers() {
     boolean hasCompleteRequest =
-        exchanges.values().stream().anyMatch(e -> e.complete && !e.answered);
+        requests.values().stream().anyMatch(e -> e.complete && !e.answered);
     boolean mayHaveUnparsedRequest = state == State.OPEN && (parsing || UnreadBytes.on(channel));
     return state != State.CLOSED
         && (hasCompleteRequest || mayHaveUnparsedRequest || !outbox.idle());
@@ -718,11 +699,14 @@
         return;
       }
       state = State.CLOSED;
-      exchanges.values().stream()
+      requests.values().stream()
           .filter(e -> !e.answered && e.call != null)
           .forEach(e -> abandonedCalls.add(e.call));
-      exchanges.values().forEach(e -> front.giveBack(e.release() + REQUEST_OVERHEAD_BYTES));
-      exchanges.clear();
+      requests.values().forEach(e -> {
+        front.partialRequests().remove(e);
+        front.giveBack(e.release() + REQUEST_OVERHEAD_BYTES);
+      });
+      requests.clear();
       front.giveBack(unwrittenBytes);
       unwrittenBytes = 0;
       reason = closeReason == null ? CloseReason.STOPPING : closeReason;
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -15,11 +15,13 @@
 import gorseladder.RouterApi.Settings;
 import gorseladder.RouterApi.WorkerEntry;
 import gorseladder.RouterApi.WorkerListUpdate;
+import gorseladder.admission.ReadTurns;
 import gorseladder.core.Core;
 import gorseladder.core.RuleLog;
 import gorseladder.core.StallDetector;
 import gorseladder.node.NodeCall;
 import gorseladder.runtime.Clock;
+import gorseladder.runtime.TurnQueue;
 import gorseladder.runtime.Watchdog;
 import gorseladder.wire.fastcgi.RecordWriter;
 import java.io.IOException;
@@ -30,10 +32,12 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -126,13 +130,24 @@
         new StallDetector(watchdog),
         rules,
         call -> {});
-    ServerSocketChannel server =
-        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    client = new Socket(
-        InetAddress.getLoopbackAddress(), ((InetSocketAddress) server.getLocalAddress()).getPort());
-    accepted = server.accept();
-    server.close();
-    connection = new FrontConnection(front, accepted, Clock.micros());
+    Pair first = connect();
+    client = first.client();
+    accepted = first.accepted();
+    connection = first.connection();
+  }
+
+  /** A client and its connection to the front. */
+  private record Pair(Socket client, SocketChannel accepted, FrontConnection connection) {}
+
+  private Pair connect() throws IOException {
+    try (ServerSocketChannel server = ServerSocketChannel.open()) {
+      server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      Socket socket = new Socket(
+          InetAddress.getLoopbackAddress(),
+          ((InetSocketAddress) server.getLocalAddress()).getPort());
+      SocketChannel channel = server.accept();
+      return new Pair(socket, channel, front.addConnection(channel, Clock.micros()));
+    }
   }
 
   @AfterEach
@@ -155,9 +170,13 @@
   }
 
   private void startReading() {
+    startReading(connection);
+  }
+
+  private static void startReading(FrontConnection read) {
     Thread thread = new Thread(() -> {
       try {
-        connection.run();
+        read.run();
       } catch (IOException e) {
         // The client sees the end of the connection.
       }
@@ -167,9 +186,13 @@
   }
 
   private String readAnswer() throws IOException {
-    client.setSoTimeout(2_000);
+    return readAnswer(client);
+  }
+
+  private static String readAnswer(Socket of) throws IOException {
+    of.setSoTimeout(2_000);
     byte[] bytes = new byte[1_000];
-    int count = client.getInputStream().read(bytes);
+    int count = of.getInputStream().read(bytes);
     return new String(bytes, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
   }
 
@@ -445,4 +468,107 @@
     assertTrue(readAnswer().contains("Status: 404"));
     assertTrue(arrivedAt.get() > accepted + 290_000, "read as it came");
   }
+
+  /** Takes the rest of the memory for clients, so that the next request has to make room. */
+  private void fillMemory() {
+    front.forceReserve((int) (front.budget().limit() - front.budget().used()));
+  }
+
+  /**
+   * Guards against answers seconds after their time beside clients that send half requests at full speed: with the
+   * memory full, each record looked at all connections, lock by lock, for the oldest half request, on all threads.
+   */
+  @Test
+  void roomIsMadeWithoutALookAtOtherConnections() throws Exception {
+    Pair slow = connect();
+    Pair bad = connect();
+    startReading(bad.connection());
+    byte[] whole =
+        RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/safe"), new byte[9_000]);
+    bad.client().getOutputStream().write(whole, 0, whole.length - 8);
+    while (front.budget().used() < 9_000) {
+      Thread.onSpinWait();
+    }
+    fillMemory();
+    startReading();
+    // A slow thread has the lock of a connection that has nothing to do with it.
+    synchronized (slow.connection()) {
+      client
+          .getOutputStream()
+          .write(RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/none"), new byte[0]));
+      assertTrue(readAnswer().contains("Status: 404"));
+    }
+    assertTrue(readAnswer(bad.client()).contains("Status: 503"), "the half request made room");
+    slow.client().close();
+    bad.client().close();
+    slow.connection().close();
+    bad.connection().close();
+  }
+
+  /** Guards against hundreds of threads that parse at once, each of which waits for a processor behind all others. */
+  @Test
+  void onlyAsManyConnectionsAreParsedAtOnceAsThereAreTurns() throws Exception {
+    int clients = 60;
+    AtomicInteger parsing = new AtomicInteger();
+    AtomicInteger most = new AtomicInteger();
+    CountDownLatch parsed = new CountDownLatch(clients);
+    onRead = () -> {
+      most.accumulateAndGet(parsing.incrementAndGet(), Math::max);
+      pause(5);
+      parsing.decrementAndGet();
+      parsed.countDown();
+    };
+    List<Pair> pairs = new ArrayList<>();
+    for (int i = 0; i < clients; i++) {
+      Pair pair = connect();
+      pair.client().getOutputStream().write(request(i + 1));
+      pairs.add(pair);
+    }
+    pairs.forEach(pair -> startReading(pair.connection()));
+    assertTrue(parsed.await(10, TimeUnit.SECONDS), parsed.getCount() + " requests are not parsed");
+    for (Pair pair : pairs) {
+      pair.client().close();
+      pair.connection().close();
+    }
+    assertTrue(
+        most.get() <= ReadTurns.limitFor(Runtime.getRuntime().availableProcessors()),
+        most.get() + " connections were parsed at once");
+  }
+
+  /** While a request waits for its turn, its time runs and its connection is not idle. */
+  @Test
+  void aRequestThatWaitsForItsTurnCountsFromBefore() throws Exception {
+    startReading();
+    List<TurnQueue.Turn> held = new ArrayList<>();
+    for (int i = 0; i < ReadTurns.limitFor(Runtime.getRuntime().availableProcessors()); i++) {
+      TurnQueue.Turn turn = front.readTurns().newTurn();
+      turn.acquire();
+      held.add(turn);
+    }
+    client.getOutputStream().write(request(1));
+    Thread.sleep(ReadTurns.MAX_HELD_MICROS / 2_000);
+    long waitsSince = Clock.micros();
+    assertEquals(0, sent.get(), "there was a turn");
+    assertTrue(connection.owesAnswers());
+    assertFalse(connection.closeIfIdle());
+    connection.checkTimeouts(waitsSince + 60 * SECOND, 2 * SECOND, 6 * SECOND);
+    connection.drain();
+    long until = Clock.micros() + SECOND;
+    while (sent.get() == 0 && Clock.micros() < until) {
+      Thread.sleep(1);
+    }
+    held.forEach(TurnQueue.Turn::release);
+    assertEquals(1, sent.get(), "the turns were not passed on");
+    assertTrue(
+        arrivedAt.get() <= waitsSince,
+        () -> "counted " + (arrivedAt.get() - waitsSince) + " us too late");
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/runtime/src/main/java/gorseladder/runtime/ArrivalTimes.java
+++ b/runtime/src/main/java/gorseladder/runtime/ArrivalTimes.java
@@ -60,8 +60,12 @@
     }
   }
 
-  /** Called when the same read was continued without waiting. */
-  public void readMore(int count) {
+  /**
+   * Called when a read was begun or continued without waiting for the peer. The thread may have waited for something else
+   * since {@link #beforeRead}: what arrived meanwhile counts from before that wait.
+   */
+  public void readMore(int count, long now) {
+    readAt = now;
     bytesRead += Math.max(0, count);
     if (!unreadBefore) {
       markedUpTo = bytesRead;
