Live dispatcher: no memory is taken for a connection that has ended

Cause: a thread makes room for a record without its connection's lock. If the connection ends meanwhile (its outbox failed or is full as another thread refused its half requests), the thread took bytes for a request that no end gives back.

Change: the end of the connection is looked at under the lock under which bytes are taken. It works since the two exclude each other.

--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -277,7 +277,9 @@
       FrontRequest e, byte[] bytes, int from, int length, int limit, Reason tooLarge) {
     do {
       synchronized (this) {
-        if (e.answered) {
+        if (e.answered || state == State.CLOSED) {
+          // It was refused, or the connection ended, while room was made; bytes taken now would
+          // never be given back.
           return;
         }
         if (e.used + length > limit) {
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -169,11 +169,11 @@
     }
   }
 
-  private void startReading() {
-    startReading(connection);
+  private Thread startReading() {
+    return startReading(connection);
   }
 
-  private static void startReading(FrontConnection read) {
+  private static Thread startReading(FrontConnection read) {
     Thread thread = new Thread(() -> {
       try {
         read.run();
@@ -183,6 +183,7 @@
     });
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 
   private String readAnswer() throws IOException {
@@ -505,6 +506,40 @@
     bad.connection().close();
   }
 
+  /**
+   * Guards against memory that is taken for a connection after its end and never given back: its thread was making room
+   * for a record when the connection ended, and went on with the record.
+   */
+  @Test
+  void aConnectionThatEndsWhileRoomIsMadeKeepsNoMemory() throws Exception {
+    Pair other = connect();
+    startReading(other.connection());
+    byte[] whole =
+        RecordWriter.request(1, true, Map.of("SCRIPT_NAME", "/svc/safe"), new byte[9_000]);
+    other.client().getOutputStream().write(whole, 0, whole.length - 8);
+    while (front.budget().used() < 9_000) {
+      Thread.onSpinWait();
+    }
+    int filled = (int) (front.budget().limit() - front.budget().used());
+    // Room for the beginning of a request, not for its parameters.
+    filled -= 200;
+    front.forceReserve(filled);
+    Thread reader;
+    synchronized (other.connection()) {
+      reader = startReading();
+      client.getOutputStream().write(request(1));
+      while (reader.getState() != Thread.State.BLOCKED) {
+        Thread.onSpinWait();
+      }
+      connection.close();
+    }
+    reader.join(2_000);
+    other.client().close();
+    other.connection().close();
+    front.giveBack(filled);
+    assertEquals(0, front.budget().used());
+  }
+
   /** Guards against hundreds of threads that parse at once, each of which waits for a processor behind all others. */
   @Test
   void onlyAsManyConnectionsAreParsedAtOnceAsThereAreTurns() throws Exception {
--- a/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
@@ -79,7 +79,7 @@
 
   @ParameterizedTest
   @EnumSource(Shape.class)
-  void usualRequestsAreAnsweredInTime(Shape shape) throws Exception {
+  void usualRequestsAreAnsweredInTimeAndNoMemoryIsLeft(Shape shape) throws Exception {
     start(4, arrival -> Reaction.SERVE);
     byte[] requests = shape.requests();
     for (int i = 0; i < BAD_CLIENTS; i++) {
@@ -95,6 +95,10 @@
       served += client.get();
     }
     assertTrue(served > 0, "nothing was served");
+    stopping = true;
+    assertTrue(
+        within(5_000, () -> node.summary().contains(" 0 bytes kept")),
+        () -> "memory is left: " + node.summary());
   }
 
   /** Sends one request after the other; returns how many were served. */
