Live dispatcher: a request refused for room at its first record is counted

Cause: begin refused for room with an END_REQUEST that nothing counted: neither answeredRequests nor idleSince moved, so the connection counted as silent after 2 s or idle after 6 s. Evidence: forced by FrontConnectionTest.aConnectionWhoseRequestsAreRefused..., which on the code before was closed as silent between two requests.

Change: the refusal goes the way of all answers (addAnswer, sendAnswer): counted and queued under the lock, it heeds a request that ends its connection, and closes a client that does not read.

--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -197,9 +197,7 @@
       return;
     }
     if (!front.reserve(REQUEST_OVERHEAD_BYTES)) {
-      // Not stored, so that its further records are ignored.
-      front.count("no room for a request");
-      outbox.put(RecordWriter.endRequest(id, Status.OVERLOADED, 0));
+      refuseUnstored(id, keepsConnection);
       return;
     }
     synchronized (this) {
@@ -234,6 +232,20 @@
     }
   }
 
+  /** Refuses a request for which there is no memory. It is not stored, so that its further records are ignored. */
+  private void refuseUnstored(int id, boolean keepsConnection) {
+    front.count("no room for a request");
+    boolean put;
+    synchronized (this) {
+      if (state != State.OPEN) {
+        return;
+      }
+      closesAfterAnswers |= !keepsConnection;
+      put = addAnswer(RecordWriter.endRequest(id, Status.OVERLOADED, 0), null);
+    }
+    sendAnswer(put);
+  }
+
   /**
    * Whether too many ids are in use. A request that was answered early keeps its id until its body ends; a client that
    * never ends them is disconnected.
@@ -459,16 +471,28 @@
       e.answered = true;
       front.partialRequests().remove(e);
       front.giveBack(e.release());
-      answeredRequests++;
       unansweredRequests--;
-      idleSince = Clock.micros();
-      // Queued under the lock, so that no other thread sees the connection as idle before its last
-      // answer is queued.
-      put = outbox.add(new AnswerBytes(bytes, call));
-      if (put && closesAfterAnswers) {
-        halfCloseIfIdle(CloseReason.LAST_ANSWERED);
-      }
+      put = addAnswer(bytes, call);
     }
+    sendAnswer(put);
+  }
+
+  /**
+   * Counts and queues an answer; the lock is held, so that no other thread sees the connection as idle before its last
+   * answer is queued. Returns false if the client does not read its answers.
+   */
+  private boolean addAnswer(byte[] bytes, NodeCall call) {
+    answeredRequests++;
+    idleSince = Clock.micros();
+    boolean put = outbox.add(new AnswerBytes(bytes, call));
+    if (put && closesAfterAnswers) {
+      halfCloseIfIdle(CloseReason.LAST_ANSWERED);
+    }
+    return put;
+  }
+
+  /** Writes a queued answer, or closes the connection if it was not queued. */
+  private void sendAnswer(boolean put) {
     if (put) {
       outbox.send();
     } else {
--- a/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
+++ b/node/src/test/java/gorseladder/node/front/FrontConnectionTest.java
@@ -599,6 +599,27 @@
         () -> "counted " + (arrivedAt.get() - waitsSince) + " us too late");
   }
 
+  /**
+   * Guards against a connection that is closed as silent or idle although its client sends requests all the time, since
+   * those that are refused for room at their first record were not counted.
+   */
+  @Test
+  void aConnectionWhoseRequestsAreRefusedForRoomIsNeitherSilentNorIdle() throws Exception {
+    front.forceReserve((int) front.budget().limit());
+    startReading();
+    client.getOutputStream().write(request(1));
+    assertFalse(readAnswer().isEmpty(), "no refusal");
+    long now = Clock.micros();
+    connection.checkTimeouts(now + 3 * SECOND, 2 * SECOND, 6 * SECOND);
+    client.getOutputStream().write(request(2));
+    assertFalse(readAnswer().isEmpty(), "closed as silent");
+    connection.checkTimeouts(now + 5 * SECOND, 2 * SECOND, 6 * SECOND);
+    client.getOutputStream().write(request(3));
+    assertFalse(readAnswer().isEmpty(), "closed as idle");
+    connection.checkTimeouts(Clock.micros() + 7 * SECOND, 2 * SECOND, 6 * SECOND);
+    assertEquals("", readAnswer(), "it is idle now");
+  }
+
   private static void pause(long millis) {
     try {
       Thread.sleep(millis);
