Edge: a stop during the start answers what was taken by then

A call that was sent as soon as an edge listened, and a SIGTERM just after it: the connection was reset with no answer.

Cause: EdgeMain installed the handlers of signals after the edge had begun to listen; until then the signal ends the Java machine at once.

Change: the handlers are installed first, as in the live dispatcher; the start ends and the edge stops in order. A second signal ends the process at once, as before.

--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -65,9 +65,10 @@
     System.setProperty(
         "gorseladder.log.form", loaded.settings().getLog().getForm().name());
     System.setProperty("gorseladder.log.level", loaded.settings().getLog().getLevel());
+    // Before the edge listens: a stop during the start must answer what was taken by then.
+    ProcessSignals signals =
+        ProcessSignals.listenForStop(() -> Runtime.getRuntime().halt(EXIT_KILLED));
     try (Edge edge = new Edge(loaded.settings())) {
-      ProcessSignals signals =
-          ProcessSignals.listenForStop(() -> Runtime.getRuntime().halt(EXIT_KILLED));
       Map<String, Object> ready = new LinkedHashMap<>();
       ready.put("ready", true);
       ready.put("edge", Address.print(edge.address()));
--- a/testbed/src/test/java/gorseladder/testbed/EdgeStopTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/EdgeStopTest.java
@@ -8,6 +8,7 @@
 import gorseladder.testbed.WebhookClients.Kind;
 import gorseladder.testbed.script.DayScript;
 import gorseladder.wire.webhook.Secret;
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -297,6 +298,50 @@
     }
   }
 
+  /**
+   * Guards against a call that is taken just after the edge begins to listen and lost to a stop, since the handlers of
+   * the signals were installed after that.
+   */
+  @Test
+  void aStopDuringTheStartAnswersWhatWasTaken() throws Exception {
+    start("runners = 2; work = 300ms;", STOP_MILLIS, true);
+    assertEquals("served", send("msg_before", SAFE, 0).get().reason);
+    Process before = fleet.edgeProcess(0);
+    threads.execute(this::restartUntilStopped);
+    before.waitFor();
+    try (Socket client = awaitListener()) {
+      client.getOutputStream().write(signed("msg_start"));
+      fleet.edgeProcess(0).toHandle().destroy();
+      client.setSoTimeout(3 * STOP_MILLIS);
+      String answer =
+          new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(answer.startsWith("HTTP/1.1 "), "no answer: " + answer);
+    }
+  }
+
+  private void restartUntilStopped() {
+    try {
+      fleet.restartEdge(0, 0);
+    } catch (IOException | InterruptedException e) {
+      // It was stopped before it was ready.
+    }
+  }
+
+  /** Connects to the edge as soon as it listens. */
+  private Socket awaitListener() throws Exception {
+    for (int tries = 0; tries < 20_000; tries++) {
+      Socket socket = new Socket();
+      try {
+        socket.connect(fleet.edgeAddress(0));
+        return socket;
+      } catch (IOException e) {
+        socket.close();
+        Thread.sleep(1);
+      }
+    }
+    throw new IOException("the edge does not listen");
+  }
+
   /** A client that sends half a request, or does not read, does not keep the process beyond its time. */
   @Test
   void halfARequestDoesNotDelayTheEnd() throws Exception {
