Turns: a turn that is passed on before its thread has run leaves nobody waiting

By reading of: a thread that was granted a turn and got no processor for 0.1 s lost it to the next one, and then waited for a grant that nobody would give. A connection's thread (dispatcher and edge) would have read nothing any more.

Cause: the wait ended with the turn itself, which another thread may take away before the waiter has seen it.

Change: the wait ends with the grant, whatever becomes of the turn then; its thread goes on without one.

Measured: TurnQueueTest and FrontConnectionTest green.

--- a/runtime/src/main/java/gorseladder/runtime/TurnQueue.java
+++ b/runtime/src/main/java/gorseladder/runtime/TurnQueue.java
@@ -47,7 +47,11 @@
   /** The turns of one thread, which is the only one that uses it. */
   public final class Turn {
     private final Thread thread = Thread.currentThread();
+    /** Whether it has a turn. */
     private volatile boolean granted;
+    /** Whether it waits; ends with the grant, also if the turn is passed on before its thread has run. */
+    private volatile boolean waiting;
+
     private long startedAt;
     private long waited;
     private boolean yielding;
@@ -67,20 +71,21 @@
     /** Waits for a turn. The wait ends, since every turn is released or passed on. */
     public void acquire() {
       synchronized (lock) {
-        if (tryStart.test(this)) {
+        waiting = !tryStart.test(this);
+        if (!waiting) {
           grant(this);
         }
       }
-      if (!granted) {
+      if (waiting) {
         await();
       }
     }
 
     private void await() {
       long waitStart = Clock.micros();
-      while (!granted) {
+      while (waiting) {
         LockSupport.parkNanos(this, maxHeldMicros * 1_000);
-        if (!granted) {
+        if (waiting) {
           passOnStalled();
         }
       }
@@ -121,6 +126,7 @@
   private void grant(Turn turn) {
     turn.startedAt = Clock.micros();
     turn.granted = true;
+    turn.waiting = false;
     holders.addLast(turn);
   }
 
--- a/runtime/src/test/java/gorseladder/runtime/TurnQueueTest.java
+++ b/runtime/src/test/java/gorseladder/runtime/TurnQueueTest.java
@@ -38,7 +38,7 @@
   }
 
   private final Order order = new Order();
-  private final TurnQueue queue = new TurnQueue(order::tryStart, order::finish, MAX_HELD_MICROS);
+  private TurnQueue queue = new TurnQueue(order::tryStart, order::finish, MAX_HELD_MICROS);
 
   private static List<Thread> start(int count, Runnable task) {
     List<Thread> threads = new ArrayList<>();
@@ -62,13 +62,21 @@
         turn.release();
       }
     });
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
     for (Thread thread : threads) {
-      thread.join(20_000);
+      thread.join(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
     }
     assertEquals(THREADS * ROUNDS, done.get());
     assertEquals(0, order.running);
   }
 
+  /** Guards against a thread whose turn is passed on before it has seen it, and which then waits for ever. */
+  @Test
+  void turnsThatArePassedOnAtOnceLeaveNoThreadWaiting() throws Exception {
+    queue = new TurnQueue(order::tryStart, order::finish, 1);
+    everyThreadGetsItsTurns();
+  }
+
   @Test
   void aFreeTurnIsTakenWithoutAWait() {
     TurnQueue.Turn turn = queue.newTurn();
