--- a/core/src/main/java/gorseladder/core/Core.java
+++ b/core/src/main/java/gorseladder/core/Core.java
@@ -255,8 +255,8 @@
   }
 
   /**
-   * Answers all waiting calls, and all later ones, at once, since the process is about to exit. No attempt and no load of
-   * a plan begins afterwards.
+   * Answers all waiting calls, and all later ones, at once, since the process is about to exit. No attempt and no load
+   * of a plan begins afterwards.
    */
   public void refuseAll() {
     mailbox.put(new RefuseAll<>());
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -121,8 +121,8 @@
   }
 
   /**
-   * Accepts no new calls from now on. Calls in progress continue, and a repeat of one joins it: a refusal would tell its
-   * sender that the message did not run.
+   * Accepts no new calls from now on. Calls in progress continue, and a repeat of one joins it: a refusal would tell
+   * its sender that the message did not run.
    */
   public void stop() {
     stopping = true;
--- a/node/src/main/java/gorseladder/node/front/FrontConnection.java
+++ b/node/src/main/java/gorseladder/node/front/FrontConnection.java
@@ -37,8 +37,8 @@
 final class FrontConnection implements RecordParser.Sink {
   /**
    * Bytes of a read that waits for the client, which is made without the lock; fewer than any record has. The rest of a
-   * request therefore remains visible as unread bytes to whoever wants to close the connection, until {@link #parsing} is
-   * set.
+   * request therefore remains visible as unread bytes to whoever wants to close the connection, until {@link #parsing}
+   * is set.
    */
   private static final int PEEK_BYTES = 1;
 
--- a/runtime/src/main/java/gorseladder/runtime/ArrivalTimes.java
+++ b/runtime/src/main/java/gorseladder/runtime/ArrivalTimes.java
@@ -61,8 +61,8 @@
   }
 
   /**
-   * Called when a read was begun or continued without waiting for the peer. The thread may have waited for something else
-   * since {@link #beforeRead}: what arrived meanwhile counts from before that wait.
+   * Called when a read was begun or continued without waiting for the peer. The thread may have waited for something
+   * else since {@link #beforeRead}: what arrived meanwhile counts from before that wait.
    */
   public void readMore(int count, long now) {
     readAt = now;
--- a/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorseladder.runtime.Clock;
 import gorseladder.testbed.LagMeter;
 import gorseladder.testbed.platform.FastCgiClient.Answer;
 import gorseladder.testbed.platform.PlatformRunner.Reaction;
@@ -22,8 +23,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * Guards against requests that are answered long after their time, or not at all, beside clients that send half requests
- * at full speed. Each of their records walked all connections for the oldest half request, on all threads at once.
+ * Guards against requests that are answered long after their time, or not at all, beside clients that send half
+ * requests at full speed. Each of their records walked all connections for the oldest half request, on all threads at once.
  */
 class HalfRequestsTest extends DispatcherFixture {
   private static final int BAD_CLIENTS = 60;
@@ -113,7 +114,7 @@
         Answer answer = client.await(i, 4 * TIMEOUT_MILLIS);
         assertTrue(answer != null, "request " + i + " got no answer");
         long tookMillis = (answer.at() - sentAt) / 1_000_000;
-        long lagMillis = lag.callLagAt(gorseladder.runtime.Clock.micros()) / 1_000;
+        long lagMillis = lag.callLagAt(Clock.micros()) / 1_000;
         assertTrue(
             tookMillis <= TIMEOUT_MILLIS + MAX_LATE_MILLIS + lagMillis,
             "request " + i + " was answered after " + tookMillis + " ms");
