--- a/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/platform/HalfRequestsTest.java
@@ -24,7 +24,8 @@
 
 /**
  * Guards against requests that are answered long after their time, or not at all, beside clients that send half
- * requests at full speed. Each of their records walked all connections for the oldest half request, on all threads at once.
+ * requests at full speed. Each of their records walked all connections for the oldest half request, on all threads at
+ * once.
  */
 class HalfRequestsTest extends DispatcherFixture {
   private static final int BAD_CLIENTS = 60;
