--- a/review/standins-2/EdgeKit.java
+++ b/review/standins-2/EdgeKit.java
@@ -2,16 +2,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Base64;
-import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import javax.crypto.Mac;
@@ -234,12 +231,17 @@
 
   /** A signed request, whole. */
   static byte[] signed(String id, long seconds, String payload, int waitSeconds) throws Exception {
+    return signed("/hooks/first", id, seconds, payload, waitSeconds);
+  }
+
+  /** A signed request to a path, whole; the signature covers id, time stamp and content. */
+  static byte[] signed(String path, String id, long seconds, String payload, int waitSeconds) throws Exception {
     byte[] body = payload.getBytes(StandardCharsets.UTF_8);
     Mac mac = Mac.getInstance("HmacSHA256");
     mac.init(new SecretKeySpec(KEY, "HmacSHA256"));
     mac.update((id + "." + seconds + ".").getBytes(StandardCharsets.UTF_8));
     String signature = Base64.getEncoder().encodeToString(mac.doFinal(body));
-    byte[] head = ("POST /hooks/first HTTP/1.1\r\nHost: edge\r\nContent-Type: application/json\r\nwebhook-id: " + id
+    byte[] head = ("POST " + path + " HTTP/1.1\r\nHost: edge\r\nContent-Type: application/json\r\nwebhook-id: " + id
         + "\r\nwebhook-timestamp: " + seconds + "\r\nwebhook-signature: v1," + signature
         + (waitSeconds > 0 ? "\r\nPrefer: wait=" + waitSeconds : "") + "\r\nContent-Length: " + body.length
         + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
@@ -293,14 +295,4 @@
   static String status(Message answer) {
     return answer == null ? "no answer" : answer.first.substring(9) + " " + answer.field("gorseladder-reason");
   }
-
-  static List<String> list() {
-    return new ArrayList<>();
-  }
-
-  static void drain(InputStream in) throws IOException {
-    while (in.read() >= 0) {
-      continue;
-    }
-  }
 }
