--- a/app/src/main/java/gorseladder/app/CheckCommand.java
+++ b/app/src/main/java/gorseladder/app/CheckCommand.java
@@ -1,6 +1,7 @@
 package gorseladder.app;
 
 import gorseladder.config.Fault;
+import gorseladder.config.SettingsFile;
 import gorseladder.edge.Edge;
 import gorseladder.planner.PlannerFile;
 import java.nio.file.Path;
@@ -24,8 +25,14 @@
 
   @Override
   public Integer call() {
-    List<Fault> faults =
-        planner ? PlannerFile.load(file).faults() : Edge.load(file).faults();
+    List<Fault> faults;
+    if (planner) {
+      faults = PlannerFile.load(file).faults();
+    } else {
+      SettingsFile edge = Edge.load(file);
+      edge.warnings().forEach(System.out::println);
+      faults = edge.faults();
+    }
     faults.forEach(System.out::println);
     if (faults.isEmpty()) {
       System.out.println(file + ": good");
--- a/config/src/main/java/gorseladder/config/SettingsFile.java
+++ b/config/src/main/java/gorseladder/config/SettingsFile.java
@@ -17,31 +17,40 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /** Loads the settings of an edge from protobuf text format and collects all faults in them. */
 public final class SettingsFile {
   private final String file;
   private final List<Fault> faults = new ArrayList<>();
-  private Consumer<String> secretCheck = s -> {};
+  private final List<Fault> warnings = new ArrayList<>();
+  private final UnaryOperator<String> secretCheck;
+  private final Map<String, SecretLocation> secrets = new HashMap<>();
   private EdgeSettings settings = EdgeSettings.getDefaultInstance();
 
-  private SettingsFile(String file) {
+  /** Where a secret was first seen. */
+  private record SecretLocation(int endpoint, String path, String field, int line) {}
+
+  private SettingsFile(String file, UnaryOperator<String> secretCheck) {
     this.file = file;
+    this.secretCheck = secretCheck;
   }
 
   /**
    * Reads and checks a file.
    *
-   * @param secretCheck throws IllegalArgumentException for an unusable secret
+   * @param secretCheck returns the identity of a secret, which all its texts share; throws IllegalArgumentException for
+   *     an unusable one
    * @return the settings with their faults; usable only if there are none
    */
-  public static SettingsFile load(Path path, Consumer<String> secretCheck) {
-    SettingsFile loaded = new SettingsFile(path.toString());
-    loaded.secretCheck = secretCheck;
+  public static SettingsFile load(Path path, UnaryOperator<String> secretCheck) {
+    SettingsFile loaded = new SettingsFile(path.toString(), secretCheck);
     try {
       loaded.read(Files.readString(path, StandardCharsets.UTF_8));
     } catch (IOException e) {
@@ -60,6 +69,11 @@
     return List.copyOf(faults);
   }
 
+  /** What is allowed and likely not meant, ordered by line. */
+  public List<Fault> warnings() {
+    return List.copyOf(warnings);
+  }
+
   private void read(String text) {
     EdgeSettings.Builder builder = EdgeSettings.newBuilder();
     TextFormatParseInfoTree locations = TextFile.parse(file, text, builder, faults);
@@ -68,7 +82,8 @@
     }
     settings = builder.build();
     check(new Location(locations, ""));
-    faults.sort((a, b) -> Integer.compare(a.line(), b.line()));
+    faults.sort(Comparator.comparingInt(Fault::line));
+    warnings.sort(Comparator.comparingInt(Fault::line));
   }
 
   /** The location of a message in the file. */
@@ -91,6 +106,11 @@
 
     void fault(
         com.google.protobuf.Descriptors.Descriptor type, String field, int index, String reason) {
+      faults.add(at(type, field, index, reason));
+    }
+
+    Fault at(
+        com.google.protobuf.Descriptors.Descriptor type, String field, int index, String reason) {
       FieldDescriptor descriptor = type.findFieldByName(field);
       int line = 0;
       if (tree != null) {
@@ -98,7 +118,7 @@
         line = index < locations.size() ? locations.get(index).getLine() + 1 : 0;
       }
       String name = path + field + (descriptor.isRepeated() ? "[" + index + "]" : "");
-      faults.add(new Fault(file, line, name, reason));
+      return new Fault(file, line, name, reason);
     }
 
     void require(
@@ -146,7 +166,7 @@
     }
     Set<String> paths = new HashSet<>();
     for (int i = 0; i < s.getEndpointCount(); i++) {
-      checkEndpoint(root.in(type, "endpoint", i), s.getEndpoint(i), classes, tenants, paths);
+      checkEndpoint(root.in(type, "endpoint", i), i, classes, tenants, paths);
     }
     for (int i = 0; i < s.getAllowNetworkCount(); i++) {
       try {
@@ -267,8 +287,9 @@
   }
 
   private void checkEndpoint(
-      Location at, Endpoint e, Set<String> classes, Set<String> tenants, Set<String> paths) {
+      Location at, int number, Set<String> classes, Set<String> tenants, Set<String> paths) {
     var type = Endpoint.getDescriptor();
+    Endpoint e = settings.getEndpoint(number);
     at.require(
         e.getPath().matches("/[A-Za-z0-9._~/-]*"),
         type,
@@ -289,7 +310,8 @@
     at.require(e.getRouteCount() > 0, type, "route", "at least one is needed");
     for (int i = 0; i < e.getSecretCount(); i++) {
       try {
-        secretCheck.accept(e.getSecret(i));
+        String identity = secretCheck.apply(e.getSecret(i));
+        warnIfShared(at.at(type, "secret", i, ""), number, e.getPath(), identity);
       } catch (IllegalArgumentException bad) {
         at.fault(type, "secret", i, bad.getMessage());
       }
@@ -309,6 +331,20 @@
     }
   }
 
+  private void warnIfShared(Fault at, int endpoint, String path, String identity) {
+    SecretLocation first =
+        secrets.putIfAbsent(identity, new SecretLocation(endpoint, path, at.field(), at.line()));
+    if (first != null && first.endpoint() != endpoint) {
+      warnings.add(new Fault(
+          at.file(),
+          at.line(),
+          at.field(),
+          "warning: " + path + " shares this secret with " + first.path() + " (line "
+              + first.line() + ", " + first.field() + "): an event that is posted at both runs"
+              + " once only; give each endpoint a secret of its own where both are to run it"));
+    }
+  }
+
   private void checkLimits(Location at, Limits l) {
     var type = Limits.getDescriptor();
     for (FieldDescriptor f : type.getFields()) {
--- a/config/src/test/java/gorseladder/config/SettingsFileTest.java
+++ b/config/src/test/java/gorseladder/config/SettingsFileTest.java
@@ -36,6 +36,7 @@
           if (s.equals("bad")) {
             throw new IllegalArgumentException("no key");
           }
+          return s;
         })
         .faults();
   }
@@ -87,9 +88,30 @@
     assertEquals(4, found.size());
   }
 
+  /** An event that is posted at two endpoints with one secret runs once only, which may not be meant. */
+  @Test
+  void aSecretThatTwoEndpointsShareIsWarnedOf() throws IOException {
+    Path file = dir.resolve("edge.txtpb");
+    String second = """
+        endpoint {
+          path: "/v2/hooks"
+          secret: "own"
+          secret: "S"
+          route { type: "t" request_class: "safe" }
+        }
+        """;
+    Files.writeString(file, GOOD + second);
+    SettingsFile loaded = SettingsFile.load(file, String::toLowerCase);
+    assertEquals(List.of(), loaded.faults());
+    assertEquals(1, loaded.warnings().size());
+    String warning = loaded.warnings().get(0).toString();
+    assertTrue(warning.contains(":13: endpoint[1].secret[1]: warning: /v2/hooks "), warning);
+    assertTrue(warning.contains(" with /hooks (line 6, endpoint[0].secret[0])"), warning);
+  }
+
   @Test
   void anUnreadableFileIsOneFault() {
-    assertEquals(1, SettingsFile.load(dir.resolve("none"), s -> {}).faults().size());
+    assertEquals(1, SettingsFile.load(dir.resolve("none"), s -> s).faults().size());
   }
 
   @Test
--- a/edge/src/main/java/gorseladder/edge/Edge.java
+++ b/edge/src/main/java/gorseladder/edge/Edge.java
@@ -12,6 +12,7 @@
 import gorseladder.core.RuleLog;
 import gorseladder.core.StallDetector;
 import gorseladder.edge.core.AdmissionCheck;
+import gorseladder.edge.core.EndpointHistory;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.CallLog;
@@ -107,7 +108,10 @@
         settings.getLedger().getSync(),
         settings.getLedger().getMaxMessages(),
         system.ledgerFiles());
+    EndpointHistory endpoints;
     try {
+      endpoints = EndpointHistory.open(
+          directory, config.currentEndpoints(), ledger.clock().micros());
       history = new CallHistory(
           History.open(
               directory.resolve("history"),
@@ -175,7 +179,7 @@
     plannerLink =
         settings.hasPlanner() ? new PlannerLink(settings, ledger.openCount(), core, history) : null;
     front = new WebhookFront(
-        config.webhooks(),
+        config.webhooks(endpoints),
         requests,
         new AdmissionCheck(config.admission()),
         intake,
--- a/edge/src/main/java/gorseladder/edge/EdgeConfig.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeConfig.java
@@ -10,6 +10,8 @@
 import gorseladder.config.proto.Route;
 import gorseladder.config.proto.RuleFigures;
 import gorseladder.config.proto.Runners;
+import gorseladder.edge.core.EndpointHistory;
+import gorseladder.edge.core.EndpointLinks;
 import gorseladder.edge.front.WebhookSettings;
 import gorseladder.edge.runners.RunnerSettings;
 import gorseladder.wire.http1.HttpLimits;
@@ -18,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** Translates checked settings into the settings of each part; milliseconds become microseconds. */
 final class EdgeConfig {
@@ -36,13 +39,16 @@
   /**
    * Checks a webhook secret.
    *
+   * @return its fingerprint, by which two texts of one secret are recognised
    * @throws IllegalArgumentException if the secret cannot verify signatures
    */
-  static void checkSecret(String text) {
-    if (!Secret.parse(text).canCheck()) {
+  static String checkSecret(String text) {
+    Secret secret = Secret.parse(text);
+    if (!secret.canCheck()) {
       throw new IllegalArgumentException(
           "an endpoint needs the public key (whpk_), not the private one");
     }
+    return secret.fingerprint();
   }
 
   RouterApi.Settings router() {
@@ -105,7 +111,12 @@
     return classes;
   }
 
-  WebhookSettings webhooks() {
+  /**
+   * Returns the settings of the webhook front.
+   *
+   * @param history these settings and those of earlier runs
+   */
+  WebhookSettings webhooks(EndpointHistory history) {
     Limits l = s.getLimits();
     Map<String, WebhookSettings.Endpoint> endpoints = new HashMap<>();
     for (Endpoint e : s.getEndpointList()) {
@@ -141,7 +152,27 @@
             .mapToDouble(RequestClass::worth)
             .filter(w -> w > 0)
             .max()
-            .orElse(1));
+            .orElse(1),
+        history.links(),
+        history.requestKeepSeconds(),
+        history.requestsRecordedSince());
+  }
+
+  /** Returns what the history of endpoints keeps of these settings. */
+  EndpointHistory.Current currentEndpoints() {
+    return new EndpointHistory.Current(
+        s.getEndpointList().stream().map(EdgeConfig::knownEndpoint).toList(),
+        s.getEndpointList().stream().mapToLong(Endpoint::getToleranceS).max().orElse(0),
+        s.getLedger().getKeepS());
+  }
+
+  private static EndpointLinks.KnownEndpoint knownEndpoint(Endpoint endpoint) {
+    return new EndpointLinks.KnownEndpoint(
+        endpoint.getPath(),
+        endpoint.getTenant(),
+        endpoint.getSecretList().stream()
+            .map(secret -> Secret.parse(secret).fingerprint())
+            .collect(Collectors.toSet()));
   }
 
   /** Returns the bytes that all requests and answers may use together. */
--- a/edge/src/main/java/gorseladder/edge/EdgeMain.java
+++ b/edge/src/main/java/gorseladder/edge/EdgeMain.java
@@ -61,6 +61,7 @@
       loaded.faults().forEach(err::println);
       return BAD_SETTINGS;
     }
+    loaded.warnings().forEach(err::println);
     // The logging configuration reads these properties when the first logger is created.
     System.setProperty(
         "gorseladder.log.form", loaded.settings().getLog().getForm().name());
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -14,10 +14,11 @@
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
 import gorseladder.store.LedgerException;
+import gorseladder.wire.webhook.SignatureValue;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Arrays;
-import java.util.Base64;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -39,57 +40,44 @@
   private static final int LOCK_STRIPES = 256;
 
   /**
-   * A delivery whose signature is valid; times in microseconds.
+   * What a delivery asks to be run.
    *
-   * @param request identifies the signed request
-   * @param requestKeepUntil how long the signed request is kept, by the ledger's clock
-   * @param clientTimeout how long the client waits from {@code arrivedAt} on
+   * @param loadTime of a copy that the delivery states, in microseconds
    */
-  public record Delivery(
-      String message,
-      String request,
-      long requestKeepUntil,
+  public record Work(
       RequestClass requestClass,
       String tenant,
       String function,
       byte[] body,
       double memoryMb,
       int lanes,
-      long loadTime,
+      long loadTime) {}
+
+  /**
+   * A delivery whose signature is valid; times in microseconds.
+   *
+   * @param messages the identities that its message may have, that of its own path first; not empty
+   * @param request identifies the signed request
+   * @param goodSignatures those of its signatures that a secret of its endpoint made
+   * @param requestKeepUntil how long the signed request is kept, by the ledger's clock
+   * @param clientTimeout how long the client waits from {@code arrivedAt} on
+   */
+  public record Delivery(
+      List<MessageId> messages,
+      SignedRequest request,
+      Set<SignatureValue> goodSignatures,
+      long requestKeepUntil,
+      Work work,
       long arrivedAt,
       long clientTimeout,
       AdmissionCheck.Pass pass,
       BooleanSupplier clientHasLeft) {
-    /** A delivery whose client stays. */
-    public Delivery(
-        String message,
-        String request,
-        long requestKeepUntil,
-        RequestClass requestClass,
-        String tenant,
-        String function,
-        byte[] body,
-        double memoryMb,
-        int lanes,
-        long loadTime,
-        long arrivedAt,
-        long clientTimeout,
-        AdmissionCheck.Pass pass) {
-      this(
-          message,
-          request,
-          requestKeepUntil,
-          requestClass,
-          tenant,
-          function,
-          body,
-          memoryMb,
-          lanes,
-          loadTime,
-          arrivedAt,
-          clientTimeout,
-          pass,
-          () -> false);
+    RequestClass requestClass() {
+      return work.requestClass();
+    }
+
+    RequestKeys keysFor(MessageId message) {
+      return new RequestKeys(request.keysToRecord(message, goodSignatures), requestKeepUntil);
     }
   }
 
@@ -110,11 +98,13 @@
   private final int maxStoredAnswerBytes;
   private final long answerReserve;
   private final Listener listener;
-  private final Map<String, TakenCall> callsByMessage = new ConcurrentHashMap<>();
-  /** Signed requests of calls in progress that are recorded only with the end. */
+  private final Map<MessageId, TakenCall> callsByMessage = new ConcurrentHashMap<>();
+  /** Keys of signed requests of calls in progress that are recorded only with the end. */
   private final Set<String> requestsInProgress = ConcurrentHashMap.newKeySet();
 
+  /** Chosen by the sender's id, which all deliveries of a message and all copies of a signed request share. */
   private final Object[] stripeLocks = new Object[LOCK_STRIPES];
+
   private final AtomicLong lastId = new AtomicLong();
   private volatile Core<TakenCall> core;
   private final StopLimits stopLimits = new StopLimits();
@@ -188,24 +178,44 @@
   }
 
   /**
-   * Returns true if the message is in progress or recorded; such a delivery must not be refused without a look at its
-   * record. Never waits for the disk.
+   * Returns true if the message is in progress or recorded under one of its identities; such a delivery must not be
+   * refused without a look at its record. Never waits for the disk.
+   */
+  public boolean remembers(List<MessageId> messages) {
+    return messages.stream()
+        .anyMatch(message ->
+            callsByMessage.containsKey(message) || ledger.isMessageIndexed(message.name()));
+  }
+
+  /**
+   * Returns true if a request with one of these signatures was accepted, at any endpoint; meaningful only if one of them
+   * is good. Never waits for the disk.
    */
-  public boolean remembers(String message) {
-    return callsByMessage.containsKey(message) || ledger.isMessageIndexed(message);
+  public boolean isReplay(SignedRequest request) {
+    return isAnyOnRecord(request.signatureKeys());
+  }
+
+  private boolean isAnyOnRecord(List<String> requestKeys) {
+    // This order matters: a call that ends in between puts its record before it is removed.
+    return requestKeys.stream().anyMatch(requestsInProgress::contains)
+        || ledger.isAnyRequestIndexed(requestKeys);
   }
 
   /** Handles a delivery whose signature is valid. */
   public Result handle(Delivery d) {
+    List<String> requestKeys = d.request().keysToLookUp(d.messages());
     try {
       Result result = null;
       while (result == null) {
         long deadline = d.arrivedAt() + d.clientTimeout() - answerReserve;
-        result = handle(d, lookup.find(d.message(), d.request(), deadline));
+        result = handle(d, requestKeys, lookup.find(d.messages(), deadline));
       }
       return result;
     } catch (LedgerException e) {
-      return recordUnreadable(d, e.getMessage());
+      // The tables in memory tell a replay also if no record can be read.
+      return isAnyOnRecord(requestKeys)
+          ? new Result(null, false, FinalAnswer.of(Reason.REPLAYED))
+          : recordUnreadable(d, e.getMessage());
     }
   }
 
@@ -221,30 +231,37 @@
   /**
    * Handles a delivery given the stored record of its message.
    *
+   * @param requestKeys those of its signed request that may be on record
    * @return null if the stored record is no longer the newest
    */
-  private Result handle(Delivery d, RecordLookup.StoredRecord stored) {
+  private Result handle(Delivery d, List<String> requestKeys, RecordLookup.StoredRecord stored) {
     TakenCall call = null;
     long ticket;
     try {
-      synchronized (stripeLocks[Math.floorMod(d.message().hashCode(), LOCK_STRIPES)]) {
-        byte[] content = digest(d.requestClass().name(), d.function(), d.body());
-        // This order matters: a call that ends in between puts its record before it is removed.
-        boolean requestInProgress = requestsInProgress.contains(d.request());
-        TakenCall inProgress = callsByMessage.get(d.message());
-        if (inProgress == null && !lookup.isNewest(d.message(), stored)) {
+      synchronized (lockOf(d.request())) {
+        byte[] content = digest(d.work());
+        boolean replay = isAnyOnRecord(requestKeys);
+        TakenCall inProgress = callInProgress(d.messages());
+        if (inProgress == null && !lookup.isNewest(d.messages(), stored)) {
           return null;
         }
         LedgerEntry known = inProgress != null ? inProgress.entry() : stored.entry();
         long now = ledger.clock().micros();
         Decision decision = Repeats.onDelivery(
             d.requestClass(),
-            requestInProgress || lookup.requestSeen(d.request(), stored),
+            replay,
             known == null ? null : toRecordedMessage(known, inProgress != null, content),
             now,
             d.clientTimeout());
+        LOG.debug(
+            "message={} request={} known={} in_progress={} decision={}",
+            stored.message().name(),
+            requestKeys,
+            known == null ? "no" : known.stage(),
+            inProgress != null,
+            decision.action());
         if (decision.action() != Repeats.Action.RUN) {
-          return answerDuplicate(decision, d, known, inProgress);
+          return answerDuplicate(decision, d, stored.message(), known, inProgress);
         }
         if (stopping) {
           return new Result(null, false, FinalAnswer.of(Reason.STOPPING));
@@ -265,23 +282,24 @@
             "",
             0,
             null);
+        MessageId message = stored.message();
+        RequestKeys newKeys = d.keysFor(message);
         boolean recordFirst = Repeats.recordBeforeAccepting(d.requestClass().effect());
         call = new TakenCall(
             lastId.incrementAndGet(),
-            facts(d, decision.timeLimit(), known != null),
+            facts(d, message, decision.timeLimit(), known != null),
             ledger,
             entry,
-            recordFirst ? null : d.request(),
-            d.requestKeepUntil(),
+            recordFirst ? RequestKeys.NONE : newKeys,
             maxStoredAnswerBytes,
             d.pass(),
-            c -> callEnded(c, d.request()));
+            c -> callEnded(c, message, newKeys));
         call.addClient(d.clientHasLeft());
-        callsByMessage.put(d.message(), call);
+        callsByMessage.put(message, call);
         if (recordFirst) {
-          ticket = ledger.put(d.message(), entry, d.request(), d.requestKeepUntil());
+          ticket = ledger.put(message.name(), entry, newKeys.keys(), newKeys.keepUntil());
         } else {
-          requestsInProgress.add(d.request());
+          requestsInProgress.addAll(newKeys.keys());
           ticket = 0;
         }
       }
@@ -301,6 +319,21 @@
     return new Result(call, false, null);
   }
 
+  private Object lockOf(SignedRequest request) {
+    return stripeLocks[Math.floorMod(request.senderId().hashCode(), LOCK_STRIPES)];
+  }
+
+  /** Returns the call in progress of a message; null for none. */
+  private TakenCall callInProgress(List<MessageId> messages) {
+    for (MessageId message : messages) {
+      TakenCall call = callsByMessage.get(message);
+      if (call != null) {
+        return call;
+      }
+    }
+    return null;
+  }
+
   /**
    * Refuses a delivery that could not be recorded.
    *
@@ -315,16 +348,17 @@
     return new Result(null, false, unavailable);
   }
 
-  private TakenCall.Facts facts(Delivery d, long timeLimit, boolean repeat) {
+  private TakenCall.Facts facts(Delivery d, MessageId message, long timeLimit, boolean repeat) {
+    Work work = d.work();
     return new TakenCall.Facts(
-        d.message(),
-        d.requestClass(),
-        d.tenant(),
-        d.function(),
-        d.body(),
-        d.memoryMb(),
-        d.lanes(),
-        d.loadTime(),
+        message.name(),
+        work.requestClass(),
+        work.tenant(),
+        work.function(),
+        work.body(),
+        work.memoryMb(),
+        work.lanes(),
+        work.loadTime(),
         repeat,
         d.arrivedAt(),
         d.arrivedAt() + Math.max(1, Math.min(timeLimit, d.clientTimeout()) - answerReserve));
@@ -345,10 +379,11 @@
    * that a replay of it gets 409.
    */
   private Result answerDuplicate(
-      Decision decision, Delivery d, LedgerEntry known, TakenCall inProgress)
+      Decision decision, Delivery d, MessageId message, LedgerEntry known, TakenCall inProgress)
       throws LedgerException {
     if (decision.action() != Repeats.Action.REPLAYED) {
-      ledger.putRequest(d.request(), d.requestKeepUntil());
+      RequestKeys newKeys = d.keysFor(message);
+      ledger.putRequests(newKeys.keys(), newKeys.keepUntil());
       ledger.flushSoon();
     }
     if (decision.action() == Repeats.Action.JOIN) {
@@ -365,9 +400,9 @@
     };
   }
 
-  private void callEnded(TakenCall call, String request) {
-    callsByMessage.remove(call.facts().message(), call);
-    requestsInProgress.remove(request);
+  private void callEnded(TakenCall call, MessageId message, RequestKeys requestKeys) {
+    callsByMessage.remove(message, call);
+    requestKeys.keys().forEach(requestsInProgress::remove);
     freeCalls.release();
     listener.callEnded(call);
   }
@@ -397,19 +432,10 @@
     }
   }
 
-  private static byte[] digest(String requestClass, String function, byte[] body) {
-    MessageDigest sha = Digests.sha256();
-    sha.update((requestClass + "\0" + function + "\0").getBytes(StandardCharsets.UTF_8));
-    return Arrays.copyOf(sha.digest(body), 16);
-  }
-
-  /**
-   * Returns a key of a signed request from everything that its signature covers, so that a changed list of signatures
-   * gives the same key.
-   */
-  public static String requestKey(String message, long timestamp, byte[] body) {
+  private static byte[] digest(Work work) {
     MessageDigest sha = Digests.sha256();
-    sha.update((message + "\0" + timestamp + "\0").getBytes(StandardCharsets.UTF_8));
-    return Base64.getEncoder().withoutPadding().encodeToString(Arrays.copyOf(sha.digest(body), 16));
+    sha.update((work.requestClass().name() + "\0" + work.function() + "\0")
+        .getBytes(StandardCharsets.UTF_8));
+    return Arrays.copyOf(sha.digest(work.body()), 16);
   }
 }
--- a/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
+++ b/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
@@ -5,13 +5,14 @@
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerException;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /**
- * Reads the records of a message and of a signed request from the ledger, within the client's timeout.
+ * Reads the record of a message from the ledger, within the client's timeout.
  *
  * <p>A disk may take seconds for a read, so the read happens before the delivery is judged, without a lock, and on
  * another thread if it may need the disk. A reader that waited longer would answer after its client had left, and one
@@ -27,13 +28,11 @@
   /**
    * The result of a lookup.
    *
-   * @param recordId the ledger's id of the newest record of the message, -1 for none
+   * @param recordIds the ledger's ids of the newest record under each identity looked up, -1 for none
+   * @param message the identity under which the message is known; the first one looked up if it is unknown
    * @param entry the record; null if there is none or it has expired
-   * @param requestIndexed the ledger's tables held the signed request at the lookup
-   * @param requestSeen the signed request was accepted before and must not be accepted again
    */
-  record StoredRecord(
-      long recordId, LedgerEntry entry, boolean requestIndexed, boolean requestSeen) {}
+  record StoredRecord(List<Long> recordIds, MessageId message, LedgerEntry entry) {}
 
   private final Ledger ledger;
   private final ThreadCache threads;
@@ -52,33 +51,44 @@
   }
 
   /**
-   * Looks up a message and a signed request.
+   * Looks up a message under each identity that it may have.
    *
+   * @param messages not empty
    * @param deadline the latest time at which the result is of use, on {@link Clock#micros()}
-   * @throws LedgerException if the record cannot be read, or not before the deadline
+   * @throws LedgerException if a record cannot be read, or not before the deadline
    */
-  StoredRecord find(String message, String request, long deadline) throws LedgerException {
-    long recordId = ledger.newestRecordId(message);
-    boolean requestIndexed = ledger.isRequestIndexed(request);
-    if (recordId < 0 && !requestIndexed) {
-      return new StoredRecord(recordId, null, false, false);
+  StoredRecord find(List<MessageId> messages, long deadline) throws LedgerException {
+    List<Long> recordIds = newestRecordIds(messages);
+    if (recordIds.stream().allMatch(id -> id < 0)) {
+      return new StoredRecord(recordIds, messages.get(0), null);
     }
-    FutureTask<StoredRecord> task = new FutureTask<>(() -> new StoredRecord(
-        recordId, ledger.get(message), requestIndexed, ledger.containsRequest(request)));
+    FutureTask<StoredRecord> task = new FutureTask<>(() -> read(messages, recordIds));
     if (!threads.execute(task)) {
       task.run();
     }
     return awaitTask(task, deadline);
   }
 
-  /** Returns true if no newer record of the message was put since the lookup; never waits for the disk. */
-  boolean isNewest(String message, StoredRecord stored) {
-    return ledger.newestRecordId(message) == stored.recordId();
+  private List<Long> newestRecordIds(List<MessageId> messages) {
+    return messages.stream()
+        .map(message -> ledger.newestRecordId(message.name()))
+        .toList();
+  }
+
+  private StoredRecord read(List<MessageId> messages, List<Long> recordIds) throws LedgerException {
+    for (int i = 0; i < messages.size(); i++) {
+      LedgerEntry entry =
+          recordIds.get(i) < 0 ? null : ledger.get(messages.get(i).name());
+      if (entry != null) {
+        return new StoredRecord(recordIds, messages.get(i), entry);
+      }
+    }
+    return new StoredRecord(recordIds, messages.get(0), null);
   }
 
-  /** Returns true if the signed request was accepted before, according to the lookup or to the tables now. */
-  boolean requestSeen(String request, StoredRecord stored) {
-    return stored.requestSeen() || !stored.requestIndexed() && ledger.isRequestIndexed(request);
+  /** Returns true if no newer record of the message was put since the lookup; never waits for the disk. */
+  boolean isNewest(List<MessageId> messages, StoredRecord stored) {
+    return newestRecordIds(messages).equals(stored.recordIds());
   }
 
   private StoredRecord awaitTask(FutureTask<StoredRecord> task, long deadline)
--- a/edge/src/main/java/gorseladder/edge/core/TakenCall.java
+++ b/edge/src/main/java/gorseladder/edge/core/TakenCall.java
@@ -26,10 +26,9 @@
   private final Consumer<TakenCall> onEnd;
   private final boolean mayHaveRunBefore;
   private LedgerEntry entry;
-  /** The signed request if it is recorded with the end, otherwise null. */
-  private final String request;
+  /** What is recorded of the signed request with the end. */
+  private final RequestKeys requestAtEnd;
 
-  private final long requestKeepUntil;
   private long sendTicket;
   private long endTicket;
   /** The ledger's id of the end record; -1 if it could not be put. */
@@ -47,8 +46,7 @@
    *
    * @param entry its record in the ledger; its {@code mayHaveRun} means that an earlier delivery of the message may
    *     have run
-   * @param request the signed request if it is to be recorded with the end, null if it is already recorded
-   * @param requestKeepUntil how long the signed request is kept, by the ledger's clock
+   * @param requestAtEnd the signed request if it is to be recorded with the end, no keys if it is already recorded
    * @param maxStoredAnswerBytes the longest answer that is stored for repeats
    * @param pass is told when the call is first sent and when it has ended
    * @param onEnd runs once, when the call has its final answer
@@ -58,14 +56,12 @@
       Facts facts,
       Ledger ledger,
       LedgerEntry entry,
-      String request,
-      long requestKeepUntil,
+      RequestKeys requestAtEnd,
       int maxStoredAnswerBytes,
       AdmissionCheck.Pass pass,
       Consumer<TakenCall> onEnd) {
     super(id, facts);
-    this.request = request;
-    this.requestKeepUntil = requestKeepUntil;
+    this.requestAtEnd = requestAtEnd;
     this.ledger = ledger;
     this.entry = entry;
     this.mayHaveRunBefore = entry.mayHaveRun();
@@ -166,7 +162,8 @@
         end.reason().status,
         storedAnswer);
     try {
-      endTicket = ledger.put(facts().message(), entry, request, requestKeepUntil);
+      endTicket =
+          ledger.put(facts().message(), entry, requestAtEnd.keys(), requestAtEnd.keepUntil());
       endRecordId = ledger.newestRecordId(facts().message());
     } catch (LedgerException e) {
       // The record of the send remains, so a repeat finds that the call may have run, which is the
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -10,6 +10,8 @@
 import gorseladder.core.ThreadReclaimer;
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
+import gorseladder.edge.core.MessageId;
+import gorseladder.edge.core.SignedRequest;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.front.RequestTimeline.Step;
 import gorseladder.edge.front.WebhookSettings.Endpoint;
@@ -27,12 +29,15 @@
 import gorseladder.wire.http1.BodyParser;
 import gorseladder.wire.http1.Head;
 import gorseladder.wire.webhook.Delivery;
+import gorseladder.wire.webhook.Delivery.Verification;
 import gorseladder.wire.webhook.Payload;
+import gorseladder.wire.webhook.Secret;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -58,6 +63,7 @@
   /** How often a thread that delays a refusal checks whether it still should. */
   private static final long DELAY_STEP_MILLIS = 100;
 
+  private static final long MICROS_PER_SECOND = 1_000_000;
   private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
   private static final long LINGER_MICROS = 300_000;
   private static final byte[] CONTINUE_RESPONSE =
@@ -398,34 +404,72 @@
       } catch (IllegalArgumentException e) {
         return reject(Reason.BAD_SIGNATURE, e.getMessage());
       }
-      message = endpoint.path() + " " + delivery.id();
+      message = new MessageId(endpoint.path(), delivery.id()).name();
+      SignedRequest request = new SignedRequest(endpoint.tenant(), delivery, body);
       times.mark(Step.READ);
-      if (stopping && !intake.remembers(message)) {
+      // A replay is not a delivery of its message: it takes no part in the admission, and no state
+      // of the edge turns
+      // its refusal into an invitation to retry.
+      boolean replay = intake.isReplay(request);
+      if (!replay) {
+        FinalAnswer refusal = admit(endpoint, delivery);
+        if (refusal != null) {
+          return refusal;
+        }
+      }
+      Verification verification = delivery.verify(
+          body,
+          endpoint.secrets(),
+          Clock.wallMicros() / MICROS_PER_SECOND,
+          endpoint.toleranceSeconds());
+      FinalAnswer rejection = rejection(delivery, verification);
+      if (rejection != null) {
+        return rejection;
+      }
+      if (replay) {
+        return answeredAtOnce(FinalAnswer.of(Reason.REPLAYED));
+      }
+      try {
+        return route(endpoint, delivery, request, verification, Payload.parse(body));
+      } catch (IllegalArgumentException e) {
+        return reject(Reason.BAD_PAYLOAD, e.getMessage());
+      }
+    }
+
+    /**
+     * Admits a delivery before the signature check, so that a refusal is cheap. Nothing in the request is trusted yet.
+     *
+     * @return null if it is admitted
+     */
+    private FinalAnswer admit(Endpoint endpoint, Delivery delivery) {
+      boolean remembered =
+          intake.remembers(settings.links().candidates(endpoint.path(), delivery.id()));
+      if (stopping && !remembered) {
         return reject(Reason.STOPPING, null);
       }
-      // Admission comes before the signature check, so that a refusal is cheap. Nothing in the
-      // request is trusted yet.
       pass = admission.enter(
           messageKey(message, delivery),
           endpoint.tenant(),
           endpoint.maxLatencyTarget(),
           turn.waited(),
-          intake.remembers(message));
-      if (pass == null) {
-        return overloaded();
-      }
-      long wallSeconds = Clock.wallMicros() / 1_000_000;
-      Delivery.Check check =
-          delivery.check(body, endpoint.secrets(), wallSeconds, endpoint.toleranceSeconds());
-      if (check != Delivery.Check.GOOD) {
-        return reject(
-            check == Delivery.Check.STALE ? Reason.STALE_TIMESTAMP : Reason.BAD_SIGNATURE, null);
-      }
-      try {
-        return route(endpoint, delivery, Payload.parse(body));
-      } catch (IllegalArgumentException e) {
-        return reject(Reason.BAD_PAYLOAD, e.getMessage());
+          remembered);
+      return pass == null ? overloaded() : null;
+    }
+
+    /** Returns the answer to a delivery that cannot be trusted; null if it can. */
+    private FinalAnswer rejection(Delivery delivery, Verification verification) {
+      if (verification.check() == Delivery.Check.BAD_SIGNATURE) {
+        return reject(Reason.BAD_SIGNATURE, null);
       }
+      boolean maybeForgotten =
+          onLedgerClock(delivery.timestamp()) < settings.requestsRecordedSince();
+      return verification.check() == Delivery.Check.STALE || maybeForgotten
+          ? reject(Reason.STALE_TIMESTAMP, null)
+          : null;
+    }
+
+    private long onLedgerClock(long wallSeconds) {
+      return intake.clock().fromWallClock(wallSeconds * MICROS_PER_SECOND, Clock.wallMicros());
     }
 
     private FinalAnswer overloaded() {
@@ -434,7 +478,12 @@
       return new FinalAnswer(Reason.OVERLOADED, null, admission.retryAfter() * 1_000_000L);
     }
 
-    private FinalAnswer route(Endpoint endpoint, Delivery delivery, Payload payload) {
+    private FinalAnswer route(
+        Endpoint endpoint,
+        Delivery delivery,
+        SignedRequest request,
+        Verification verification,
+        Payload payload) {
       Route route = endpoint.routes().get(payload.type());
       String function =
           payload.function() != null || route == null ? payload.function() : route.function();
@@ -446,31 +495,25 @@
           messageKey(message, delivery),
           requestClass.worth() / settings.maxWorth(),
           requestClass.latencyTarget());
+      List<MessageId> messages = settings
+          .links()
+          .candidates(
+              endpoint.path(),
+              delivery.id(),
+              verification.secrets().stream().map(Secret::fingerprint).toList());
       // Another delivery of the message may have been accepted meanwhile.
-      if (!admitted && !intake.remembers(message)) {
+      if (!admitted && !intake.remembers(messages) && !intake.isReplay(request)) {
         return overloaded();
       }
-      // The signed request is kept until its time stamp can no longer pass the check, plus the
-      // tolerance as slack.
-      long requestKeepUntil = intake
-          .clock()
-          .fromWallClock(
-              (delivery.timestamp() + 2 * endpoint.toleranceSeconds()) * 1_000_000,
-              Clock.wallMicros());
       times.clientTimeout(Math.min(requestClass.deadline(), times.clientTimeout()));
       turn.release();
       times.mark(Step.ADMITTED);
       Intake.Result result = intake.handle(new Intake.Delivery(
-          message,
-          Intake.requestKey(message, delivery.timestamp(), body),
-          requestKeepUntil,
-          requestClass,
-          endpoint.tenant(),
-          function,
-          body,
-          payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
-          payload.lanes() > 0 ? payload.lanes() : route.lanes(),
-          payload.loadMillis() * 1000,
+          messages,
+          request,
+          verification.good(),
+          onLedgerClock(delivery.timestamp() + settings.requestKeepSeconds()),
+          work(endpoint, route, function, payload),
           times.arrivedAt(),
           times.clientTimeout(),
           pass,
@@ -478,16 +521,31 @@
       times.mark(Step.TAKEN);
       call = result.call();
       if (call == null) {
-        detail = result.answer().reason().text;
-        log.answeredFromLedger(
-            message, result.answer().reason(), Clock.micros() - times.arrivedAt());
-        return result.answer();
+        return answeredAtOnce(result.answer());
       }
+      message = call.facts().message();
       FinalAnswer answer = await(result.joined());
       detail = answer.reason().text;
       return answer;
     }
 
+    private Intake.Work work(Endpoint endpoint, Route route, String function, Payload payload) {
+      return new Intake.Work(
+          route.requestClass(),
+          endpoint.tenant(),
+          function,
+          body,
+          payload.memoryMb() > 0 ? payload.memoryMb() : route.memoryMb(),
+          payload.lanes() > 0 ? payload.lanes() : route.lanes(),
+          payload.loadMillis() * 1000);
+    }
+
+    private FinalAnswer answeredAtOnce(FinalAnswer answer) {
+      detail = answer.reason().text;
+      log.answeredFromLedger(message, answer.reason(), Clock.micros() - times.arrivedAt());
+      return answer;
+    }
+
     private long messageKey(String message, Delivery delivery) {
       return message.hashCode() * HASH_MULTIPLIER ^ delivery.id().hashCode();
     }
--- a/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookSettings.java
@@ -2,6 +2,7 @@
 
 import gorseladder.RouterApi.RequestClass;
 import gorseladder.config.Networks;
+import gorseladder.edge.core.EndpointLinks;
 import gorseladder.wire.http1.HttpLimits;
 import gorseladder.wire.webhook.Secret;
 import java.util.List;
@@ -11,6 +12,9 @@
  * Settings of the webhook front; times in microseconds.
  *
  * @param maxWorth the highest worth of a class
+ * @param links which endpoints take messages of the same sender
+ * @param requestKeepSeconds how long after its time stamp a signed request stays on record
+ * @param requestsRecordedSince the earliest time stamp that is accepted, by the ledger's clock
  */
 public record WebhookSettings(
     Map<String, Endpoint> endpoints,
@@ -21,7 +25,10 @@
     long idleTimeout,
     long answerWriteTimeout,
     int stackBytes,
-    double maxWorth) {
+    double maxWorth,
+    EndpointLinks links,
+    long requestKeepSeconds,
+    long requestsRecordedSince) {
   /**
    * The settings of one path; the latency target is in microseconds.
    *
--- a/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
+++ b/edge/src/test/java/gorseladder/edge/core/TakenCallTest.java
@@ -55,8 +55,7 @@
         new TakenCall.Facts(message, UNSAFE_CLASS, "", "f", new byte[0], 1, 1, 0, false, 0, 3_000),
         ledger,
         entry,
-        null,
-        0,
+        RequestKeys.NONE,
         100,
         new AdmissionCheck(null).enter(1, "", 0, 0, false),
         c -> endCount.incrementAndGet());
--- a/edge/src/test/java/gorseladder/edge/history/CallHistoryTest.java
+++ b/edge/src/test/java/gorseladder/edge/history/CallHistoryTest.java
@@ -10,6 +10,7 @@
 import gorseladder.answers.Reason;
 import gorseladder.core.FinalAnswer;
 import gorseladder.edge.core.AdmissionCheck;
+import gorseladder.edge.core.RequestKeys;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
@@ -65,8 +66,7 @@
         new TakenCall.Facts("m", SAFE, "", "f", new byte[0], 1, 1, 0, false, 0, 3_000),
         ledger,
         entry,
-        null,
-        0,
+        RequestKeys.NONE,
         100,
         new AdmissionCheck(null).enter(1, "", 0, 0, false),
         c -> {});
--- a/edge/src/test/java/gorseladder/edge/runners/RunnersTest.java
+++ b/edge/src/test/java/gorseladder/edge/runners/RunnersTest.java
@@ -13,6 +13,7 @@
 import gorseladder.core.FinalAnswer;
 import gorseladder.core.RuleLog;
 import gorseladder.edge.core.AdmissionCheck;
+import gorseladder.edge.core.RequestKeys;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.gate.SendGate;
 import gorseladder.runtime.ByteBudget;
@@ -155,8 +156,7 @@
             now + 5 * SECOND_MICROS),
         ledger,
         entry,
-        null,
-        0,
+        RequestKeys.NONE,
         100,
         new AdmissionCheck(null).enter(1, "", 0, 0, false),
         taken -> {});
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -380,6 +380,25 @@
     return !requestLocations(request).isEmpty();
   }
 
+  /** True if the index holds any of the keys of signed requests, expired or not. Never reads from disk. */
+  public boolean isAnyRequestIndexed(List<String> requests) {
+    List<Digest> digests =
+        requests.stream().map(request -> digest('r', request)).toList();
+    lock.lock();
+    try {
+      for (LedgerSegment segment : segments) {
+        for (Digest d : digests) {
+          if (segment.requestOffsets.get(d.first(), d.second()) >= 0) {
+            return true;
+          }
+        }
+      }
+      return false;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   private List<RecordLocation> requestLocations(String request) {
     Digest d = digest('r', request);
     List<RecordLocation> locations = new ArrayList<>(1);
@@ -403,34 +422,70 @@
    * @param entry later entries of a message keep the {@code keepUntil} of the first, by which {@link #size} counts it
    */
   public long put(String message, LedgerEntry entry) throws LedgerException {
-    return put(message, entry, null, 0);
+    return put(message, entry, List.of(), 0);
   }
 
-  /** Records a message and its signed request in one record; the request may be null. */
+  /** Records a message and a signed request that has one key. */
   public long put(String message, LedgerEntry entry, String request, long requestKeepUntil)
       throws LedgerException {
-    return add(new LedgerRecord(message, entry, request, requestKeepUntil, 0));
+    return put(message, entry, List.of(request), requestKeepUntil);
   }
 
-  /** Records a signed request until its expiry time and returns the ticket to await. */
+  /** Records a signed request that has one key. */
   public long putRequest(String request, long keepUntil) throws LedgerException {
-    return add(new LedgerRecord(null, null, request, keepUntil, 0));
+    return putRequests(List.of(request), keepUntil);
+  }
+
+  /**
+   * Records a message and all keys of its signed request, in the same commit, and returns the ticket to await.
+   *
+   * @param requests keys of the signed request; may be empty
+   * @param requestKeepUntil expiry time of the keys
+   */
+  public long put(String message, LedgerEntry entry, List<String> requests, long requestKeepUntil)
+      throws LedgerException {
+    List<LedgerRecord> records = new ArrayList<>(Math.max(1, requests.size()));
+    String first = requests.isEmpty() ? null : requests.get(0);
+    records.add(new LedgerRecord(message, entry, first, requestKeepUntil, 0));
+    for (int i = 1; i < requests.size(); i++) {
+      records.add(new LedgerRecord(null, null, requests.get(i), requestKeepUntil, 0));
+    }
+    return add(records);
+  }
+
+  /** Records all keys of a signed request until their expiry time, in the same commit. */
+  public long putRequests(List<String> requests, long keepUntil) throws LedgerException {
+    return add(requests.stream()
+        .map(request -> new LedgerRecord(null, null, request, keepUntil, 0))
+        .toList());
   }
 
   private long add(LedgerRecord record) throws LedgerException {
-    // Every call takes the lock, so digests and bytes are computed before it.
-    byte[] bytes = record.toBytes();
-    Digest message = digest('m', record.message());
-    Digest request = digest('r', record.request());
+    return add(List.of(record));
+  }
+
+  /** A record with its index keys and bytes, which are computed before the lock is taken, since every call takes it. */
+  private record PreparedRecord(
+      LedgerRecord record, byte[] bytes, Digest message, Digest request) {}
+
+  private PreparedRecord prepare(LedgerRecord record) {
+    return new PreparedRecord(
+        record, record.toBytes(), digest('m', record.message()), digest('r', record.request()));
+  }
+
+  private long add(List<LedgerRecord> records) throws LedgerException {
+    List<PreparedRecord> prepared = records.stream().map(this::prepare).toList();
     lock.lock();
     try {
       if (writeFailure != null && pending.size() > MAX_UNWRITTEN_BYTES) {
         throw writeException();
       }
       LedgerSegment segment = activeSegment();
-      int offset = segment.endOffset + pending.size();
-      pending.writeBytes(bytes);
-      index(segment, offset, record, message, request);
+      for (PreparedRecord next : prepared) {
+        int offset = segment.endOffset + pending.size();
+        pending.writeBytes(next.bytes());
+        index(segment, offset, next.record(), next.message(), next.request());
+      }
       if (pending.size() > FLUSH_THRESHOLD_BYTES && !commitRequested) {
         requestCommit();
       }
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -18,6 +18,8 @@
 import gorseladder.core.RuleLog;
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
+import gorseladder.edge.core.MessageId;
+import gorseladder.edge.core.SignedRequest;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.runners.RunnerSettings;
 import gorseladder.edge.runners.Runners;
@@ -28,8 +30,10 @@
 import gorseladder.runtime.ThreadCache;
 import gorseladder.runtime.Watchdog;
 import gorseladder.store.Ledger;
+import gorseladder.wire.webhook.Delivery;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -145,19 +149,15 @@
       synchronized (gate) {
         call = intake
             .handle(new Intake.Delivery(
-                "m",
-                "r",
+                List.of(new MessageId("/hooks", "m")),
+                new SignedRequest("", Delivery.of("m", "1", "v1,"), new byte[0]),
+                Set.of(),
                 9_000_000_000_000_000L,
-                issue,
-                "",
-                "f",
-                "{}".getBytes(),
-                100,
-                1,
-                0,
+                new Intake.Work(issue, "", "f", "{}".getBytes(), 100, 1, 0),
                 Clock.micros(),
                 3_000_000,
-                new AdmissionCheck(null).enter(1, "", 0, 0, false)))
+                new AdmissionCheck(null).enter(1, "", 0, 0, false),
+                () -> false))
             .call();
         Thread.sleep(300);
         gate.phaseReported(firstWorker[0], Phase.DRAINING, Clock.micros());
--- a/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
@@ -1,6 +1,9 @@
 package gorseladder.wire.webhook;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The signature headers of a webhook delivery and their verification (Standard Webhooks specification, "Webhook
@@ -8,9 +11,9 @@
  *
  * @param id the {@code webhook-id}, 1 to 256 visible ASCII characters other than a full stop
  * @param timestamp the {@code webhook-timestamp}, seconds since the Unix epoch
- * @param signatures the {@code webhook-signature} values, split at spaces
+ * @param signatures the distinct {@code webhook-signature} values that a key can have made
  */
-public record Delivery(String id, long timestamp, List<String> signatures) {
+public record Delivery(String id, long timestamp, List<SignatureValue> signatures) {
   /** Signatures accepted in one delivery. A sender that rotates its keys sends two or three. */
   private static final int MAX_SIGNATURES = 10;
 
@@ -37,8 +40,12 @@
     require(id.chars().allMatch(c -> c > 0x20 && c < 0x7f && c != '.'), ID);
     require(timestamp != null && timestamp.matches("[0-9]{1,12}"), TIMESTAMP);
     require(signature != null && !signature.isBlank(), SIGNATURE);
-    List<String> signatures = List.of(signature.strip().split(" +"));
-    require(signatures.size() <= MAX_SIGNATURES, SIGNATURE);
+    List<String> texts = List.of(signature.strip().split(" +"));
+    require(texts.size() <= MAX_SIGNATURES, SIGNATURE);
+    List<SignatureValue> signatures = texts.stream()
+        .flatMap(text -> SignatureValue.parse(text).stream())
+        .distinct()
+        .toList();
     return new Delivery(id, Long.parseLong(timestamp), signatures);
   }
 
@@ -48,6 +55,15 @@
     }
   }
 
+  /**
+   * The result of a verification.
+   *
+   * @param check whether the delivery may be accepted
+   * @param good the signatures that one of the secrets made
+   * @param secrets the secrets that made one of the signatures
+   */
+  public record Verification(Check check, Set<SignatureValue> good, List<Secret> secrets) {}
+
   /**
    * Verifies the delivery against the active secrets. The time stamp is checked only after a signature matches, so that
    * a caller without a secret learns nothing from the result.
@@ -55,17 +71,29 @@
    * @param now current time, seconds since the Unix epoch
    * @param tolerance maximum difference between the time stamp and {@code now} in either direction, in seconds
    */
-  public Check check(byte[] body, List<Secret> secrets, long now, long tolerance) {
+  public Verification verify(byte[] body, List<Secret> secrets, long now, long tolerance) {
     byte[] content = Secret.content(id, timestamp, body);
-    boolean good = false;
+    Set<SignatureValue> good = new HashSet<>();
+    List<Secret> matching = new ArrayList<>(1);
     for (Secret secret : secrets) {
-      for (String signature : signatures) {
-        good |= secret.matches(signature, content);
+      List<SignatureValue> made = secret.matching(signatures, content);
+      if (!made.isEmpty()) {
+        good.addAll(made);
+        matching.add(secret);
       }
     }
+    return new Verification(check(!good.isEmpty(), now, tolerance), good, matching);
+  }
+
+  private Check check(boolean good, long now, long tolerance) {
     if (!good) {
       return Check.BAD_SIGNATURE;
     }
     return Math.abs(now - timestamp) <= tolerance ? Check.GOOD : Check.STALE;
   }
+
+  /** Verifies the delivery as {@link #verify} does and returns only whether it may be accepted. */
+  public Check check(byte[] body, List<Secret> secrets, long now, long tolerance) {
+    return verify(body, secrets, now, tolerance).check();
+  }
 }
--- a/wire/src/main/java/gorseladder/wire/webhook/Secret.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Secret.java
@@ -7,9 +7,14 @@
 import java.security.PrivateKey;
 import java.security.PublicKey;
 import java.security.Signature;
+import java.security.SignatureException;
 import java.security.spec.PKCS8EncodedKeySpec;
 import java.security.spec.X509EncodedKeySpec;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
@@ -22,7 +27,10 @@
  */
 public final class Secret {
   private static final int MIN_KEY_BYTES = 24;
+  /** The block of HMAC-SHA256: longer keys would be replaced by their digest. */
   private static final int MAX_KEY_BYTES = 64;
+
+  private static final int FINGERPRINT_BYTES = 16;
   /** ASN.1 encoding before the 32 key bytes of an Ed25519 key, private (PKCS #8) and public (X.509). */
   private static final byte[] PKCS8_ED25519_PREFIX = hex("302e020100300506032b657004220420");
 
@@ -31,11 +39,13 @@
   private final SecretKeySpec symmetric;
   private final PrivateKey privateKey;
   private final PublicKey publicKey;
+  private final String fingerprint;
 
   private Secret(SecretKeySpec symmetric, PrivateKey privateKey, PublicKey publicKey) {
     this.symmetric = symmetric;
     this.privateKey = privateKey;
     this.publicKey = publicKey;
+    this.fingerprint = computeFingerprint();
   }
 
   /**
@@ -110,34 +120,72 @@
     }
   }
 
-  /** Returns true if a signature with its version was made with this key. Compares in constant time. */
-  boolean matches(String versioned, byte[] content) {
-    int comma = versioned.indexOf(',');
-    if (comma < 0) {
-      return false;
+  /**
+   * Returns those signatures that were made with this key over the content. Compares in constant time.
+   *
+   * @param content see {@link #content}
+   */
+  List<SignatureValue> matching(List<SignatureValue> signatures, byte[] content) {
+    try {
+      return symmetric != null
+          ? matchingMacs(signatures, content)
+          : publicKey != null ? matchingEd25519(signatures, content) : List.of();
+    } catch (GeneralSecurityException e) {
+      return List.of();
+    }
+  }
+
+  private List<SignatureValue> matchingMacs(List<SignatureValue> signatures, byte[] content)
+      throws GeneralSecurityException {
+    byte[] expected = mac(content);
+    return signatures.stream()
+        .filter(s -> s.version() == SignatureValue.Version.HMAC_SHA256)
+        .filter(s -> MessageDigest.isEqual(expected, s.bytes()))
+        .toList();
+  }
+
+  private List<SignatureValue> matchingEd25519(List<SignatureValue> signatures, byte[] content)
+      throws GeneralSecurityException {
+    List<SignatureValue> matching = new ArrayList<>(1);
+    for (SignatureValue value : signatures) {
+      if (value.version() == SignatureValue.Version.ED25519 && verifies(value, content)) {
+        matching.add(value);
+      }
     }
-    String version = versioned.substring(0, comma);
-    byte[] signatureBytes;
+    return matching;
+  }
+
+  private boolean verifies(SignatureValue value, byte[] content) throws GeneralSecurityException {
+    Signature verifier = Signature.getInstance("Ed25519");
+    verifier.initVerify(publicKey);
+    verifier.update(content);
     try {
-      signatureBytes = Base64.getDecoder()
-          .decode(versioned.substring(comma + 1).getBytes(StandardCharsets.ISO_8859_1));
-    } catch (IllegalArgumentException e) {
+      return verifier.verify(value.bytes());
+    } catch (SignatureException e) {
       return false;
     }
+  }
+
+  /**
+   * Returns a digest that is the same for all text forms of this key. Two symmetric keys that differ only in zero bytes
+   * at their end have one fingerprint, since HMAC pads keys with them (RFC 2104 section 2), so that they make the same
+   * signatures.
+   */
+  public String fingerprint() {
+    return fingerprint;
+  }
+
+  private String computeFingerprint() {
     try {
-      if (version.equals("v1") && symmetric != null) {
-        return MessageDigest.isEqual(mac(content), signatureBytes);
-      }
-      if (version.equals("v1a") && publicKey != null) {
-        Signature signature = Signature.getInstance("Ed25519");
-        signature.initVerify(publicKey);
-        signature.update(content);
-        return signatureBytes.length == 64 && signature.verify(signatureBytes);
-      }
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      byte[] key = symmetric != null
+          ? Arrays.copyOf(symmetric.getEncoded(), MAX_KEY_BYTES)
+          : (privateKey != null ? privateKey : publicKey).getEncoded();
+      sha.update("gorseladder webhook key\0".getBytes(StandardCharsets.US_ASCII));
+      return HexFormat.of().formatHex(sha.digest(key), 0, FINGERPRINT_BYTES);
     } catch (GeneralSecurityException e) {
-      return false;
+      throw new IllegalStateException(e);
     }
-    return false;
   }
 
   private byte[] mac(byte[] content) throws GeneralSecurityException {
@@ -152,13 +200,13 @@
   }
 
   private static byte[] join(byte[] a, byte[] b) {
-    byte[] joined = java.util.Arrays.copyOf(a, a.length + b.length);
+    byte[] joined = Arrays.copyOf(a, a.length + b.length);
     System.arraycopy(b, 0, joined, a.length, b.length);
     return joined;
   }
 
   private static byte[] hex(String text) {
-    return java.util.HexFormat.of().parseHex(text);
+    return HexFormat.of().parseHex(text);
   }
 
   @Override
--- a/wire/src/test/java/gorseladder/wire/WebhookTest.java
+++ b/wire/src/test/java/gorseladder/wire/WebhookTest.java
@@ -103,6 +103,28 @@
     return Base64.getEncoder().encodeToString(java.util.HexFormat.of().parseHex(hex));
   }
 
+  /** Two texts of one signature, or of one key, must not count as two. */
+  @Test
+  void signaturesAndKeysAreToldApartByWhatTheyMean() {
+    String good = Secret.parse(KEY).sign("msg_1", 1000, BODY);
+    String unpadded = good.substring(0, good.length() - 1);
+    Delivery delivery =
+        Delivery.of("msg_1", "1000", unpadded + " v2,AAAA " + good + " v1,AAAA " + good);
+    assertEquals(1, delivery.signatures().size());
+    Delivery.Verification verified = delivery.verify(BODY, List.of(Secret.parse(KEY)), 1000, 300);
+    assertEquals(1, verified.good().size());
+    assertEquals(1, verified.secrets().size());
+
+    byte[] key = new byte[24];
+    key[0] = 1;
+    Secret plain = Secret.parse("whsec_" + Base64.getEncoder().encodeToString(key));
+    Secret padded = Secret.parse(
+        "whsec_" + Base64.getEncoder().encodeToString(java.util.Arrays.copyOf(key, 40)));
+    assertEquals(plain.sign("m", 1, BODY), padded.sign("m", 1, BODY));
+    assertEquals(plain.fingerprint(), padded.fingerprint());
+    assertNotEquals(plain.fingerprint(), Secret.parse(KEY).fingerprint());
+  }
+
   @Property(tries = 2000, seed = "7")
   void anyChangedBitIsSeen(
       @ForAll @Size(min = 1, max = 64) byte[] body, @ForAll @IntRange(min = 0, max = 511) int bit) {
