--- a/soak/src/main/java/gorseladder/soak/EdgeSoak.java
+++ b/soak/src/main/java/gorseladder/soak/EdgeSoak.java
@@ -25,13 +25,16 @@
 
 /**
  * A soak of one edge with a ledger: its wall clock is stepped, its disk is full or fails for a while, and it is killed
- * in the middle of writes; senders repeat messages that got no successful answer, and some that got one. The rule
- * checker, which sees sockets only, judges the run by the five rules.
+ * in the middle of writes; senders repeat messages that got no successful answer, and some that got one, and somebody
+ * posts signed requests again at another endpoint. The rule checker, which sees sockets only, judges the run by the five rules.
  */
 public final class EdgeSoak {
   private static final long SEND_INTERVAL_MILLIS = 30;
   private static final int MAX_TRIES = 6;
   private static final double REDELIVERY_PROBABILITY = 0.4;
+  /** Of posting a request again, as it is, at the edge's other endpoint. */
+  private static final double REPLAY_PROBABILITY = 0.2;
+
   private static final long SLACK_MICROS = 150_000;
   private static final int FAIL_DISK = 0;
   private static final int STEP_CLOCK = 2;
@@ -157,7 +160,11 @@
     ThreadLocalRandom threadRandom = ThreadLocalRandom.current();
     try {
       for (int i = 0; i < MAX_TRIES; i++) {
-        Tap.Try result = clients.attempt(message, 0, kind, body, timestampOf(i), kind.deadline());
+        long timestamp = timestampOf(i);
+        Tap.Try result = clients.attempt(message, 0, kind, body, timestamp, kind.deadline());
+        if (threadRandom.nextDouble() < REPLAY_PROBABILITY) {
+          clients.replay(message, 0, kind, body, timestamp);
+        }
         boolean wasServed = result.statuses.contains(200);
         if (wasServed && threadRandom.nextDouble() > REDELIVERY_PROBABILITY) {
           served.incrementAndGet();
--- a/testbed/src/main/java/gorseladder/testbed/Play.java
+++ b/testbed/src/main/java/gorseladder/testbed/Play.java
@@ -238,6 +238,11 @@
         sleepUntil(until);
         clients.retryAbuse = false;
       }
+      case REPLAY -> {
+        clients.replayShare = t.share() ? t.amount() : 0.3;
+        sleepUntil(until);
+        clients.replayShare = 0;
+      }
       case HOT_KEY -> {
         hotKeyShare = t.share() ? t.amount() : 0.3;
         sleepUntil(until);
--- a/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
+++ b/testbed/src/main/java/gorseladder/testbed/RuleChecker.java
@@ -114,6 +114,7 @@
     synchronized (tap) {
       checker.checkFinalAnswers();
       checker.checkEffects();
+      checker.checkSignedRequests();
       checker.checkDrains();
       checker.checkColdRunners();
       checker.checkLoadOrders();
@@ -185,6 +186,11 @@
     return t.reason + " " + t.sentAt / 1000 + " to " + t.answeredAt / 1000;
   }
 
+  /** The id that the signature covers: a message may be posted at several paths. */
+  private static String senderId(String message) {
+    return message.substring(message.indexOf(' ') + 1);
+  }
+
   private static <T> Map<String, List<T>> group(List<T> all, Function<T, String> by) {
     return all.stream().collect(Collectors.groupingBy(by, HashMap::new, Collectors.toList()));
   }
@@ -214,9 +220,9 @@
                 + " ms too late: " + describe(t));
       }
     }
-    Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
+    Map<String, List<Try>> tries = group(tap.tries, t -> senderId(t.message));
     for (Arrival a : tap.arrivals) {
-      List<Try> messageTries = tries.getOrDefault(a.message, List.of());
+      List<Try> messageTries = tries.getOrDefault(senderId(a.message), List.of());
       boolean awaited = messageTries.stream()
           .anyMatch(t -> t.sentAt <= a.at
               && (t.statuses.isEmpty()
@@ -234,8 +240,8 @@
 
   /** Rule 2: no effect happens twice, and a call is refused only if it never ran. */
   private void checkEffects() {
-    Map<String, List<Arrival>> arrivals = group(tap.arrivals, a -> a.message);
-    Map<String, List<Try>> tries = group(tap.tries, t -> t.message);
+    Map<String, List<Arrival>> arrivals = group(tap.arrivals, a -> senderId(a.message));
+    Map<String, List<Try>> tries = group(tap.tries, t -> senderId(t.message));
     arrivals.forEach((message, all) -> {
       Effect effect = tries.containsKey(message) ? tries.get(message).get(0).effect : Effect.UNSAFE;
       if (effect != Effect.SAFE) {
@@ -248,6 +254,23 @@
     });
   }
 
+  /** Rule 2 for any class: a signed request is taken once, wherever it is posted. */
+  private void checkSignedRequests() {
+    group(tap.tries, t -> t.signedRequest).forEach((request, copies) -> {
+      List<Try> served = copies.stream().filter(t -> t.statuses.contains(200)).toList();
+      // A safe call is on record with its end only, and a kill may forget that.
+      boolean forgotten = !served.isEmpty()
+          && served.get(0).effect == Effect.SAFE
+          && copies.stream().anyMatch(this::edgeWasDown);
+      if (served.size() > 1 && !forgotten) {
+        addViolation(
+            2,
+            request + " was taken " + served.size() + " times: "
+                + served.stream().map(t -> t.message + " " + t.reason).toList());
+      }
+    });
+  }
+
   private static boolean provenNeverRan(Arrival a, long by) {
     return a.saidNeverRan && a.endedAt <= by && !a.ran;
   }
--- a/testbed/src/main/java/gorseladder/testbed/Tap.java
+++ b/testbed/src/main/java/gorseladder/testbed/Tap.java
@@ -18,6 +18,9 @@
     private static final long SYN_RETRY_MICROS = 1_000_000;
 
     public final String message;
+    /** What the signature covers; tries that carry the same bytes have the same one. */
+    public final String signedRequest;
+
     public final int edge;
     public final Effect effect;
     public final long sentAt;
@@ -37,8 +40,15 @@
     public boolean broken;
     public String reason = "";
 
-    Try(String message, int edge, Effect effect, long sentAt, long clientTimeout) {
+    Try(
+        String message,
+        String signedRequest,
+        int edge,
+        Effect effect,
+        long sentAt,
+        long clientTimeout) {
       this.message = message;
+      this.signedRequest = signedRequest;
       this.edge = edge;
       this.effect = effect;
       this.sentAt = sentAt;
@@ -97,8 +107,14 @@
   final List<Start> starts = new ArrayList<>();
   final List<Outage> outages = new ArrayList<>();
 
+  /** Records a try of a request that no other try carries. */
   synchronized Try sent(String message, int edge, Effect effect, long at, long clientTimeout) {
-    Try t = new Try(message, edge, effect, at, clientTimeout);
+    return sent(message, message + " " + tries.size(), edge, effect, at, clientTimeout);
+  }
+
+  synchronized Try sent(
+      String message, String signedRequest, int edge, Effect effect, long at, long clientTimeout) {
+    Try t = new Try(message, signedRequest, edge, effect, at, clientTimeout);
     tries.add(t);
     return t;
   }
--- a/testbed/src/main/java/gorseladder/testbed/TestFleet.java
+++ b/testbed/src/main/java/gorseladder/testbed/TestFleet.java
@@ -36,6 +36,9 @@
   /** The path of the webhook endpoint. */
   public static final String PATH = "/hooks/portal";
 
+  /** The path of another endpoint with the same secret. */
+  public static final String OTHER_PATH = "/v2/hooks/portal";
+
   public static final long LATENCY_TARGET_MICROS = 1_000_000;
   public static final long DEADLINE_MICROS = 3_000_000;
   public static final long REPEAT_WINDOW_MICROS = 8_000_000;
@@ -274,15 +277,7 @@
         }
         request_class { name: "unsafe" effect: UNSAFE aim_ms: %d deadline_ms: %d worth: 2 lanes: %d }
         tenant { name: "bygg-sektion" share: 1 }
-        endpoint {
-          path: "%s"
-          tenant: "bygg-sektion"
-          secret: "%s"
-          route { type: "hours.read" request_class: "safe" }
-          route { type: "assessment.saved" request_class: "keyed" }
-          route { type: "certificate.issued" request_class: "unsafe" }
-        }
-        runners { loads_on_miss: %b duplicates: %b cancelling: %b keep_alive_ms: %d }
+        %s%s        runners { loads_on_miss: %b duplicates: %b cancelling: %b keep_alive_ms: %d }
         rules {
           drain_grace_ms: %d cold_from: %f cold_ms: %d overload_multiple: %f overload_ms: %d
           loads_free: %f load_share: %f load_window_ms: %d
@@ -309,8 +304,8 @@
             LATENCY_TARGET_MICROS / 1000,
             DEADLINE_MICROS / 1000,
             script.count("lanes"),
-            PATH,
-            secret,
+            endpointText(PATH),
+            endpointText(OTHER_PATH),
             script.number("on_miss") > 0,
             script.number("duplicates") > 0,
             script.number("cancelling") > 0,
@@ -329,6 +324,19 @@
         + extraSettings;
   }
 
+  private String endpointText(String path) {
+    return String.format(Locale.ROOT, """
+        endpoint {
+          path: "%s"
+          tenant: "bygg-sektion"
+          secret: "%s"
+          route { type: "hours.read" request_class: "safe" }
+          route { type: "assessment.saved" request_class: "keyed" }
+          route { type: "certificate.issued" request_class: "unsafe" }
+        }
+        """, path, secret);
+  }
+
   /** Returns the processor time used by the process of an edge, in microseconds; 0 if it has no process of its own. */
   public long edgeProcessorMicros(int number) {
     Process process = edges.get(number).process;
@@ -397,7 +405,7 @@
 
   /** Returns new clients for the edges of this fleet. */
   public WebhookClients clients() {
-    return new WebhookClients(PATH, Secret.parse(secret), this::edgeAddress, tap);
+    return new WebhookClients(PATH, OTHER_PATH, Secret.parse(secret), this::edgeAddress, tap);
   }
 
   /**
--- a/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
+++ b/testbed/src/main/java/gorseladder/testbed/WebhookClients.java
@@ -1,6 +1,7 @@
 package gorseladder.testbed;
 
 import gorseladder.RouterApi.Effect;
+import gorseladder.answers.Reason;
 import gorseladder.runtime.Clock;
 import gorseladder.runtime.HttpConnection;
 import gorseladder.runtime.Threads;
@@ -72,6 +73,7 @@
   }
 
   private final String path;
+  private final String otherPath;
   private final Secret secret;
   private final IntFunction<InetSocketAddress> edges;
   private final Tap tap;
@@ -79,10 +81,19 @@
   private final ThreadPoolExecutor threads = Threads.pool("clients", 8_000, STACK);
   private final Map<InetSocketAddress, ArrayDeque<HttpConnection>> idle = new LinkedHashMap<>();
   volatile boolean retryAbuse;
+  /** The share of requests that somebody posts again at the other path. */
+  volatile double replayShare;
 
-  /** Creates clients for an endpoint path; {@code edges} maps the number of an edge to its address. */
-  public WebhookClients(String path, Secret secret, IntFunction<InetSocketAddress> edges, Tap tap) {
+  /**
+   * Creates clients for an endpoint path.
+   *
+   * @param otherPath another endpoint with the same secret, for replays
+   * @param edges maps the number of an edge to its address
+   */
+  public WebhookClients(
+      String path, String otherPath, Secret secret, IntFunction<InetSocketAddress> edges, Tap tap) {
     this.path = path;
+    this.otherPath = otherPath;
     this.secret = secret;
     this.edges = edges;
     this.tap = tap;
@@ -141,7 +152,15 @@
             kind.deadline() / 2_000_000 * 1_000_000 < 1_000_000 || random.nextBoolean()
                 ? kind.deadline()
                 : (kind.deadline() / 1_000_000 - 1) * 1_000_000;
+        boolean replayed = random.nextDouble() < replayShare;
+        if (replayed && random.nextBoolean()) {
+          long sameTimestamp = timestamp;
+          threads.execute(() -> replay(message, edge, kind, body, sameTimestamp));
+        }
         last = attempt(message, edge, kind, body, timestamp, clientTimeout);
+        if (replayed) {
+          replay(message, edge, kind, body, timestamp);
+        }
         if (served(last) || !mayRetry(last, kind, firstAt)) {
           break;
         }
@@ -179,6 +198,10 @@
   }
 
   private static boolean mayRetry(Tap.Try last, Kind kind, long firstAt) {
+    // A replay that came first used up the request: a sender signs its retry anew.
+    if (last.reason.equals(Reason.REPLAYED.word())) {
+      return true;
+    }
     return switch (kind.effect()) {
       case SAFE -> true;
       case KEYED -> Clock.micros() + kind.deadline() < firstAt + kind.repeatWindow();
@@ -191,9 +214,25 @@
   /** Sends one request, without retries, and waits for its answer. */
   public Tap.Try attempt(
       String message, int edge, Kind kind, byte[] body, long timestamp, long clientTimeout) {
+    return attemptAt(path, message, edge, kind, body, timestamp, clientTimeout);
+  }
+
+  /** Posts a request that was sent once more, with the same bytes, at the other path. */
+  public Tap.Try replay(String message, int edge, Kind kind, byte[] body, long timestamp) {
+    return attemptAt(otherPath, message, edge, kind, body, timestamp, kind.deadline());
+  }
+
+  private Tap.Try attemptAt(
+      String at,
+      String message,
+      int edge,
+      Kind kind,
+      byte[] body,
+      long timestamp,
+      long clientTimeout) {
     InetSocketAddress to = edges.apply(edge);
     // The request is signed before its time counts, because signing is not the work of the edge.
-    HeadWriter w = HeadWriter.request("POST", path, "edge")
+    HeadWriter w = HeadWriter.request("POST", at, "edge")
         .field("Content-Type", "application/json")
         .field(Delivery.ID, message)
         .field(Delivery.TIMESTAMP, timestamp)
@@ -202,7 +241,13 @@
       w.field("Prefer", "wait=" + clientTimeout / 1_000_000);
     }
     byte[] request = w.with(body);
-    Tap.Try t = tap.sent(path + " " + message, edge, kind.effect(), Clock.micros(), clientTimeout);
+    Tap.Try t = tap.sent(
+        at + " " + message,
+        edge + " " + message + " " + timestamp,
+        edge,
+        kind.effect(),
+        Clock.micros(),
+        clientTimeout);
     HttpConnection c = null;
     try {
       c = acquire(to);
--- a/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
+++ b/testbed/src/main/java/gorseladder/testbed/script/DayScript.java
@@ -36,6 +36,8 @@
     THROTTLE,
     /** Clients retry at once and often. */
     RETRY_ABUSE,
+    /** Somebody posts the given share of all signed requests again, at the other endpoint. */
+    REPLAY,
     /** The list shows no changes until the end. */
     LIST_BEHIND,
     /** Edges are killed and restarted, one after the other. */
