Edge: checking a signed request costs less: prepared keys, index digests made once

Need: a delivery must cost no more processor than before it had more keys.

ReplayElsewhereTest, HardCasesTest, LedgerTest and eight more classes pass.

--- a/edge/src/main/java/gorseladder/edge/core/EndpointLinks.java
+++ b/edge/src/main/java/gorseladder/edge/core/EndpointLinks.java
@@ -69,9 +69,12 @@
    * @param verified fingerprints of the secrets that made a signature of its delivery
    */
   public List<MessageId> candidates(String path, String senderId, Collection<String> verified) {
-    List<Link> linked = links.getOrDefault(path, List.of()).stream()
-        .filter(link -> link.sameTenant() || !Collections.disjoint(link.sharedSecrets(), verified))
-        .toList();
+    List<Link> linked = new ArrayList<>();
+    for (Link link : links.getOrDefault(path, List.of())) {
+      if (link.sameTenant() || !Collections.disjoint(link.sharedSecrets(), verified)) {
+        linked.add(link);
+      }
+    }
     return messages(path, senderId, linked);
   }
 
--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -14,10 +14,11 @@
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerEntry.Stage;
 import gorseladder.store.LedgerException;
+import gorseladder.store.RequestKey;
 import gorseladder.wire.webhook.SignatureValue;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,6 +39,7 @@
 public final class Intake {
   private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
   private static final int LOCK_STRIPES = 256;
+  private static final int CONTENT_DIGEST_BYTES = 16;
 
   /**
    * What a delivery asks to be run.
@@ -100,7 +102,7 @@
   private final Listener listener;
   private final Map<MessageId, TakenCall> callsByMessage = new ConcurrentHashMap<>();
   /** Keys of signed requests of calls in progress that are recorded only with the end. */
-  private final Set<String> requestsInProgress = ConcurrentHashMap.newKeySet();
+  private final Set<RequestKey> requestsInProgress = ConcurrentHashMap.newKeySet();
 
   /** Chosen by the sender's id, which all deliveries of a message and all copies of a signed request share. */
   private final Object[] stripeLocks = new Object[LOCK_STRIPES];
@@ -182,9 +184,23 @@
    * refused without a look at its record. Never waits for the disk.
    */
   public boolean remembers(List<MessageId> messages) {
-    return messages.stream()
-        .anyMatch(message ->
-            callsByMessage.containsKey(message) || ledger.isMessageIndexed(message.name()));
+    for (MessageId message : messages) {
+      if (callsByMessage.containsKey(message) || ledger.isMessageIndexed(message.name())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns the identity of a delivery as a signed request.
+   *
+   * @param tenant the tenant of its endpoint
+   * @param headers verified or not
+   */
+  public SignedRequest signedRequest(
+      String tenant, gorseladder.wire.webhook.Delivery headers, byte[] body) {
+    return new SignedRequest(tenant, headers, body, ledger::requestKey);
   }
 
   /**
@@ -195,15 +211,15 @@
     return isAnyOnRecord(request.signatureKeys());
   }
 
-  private boolean isAnyOnRecord(List<String> requestKeys) {
+  private boolean isAnyOnRecord(List<RequestKey> requestKeys) {
     // This order matters: a call that ends in between puts its record before it is removed.
-    return requestKeys.stream().anyMatch(requestsInProgress::contains)
+    return !Collections.disjoint(requestsInProgress, requestKeys)
         || ledger.isAnyRequestIndexed(requestKeys);
   }
 
   /** Handles a delivery whose signature is valid. */
   public Result handle(Delivery d) {
-    List<String> requestKeys = d.request().keysToLookUp(d.messages());
+    List<RequestKey> requestKeys = d.request().keysToLookUp(d.messages());
     try {
       Result result = null;
       while (result == null) {
@@ -234,7 +250,8 @@
    * @param requestKeys those of its signed request that may be on record
    * @return null if the stored record is no longer the newest
    */
-  private Result handle(Delivery d, List<String> requestKeys, RecordLookup.StoredRecord stored) {
+  private Result handle(
+      Delivery d, List<RequestKey> requestKeys, RecordLookup.StoredRecord stored) {
     TakenCall call = null;
     long ticket;
     try {
@@ -433,9 +450,8 @@
   }
 
   private static byte[] digest(Work work) {
-    MessageDigest sha = Digests.sha256();
-    sha.update((work.requestClass().name() + "\0" + work.function() + "\0")
-        .getBytes(StandardCharsets.UTF_8));
-    return Arrays.copyOf(sha.digest(work.body()), 16);
+    String prefix = work.requestClass().name() + "\0" + work.function() + "\0";
+    byte[] digest = Digests.sha256(prefix.getBytes(StandardCharsets.UTF_8), work.body());
+    return Arrays.copyOf(digest, CONTENT_DIGEST_BYTES);
   }
 }
--- a/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
+++ b/edge/src/main/java/gorseladder/edge/core/RecordLookup.java
@@ -5,6 +5,7 @@
 import gorseladder.store.Ledger;
 import gorseladder.store.LedgerEntry;
 import gorseladder.store.LedgerException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -70,9 +71,11 @@
   }
 
   private List<Long> newestRecordIds(List<MessageId> messages) {
-    return messages.stream()
-        .map(message -> ledger.newestRecordId(message.name()))
-        .toList();
+    List<Long> recordIds = new ArrayList<>(messages.size());
+    for (MessageId message : messages) {
+      recordIds.add(ledger.newestRecordId(message.name()));
+    }
+    return recordIds;
   }
 
   private StoredRecord read(List<MessageId> messages, List<Long> recordIds) throws LedgerException {
--- a/edge/src/main/java/gorseladder/edge/core/RequestKeys.java
+++ b/edge/src/main/java/gorseladder/edge/core/RequestKeys.java
@@ -1,5 +1,6 @@
 package gorseladder.edge.core;
 
+import gorseladder.store.RequestKey;
 import java.util.List;
 
 /**
@@ -8,7 +9,7 @@
  * @param keys see {@link SignedRequest#keysToRecord}
  * @param keepUntil when the keys expire, by the ledger's clock, in microseconds
  */
-public record RequestKeys(List<String> keys, long keepUntil) {
+public record RequestKeys(List<RequestKey> keys, long keepUntil) {
   /** No keys, for a request that is on record already. */
   public static final RequestKeys NONE = new RequestKeys(List.of(), 0);
 }
--- a/edge/src/main/java/gorseladder/edge/core/SignedRequest.java
+++ b/edge/src/main/java/gorseladder/edge/core/SignedRequest.java
@@ -1,18 +1,18 @@
 package gorseladder.edge.core;
 
 import gorseladder.store.Digests;
+import gorseladder.store.RequestKey;
 import gorseladder.wire.webhook.Delivery;
 import gorseladder.wire.webhook.SignatureValue;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * The identity of a signed request: what must not be accepted twice, wherever it is posted. A signature covers the
@@ -35,19 +35,25 @@
   private static final int KEY_BYTES = 16;
 
   private final String tenant;
+  private final Function<String, RequestKey> keyOf;
   private final Delivery delivery;
   private final byte[] body;
-  private final List<String> signatureKeys;
-  private final Map<MessageId, String> contentKeys = new HashMap<>();
+  /** For each signature its key, and its key within the tenant. */
+  private final List<RequestKey> signatureKeys;
+
+  private final Map<MessageId, RequestKey> contentKeys = new HashMap<>();
 
   /**
    * Creates the identity of a delivery.
    *
    * @param tenant the tenant of the endpoint; empty for none
    * @param delivery its headers, verified or not
+   * @param keyOf makes a key of the ledger
    */
-  public SignedRequest(String tenant, Delivery delivery, byte[] body) {
+  public SignedRequest(
+      String tenant, Delivery delivery, byte[] body, Function<String, RequestKey> keyOf) {
     this.tenant = tenant;
+    this.keyOf = keyOf;
     this.delivery = delivery;
     this.body = body;
     this.signatureKeys = new ArrayList<>(2 * delivery.signatures().size());
@@ -63,13 +69,13 @@
   }
 
   /** Returns the keys under which one of its signatures may be on record; known before the signatures are verified. */
-  public List<String> signatureKeys() {
+  public List<RequestKey> signatureKeys() {
     return signatureKeys;
   }
 
   /** Returns all keys under which it may be on record if it is a delivery of one of the given messages. */
-  public List<String> keysToLookUp(List<MessageId> messages) {
-    List<String> keys = new ArrayList<>(signatureKeys.size() + messages.size());
+  public List<RequestKey> keysToLookUp(List<MessageId> messages) {
+    List<RequestKey> keys = new ArrayList<>(signatureKeys.size() + messages.size());
     keys.addAll(signatureKeys);
     messages.forEach(message -> keys.add(contentKeys.computeIfAbsent(message, this::contentKey)));
     return keys;
@@ -81,36 +87,33 @@
    * @param message the message that it is a delivery of
    * @param good those of its signatures that a secret of the endpoint made
    */
-  public List<String> keysToRecord(MessageId message, Set<SignatureValue> good) {
-    Collection<SignatureValue> signatures = delivery.signatures();
-    List<String> keys = new ArrayList<>(signatures.size() + 1);
+  public List<RequestKey> keysToRecord(MessageId message, Set<SignatureValue> good) {
+    List<SignatureValue> signatures = delivery.signatures();
+    List<RequestKey> keys = new ArrayList<>(signatures.size() + 1);
     keys.add(contentKeys.computeIfAbsent(message, this::contentKey));
-    for (SignatureValue signature : signatures) {
-      keys.add(good.contains(signature) ? key(signature) : keyWithinTenant(signature));
+    for (int i = 0; i < signatures.size(); i++) {
+      keys.add(signatureKeys.get(good.contains(signatures.get(i)) ? 2 * i : 2 * i + 1));
     }
     return keys;
   }
 
-  /** The only key that releases before 0.10 recorded; its form must not change. */
-  private String contentKey(MessageId message) {
-    MessageDigest sha = Digests.sha256();
-    sha.update(
-        (message.name() + "\0" + delivery.timestamp() + "\0").getBytes(StandardCharsets.UTF_8));
-    return encode(sha.digest(body));
+  /** The only key that earlier releases recorded; its form must not change. */
+  private RequestKey contentKey(MessageId message) {
+    String prefix = message.name() + "\0" + delivery.timestamp() + "\0";
+    return keyOf.apply(encode(Digests.sha256(prefix.getBytes(StandardCharsets.UTF_8), body)));
   }
 
-  private static String key(SignatureValue signature) {
-    return signatureKey("signature\0", signature);
+  private RequestKey key(SignatureValue signature) {
+    return keyOf.apply(name(signature));
   }
 
-  private String keyWithinTenant(SignatureValue signature) {
-    return signatureKey("signature within tenant\0" + tenant + "\0", signature);
+  private RequestKey keyWithinTenant(SignatureValue signature) {
+    return keyOf.apply(name(signature) + " " + tenant);
   }
 
-  private static String signatureKey(String prefix, SignatureValue signature) {
-    MessageDigest sha = Digests.sha256();
-    sha.update((prefix + signature.version().prefix() + "\0").getBytes(StandardCharsets.UTF_8));
-    return encode(sha.digest(signature.bytes()));
+  /** The beginning of a signature tells it from all others and is of no use to who reads the ledger. */
+  private static String name(SignatureValue signature) {
+    return signature.version().prefix() + "," + encode(signature.bytes());
   }
 
   private static String encode(byte[] digest) {
--- a/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
+++ b/edge/src/main/java/gorseladder/edge/front/WebhookFront.java
@@ -405,7 +405,7 @@
         return reject(Reason.BAD_SIGNATURE, e.getMessage());
       }
       message = new MessageId(endpoint.path(), delivery.id()).name();
-      SignedRequest request = new SignedRequest(endpoint.tenant(), delivery, body);
+      SignedRequest request = intake.signedRequest(endpoint.tenant(), delivery, body);
       times.mark(Step.READ);
       // A replay is not a delivery of its message: it takes no part in the admission, and no state
       // of the edge turns
--- a/store/src/main/java/gorseladder/store/Digests.java
+++ b/store/src/main/java/gorseladder/store/Digests.java
@@ -6,6 +6,8 @@
 
 /** Checksum and digest functions. Thread-safe. */
 public final class Digests {
+  private static final ThreadLocal<MessageDigest> SHA256 = ThreadLocal.withInitial(Digests::sha256);
+
   private Digests() {}
 
   /** CRC-32C of {@code count} bytes starting at index {@code from}. */
@@ -15,6 +17,15 @@
     return (int) crc.getValue();
   }
 
+  /** Returns the SHA-256 digest of all parts, one after the other. */
+  public static byte[] sha256(byte[]... parts) {
+    MessageDigest sha = SHA256.get();
+    for (byte[] part : parts) {
+      sha.update(part);
+    }
+    return sha.digest();
+  }
+
   /** Returns a new SHA-256 digest, which every Java platform provides. */
   public static MessageDigest sha256() {
     try {
--- a/store/src/main/java/gorseladder/store/Ledger.java
+++ b/store/src/main/java/gorseladder/store/Ledger.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.security.MessageDigest;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
@@ -59,8 +58,6 @@
   private static final long WAIT_STEP_NANOS = 1_000_000_000;
   private static final long RETRY_NANOS = 50_000_000;
 
-  private static final ThreadLocal<MessageDigest> SHA256 = ThreadLocal.withInitial(Digests::sha256);
-
   private final Path folder;
   private final boolean sync;
   private final int maxMessages;
@@ -380,15 +377,19 @@
     return !requestLocations(request).isEmpty();
   }
 
+  /** Returns a key of a signed request for this ledger. */
+  public RequestKey requestKey(String name) {
+    Digest d = digest('r', name);
+    return new RequestKey(name, d.first(), d.second());
+  }
+
   /** True if the index holds any of the keys of signed requests, expired or not. Never reads from disk. */
-  public boolean isAnyRequestIndexed(List<String> requests) {
-    List<Digest> digests =
-        requests.stream().map(request -> digest('r', request)).toList();
+  public boolean isAnyRequestIndexed(List<RequestKey> requests) {
     lock.lock();
     try {
       for (LedgerSegment segment : segments) {
-        for (Digest d : digests) {
-          if (segment.requestOffsets.get(d.first(), d.second()) >= 0) {
+        for (RequestKey request : requests) {
+          if (segment.requestOffsets.get(request.first(), request.second()) >= 0) {
             return true;
           }
         }
@@ -428,12 +429,12 @@
   /** Records a message and a signed request that has one key. */
   public long put(String message, LedgerEntry entry, String request, long requestKeepUntil)
       throws LedgerException {
-    return put(message, entry, List.of(request), requestKeepUntil);
+    return put(message, entry, List.of(requestKey(request)), requestKeepUntil);
   }
 
   /** Records a signed request that has one key. */
   public long putRequest(String request, long keepUntil) throws LedgerException {
-    return putRequests(List.of(request), keepUntil);
+    return putRequests(List.of(requestKey(request)), keepUntil);
   }
 
   /**
@@ -442,46 +443,57 @@
    * @param requests keys of the signed request; may be empty
    * @param requestKeepUntil expiry time of the keys
    */
-  public long put(String message, LedgerEntry entry, List<String> requests, long requestKeepUntil)
+  public long put(
+      String message, LedgerEntry entry, List<RequestKey> requests, long requestKeepUntil)
       throws LedgerException {
-    List<LedgerRecord> records = new ArrayList<>(Math.max(1, requests.size()));
-    String first = requests.isEmpty() ? null : requests.get(0);
-    records.add(new LedgerRecord(message, entry, first, requestKeepUntil, 0));
-    for (int i = 1; i < requests.size(); i++) {
-      records.add(new LedgerRecord(null, null, requests.get(i), requestKeepUntil, 0));
+    List<PreparedRecord> records = new ArrayList<>(Math.max(1, requests.size()));
+    RequestKey first = requests.isEmpty() ? null : requests.get(0);
+    String firstName = first == null ? null : first.name();
+    records.add(prepare(
+        new LedgerRecord(message, entry, firstName, requestKeepUntil, 0),
+        digest('m', message),
+        first));
+    for (RequestKey request : requests.subList(Math.min(1, requests.size()), requests.size())) {
+      records.add(prepare(request, requestKeepUntil));
     }
     return add(records);
   }
 
   /** Records all keys of a signed request until their expiry time, in the same commit. */
-  public long putRequests(List<String> requests, long keepUntil) throws LedgerException {
-    return add(requests.stream()
-        .map(request -> new LedgerRecord(null, null, request, keepUntil, 0))
-        .toList());
+  public long putRequests(List<RequestKey> requests, long keepUntil) throws LedgerException {
+    List<PreparedRecord> records = new ArrayList<>(requests.size());
+    for (RequestKey request : requests) {
+      records.add(prepare(request, keepUntil));
+    }
+    return add(records);
   }
 
   private long add(LedgerRecord record) throws LedgerException {
-    return add(List.of(record));
+    RequestKey request = record.request() == null ? null : requestKey(record.request());
+    return add(List.of(prepare(record, digest('m', record.message()), request)));
   }
 
   /** A record with its index keys and bytes, which are computed before the lock is taken, since every call takes it. */
   private record PreparedRecord(
       LedgerRecord record, byte[] bytes, Digest message, Digest request) {}
 
-  private PreparedRecord prepare(LedgerRecord record) {
-    return new PreparedRecord(
-        record, record.toBytes(), digest('m', record.message()), digest('r', record.request()));
+  private static PreparedRecord prepare(RequestKey request, long keepUntil) {
+    return prepare(new LedgerRecord(null, null, request.name(), keepUntil, 0), null, request);
+  }
+
+  private static PreparedRecord prepare(LedgerRecord record, Digest message, RequestKey request) {
+    Digest requestDigest = request == null ? null : new Digest(request.first(), request.second());
+    return new PreparedRecord(record, record.toBytes(), message, requestDigest);
   }
 
-  private long add(List<LedgerRecord> records) throws LedgerException {
-    List<PreparedRecord> prepared = records.stream().map(this::prepare).toList();
+  private long add(List<PreparedRecord> records) throws LedgerException {
     lock.lock();
     try {
       if (writeFailure != null && pending.size() > MAX_UNWRITTEN_BYTES) {
         throw writeException();
       }
       LedgerSegment segment = activeSegment();
-      for (PreparedRecord next : prepared) {
+      for (PreparedRecord next : records) {
         int offset = segment.endOffset + pending.size();
         pending.writeBytes(next.bytes());
         index(segment, offset, next.record(), next.message(), next.request());
@@ -501,8 +513,7 @@
     segment.firstRecordAt = segment.firstRecordAt == 0 ? now : segment.firstRecordAt;
     if (message != null) {
       long keepUntil = record.entry().keepUntil();
-      boolean known = segments.stream()
-          .anyMatch(s -> s.messageOffsets.get(message.first(), message.second()) >= 0);
+      boolean known = isIndexed(message);
       segment.messageOffsets.put(message.first(), message.second(), offset);
       segment.messagesKeepUntil = Math.max(segment.messagesKeepUntil, keepUntil);
       if (!known && keepUntil > now) {
@@ -516,6 +527,15 @@
     }
   }
 
+  private boolean isIndexed(Digest message) {
+    for (LedgerSegment segment : segments) {
+      if (segment.messageOffsets.get(message.first(), message.second()) >= 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Locates a record in the pending buffer, the frame in progress or its file. The caller holds the lock. */
   private RecordLocation locate(LedgerSegment segment, int offset) {
     LedgerRecord inMemory = null;
@@ -563,10 +583,9 @@
     if (name == null) {
       return null;
     }
-    MessageDigest sha = SHA256.get();
-    sha.update(salt);
-    sha.update((byte) kind);
-    ByteBuffer out = ByteBuffer.wrap(sha.digest(name.getBytes(StandardCharsets.UTF_8)));
+    byte[] kindByte = {(byte) kind};
+    ByteBuffer out =
+        ByteBuffer.wrap(Digests.sha256(salt, kindByte, name.getBytes(StandardCharsets.UTF_8)));
     return new Digest(out.getLong(), out.getLong());
   }
 
--- a/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/LastLookTest.java
@@ -19,7 +19,6 @@
 import gorseladder.edge.core.AdmissionCheck;
 import gorseladder.edge.core.Intake;
 import gorseladder.edge.core.MessageId;
-import gorseladder.edge.core.SignedRequest;
 import gorseladder.edge.core.TakenCall;
 import gorseladder.edge.runners.RunnerSettings;
 import gorseladder.edge.runners.Runners;
@@ -150,7 +149,7 @@
         call = intake
             .handle(new Intake.Delivery(
                 List.of(new MessageId("/hooks", "m")),
-                new SignedRequest("", Delivery.of("m", "1", "v1,"), new byte[0]),
+                intake.signedRequest("", Delivery.of("m", "1", "v1,"), new byte[0]),
                 Set.of(),
                 9_000_000_000_000_000L,
                 new Intake.Work(issue, "", "f", "{}".getBytes(), 100, 1, 0),
--- a/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Delivery.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.StringTokenizer;
 
 /**
  * The signature headers of a webhook delivery and their verification (Standard Webhooks specification, "Webhook
@@ -17,6 +19,8 @@
   /** Signatures accepted in one delivery. A sender that rotates its keys sends two or three. */
   private static final int MAX_SIGNATURES = 10;
 
+  private static final int MAX_TIMESTAMP_DIGITS = 12;
+
   /** Header name, in lower case, as are the next two. */
   public static final String ID = "webhook-id";
 
@@ -38,15 +42,25 @@
   public static Delivery of(String id, String timestamp, String signature) {
     require(id != null && !id.isEmpty() && id.length() <= 256, ID);
     require(id.chars().allMatch(c -> c > 0x20 && c < 0x7f && c != '.'), ID);
-    require(timestamp != null && timestamp.matches("[0-9]{1,12}"), TIMESTAMP);
+    require(timestamp != null && isTimestamp(timestamp), TIMESTAMP);
     require(signature != null && !signature.isBlank(), SIGNATURE);
-    List<String> texts = List.of(signature.strip().split(" +"));
-    require(texts.size() <= MAX_SIGNATURES, SIGNATURE);
-    List<SignatureValue> signatures = texts.stream()
-        .flatMap(text -> SignatureValue.parse(text).stream())
-        .distinct()
-        .toList();
-    return new Delivery(id, Long.parseLong(timestamp), signatures);
+    return new Delivery(id, Long.parseLong(timestamp), parseSignatures(signature));
+  }
+
+  private static boolean isTimestamp(String text) {
+    return !text.isEmpty()
+        && text.length() <= MAX_TIMESTAMP_DIGITS
+        && text.chars().allMatch(c -> c >= '0' && c <= '9');
+  }
+
+  private static List<SignatureValue> parseSignatures(String header) {
+    StringTokenizer texts = new StringTokenizer(header.strip(), " ");
+    require(texts.countTokens() <= MAX_SIGNATURES, SIGNATURE);
+    Set<SignatureValue> signatures = new LinkedHashSet<>();
+    while (texts.hasMoreTokens()) {
+      SignatureValue.parse(texts.nextToken()).ifPresent(signatures::add);
+    }
+    return List.copyOf(signatures);
   }
 
   private static void require(boolean holds, String header) {
--- a/wire/src/main/java/gorseladder/wire/webhook/Secret.java
+++ b/wire/src/main/java/gorseladder/wire/webhook/Secret.java
@@ -31,18 +31,24 @@
   private static final int MAX_KEY_BYTES = 64;
 
   private static final int FINGERPRINT_BYTES = 16;
+  private static final String HMAC = "HmacSHA256";
   /** ASN.1 encoding before the 32 key bytes of an Ed25519 key, private (PKCS #8) and public (X.509). */
   private static final byte[] PKCS8_ED25519_PREFIX = hex("302e020100300506032b657004220420");
 
   private static final byte[] X509_ED25519_PREFIX = hex("302a300506032b6570032100");
 
   private final SecretKeySpec symmetric;
+  /** With the key and no content; only copies of it are used. Null without a symmetric key. */
+  private final Mac preparedMac;
+
   private final PrivateKey privateKey;
   private final PublicKey publicKey;
   private final String fingerprint;
 
-  private Secret(SecretKeySpec symmetric, PrivateKey privateKey, PublicKey publicKey) {
+  private Secret(SecretKeySpec symmetric, PrivateKey privateKey, PublicKey publicKey)
+      throws GeneralSecurityException {
     this.symmetric = symmetric;
+    this.preparedMac = symmetric == null ? null : prepareMac(symmetric);
     this.privateKey = privateKey;
     this.publicKey = publicKey;
     this.fingerprint = computeFingerprint();
@@ -61,7 +67,7 @@
           throw new IllegalArgumentException(
               "a whsec_ key has " + MIN_KEY_BYTES + " to " + MAX_KEY_BYTES + " bytes");
         }
-        return new Secret(new SecretKeySpec(key, "HmacSHA256"), null, null);
+        return new Secret(new SecretKeySpec(key, HMAC), null, null);
       }
       if (text.startsWith("whsk_")) {
         byte[] der = join(PKCS8_ED25519_PREFIX, ed25519KeyBytes(text));
@@ -188,10 +194,19 @@
     }
   }
 
+  /** Uses a copy of a prepared state, which costs a part of looking the algorithm up and preparing the key. */
   private byte[] mac(byte[] content) throws GeneralSecurityException {
-    Mac mac = Mac.getInstance("HmacSHA256");
-    mac.init(symmetric);
-    return mac.doFinal(content);
+    try {
+      return ((Mac) preparedMac.clone()).doFinal(content);
+    } catch (CloneNotSupportedException e) {
+      return prepareMac(symmetric).doFinal(content);
+    }
+  }
+
+  private static Mac prepareMac(SecretKeySpec key) throws GeneralSecurityException {
+    Mac mac = Mac.getInstance(HMAC);
+    mac.init(key);
+    return mac;
   }
 
   /** Returns the bytes that are signed. */
