--- a/edge/src/main/java/gorseladder/edge/core/Intake.java
+++ b/edge/src/main/java/gorseladder/edge/core/Intake.java
@@ -204,8 +204,8 @@
   }
 
   /**
-   * Returns true if a request with one of these signatures was accepted, at any endpoint; meaningful only if one of them
-   * is good. Never waits for the disk.
+   * Returns true if a request with one of these signatures was accepted, at any endpoint; meaningful only if one of
+   * them is good. Never waits for the disk.
    */
   public boolean isReplay(SignedRequest request) {
     return isAnyOnRecord(request.signatureKeys());
--- a/edge/src/main/java/gorseladder/edge/core/SignedRequest.java
+++ b/edge/src/main/java/gorseladder/edge/core/SignedRequest.java
@@ -19,8 +19,8 @@
  * sender's id, the time stamp and the body, and not the path, so neither do the keys of its signatures. They do not
  * depend on the settings either: a restart, other secrets or another path change nothing.
  *
- * <p>A request has one key for each signature that it carries, and one for its content under each {@link MessageId} that
- * it may have. It is a replay if any of them is on record:
+ * <p>A request has one key for each signature that it carries, and one for its content under each {@link MessageId}
+ * that it may have. It is a replay if any of them is on record:
  *
  * <ul>
  *   <li>the key of a good signature counts at every endpoint: only a holder of the secret can have made it;
--- a/soak/src/main/java/gorseladder/soak/EdgeSoak.java
+++ b/soak/src/main/java/gorseladder/soak/EdgeSoak.java
@@ -25,8 +25,9 @@
 
 /**
  * A soak of one edge with a ledger: its wall clock is stepped, its disk is full or fails for a while, and it is killed
- * in the middle of writes; senders repeat messages that got no successful answer, and some that got one, and somebody
- * posts signed requests again at another endpoint. The rule checker, which sees sockets only, judges the run by the five rules.
+ * in the middle of writes; senders repeat messages that got no successful answer, and some that got one, and a part of
+ * the signed requests is posted again at another endpoint. The rule checker, which sees
+ * sockets only, judges the run by the five rules.
  */
 public final class EdgeSoak {
   private static final long SEND_INTERVAL_MILLIS = 30;
--- a/testbed/src/test/java/gorseladder/testbed/ReplayElsewhereTest.java
+++ b/testbed/src/test/java/gorseladder/testbed/ReplayElsewhereTest.java
@@ -18,6 +18,7 @@
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.Base64;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -27,9 +28,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards against a signed request that is accepted twice because it is posted at another endpoint, and against a message
- * that runs twice because its sender retries at another path. The signature covers id, time stamp and body, not the
- * path.
+ * Guards against a signed request that is accepted twice because it is posted at another endpoint, and against a
+ * message that runs twice because its sender retries at another path. The signature covers id, time stamp and body,
+ * not the path.
  */
 class ReplayElsewhereTest {
   private static final String SAFE = "hours.read";
@@ -239,6 +240,24 @@
     assertEquals(1, runs("m3"));
   }
 
+  /** Uses the key pair of RFC 8032 section 7.1, test 1. */
+  @Test
+  void anEd25519SignatureIsTakenOnceToo() throws Exception {
+    HexFormat hex = HexFormat.of();
+    String seed = Base64.getEncoder()
+        .encodeToString(
+            hex.parseHex("9d61b19deffd5a60ba844af492ec2cc44449c5697b326919703bac031cae7f60"));
+    String key = Base64.getEncoder()
+        .encodeToString(
+            hex.parseHex("d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a"));
+    start(endpoint("/a", OFFICE, "whpk_" + key), endpoint("/b", GUILD, SECRET_B, "whpk_" + key));
+    SignedPost post = SignedPost.of("m1", now(), UNSAFE, Secret.parse("whsk_" + seed), B);
+    assertServed(post, "/a");
+    assertReplayed(post.part(0), "/b");
+    assertReplayed(post, "/b");
+    assertEquals(1, runs("m1"));
+  }
+
   @Test
   void tenantsWithSecretsOfTheirOwnDoNotUseUpEachOthersRequests() throws Exception {
     start(endpoint("/a", OFFICE, SECRET_A), endpoint("/b", GUILD, SECRET_B));
